--- /dev/null
+++ b/crates/ochrelead-benchlink/src/facts.rs
@@ -0,0 +1,104 @@
+//! The settings of an instance's first message, read into the provisioning of the rules.
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use ochrelead_core::provision::{Member, Provision, Service};
+use ochrelead_core::time::Span;
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Facts {
+    balancers: u32,
+    request_classes: Vec<RequestClass>,
+    orgs: Vec<Org>,
+    limits: Limits,
+    rules: Rules,
+    family_info: FamilyInfo,
+    pub discovery: String,
+    tick_ms: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct RequestClass {
+    target_ms: f64,
+    deadline_ms: f64,
+    worth: f64,
+    late_share: f64,
+    semantics: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Org {
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Limits {
+    max_attempts: u32,
+    max_retry_after_ms: f64,
+    retry_after: bool,
+    may_cancel: bool,
+    probes: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Rules {
+    cold_from: f64,
+    cold_ms: f64,
+    overload_factor: f64,
+    tip_after_ms: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct FamilyInfo {
+    class_cells: Vec<Vec<i64>>,
+    guard_ms: f64,
+    resend_ms: f64,
+}
+
+fn span(ms: f64) -> Span {
+    Span::from_micros((ms.max(0.0) * 1_000.0).round() as u64)
+}
+
+impl Facts {
+    pub fn read(body: &Value) -> Result<Facts, String> {
+        match body.get("facts") {
+            None | Some(Value::Null) => Ok(Facts::default()),
+            Some(facts) => Facts::deserialize(facts).map_err(|error| format!("Hello: facts: {error}")),
+        }
+    }
+
+    pub fn provision(&self, seed: u64) -> Provision {
+        let services = self.request_classes.iter().enumerate().map(|(at, class)| Service {
+            value: class.worth,
+            post_dial_target: span(if class.target_ms > 0.0 { class.target_ms } else { class.deadline_ms }),
+            late_share: class.late_share,
+            servers: self.family_info.class_cells.get(at).cloned().unwrap_or_default(),
+            repeatable: matches!(class.semantics.as_str(), "" | "free"),
+        });
+        let limits = &self.limits;
+        Provision {
+            seed,
+            fronts: self.balancers.max(1),
+            services: services.collect(),
+            members: self.orgs.iter().map(|org| Member { quota_per_s: org.quota_per_s }).collect(),
+            most_invites: limits.max_attempts,
+            longest_away: span(if limits.retry_after { limits.max_retry_after_ms } else { 0.0 }),
+            may_cancel: limits.may_cancel,
+            may_probe: limits.probes,
+            release_wait: span(self.family_info.guard_ms),
+            repeat_gap: span(self.family_info.resend_ms),
+            cold_share: self.rules.cold_from,
+            warm_after: span(self.rules.cold_ms),
+            fall_multiple: self.rules.overload_factor,
+            fall_after: span(self.rules.tip_after_ms),
+            turn: span(self.tick_ms),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-core/src/call.rs
@@ -0,0 +1,94 @@
+//! What passes between the host and the rules, in the trade's words.
+
+use crate::index::{MemberIx, NumberIx, ServerIx, ServiceIx, SessionIx};
+use crate::time::{Moment, Span};
+
+/// A session as its caller asks for it.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    pub service: ServiceIx,
+    pub member: Option<MemberIx>,
+    pub number: Option<NumberIx>,
+    /// The number of the server of first choice.
+    pub destination: i64,
+    /// The caller gives up at this moment.
+    pub timer_limit: Moment,
+    /// The caller says that it has tried before.
+    pub redial: bool,
+}
+
+/// How an INVITE, or the call that it set up, came to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The call stood and was released.
+    Released,
+    /// All lines of the called number are busy, or the signalling failed.
+    Fault {
+        lines_busy: bool,
+    },
+    /// Turned away by a full server, which may name a wait.
+    BusyReplied {
+        wait: Option<Span>,
+    },
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    /// It never left.
+    Unsent,
+}
+
+/// What a server says of its own load; nothing where it says nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    /// New set-ups a second that it can take from all fronts.
+    pub can_take: Option<f64>,
+    /// The share of new set-ups that it asks each front to hold back.
+    pub hold_back: Option<f64>,
+    /// The wait at its processor.
+    pub wait: Option<Span>,
+}
+
+/// One line of the server list.
+#[derive(Clone, Copy, Debug)]
+pub struct Listing {
+    pub server: ServerIx,
+    pub number: i64,
+    pub state: ListState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListState {
+    /// In service; with the moment of its last start where that is known.
+    Ready {
+        started: Option<Moment>,
+    },
+    Draining,
+    Gone,
+}
+
+/// What the host is to do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Decision {
+    /// Send an INVITE and wait for it as long as the caller does.
+    Invite {
+        session: SessionIx,
+        server: ServerIx,
+    },
+    /// Cancel the session's INVITE that is out.
+    CancelInvite {
+        session: SessionIx,
+    },
+    /// Final: refused, with a time to come back after.
+    Refuse {
+        session: SessionIx,
+        come_back: Option<Span>,
+    },
+    /// Final: it failed.
+    Terminate {
+        session: SessionIx,
+    },
+    Probe {
+        server: ServerIx,
+    },
+}
--- /dev/null
+++ b/crates/ochrelead-core/src/index.rs
@@ -0,0 +1,40 @@
+//! Small indices that stand for the host's ids; they cannot be mixed up.
+
+macro_rules! index {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        pub struct $name(u32);
+
+        impl $name {
+            pub const fn new(at: usize) -> Self {
+                $name(at as u32)
+            }
+
+            pub const fn at(self) -> usize {
+                self.0 as usize
+            }
+        }
+    };
+}
+
+index!(
+    /// A session that the front has taken; free for another once it is over and no INVITE is out.
+    SessionIx
+);
+index!(
+    /// A signalling server, counted in the order in which the front first heard of it.
+    ServerIx
+);
+index!(
+    /// A called number.
+    NumberIx
+);
+index!(
+    /// A service, as in the provisioning.
+    ServiceIx
+);
+index!(
+    /// A member (tenant), as in the provisioning.
+    MemberIx
+);
--- /dev/null
+++ b/crates/ochrelead-core/src/lib.rs
@@ -0,0 +1,10 @@
+//! The decisions of the ochrelead call controller, free of any wire and any clock of their own.
+//!
+//! [`rules`] is the one module that decides; the others hold plain types.
+
+pub mod call;
+pub mod index;
+pub mod provision;
+pub mod ring;
+pub mod rules;
+pub mod time;
--- /dev/null
+++ b/crates/ochrelead-core/src/rules.rs
@@ -0,0 +1,616 @@
+//! All that ochrelead decides.
+//!
+//! The host feeds a [`Controller`] with what it sees (`offered`, `stands`, `ended`, `hung_up`, `listed`,
+//! `reported`); these calls only update what is known. After each turn it pulls [`Controller::next`] until
+//! there is no decision left and asks [`Controller::wake`] when to come again. The types that pass
+//! between the two stand in `call.rs`, the start-up figures in `provision.rs`.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::call::{Decision, Ending, ListState, Listing, LoadReport, Offer};
+use crate::index::{NumberIx, ServerIx, SessionIx};
+use crate::provision::Provision;
+use crate::ring::Ring;
+use crate::time::{Moment, Span};
+
+/// One token in whole small units, so that ten deposits make exactly one token.
+const TOKEN: u64 = 1_000_000_000;
+const DEPOSIT: u64 = TOKEN / 10;
+const TOKEN_LIFE: Span = Span::from_secs(10);
+/// A re-send is also allowed where none went to the server for this long.
+const FLOOR_GAP: Span = Span::from_secs(1);
+const USUAL_INVITES: u32 = 3;
+/// An answer within this share of the post-dial target is no sign of a queue.
+const EASY_SHARE: f64 = 0.25;
+/// Nothing heard for this share of the post-dial target, with an INVITE out, is silence.
+const SILENT_SHARE: f64 = 1.0 / 3.0;
+/// The least that the in-flight limit may be, as a share of one INVITE.
+const LEAST_LIMIT: f64 = 0.125;
+/// The width of a bucket of time; the present is eight of them.
+const PRESENT: Span = Span::from_millis(250);
+/// A server's weight after a slow or full set-up, and how much of the lost part each second brings back.
+const WEIGHT_CUT: f64 = 0.5;
+const WEIGHT_BACK: f64 = 0.1;
+
+/// The re-send budget of one server.
+#[derive(Clone, Debug, Default)]
+pub struct Bucket {
+    units: u64,
+    at: Moment,
+    last_resend: Option<Moment>,
+}
+
+impl Bucket {
+    fn decay(&mut self, now: Moment) {
+        let (elapsed, life) = (u128::from(now.since(self.at).micros()), u128::from(TOKEN_LIFE.micros()));
+        let lost = u128::from(self.units) * elapsed / life;
+        self.units = self.units.saturating_sub(u64::try_from(lost).unwrap_or(u64::MAX));
+        self.at = now;
+    }
+
+    /// A session is first sent to the server.
+    pub fn deposit(&mut self, now: Moment) {
+        self.decay(now);
+        self.units += DEPOSIT;
+    }
+
+    /// Takes one token for a re-send, or lets it pass by the floor.
+    pub fn withdraw(&mut self, now: Moment) -> bool {
+        self.decay(now);
+        let floor = self.last_resend.is_none_or(|last| now.since(last) >= FLOOR_GAP);
+        if self.units < TOKEN && !floor {
+            return false;
+        }
+        self.units = if self.units >= TOKEN { self.units - TOKEN } else { self.units };
+        self.last_resend = Some(now);
+        true
+    }
+
+    /// A paid re-send goes elsewhere after all.
+    fn refund(&mut self, now: Moment) {
+        self.decay(now);
+        self.units += TOKEN;
+    }
+}
+
+/// The figures of one service that decisions use.
+struct Desk {
+    /// How far a session may pass the in-flight limit that holds for the least value.
+    reach: f64,
+    servers: Vec<i64>,
+    repeatable: bool,
+}
+
+struct Session {
+    offer: Offer,
+    invites: u32,
+    /// The INVITE that waits for its answer.
+    out: Option<Out>,
+    standing: bool,
+    /// Answered; only the outcome of its INVITE is still to come.
+    over: bool,
+    /// When a decision is due.
+    due: Option<Moment>,
+    /// Rule five: no INVITE before this moment.
+    not_before: Moment,
+    /// The server whose bucket has paid for the next INVITE.
+    paid: Option<ServerIx>,
+    /// Servers that failed this session.
+    spurned: Vec<ServerIx>,
+    last: Option<Ending>,
+}
+
+#[derive(Clone, Copy)]
+struct Out {
+    server: ServerIx,
+    sent: Moment,
+    /// It was looked at after the server had fallen silent.
+    pressed: bool,
+}
+
+struct Server {
+    number: i64,
+    open: bool,
+    started: Option<Moment>,
+    bucket: Bucket,
+    /// The INVITEs that wait for an answer, oldest first.
+    out: Vec<(Moment, SessionIx)>,
+    /// Answer times of late, and over the long run.
+    present: Ring<8>,
+    long: Ring<16>,
+    /// The last sign of life.
+    heard: Moment,
+    silent: bool,
+    barred_until: Moment,
+    trial_gap: Span,
+    /// Nothing new before this moment, where the limit lies under one INVITE.
+    paced_until: Moment,
+    weight: f64,
+    weight_at: Moment,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Number {
+    busy_until: Moment,
+    run: u32,
+}
+
+/// The decisions of one front.
+pub struct Controller {
+    now: Moment,
+    desks: Vec<Desk>,
+    /// The shortest post-dial target.
+    target: Span,
+    most_invites: u32,
+    longest_away: Span,
+    may_cancel: bool,
+    release_wait: Span,
+    warm_after: Span,
+    margin: Span,
+    sessions: Vec<Option<Session>>,
+    servers: Vec<Server>,
+    numbers: Vec<Number>,
+    due: BTreeSet<(Moment, SessionIx)>,
+    pressing: VecDeque<SessionIx>,
+    chance: Pcg64Mcg,
+}
+
+impl Controller {
+    pub fn new(provision: &Provision, now: Moment) -> Self {
+        let least = provision.services.iter().map(|s| s.value).fold(f64::INFINITY, f64::min);
+        let target =
+            provision.services.iter().map(|s| s.post_dial_target).min().unwrap_or(Span::from_secs(1));
+        let desks = provision.services.iter().map(|service| Desk {
+            reach: (service.value / least.max(f64::MIN_POSITIVE)).sqrt().max(1.0),
+            servers: service.servers.clone(),
+            repeatable: service.repeatable,
+        });
+        Controller {
+            now,
+            desks: desks.collect(),
+            target,
+            most_invites: match provision.most_invites {
+                0 => USUAL_INVITES,
+                most => most.min(USUAL_INVITES),
+            },
+            longest_away: provision.longest_away,
+            may_cancel: provision.may_cancel,
+            release_wait: provision.release_wait,
+            warm_after: provision.warm_after,
+            margin: provision.turn,
+            sessions: Vec::new(),
+            servers: Vec::new(),
+            numbers: Vec::new(),
+            due: BTreeSet::new(),
+            pressing: VecDeque::new(),
+            chance: Pcg64Mcg::seed_from_u64(provision.seed),
+        }
+    }
+
+    // ---- What is seen ----
+
+    /// The host's clock; told before anything else of a turn.
+    pub fn clock(&mut self, now: Moment) {
+        self.now = self.now.max(now);
+    }
+
+    pub fn offered(&mut self, session: SessionIx, offer: Offer) {
+        if self.sessions.len() <= session.at() {
+            self.sessions.resize_with(session.at() + 1, || None);
+        }
+        self.sessions[session.at()] = Some(Session {
+            offer,
+            invites: 0,
+            out: None,
+            standing: false,
+            over: false,
+            due: Some(self.now),
+            not_before: self.now,
+            paid: None,
+            spurned: Vec::new(),
+            last: None,
+        });
+        self.due.insert((self.now, session));
+    }
+
+    /// The session's INVITE was answered: the call stands.
+    pub fn stands(&mut self, session: SessionIx) {
+        let now = self.now;
+        let Some(held) = self.session_mut(session) else { return };
+        let Some(Out { server, sent, .. }) = held.out.take() else { return };
+        held.standing = true;
+        if let Some(number) = held.offer.number {
+            self.number_mut(number).run = 0;
+        }
+        let slow = self.target.scaled(EASY_SHARE * 2.0);
+        let at = &mut self.servers[server.at()];
+        at.out.retain(|(_, out)| *out != session);
+        let took = now.since(sent);
+        at.present.add(now, took);
+        at.long.add(now, took);
+        at.sign_of_life(now);
+        if took > slow {
+            at.cut_weight(now);
+        }
+        let limit = at.limit(now, self.target);
+        if limit < 1.0 {
+            at.paced_until = now + took.scaled(1.0 / limit - 1.0);
+        }
+    }
+
+    /// An INVITE, or the call that it set up, has ended. `over`: the session has its answer.
+    pub fn ended(&mut self, session: SessionIx, server: ServerIx, ending: Ending, over: bool) {
+        let now = self.now;
+        if let Some(at) = self.servers.get_mut(server.at()) {
+            at.out.retain(|(_, out)| *out != session);
+            match ending {
+                Ending::Released | Ending::Fault { .. } => at.sign_of_life(now),
+                Ending::BusyReplied { wait } => {
+                    at.sign_of_life(now);
+                    at.cut_weight(now);
+                    at.barred_until = at.barred_until.max(now + wait.unwrap_or(self.target));
+                }
+                Ending::ConnectFailed => at.fall_silent(now, self.target),
+                Ending::TimedOut | Ending::Reset => at.cut_weight(now),
+                Ending::Cancelled | Ending::Unsent => {}
+            }
+        }
+        let (target, release_wait) = (self.target, self.release_wait);
+        let Some(held) = self.session_mut(session) else { return };
+        held.last = Some(ending);
+        let number = held.offer.number;
+        if over || held.over || held.standing {
+            self.forget(session);
+        } else {
+            held.out = None;
+            if !held.spurned.contains(&server) {
+                held.spurned.push(server);
+            }
+            if matches!(ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled) {
+                held.not_before = now + release_wait;
+            }
+            held.due = Some(now);
+            self.due.insert((now, session));
+        }
+        // A number whose lines were all busy is left alone for a while, longer each time; a release frees one.
+        if let Some(number) = number {
+            let known = self.number_mut(number);
+            match ending {
+                Ending::Fault { lines_busy: true } => {
+                    known.run = known.run.saturating_add(1);
+                    known.busy_until = now + target * u64::from(known.run.min(4));
+                }
+                Ending::Released => known.busy_until = now,
+                _ => {}
+            }
+        }
+    }
+
+    /// The caller has gone, or the session was answered elsewhere.
+    pub fn hung_up(&mut self, session: SessionIx) {
+        let Some(held) = self.session_mut(session) else { return };
+        held.over = true;
+        if held.out.is_none() {
+            self.forget(session);
+        }
+    }
+
+    /// News of the server list; `whole` where it names all servers there are.
+    pub fn listed(&mut self, whole: bool, listings: &[Listing]) {
+        let now = self.now;
+        if whole {
+            self.servers.iter_mut().for_each(|server| server.open = false);
+        }
+        for listing in listings {
+            while self.servers.len() <= listing.server.at() {
+                self.servers.push(Server::new(now));
+            }
+            let warm_after = self.warm_after;
+            let server = &mut self.servers[listing.server.at()];
+            server.number = listing.number;
+            server.open = matches!(listing.state, ListState::Ready { .. });
+            if let ListState::Ready { started: Some(started) } = listing.state
+                && server.started != Some(started)
+            {
+                server.started = Some(started);
+                if started + warm_after > now {
+                    server.restart(now);
+                }
+            }
+        }
+    }
+
+    /// What a server says of its load.
+    pub fn reported(&mut self, _server: ServerIx, _report: LoadReport) {}
+
+    // ---- What is decided ----
+
+    /// The next decision, until there is none left for this turn.
+    pub fn next(&mut self) -> Option<Decision> {
+        self.look_for_silence();
+        while let Some(session) = self.pressing.pop_front() {
+            if let Some(decision) = self.rescue(session) {
+                return Some(decision);
+            }
+        }
+        while let Some(&(moment, session)) = self.due.first() {
+            if moment > self.now {
+                return None;
+            }
+            self.due.pop_first();
+            if let Some(decision) = self.judge(session) {
+                return Some(decision);
+            }
+        }
+        None
+    }
+
+    /// When the host is to come again although nothing happens.
+    pub fn wake(&self) -> Option<Moment> {
+        let due = self.due.first().map(|(moment, _)| *moment);
+        let silence = self.servers.iter().filter_map(|at| match at.silent {
+            false => at.suspicion(self.now, self.target),
+            true => at.out.iter().map(|(sent, _)| *sent + at.patience(self.now, self.target)).next_back(),
+        });
+        due.into_iter().chain(silence.filter(|moment| *moment > self.now)).min()
+    }
+
+    /// One due session: an INVITE, a final answer, or (none) the wait for the release.
+    fn judge(&mut self, session: SessionIx) -> Option<Decision> {
+        let now = self.now;
+        let held = self.session(session)?;
+        let desk = &self.desks[held.offer.service.at()];
+        let may_run = match held.last {
+            None | Some(Ending::BusyReplied { .. } | Ending::ConnectFailed) => true,
+            Some(Ending::TimedOut | Ending::Reset | Ending::Cancelled) => desk.repeatable,
+            Some(Ending::Released | Ending::Fault { .. } | Ending::Unsent) => false,
+        };
+        let ready = held.not_before.max(now);
+        let in_time = ready + self.margin < held.offer.timer_limit;
+        if !may_run || !in_time || held.invites >= self.most_invites || self.lines_busy(held.offer.number) {
+            return Some(self.give_up(session));
+        }
+        let (resend, paid) = (held.invites > 0, held.paid);
+        let kept = paid.filter(|to| self.has_room(*to, session));
+        let Some(server) = kept.or_else(|| self.choose(session)) else {
+            return Some(self.give_up(session));
+        };
+        if resend && paid != Some(server) {
+            if let Some(before) = paid {
+                self.servers[before.at()].bucket.refund(now);
+            }
+            if !self.servers[server.at()].bucket.withdraw(now) {
+                return Some(self.give_up(session));
+            }
+        }
+        let held = self.session_mut(session)?;
+        if ready > now {
+            held.paid = Some(server);
+            held.due = Some(ready);
+            self.due.insert((ready, session));
+            return None;
+        }
+        held.paid = None;
+        held.due = None;
+        held.out = Some(Out { server, sent: now, pressed: false });
+        held.invites += 1;
+        let at = &mut self.servers[server.at()];
+        at.out.push((now, session));
+        if !resend {
+            at.bucket.deposit(now);
+        }
+        Some(Decision::Invite { session, server })
+    }
+
+    /// The destination while it has room, then a weighted draw among the others that have.
+    fn choose(&mut self, session: SessionIx) -> Option<ServerIx> {
+        let held = self.session(session)?;
+        let allowed = &self.desks[held.offer.service.at()].servers;
+        let all = 0..self.servers.len();
+        let fit: Vec<ServerIx> = all
+            .map(ServerIx::new)
+            .filter(|at| allowed.is_empty() || allowed.contains(&self.servers[at.at()].number))
+            .filter(|at| !held.spurned.contains(at) && self.has_room(*at, session))
+            .collect();
+        let destination = held.offer.destination;
+        if let Some(first) = fit.iter().find(|at| self.servers[at.at()].number == destination) {
+            return Some(*first);
+        }
+        let weights: Vec<f64> = fit.iter().map(|at| self.servers[at.at()].weight(self.now)).collect();
+        let mut left = self.chance.random::<f64>() * weights.iter().sum::<f64>();
+        let drawn = fit.iter().zip(&weights).find(|(_, weight)| {
+            left -= **weight;
+            left <= 0.0
+        });
+        drawn.map(|(at, _)| *at).or(fit.last().copied())
+    }
+
+    /// Whether the server may be sent this session now.
+    fn has_room(&self, server: ServerIx, session: SessionIx) -> bool {
+        let (Some(at), Some(held)) = (self.servers.get(server.at()), self.session(session)) else {
+            return false;
+        };
+        let now = self.now;
+        if !at.open || now < at.barred_until {
+            return false;
+        }
+        if at.silent {
+            // One trial at a time: what went out before it fell silent does not count.
+            return at.out.iter().all(|(sent, _)| now.since(*sent) >= at.trial_gap);
+        }
+        let reach = self.desks[held.offer.service.at()].reach;
+        let limit = at.limit(now, self.target);
+        now >= at.paced_until && (at.out.len() as f64) < (limit * reach).max(1.0)
+    }
+
+    /// A number whose lines were all busy a moment ago takes nothing.
+    fn lines_busy(&self, number: Option<NumberIx>) -> bool {
+        let known = number.and_then(|number| self.numbers.get(number.at()));
+        known.is_some_and(|known| known.busy_until > self.now)
+    }
+
+    /// Servers that answer nothing although INVITEs are out. Silent is not slow: a server that still
+    /// answers anything at all, or whose answers were late before, is given longer.
+    fn look_for_silence(&mut self) {
+        let (now, target) = (self.now, self.target);
+        for at in &mut self.servers {
+            if !at.silent && at.suspicion(now, target).is_some_and(|moment| moment <= now) {
+                at.fall_silent(now, target);
+            }
+            if at.silent {
+                let patience = at.patience(now, target);
+                let stuck = at.out.iter().filter(|(sent, _)| *sent + patience <= now);
+                self.pressing.extend(stuck.map(|(_, session)| *session));
+            }
+        }
+    }
+
+    /// A session stuck at a silent server is called back where another server is ready to take it.
+    fn rescue(&mut self, session: SessionIx) -> Option<Decision> {
+        let now = self.now;
+        let held = self.session(session)?;
+        let out = held.out.filter(|out| !out.pressed)?;
+        let desk = &self.desks[held.offer.service.at()];
+        let in_time = now + self.release_wait + self.margin < held.offer.timer_limit;
+        let able = self.may_cancel && desk.repeatable && in_time && held.invites < self.most_invites;
+        self.session_mut(session)?.out = Some(Out { pressed: true, ..out });
+        if !able {
+            return None;
+        }
+        self.session_mut(session)?.spurned.push(out.server);
+        let to = self.choose(session)?;
+        if !self.servers[to.at()].bucket.withdraw(now) {
+            return None;
+        }
+        self.session_mut(session)?.paid = Some(to);
+        Some(Decision::CancelInvite { session })
+    }
+
+    /// Given up: answered at once, with a time to come back where that may be named.
+    fn give_up(&mut self, session: SessionIx) -> Decision {
+        let now = self.now;
+        let held = self.session(session);
+        let repeatable = held.is_none_or(|held| self.desks[held.offer.service.at()].repeatable);
+        let tried = held.is_some_and(|held| held.invites > 0);
+        if let Some(paid) = held.and_then(|held| held.paid) {
+            self.servers[paid.at()].bucket.refund(now);
+        }
+        self.forget(session);
+        if tried && !repeatable {
+            return Decision::Terminate { session };
+        }
+        let come_back = (self.longest_away > Span::ZERO).then_some(self.longest_away);
+        Decision::Refuse { session, come_back }
+    }
+
+    fn forget(&mut self, session: SessionIx) {
+        if let Some(held) = self.sessions.get_mut(session.at()).and_then(Option::take)
+            && let Some(due) = held.due
+        {
+            self.due.remove(&(due, session));
+        }
+    }
+
+    fn session(&self, session: SessionIx) -> Option<&Session> {
+        self.sessions.get(session.at())?.as_ref()
+    }
+
+    fn session_mut(&mut self, session: SessionIx) -> Option<&mut Session> {
+        self.sessions.get_mut(session.at())?.as_mut()
+    }
+
+    fn number_mut(&mut self, number: NumberIx) -> &mut Number {
+        if self.numbers.len() <= number.at() {
+            self.numbers.resize(number.at() + 1, Number::default());
+        }
+        &mut self.numbers[number.at()]
+    }
+}
+
+impl Server {
+    fn new(now: Moment) -> Self {
+        Server {
+            number: -1,
+            open: false,
+            started: None,
+            bucket: Bucket::default(),
+            out: Vec::new(),
+            present: Ring::new(PRESENT),
+            long: Ring::new(PRESENT * 8),
+            heard: now,
+            silent: false,
+            barred_until: Moment::START,
+            trial_gap: Span::ZERO,
+            paced_until: Moment::START,
+            weight: 1.0,
+            weight_at: now,
+        }
+    }
+
+    /// Told that it has started anew: what was seen of the old process counts no more.
+    fn restart(&mut self, now: Moment) {
+        self.present.clear();
+        self.long.clear();
+        self.silent = false;
+        self.heard = now;
+        self.barred_until = now;
+        self.paced_until = now;
+        self.trial_gap = Span::ZERO;
+    }
+
+    fn sign_of_life(&mut self, now: Moment) {
+        self.heard = now;
+        self.silent = false;
+    }
+
+    /// Nothing comes back: left alone but for one session at a time, at growing gaps.
+    fn fall_silent(&mut self, now: Moment, target: Span) {
+        self.trial_gap = if self.silent { (self.trial_gap * 2).min(target * 2) } else { target };
+        self.silent = true;
+        self.present.clear();
+        self.barred_until = now + self.trial_gap;
+    }
+
+    fn cut_weight(&mut self, now: Moment) {
+        self.weight = self.weight(now) * WEIGHT_CUT;
+        self.weight_at = now;
+    }
+
+    fn weight(&self, now: Moment) -> f64 {
+        let seconds = now.since(self.weight_at).ratio(Span::from_secs(1));
+        1.0 - (1.0 - self.weight) * (1.0 - WEIGHT_BACK).powf(seconds)
+    }
+
+    /// The present answer time: of late, or the age of what still waits where that is longer.
+    fn answer_time(&self, now: Moment) -> Span {
+        let waits = self.out.first().map_or(Span::ZERO, |(sent, _)| now.since(*sent));
+        self.present.tally(now).mean().unwrap_or(Span::ZERO).max(waits)
+    }
+
+    /// How many INVITEs may be out: what it answered of late times the easy answer time, with one to
+    /// spare, by the ratio of the easy answer time to the present one. A server that has answered
+    /// little, being fresh or back from silence, so starts at about one and grows with its answers.
+    fn limit(&self, now: Moment, target: Span) -> f64 {
+        let least = self.long.tally(now).least.unwrap_or(Span::ZERO);
+        let easy = (least * 2).max(target.scaled(EASY_SHARE));
+        let rate = f64::from(self.present.tally(now).count) / self.present.span().ratio(Span::from_secs(1));
+        let carried = rate * easy.ratio(Span::from_secs(1));
+        let ratio = easy.ratio(self.answer_time(now)).min(2.0);
+        ((1.0 + 2.0 * carried) * ratio).max(LEAST_LIMIT)
+    }
+
+    /// How long it may say nothing before it counts as silent.
+    fn patience(&self, now: Moment, target: Span) -> Span {
+        let present = self.present.tally(now).mean().unwrap_or(Span::ZERO);
+        target.scaled(SILENT_SHARE).max(present * 2)
+    }
+
+    /// The moment from which it is silent, unless something is heard before.
+    fn suspicion(&self, now: Moment, target: Span) -> Option<Moment> {
+        let (sent, _) = self.out.first()?;
+        Some((*sent).max(self.heard) + self.patience(now, target))
+    }
+}
