Pace fresh servers by this front's share of the cold budget

Each front now keeps to its own share: what its warm servers answer stands for its share of a server.

--- a/crates/ochrelead-benchlink/src/front.rs
+++ b/crates/ochrelead-benchlink/src/front.rs
@@ -176,7 +176,7 @@
         if std::mem::take(&mut self.ask) {
             actions.push(json!({"Tail": {"want": true}}));
         }
-        while let Some(decision) = self.rules.next() {
+        while let Some(decision) = self.rules.decide() {
             actions.push(self.action(decision));
         }
         if let Some(wake) = self.rules.wake()
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -1,7 +1,7 @@
 //! All that ochrelead decides.
 //!
 //! The host feeds a [`Controller`] with what it sees (`offered`, `stands`, `ended`, `hung_up`, `listed`,
-//! `reported`); these calls only update what is known. After each turn it pulls [`Controller::next`] until
+//! `reported`); these calls only update what is known. After each turn it pulls [`Controller::decide`] until
 //! there is no decision left and asks [`Controller::wake`] when to come again. The types that pass
 //! between the two stand in `call.rs`, the start-up figures in `provision.rs`.
 
@@ -29,6 +29,9 @@
 const SILENT_SHARE: f64 = 1.0 / 3.0;
 /// The least that the in-flight limit may be, as a share of one INVITE.
 const LEAST_LIMIT: f64 = 0.125;
+/// How much of a cold server's fall budget, by this front's share, set-ups may fill; the rest is for
+/// answers, releases, repeats and the unevenness of chance.
+const COLD_PART: f64 = 0.5;
 /// The width of a bucket of time; the present is eight of them.
 const PRESENT: Span = Span::from_millis(250);
 /// A server's weight after a slow or full set-up, and how much of the lost part each second brings back.
@@ -116,6 +119,9 @@
     open: bool,
     started: Option<Moment>,
     bucket: Bucket,
+    /// Cold, for all this front knows, until then.
+    fresh_until: Moment,
+    last_invite: Moment,
     /// The INVITEs that wait for an answer, oldest first.
     out: Vec<(Moment, SessionIx)>,
     /// Answer times of late, and over the long run.
@@ -149,6 +155,9 @@
     may_cancel: bool,
     release_wait: Span,
     warm_after: Span,
+    /// What a server just started may be sent before it falls over, in set-ups of a warm one.
+    cold_multiple: f64,
+    born: Moment,
     margin: Span,
     sessions: Vec<Option<Session>>,
     servers: Vec<Server>,
@@ -180,6 +189,8 @@
             may_cancel: provision.may_cancel,
             release_wait: provision.release_wait,
             warm_after: provision.warm_after,
+            cold_multiple: provision.cold_share * provision.fall_multiple,
+            born: now,
             margin: provision.turn,
             sessions: Vec::new(),
             servers: Vec::new(),
@@ -317,7 +328,7 @@
             {
                 server.started = Some(started);
                 if started + warm_after > now {
-                    server.restart(now);
+                    server.restart(now, started + warm_after);
                 }
             }
         }
@@ -329,7 +340,7 @@
     // ---- What is decided ----
 
     /// The next decision, until there is none left for this turn.
-    pub fn next(&mut self) -> Option<Decision> {
+    pub fn decide(&mut self) -> Option<Decision> {
         self.look_for_silence();
         while let Some(session) = self.pressing.pop_front() {
             if let Some(decision) = self.rescue(session) {
@@ -399,6 +410,7 @@
         held.invites += 1;
         let at = &mut self.servers[server.at()];
         at.out.push((now, session));
+        at.last_invite = now;
         if !resend {
             at.bucket.deposit(now);
         }
@@ -441,11 +453,29 @@
             // One trial at a time: what went out before it fell silent does not count.
             return at.out.iter().all(|(sent, _)| now.since(*sent) >= at.trial_gap);
         }
-        let reach = self.desks[held.offer.service.at()].reach;
         let limit = at.limit(now, self.target);
+        if now < at.fresh_until {
+            return (at.out.len() as f64) < limit.clamp(1.0, 1.0 + at.recent_rate(now))
+                && now >= at.last_invite + self.cold_gap(at);
+        }
+        let reach = self.desks[held.offer.service.at()].reach;
         now >= at.paced_until && (at.out.len() as f64) < (limit * reach).max(1.0)
     }
 
+    /// Rule four, kept by this front's share alone: a fresh server is sent no more than the fall budget of
+    /// its coldest moment, taking what this front's warm servers answer as this front's share of a server.
+    /// It grows with what the fresh server itself answers.
+    fn cold_gap(&self, fresh: &Server) -> Span {
+        let now = self.now;
+        let seen = now.since(self.born).min(fresh.long.span()).ratio(Span::from_secs(1));
+        let warm = self.servers.iter().filter(|at| at.open && now >= at.fresh_until);
+        let (servers, answers) =
+            warm.fold((0, 0), |(servers, answers), at| (servers + 1, answers + at.long.tally(now).count));
+        let share = f64::from(answers) / f64::from(servers.max(1)) / seen.max(1.0);
+        let rate = (share * self.cold_multiple * COLD_PART).max(fresh.recent_rate(now));
+        Span::from_secs(1).scaled(1.0 / rate.max(1.0 / self.warm_after.ratio(Span::from_secs(1)).max(1.0)))
+    }
+
     /// A number whose lines were all busy a moment ago takes nothing.
     fn lines_busy(&self, number: Option<NumberIx>) -> bool {
         let known = number.and_then(|number| self.numbers.get(number.at()));
@@ -536,6 +566,8 @@
             number: -1,
             open: false,
             started: None,
+            fresh_until: Moment::START,
+            last_invite: Moment::START,
             bucket: Bucket::default(),
             out: Vec::new(),
             present: Ring::new(PRESENT),
@@ -551,7 +583,8 @@
     }
 
     /// Told that it has started anew: what was seen of the old process counts no more.
-    fn restart(&mut self, now: Moment) {
+    fn restart(&mut self, now: Moment, fresh_until: Moment) {
+        self.fresh_until = fresh_until;
         self.present.clear();
         self.long.clear();
         self.silent = false;
@@ -596,12 +629,16 @@
     fn limit(&self, now: Moment, target: Span) -> f64 {
         let least = self.long.tally(now).least.unwrap_or(Span::ZERO);
         let easy = (least * 2).max(target.scaled(EASY_SHARE));
-        let rate = f64::from(self.present.tally(now).count) / self.present.span().ratio(Span::from_secs(1));
-        let carried = rate * easy.ratio(Span::from_secs(1));
+        let carried = self.recent_rate(now) * easy.ratio(Span::from_secs(1));
         let ratio = easy.ratio(self.answer_time(now)).min(2.0);
         ((1.0 + 2.0 * carried) * ratio).max(LEAST_LIMIT)
     }
 
+    /// Answers a second of late.
+    fn recent_rate(&self, now: Moment) -> f64 {
+        f64::from(self.present.tally(now).count) / self.present.span().ratio(Span::from_secs(1))
+    }
+
     /// How long it may say nothing before it counts as silent.
     fn patience(&self, now: Moment, target: Span) -> Span {
         let present = self.present.tally(now).mean().unwrap_or(Span::ZERO);
