--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -32,6 +32,8 @@
 /// How much of a cold server's fall budget, by this front's share, set-ups may fill; the rest is for
 /// answers, releases, repeats and the unevenness of chance.
 const COLD_PART: f64 = 0.5;
+/// A fresh server is sent so many times what it answers.
+const FRESH_GROWTH: f64 = 1.5;
 /// The width of a bucket of time; the present is eight of them.
 const PRESENT: Span = Span::from_millis(250);
 /// A server's weight after a slow or full set-up, and how much of the lost part each second brings back.
@@ -157,7 +159,10 @@
     warm_after: Span,
     /// What a server just started may be sent before it falls over, in set-ups of a warm one.
     cold_multiple: f64,
+    fall_multiple: f64,
     born: Moment,
+    /// The answers of all servers over the long run.
+    answers: Ring<16>,
     margin: Span,
     sessions: Vec<Option<Session>>,
     servers: Vec<Server>,
@@ -190,7 +195,9 @@
             release_wait: provision.release_wait,
             warm_after: provision.warm_after,
             cold_multiple: provision.cold_share * provision.fall_multiple,
+            fall_multiple: provision.fall_multiple,
             born: now,
+            answers: Ring::new(PRESENT * 8),
             margin: provision.turn,
             sessions: Vec::new(),
             servers: Vec::new(),
@@ -236,6 +243,7 @@
         if let Some(number) = held.offer.number {
             self.number_mut(number).run = 0;
         }
+        self.answers.add(now, now.since(sent));
         let slow = self.target.scaled(EASY_SHARE * 2.0);
         let at = &mut self.servers[server.at()];
         at.out.retain(|(_, out)| *out != session);
@@ -455,7 +463,7 @@
         }
         let limit = at.limit(now, self.target);
         if now < at.fresh_until {
-            return (at.out.len() as f64) < limit.clamp(1.0, 1.0 + at.recent_rate(now))
+            return (at.out.len() as f64) < limit.clamp(1.0, 2.0)
                 && now >= at.last_invite + self.cold_gap(at);
         }
         let reach = self.desks[held.offer.service.at()].reach;
@@ -467,13 +475,13 @@
     /// It grows with what the fresh server itself answers.
     fn cold_gap(&self, fresh: &Server) -> Span {
         let now = self.now;
-        let seen = now.since(self.born).min(fresh.long.span()).ratio(Span::from_secs(1));
-        let warm = self.servers.iter().filter(|at| at.open && now >= at.fresh_until);
-        let (servers, answers) =
-            warm.fold((0, 0), |(servers, answers), at| (servers + 1, answers + at.long.tally(now).count));
-        let share = f64::from(answers) / f64::from(servers.max(1)) / seen.max(1.0);
-        let rate = (share * self.cold_multiple * COLD_PART).max(fresh.recent_rate(now));
-        Span::from_secs(1).scaled(1.0 / rate.max(1.0 / self.warm_after.ratio(Span::from_secs(1)).max(1.0)))
+        let seen = now.since(self.born).min(self.answers.span()).ratio(Span::from_secs(1));
+        let heard = self.servers.iter().filter(|at| now.since(at.heard) < self.answers.span()).count();
+        let share = f64::from(self.answers.tally(now).count) / heard.max(1) as f64 / seen.max(1.0);
+        let left = fresh.fresh_until.since(now).ratio(self.warm_after).min(1.0);
+        let budget = self.cold_multiple * left + self.fall_multiple * (1.0 - left);
+        let rate = (share * budget * COLD_PART).max(fresh.recent_rate(now) * FRESH_GROWTH);
+        self.warm_after.min(Span::from_secs(1).scaled(1.0 / rate.max(f64::MIN_POSITIVE)))
     }
 
     /// A number whose lines were all busy a moment ago takes nothing.
