Read free lines, rank sessions by what is left to gain, know redials by their number

Room is now refused to the least worth first, lines are kept back by worth, a fresh server's share goes by its lines.

--- a/crates/ochrelead-benchlink/src/front.rs
+++ b/crates/ochrelead-benchlink/src/front.rs
@@ -137,7 +137,8 @@
         let ending = match whole(body, "result").ok_or("Settled: no result")? {
             0 => Ending::Fault { lines_busy: why & 15 == 4 },
             1 => Ending::Released,
-            2 => Ending::BusyReplied { wait: (why & 15 == 3 && wait > Span::ZERO).then_some(wait) },
+            // A wait stands above the four bits of the reason.
+            2 => Ending::BusyReplied { no_line: why & 15 == 1, wait: (wait > Span::ZERO).then_some(wait) },
             3 => Ending::TimedOut,
             4 => Ending::ConnectFailed,
             5 => Ending::Reset,
@@ -231,7 +232,9 @@
         let value = body.get("telemetry").and_then(|telemetry| telemetry.get(name));
         value.filter(|value| value.as_f64().is_some_and(|figure| figure >= 0.0))
     };
+    let count = |name: &str| figure(name).and_then(Value::as_u64).map(|count| count as u32);
     LoadReport {
+        lines: count("free").zip(count("size")),
         can_take: figure("can_take").and_then(Value::as_f64),
         hold_back: figure("hold_back").and_then(Value::as_f64),
         wait: figure("recent_ms").and_then(span),
--- a/crates/ochrelead-core/src/call.rs
+++ b/crates/ochrelead-core/src/call.rs
@@ -26,8 +26,9 @@
     Fault {
         lines_busy: bool,
     },
-    /// Turned away by a full server, which may name a wait.
+    /// Turned away by a full server: it has no line free, or its processor is full and may name a wait.
     BusyReplied {
+        no_line: bool,
         wait: Option<Span>,
     },
     TimedOut,
@@ -41,6 +42,8 @@
 /// What a server says of its own load; nothing where it says nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
+    /// Its free lines, and all its lines.
+    pub lines: Option<(u32, u32)>,
     /// New set-ups a second that it can take from all fronts.
     pub can_take: Option<f64>,
     /// The share of new set-ups that it asks each front to hold back.
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -23,6 +23,10 @@
 /// A re-send is also allowed where none went to the server for this long.
 const FLOOR_GAP: Span = Span::from_secs(1);
 const USUAL_INVITES: u32 = 3;
+/// The share of a server's lines that is kept from a session of the least value, and less from a worthier.
+const LINES_KEPT: f64 = 0.01;
+/// A session to a number given up on less than so many post-dial targets ago is taken for a redial.
+const REDIAL_TARGETS: u64 = 4;
 /// An answer within this share of the post-dial target is no sign of a queue.
 const EASY_SHARE: f64 = 0.25;
 /// Nothing heard for this share of the post-dial target, with an INVITE out, is silence.
@@ -83,14 +87,19 @@
 
 /// The figures of one service that decisions use.
 struct Desk {
-    /// How far a session may pass the in-flight limit that holds for the least value.
-    reach: f64,
+    /// The value of a session, and what is left of it after the post-dial target.
+    value: f64,
+    late: f64,
+    target: Span,
     servers: Vec<i64>,
     repeatable: bool,
 }
 
 struct Session {
     offer: Offer,
+    came: Moment,
+    /// When its caller, by all that is known, first tried.
+    first_tried: Moment,
     invites: u32,
     /// The INVITE that waits for its answer.
     out: Option<Out>,
@@ -124,6 +133,8 @@
     /// Cold, for all this front knows, until then.
     fresh_until: Moment,
     last_invite: Moment,
+    /// Free lines, as last told less what was sent since, and all lines; none at all where nothing is told.
+    lines: (u32, u32),
     /// The INVITEs that wait for an answer, oldest first.
     out: Vec<(Moment, SessionIx)>,
     /// Answer times of late, and over the long run.
@@ -142,6 +153,9 @@
 
 #[derive(Clone, Copy, Default)]
 struct Number {
+    first_tried: Moment,
+    /// When a session to it was last given up.
+    given_up: Option<Moment>,
     busy_until: Moment,
     run: u32,
 }
@@ -178,7 +192,9 @@
         let target =
             provision.services.iter().map(|s| s.post_dial_target).min().unwrap_or(Span::from_secs(1));
         let desks = provision.services.iter().map(|service| Desk {
-            reach: (service.value / least.max(f64::MIN_POSITIVE)).sqrt().max(1.0),
+            value: service.value / least.max(f64::MIN_POSITIVE),
+            late: service.late_share,
+            target: service.post_dial_target,
             servers: service.servers.clone(),
             repeatable: service.repeatable,
         });
@@ -219,8 +235,18 @@
         if self.sessions.len() <= session.at() {
             self.sessions.resize_with(session.at() + 1, || None);
         }
+        // Redials pass for first tries where nothing marks them: they are known by their number.
+        let (now, memory) = (self.now, self.target * REDIAL_TARGETS);
+        let known = offer.number.map(|number| *self.number_mut(number)).unwrap_or_default();
+        let again = known.given_up.filter(|given_up| now.since(*given_up) < memory);
+        let first_tried = again.map_or(now, |_| known.first_tried);
+        if let Some(number) = offer.number {
+            self.number_mut(number).first_tried = first_tried;
+        }
         self.sessions[session.at()] = Some(Session {
             offer,
+            came: now,
+            first_tried,
             invites: 0,
             out: None,
             standing: false,
@@ -267,7 +293,12 @@
             at.out.retain(|(_, out)| *out != session);
             match ending {
                 Ending::Released | Ending::Fault { .. } => at.sign_of_life(now),
-                Ending::BusyReplied { wait } => {
+                Ending::BusyReplied { no_line: true, .. } => {
+                    at.sign_of_life(now);
+                    at.cut_weight(now);
+                    at.lines.0 = 0;
+                }
+                Ending::BusyReplied { wait, .. } => {
                     at.sign_of_life(now);
                     at.cut_weight(now);
                     at.barred_until = at.barred_until.max(now + wait.unwrap_or(self.target));
@@ -343,7 +374,11 @@
     }
 
     /// What a server says of its load.
-    pub fn reported(&mut self, _server: ServerIx, _report: LoadReport) {}
+    pub fn reported(&mut self, server: ServerIx, report: LoadReport) {
+        if let (Some(at), Some(lines)) = (self.servers.get_mut(server.at()), report.lines) {
+            at.lines = lines;
+        }
+    }
 
     // ---- What is decided ----
 
@@ -419,6 +454,7 @@
         let at = &mut self.servers[server.at()];
         at.out.push((now, session));
         at.last_invite = now;
+        at.lines.0 = at.lines.0.saturating_sub(1);
         if !resend {
             at.bucket.deposit(now);
         }
@@ -466,8 +502,20 @@
             return (at.out.len() as f64) < limit.clamp(1.0, 2.0)
                 && now >= at.last_invite + self.cold_gap(at);
         }
-        let reach = self.desks[held.offer.service.at()].reach;
-        now >= at.paced_until && (at.out.len() as f64) < (limit * reach).max(1.0)
+        let worth = self.worth(held);
+        if at.lines.1 > 0 && f64::from(at.lines.0) < f64::from(at.lines.1) * LINES_KEPT / worth {
+            return false;
+        }
+        now >= at.paced_until && (at.out.len() as f64) < limit * worth.sqrt()
+    }
+
+    /// What is left to gain with a session, in values of the least service: a redial that comes after the
+    /// post-dial target of its first try earns the late share only.
+    fn worth(&self, held: &Session) -> f64 {
+        let desk = &self.desks[held.offer.service.at()];
+        let late = self.now.since(held.first_tried) > desk.target
+            || (held.offer.redial && held.first_tried == held.came);
+        desk.value * if late { desk.late } else { 1.0 }
     }
 
     /// Rule four, kept by this front's share alone: a fresh server is sent no more than the fall budget of
@@ -476,8 +524,11 @@
     fn cold_gap(&self, fresh: &Server) -> Span {
         let now = self.now;
         let seen = now.since(self.born).min(self.answers.span()).ratio(Span::from_secs(1));
-        let heard = self.servers.iter().filter(|at| now.since(at.heard) < self.answers.span()).count();
-        let share = f64::from(self.answers.tally(now).count) / heard.max(1) as f64 / seen.max(1.0);
+        let warm = |at: &&Server| now >= at.fresh_until && now.since(at.heard) < self.answers.span();
+        let size = |at: &Server| f64::from(at.lines.1.max(1));
+        let sizes = self.servers.iter().filter(warm).map(size).sum::<f64>().max(size(fresh));
+        let answers = f64::from(self.answers.tally(now).count);
+        let share = answers / seen.max(1.0) * size(fresh) / sizes;
         let left = fresh.fresh_until.since(now).ratio(self.warm_after).min(1.0);
         let budget = self.cold_multiple * left + self.fall_multiple * (1.0 - left);
         let rate = (share * budget * COLD_PART).max(fresh.recent_rate(now) * FRESH_GROWTH);
@@ -530,26 +581,26 @@
     /// Given up: answered at once, with a time to come back where that may be named.
     fn give_up(&mut self, session: SessionIx) -> Decision {
         let now = self.now;
-        let held = self.session(session);
-        let repeatable = held.is_none_or(|held| self.desks[held.offer.service.at()].repeatable);
-        let tried = held.is_some_and(|held| held.invites > 0);
-        if let Some(paid) = held.and_then(|held| held.paid) {
+        let Some(held) = self.forget(session) else { return Decision::Terminate { session } };
+        if let Some(paid) = held.paid {
             self.servers[paid.at()].bucket.refund(now);
         }
-        self.forget(session);
-        if tried && !repeatable {
+        if let Some(number) = held.offer.number {
+            self.number_mut(number).given_up = Some(now);
+        }
+        if held.invites > 0 && !self.desks[held.offer.service.at()].repeatable {
             return Decision::Terminate { session };
         }
         let come_back = (self.longest_away > Span::ZERO).then_some(self.longest_away);
         Decision::Refuse { session, come_back }
     }
 
-    fn forget(&mut self, session: SessionIx) {
-        if let Some(held) = self.sessions.get_mut(session.at()).and_then(Option::take)
-            && let Some(due) = held.due
-        {
+    fn forget(&mut self, session: SessionIx) -> Option<Session> {
+        let held = self.sessions.get_mut(session.at())?.take()?;
+        if let Some(due) = held.due {
             self.due.remove(&(due, session));
         }
+        Some(held)
     }
 
     fn session(&self, session: SessionIx) -> Option<&Session> {
@@ -576,6 +627,7 @@
             started: None,
             fresh_until: Moment::START,
             last_invite: Moment::START,
+            lines: (0, 0),
             bucket: Bucket::default(),
             out: Vec::new(),
             present: Ring::new(PRESENT),
