--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -132,7 +132,8 @@
     bucket: Bucket,
     /// Cold, for all this front knows, until then.
     fresh_until: Moment,
-    last_invite: Moment,
+    /// What was sent of late, over the time in which a cold server falls.
+    sent: Ring<4>,
     /// Free lines, as last told less what was sent since, and all lines; none at all where nothing is told.
     lines: (u32, u32),
     /// The INVITEs that wait for an answer, oldest first.
@@ -174,6 +175,7 @@
     /// What a server just started may be sent before it falls over, in set-ups of a warm one.
     cold_multiple: f64,
     fall_multiple: f64,
+    fall_after: Span,
     born: Moment,
     /// The answers of all servers over the long run.
     answers: Ring<16>,
@@ -212,6 +214,7 @@
             warm_after: provision.warm_after,
             cold_multiple: provision.cold_share * provision.fall_multiple,
             fall_multiple: provision.fall_multiple,
+            fall_after: provision.fall_after,
             born: now,
             answers: Ring::new(PRESENT * 8),
             margin: provision.turn,
@@ -356,7 +359,7 @@
         }
         for listing in listings {
             while self.servers.len() <= listing.server.at() {
-                self.servers.push(Server::new(now));
+                self.servers.push(Server::new(now, self.fall_after));
             }
             let warm_after = self.warm_after;
             let server = &mut self.servers[listing.server.at()];
@@ -453,7 +456,7 @@
         held.invites += 1;
         let at = &mut self.servers[server.at()];
         at.out.push((now, session));
-        at.last_invite = now;
+        at.sent.add(now, Span::ZERO);
         at.lines.0 = at.lines.0.saturating_sub(1);
         if !resend {
             at.bucket.deposit(now);
@@ -499,8 +502,8 @@
         }
         let limit = at.limit(now, self.target);
         if now < at.fresh_until {
-            return (at.out.len() as f64) < limit.clamp(1.0, 2.0)
-                && now >= at.last_invite + self.cold_gap(at);
+            let sent = f64::from(at.sent.tally(now).count);
+            return (at.out.len() as f64) < limit.clamp(1.0, 2.0) && sent < self.cold_share(at).max(1.0);
         }
         let worth = self.worth(held);
         if at.lines.1 > 0 && f64::from(at.lines.0) < f64::from(at.lines.1) * LINES_KEPT / worth {
@@ -521,7 +524,7 @@
     /// Rule four, kept by this front's share alone: a fresh server is sent no more than the fall budget of
     /// its coldest moment, taking what this front's warm servers answer as this front's share of a server.
     /// It grows with what the fresh server itself answers.
-    fn cold_gap(&self, fresh: &Server) -> Span {
+    fn cold_share(&self, fresh: &Server) -> f64 {
         let now = self.now;
         let seen = now.since(self.born).min(self.answers.span()).ratio(Span::from_secs(1));
         let warm = |at: &&Server| now >= at.fresh_until && now.since(at.heard) < self.answers.span();
@@ -532,7 +535,7 @@
         let left = fresh.fresh_until.since(now).ratio(self.warm_after).min(1.0);
         let budget = self.cold_multiple * left + self.fall_multiple * (1.0 - left);
         let rate = (share * budget * COLD_PART).max(fresh.recent_rate(now) * FRESH_GROWTH);
-        self.warm_after.min(Span::from_secs(1).scaled(1.0 / rate.max(f64::MIN_POSITIVE)))
+        rate * fresh.sent.span().ratio(Span::from_secs(1))
     }
 
     /// A number whose lines were all busy a moment ago takes nothing.
@@ -620,13 +623,13 @@
 }
 
 impl Server {
-    fn new(now: Moment) -> Self {
+    fn new(now: Moment, fall_after: Span) -> Self {
         Server {
             number: -1,
             open: false,
             started: None,
             fresh_until: Moment::START,
-            last_invite: Moment::START,
+            sent: Ring::new(fall_after / 4),
             lines: (0, 0),
             bucket: Bucket::default(),
             out: Vec::new(),
