Move what is remembered to a ledger file; a sign of life lifts the bar of silence

Only bookkeeping moved; two defects mended: an answer from a server held silent left it barred, and a payment for a re-send that was no longer needed stayed spent.

--- /dev/null
+++ b/crates/ochrelead-core/src/ledger.rs
@@ -0,0 +1,122 @@
+//! What the rules keep of sessions, servers and numbers; it holds no judgement.
+
+use crate::call::{Ending, Offer};
+use crate::index::{ServerIx, SessionIx};
+use crate::ring::Ring;
+use crate::rules::Bucket;
+use crate::time::{Moment, Span};
+
+/// A session that has no final answer yet, or one whose INVITE is still out.
+pub struct Session {
+    pub offer: Offer,
+    pub came: Moment,
+    /// When its caller, by all that is known, first tried.
+    pub first_tried: Moment,
+    pub invites: u32,
+    /// The INVITE that waits for its answer.
+    pub out: Option<Out>,
+    pub standing: bool,
+    /// Answered; only the outcome of its INVITE is still to come.
+    pub over: bool,
+    /// When a decision is due.
+    pub due: Option<Moment>,
+    /// Rule five: no INVITE before this moment.
+    pub not_before: Moment,
+    /// The server whose bucket has paid for the next INVITE.
+    pub paid: Option<ServerIx>,
+    /// Servers that failed this session.
+    pub spurned: Vec<ServerIx>,
+    pub last: Option<Ending>,
+}
+
+/// An INVITE that waits for its answer.
+#[derive(Clone, Copy)]
+pub struct Out {
+    pub server: ServerIx,
+    pub sent: Moment,
+    /// It was looked at after the server had fallen silent.
+    pub pressed: bool,
+}
+
+/// What is known of a signalling server.
+pub struct Server {
+    pub number: i64,
+    pub open: bool,
+    pub started: Option<Moment>,
+    pub bucket: Bucket,
+    /// Cold, for all this front knows, until then.
+    pub fresh_until: Moment,
+    /// What was sent of late, over the time in which a cold server falls.
+    pub sent: Ring<4>,
+    /// Free lines, as last told less what was sent since, and all lines; none at all where nothing is told.
+    pub lines: (u32, u32),
+    /// The INVITEs that wait for an answer, oldest first.
+    pub out: Vec<(Moment, SessionIx)>,
+    /// Answer times of late, and over the long run.
+    pub present: Ring<8>,
+    pub long: Ring<16>,
+    /// The last sign of life.
+    pub heard: Moment,
+    pub silent: bool,
+    pub barred_until: Moment,
+    pub trial_gap: Span,
+    /// Nothing new before this moment, where the limit lies under one INVITE.
+    pub paced_until: Moment,
+    pub weight: f64,
+    pub weight_at: Moment,
+}
+
+/// What is known of a called number.
+#[derive(Clone, Copy, Default)]
+pub struct Number {
+    pub first_tried: Moment,
+    /// When a session to it was last given up.
+    pub given_up: Option<Moment>,
+    pub busy_until: Moment,
+    pub run: u32,
+}
+
+impl Session {
+    pub fn new(offer: Offer, came: Moment, first_tried: Moment) -> Self {
+        Session {
+            offer,
+            came,
+            first_tried,
+            invites: 0,
+            out: None,
+            standing: false,
+            over: false,
+            due: Some(came),
+            not_before: came,
+            paid: None,
+            spurned: Vec::new(),
+            last: None,
+        }
+    }
+}
+
+impl Server {
+    /// A server first heard of at `now`; with the widths of the time buckets of what was sent, of the
+    /// present and of the long run.
+    pub fn new(now: Moment, sent: Span, present: Span, long: Span) -> Self {
+        Server {
+            number: -1,
+            open: false,
+            started: None,
+            bucket: Bucket::default(),
+            fresh_until: Moment::START,
+            sent: Ring::new(sent),
+            lines: (0, 0),
+            out: Vec::new(),
+            present: Ring::new(present),
+            long: Ring::new(long),
+            heard: now,
+            silent: false,
+            barred_until: Moment::START,
+            trial_gap: Span::ZERO,
+            paced_until: Moment::START,
+            weight: 1.0,
+            weight_at: now,
+        }
+    }
+}
--- a/crates/ochrelead-core/src/lib.rs
+++ b/crates/ochrelead-core/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod call;
 pub mod index;
+mod ledger;
 pub mod provision;
 pub mod ring;
 pub mod rules;
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -12,6 +12,7 @@
 
 use crate::call::{Decision, Ending, ListState, Listing, LoadReport, Offer};
 use crate::index::{NumberIx, ServerIx, SessionIx};
+use crate::ledger::{Number, Out, Server, Session};
 use crate::provision::Provision;
 use crate::ring::Ring;
 use crate::time::{Moment, Span};
@@ -38,8 +39,9 @@
 const COLD_PART: f64 = 0.5;
 /// A fresh server is sent so many times what it answers.
 const FRESH_GROWTH: f64 = 1.5;
-/// The width of a bucket of time; the present is eight of them.
+/// The widths of the buckets of time: eight make the present, sixteen the long run.
 const PRESENT: Span = Span::from_millis(250);
+const LONG: Span = Span::from_secs(2);
 /// A server's weight after a slow or full set-up, and how much of the lost part each second brings back.
 const WEIGHT_CUT: f64 = 0.5;
 const WEIGHT_BACK: f64 = 0.1;
@@ -95,72 +97,6 @@
     repeatable: bool,
 }
 
-struct Session {
-    offer: Offer,
-    came: Moment,
-    /// When its caller, by all that is known, first tried.
-    first_tried: Moment,
-    invites: u32,
-    /// The INVITE that waits for its answer.
-    out: Option<Out>,
-    standing: bool,
-    /// Answered; only the outcome of its INVITE is still to come.
-    over: bool,
-    /// When a decision is due.
-    due: Option<Moment>,
-    /// Rule five: no INVITE before this moment.
-    not_before: Moment,
-    /// The server whose bucket has paid for the next INVITE.
-    paid: Option<ServerIx>,
-    /// Servers that failed this session.
-    spurned: Vec<ServerIx>,
-    last: Option<Ending>,
-}
-
-#[derive(Clone, Copy)]
-struct Out {
-    server: ServerIx,
-    sent: Moment,
-    /// It was looked at after the server had fallen silent.
-    pressed: bool,
-}
-
-struct Server {
-    number: i64,
-    open: bool,
-    started: Option<Moment>,
-    bucket: Bucket,
-    /// Cold, for all this front knows, until then.
-    fresh_until: Moment,
-    /// What was sent of late, over the time in which a cold server falls.
-    sent: Ring<4>,
-    /// Free lines, as last told less what was sent since, and all lines; none at all where nothing is told.
-    lines: (u32, u32),
-    /// The INVITEs that wait for an answer, oldest first.
-    out: Vec<(Moment, SessionIx)>,
-    /// Answer times of late, and over the long run.
-    present: Ring<8>,
-    long: Ring<16>,
-    /// The last sign of life.
-    heard: Moment,
-    silent: bool,
-    barred_until: Moment,
-    trial_gap: Span,
-    /// Nothing new before this moment, where the limit lies under one INVITE.
-    paced_until: Moment,
-    weight: f64,
-    weight_at: Moment,
-}
-
-#[derive(Clone, Copy, Default)]
-struct Number {
-    first_tried: Moment,
-    /// When a session to it was last given up.
-    given_up: Option<Moment>,
-    busy_until: Moment,
-    run: u32,
-}
-
 /// The decisions of one front.
 pub struct Controller {
     now: Moment,
@@ -216,7 +152,7 @@
             fall_multiple: provision.fall_multiple,
             fall_after: provision.fall_after,
             born: now,
-            answers: Ring::new(PRESENT * 8),
+            answers: Ring::new(LONG),
             margin: provision.turn,
             sessions: Vec::new(),
             servers: Vec::new(),
@@ -246,20 +182,7 @@
         if let Some(number) = offer.number {
             self.number_mut(number).first_tried = first_tried;
         }
-        self.sessions[session.at()] = Some(Session {
-            offer,
-            came: now,
-            first_tried,
-            invites: 0,
-            out: None,
-            standing: false,
-            over: false,
-            due: Some(self.now),
-            not_before: self.now,
-            paid: None,
-            spurned: Vec::new(),
-            last: None,
-        });
+        self.sessions[session.at()] = Some(Session::new(offer, now, first_tried));
         self.due.insert((self.now, session));
     }
 
@@ -269,9 +192,13 @@
         let Some(held) = self.session_mut(session) else { return };
         let Some(Out { server, sent, .. }) = held.out.take() else { return };
         held.standing = true;
-        if let Some(number) = held.offer.number {
+        let (number, paid) = (held.offer.number, held.paid.take());
+        if let Some(number) = number {
             self.number_mut(number).run = 0;
         }
+        if let Some(paid) = paid {
+            self.servers[paid.at()].bucket.refund(now);
+        }
         self.answers.add(now, now.since(sent));
         let slow = self.target.scaled(EASY_SHARE * 2.0);
         let at = &mut self.servers[server.at()];
@@ -359,7 +286,7 @@
         }
         for listing in listings {
             while self.servers.len() <= listing.server.at() {
-                self.servers.push(Server::new(now, self.fall_after));
+                self.servers.push(Server::new(now, self.fall_after / 4, PRESENT, LONG));
             }
             let warm_after = self.warm_after;
             let server = &mut self.servers[listing.server.at()];
@@ -585,9 +512,6 @@
     fn give_up(&mut self, session: SessionIx) -> Decision {
         let now = self.now;
         let Some(held) = self.forget(session) else { return Decision::Terminate { session } };
-        if let Some(paid) = held.paid {
-            self.servers[paid.at()].bucket.refund(now);
-        }
         if let Some(number) = held.offer.number {
             self.number_mut(number).given_up = Some(now);
         }
@@ -603,6 +527,9 @@
         if let Some(due) = held.due {
             self.due.remove(&(due, session));
         }
+        if let Some(paid) = held.paid {
+            self.servers[paid.at()].bucket.refund(self.now);
+        }
         Some(held)
     }
 
@@ -623,28 +550,6 @@
 }
 
 impl Server {
-    fn new(now: Moment, fall_after: Span) -> Self {
-        Server {
-            number: -1,
-            open: false,
-            started: None,
-            fresh_until: Moment::START,
-            sent: Ring::new(fall_after / 4),
-            lines: (0, 0),
-            bucket: Bucket::default(),
-            out: Vec::new(),
-            present: Ring::new(PRESENT),
-            long: Ring::new(PRESENT * 8),
-            heard: now,
-            silent: false,
-            barred_until: Moment::START,
-            trial_gap: Span::ZERO,
-            paced_until: Moment::START,
-            weight: 1.0,
-            weight_at: now,
-        }
-    }
-
     /// Told that it has started anew: what was seen of the old process counts no more.
     fn restart(&mut self, now: Moment, fresh_until: Moment) {
         self.fresh_until = fresh_until;
@@ -659,7 +564,9 @@
 
     fn sign_of_life(&mut self, now: Moment) {
         self.heard = now;
-        self.silent = false;
+        if std::mem::take(&mut self.silent) {
+            self.barred_until = now;
+        }
     }
 
     /// Nothing comes back: left alone but for one session at a time, at growing gaps.
