--- /dev/null
+++ b/crates/ochrelead-core/tests/helper/mod.rs
@@ -0,0 +1,129 @@
+//! A front with servers that do only what a test tells them.
+
+use ochrelead_core::call::{Decision, Ending, ListState, Listing, LoadReport, Offer};
+use ochrelead_core::index::{NumberIx, ServerIx, ServiceIx, SessionIx};
+use ochrelead_core::provision::{Provision, Service};
+use ochrelead_core::rules::Controller;
+use ochrelead_core::time::{Moment, Span};
+
+pub const TARGET_MS: u64 = 1_500;
+pub const RELEASE_MS: u64 = 300;
+pub const LIMIT_MS: u64 = 9_000;
+
+pub fn at(ms: u64) -> Moment {
+    Moment::from_micros(60_000_000 + ms * 1_000)
+}
+
+pub fn provision() -> Provision {
+    let service = |value| Service {
+        value,
+        post_dial_target: Span::from_millis(TARGET_MS),
+        late_share: 0.25,
+        servers: Vec::new(),
+        repeatable: true,
+    };
+    Provision {
+        seed: 7,
+        fronts: 4,
+        services: vec![service(1.0), service(4.0)],
+        most_invites: 4,
+        longest_away: Span::from_millis(2_000),
+        may_cancel: true,
+        may_probe: true,
+        release_wait: Span::from_millis(RELEASE_MS),
+        cold_share: 0.3,
+        warm_after: Span::from_secs(15),
+        fall_multiple: 2.5,
+        fall_after: Span::from_secs(1),
+        turn: Span::from_millis(5),
+        ..Provision::default()
+    }
+}
+
+pub struct Front {
+    pub rules: Controller,
+    offered: usize,
+}
+
+impl Front {
+    /// A front that knows so many warm servers, numbered as they are indexed.
+    pub fn with(servers: usize) -> Front {
+        Front::from(&provision(), servers)
+    }
+
+    pub fn from(provision: &Provision, servers: usize) -> Front {
+        let mut front = Front { rules: Controller::new(provision, at(0)), offered: 0 };
+        for server in 0..servers {
+            front.list(0, server, ListState::Ready { started: None });
+        }
+        front
+    }
+
+    pub fn list(&mut self, ms: u64, server: usize, state: ListState) {
+        self.rules.clock(at(ms));
+        self.rules.listed(false, &[Listing { server: ServerIx::new(server), number: server as i64, state }]);
+    }
+
+    pub fn lines(&mut self, server: usize, free: u32, all: u32) {
+        let report = LoadReport { lines: Some((free, all)), ..LoadReport::default() };
+        self.rules.reported(ServerIx::new(server), report);
+    }
+
+    /// Offers a session of the service and returns its index.
+    pub fn offer(&mut self, ms: u64, service: usize, destination: i64, number: usize) -> SessionIx {
+        self.rules.clock(at(ms));
+        let session = SessionIx::new(self.offered);
+        self.offered += 1;
+        let offer = Offer {
+            service: ServiceIx::new(service),
+            member: None,
+            number: Some(NumberIx::new(number)),
+            destination,
+            timer_limit: at(ms + LIMIT_MS),
+            redial: false,
+        };
+        self.rules.offered(session, offer);
+        session
+    }
+
+    /// Offers a session to a number of its own and lets the front decide.
+    pub fn send(&mut self, ms: u64, destination: i64) -> (SessionIx, Vec<Decision>) {
+        let session = self.offer(ms, 0, destination, 1_000 + self.offered);
+        (session, self.decide(ms))
+    }
+
+    /// Sends one session and has it answered after `took` milliseconds.
+    pub fn served(&mut self, ms: u64, destination: i64, took: u64) {
+        let (session, decisions) = self.send(ms, destination);
+        if let Some(server) = invited(&decisions) {
+            self.rules.clock(at(ms + took));
+            self.rules.stands(session);
+            self.rules.ended(session, ServerIx::new(server), Ending::Released, true);
+        }
+    }
+
+    pub fn end(&mut self, ms: u64, session: SessionIx, server: usize, ending: Ending) -> Vec<Decision> {
+        self.rules.clock(at(ms));
+        self.rules.ended(session, ServerIx::new(server), ending, false);
+        self.decide(ms)
+    }
+
+    pub fn decide(&mut self, ms: u64) -> Vec<Decision> {
+        self.rules.clock(at(ms));
+        std::iter::from_fn(|| self.rules.decide()).collect()
+    }
+}
+
+/// The server that the first INVITE among the decisions goes to.
+pub fn invited(decisions: &[Decision]) -> Option<usize> {
+    decisions.iter().find_map(|decision| match decision {
+        Decision::Invite { server, .. } => Some(server.at()),
+        _ => None,
+    })
+}
+
+pub fn given_up(decisions: &[Decision]) -> bool {
+    matches!(decisions, [Decision::Refuse { .. } | Decision::Terminate { .. }])
+}
+
+pub const BUSY: Ending = Ending::BusyReplied { no_line: false, wait: None };
--- /dev/null
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -0,0 +1,207 @@
+//! What the rules decide, case by case.
+
+mod helper;
+
+use helper::{BUSY, Front, LIMIT_MS, RELEASE_MS, TARGET_MS, at, given_up, invited, provision};
+use ochrelead_core::call::{Decision, Ending, ListState};
+use ochrelead_core::provision::Provision;
+use ochrelead_core::rules::Bucket;
+use ochrelead_core::time::Span;
+use test_case::test_case;
+
+/// Spends the floor, then counts what the deposits fund.
+#[test_case(100, 0, 10; "100 deposits at one instant fund ten and not eleven")]
+#[test_case(99, 0, 9; "99 fund nine")]
+#[test_case(100, 5_000, 5; "half is lost in half the time to live")]
+#[test_case(100, 10_000, 0; "all is lost after it")]
+#[test_case(100, 60_000, 0; "and never less than nothing is left")]
+#[test_case(0, 0, 0; "it starts empty")]
+fn bucket_funds(deposits: usize, idle_ms: u64, funded: usize) {
+    let mut bucket = Bucket::default();
+    (0..deposits).for_each(|_| bucket.deposit(at(0)));
+    let now = at(idle_ms);
+    let mut paid = (0..50).filter(|_| bucket.withdraw(now)).count();
+    if funded == 0 {
+        assert_eq!(paid, 1, "the floor lets one pass");
+        paid -= 1;
+    }
+    assert_eq!(paid, funded);
+}
+
+#[test_case(&[0, 999, 1_000], &[true, false, true]; "one a second, the very first at once")]
+#[test_case(&[0, 500, 1_500, 2_499, 2_500], &[true, false, true, false, true]; "counted from the last re-send")]
+fn bucket_floor(moments: &[u64], allowed: &[bool]) {
+    let mut bucket = Bucket::default();
+    let got: Vec<bool> = moments.iter().map(|ms| bucket.withdraw(at(*ms))).collect();
+    assert_eq!(got, allowed);
+}
+
+#[test]
+fn failures_at_one_server_spend_nothing_of_another() {
+    let mut front = Front::with(2);
+    let (first, _) = front.send(0, 0);
+    let (second, _) = front.send(0, 0);
+    let (third, _) = front.send(0, 1);
+    assert_eq!(front.end(10, first, 0, Ending::Reset), [], "paid by the floor of 1");
+    assert!(given_up(&front.end(20, second, 0, Ending::Reset)), "1 has nothing left");
+    assert_eq!(front.end(30, third, 1, Ending::Reset), [], "0 has lost nothing");
+}
+
+#[test_case(&[0, 1, 2]; "each destination is met")]
+fn destination_first(destinations: &[i64]) {
+    let mut front = Front::with(3);
+    for (nth, destination) in destinations.iter().enumerate() {
+        let (_, decisions) = front.send(nth as u64 * 500, *destination);
+        assert_eq!(invited(&decisions), Some(*destination as usize));
+    }
+}
+
+#[test_case(ListState::Draining; "draining")]
+#[test_case(ListState::Gone; "gone")]
+fn nothing_new_to_a_server_that_leaves(state: ListState) {
+    let mut front = Front::with(2);
+    front.list(10, 0, state);
+    for nth in 0..20 {
+        let (_, decisions) = front.send(20 + nth * 100, 0);
+        assert_ne!(invited(&decisions), Some(0));
+    }
+}
+
+#[test]
+fn nothing_goes_to_a_server_that_a_whole_list_leaves_out() {
+    let mut front = Front::with(2);
+    front.rules.listed(true, &[]);
+    let (_, decisions) = front.send(10, 0);
+    assert!(given_up(&decisions));
+}
+
+#[test_case(Ending::TimedOut, RELEASE_MS; "time-out")]
+#[test_case(Ending::Reset, RELEASE_MS; "reset")]
+#[test_case(BUSY, 0; "busy-replied holds nothing")]
+#[test_case(Ending::ConnectFailed, 0; "connect failed holds nothing")]
+fn the_release_is_awaited(ending: Ending, wait: u64) {
+    let mut front = Front::with(2);
+    let (session, first) = front.send(0, 0);
+    let mut decisions = front.end(100, session, invited(&first).unwrap(), ending);
+    if wait > 0 {
+        assert_eq!(decisions, [], "held until the release");
+        assert_eq!(front.rules.wake(), Some(at(100 + wait)));
+        assert_eq!(front.decide(100 + wait - 1), []);
+        decisions = front.decide(100 + wait);
+    }
+    assert_eq!(invited(&decisions), Some(1));
+}
+
+#[test]
+fn the_server_is_judged_again_after_the_release_wait() {
+    let mut front = Front::with(3);
+    let (session, _) = front.send(0, 0);
+    assert_eq!(front.end(100, session, 0, Ending::Reset), []);
+    front.list(200, 1, ListState::Draining);
+    let decisions = front.decide(100 + RELEASE_MS);
+    assert_eq!(invited(&decisions), Some(2));
+}
+
+#[test]
+fn one_final_answer_when_the_timer_limit_falls_inside_the_wait() {
+    let mut front = Front::with(2);
+    let (session, _) = front.send(0, 0);
+    assert!(given_up(&front.end(LIMIT_MS - RELEASE_MS / 2, session, 0, Ending::Reset)));
+    assert_eq!(front.decide(LIMIT_MS), []);
+}
+
+#[test_case(true; "with an INVITE out")]
+#[test_case(false; "inside the release wait")]
+fn nothing_goes_out_for_a_caller_that_hung_up(out: bool) {
+    let mut front = Front::with(2);
+    let (session, _) = front.send(0, 0);
+    if !out {
+        front.end(100, session, 0, Ending::TimedOut);
+    }
+    front.rules.hung_up(session);
+    if out {
+        assert_eq!(front.end(150, session, 0, Ending::TimedOut), []);
+    }
+    assert_eq!(front.decide(100 + RELEASE_MS * 3), []);
+}
+
+#[test_case(4, 3; "three by default")]
+#[test_case(2, 2; "never over the setting")]
+fn the_attempt_cap_holds(setting: u32, most: usize) {
+    let mut front = Front::from(&Provision { most_invites: setting, ..provision() }, 6);
+    let (session, mut decisions) = front.send(0, 0);
+    let mut sent = 0;
+    while let Some(server) = invited(&decisions) {
+        sent += 1;
+        decisions = front.end(sent * 10, session, server, BUSY);
+    }
+    assert_eq!(sent as usize, most);
+    assert!(given_up(&decisions));
+}
+
+/// A cold server, empty in a full fleet, drew all fronts' overflow and fell over (norte-donaciones).
+#[test_case(20, 2; "no more than two at once and few in the fall time")]
+fn a_cold_server_is_not_pushed_over(offered: u64, most: usize) {
+    let mut front = Front::with(1);
+    (0..40).for_each(|nth| front.served(nth * 100, 0, 50));
+    front.list(4_000, 1, ListState::Ready { started: Some(at(3_900)) });
+    let sent = (0..offered).filter(|nth| invited(&front.send(4_000 + nth * 10, 1).1) == Some(1)).count();
+    assert!((1..=most).contains(&sent), "{sent} sent");
+}
+
+#[test]
+fn a_silent_server_is_left_and_its_session_called_back() {
+    let mut front = Front::with(2);
+    front.served(0, 0, 50);
+    front.served(100, 1, 50);
+    let (session, _) = front.send(1_000, 0);
+    let quiet = 1_000 + TARGET_MS / 2;
+    assert_eq!(front.decide(quiet), [Decision::CancelInvite { session }]);
+    assert_eq!(invited(&front.send(quiet + 1, 0).1), Some(1), "the next goes elsewhere");
+    assert_eq!(front.end(quiet + 2, session, 0, Ending::Cancelled), []);
+    assert_eq!(invited(&front.decide(quiet + 2 + RELEASE_MS)), Some(1));
+}
+
+/// A trial goes out again and again, so that no front locks itself out.
+#[test]
+fn a_silent_server_is_tried_again() {
+    let mut front = Front::with(1);
+    front.send(0, 0);
+    front.decide(TARGET_MS);
+    let tried = (1..8).any(|nth| invited(&front.send(TARGET_MS * nth, 0).1) == Some(0));
+    assert!(tried);
+}
+
+/// places-line-gh: the one healthy server had no line left, and the worthier sessions were turned away too.
+#[test_case(1, 0, false; "the least value waits for lines to spare")]
+#[test_case(1, 1, true; "a worthier session takes the last")]
+#[test_case(0, 1, false; "none is left")]
+#[test_case(90, 0, true; "plenty are left")]
+fn lines_are_kept_for_the_worthier(free: u32, service: usize, taken: bool) {
+    let mut front = Front::with(1);
+    front.lines(0, free, 100);
+    if free == 1 {
+        front.lines(0, 1, 150);
+    }
+    front.offer(0, service, 0, 1);
+    assert_eq!(invited(&front.decide(0)).is_some(), taken);
+}
+
+#[test]
+fn a_number_whose_lines_are_busy_is_refused_at_once() {
+    let mut front = Front::with(1);
+    let session = front.offer(0, 0, 0, 5);
+    front.decide(0);
+    assert!(given_up(&front.end(50, session, 0, Ending::Fault { lines_busy: true })));
+    front.offer(60, 0, 0, 5);
+    assert!(given_up(&front.decide(60)));
+    front.offer(70, 0, 0, 6);
+    assert_eq!(invited(&front.decide(70)), Some(0));
+}
+
+#[test]
+fn given_up_names_a_time_to_come_back() {
+    let mut front = Front::with(0);
+    let (session, decisions) = front.send(0, 0);
+    assert_eq!(decisions, [Decision::Refuse { session, come_back: Some(Span::from_millis(2_000)) }]);
+}
