Judge sickness in one place, probe before a trial, call lost INVITEs back

Cause: for a moment INVITEs were lost on the way; each stayed out until its timer limit and its age pressed the in-flight limit to nothing. Told from slowness by later INVITEs that were answered first, from a dead server by all servers and fronts being struck alike. An overtaken INVITE now counts as lost: it says nothing of the server and is called back. Should also cover single lost messages; harm: a server that answers out of order would see healthy INVITEs cancelled after the patience. Silent, full, unreachable and too slow are now one state that waits, probes where allowed, then tries one session, with doubling gaps.

--- a/crates/ochrelead-benchlink/src/front.rs
+++ b/crates/ochrelead-benchlink/src/front.rs
@@ -102,6 +102,11 @@
             "Health" => {
                 if let Some(server) = self.server(body)? {
                     self.rules.reported(server, report(body));
+                    // Unasked ones, which only tell of lines, come with no delay.
+                    let fit = whole(body, "result") == Some(1);
+                    if !fit || body.get("delaySeenMs").and_then(span).is_some_and(|took| took > Span::ZERO) {
+                        self.rules.probed(server, fit);
+                    }
                 }
                 Ok(())
             }
--- a/crates/ochrelead-core/src/ledger.rs
+++ b/crates/ochrelead-core/src/ledger.rs
@@ -34,8 +34,6 @@
 pub struct Out {
     pub server: ServerIx,
     pub sent: Moment,
-    /// It was looked at after the server had fallen silent.
-    pub pressed: bool,
 }
 
 /// What is known of a signalling server.
@@ -57,9 +55,16 @@
     pub long: Ring<16>,
     /// The last sign of life.
     pub heard: Moment,
-    pub silent: bool,
+    /// When the latest INVITE that was answered had been sent.
+    pub answered_sent: Moment,
+    /// Held unfit: silent, full, unreachable, or slower than the post-dial target.
+    pub sick: bool,
+    /// What a sick server waits for: first this moment, then a probe that comes back, then one trial.
     pub barred_until: Moment,
-    pub trial_gap: Span,
+    pub gap: Span,
+    pub probing: bool,
+    pub cleared: bool,
+    pub tried: bool,
     /// Nothing new before this moment, where the limit lies under one INVITE.
     pub paced_until: Moment,
     pub weight: f64,
@@ -111,9 +116,13 @@
             present: Ring::new(present),
             long: Ring::new(long),
             heard: now,
-            silent: false,
+            answered_sent: Moment::START,
+            sick: false,
             barred_until: Moment::START,
-            trial_gap: Span::ZERO,
+            gap: Span::ZERO,
+            probing: false,
+            cleared: false,
+            tried: false,
             paced_until: Moment::START,
             weight: 1.0,
             weight_at: now,
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -45,6 +45,8 @@
 /// A server's weight after a slow or full set-up, and how much of the lost part each second brings back.
 const WEIGHT_CUT: f64 = 0.5;
 const WEIGHT_BACK: f64 = 0.1;
+/// The longest time for which a sick server is left alone, in times of the first.
+const LONGEST_GAP: u64 = 4;
 
 /// The re-send budget of one server.
 #[derive(Clone, Debug, Default)]
@@ -106,6 +108,7 @@
     most_invites: u32,
     longest_away: Span,
     may_cancel: bool,
+    may_probe: bool,
     release_wait: Span,
     warm_after: Span,
     /// What a server just started may be sent before it falls over, in set-ups of a warm one.
@@ -120,7 +123,9 @@
     servers: Vec<Server>,
     numbers: Vec<Number>,
     due: BTreeSet<(Moment, SessionIx)>,
-    pressing: VecDeque<SessionIx>,
+    /// When it was last looked for losses, and what was found stuck.
+    looked: Moment,
+    stuck: VecDeque<SessionIx>,
     chance: Pcg64Mcg,
 }
 
@@ -146,6 +151,7 @@
             },
             longest_away: provision.longest_away,
             may_cancel: provision.may_cancel,
+            may_probe: provision.may_probe,
             release_wait: provision.release_wait,
             warm_after: provision.warm_after,
             cold_multiple: provision.cold_share * provision.fall_multiple,
@@ -158,7 +164,8 @@
             servers: Vec::new(),
             numbers: Vec::new(),
             due: BTreeSet::new(),
-            pressing: VecDeque::new(),
+            looked: Moment::START,
+            stuck: VecDeque::new(),
             chance: Pcg64Mcg::seed_from_u64(provision.seed),
         }
     }
@@ -206,10 +213,16 @@
         let took = now.since(sent);
         at.present.add(now, took);
         at.long.add(now, took);
-        at.sign_of_life(now);
+        at.answered_sent = at.answered_sent.max(sent);
+        at.heard = now;
         if took > slow {
             at.cut_weight(now);
         }
+        if took > self.target {
+            at.fall_sick(now, self.target);
+        } else {
+            at.sick = false;
+        }
         let limit = at.limit(now, self.target);
         if limit < 1.0 {
             at.paced_until = now + took.scaled(1.0 / limit - 1.0);
@@ -222,20 +235,24 @@
         if let Some(at) = self.servers.get_mut(server.at()) {
             at.out.retain(|(_, out)| *out != session);
             match ending {
-                Ending::Released | Ending::Fault { .. } => at.sign_of_life(now),
+                Ending::Released | Ending::Fault { .. } => at.heard = now,
                 Ending::BusyReplied { no_line: true, .. } => {
-                    at.sign_of_life(now);
+                    (at.heard, at.lines.0, at.sick) = (now, 0, false);
                     at.cut_weight(now);
-                    at.lines.0 = 0;
                 }
                 Ending::BusyReplied { wait, .. } => {
-                    at.sign_of_life(now);
+                    at.heard = now;
+                    at.cut_weight(now);
+                    at.fall_sick(now, wait.unwrap_or(self.target));
+                }
+                Ending::ConnectFailed => at.fall_sick(now, self.target),
+                Ending::TimedOut | Ending::Reset | Ending::Cancelled | Ending::Unsent => {
                     at.cut_weight(now);
-                    at.barred_until = at.barred_until.max(now + wait.unwrap_or(self.target));
+                    // A trial that ends without an answer leaves the server sick, for longer.
+                    if at.sick {
+                        at.fall_sick(now, self.target);
+                    }
                 }
-                Ending::ConnectFailed => at.fall_silent(now, self.target),
-                Ending::TimedOut | Ending::Reset => at.cut_weight(now),
-                Ending::Cancelled | Ending::Unsent => {}
             }
         }
         let (target, release_wait) = (self.target, self.release_wait);
@@ -310,16 +327,40 @@
         }
     }
 
+    /// A probe came back, or failed to.
+    pub fn probed(&mut self, server: ServerIx, fit: bool) {
+        let (now, longest) = (self.now, self.target * LONGEST_GAP);
+        let Some(at) = self.servers.get_mut(server.at()) else { return };
+        (at.probing, at.cleared) = (false, fit);
+        if !fit {
+            at.barred_until = now + at.gap;
+            at.gap = (at.gap * 2).min(longest);
+        }
+    }
+
     // ---- What is decided ----
 
     /// The next decision, until there is none left for this turn.
     pub fn decide(&mut self) -> Option<Decision> {
-        self.look_for_silence();
-        while let Some(session) = self.pressing.pop_front() {
+        if self.looked != self.now {
+            self.looked = self.now;
+            self.look_for_loss();
+        }
+        while let Some(session) = self.stuck.pop_front() {
             if let Some(decision) = self.rescue(session) {
                 return Some(decision);
             }
         }
+        let now = self.now;
+        if let Some(nth) = self
+            .servers
+            .iter()
+            .position(|at| at.probe_due().is_some_and(|due| due <= now))
+            .filter(|_| self.may_probe)
+        {
+            self.servers[nth].probing = true;
+            return Some(Decision::Probe { server: ServerIx::new(nth) });
+        }
         while let Some(&(moment, session)) = self.due.first() {
             if moment > self.now {
                 return None;
@@ -335,11 +376,13 @@
     /// When the host is to come again although nothing happens.
     pub fn wake(&self) -> Option<Moment> {
         let due = self.due.first().map(|(moment, _)| *moment);
-        let silence = self.servers.iter().filter_map(|at| match at.silent {
-            false => at.suspicion(self.now, self.target),
-            true => at.out.iter().map(|(sent, _)| *sent + at.patience(self.now, self.target)).next_back(),
-        });
-        due.into_iter().chain(silence.filter(|moment| *moment > self.now)).min()
+        let (now, target) = (self.now, self.target);
+        let silence = self.servers.iter().filter_map(|at| at.suspicion(now, target));
+        let probes = self.servers.iter().filter_map(Server::probe_due).filter(|_| self.may_probe);
+        let patient =
+            |at: &Server| at.lost().map(|sent| sent + at.patience(now, target)).filter(|m| *m > now).min();
+        let losses = self.servers.iter().filter_map(patient);
+        due.into_iter().chain(silence.chain(probes).chain(losses).filter(|moment| *moment > now)).min()
     }
 
     /// One due session: an INVITE, a final answer, or (none) the wait for the release.
@@ -379,10 +422,11 @@
         }
         held.paid = None;
         held.due = None;
-        held.out = Some(Out { server, sent: now, pressed: false });
+        held.out = Some(Out { server, sent: now });
         held.invites += 1;
         let at = &mut self.servers[server.at()];
         at.out.push((now, session));
+        at.tried = at.sick;
         at.sent.add(now, Span::ZERO);
         at.lines.0 = at.lines.0.saturating_sub(1);
         if !resend {
@@ -399,7 +443,8 @@
         let fit: Vec<ServerIx> = all
             .map(ServerIx::new)
             .filter(|at| allowed.is_empty() || allowed.contains(&self.servers[at.at()].number))
-            .filter(|at| !held.spurned.contains(at) && self.has_room(*at, session))
+            .filter(|at| !held.spurned.contains(at) && held.out.is_none_or(|out| out.server != *at))
+            .filter(|at| self.has_room(*at, session))
             .collect();
         let destination = held.offer.destination;
         if let Some(first) = fit.iter().find(|at| self.servers[at.at()].number == destination) {
@@ -420,23 +465,23 @@
             return false;
         };
         let now = self.now;
-        if !at.open || now < at.barred_until {
+        if !at.open {
             return false;
         }
-        if at.silent {
-            // One trial at a time: what went out before it fell silent does not count.
-            return at.out.iter().all(|(sent, _)| now.since(*sent) >= at.trial_gap);
+        if at.sick {
+            return now >= at.barred_until && !at.tried && (at.cleared || !self.may_probe);
         }
         let limit = at.limit(now, self.target);
         if now < at.fresh_until {
             let sent = f64::from(at.sent.tally(now).count);
-            return (at.out.len() as f64) < limit.clamp(1.0, 2.0) && sent < self.cold_share(at).max(1.0);
+            return (at.waiting().count() as f64) < limit.clamp(1.0, 2.0)
+                && sent < self.cold_share(at).max(1.0);
         }
         let worth = self.worth(held);
         if at.lines.1 > 0 && f64::from(at.lines.0) < f64::from(at.lines.1) * LINES_KEPT / worth {
             return false;
         }
-        now >= at.paced_until && (at.out.len() as f64) < limit * worth.sqrt()
+        now >= at.paced_until && (at.waiting().count() as f64) < limit * worth.sqrt()
     }
 
     /// What is left to gain with a session, in values of the least service: a redial that comes after the
@@ -471,35 +516,31 @@
         known.is_some_and(|known| known.busy_until > self.now)
     }
 
-    /// Servers that answer nothing although INVITEs are out. Silent is not slow: a server that still
-    /// answers anything at all, or whose answers were late before, is given longer.
-    fn look_for_silence(&mut self) {
+    /// Servers that answer nothing although INVITEs are out, and INVITEs that were lost on the way. Silent
+    /// is not slow: a server that still answers, or whose answers were late before, is given longer.
+    fn look_for_loss(&mut self) {
         let (now, target) = (self.now, self.target);
         for at in &mut self.servers {
-            if !at.silent && at.suspicion(now, target).is_some_and(|moment| moment <= now) {
-                at.fall_silent(now, target);
-            }
-            if at.silent {
-                let patience = at.patience(now, target);
-                let stuck = at.out.iter().filter(|(sent, _)| *sent + patience <= now);
-                self.pressing.extend(stuck.map(|(_, session)| *session));
+            if at.suspicion(now, target).is_some_and(|moment| moment <= now) {
+                at.fall_sick(now, target);
             }
+            let patience = at.patience(now, target);
+            let lost = at.out.iter().filter(|(sent, _)| at.is_lost(*sent) && *sent + patience <= now);
+            self.stuck.extend(lost.map(|(_, session)| *session));
         }
     }
 
-    /// A session stuck at a silent server is called back where another server is ready to take it.
+    /// A session stuck at a sick server, or lost on its way, is called back where another server is ready
+    /// to take it and its re-send is paid for.
     fn rescue(&mut self, session: SessionIx) -> Option<Decision> {
         let now = self.now;
         let held = self.session(session)?;
-        let out = held.out.filter(|out| !out.pressed)?;
         let desk = &self.desks[held.offer.service.at()];
         let in_time = now + self.release_wait + self.margin < held.offer.timer_limit;
         let able = self.may_cancel && desk.repeatable && in_time && held.invites < self.most_invites;
-        self.session_mut(session)?.out = Some(Out { pressed: true, ..out });
-        if !able {
+        if !able || held.paid.is_some() || held.over {
             return None;
         }
-        self.session_mut(session)?.spurned.push(out.server);
         let to = self.choose(session)?;
         if !self.servers[to.at()].bucket.withdraw(now) {
             return None;
@@ -555,26 +596,40 @@
         self.fresh_until = fresh_until;
         self.present.clear();
         self.long.clear();
-        self.silent = false;
+        (self.sick, self.probing) = (false, false);
         self.heard = now;
-        self.barred_until = now;
         self.paced_until = now;
-        self.trial_gap = Span::ZERO;
     }
 
-    fn sign_of_life(&mut self, now: Moment) {
-        self.heard = now;
-        if std::mem::take(&mut self.silent) {
-            self.barred_until = now;
+    /// Unfit: left alone for a while, then probed where that is allowed, then tried with one session; each
+    /// time that fails it is left alone for longer.
+    fn fall_sick(&mut self, now: Moment, gap: Span) {
+        if self.sick && !self.tried {
+            return;
         }
+        self.gap = if self.sick { self.gap * 2 } else { gap }.min(gap * LONGEST_GAP);
+        (self.sick, self.cleared, self.tried) = (true, false, false);
+        self.barred_until = now + self.gap;
+        self.present.clear();
     }
 
-    /// Nothing comes back: left alone but for one session at a time, at growing gaps.
-    fn fall_silent(&mut self, now: Moment, target: Span) {
-        self.trial_gap = if self.silent { (self.trial_gap * 2).min(target * 2) } else { target };
-        self.silent = true;
-        self.present.clear();
-        self.barred_until = now + self.trial_gap;
+    fn probe_due(&self) -> Option<Moment> {
+        let wants = self.open && self.sick && !self.probing && !self.cleared && !self.tried;
+        wants.then_some(self.barred_until)
+    }
+
+    /// An INVITE that a later one has overtaken was lost on the way; at a sick server, all are.
+    fn is_lost(&self, sent: Moment) -> bool {
+        self.sick || sent < self.answered_sent
+    }
+
+    fn lost(&self) -> impl Iterator<Item = Moment> {
+        self.out.iter().map(|(sent, _)| *sent).filter(|sent| self.is_lost(*sent))
+    }
+
+    /// The INVITEs that still count: a lost one says nothing of the server's present state.
+    fn waiting(&self) -> impl Iterator<Item = Moment> {
+        self.out.iter().map(|(sent, _)| *sent).filter(|sent| *sent >= self.answered_sent)
     }
 
     fn cut_weight(&mut self, now: Moment) {
@@ -589,7 +644,7 @@
 
     /// The present answer time: of late, or the age of what still waits where that is longer.
     fn answer_time(&self, now: Moment) -> Span {
-        let waits = self.out.first().map_or(Span::ZERO, |(sent, _)| now.since(*sent));
+        let waits = self.waiting().next().map_or(Span::ZERO, |sent| now.since(sent));
         self.present.tally(now).mean().unwrap_or(Span::ZERO).max(waits)
     }
 
@@ -617,7 +672,7 @@
 
     /// The moment from which it is silent, unless something is heard before.
     fn suspicion(&self, now: Moment, target: Span) -> Option<Moment> {
-        let (sent, _) = self.out.first()?;
-        Some((*sent).max(self.heard) + self.patience(now, target))
+        let sent = self.waiting().next().filter(|_| !self.sick)?;
+        Some(sent.max(self.heard) + self.patience(now, target))
     }
 }
