--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -666,8 +666,8 @@
 
     /// How long it may say nothing before it counts as silent.
     fn patience(&self, now: Moment, target: Span) -> Span {
-        let present = self.present.tally(now).mean().unwrap_or(Span::ZERO);
-        target.scaled(SILENT_SHARE).max(present * 2)
+        let usual = self.present.tally(now).mean().max(self.long.tally(now).mean()).unwrap_or(Span::ZERO);
+        target.scaled(SILENT_SHARE).max((usual * 2).min(target))
     }
 
     /// The moment from which it is silent, unless something is heard before.
