--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -450,7 +450,12 @@
         if let Some(first) = fit.iter().find(|at| self.servers[at.at()].number == destination) {
             return Some(*first);
         }
-        let weights: Vec<f64> = fit.iter().map(|at| self.servers[at.at()].weight(self.now)).collect();
+        let weights: Vec<f64> = fit
+            .iter()
+            .map(|at| {
+                self.servers[at.at()].weight(self.now) * f64::from(self.servers[at.at()].lines.0.max(1))
+            })
+            .collect();
         let mut left = self.chance.random::<f64>() * weights.iter().sum::<f64>();
         let drawn = fit.iter().zip(&weights).find(|(_, weight)| {
             left -= **weight;
