--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -29,7 +29,7 @@
 /// A session to a number given up on less than so many post-dial targets ago is taken for a redial.
 const REDIAL_TARGETS: u64 = 4;
 /// An answer within this share of the post-dial target is no sign of a queue.
-const EASY_SHARE: f64 = 0.25;
+const EASY_SHARE: f64 = 0.2;
 /// Nothing heard for this share of the post-dial target, with an INVITE out, is silence.
 const SILENT_SHARE: f64 = 1.0 / 3.0;
 /// The least that the in-flight limit may be, as a share of one INVITE.
@@ -660,7 +660,7 @@
         let least = self.long.tally(now).least.unwrap_or(Span::ZERO);
         let easy = (least * 2).max(target.scaled(EASY_SHARE));
         let carried = self.recent_rate(now) * easy.ratio(Span::from_secs(1));
-        let ratio = easy.ratio(self.answer_time(now)).min(2.0);
+        let ratio = easy.ratio(self.answer_time(now)).min(1.0);
         ((1.0 + 2.0 * carried) * ratio).max(LEAST_LIMIT)
     }
 
