--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -661,7 +661,7 @@
         let easy = (least * 2).max(target.scaled(EASY_SHARE));
         let carried = self.recent_rate(now) * easy.ratio(Span::from_secs(1));
         let ratio = easy.ratio(self.answer_time(now)).min(1.0);
-        ((1.0 + 2.0 * carried) * ratio).max(LEAST_LIMIT)
+        ((1.25 + 1.5 * carried) * ratio).max(LEAST_LIMIT)
     }
 
     /// Answers a second of late.
