Ask callers back within the post-dial target

Given up, a session was told to stay away for the longest time that callers follow, past its target, so that its redial could earn the late share only. A fifth of the target leaves the same try a second chance.

--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -28,6 +28,8 @@
 const LINES_KEPT: f64 = 0.01;
 /// A session to a number given up on less than so many post-dial targets ago is taken for a redial.
 const REDIAL_TARGETS: u64 = 4;
+/// Callers are asked back after this share of the post-dial target: the same try may still make it.
+const AWAY_SHARE: f64 = 0.2;
 /// An answer within this share of the post-dial target is no sign of a queue.
 const EASY_SHARE: f64 = 0.2;
 /// Nothing heard for this share of the post-dial target, with an INVITE out, is silence.
@@ -561,10 +563,12 @@
         if let Some(number) = held.offer.number {
             self.number_mut(number).given_up = Some(now);
         }
-        if held.invites > 0 && !self.desks[held.offer.service.at()].repeatable {
+        let desk = &self.desks[held.offer.service.at()];
+        let away = desk.target.scaled(AWAY_SHARE);
+        if held.invites > 0 && !desk.repeatable {
             return Decision::Terminate { session };
         }
-        let come_back = (self.longest_away > Span::ZERO).then_some(self.longest_away);
+        let come_back = (self.longest_away > Span::ZERO).then_some(self.longest_away.min(away));
         Decision::Refuse { session, come_back }
     }
 
