Count a signalling fault as sickness and probe a silent server at once

Faults now make a server sick; silence is looked into by a probe at once. Should also cover servers that fail fast for any cause. Harm: one stray fault bars a server for one target.

--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -47,7 +47,7 @@
 /// A server's weight after a slow or full set-up, and how much of the lost part each second brings back.
 const WEIGHT_CUT: f64 = 0.5;
 const WEIGHT_BACK: f64 = 0.1;
-/// The longest time for which a sick server is left alone, in times of the first.
+/// The longest time for which a sick server is left alone, in post-dial targets.
 const LONGEST_GAP: u64 = 4;
 
 /// The re-send budget of one server.
@@ -221,7 +221,7 @@
             at.cut_weight(now);
         }
         if took > self.target {
-            at.fall_sick(now, self.target);
+            at.fall_sick(now, self.target, self.target);
         } else {
             at.sick = false;
         }
@@ -237,7 +237,13 @@
         if let Some(at) = self.servers.get_mut(server.at()) {
             at.out.retain(|(_, out)| *out != session);
             match ending {
-                Ending::Released | Ending::Fault { .. } => at.heard = now,
+                Ending::Released | Ending::Fault { lines_busy: true } => at.heard = now,
+                // A server that answers quickly with faults would draw ever more sessions into them.
+                Ending::Fault { lines_busy: false } => {
+                    at.heard = now;
+                    at.cut_weight(now);
+                    at.fall_sick(now, self.target, self.target);
+                }
                 Ending::BusyReplied { no_line: true, .. } => {
                     (at.heard, at.lines.0, at.sick) = (now, 0, false);
                     at.cut_weight(now);
@@ -245,14 +251,14 @@
                 Ending::BusyReplied { wait, .. } => {
                     at.heard = now;
                     at.cut_weight(now);
-                    at.fall_sick(now, wait.unwrap_or(self.target));
+                    at.fall_sick(now, wait.unwrap_or(self.target), self.target);
                 }
-                Ending::ConnectFailed => at.fall_sick(now, self.target),
+                Ending::ConnectFailed => at.fall_sick(now, self.target, self.target),
                 Ending::TimedOut | Ending::Reset | Ending::Cancelled | Ending::Unsent => {
                     at.cut_weight(now);
                     // A trial that ends without an answer leaves the server sick, for longer.
                     if at.sick {
-                        at.fall_sick(now, self.target);
+                        at.fall_sick(now, self.target, self.target);
                     }
                 }
             }
@@ -331,12 +337,12 @@
 
     /// A probe came back, or failed to.
     pub fn probed(&mut self, server: ServerIx, fit: bool) {
-        let (now, longest) = (self.now, self.target * LONGEST_GAP);
+        let (now, target) = (self.now, self.target);
         let Some(at) = self.servers.get_mut(server.at()) else { return };
         (at.probing, at.cleared) = (false, fit);
         if !fit {
+            at.gap = at.longer_gap(target);
             at.barred_until = now + at.gap;
-            at.gap = (at.gap * 2).min(longest);
         }
     }
 
@@ -529,7 +535,8 @@
         let (now, target) = (self.now, self.target);
         for at in &mut self.servers {
             if at.suspicion(now, target).is_some_and(|moment| moment <= now) {
-                at.fall_sick(now, target);
+                // Looked into at once: a single loss looks the same at first.
+                at.fall_sick(now, Span::ZERO, target);
             }
             let patience = at.patience(now, target);
             let lost = at.out.iter().filter(|(sent, _)| at.is_lost(*sent) && *sent + patience <= now);
@@ -610,18 +617,22 @@
         self.paced_until = now;
     }
 
-    /// Unfit: left alone for a while, then probed where that is allowed, then tried with one session; each
+    /// Unfit: left alone for the gap, then probed where that is allowed, then tried with one session; each
     /// time that fails it is left alone for longer.
-    fn fall_sick(&mut self, now: Moment, gap: Span) {
+    fn fall_sick(&mut self, now: Moment, gap: Span, target: Span) {
         if self.sick && !self.tried {
             return;
         }
-        self.gap = if self.sick { self.gap * 2 } else { gap }.min(gap * LONGEST_GAP);
+        self.gap = if self.sick { self.longer_gap(target) } else { gap };
         (self.sick, self.cleared, self.tried) = (true, false, false);
         self.barred_until = now + self.gap;
         self.present.clear();
     }
 
+    fn longer_gap(&self, target: Span) -> Span {
+        (self.gap * 2).clamp(target, target * LONGEST_GAP)
+    }
+
     fn probe_due(&self) -> Option<Moment> {
         let wants = self.open && self.sick && !self.probing && !self.cleared && !self.tried;
         wants.then_some(self.barred_until)
--- a/crates/ochrelead-core/tests/rules.rs
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -4,6 +4,7 @@
 
 use helper::{BUSY, Front, LIMIT_MS, RELEASE_MS, TARGET_MS, at, given_up, invited, provision};
 use ochrelead_core::call::{Decision, Ending, ListState};
+use ochrelead_core::index::ServerIx;
 use ochrelead_core::provision::Provision;
 use ochrelead_core::rules::Bucket;
 use ochrelead_core::time::Span;
@@ -156,12 +157,22 @@
     front.served(100, 1, 50);
     let (session, _) = front.send(1_000, 0);
     let quiet = 1_000 + TARGET_MS / 2;
-    assert_eq!(front.decide(quiet), [Decision::CancelInvite { session }]);
+    let probe = Decision::Probe { server: ServerIx::new(0) };
+    assert_eq!(front.decide(quiet), [Decision::CancelInvite { session }, probe], "looked into at once");
     assert_eq!(invited(&front.send(quiet + 1, 0).1), Some(1), "the next goes elsewhere");
     assert_eq!(front.end(quiet + 2, session, 0, Ending::Cancelled), []);
     assert_eq!(invited(&front.decide(quiet + 2 + RELEASE_MS)), Some(1));
 }
 
+/// norte-donaciones: a server that answered with quick faults was sent ever more sessions.
+#[test]
+fn a_server_that_answers_faults_is_left() {
+    let mut front = Front::with(2);
+    let (session, _) = front.send(0, 0);
+    assert!(given_up(&front.end(40, session, 0, Ending::Fault { lines_busy: false })), "not sent again");
+    assert_eq!(invited(&front.send(50, 0).1), Some(1));
+}
+
 /// A probe that comes back, where probes are allowed, then a trial: no front locks itself out.
 #[test_case(true, true, true; "probed, then tried")]
 #[test_case(true, false, false; "not tried while probes fail")]
