--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -280,7 +280,7 @@
             held.due = Some(now);
             self.due.insert((now, session));
         }
-        // A number whose lines were all busy is left alone for a while, longer each time; a release frees one.
+        // A number whose lines were all busy is left alone, longer each time; a release frees one.
         if let Some(number) = number {
             let known = self.number_mut(number);
             match ending {
