Pause a server whose processor says full, doubling up to the post-dial target

Should also cover any server that refuses faster than it works; harm: a server that was full for a moment is left for up to a target.

--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -47,6 +47,8 @@
 /// A server's weight after a slow or full set-up, and how much of the lost part each second brings back.
 const WEIGHT_CUT: f64 = 0.5;
 const WEIGHT_BACK: f64 = 0.1;
+/// The first pause after a full processor, as a share of the post-dial target; it doubles until an answer.
+const FULL_PAUSE: f64 = 0.33;
 /// The longest time for which a sick server is left alone, in post-dial targets.
 const LONGEST_GAP: u64 = 4;
 
@@ -221,7 +223,7 @@
         if took > self.target {
             at.fall_sick(now, self.target, self.target);
         } else {
-            at.sick = false;
+            (at.sick, at.gap) = (false, Span::ZERO);
         }
         let limit = at.limit(now, self.target);
         if limit < 1.0 {
@@ -251,6 +253,10 @@
                     at.cut_weight(now);
                     if at.sick || wait.is_some() {
                         at.fall_sick(now, wait.unwrap_or(self.target), self.target);
+                    } else {
+                        // A jammed server turns away at once; asked again and again it does little else.
+                        at.gap = (at.gap * 2).clamp(self.target.scaled(FULL_PAUSE), self.target);
+                        at.paced_until = at.paced_until.max(now + at.gap);
                     }
                 }
                 Ending::ConnectFailed => at.fall_sick(now, self.target, self.target),
--- a/crates/ochrelead-core/tests/rules.rs
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -199,6 +199,22 @@
     assert!((8..=40).contains(&trials), "{trials} trials");
 }
 
+/// showroom-calls: a small jammed server turned away 500 sessions in 5 s, and did little else.
+#[test]
+fn a_server_that_turns_away_at_once_is_asked_less_and_less() {
+    let mut front = Front::with(1);
+    let mut asked = Vec::new();
+    for ms in (0..2 * TARGET_MS).step_by(50) {
+        let (session, decisions) = front.send(ms, 0);
+        if invited(&decisions).is_some() {
+            asked.push(ms);
+            front.end(ms, session, 0, BUSY);
+        }
+    }
+    assert!(asked.len() >= 3 && asked.len() <= 6, "{asked:?}");
+    assert!(asked.windows(3).all(|w| w[2] - w[1] >= w[1] - w[0]), "{asked:?}");
+}
+
 /// showroom-calls: INVITEs lost on the way pressed the in-flight limit of healthy servers to nothing.
 #[test]
 fn an_overtaken_invite_is_lost_and_does_not_count() {
