Rank members beyond an even part of their share lower when room is short

A front knows its own arrivals and the share only, so it takes an even part. Harm: a front with much of a member's traffic ranks it low although all fronts together keep within its share.

--- a/crates/ochrelead-benchlink/src/facts.rs
+++ b/crates/ochrelead-benchlink/src/facts.rs
@@ -15,6 +15,7 @@
     limits: Limits,
     rules: Rules,
     family_info: FamilyInfo,
+    over_share_worth: f64,
     pub discovery: String,
     tick_ms: f64,
 }
@@ -87,6 +88,7 @@
             fronts: self.balancers.max(1),
             services: services.collect(),
             members: self.orgs.iter().map(|org| Member { quota_per_s: org.quota_per_s }).collect(),
+            over_share_worth: self.over_share_worth,
             most_invites: limits.max_attempts,
             longest_away: span(if limits.retry_after { limits.max_retry_after_ms } else { 0.0 }),
             may_cancel: limits.may_cancel,
--- a/crates/ochrelead-core/src/provision.rs
+++ b/crates/ochrelead-core/src/provision.rs
@@ -10,6 +10,8 @@
     pub fronts: u32,
     pub services: Vec<Service>,
     pub members: Vec<Member>,
+    /// What a session beyond its member's share is worth, as a share of its value.
+    pub over_share_worth: f64,
     /// Most INVITEs for one session; 0 where nothing is said.
     pub most_invites: u32,
     /// The longest time to stay away that callers follow; zero where they are told none.
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -11,7 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::call::{Decision, Ending, ListState, Listing, LoadReport, Offer};
-use crate::index::{NumberIx, ServerIx, SessionIx};
+use crate::index::{MemberIx, NumberIx, ServerIx, SessionIx};
 use crate::ledger::{Number, Out, Server, Session};
 use crate::provision::Provision;
 use crate::ring::Ring;
@@ -103,6 +103,12 @@
     repeatable: bool,
 }
 
+/// An even part, at this front, of a member's share, and what the member asked for over the long run.
+struct Quota {
+    part_per_s: f64,
+    asked: Ring<16>,
+}
+
 /// The decisions of one front.
 pub struct Controller {
     now: Moment,
@@ -119,6 +125,9 @@
     fall_multiple: f64,
     fall_after: Span,
     born: Moment,
+    /// The members' shares, and what a session beyond one is worth.
+    quotas: Vec<Quota>,
+    over_share_worth: f64,
     /// The answers of all servers over the long run.
     answers: Ring<16>,
     margin: Span,
@@ -137,6 +146,11 @@
         let least = provision.services.iter().map(|s| s.value).fold(f64::INFINITY, f64::min);
         let target =
             provision.services.iter().map(|s| s.post_dial_target).min().unwrap_or(Span::from_secs(1));
+        let fronts = f64::from(provision.fronts.max(1));
+        let quotas = provision
+            .members
+            .iter()
+            .map(|member| Quota { part_per_s: member.quota_per_s / fronts, asked: Ring::new(LONG) });
         let desks = provision.services.iter().map(|service| Desk {
             value: service.value / least.max(f64::MIN_POSITIVE),
             late: service.late_share,
@@ -160,6 +174,8 @@
             fall_multiple: provision.fall_multiple,
             fall_after: provision.fall_after,
             born: now,
+            quotas: quotas.collect(),
+            over_share_worth: provision.over_share_worth,
             answers: Ring::new(LONG),
             margin: provision.turn,
             sessions: Vec::new(),
@@ -191,6 +207,9 @@
         if let Some(number) = offer.number {
             self.number_mut(number).first_tried = first_tried;
         }
+        if let Some(quota) = offer.member.and_then(|member| self.quotas.get_mut(member.at())) {
+            quota.asked.add(now, Span::ZERO);
+        }
         self.sessions[session.at()] = Some(Session::new(offer, now, first_tried));
         self.due.insert((self.now, session));
     }
@@ -487,7 +506,18 @@
         let desk = &self.desks[held.offer.service.at()];
         let late = self.now.since(held.first_tried) > desk.target
             || (held.offer.redial && held.first_tried == held.came);
-        desk.value * if late { desk.late } else { 1.0 }
+        desk.value * self.in_share(held.offer.member) * if late { desk.late } else { 1.0 }
+    }
+
+    /// What is left of the value of a member's sessions, on the mean, when it asks here for more than an even
+    /// part of its share: what lies beyond is worth little, and goes first when room is short. Harm: a front
+    /// with much of a member's traffic ranks it low although all fronts together keep within its share.
+    fn in_share(&self, member: Option<MemberIx>) -> f64 {
+        let Some(quota) = member.and_then(|member| self.quotas.get(member.at())) else { return 1.0 };
+        let asked = f64::from(quota.asked.tally(self.now).count);
+        let seen = self.now.since(self.born).min(quota.asked.span()).ratio(Span::from_secs(1));
+        let within = (quota.part_per_s * seen / asked.max(1.0)).min(1.0);
+        within + (1.0 - within) * self.over_share_worth
     }
 
     /// Rule four, kept by this front's share alone: a fresh server is sent no more than the fall budget of
--- a/crates/ochrelead-core/tests/helper/mod.rs
+++ b/crates/ochrelead-core/tests/helper/mod.rs
@@ -1,7 +1,7 @@
 //! A front with servers that do only what a test tells them.
 
 use ochrelead_core::call::{Decision, Ending, ListState, Listing, LoadReport, Offer};
-use ochrelead_core::index::{NumberIx, ServerIx, ServiceIx, SessionIx};
+use ochrelead_core::index::{MemberIx, NumberIx, ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::provision::{Provision, Service};
 use ochrelead_core::rules::Controller;
 use ochrelead_core::time::{Moment, Span};
@@ -41,6 +41,8 @@
 
 pub struct Front {
     pub rules: Controller,
+    /// The member whose sessions are offered.
+    pub member: Option<MemberIx>,
     offered: usize,
 }
 
@@ -51,7 +53,7 @@
     }
 
     pub fn from(provision: &Provision, servers: usize) -> Front {
-        let mut front = Front { rules: Controller::new(provision, at(0)), offered: 0 };
+        let mut front = Front { rules: Controller::new(provision, at(0)), member: None, offered: 0 };
         for server in 0..servers {
             front.list(0, server, ListState::Ready { started: None });
         }
@@ -75,7 +77,7 @@
         self.offered += 1;
         let offer = Offer {
             service: ServiceIx::new(service),
-            member: None,
+            member: self.member,
             number: Some(NumberIx::new(number)),
             destination,
             timer_limit: at(ms + LIMIT_MS),
--- a/crates/ochrelead-core/tests/rules.rs
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -4,7 +4,8 @@
 
 use helper::{BUSY, Front, LIMIT_MS, RELEASE_MS, TARGET_MS, at, given_up, invited, provision};
 use ochrelead_core::call::{Decision, Ending, ListState};
-use ochrelead_core::provision::Provision;
+use ochrelead_core::index::MemberIx;
+use ochrelead_core::provision::{Member, Provision};
 use ochrelead_core::rules::Bucket;
 use ochrelead_core::time::Span;
 use test_case::test_case;
@@ -247,6 +248,20 @@
     assert_eq!(invited(&front.decide(0)).is_some(), taken);
 }
 
+/// norte-donaciones: what a member asks beyond its share is worth a tenth, yet took the room of the others.
+#[test_case(0, false; "the member beyond its share is refused first")]
+#[test_case(1, true; "the one within its share is taken")]
+fn members_beyond_their_share_go_first(member: usize, taken: bool) {
+    let member_of = |quota_per_s| Member { quota_per_s };
+    let members = vec![member_of(4.0), member_of(400.0)];
+    let mut front = Front::from(&Provision { members, over_share_worth: 0.1, ..provision() }, 1);
+    front.member = Some(MemberIx::new(0));
+    (0..20).for_each(|nth| front.served(nth * 100, 0, 40));
+    front.lines(0, 3, 200);
+    front.member = Some(MemberIx::new(member));
+    assert_eq!(invited(&front.send(2_100, 0).1).is_some(), taken);
+}
+
 #[test]
 fn a_number_whose_lines_are_busy_is_refused_at_once() {
     let mut front = Front::with(1);
