--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -402,9 +402,10 @@
         let held = self.session(session)?;
         let desk = &self.desks[held.offer.service.at()];
         let may_run = match held.last {
-            None | Some(Ending::BusyReplied { .. } | Ending::ConnectFailed) => true,
+            None | Some(Ending::BusyReplied { .. }) => true,
             Some(Ending::TimedOut | Ending::Reset | Ending::Cancelled) => desk.repeatable,
-            Some(Ending::Released | Ending::Fault { .. } | Ending::Unsent) => false,
+            Some(Ending::Released | Ending::Fault { .. }) => false,
+            Some(Ending::ConnectFailed | Ending::Unsent) => false,
         };
         let ready = held.not_before.max(now);
         let in_time = ready + self.margin < held.offer.timer_limit;
