Space out a small fresh server's set-ups where a front's share is under one

Under one, set-ups are spaced, and the first waits a random part so that fronts told together do not begin together.

--- a/crates/ochrelead-core/src/ledger.rs
+++ b/crates/ochrelead-core/src/ledger.rs
@@ -44,6 +44,8 @@
     pub bucket: Bucket,
     /// Cold, for all this front knows, until then.
     pub fresh_until: Moment,
+    /// While its share is under one set-up in the fall time: nothing new before this moment.
+    pub spaced_until: Moment,
     /// What was sent of late, over the time in which a cold server falls.
     pub sent: Ring<4>,
     /// As last told, the free ones less what was sent since; none at all where nothing is told.
@@ -108,6 +110,7 @@
             started: None,
             bucket: Bucket::default(),
             fresh_until: Moment::START,
+            spaced_until: Moment::START,
             sent: Ring::new(sent),
             lines: Lines::default(),
             out: Vec::new(),
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -39,6 +39,9 @@
 /// How much of a cold server's fall budget, by this front's share, set-ups may fill; the rest is for
 /// answers, releases, repeats and the unevenness of chance.
 const COLD_PART: f64 = 0.5;
+/// The longest time between two set-ups to a fresh server, as a share of the warm-up: a small server's part
+/// for one front can be far under one set-up in the fall time.
+const COLD_SPACE: f64 = 0.25;
 /// A fresh server is sent so many times what it answers.
 const FRESH_GROWTH: f64 = 1.5;
 /// The widths of the buckets of time: eight make the present, sixteen the long run.
@@ -348,6 +351,8 @@
                 server.started = Some(started);
                 if started + warm_after > now {
                     server.restart(now, started + warm_after);
+                    // Fronts that hear of it together must not all begin together.
+                    server.spaced_until = now + warm_after.scaled(COLD_SPACE * self.chance.random::<f64>());
                 }
             }
         }
@@ -436,7 +441,9 @@
         held.due = None;
         held.out = Some(Out { server, sent: now });
         held.invites += 1;
+        let spaced_until = now + self.cold_space(self.cold_share(&self.servers[server.at()]));
         let at = &mut self.servers[server.at()];
+        at.spaced_until = spaced_until;
         at.out.push((now, session));
         at.tried = at.sick;
         at.sent.add(now, Span::ZERO);
@@ -490,9 +497,9 @@
         }
         let limit = at.limit(now, self.target);
         if now < at.fresh_until {
-            let sent = f64::from(at.sent.tally(now).count);
-            return (at.waiting().count() as f64) < limit.clamp(1.0, 2.0)
-                && sent < self.cold_share(at).max(1.0);
+            let (share, sent) = (self.cold_share(at), f64::from(at.sent.tally(now).count));
+            let due = if share < 1.0 { now >= at.spaced_until } else { sent < share };
+            return due && (at.waiting().count() as f64) < limit.clamp(1.0, 2.0);
         }
         let worth = self.worth(held);
         if at.lines.all > 0 && f64::from(at.lines.free) < f64::from(at.lines.all) * LINES_KEPT / worth {
@@ -539,6 +546,11 @@
         rate * fresh.sent.span().ratio(Span::from_secs(1))
     }
 
+    /// Under one set-up in the fall time, the time that must lie between two.
+    fn cold_space(&self, share: f64) -> Span {
+        self.fall_after.scaled(1.0 / share.max(f64::MIN_POSITIVE)).min(self.warm_after.scaled(COLD_SPACE))
+    }
+
     /// A number whose lines were all busy a moment ago takes nothing.
     fn lines_busy(&self, number: Option<NumberIx>) -> bool {
         let known = number.and_then(|number| self.numbers.get(number.at()));
