Try a hung server again before its last trial's timer limit

Found by reading: a trial without answer, with no other server to call it back to, kept a sick server from the next trial for up to the caller's whole timer limit.

--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -1,9 +1,10 @@
 //! All that ochrelead decides.
 //!
-//! The host feeds a [`Controller`] with what it sees (`offered`, `stands`, `ended`, `hung_up`, `listed`,
-//! `lines_told`); these calls only update what is known. After each turn it pulls [`Controller::decide`] until
-//! there is no decision left and asks [`Controller::wake`] when to come again. The types that pass
-//! between the two stand in `call.rs`, the start-up figures in `provision.rs`.
+//! The host feeds a [`Controller`] with what it sees (`clock`, `offered`, `stands`, `ended`, `hung_up`,
+//! `listed`, `lines_told`); these calls only update what is known. After each turn it pulls
+//! [`Controller::decide`] until there is no decision left and asks [`Controller::wake`] when to come again.
+//! The interface: `call.rs` has the types that pass between the two, `provision.rs` the start-up figures,
+//! `index.rs` and `time.rs` what stands for ids and times. `ledger.rs` is the module's memory.
 
 use std::collections::{BTreeSet, VecDeque};
 
@@ -52,7 +53,7 @@
 const WEIGHT_BACK: f64 = 0.1;
 /// The first pause after a full processor, as a share of the post-dial target; it doubles until an answer.
 const FULL_PAUSE: f64 = 0.33;
-/// The longest time for which a sick server is left alone, in post-dial targets.
+/// The longest time between two trials of a sick server, in post-dial targets.
 const LONGEST_GAP: u64 = 4;
 
 /// The re-send budget of one server.
@@ -469,12 +470,8 @@
         if let Some(first) = fit.iter().find(|at| self.servers[at.at()].number == destination) {
             return Some(*first);
         }
-        let weights: Vec<f64> = fit
-            .iter()
-            .map(|at| {
-                self.servers[at.at()].weight(self.now) * f64::from(self.servers[at.at()].lines.free.max(1))
-            })
-            .collect();
+        let weigh = |at: &Server| at.weight(self.now) * f64::from(at.lines.free.max(1));
+        let weights: Vec<f64> = fit.iter().map(|at| weigh(&self.servers[at.at()])).collect();
         let mut left = self.chance.random::<f64>() * weights.iter().sum::<f64>();
         let drawn = fit.iter().zip(&weights).find(|(_, weight)| {
             left -= **weight;
@@ -528,9 +525,9 @@
         within + (1.0 - within) * self.over_share_worth
     }
 
-    /// Rule four, kept by this front's share alone: a fresh server is sent no more than the fall budget of
-    /// its coldest moment, taking what this front's warm servers answer as this front's share of a server.
-    /// It grows with what the fresh server itself answers.
+    /// Rule four, kept by this front's share alone: what a fresh server may be sent in the fall time. What
+    /// this front's servers answer for each line stands for its part of the fresh one; the budget rises over
+    /// the warm-up, and with what the fresh server itself answers.
     fn cold_share(&self, fresh: &Server) -> f64 {
         let now = self.now;
         let seen = now.since(self.born).min(self.answers.span()).ratio(Span::from_secs(1));
@@ -715,7 +712,11 @@
 
     /// The moment from which it is silent, unless something is heard before.
     fn suspicion(&self, now: Moment, target: Span) -> Option<Moment> {
-        let sent = self.waiting().next().filter(|_| !self.sick)?;
-        Some(sent.max(self.heard) + self.patience(now, target))
+        if self.sick {
+            // An unanswered trial must not keep the next one back until its caller's timer limit.
+            let trial = self.out.last().filter(|_| self.tried)?;
+            return Some(trial.0 + self.patience(now, target));
+        }
+        Some(self.waiting().next()?.max(self.heard) + self.patience(now, target))
     }
 }
--- a/crates/ochrelead-core/tests/rules.rs
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -180,6 +180,14 @@
     assert_eq!(invited(&front.decide(quiet + 2 + RELEASE_MS)), Some(1));
 }
 
+/// A trial that is never answered must not hold the next one back until its caller gives up.
+#[test]
+fn a_hung_server_is_tried_again_before_the_timer_limit() {
+    let mut front = Front::with(1);
+    let sent = (0..LIMIT_MS).step_by(100).filter(|ms| invited(&front.send(*ms, 0).1).is_some()).count();
+    assert!((4..=10).contains(&sent), "{sent} sent");
+}
+
 /// norte-donaciones: a server that answered with quick faults was sent ever more sessions.
 #[test]
 fn a_server_that_answers_faults_is_left() {
