Leave silence to the in-flight limit; expire INVITEs lost at a server heard since

The limit already holds a silent server back by the age of what waits there, so only what is not answered for a post-dial target at a server heard since, or was overtaken, counts as lost and is called back; an unanswered trial of a sick server still ends after the patience. Should also cover lossy links; harm: a queue beyond the target sees one INVITE more a target.

--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -33,7 +33,7 @@
 const AWAY_SHARE: f64 = 0.2;
 /// An answer within this share of the post-dial target is no sign of a queue.
 const EASY_SHARE: f64 = 0.2;
-/// Nothing heard for this share of the post-dial target, with an INVITE out, is silence.
+/// A trial, or an INVITE that was lost, is waited for at least this share of the post-dial target.
 const SILENT_SHARE: f64 = 1.0 / 3.0;
 /// The least that the in-flight limit may be, as a share of one INVITE.
 const LEAST_LIMIT: f64 = 0.125;
@@ -395,11 +395,12 @@
     pub fn wake(&self) -> Option<Moment> {
         let due = self.due.first().map(|(moment, _)| *moment);
         let (now, target) = (self.now, self.target);
-        let silence = self.servers.iter().filter_map(|at| at.suspicion(now, target));
-        let patient =
-            |at: &Server| at.lost().map(|sent| sent + at.patience(now, target)).filter(|m| *m > now).min();
+        let trials = self.servers.iter().filter_map(|at| at.trial_over(now, target));
+        let patient = |at: &Server| {
+            at.lost(target).map(|sent| sent + at.patience(now, target)).filter(|m| *m > now).min()
+        };
         let losses = self.servers.iter().filter_map(patient);
-        due.into_iter().chain(silence.chain(losses).filter(|moment| *moment > now)).min()
+        due.into_iter().chain(trials.chain(losses).filter(|moment| *moment > now)).min()
     }
 
     /// One due session: an INVITE, a final answer, or (none) the wait for the release.
@@ -496,13 +497,13 @@
         if now < at.fresh_until {
             let (share, sent) = (self.cold_share(at), f64::from(at.sent.tally(now).count));
             let due = if share < 1.0 { now >= at.spaced_until } else { sent < share };
-            return due && (at.waiting().count() as f64) < limit.clamp(1.0, 2.0);
+            return due && (at.waiting(self.target).count() as f64) < limit.clamp(1.0, 2.0);
         }
         let worth = self.worth(held);
         if at.lines.all > 0 && f64::from(at.lines.free) < f64::from(at.lines.all) * LINES_KEPT / worth {
             return false;
         }
-        now >= at.paced_until && (at.waiting().count() as f64) < limit * worth.sqrt()
+        now >= at.paced_until && (at.waiting(self.target).count() as f64) < limit * worth.sqrt()
     }
 
     /// What is left to gain with a session, in values of the least service: a redial that comes after the
@@ -554,17 +555,17 @@
         known.is_some_and(|known| known.busy_until > self.now)
     }
 
-    /// Servers that answer nothing although INVITEs are out, and INVITEs that were lost on the way. Silent
-    /// is not slow: a server that still answers, or whose answers were late before, is given longer.
+    /// Trials that were not answered, and INVITEs that were lost on the way. Silent is not slow: a server
+    /// that is only silent is held back by its in-flight limit, as the age of what waits there counts as
+    /// its answer time; barring it at once cost more than it saved wherever samples are few.
     fn look_for_loss(&mut self) {
         let (now, target) = (self.now, self.target);
         for at in &mut self.servers {
-            if at.suspicion(now, target).is_some_and(|moment| moment <= now) {
-                // Tried again at once: a single loss looks the same at first.
+            if at.trial_over(now, target).is_some_and(|moment| moment <= now) {
                 at.fall_sick(now, Span::ZERO, target);
             }
             let patience = at.patience(now, target);
-            let lost = at.out.iter().filter(|(sent, _)| at.is_lost(*sent) && *sent + patience <= now);
+            let lost = at.out.iter().filter(|(sent, _)| at.is_lost(*sent, target) && *sent + patience <= now);
             self.stuck.extend(lost.map(|(_, session)| *session));
         }
     }
@@ -658,18 +659,20 @@
         (self.gap * 2).clamp(target, target * LONGEST_GAP)
     }
 
-    /// An INVITE that a later one has overtaken was lost on the way; at a sick server, all are.
-    fn is_lost(&self, sent: Moment) -> bool {
-        self.sick || sent < self.answered_sent
+    /// An INVITE that a later one has overtaken, or that is not answered for a post-dial target although the
+    /// server was heard since, was lost on the way; at a sick server, all are.
+    fn is_lost(&self, sent: Moment, target: Span) -> bool {
+        self.sick || sent < self.answered_sent || self.heard.since(sent) > target
     }
 
-    fn lost(&self) -> impl Iterator<Item = Moment> {
-        self.out.iter().map(|(sent, _)| *sent).filter(|sent| self.is_lost(*sent))
+    fn lost(&self, target: Span) -> impl Iterator<Item = Moment> {
+        self.out.iter().map(|(sent, _)| *sent).filter(move |sent| self.is_lost(*sent, target))
     }
 
     /// The INVITEs that still count: a lost one says nothing of the server's present state.
-    fn waiting(&self) -> impl Iterator<Item = Moment> {
-        self.out.iter().map(|(sent, _)| *sent).filter(|sent| *sent >= self.answered_sent)
+    fn waiting(&self, target: Span) -> impl Iterator<Item = Moment> {
+        let counts = move |sent: &Moment| *sent >= self.answered_sent && self.heard.since(*sent) <= target;
+        self.out.iter().map(|(sent, _)| *sent).filter(counts)
     }
 
     fn cut_weight(&mut self, now: Moment) {
@@ -683,8 +686,8 @@
     }
 
     /// The present answer time: of late, or the age of what still waits where that is longer.
-    fn answer_time(&self, now: Moment) -> Span {
-        let waits = self.waiting().next().map_or(Span::ZERO, |sent| now.since(sent));
+    fn answer_time(&self, now: Moment, target: Span) -> Span {
+        let waits = self.waiting(target).next().map_or(Span::ZERO, |sent| now.since(sent));
         self.present.tally(now).mean().unwrap_or(Span::ZERO).max(waits)
     }
 
@@ -695,7 +698,7 @@
         let least = self.long.tally(now).least.unwrap_or(Span::ZERO);
         let easy = (least * 2).max(target.scaled(EASY_SHARE));
         let carried = self.recent_rate(now) * easy.ratio(Span::from_secs(1));
-        let ratio = easy.ratio(self.answer_time(now)).min(1.0);
+        let ratio = easy.ratio(self.answer_time(now, target)).min(1.0);
         ((1.25 + 1.5 * carried) * ratio).max(LEAST_LIMIT)
     }
 
@@ -704,19 +707,16 @@
         f64::from(self.present.tally(now).count) / self.present.span().ratio(Span::from_secs(1))
     }
 
-    /// How long it may say nothing before it counts as silent.
+    /// How long an INVITE that may be lost is waited for.
     fn patience(&self, now: Moment, target: Span) -> Span {
         let usual = self.present.tally(now).mean().max(self.long.tally(now).mean()).unwrap_or(Span::ZERO);
         target.scaled(SILENT_SHARE).max((usual * 2).min(target))
     }
 
-    /// The moment from which it is silent, unless something is heard before.
-    fn suspicion(&self, now: Moment, target: Span) -> Option<Moment> {
-        if self.sick {
-            // An unanswered trial must not keep the next one back until its caller's timer limit.
-            let trial = self.out.last().filter(|_| self.tried)?;
-            return Some(trial.0 + self.patience(now, target));
-        }
-        Some(self.waiting().next()?.max(self.heard) + self.patience(now, target))
+    /// When a sick server's trial counts as unanswered: it must not keep the next one back until its
+    /// caller's timer limit.
+    fn trial_over(&self, now: Moment, target: Span) -> Option<Moment> {
+        let (sent, _) = self.out.last().filter(|_| self.sick && self.tried)?;
+        Some(*sent + self.patience(now, target))
     }
 }
