--- a/crates/ochrelead-benchlink/src/front.rs
+++ b/crates/ochrelead-benchlink/src/front.rs
@@ -99,10 +99,7 @@
                 }
                 Ok(())
             }
-            "Health" => {
-                self.tell_lines(body)?;
-                Ok(())
-            }
+            "Health" => self.tell_lines(body).map(|_| ()),
             // Fronts have nothing to say to each other yet, and what is new on the wire is passed over.
             _ => Ok(()),
         }
--- a/crates/ochrelead-core/src/ledger.rs
+++ b/crates/ochrelead-core/src/ledger.rs
@@ -59,7 +59,7 @@
     pub heard: Moment,
     /// When the latest INVITE that was answered had been sent.
     pub answered_sent: Moment,
-    /// Held unfit: silent, full, unreachable, or slower than the post-dial target.
+    /// Held unfit by the rules.
     pub sick: bool,
     /// What a sick server waits for: first this moment, then the answer to one trial.
     pub barred_until: Moment,
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -222,7 +222,7 @@
     pub fn stands(&mut self, session: SessionIx) {
         let now = self.now;
         let Some(held) = self.session_mut(session) else { return };
-        let Some(Out { server, sent, .. }) = held.out.take() else { return };
+        let Some(Out { server, sent }) = held.out.take() else { return };
         held.standing = true;
         let (number, paid) = (held.offer.number, held.paid.take());
         if let Some(number) = number {
@@ -231,11 +231,11 @@
         if let Some(paid) = paid {
             self.servers[paid.at()].bucket.refund(now);
         }
-        self.answers.add(now, now.since(sent));
+        let took = now.since(sent);
+        self.answers.add(now, took);
         let slow = self.target.scaled(EASY_SHARE * 2.0);
         let at = &mut self.servers[server.at()];
         at.out.retain(|(_, out)| *out != session);
-        let took = now.since(sent);
         at.present.add(now, took);
         at.long.add(now, took);
         at.answered_sent = at.answered_sent.max(sent);
@@ -660,19 +660,22 @@
     }
 
     /// An INVITE that a later one has overtaken, or that is not answered for a post-dial target although the
-    /// server was heard since, was lost on the way; at a sick server, all are.
+    /// server was heard since, was lost on the way: it says nothing of the server's present state.
+    fn counts(&self, sent: Moment, target: Span) -> bool {
+        sent >= self.answered_sent && self.heard.since(sent) <= target
+    }
+
+    /// Lost on the way, or stuck at a sick server.
     fn is_lost(&self, sent: Moment, target: Span) -> bool {
-        self.sick || sent < self.answered_sent || self.heard.since(sent) > target
+        self.sick || !self.counts(sent, target)
     }
 
     fn lost(&self, target: Span) -> impl Iterator<Item = Moment> {
         self.out.iter().map(|(sent, _)| *sent).filter(move |sent| self.is_lost(*sent, target))
     }
 
-    /// The INVITEs that still count: a lost one says nothing of the server's present state.
     fn waiting(&self, target: Span) -> impl Iterator<Item = Moment> {
-        let counts = move |sent: &Moment| *sent >= self.answered_sent && self.heard.since(*sent) <= target;
-        self.out.iter().map(|(sent, _)| *sent).filter(counts)
+        self.out.iter().map(|(sent, _)| *sent).filter(move |sent| self.counts(*sent, target))
     }
 
     fn cut_weight(&mut self, now: Moment) {
