--- /dev/null
+++ b/crates/ochrelead-settings/build.rs
@@ -0,0 +1,17 @@
+//! Compiles the schemas: types for the checks, descriptors for the text format. No protoc is needed.
+
+use std::env;
+use std::error::Error;
+use std::fs;
+use std::path::PathBuf;
+
+use prost::Message;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    println!("cargo:rerun-if-changed=proto");
+    let descriptors = protox::compile(["front.proto", "day.proto"], ["proto"])?;
+    let out = PathBuf::from(env::var("OUT_DIR")?);
+    fs::write(out.join("schemas.bin"), descriptors.encode_to_vec())?;
+    prost_build::Config::new().compile_fds(descriptors)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/ochrelead-settings/tests/settings.rs
@@ -0,0 +1,76 @@
+//! What is refused, where, and with which words.
+
+use ochrelead_core::index::ServiceIx;
+use ochrelead_settings::numbering::Dialled;
+use ochrelead_settings::{commission, day};
+use test_case::test_case;
+
+const FRONT: &str = r#"# a front
+name: "f1.norte"
+listen: "127.0.0.1:2727"
+fronts: 7
+release_wait_ms: 200
+service { name: "check" dialled: "1" value: 1 post_dial_target_ms: 1500 timer_limit_ms: 9000 }
+service { name: "set" dialled: "2" value: 3 post_dial_target_ms: 1500 timer_limit_ms: 9000 }
+member { name: "norte" trunk: "norte" quota_per_s: 18 }
+server { name: "s0.line" address: "127.0.0.1:2427" number: 4 dialled: "00" }
+server { name: "s1.line" address: "127.0.0.1:2428" number: 5 dialled: "01" }
+"#;
+
+#[test_case("1004711", Some((0, 4)); "first service and server")]
+#[test_case("2014711", Some((1, 5)); "second service and server")]
+#[test_case("2994711", Some((1, -1)); "a server that is not listed")]
+#[test_case("3004711", None; "no service")]
+#[test_case("1a", None; "no digits")]
+#[test_case("", None; "nothing")]
+fn numbers(digits: &str, meant: Option<(usize, i64)>) {
+    let front = commission::read("front", FRONT).unwrap();
+    let meant = meant.map(|(at, destination)| Dialled { service: ServiceIx::new(at), destination });
+    assert_eq!(front.numbering.read(digits), meant);
+}
+
+#[test_case("fronts: 7", "fronts: 0", 4, "fronts is 0; it must be from 1 to 100000"; "zero")]
+#[test_case("fronts: 7", "fronts: \"7\"", 4, "expected"; "wrong type")]
+#[test_case("fronts: 7", "front: 7", 4, "front"; "unknown field")]
+#[test_case("release_wait_ms: 200", "", 1, "release_wait_ms is missing"; "missing")]
+#[test_case("number: 5", "number: 4", 10, "number 4 is s0.line's too"; "same number")]
+#[test_case("127.0.0.1:2428", "127.0.0.1:2427", 10, "is s0.line's too"; "same address")]
+#[test_case("127.0.0.1:2428", "here", 10, "it must be like 127.0.0.1:2727"; "no address")]
+#[test_case("dialled: \"2\"", "dialled: \"12\"", 7, "which service \"check\" has too"; "numbers that mean both")]
+#[test_case("value: 3", "value: nan", 7, "value is NaN"; "not a number")]
+#[test_case("value: 3 post_dial_target_ms: 1500", "value: 3 post_dial_target_ms: 9001", 7, "must be from 1 to timer_limit_ms"; "target past the limit")]
+#[test_case("value: 3", "", 7, "value is missing"; "missing inside")]
+#[test_case("trunk: \"norte\"", "trunk: \"a/b\"", 8, "one term"; "trunk")]
+fn refused(right: &str, wrong: &str, line: usize, what: &str) {
+    let complaints = commission::read("front", &FRONT.replacen(right, wrong, 1)).unwrap_err();
+    assert_eq!(complaints[0].line, line, "{complaints:?}");
+    assert!(complaints[0].what.contains(what), "{complaints:?}");
+}
+
+#[test]
+fn all_that_is_wrong_is_said_at_once() {
+    let text =
+        FRONT.replace("fronts: 7", "fronts: 0").replace("value: 1", "value: -1").replace("number: 5", "");
+    let lines: Vec<usize> = commission::read("front", &text).unwrap_err().iter().map(|c| c.line).collect();
+    assert_eq!(lines, [4, 6, 10]);
+}
+
+const DAY: &str = r#"seed: 1 length_ms: 5000 fronts: 2
+front { release_wait_ms: 200
+  service { name: "check" dialled: "1" value: 1 post_dial_target_ms: 1500 timer_limit_ms: 9000 }
+}
+stand_in { sessions_per_s: 20 lines: 100 }
+callers { sessions_per_s: 10 service_share: 1 }
+trouble { kind: "slow" at_ms: 1000 length_ms: 2000 which: 0 size: 3 }
+"#;
+
+#[test_case("\"slow\"", "\"slo\"", 7, "must be one of crash"; "kind")]
+#[test_case("which: 0", "which: 1", 7, "there are only 1"; "which")]
+#[test_case("service_share: 1", "service_share: [1, 2]", 6, "it must have 1"; "shares")]
+#[test_case("front {", "front { name: \"x\"", 2, "filled in by the rig"; "name")]
+#[test_case("value: 1", "value: 0", 3, "value is 0"; "inside the front")]
+fn day_refused(right: &str, wrong: &str, line: usize, what: &str) {
+    assert!(day::read("day", DAY).is_ok());
+    let complaints = day::read("day", &DAY.replacen(right, wrong, 1)).unwrap_err();
+    assert!(complaints[0].line == line && complaints[0].what.contains(what), "{complaints:?}");
+}
