A front that takes sessions over MGCP and carries the module's decisions out

Need: the decisions are to become a program.

Change: ochrelead-front, an engine without I/O (datagrams, list news and ticks in; datagrams and notes out) and a thin host on async-io. A caller's NTFY is a session, the module's INVITE one CRCX transaction, the final answer an MDCX or a tone; RSIP moves the server list, the servers' lines and load figures reach the module from any of their messages. What a late, doubled or foreign answer has set up is taken down unless its circuit is in use. SIGTERM drains within a bound. The module is asked through a trait, so that a rig can put baselines in its place; the module itself is untouched.

--- /dev/null
+++ b/crates/ochrelead-front/src/engine.rs
@@ -0,0 +1,291 @@
+//! The front from a datagram in to datagrams out.
+//!
+//! A session's way: a gateway's NTFY is read (`callers`) and offered to the module; the module's INVITE becomes
+//! a CRCX on a server's trunk group (`servers`); the server's 200 makes the caller's MDCX, its refusal goes back
+//! to the module; the module's refusal or failure becomes the caller's busy or reorder tone. What the host hands
+//! in only updates what is known; [`Engine::turn`] then pulls decisions until there is none.
+
+mod book;
+mod callers;
+mod servers;
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use ochrelead_core::call::{Decision, Ending};
+use ochrelead_core::index::{ServerIx, SessionIx};
+use ochrelead_core::time::{Moment, Span};
+use ochrelead_mgcp::exchange::{Claim, Exchange, News};
+use ochrelead_mgcp::message::{Command, Endpoint, Response, TransactionId, Verb, code, name};
+use ochrelead_settings::commission::{Commission, Post};
+
+use crate::drain::Service;
+use crate::judge::Judge;
+use crate::note::{Note, Step};
+use crate::numbers::Numbers;
+use crate::roster::Roster;
+use book::{Book, Call, Circuit, Phase, Session};
+
+/// Numbers that are remembered at once: a flood of fresh ones pushes the oldest out.
+const MOST_NUMBERS: usize = 65_536;
+/// Hang-ups that came before their try are remembered for so many tries.
+const MOST_OVERTAKEN: usize = 1_024;
+/// Notes that wait for the host; what comes beyond is dropped, the sessions go on.
+const MOST_NOTES: usize = 65_536;
+
+/// What a command of ours is about, until its response comes.
+enum Pending {
+    Invite(Session),
+    /// The release of a call that stood.
+    Release(Session, ServerIx),
+    /// The caller was told that its call stands.
+    Connect(Session),
+    /// A tone, or a call taken down: nothing hangs on the response.
+    Courtesy,
+}
+
+/// A front without I/O.
+pub struct Engine<J> {
+    commission: Commission,
+    judge: J,
+    now: Moment,
+    exchange: Exchange,
+    book: Book,
+    roster: Roster,
+    numbers: Numbers,
+    pending: HashMap<TransactionId, Pending>,
+    /// Tries whose hang-up came first.
+    overtaken: VecDeque<String>,
+    service: Service,
+    notes: VecDeque<Note>,
+    alarm: Option<Moment>,
+}
+
+impl<J: Judge> Engine<J> {
+    /// A front in service. `first`: where its transaction ids begin, other at each start.
+    pub fn new(commission: Commission, judge: J, first: u32, now: Moment) -> Engine<J> {
+        let roster = commission.roster.clone();
+        let mut engine = Engine {
+            exchange: Exchange::new(commission.pace, first),
+            commission,
+            judge,
+            now,
+            book: Book::default(),
+            roster: Roster::default(),
+            numbers: Numbers::new(MOST_NUMBERS),
+            pending: HashMap::new(),
+            overtaken: VecDeque::new(),
+            service: Service::Open,
+            notes: VecDeque::new(),
+            alarm: None,
+        };
+        engine.relist(now, &roster);
+        engine
+    }
+
+    fn clock(&mut self, now: Moment) {
+        self.now = self.now.max(now);
+        self.judge.clock(self.now);
+    }
+
+    // ---- What comes in ----
+
+    /// A datagram has come.
+    pub fn take(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]) {
+        self.clock(now);
+        self.exchange.take(self.now, from, bytes);
+        self.hear();
+    }
+
+    /// The server list is given anew, whole.
+    pub fn relist(&mut self, now: Moment, posts: &[Post]) {
+        self.clock(now);
+        let listings = self.roster.relist(posts);
+        self.judge.listed(true, &listings);
+        self.note(Note::List(self.roster.posts()));
+    }
+
+    /// A datagram could not leave. A set-up to that address has failed to connect; all else is repeated.
+    pub fn undeliverable(&mut self, now: Moment, to: SocketAddr) {
+        self.clock(now);
+        if let Some(server) = self.roster.at(to) {
+            for session in self.book.inviting_at(server) {
+                self.invite_over(session, Ending::ConnectFailed);
+            }
+        }
+    }
+
+    /// To leave service: no new sessions, each held one gets its answer, within the bound of the settings.
+    pub fn leave(&mut self, now: Moment) {
+        self.clock(now);
+        self.service.leave(self.now, self.commission.drain);
+    }
+
+    /// Whether a front that leaves owes nothing any more.
+    pub fn is_closed(&self) -> bool {
+        self.service == Service::Closed
+    }
+
+    // ---- What goes out ----
+
+    /// All that is due now: repeats, time-outs, and the module's decisions.
+    pub fn turn(&mut self, now: Moment) {
+        self.clock(now);
+        self.exchange.tick(self.now);
+        self.hear();
+        while let Some(session) = self.book.next_timed_out(self.now) {
+            self.invite_over(session, Ending::TimedOut);
+        }
+        if self.service.is_overdue(self.now) {
+            for index in self.book.unanswered() {
+                self.give_up_at_last(index);
+            }
+        }
+        while let Some(decision) = self.judge.decide() {
+            self.carry_out(decision);
+        }
+        // Where a decision met a table that is full, its session came back to the module.
+        self.service.settle(self.now, self.owed(), self.commission.drain);
+        let alarms = [self.judge.wake(), self.exchange.wake(), self.book.wake()];
+        let alarms = alarms.into_iter().chain([self.service.wake(self.now, self.commission.drain)]);
+        self.alarm = alarms.flatten().min();
+    }
+
+    fn owed(&self) -> usize {
+        self.book.unanswered().len() + self.exchange.load().0
+    }
+
+    /// When the host is to call [`Engine::turn`] although nothing came.
+    pub fn wake(&self) -> Option<Moment> {
+        self.alarm
+    }
+
+    pub fn next_datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        self.exchange.next_datagram()
+    }
+
+    pub fn next_note(&mut self) -> Option<Note> {
+        self.notes.pop_front()
+    }
+
+    /// Sessions held (with a final answer or not) and commands that wait for a response.
+    pub fn load(&self) -> (usize, usize) {
+        (self.book.len(), self.exchange.load().0)
+    }
+
+    // ---- Between ----
+
+    fn note(&mut self, note: Note) {
+        if self.notes.len() < MOST_NOTES {
+            self.notes.push_back(note);
+        }
+    }
+
+    fn step(&mut self, session: SessionIx, what: Step) {
+        if let Some(call) = self.book.get(session) {
+            let tried = call.tried.clone();
+            self.note(Note::Session { tried, what });
+        }
+    }
+
+    fn pass_over(&mut self, from: SocketAddr, why: impl Into<String>) {
+        self.note(Note::PassedOver { from: from.to_string(), why: why.into() });
+    }
+
+    fn hear(&mut self) {
+        while let Some(news) = self.exchange.next_news() {
+            match news {
+                News::Asked { from, command } => self.asked(from, command),
+                News::Answered { from, response, claim } => self.answered(from, &response, claim),
+                News::Unanswered { transaction, .. } => self.unanswered(transaction),
+                News::Repeated { .. } => {}
+                News::Unread { from, broken } => self.pass_over(from, broken.to_string()),
+                News::Refused { from, fault } => self.pass_over(from, fault.to_string()),
+                News::Crowded { from, .. } => self.pass_over(from, "too many commands in work"),
+            }
+        }
+    }
+
+    fn asked(&mut self, from: SocketAddr, command: Command) {
+        if let Some(server) = self.roster.at(from) {
+            self.learn(server, &command.parameters);
+        }
+        match command.verb {
+            Verb::Notify if self.roster.at(from).is_none() => self.notified(from, &command),
+            Verb::Notify => self.exchange.answer(from, Response::new(code::DONE, command.transaction)),
+            Verb::DeleteConnection => self.cut_by_server(from, &command),
+            Verb::RestartInProgress => self.restart_told(from, &command),
+            Verb::AuditEndpoint => self.exchange.answer(from, Response::new(code::DONE, command.transaction)),
+            _ => {
+                // Only gateways and servers carry these out (RFC 3435 section 2.3).
+                self.exchange.answer(from, Response::new(code::UNSUPPORTED, command.transaction));
+                self.pass_over(from, format!("{} is not for a call agent", command.verb.code()));
+            }
+        }
+    }
+
+    fn answered(&mut self, from: SocketAddr, response: &Response, claim: Claim) {
+        if let Some(server) = self.roster.at(from) {
+            self.learn(server, &response.parameters);
+        }
+        match (claim, self.pending.remove(&response.transaction)) {
+            (Claim::Awaited, Some(Pending::Invite(session))) => self.set_up_answered(session, response),
+            (Claim::Awaited, Some(Pending::Release(session, server))) => {
+                self.released(session, server, Ending::Released);
+            }
+            (Claim::Awaited, Some(Pending::Connect(session))) => {
+                // The caller's gateway no longer knows the call: it has hung up, and its NTFY got lost.
+                if response.code >= 400 {
+                    self.caller_gone(session);
+                }
+            }
+            (Claim::Awaited, Some(Pending::Courtesy) | None) => {}
+            // Given up, or asked by the process that ran here before: what was set up is taken down again.
+            (Claim::Late | Claim::Unknown, _) => self.set_up_unclaimed(from, response),
+        }
+    }
+
+    fn unanswered(&mut self, transaction: TransactionId) {
+        match self.pending.remove(&transaction) {
+            Some(Pending::Invite(session)) if self.book.is(session) => {
+                self.invite_over(session.index, Ending::TimedOut);
+            }
+            Some(Pending::Release(session, server)) => self.released(session, server, Ending::TimedOut),
+            Some(Pending::Connect(session)) => self.caller_gone(session),
+            _ => {}
+        }
+    }
+
+    fn carry_out(&mut self, decision: Decision) {
+        match decision {
+            Decision::Invite { session, server, patience } => self.invite(session, server, patience),
+            Decision::Refuse { session, come_back } => self.refuse(session, come_back),
+            Decision::Terminate { session } => self.fail(session),
+        }
+    }
+
+    /// Sends a command; where the table of commands is full, none.
+    fn ask(&mut self, to: SocketAddr, command: Command, pending: Pending) -> Option<TransactionId> {
+        match self.exchange.ask(self.now, to, command) {
+            Ok(transaction) => {
+                self.pending.insert(transaction, pending);
+                Some(transaction)
+            }
+            Err(full) => {
+                self.pass_over(to, full.to_string());
+                None
+            }
+        }
+    }
+
+    /// The bound of a drain has passed: the session is failed and its set-up called off.
+    fn give_up_at_last(&mut self, session: SessionIx) {
+        self.judge.hung_up(session);
+        if let Some(Phase::Inviting(invite)) = self.book.get(session).map(|call| &call.phase) {
+            let server = invite.server;
+            self.call_off(session);
+            self.judge.ended(session, server, Ending::Cancelled, true);
+        }
+        self.fail(session);
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-front/src/engine/book.rs
@@ -0,0 +1,215 @@
+//! The sessions that a front holds; it only keeps them.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use ochrelead_core::index::{ServerIx, SessionIx};
+use ochrelead_core::time::Moment;
+use ochrelead_mgcp::message::{Endpoint, TransactionId};
+use slab::Slab;
+
+/// A session as long as it is held; its index alone may be another's later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Session {
+    pub index: SessionIx,
+    serial: u64,
+}
+
+/// The INVITE that is out.
+#[derive(Clone, Copy, Debug)]
+pub struct Invite {
+    pub server: ServerIx,
+    pub transaction: TransactionId,
+    pub until: Moment,
+}
+
+/// The far end of a call that stands.
+#[derive(Clone, Debug)]
+pub struct Circuit {
+    pub server: ServerIx,
+    pub endpoint: Endpoint,
+    pub connection: String,
+}
+
+#[derive(Clone, Debug)]
+pub enum Phase {
+    /// The module has it; no INVITE is out.
+    Waiting,
+    Inviting(Invite),
+    Standing(Circuit),
+    /// The caller has gone; the server's word on the release is still to come.
+    Releasing,
+}
+
+/// One session.
+#[derive(Debug)]
+pub struct Call {
+    pub gateway: SocketAddr,
+    pub line: Endpoint,
+    /// The caller's half of the call, as its gateway named it.
+    pub connection: Option<String>,
+    pub tried: String,
+    pub called: String,
+    pub timer_limit: Moment,
+    pub invites: u32,
+    pub phase: Phase,
+    serial: u64,
+}
+
+impl Call {
+    pub fn new(
+        gateway: SocketAddr,
+        line: Endpoint,
+        tried: String,
+        called: String,
+        timer_limit: Moment,
+    ) -> Call {
+        Call {
+            gateway,
+            line,
+            connection: None,
+            tried,
+            called,
+            timer_limit,
+            invites: 0,
+            phase: Phase::Waiting,
+            serial: 0,
+        }
+    }
+}
+
+#[derive(Default)]
+pub struct Book {
+    calls: Slab<Call>,
+    tries: HashMap<String, SessionIx>,
+    limits: BTreeSet<(Moment, SessionIx)>,
+    inviting: BTreeSet<(ServerIx, SessionIx)>,
+    standing: BTreeSet<(ServerIx, SessionIx)>,
+    circuits: HashMap<Endpoint, SessionIx>,
+    waiting: BTreeSet<SessionIx>,
+    serial: u64,
+}
+
+impl Book {
+    pub fn enter(&mut self, call: Call) -> SessionIx {
+        self.serial += 1;
+        let tried = call.tried.clone();
+        let index = SessionIx::new(self.calls.insert(Call { serial: self.serial, ..call }));
+        self.tries.insert(tried, index);
+        self.waiting.insert(index);
+        index
+    }
+
+    pub fn get(&self, index: SessionIx) -> Option<&Call> {
+        self.calls.get(index.at())
+    }
+
+    pub fn session(&self, index: SessionIx) -> Session {
+        Session { index, serial: self.calls[index.at()].serial }
+    }
+
+    /// Whether the session is still held.
+    pub fn is(&self, session: Session) -> bool {
+        self.get(session.index).is_some_and(|call| call.serial == session.serial)
+    }
+
+    pub fn tried(&self, tried: &str) -> Option<SessionIx> {
+        self.tries.get(tried).copied()
+    }
+
+    pub fn count_invite(&mut self, index: SessionIx) -> u32 {
+        let call = &mut self.calls[index.at()];
+        call.invites += 1;
+        call.invites
+    }
+
+    pub fn set_connection(&mut self, index: SessionIx, connection: Option<&str>) {
+        self.calls[index.at()].connection = connection.map(str::to_owned);
+    }
+
+    /// Puts a session into its next phase and keeps all tables in step.
+    pub fn turn_to(&mut self, index: SessionIx, phase: Phase) -> Phase {
+        self.leave_phase(index);
+        match &phase {
+            Phase::Waiting => {
+                self.waiting.insert(index);
+            }
+            Phase::Inviting(invite) => {
+                self.limits.insert((invite.until, index));
+                self.inviting.insert((invite.server, index));
+            }
+            Phase::Standing(circuit) => {
+                self.standing.insert((circuit.server, index));
+                self.circuits.insert(circuit.endpoint.clone(), index);
+            }
+            Phase::Releasing => {}
+        }
+        std::mem::replace(&mut self.calls[index.at()].phase, phase)
+    }
+
+    fn leave_phase(&mut self, index: SessionIx) {
+        match &self.calls[index.at()].phase {
+            Phase::Waiting => {
+                self.waiting.remove(&index);
+            }
+            Phase::Inviting(invite) => {
+                self.limits.remove(&(invite.until, index));
+                self.inviting.remove(&(invite.server, index));
+            }
+            Phase::Standing(circuit) => {
+                self.standing.remove(&(circuit.server, index));
+                // The circuit may be another session's by now.
+                if self.circuits.get(&circuit.endpoint) == Some(&index) {
+                    self.circuits.remove(&circuit.endpoint);
+                }
+            }
+            Phase::Releasing => {}
+        }
+    }
+
+    pub fn leave(&mut self, index: SessionIx) -> Option<Call> {
+        self.get(index)?;
+        self.leave_phase(index);
+        let call = self.calls.remove(index.at());
+        if self.tries.get(&call.tried) == Some(&index) {
+            self.tries.remove(&call.tried);
+        }
+        Some(call)
+    }
+
+    /// A session whose INVITE has waited as long as it may.
+    pub fn next_timed_out(&self, now: Moment) -> Option<SessionIx> {
+        self.limits.first().filter(|(until, _)| *until <= now).map(|(_, index)| *index)
+    }
+
+    pub fn wake(&self) -> Option<Moment> {
+        self.limits.first().map(|(until, _)| *until)
+    }
+
+    pub fn inviting_at(&self, server: ServerIx) -> Vec<SessionIx> {
+        at(&self.inviting, server)
+    }
+
+    pub fn standing_at(&self, server: ServerIx) -> Vec<SessionIx> {
+        at(&self.standing, server)
+    }
+
+    /// Whether a call stands on this circuit.
+    pub fn is_in_use(&self, circuit: &Endpoint) -> bool {
+        self.circuits.contains_key(circuit)
+    }
+
+    /// Sessions without a final answer.
+    pub fn unanswered(&self) -> Vec<SessionIx> {
+        self.waiting.iter().copied().chain(self.inviting.iter().map(|(_, index)| *index)).collect()
+    }
+
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+}
+
+fn at(table: &BTreeSet<(ServerIx, SessionIx)>, server: ServerIx) -> Vec<SessionIx> {
+    let span = (server, SessionIx::new(0))..=(server, SessionIx::new(u32::MAX as usize));
+    table.range(span).map(|(_, index)| *index).collect()
+}
--- /dev/null
+++ b/crates/ochrelead-front/src/engine/callers.rs
@@ -0,0 +1,200 @@
+//! The callers' side: NTFY in; MDCX, RQNT and DLCX out (RFC 3435 sections 2.3.3 to 2.3.8).
+
+use super::*;
+use ochrelead_core::call::Offer;
+use ochrelead_core::index::MemberIx;
+use ochrelead_settings::numbering::Dialled;
+
+/// The longest id of a try: that of a call id (RFC 3435 section 3.2.2.2).
+const LONGEST_TRY: usize = 32;
+
+/// What a caller's line observed (RFC 3435 section 3.2.2.12; packages L and D of RFC 3660).
+struct Observed {
+    off_hook: bool,
+    hung_up: bool,
+    digits: String,
+}
+
+impl Observed {
+    fn read(events: &str) -> Observed {
+        let mut observed = Observed { off_hook: false, hung_up: false, digits: String::new() };
+        for event in events.split(',').map(str::trim) {
+            match event.split_once('/').unwrap_or(("", event)) {
+                (_, "hd") => observed.off_hook = true,
+                (_, "hu") => observed.hung_up = true,
+                ("D", digit) => observed.digits.push_str(digit),
+                _ => {}
+            }
+        }
+        observed
+    }
+}
+
+impl<J: Judge> Engine<J> {
+    pub(super) fn notified(&mut self, from: SocketAddr, command: &Command) {
+        let observed = Observed::read(command.parameters.get(name::OBSERVED).unwrap_or(""));
+        let tried = command.parameters.get(name::TRY).unwrap_or("");
+        let sound = (1..=LONGEST_TRY).contains(&tried.len()) && tried.bytes().all(|b| b.is_ascii_hexdigit());
+        if !sound {
+            self.exchange.answer(from, Response::new(code::PROTOCOL_ERROR, command.transaction));
+            return self
+                .pass_over(from, format!("no {} of 1 to {LONGEST_TRY} hexadecimal digits", name::TRY));
+        }
+        self.exchange.answer(from, Response::new(code::DONE, command.transaction));
+        if observed.hung_up {
+            self.hung_up(from, command, tried);
+        } else if observed.off_hook && self.book.tried(tried).is_none() {
+            self.tried(from, command, tried, &observed.digits);
+        }
+    }
+
+    /// A caller's try: one session.
+    fn tried(&mut self, from: SocketAddr, command: &Command, tried: &str, digits: &str) {
+        // A hang-up overtook its try: nobody waits for an answer.
+        if let Some(at) = self.overtaken.iter().position(|own| own == tried) {
+            self.overtaken.remove(at);
+            return self.pass_over(from, format!("try {tried} had hung up before it came"));
+        }
+        let meant = self.commission.numbering.read(digits);
+        let patience =
+            command.parameters.read::<u32>(name::PATIENCE).map(|ms| Span::from_millis(u64::from(ms)));
+        let limit = meant.map_or(Span::ZERO, |dialled| self.commission.timer_limits[dialled.service.at()]);
+        let limit = patience.map_or(limit, |own| own.min(limit));
+        let call = Call::new(
+            from,
+            command.endpoint.clone(),
+            tried.to_owned(),
+            digits.to_owned(),
+            self.now + (limit - self.commission.answer_margin),
+        );
+        let timer_limit = call.timer_limit;
+        let session = self.book.enter(call);
+        self.book.set_connection(session, command.parameters.get(name::CONNECTION));
+        self.step(session, Step::Taken);
+        let Some(Dialled { service, destination }) = meant else {
+            // A number that means nothing: nothing can be set up.
+            return self.fail(session);
+        };
+        if !self.service.takes_sessions() || self.book.len() > self.commission.most_held {
+            let away = self.commission.provision.longest_away;
+            return self.refuse(session, (away > Span::ZERO).then_some(away));
+        }
+        let trunk = command.endpoint.local().split('/').next().unwrap_or("");
+        let member = self.commission.trunks.iter().position(|own| own == trunk).map(MemberIx::new);
+        let offer = Offer {
+            service,
+            member,
+            number: Some(self.numbers.index(digits)),
+            destination,
+            timer_limit,
+            redial: command.parameters.get(name::REDIAL).is_some_and(|value| value != "0"),
+        };
+        self.judge.offered(session, offer);
+    }
+
+    /// A caller has hung up. One that this front does not know may name the far end of its call: a front that
+    /// was started anew takes it down.
+    fn hung_up(&mut self, from: SocketAddr, command: &Command, tried: &str) {
+        if let Some(session) = self.book.tried(tried) {
+            return self.caller_left(session);
+        }
+        let far = command.parameters.get(name::FAR).and_then(|far| {
+            let (connection, endpoint) = far.split_once(' ')?;
+            Some((connection, endpoint.parse::<Endpoint>().ok()?))
+        });
+        match far {
+            Some((connection, endpoint)) => match self.roster.named(endpoint.domain()) {
+                Some(server) => self.take_down(server, endpoint, Some(tried), Some(connection)),
+                None => self.pass_over(from, format!("try {tried}: no server {}", endpoint.domain())),
+            },
+            None => {
+                if self.overtaken.len() == MOST_OVERTAKEN {
+                    self.overtaken.pop_front();
+                }
+                self.overtaken.push_back(tried.to_owned());
+            }
+        }
+    }
+
+    pub(super) fn caller_gone(&mut self, session: Session) {
+        if self.book.is(session) {
+            self.caller_left(session.index);
+        }
+    }
+
+    fn caller_left(&mut self, session: SessionIx) {
+        let Some(call) = self.book.get(session) else { return };
+        match call.phase.clone() {
+            Phase::Waiting => {
+                self.judge.hung_up(session);
+                self.step(session, Step::HungUp);
+                self.book.leave(session);
+            }
+            Phase::Inviting(invite) => {
+                self.step(session, Step::HungUp);
+                self.judge.hung_up(session);
+                self.call_off(session);
+                self.judge.ended(session, invite.server, Ending::Cancelled, true);
+                self.book.leave(session);
+            }
+            Phase::Standing(circuit) => self.release(session, circuit),
+            Phase::Releasing => {}
+        }
+    }
+
+    /// The one final answer of a session that stands.
+    pub(super) fn connect(&mut self, session: SessionIx, circuit: &Circuit, description: Option<Vec<u8>>) {
+        let Some(call) = self.book.get(session) else { return };
+        let mut command = Command::new(Verb::ModifyConnection, 0, call.line.clone())
+            .with(name::CALL, &call.tried)
+            .with(name::TRY, &call.tried)
+            .with(name::MODE, "sendrecv")
+            .with(name::REQUESTED, "L/hu(N)")
+            .with(name::FAR, format!("{} {}", circuit.connection, circuit.endpoint));
+        if let Some(connection) = &call.connection {
+            command.parameters.add(name::CONNECTION, connection);
+        }
+        command.description = description;
+        let (gateway, held) = (call.gateway, self.book.session(session));
+        self.ask(gateway, command, Pending::Connect(held));
+    }
+
+    /// The one final answer of a refused session: busy tone, and when to come back.
+    pub(super) fn refuse(&mut self, session: SessionIx, come_back: Option<Span>) {
+        let come_back_ms = come_back.map(|span| span.micros() / 1_000);
+        self.step(session, Step::Refused { come_back_ms });
+        self.tone(session, "L/bz", come_back_ms);
+    }
+
+    /// The one final answer of a failed session: reorder tone.
+    pub(super) fn fail(&mut self, session: SessionIx) {
+        self.step(session, Step::Failed);
+        self.tone(session, "L/ro", None);
+    }
+
+    fn tone(&mut self, session: SessionIx, signal: &str, come_back_ms: Option<u64>) {
+        let Some(call) = self.book.leave(session) else { return };
+        let mut command = Command::new(Verb::NotificationRequest, 0, call.line)
+            .with(name::REQUEST, &call.tried)
+            .with(name::TRY, &call.tried)
+            .with(name::REQUESTED, "L/hu(N)")
+            .with(name::SIGNALS, signal);
+        if let Some(ms) = come_back_ms {
+            command.parameters.add(name::COME_BACK, ms);
+        }
+        self.ask(call.gateway, command, Pending::Courtesy);
+    }
+
+    /// A call that stood was cut: the caller's half is taken down too. Its final answer was given before.
+    pub(super) fn cut(&mut self, session: SessionIx) {
+        self.step(session, Step::Cut);
+        let Some(call) = self.book.leave(session) else { return };
+        let mut command = Command::new(Verb::DeleteConnection, 0, call.line)
+            .with(name::CALL, &call.tried)
+            .with(name::TRY, &call.tried);
+        if let Some(connection) = &call.connection {
+            command.parameters.add(name::CONNECTION, connection);
+        }
+        self.ask(call.gateway, command, Pending::Courtesy);
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-front/src/engine/servers.rs
@@ -0,0 +1,238 @@
+//! The servers' side: CRCX and DLCX out; responses, DLCX and RSIP in (RFC 3435 sections 2.3.5 to 2.3.12).
+
+use super::*;
+use crate::endings;
+use crate::roster::Restart;
+use book::Invite;
+use ochrelead_core::call::Report;
+use ochrelead_mgcp::message::Parameters;
+
+impl<J: Judge> Engine<J> {
+    /// What any message of a server says of its lines and its processor.
+    pub(super) fn learn(&mut self, server: ServerIx, parameters: &Parameters) {
+        if let Some(lines) = endings::lines(parameters) {
+            self.judge.lines_told(server, lines);
+        }
+        let report = endings::report(parameters);
+        if report != Report::default() {
+            self.judge.reported(server, report);
+        }
+    }
+
+    fn trunk(&self, server: ServerIx, which: &str) -> Endpoint {
+        let name = &self.roster.post(server).name;
+        format!("trunk/{which}@{name}").parse().expect("the names of the list were checked")
+    }
+
+    /// One INVITE: one CRCX transaction on the server's trunk group.
+    pub(super) fn invite(&mut self, session: SessionIx, server: ServerIx, patience: Option<Span>) {
+        let Some(call) = self.book.get(session) else { return };
+        let timer_limit = call.timer_limit;
+        let command = Command::new(Verb::CreateConnection, 0, self.trunk(server, "$"))
+            .with(name::CALL, &call.tried)
+            .with(name::MODE, "sendrecv")
+            .with(name::OPTIONS, "p:20, a:PCMU")
+            .with(name::TRY, &call.tried)
+            .with(name::CALLED, &call.called);
+        let (to, held) = (self.roster.post(server).address, self.book.session(session));
+        let nth = self.book.count_invite(session);
+        let name = self.roster.post(server).name.clone();
+        self.step(session, Step::Invited { server: name, nth });
+        let Some(transaction) = self.ask(to, command, Pending::Invite(held)) else {
+            return self.judge.ended(session, server, Ending::Unsent, false);
+        };
+        let until = patience.map_or(timer_limit, |span| timer_limit.min(self.now + span));
+        self.book.turn_to(session, Phase::Inviting(Invite { server, transaction, until }));
+    }
+
+    /// The answer to the INVITE that is out.
+    pub(super) fn set_up_answered(&mut self, session: Session, response: &Response) {
+        if !self.book.is(session) {
+            return;
+        }
+        let index = session.index;
+        let Some(Phase::Inviting(invite)) = self.book.get(index).map(|call| call.phase.clone()) else {
+            return;
+        };
+        if let Some(ending) = endings::of_set_up(response) {
+            return self.invite_ended(index, invite.server, ending);
+        }
+        let Some(circuit) = circuit(invite.server, response) else {
+            // It says that the call stands but not where: it can be neither used nor taken down by name.
+            self.take_down_call(invite.server, index);
+            return self.invite_ended(index, invite.server, Ending::Fault { lines_busy: false });
+        };
+        self.judge.stands(index);
+        let name = self.roster.post(invite.server).name.clone();
+        self.step(index, Step::Stands { server: name });
+        self.book.turn_to(index, Phase::Standing(circuit.clone()));
+        self.connect(index, &circuit, response.description.clone());
+    }
+
+    /// An INVITE ended without an answer of its own: it is called off, so that what it may hold is released.
+    pub(super) fn invite_over(&mut self, session: SessionIx, ending: Ending) {
+        let Some(Phase::Inviting(invite)) = self.book.get(session).map(|call| call.phase.clone()) else {
+            return;
+        };
+        self.call_off(session);
+        self.invite_ended(session, invite.server, ending);
+    }
+
+    fn invite_ended(&mut self, session: SessionIx, server: ServerIx, ending: Ending) {
+        let name = self.roster.post(server).name.clone();
+        self.step(session, Step::InviteEnded { server: name, ending });
+        self.book.turn_to(session, Phase::Waiting);
+        self.judge.ended(session, server, ending, false);
+    }
+
+    /// No further repeat of the INVITE; the server is told that the call is off (RFC 3435 section 2.3.9, all
+    /// connections of a call).
+    pub(super) fn call_off(&mut self, session: SessionIx) {
+        let Some(Phase::Inviting(invite)) = self.book.get(session).map(|call| call.phase.clone()) else {
+            return;
+        };
+        self.exchange.abandon(self.now, invite.transaction);
+        self.pending.remove(&invite.transaction);
+        self.take_down_call(invite.server, session);
+    }
+
+    fn take_down_call(&mut self, server: ServerIx, session: SessionIx) {
+        let Some(tried) = self.book.get(session).map(|call| call.tried.clone()) else { return };
+        let endpoint = self.trunk(server, "*");
+        self.take_down(server, endpoint, Some(&tried), None);
+    }
+
+    /// Takes a call down at a server; nothing hangs on the response.
+    pub(super) fn take_down(
+        &mut self,
+        server: ServerIx,
+        endpoint: Endpoint,
+        call: Option<&str>,
+        connection: Option<&str>,
+    ) {
+        let mut command = Command::new(Verb::DeleteConnection, 0, endpoint);
+        if let Some(call) = call {
+            command.parameters.add(name::CALL, call);
+        }
+        if let Some(connection) = connection {
+            command.parameters.add(name::CONNECTION, connection);
+        }
+        let address = self.roster.post(server).address;
+        self.ask(address, command, Pending::Courtesy);
+    }
+
+    /// A response that nobody waits for. Where it says that a call was set up, nobody will ever release it:
+    /// that is done here, unless the circuit is in use by now.
+    pub(super) fn set_up_unclaimed(&mut self, from: SocketAddr, response: &Response) {
+        let Some(server) = self.roster.at(from) else { return };
+        if response.code != code::DONE {
+            return;
+        }
+        let Some(circuit) =
+            circuit(server, response).filter(|circuit| !self.book.is_in_use(&circuit.endpoint))
+        else {
+            return;
+        };
+        let name = self.roster.post(server).name.clone();
+        let tried = response.parameters.get(name::TRY).unwrap_or("").to_owned();
+        self.note(Note::Session { tried, what: Step::TakenDown { server: name } });
+        self.take_down(server, circuit.endpoint, None, Some(&circuit.connection));
+    }
+
+    /// The caller of a call that stands has hung up.
+    pub(super) fn release(&mut self, session: SessionIx, circuit: Circuit) {
+        let Some(call) = self.book.get(session) else { return };
+        let command = Command::new(Verb::DeleteConnection, 0, circuit.endpoint)
+            .with(name::CALL, &call.tried)
+            .with(name::CONNECTION, &circuit.connection);
+        let (to, held) = (self.roster.post(circuit.server).address, self.book.session(session));
+        self.book.turn_to(session, Phase::Releasing);
+        if self.ask(to, command, Pending::Release(held, circuit.server)).is_none() {
+            self.released(held, circuit.server, Ending::TimedOut);
+        }
+    }
+
+    pub(super) fn released(&mut self, session: Session, server: ServerIx, ending: Ending) {
+        if self.book.is(session) {
+            self.step(session.index, Step::Released);
+            self.judge.ended(session.index, server, ending, true);
+            self.book.leave(session.index);
+        }
+    }
+
+    /// A server takes a call down by itself (RFC 3435 section 2.3.10).
+    pub(super) fn cut_by_server(&mut self, from: SocketAddr, command: &Command) {
+        let call = command.parameters.get(name::CALL).and_then(|call| self.book.tried(call));
+        let at = call.and_then(|session| Some((session, self.server_of(session)?)));
+        let Some((session, server)) = at.filter(|(_, server)| self.roster.at(from) == Some(*server)) else {
+            self.exchange.answer(from, Response::new(code::UNKNOWN_CALL, command.transaction));
+            return;
+        };
+        self.exchange.answer(from, Response::new(code::DELETED, command.transaction));
+        self.lost(session, server);
+    }
+
+    fn server_of(&self, session: SessionIx) -> Option<ServerIx> {
+        match &self.book.get(session)?.phase {
+            Phase::Inviting(invite) => Some(invite.server),
+            Phase::Standing(circuit) => Some(circuit.server),
+            Phase::Waiting | Phase::Releasing => None,
+        }
+    }
+
+    /// The server no longer has this call.
+    fn lost(&mut self, session: SessionIx, server: ServerIx) {
+        match self.book.get(session).map(|call| call.phase.clone()) {
+            Some(Phase::Inviting(invite)) => {
+                self.exchange.abandon(self.now, invite.transaction);
+                self.pending.remove(&invite.transaction);
+                self.invite_ended(session, server, Ending::Reset);
+            }
+            Some(Phase::Standing(_)) => {
+                self.judge.ended(session, server, Ending::Reset, true);
+                self.cut(session);
+            }
+            _ => {}
+        }
+    }
+
+    /// A server speaks of its restart.
+    pub(super) fn restart_told(&mut self, from: SocketAddr, command: &Command) {
+        let server = self.roster.named(command.endpoint.domain());
+        let Some(server) = server.filter(|server| self.roster.at(from) == Some(*server)) else {
+            self.exchange.answer(from, Response::new(code::UNKNOWN_ENDPOINT, command.transaction));
+            return self.pass_over(from, format!("RSIP of {}, which is not listed", command.endpoint));
+        };
+        let method = command.parameters.get(name::RESTART).unwrap_or("");
+        let Some(restart) = Restart::read(method) else {
+            self.exchange.answer(from, Response::new(code::PROTOCOL_ERROR, command.transaction));
+            return self.pass_over(from, format!("RSIP with the unknown method {method:?}"));
+        };
+        self.exchange.answer(from, Response::new(code::DONE, command.transaction));
+        // The delay of a drain is how long it lasts, not when it begins: nothing new goes from now on.
+        let delay = Span::ZERO;
+        let Some(news) = self.roster.told(server, restart, delay, self.now) else { return };
+        if news.cut {
+            // What the old process held is gone; its answers are no use any more.
+            let held = [self.book.inviting_at(server), self.book.standing_at(server)].concat();
+            held.into_iter().for_each(|session| self.lost(session, server));
+        }
+        self.judge.listed(false, &[news.listing]);
+        let what = match restart {
+            Restart::Started => "started",
+            Restart::Drains => "drains",
+            Restart::Gone => "gone",
+            Restart::Back | Restart::Disconnected => "back",
+        };
+        let name = self.roster.post(server).name.clone();
+        self.note(Note::Server { name, what });
+        self.note(Note::List(self.roster.posts()));
+    }
+}
+
+/// Where a call was set up (RFC 3435 section 2.3.5: `Z` where the endpoint was named by a wildcard).
+fn circuit(server: ServerIx, response: &Response) -> Option<Circuit> {
+    let endpoint = response.parameters.get(name::SPECIFIC)?.parse().ok()?;
+    let connection = response.parameters.get(name::CONNECTION)?.to_owned();
+    Some(Circuit { server, endpoint, connection })
+}
--- /dev/null
+++ b/crates/ochrelead-front/src/judge.rs
@@ -0,0 +1,62 @@
+//! What the engine asks of whoever decides on sessions.
+
+use ochrelead_core::call::{Decision, Ending, Lines, Listing, Offer, Report};
+use ochrelead_core::index::{ServerIx, SessionIx};
+use ochrelead_core::rules::Controller;
+use ochrelead_core::time::Moment;
+
+/// Decides on sessions. The methods are those of the module, [`Controller`], and mean the same.
+pub trait Judge {
+    fn clock(&mut self, now: Moment);
+    fn offered(&mut self, session: SessionIx, offer: Offer);
+    fn stands(&mut self, session: SessionIx);
+    fn ended(&mut self, session: SessionIx, server: ServerIx, ending: Ending, over: bool);
+    fn hung_up(&mut self, session: SessionIx);
+    fn listed(&mut self, whole: bool, listings: &[Listing]);
+    fn lines_told(&mut self, server: ServerIx, lines: Lines);
+    fn reported(&mut self, server: ServerIx, report: Report);
+    fn decide(&mut self) -> Option<Decision>;
+    fn wake(&mut self) -> Option<Moment>;
+}
+
+impl Judge for Controller {
+    fn clock(&mut self, now: Moment) {
+        Controller::clock(self, now);
+    }
+
+    fn offered(&mut self, session: SessionIx, offer: Offer) {
+        Controller::offered(self, session, offer);
+    }
+
+    fn stands(&mut self, session: SessionIx) {
+        Controller::stands(self, session);
+    }
+
+    fn ended(&mut self, session: SessionIx, server: ServerIx, ending: Ending, over: bool) {
+        Controller::ended(self, session, server, ending, over);
+    }
+
+    fn hung_up(&mut self, session: SessionIx) {
+        Controller::hung_up(self, session);
+    }
+
+    fn listed(&mut self, whole: bool, listings: &[Listing]) {
+        Controller::listed(self, whole, listings);
+    }
+
+    fn lines_told(&mut self, server: ServerIx, lines: Lines) {
+        Controller::lines_told(self, server, lines);
+    }
+
+    fn reported(&mut self, server: ServerIx, report: Report) {
+        Controller::reported(self, server, report);
+    }
+
+    fn decide(&mut self) -> Option<Decision> {
+        Controller::decide(self)
+    }
+
+    fn wake(&mut self) -> Option<Moment> {
+        Controller::wake(self)
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-front/src/lib.rs
@@ -0,0 +1,20 @@
+//! A front: a call agent (RFC 3435) that takes sessions from callers' gateways and sets them up at signalling
+//! servers. The module of `ochrelead-core` decides where, again, refuse, give up; nothing here does.
+//!
+//! - [`engine`]: the whole front without I/O. Datagrams, list news and ticks go in; datagrams and notes come
+//!   out; [`engine::Engine::wake`] says when to come again.
+//! - [`endings`]: what a server's answer means to the module.
+//! - [`roster`]: which servers there are and what they said of themselves.
+//! - [`numbers`]: called numbers by index, bounded.
+//! - [`drain`]: leaving service without losing a session.
+//! - [`judge`]: what the engine asks of whoever decides, so that a rig can put a baseline in the module's place.
+//! - [`host`]: sockets, clock, signals and the list's file; it decides nothing.
+
+pub mod drain;
+pub mod endings;
+pub mod engine;
+pub mod host;
+pub mod judge;
+pub mod note;
+pub mod numbers;
+pub mod roster;
--- /dev/null
+++ b/crates/ochrelead-front/tests/helper/mod.rs
@@ -0,0 +1,161 @@
+//! A front between one gateway and servers that say only what a test has them say.
+
+use std::net::SocketAddr;
+
+use ochrelead_core::rules::Controller;
+use ochrelead_core::time::Moment;
+use ochrelead_front::engine::Engine;
+use ochrelead_front::note::Note;
+use ochrelead_mgcp::message::{Command, Message, Response, Verb, code};
+use ochrelead_mgcp::{parse, write};
+use ochrelead_settings::commission;
+
+pub const SETTINGS: &str = r#"name: "f0" listen: "127.0.0.1:1" fronts: 2 release_wait_ms: 200 longest_away_ms: 2000
+drain_ms: 3000 most_held: 50 repeats { first_gap_ms: 500 longest_gap_ms: 4000 give_up_ms: 6000 kept_ms: 30000 }
+service { name: "check" dialled: "1" value: 1 post_dial_target_ms: 1500 timer_limit_ms: 9000 }
+service { name: "set" dialled: "2" value: 3 post_dial_target_ms: 1500 timer_limit_ms: 9000 }
+member { name: "norte" trunk: "norte" quota_per_s: 18 }
+server { name: "s0" address: "127.0.0.1:10" number: 0 dialled: "00" }
+server { name: "s1" address: "127.0.0.1:11" number: 1 dialled: "01" }
+"#;
+
+/// What a front has sent, in short.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Sent {
+    Command(Verb, SocketAddr, Command),
+    Response(u16, u32),
+}
+
+pub struct Front {
+    pub engine: Engine<Controller>,
+    /// Each command is seen once, however often it is repeated.
+    seen: Vec<u32>,
+    own: u32,
+}
+
+pub fn at(ms: u64) -> Moment {
+    Moment::from_micros(60_000_000 + ms * 1_000)
+}
+
+pub fn gateway() -> SocketAddr {
+    "127.0.0.1:5".parse().unwrap()
+}
+
+pub fn server(nth: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10 + nth))
+}
+
+impl Front {
+    pub fn start(first: u32) -> Front {
+        let commission = commission::read("test", SETTINGS).unwrap();
+        let judge = Controller::new(&commission.provision, at(0));
+        Front { engine: Engine::new(commission, judge, first, at(0)), seen: Vec::new(), own: 0 }
+    }
+
+    pub fn take(&mut self, ms: u64, from: SocketAddr, bytes: &[u8]) {
+        self.engine.take(at(ms), from, bytes);
+    }
+
+    /// Runs the front up to a moment and returns what it has sent, repeats left out.
+    pub fn sent(&mut self, ms: u64) -> Vec<Sent> {
+        let mut sent = Vec::new();
+        self.turn(ms, &mut sent);
+        sent
+    }
+
+    /// Runs the front from one moment to another, called when it asks for it.
+    pub fn run(&mut self, from: u64, to: u64) -> Vec<Sent> {
+        let mut sent = Vec::new();
+        for ms in from..=to {
+            if ms == from || ms == to || self.engine.wake().is_some_and(|wake| wake <= at(ms)) {
+                self.turn(ms, &mut sent);
+            }
+        }
+        sent
+    }
+
+    fn turn(&mut self, ms: u64, sent: &mut Vec<Sent>) {
+        self.engine.turn(at(ms));
+        while let Some((to, bytes)) = self.engine.next_datagram() {
+            match parse::datagram(&bytes).unwrap().remove(0).unwrap() {
+                Message::Command(command) if self.seen.contains(&command.transaction) => {}
+                Message::Command(command) => {
+                    self.seen.push(command.transaction);
+                    sent.push(Sent::Command(command.verb, to, command));
+                }
+                Message::Response(response) => sent.push(Sent::Response(response.code, response.transaction)),
+            }
+        }
+    }
+
+    pub fn notes(&mut self) -> Vec<Note> {
+        std::iter::from_fn(|| self.engine.next_note()).collect()
+    }
+
+    /// A command of a peer, with a transaction id of its own.
+    pub fn ask(&mut self, ms: u64, from: SocketAddr, line: &str, parameters: &str) -> u32 {
+        self.own += 1;
+        let (verb, endpoint) = line.split_once(' ').unwrap();
+        let bytes = format!("{verb} {} {endpoint} MGCP 1.0\r\n{}", self.own, parameters.replace('|', "\r\n"));
+        self.take(ms, from, bytes.as_bytes());
+        self.own
+    }
+
+    /// A caller's try at a number of the service and server named by its digits.
+    pub fn dial(&mut self, ms: u64, tried: &str, digits: &str) -> u32 {
+        let events: Vec<String> = digits.chars().map(|digit| format!("D/{digit}")).collect();
+        let parameters = format!("X-Try: {tried}|I: c{tried}|O: L/hd, {}", events.join(", "));
+        self.ask(ms, gateway(), "NTFY norte/1@g", &parameters)
+    }
+
+    pub fn hang_up(&mut self, ms: u64, tried: &str) -> u32 {
+        self.ask(ms, gateway(), "NTFY norte/1@g", &format!("X-Try: {tried}|O: L/hu"))
+    }
+
+    /// Dials, and returns the INVITE's transaction and server.
+    pub fn invited(&mut self, ms: u64, tried: &str) -> (u32, SocketAddr) {
+        self.dial(ms, tried, "1004711");
+        let sent = self.sent(ms);
+        invite(&sent).unwrap_or_else(|| panic!("no INVITE in {sent:?}"))
+    }
+
+    /// A server's answer to a set-up.
+    pub fn stands(&mut self, ms: u64, from: SocketAddr, transaction: u32, circuit: u32) {
+        let name = if from == server(0) { "s0" } else { "s1" };
+        let response = Response::new(code::DONE, transaction)
+            .with("I", format!("i{circuit}"))
+            .with("Z", format!("trunk/{circuit}@{name}"));
+        self.respond(ms, from, response);
+    }
+
+    pub fn respond(&mut self, ms: u64, from: SocketAddr, response: Response) {
+        self.take(ms, from, &write::datagram(&[Message::Response(response)]));
+    }
+}
+
+/// The first INVITE among what was sent.
+pub fn invite(sent: &[Sent]) -> Option<(u32, SocketAddr)> {
+    sent.iter().find_map(|sent| match sent {
+        Sent::Command(Verb::CreateConnection, to, command) => Some((command.transaction, *to)),
+        _ => None,
+    })
+}
+
+/// How often each verb went out.
+pub fn count(sent: &[Sent], verb: Verb) -> usize {
+    sent.iter().filter(|sent| matches!(sent, Sent::Command(own, _, _) if *own == verb)).count()
+}
+
+/// The final answers that callers were given: stands, busy, failed.
+pub fn answers(sent: &[Sent]) -> Vec<&'static str> {
+    let answer = |sent: &Sent| match sent {
+        Sent::Command(Verb::ModifyConnection, ..) => Some("stands"),
+        Sent::Command(Verb::NotificationRequest, _, command) => match command.parameters.get("S") {
+            Some("L/bz") => Some("busy"),
+            Some("L/ro") => Some("failed"),
+            _ => None,
+        },
+        _ => None,
+    };
+    sent.iter().filter_map(answer).collect()
+}
--- /dev/null
+++ b/crates/ochrelead-front/tests/parts.rs
@@ -0,0 +1,104 @@
+//! The parts that decide or remember by themselves.
+
+use ochrelead_core::call::{Ending, ListState};
+use ochrelead_core::time::{Moment, Span};
+use ochrelead_front::drain::Service;
+use ochrelead_front::endings;
+use ochrelead_front::numbers::Numbers;
+use ochrelead_front::roster::{Restart, Roster};
+use ochrelead_mgcp::message::Response;
+use ochrelead_settings::commission::Post;
+use test_case::test_case;
+
+const BUSY: Ending = Ending::BusyReplied { no_line: false, wait: None };
+
+#[test_case(Response::new(200, 1), None; "stands")]
+#[test_case(Response::new(409, 1), Some(BUSY); "full")]
+#[test_case(Response::new(409, 1).with("X-Wait", 700),
+    Some(Ending::BusyReplied { no_line: false, wait: Some(Span::from_millis(700)) }); "full, with a wait")]
+#[test_case(Response::new(409, 1).with("X-Wait", "soon"), Some(BUSY); "a wait that is none")]
+#[test_case(Response::new(410, 1), Some(Ending::BusyReplied { no_line: true, wait: None }); "no circuit")]
+#[test_case(Response::new(401, 1), Some(Ending::Fault { lines_busy: true }); "line busy")]
+#[test_case(Response::new(406, 1), Some(Ending::TimedOut); "timed out there")]
+#[test_case(Response::new(520, 1), Some(Ending::Reset); "restarting")]
+#[test_case(Response::new(999, 1), Some(Ending::Fault { lines_busy: false }); "unknown")]
+fn ending(response: Response, expected: Option<Ending>) {
+    assert_eq!(endings::of_set_up(&response), expected);
+}
+
+#[test_case("3/40", Some((3, 40)); "sound")]
+#[test_case("41/40", None; "more free than there are")]
+#[test_case("-1/40", None; "negative")]
+#[test_case("40", None; "one figure")]
+fn lines(text: &str, expected: Option<(u32, u32)>) {
+    let response = Response::new(200, 1).with("X-Lines", text);
+    assert_eq!(endings::lines(&response.parameters).map(|lines| (lines.free, lines.all)), expected);
+}
+
+#[test_case("nan", "0.2", (None, Some(0.2)); "not a number")]
+#[test_case("12.5", "1.2", (Some(12.5), None); "a share above one")]
+fn report(can_take: &str, hold_back: &str, expected: (Option<f64>, Option<f64>)) {
+    let response = Response::new(200, 1).with("X-Can-Take", can_take).with("X-Hold-Back", hold_back);
+    let report = endings::report(&response.parameters);
+    assert_eq!((report.can_take, report.hold_back), expected);
+}
+
+fn post(name: &str, port: u16) -> Post {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    Post { name: name.to_owned(), address, number: i64::from(port), started: None, draining: false }
+}
+
+const READY: ListState = ListState::Ready { started: None };
+const FRESH: ListState = ListState::Ready { started: Some(Moment::from_micros(7)) };
+
+#[test_case(&[Restart::Drains], &[ListState::Draining]; "drains")]
+#[test_case(&[Restart::Gone, Restart::Drains], &[ListState::Gone]; "a drain told late does not bring it back")]
+#[test_case(&[Restart::Drains, Restart::Back], &[ListState::Draining, READY]; "back from a drain")]
+#[test_case(&[Restart::Gone, Restart::Back], &[ListState::Gone]; "gone is not back without a start")]
+#[test_case(&[Restart::Gone, Restart::Started], &[ListState::Gone, FRESH]; "started anew")]
+#[test_case(&[Restart::Disconnected], &[]; "disconnected changes nothing")]
+fn restarts(told: &[Restart], states: &[ListState]) {
+    let mut roster = Roster::default();
+    roster.relist(&[post("s0", 1)]);
+    let server = roster.named("S0").unwrap();
+    let news: Vec<ListState> = told
+        .iter()
+        .filter_map(|restart| roster.told(server, *restart, Span::ZERO, Moment::from_micros(7)))
+        .map(|news| news.listing.state)
+        .collect();
+    assert_eq!(news, states);
+}
+
+#[test]
+fn a_list_given_anew_keeps_indices_and_leaves_out_what_is_gone() {
+    let mut roster = Roster::default();
+    roster.relist(&[post("s0", 1), post("s1", 2)]);
+    let listings = roster.relist(&[post("s1", 9), post("s2", 2)]);
+    let states: Vec<bool> = listings.iter().map(|listing| listing.state == READY).collect();
+    assert_eq!(states, [false, true, true]);
+    assert_eq!(roster.at(post("", 9).address), roster.named("s1"), "moved, with its index");
+    assert_eq!(roster.at(post("", 1).address), None);
+    assert_eq!(roster.posts().len(), 2);
+}
+
+#[test]
+fn numbers_are_bounded_and_the_oldest_makes_room() {
+    let mut numbers = Numbers::new(2);
+    let (a, b) = (numbers.index("a"), numbers.index("b"));
+    assert_eq!(numbers.index("a"), a);
+    assert_eq!(numbers.index("c"), b, "b was called longest ago");
+    assert_eq!((numbers.index("a"), numbers.len()), (a, 2));
+}
+
+#[test_case(0, 10, true; "nothing owed")]
+#[test_case(1, 2_999, false; "within both bounds")]
+#[test_case(1, 6_000, true; "past both bounds")]
+fn closes(owed: usize, ms: u64, closed: bool) {
+    let at = |ms: u64| Moment::from_micros(ms * 1_000);
+    let bound = Span::from_millis(3_000);
+    let mut service = Service::Open;
+    service.leave(at(0), bound);
+    service.leave(at(2_000), bound);
+    service.settle(at(ms), owed, bound);
+    assert_eq!(service == Service::Closed, closed);
+}
--- a/crates/ochrelead-mgcp/src/message.rs
+++ b/crates/ochrelead-mgcp/src/message.rs
@@ -147,6 +147,8 @@
     pub const ACKNOWLEDGED: &str = "K";
     /// A caller's try, in hexadecimal digits; its call id towards the servers.
     pub const TRY: &str = "X-Try";
+    /// The number that was called.
+    pub const CALLED: &str = "X-Called";
     /// How long the caller of this try waits, in milliseconds.
     pub const PATIENCE: &str = "X-Patience";
     /// The caller says that it has tried before.
@@ -229,6 +231,7 @@
     pub const OVERLOAD: u16 = 409;
     pub const NO_ENDPOINT: u16 = 410;
     pub const UNKNOWN_ENDPOINT: u16 = 500;
+    pub const UNSUPPORTED: u16 = 504;
     pub const PROTOCOL_ERROR: u16 = 510;
     pub const UNKNOWN_CONNECTION: u16 = 515;
     pub const UNKNOWN_CALL: u16 = 516;
--- a/crates/ochrelead-settings/src/commission.rs
+++ b/crates/ochrelead-settings/src/commission.rs
@@ -265,3 +265,37 @@
         unset
     })
 }
+
+impl Commission {
+    /// Takes what was last known of the servers that the settings list; others in `last` are not listed any
+    /// more and are passed over.
+    pub fn remember(&mut self, last: &[Post]) {
+        for post in &mut self.roster {
+            if let Some(known) = last.iter().find(|known| known.name == post.name) {
+                (post.started, post.draining) = (known.started, known.draining);
+            }
+        }
+    }
+}
+
+/// A list as a front keeps it between two lives: the servers alone, in the form of the settings.
+pub fn roster_text(posts: &[Post]) -> String {
+    let line = |post: &Post| {
+        let started = post.started.map_or(String::new(), |at| format!(" started_us: {}", at.micros()));
+        let draining = if post.draining { " draining: true" } else { "" };
+        let Post { name, address, number, .. } = post;
+        format!("server {{ name: \"{name}\" address: \"{address}\" number: {number}{started}{draining} }}\n")
+    };
+    posts.iter().map(line).collect()
+}
+
+/// Reads a list that [`roster_text`] wrote.
+///
+/// # Errors
+///
+/// All that is wrong with it.
+pub fn open_roster(path: &Path) -> Result<Vec<Post>, Vec<Complaint>> {
+    let (front, mut sheet) = Sheet::open::<schema::Front>(path, "Front")?;
+    let posts = roster(&front, "", &mut sheet);
+    sheet.finish(posts)
+}
