--- /dev/null
+++ b/crates/ochrelead-day/src/main.rs
@@ -0,0 +1,238 @@
+//! The program `ochrelead-day`.
+
+use std::net::SocketAddrV4;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::thread;
+
+use anyhow::Context;
+use clap::{Args, Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use ochrelead_day::audit::{self, RULES, Service, Verdict};
+use ochrelead_day::party::Street;
+use ochrelead_day::world::{Deciding, World, capture_file};
+use ochrelead_day::{capture, part};
+use ochrelead_settings::day::{self, Day};
+
+/// Plays scripted days through real fronts on loopback sockets, and judges them from what the sockets saw.
+///
+/// Exits with 0 where all rules were kept, 1 where one was broken, 2 for usage and settings.
+#[derive(Parser)]
+#[command(
+    version,
+    after_help = "Examples:\n  ochrelead-day run days/bad-day.textproto --out target/day\n  \
+    ochrelead-day audit target/day/capture.pcap --day days/bad-day.textproto\n  \
+    ochrelead-day check days/bad-day.textproto"
+)]
+struct Line {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Play a day in real time and judge it
+    Run {
+        day: PathBuf,
+        /// Where the captures and the fronts' files go
+        #[arg(long, value_name = "DIR")]
+        out: PathBuf,
+        /// Leave out the textbook baselines
+        #[arg(long)]
+        alone: bool,
+    },
+    /// Judge a capture
+    Audit {
+        capture: PathBuf,
+        #[arg(long)]
+        day: PathBuf,
+    },
+    /// Check days and stop
+    Check {
+        #[arg(required = true)]
+        days: Vec<PathBuf>,
+    },
+    /// What the rig starts for itself
+    #[command(subcommand, hide = true)]
+    Part(Part),
+}
+
+#[derive(Subcommand)]
+enum Part {
+    Front {
+        #[arg(long)]
+        settings: PathBuf,
+        #[arg(long)]
+        list: PathBuf,
+        #[arg(long)]
+        deciding: String,
+        #[arg(long)]
+        seed: u64,
+    },
+    Server {
+        #[command(flatten)]
+        stand_in: StandIn,
+        #[arg(long)]
+        nth: usize,
+        #[arg(long)]
+        fresh: bool,
+    },
+    Callers {
+        #[command(flatten)]
+        stand_in: StandIn,
+    },
+}
+
+#[derive(Args)]
+struct StandIn {
+    #[arg(long)]
+    day: PathBuf,
+    #[arg(long)]
+    listen: SocketAddrV4,
+    #[arg(long = "front")]
+    fronts: Vec<SocketAddrV4>,
+    #[arg(long)]
+    start_us: u64,
+}
+
+/// What a run came to: a broken rule is a verdict, all else that fails is not.
+enum Outcome {
+    Kept,
+    Broken,
+}
+
+fn main() -> ExitCode {
+    let done = match Line::parse().what {
+        What::Run { day, out, alone } => run(&day, &out, alone),
+        What::Audit { capture, day } => judge(&capture, &day),
+        What::Check { days } => days.iter().try_for_each(|day| read(day).map(drop)).map(|()| Outcome::Kept),
+        What::Part(part) => play(part).map(|()| Outcome::Kept),
+    };
+    match done {
+        Ok(Outcome::Kept) => ExitCode::SUCCESS,
+        Ok(Outcome::Broken) => ExitCode::FAILURE,
+        Err(error) => {
+            for line in format!("{error:#}").lines() {
+                eprintln!("ochrelead-day: {line}");
+            }
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn read(path: &Path) -> anyhow::Result<Day> {
+    day::open(path).map_err(part::complained)
+}
+
+fn play(part: Part) -> anyhow::Result<()> {
+    match part {
+        Part::Front { settings, list, deciding, seed } => {
+            let known = Deciding::ALL.iter().find(|(name, _)| *name == deciding);
+            let (_, deciding) = known.with_context(|| format!("--deciding {deciding}: no such policy"))?;
+            part::front(&settings, list, *deciding, seed)
+        }
+        Part::Server { stand_in, nth, fresh } => {
+            let day = read(&stand_in.day)?;
+            part::server(&day, nth, stand_in.listen, &stand_in.fronts, stand_in.start_us, fresh)
+        }
+        Part::Callers { stand_in } => {
+            part::callers(read(&stand_in.day)?, stand_in.listen, &stand_in.fronts, stand_in.start_us)
+        }
+    }
+}
+
+fn run(day_file: &Path, out: &Path, alone: bool) -> anyhow::Result<Outcome> {
+    let day = read(day_file)?;
+    let policies = if alone { vec![Deciding::Module] } else { Deciding::ALL.map(|(_, own)| own).to_vec() };
+    let worlds: Vec<World> = policies
+        .iter()
+        .enumerate()
+        .map(|(nth, deciding)| World {
+            day: day.clone(),
+            day_file: day_file.to_owned(),
+            out: if *deciding == Deciding::Module { out.to_owned() } else { out.join(deciding.name()) },
+            street: Street::new(nth as u8),
+            deciding: *deciding,
+        })
+        .collect();
+    let bar = ProgressBar::new(day.length.micros() / 1_000);
+    bar.set_style(ProgressStyle::with_template("{bar:40} {pos}/{len} ms of the day")?);
+    thread::scope(|scope| {
+        let playing: Vec<_> = worlds
+            .iter()
+            .enumerate()
+            .map(|(nth, world)| {
+                let bar = bar.clone();
+                scope.spawn(move || {
+                    world.play(|ms| {
+                        if nth == 0 {
+                            bar.set_position(ms)
+                        }
+                    })
+                })
+            })
+            .collect();
+        for world in playing {
+            world.join().map_err(|_| anyhow::anyhow!("a world panicked"))??;
+        }
+        Ok::<(), anyhow::Error>(())
+    })?;
+    bar.finish_and_clear();
+    let mut verdicts = Vec::new();
+    for world in &worlds {
+        let sights = capture::read(&capture_file(&world.out))?;
+        verdicts.push((world.deciding, audit::audit(&day, &sights)));
+    }
+    tell(&verdicts[0].1);
+    println!(
+        "\n{:<12} {:>7} {:>11} {:>9} {:>8} {:>6}",
+        "service", "whole", "worst 10 s", "service", "member", "rules"
+    );
+    for (deciding, verdict) in &verdicts {
+        let Service { whole, worst_window, by_service, by_member, .. } = &verdict.service;
+        println!(
+            "{:<12} {whole:>7.3} {worst_window:>11.3} {:>9.3} {:>8.3} {:>6}",
+            deciding.name(),
+            Service::worst(by_service),
+            Service::worst(by_member),
+            if verdict.is_kept() { "kept" } else { "broken" }
+        );
+    }
+    println!(
+        "{:<12} {:>7.3}  (by the servers' true capacity alone)",
+        "ceiling", verdicts[0].1.service.ceiling
+    );
+    Ok(outcome(&verdicts[0].1))
+}
+
+fn judge(capture: &Path, day: &Path) -> anyhow::Result<Outcome> {
+    let day = read(day)?;
+    let verdict = audit::audit(&day, &capture::read(capture)?);
+    tell(&verdict);
+    println!("\nservice {:.3}, worst 10 s {:.3}", verdict.service.whole, verdict.service.worst_window);
+    Ok(outcome(&verdict))
+}
+
+fn outcome(verdict: &Verdict) -> Outcome {
+    if verdict.is_kept() { Outcome::Kept } else { Outcome::Broken }
+}
+
+/// So many broken cases are told one by one.
+const MOST_TOLD: usize = 20;
+
+fn tell(verdict: &Verdict) {
+    let Service { offered, stood, cut, .. } = &verdict.service;
+    println!("{offered} callers, {stood} stood, {cut} of them cut; on simulated servers\n");
+    for (nth, (rule, tested)) in RULES.iter().zip(&verdict.tested).enumerate() {
+        let broken = verdict.breaches.iter().filter(|breach| breach.rule == nth + 1).count();
+        let nearest = tested.nearest.map_or("-".to_owned(), |share| format!("{:.0} in 100", share * 100.0));
+        let state = if broken == 0 { "kept".to_owned() } else { format!("broken {broken} times") };
+        println!("rule {}: {rule}: {state}; {} cases, nearest {nearest}", nth + 1, tested.cases);
+    }
+    for breach in verdict.breaches.iter().take(MOST_TOLD) {
+        println!("{breach}");
+    }
+    if verdict.breaches.len() > MOST_TOLD {
+        println!("and {} more", verdict.breaches.len() - MOST_TOLD);
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-day/src/part.rs
@@ -0,0 +1,125 @@
+//! What each process of a world runs: a front, a stand-in server, or all callers.
+
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use anyhow::{Context, bail};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use ochrelead_core::rules::Controller;
+use ochrelead_core::time::Moment;
+use ochrelead_front::engine::Engine;
+use ochrelead_front::host::{self, Clock};
+use ochrelead_settings::commission;
+use ochrelead_settings::day::Day;
+use ochrelead_settings::text::Complaint;
+use ochrelead_standin::Peer;
+use ochrelead_standin::callers::Callers;
+use ochrelead_standin::server::Server;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::baseline::{Baseline, Policy};
+use crate::world::Deciding;
+
+/// One line a complaint, so that an operator sees all of them.
+pub fn complained(complaints: Vec<Complaint>) -> anyhow::Error {
+    let lines: Vec<String> = complaints.iter().map(ToString::to_string).collect();
+    anyhow::anyhow!("{}", lines.join("\n"))
+}
+
+/// Runs a front as its program does, but for who decides.
+pub fn front(settings: &Path, list: PathBuf, deciding: Deciding, seed: u64) -> anyhow::Result<()> {
+    let clock = Clock::start();
+    let mut commission = commission::open(settings).map_err(complained)?;
+    if list.exists() {
+        commission.remember(&commission::open_roster(&list).map_err(complained)?);
+    }
+    tracing_subscriber::fmt()
+        .with_max_level(tracing_subscriber::filter::LevelFilter::ERROR)
+        .with_writer(io::stderr)
+        .init();
+    let first = Pcg64Mcg::seed_from_u64(clock.now().micros() ^ seed).random();
+    commission.provision.seed = seed;
+    let socket =
+        UdpSocket::bind(commission.listen).with_context(|| format!("listen on {}", commission.listen))?;
+    let socket = Async::new(socket)?;
+    let now = clock.now();
+    let policy = match deciding {
+        Deciding::Module => {
+            let judge = Controller::new(&commission.provision, now);
+            let engine = Engine::new(commission, judge, first, now);
+            return Ok(future::block_on(host::serve(engine, socket, clock, Some(list)))?);
+        }
+        Deciding::Random => Policy::Random,
+        Deciding::Unbounded => Policy::Unbounded,
+    };
+    let target = commission.provision.services.iter().map(|s| s.post_dial_target).max().unwrap_or_default();
+    let judge = Baseline::new(policy, commission.provision.release_wait, target, seed);
+    let engine = Engine::new(commission, judge, first, now);
+    Ok(future::block_on(host::serve(engine, socket, clock, Some(list)))?)
+}
+
+/// Runs the `nth` stand-in server.
+pub fn server(
+    day: &Day,
+    nth: usize,
+    listen: SocketAddrV4,
+    fronts: &[SocketAddrV4],
+    start_us: u64,
+    fresh: bool,
+) -> anyhow::Result<()> {
+    if nth >= day.stand_ins.len() {
+        bail!("there are only {} servers", day.stand_ins.len());
+    }
+    let clock = Clock::start();
+    let start = Moment::from_micros(start_us);
+    let name = crate::world::server_name(nth);
+    let fronts = fronts.iter().map(|front| SocketAddr::V4(*front)).collect();
+    run(Server::new(day, nth, name, fronts, start, clock.now(), fresh), listen, clock)
+}
+
+/// Runs all callers.
+pub fn callers(day: Day, listen: SocketAddrV4, fronts: &[SocketAddrV4], start_us: u64) -> anyhow::Result<()> {
+    let clock = Clock::start();
+    let fronts = fronts.iter().map(|front| SocketAddr::V4(*front)).collect();
+    run(Callers::new(day, fronts, Moment::from_micros(start_us), clock.now()), listen, clock)
+}
+
+/// The host of a stand-in: its socket and its clock.
+fn run(mut peer: impl Peer, listen: SocketAddrV4, clock: Clock) -> anyhow::Result<()> {
+    let socket = UdpSocket::bind(listen).with_context(|| format!("listen on {listen}"))?;
+    let socket = Async::new(socket)?;
+    let mut buffer = vec![0; 65_536];
+    future::block_on(async {
+        loop {
+            while let Ok((length, from)) = socket.get_ref().recv_from(&mut buffer) {
+                peer.take(clock.now(), from, &buffer[..length]);
+            }
+            peer.turn(clock.now());
+            while let Some((to, bytes)) = peer.next_datagram() {
+                // What can't leave is lost, as on any network.
+                let _ = socket.get_ref().send_to(&bytes, to);
+            }
+            let alarm = clock.timer(peer.wake());
+            let idle = Timer::after(Duration::from_secs(1));
+            let tick = future::or(
+                async {
+                    let _ = alarm.await;
+                },
+                async {
+                    let _ = idle.await;
+                },
+            );
+            future::or(
+                async {
+                    let _ = socket.readable().await;
+                },
+                tick,
+            )
+            .await;
+        }
+    })
+}
--- a/crates/ochrelead-settings/src/text.rs
+++ b/crates/ochrelead-settings/src/text.rs
@@ -181,3 +181,11 @@
     }
     places
 }
+
+/// A message of the schema `name` as text.
+pub fn written<M: Message>(message: &M, name: &str) -> String {
+    let schema =
+        SCHEMAS.get_message_by_name(&format!("ochrelead.settings.{name}")).expect("a schema of this crate");
+    let dynamic = DynamicMessage::decode(schema, message.encode_to_vec().as_slice());
+    dynamic.expect("a message of that schema").to_text_format()
+}
--- /dev/null
+++ b/crates/ochrelead-standin/src/server.rs
@@ -0,0 +1,498 @@
+//! A stand-in signalling server: one processor line that set-ups, answers, releases, repeats and refusals all
+//! need; lines; a cold start that warms, and that falls over when pushed.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use ochrelead_core::time::{Moment, Span};
+use ochrelead_mgcp::exchange::{Exchange, News, Pace};
+use ochrelead_mgcp::message::{Command, Endpoint, Response, TransactionId, Verb, code, name};
+use ochrelead_settings::day::{Day, Kind, StandIn};
+
+use crate::Peer;
+
+/// The lines of one called number at one server.
+const LINES_OF_A_NUMBER: usize = 4;
+/// Set-ups that a cold server takes beyond its budget without falling over: the slack for chance.
+const SLACK: f64 = 3.0;
+
+/// What a server is in the eyes of its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Health {
+    Well,
+    /// Takes everything, answers nothing.
+    Silent,
+    /// Not there.
+    Away,
+    /// Was pushed over while it was cold: not there any more.
+    Fallen,
+}
+
+/// What the day has in store for this server.
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    Health(Health),
+    Drain,
+    /// The old processor goes, a cold one takes its place.
+    Replace,
+    Slower(f64),
+    Told,
+}
+
+struct Job {
+    work: Span,
+    kind: Work,
+}
+
+enum Work {
+    SetUp(Asked),
+    Answer(Asked),
+    Release {
+        from: SocketAddr,
+        transaction: TransactionId,
+        circuits: Vec<u32>,
+    },
+    /// Repeats, refusals, looks: work that leads to nothing.
+    Waste,
+}
+
+#[derive(Clone)]
+struct Asked {
+    from: SocketAddr,
+    transaction: TransactionId,
+    call: String,
+    called: String,
+    off: bool,
+}
+
+struct Circuit {
+    front: SocketAddr,
+    call: String,
+    called: String,
+}
+
+/// The engine of one server.
+pub struct Server {
+    figures: StandIn,
+    name: String,
+    fronts: Vec<SocketAddr>,
+    exchange: Exchange,
+    now: Moment,
+    health: Health,
+    /// When it started cold; none where it has been warm since long ago.
+    started: Option<Moment>,
+    slower: f64,
+    fall_multiple: f64,
+    fall_after: Span,
+    /// Work that came while it was cold, in set-ups.
+    pressure: VecDeque<(Moment, f64)>,
+    first: VecDeque<Job>,
+    queue: VecDeque<Job>,
+    in_hand: Option<(Moment, Job)>,
+    circuits: BTreeMap<u32, Circuit>,
+    last_circuit: u32,
+    numbers: HashMap<String, usize>,
+    told: HashMap<SocketAddr, TransactionId>,
+    script: BTreeMap<(Moment, usize), Act>,
+    datagrams: VecDeque<(SocketAddr, Vec<u8>)>,
+}
+
+impl Server {
+    /// The `nth` server of a day that began at `start`. `fresh`: its process has just been started anew.
+    pub fn new(
+        day: &Day,
+        nth: usize,
+        name: String,
+        fronts: Vec<SocketAddr>,
+        start: Moment,
+        now: Moment,
+        fresh: bool,
+    ) -> Server {
+        let figures = day.stand_ins[nth];
+        let first = (now.micros() % 900_000_000) as u32 + nth as u32;
+        let mut server = Server {
+            figures,
+            name,
+            fronts,
+            exchange: Exchange::new(Pace { provisional: false, ..day.front.pace }, first),
+            now,
+            health: Health::Well,
+            started: None,
+            slower: 1.0,
+            fall_multiple: day.front.provision.fall_multiple,
+            fall_after: day.front.provision.fall_after,
+            pressure: VecDeque::new(),
+            first: VecDeque::new(),
+            queue: VecDeque::new(),
+            in_hand: None,
+            circuits: BTreeMap::new(),
+            last_circuit: 0,
+            numbers: HashMap::new(),
+            told: HashMap::new(),
+            script: script(day, nth, start, now),
+            datagrams: VecDeque::new(),
+        };
+        if fresh {
+            server.start_cold();
+        }
+        let offset = figures.told.scaled(nth as f64 / day.stand_ins.len() as f64);
+        server.script.insert((now + offset, usize::MAX), Act::Told);
+        server
+    }
+
+    fn start_cold(&mut self) {
+        self.health = Health::Well;
+        self.started = Some(self.now);
+        self.tell_restart("restart", Span::ZERO);
+    }
+
+    /// What it can do now, in shares of its warm speed.
+    fn speed(&self) -> f64 {
+        let Some(started) = self.started else { return 1.0 / self.slower };
+        let warmth = self.now.since(started).ratio(self.figures.warm).min(1.0);
+        (self.figures.cold_share + (1.0 - self.figures.cold_share) * warmth) / self.slower
+    }
+
+    fn is_cold(&self) -> bool {
+        self.started.is_some_and(|started| self.now.since(started) < self.figures.warm)
+    }
+
+    fn wait(&self) -> Span {
+        let queued = self.first.iter().chain(&self.queue).map(|job| job.work);
+        let left = self.in_hand.as_ref().map_or(Span::ZERO, |(done, _)| done.since(self.now));
+        queued.fold(Span::ZERO, |sum, work| sum + work).scaled(1.0 / self.speed()) + left
+    }
+
+    fn put(&mut self, shares: f64, kind: Work) {
+        let job = Job { work: self.figures.set_up().scaled(shares), kind };
+        let ahead = self.figures.finish_first && matches!(job.kind, Work::Answer(_) | Work::Release { .. });
+        if ahead {
+            self.first.push_back(job);
+        } else {
+            self.queue.push_back(job);
+        }
+    }
+
+    /// Work from outside reaches a processor that may be cold.
+    fn press(&mut self, set_ups: f64) {
+        if !self.is_cold() {
+            return self.pressure.clear();
+        }
+        self.pressure.push_back((self.now, set_ups));
+        while self.pressure.front().is_some_and(|(then, _)| self.now.since(*then) > self.fall_after) {
+            self.pressure.pop_front();
+        }
+        let second = Span::from_secs(1);
+        let able = self.fall_after.ratio(second) * second.ratio(self.figures.set_up()) * self.speed();
+        let sent: f64 = self.pressure.iter().map(|(_, set_ups)| set_ups).sum();
+        if sent > able * self.fall_multiple + SLACK {
+            self.go(Health::Fallen);
+        }
+    }
+
+    /// The process is not there any more: all that it held is gone.
+    fn go(&mut self, health: Health) {
+        self.health = health;
+        self.first.clear();
+        self.queue.clear();
+        self.in_hand = None;
+        self.circuits.clear();
+        self.numbers.clear();
+        self.pressure.clear();
+    }
+
+    /// What it says of itself in its messages.
+    fn telling(&self) -> Vec<(&'static str, String)> {
+        let free = (self.figures.lines as usize).saturating_sub(self.circuits.len());
+        let mut telling = vec![(name::LINES, format!("{free}/{}", self.figures.lines))];
+        let full = self.wait().ratio(self.figures.queue).min(1.0);
+        if self.figures.tells_can_take {
+            let can_take = self.figures.sessions_per_s * self.speed() * (1.0 - full);
+            telling.push((name::CAN_TAKE, format!("{can_take:.2}")));
+        }
+        if self.figures.tells_hold_back {
+            telling.push((name::HOLD_BACK, format!("{:.3}", (full * 2.0).min(0.95))));
+        }
+        telling
+    }
+
+    fn respond(&mut self, to: SocketAddr, response: Response) {
+        let telling = self.telling();
+        let response =
+            telling.into_iter().fold(response, |response, (name, value)| response.with(name, value));
+        self.exchange.answer(to, response);
+    }
+
+    fn everything(&self) -> Endpoint {
+        format!("*@{}", self.name).parse().expect("a name that the rig gave")
+    }
+
+    fn tell_restart(&mut self, method: &str, delay: Span) {
+        for front in self.fronts.clone() {
+            let command = Command::new(Verb::RestartInProgress, 0, self.everything())
+                .with(name::RESTART, method)
+                .with(name::DELAY, delay.micros() / 1_000_000);
+            // A full table is that of a server that nobody answers: there is nobody to tell.
+            let _ = self.exchange.ask(self.now, front, command);
+        }
+    }
+
+    /// The lines, unasked, to all fronts. Old news is not repeated: newer is on its way.
+    fn tell_lines(&mut self) {
+        for front in self.fronts.clone() {
+            let command = Command::new(Verb::Notify, 0, self.everything()).with(name::REQUEST, 0);
+            let telling = self.telling();
+            let command =
+                telling.into_iter().fold(command, |command, (name, value)| command.with(name, value));
+            if let Ok(transaction) = self.exchange.ask(self.now, front, command)
+                && let Some(before) = self.told.insert(front, transaction)
+            {
+                self.exchange.abandon(self.now, before);
+            }
+        }
+    }
+
+    fn asked(&mut self, from: SocketAddr, command: &Command) {
+        let transaction = command.transaction;
+        match command.verb {
+            Verb::CreateConnection => self.set_up(from, command),
+            Verb::DeleteConnection => self.release(from, command),
+            Verb::AuditEndpoint => {
+                self.put(self.figures.look, Work::Waste);
+                self.respond(from, Response::new(code::DONE, transaction));
+            }
+            _ => self.respond(from, Response::new(code::UNSUPPORTED, transaction)),
+        }
+    }
+
+    fn set_up(&mut self, from: SocketAddr, command: &Command) {
+        let (transaction, figures) = (command.transaction, self.figures);
+        let text = |name: &str| command.parameters.get(name).unwrap_or("").to_owned();
+        let called = text(name::CALLED);
+        let wait = self.wait();
+        let refusal = if wait > figures.queue {
+            let busy = Response::new(code::OVERLOAD, transaction);
+            Some(if figures.names_wait { busy.with(name::WAIT, wait.micros() / 2_000) } else { busy })
+        } else if self.circuits.len() >= figures.lines as usize {
+            Some(Response::new(code::NO_ENDPOINT, transaction))
+        } else if self.numbers.get(&called).is_some_and(|used| *used >= LINES_OF_A_NUMBER) {
+            Some(Response::new(code::OFF_HOOK, transaction))
+        } else {
+            None
+        };
+        if let Some(refusal) = refusal {
+            self.press(figures.look + figures.reject);
+            self.put(figures.look + figures.reject, Work::Waste);
+            return self.respond(from, refusal);
+        }
+        self.press(1.0);
+        let call = text(name::CALL);
+        self.put(1.0, Work::SetUp(Asked { from, transaction, call, called, off: false }));
+    }
+
+    fn release(&mut self, from: SocketAddr, command: &Command) {
+        let call = command.parameters.get(name::CALL);
+        let connection = command.parameters.get(name::CONNECTION);
+        let local = command.endpoint.local().to_owned();
+        let meant = |(number, circuit): &(&u32, &Circuit)| {
+            let named = local == format!("trunk/{number}");
+            let same = connection.is_none_or(|own| own == format!("c{number}"));
+            circuit.front == from
+                && (named || command.endpoint.is_wild())
+                && same
+                && call.is_none_or(|own| own == circuit.call)
+        };
+        let circuits: Vec<u32> = self.circuits.iter().filter(meant).map(|(number, _)| *number).collect();
+        if let Some(call) = call {
+            self.call_off(from, call);
+        }
+        let work = if circuits.is_empty() { self.figures.look } else { self.figures.follow };
+        self.put(work, Work::Release { from, transaction: command.transaction, circuits });
+    }
+
+    /// A set-up in the queue is not wanted any more; where the figures say so it needs no work either.
+    fn call_off(&mut self, from: SocketAddr, call: &str) {
+        let drops = self.figures.cancel_drops;
+        let look = self.figures.set_up().scaled(self.figures.look);
+        let in_hand = self.in_hand.iter_mut().map(|(_, job)| job);
+        for job in self.first.iter_mut().chain(&mut self.queue).chain(in_hand) {
+            if let Work::SetUp(asked) | Work::Answer(asked) = &mut job.kind
+                && asked.from == from
+                && asked.call == call
+            {
+                asked.off = true;
+                if drops {
+                    job.work = job.work.min(look);
+                }
+            }
+        }
+    }
+
+    fn done(&mut self, job: Job) {
+        match job.kind {
+            Work::SetUp(asked) if asked.off => {
+                self.respond(asked.from, Response::new(code::ABORTED, asked.transaction));
+            }
+            Work::SetUp(asked) => self.put(self.figures.follow, Work::Answer(asked)),
+            Work::Answer(asked) if asked.off => {
+                self.respond(asked.from, Response::new(code::ABORTED, asked.transaction));
+            }
+            Work::Answer(asked) => self.stands(asked),
+            Work::Release { from, transaction, circuits } => {
+                for number in circuits {
+                    if let Some(circuit) = self.circuits.remove(&number)
+                        && let Some(used) = self.numbers.get_mut(&circuit.called)
+                    {
+                        *used = used.saturating_sub(1);
+                    }
+                }
+                self.numbers.retain(|_, used| *used > 0);
+                self.respond(from, Response::new(code::DELETED, transaction));
+            }
+            Work::Waste => {}
+        }
+    }
+
+    fn stands(&mut self, asked: Asked) {
+        self.last_circuit += 1;
+        let number = self.last_circuit;
+        *self.numbers.entry(asked.called.clone()).or_insert(0) += 1;
+        let response = Response::new(code::DONE, asked.transaction)
+            .with(name::CONNECTION, format!("c{number}"))
+            .with(name::SPECIFIC, format!("trunk/{number}@{}", self.name))
+            .with(name::TRY, &asked.call);
+        let circuit = Circuit { front: asked.from, call: asked.call, called: asked.called };
+        self.circuits.insert(number, circuit);
+        self.respond(asked.from, response);
+    }
+
+    fn act(&mut self, act: Act) {
+        match act {
+            Act::Health(Health::Well) if self.health == Health::Away => self.start_cold(),
+            Act::Health(Health::Away) => self.go(Health::Away),
+            Act::Health(health) if self.health != Health::Fallen => self.health = health,
+            Act::Health(_) => {}
+            Act::Drain => self.tell_restart("graceful", Span::from_secs(2)),
+            Act::Replace => {
+                for (number, circuit) in std::mem::take(&mut self.circuits) {
+                    let endpoint = format!("trunk/{number}@{}", self.name).parse().expect("a sound name");
+                    let command = Command::new(Verb::DeleteConnection, 0, endpoint)
+                        .with(name::CALL, &circuit.call)
+                        .with(name::REASON, "900 replaced");
+                    let _ = self.exchange.ask(self.now, circuit.front, command);
+                }
+                self.go(Health::Well);
+                self.start_cold();
+            }
+            Act::Slower(times) => self.slower = times.max(0.01),
+            Act::Told => {
+                if self.health == Health::Well {
+                    self.tell_lines();
+                }
+                self.script.insert((self.now + self.figures.told, usize::MAX), Act::Told);
+            }
+        }
+    }
+
+    fn work(&mut self) {
+        loop {
+            match self.in_hand.take() {
+                Some((done, job)) if done <= self.now => self.done(job),
+                Some(in_hand) => {
+                    self.in_hand = Some(in_hand);
+                    return;
+                }
+                None => match self.first.pop_front().or_else(|| self.queue.pop_front()) {
+                    Some(job) => self.in_hand = Some((self.now + job.work.scaled(1.0 / self.speed()), job)),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn is_there(&self) -> bool {
+        matches!(self.health, Health::Well | Health::Silent)
+    }
+
+    /// Calls that stand here.
+    pub fn standing(&self) -> usize {
+        self.circuits.len()
+    }
+
+    pub fn has_fallen(&self) -> bool {
+        self.health == Health::Fallen
+    }
+}
+
+impl Peer for Server {
+    fn take(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]) {
+        self.now = self.now.max(now);
+        if !self.is_there() {
+            return;
+        }
+        self.exchange.take(now, from, bytes);
+        while let Some(news) = self.exchange.next_news() {
+            match news {
+                News::Asked { from, command } => self.asked(from, &command),
+                News::Repeated { .. } => {
+                    self.press(self.figures.repeat);
+                    self.put(self.figures.repeat, Work::Waste);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn turn(&mut self, now: Moment) {
+        self.now = self.now.max(now);
+        while let Some(entry) = self.script.first_entry().filter(|entry| entry.key().0 <= now) {
+            let act = entry.remove();
+            self.act(act);
+        }
+        if !self.is_there() {
+            while self.exchange.next_datagram().is_some() {}
+            return;
+        }
+        if self.health == Health::Well {
+            self.work();
+        }
+        self.exchange.tick(now);
+        while let Some(datagram) = self.exchange.next_datagram() {
+            if self.health == Health::Well {
+                self.datagrams.push_back(datagram);
+            }
+        }
+    }
+
+    fn next_datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        self.datagrams.pop_front()
+    }
+
+    fn wake(&self) -> Option<Moment> {
+        let script = self.script.first_key_value().map(|((moment, _), _)| *moment);
+        let work = self.in_hand.as_ref().map(|(done, _)| *done).filter(|_| self.health == Health::Well);
+        let exchange = self.exchange.wake().filter(|_| self.is_there());
+        script.into_iter().chain(work).chain(exchange).min()
+    }
+}
+
+/// What is still to come for the server. Kills and starts of its process are the rig's.
+fn script(day: &Day, nth: usize, start: Moment, now: Moment) -> BTreeMap<(Moment, usize), Act> {
+    let mut script = BTreeMap::new();
+    for (at, trouble) in day.troubles.iter().enumerate() {
+        let (begins, ends) = (start + trouble.at, start + trouble.at + trouble.length);
+        if ends <= now || (trouble.kind != Kind::AllSlow && !trouble.which.contains(&nth)) {
+            continue;
+        }
+        let acts = match trouble.kind {
+            Kind::Silent => (Act::Health(Health::Silent), Act::Health(Health::Well)),
+            Kind::Vanish => (Act::Health(Health::Away), Act::Health(Health::Well)),
+            Kind::Slow | Kind::AllSlow => (Act::Slower(trouble.size), Act::Slower(1.0)),
+            Kind::Replaced => (Act::Drain, Act::Replace),
+            _ => continue,
+        };
+        script.insert((begins, at * 2), acts.0);
+        script.insert((ends, at * 2 + 1), acts.1);
+    }
+    script
+}
