--- /dev/null
+++ b/crates/ochrelead-day/tests/audit.rs
@@ -0,0 +1,197 @@
+//! Each rule broken in a capture, and found: rule, try and moment. Beside each stands the same course kept.
+
+use ochrelead_core::time::Moment;
+use ochrelead_day::audit::{Verdict, audit, ceiling};
+use ochrelead_day::capture::{Sight, Tape, sights};
+use ochrelead_day::party::Party;
+use ochrelead_settings::day::{self, Day};
+use test_case::test_case;
+
+const DAY: &str = r#"seed: 1 length_ms: 20000 fronts: 2
+front {
+  release_wait_ms: 200
+  cold { share: 0.3 warm_after_ms: 10000 fall_multiple: 2.5 fall_after_ms: 1000 }
+  service { name: "check" dialled: "1" value: 1 post_dial_target_ms: 1500 timer_limit_ms: 9000 late_share: 0.25 }
+  service { name: "set" dialled: "2" value: 3 post_dial_target_ms: 1500 timer_limit_ms: 9000 late_share: 0.25 }
+  member { name: "norte" trunk: "norte" quota_per_s: 100 }
+}
+stand_in { sessions_per_s: 10 lines: 100 cold_share: 0.3 warm_ms: 10000 }
+stand_in { sessions_per_s: 10 lines: 100 cold_share: 0.3 warm_ms: 10000 }
+callers { sessions_per_s: 10 service_share: [1, 1] member_share: 1 }
+"#;
+
+const TRY: &str = "0000000101";
+const FRONT: Party = Party::Front(0);
+
+fn day() -> Day {
+    day::read("day", DAY).unwrap()
+}
+
+/// A capture, written line by line: `ms from to message`. A datagram arrives a millisecond after it left;
+/// `lost` ones do not.
+struct Course(Vec<(u64, Sight)>);
+
+impl Course {
+    fn new() -> Course {
+        let course = Course(Vec::new());
+        course.mark(0, "start 1000000000")
+    }
+
+    fn mark(mut self, ms: u64, text: &str) -> Course {
+        self.0.push((ms, sight(ms, Party::Rig, Party::Rig, false, text)));
+        self
+    }
+
+    fn sent(mut self, ms: u64, from: Party, to: Party, text: &str) -> Course {
+        self.0.push((ms, sight(ms, from, to, false, text)));
+        self.0.push((ms + 1, sight(ms + 1, from, to, true, text)));
+        self
+    }
+
+    /// A caller's try reaches front 0 a millisecond later.
+    fn dial(self, ms: u64) -> Course {
+        let text = format!(
+            "NTFY {} norte/1@g MGCP 1.0\nX-Try: {TRY}\nX-Patience: 3000\nO: L/hd, D/1, D/0, D/0",
+            1 + ms
+        );
+        self.sent(ms, Party::Gateway, FRONT, &text)
+    }
+
+    fn hang_up(self, ms: u64) -> Course {
+        let text = format!("NTFY {} norte/1@g MGCP 1.0\nX-Try: {TRY}\nO: L/hu", 1 + ms);
+        self.sent(ms, Party::Gateway, FRONT, &text)
+    }
+
+    fn invite(self, ms: u64, server: u8, id: u32) -> Course {
+        let text = format!("CRCX {id} trunk/$@s{server} MGCP 1.0\nC: {TRY}");
+        self.sent(ms, FRONT, Party::Server(server), &text)
+    }
+
+    fn off(self, ms: u64, server: u8, id: u32) -> Course {
+        let text = format!("DLCX {id} trunk/*@s{server} MGCP 1.0\nC: {TRY}");
+        self.sent(ms, FRONT, Party::Server(server), &text)
+    }
+
+    fn respond(self, ms: u64, server: u8, code: u32, id: u32) -> Course {
+        self.sent(ms, Party::Server(server), FRONT, &format!("{code} {id}\nI: 1\nZ: trunk/1@s{server}"))
+    }
+
+    fn restart(self, ms: u64, server: u8, id: u32, method: &str) -> Course {
+        let text = format!("RSIP {id} *@s{server} MGCP 1.0\nRM: {method}");
+        self.sent(ms, Party::Server(server), FRONT, &text)
+    }
+
+    fn connect(self, ms: u64, id: u32) -> Course {
+        self.sent(
+            ms,
+            FRONT,
+            Party::Gateway,
+            &format!("MDCX {id} norte/1@g MGCP 1.0\nX-Try: {TRY}\nM: sendrecv"),
+        )
+    }
+
+    fn tone(self, ms: u64, id: u32) -> Course {
+        self.sent(ms, FRONT, Party::Gateway, &format!("RQNT {id} norte/1@g MGCP 1.0\nX-Try: {TRY}\nS: L/bz"))
+    }
+
+    /// Through a capture file and back, to the verdict.
+    fn judged(mut self) -> Verdict {
+        self = self.mark(30_000, "end");
+        self.0.sort_by_key(|(ms, _)| *ms);
+        let mut file = Vec::new();
+        let mut tape = Tape::new(&mut file).unwrap();
+        self.0.iter().for_each(|(_, sight)| tape.put(sight).unwrap());
+        tape.finish().unwrap();
+        let read = sights(file.as_slice()).unwrap();
+        assert_eq!(read, self.0.into_iter().map(|(_, sight)| sight).collect::<Vec<_>>());
+        audit(&day(), &read)
+    }
+}
+
+fn sight(ms: u64, from: Party, to: Party, reached: bool, text: &str) -> Sight {
+    let at = Moment::from_micros(1_000_000_000 + ms * 1_000);
+    Sight { at, from, to, reached, bytes: text.as_bytes().to_vec() }
+}
+
+fn set_up() -> Course {
+    Course::new().dial(100).invite(110, 0, 1)
+}
+
+#[test_case(set_up().respond(200, 0, 200, 1).connect(210, 2); "stands")]
+#[test_case(set_up().respond(200, 0, 409, 1).invite(205, 1, 3).respond(300, 1, 200, 3).connect(310, 4); "sent again")]
+#[test_case(set_up().off(1_000, 0, 2).invite(1_210, 1, 3).off(3_000, 1, 4).tone(3_001, 5); "timed out, waited, given up")]
+#[test_case(set_up().hang_up(500).off(505, 0, 2); "hung up")]
+#[test_case(set_up().restart(150, 0, 7, "forced").invite(400, 1, 3).respond(450, 1, 200, 3).connect(460, 4); "reset and waited")]
+#[test_case(set_up().restart(105, 0, 7, "graceful").respond(200, 0, 200, 1).connect(210, 2); "sent within the grace")]
+#[test_case(set_up().mark(120, "kill 10.0.1.1:2727"); "killed: what it held is not its duty")]
+#[test_case(set_up().connect(210, 2).connect(710, 2); "a repeated answer is one")]
+fn kept(course: Course) {
+    assert_eq!(course.judged().breaches, []);
+}
+
+#[test_case(set_up(), 1, 3_101, "no final answer"; "no answer")]
+#[test_case(set_up().connect(210, 2).tone(900, 3), 1, 900, "a second final answer"; "two answers")]
+#[test_case(set_up().off(3_100, 0, 2).tone(3_200, 3), 1, 3_200, "after the timer limit"; "late")]
+#[test_case(set_up().hang_up(500).off(505, 0, 2).tone(800, 3), 1, 800, "after the caller hung up"; "answered after a hang-up")]
+#[test_case(set_up().hang_up(500).off(505, 0, 2).invite(900, 1, 3), 1, 900, "after the caller hung up"; "sent after a hang-up")]
+#[test_case(set_up().off(505, 0, 2).tone(506, 3).invite(900, 1, 4), 1, 900, "after the final answer"; "sent after the answer")]
+#[test_case(set_up().off(505, 0, 2).invite(620, 0, 1).tone(700, 3), 1, 620, "repeated after its end"; "repeated after the end")]
+#[test_case(set_up().invite(700, 1, 3).tone(800, 4), 2, 700, "while another is out"; "two at once")]
+#[test_case(Course::new().restart(10, 0, 7, "graceful").dial(300).invite(310, 0, 1).tone(400, 2), 3, 310, "to server 0 299 ms"; "to one that drains")]
+#[test_case(Course::new().restart(10, 0, 7, "forced").dial(900).invite(910, 0, 1).tone(950, 2), 3, 910, "to server 0 899 ms"; "to one that is gone")]
+#[test_case(set_up().off(500, 0, 2).invite(650, 1, 3).tone(800, 4), 5, 650, "150 ms after"; "release not awaited after a time-out")]
+#[test_case(set_up().respond(200, 0, 405, 1).invite(390, 1, 3).tone(800, 4), 5, 390, "189 ms after"; "release not awaited after a reset")]
+fn broken(course: Course, rule: usize, ms: u64, how: &str) {
+    let breaches = course.judged().breaches;
+    assert_eq!(breaches.len(), 1, "{breaches:?}");
+    let found = &breaches[0];
+    assert_eq!((found.rule, found.of.as_str(), found.at), (rule, TRY, Moment::from_micros(ms * 1_000)));
+    assert!(found.how.contains(how), "{found}");
+}
+
+/// Set-ups of many tries to a server that has just started; `told`: the front knows.
+fn flood(sent: u32, told: bool) -> Verdict {
+    let mut course = Course::new();
+    let text = "RSIP 7 *@s0 MGCP 1.0\nRM: restart";
+    course = if told {
+        course.restart(100, 0, 7, "restart")
+    } else {
+        course.sent(100, Party::Server(0), Party::Front(1), text)
+    };
+    for nth in 0..sent {
+        let ms = 200 + u64::from(nth) * 5;
+        let text = format!("CRCX {} trunk/$@s0 MGCP 1.0\nC: {nth:010X}", 100 + nth);
+        let dial = format!("NTFY {} norte/1@g MGCP 1.0\nX-Try: {nth:010X}\nO: L/hd, D/1", 100 + nth);
+        let tone = format!("RQNT {} norte/1@g MGCP 1.0\nX-Try: {nth:010X}\nS: L/ro", 10_000 + nth);
+        course = course.sent(ms - 2, Party::Gateway, FRONT, &dial).sent(ms, FRONT, Party::Server(0), &text);
+        course = course.sent(ms + 1_200, FRONT, Party::Gateway, &tone);
+    }
+    course.judged()
+}
+
+#[test_case(10, true, false; "within the budget")]
+#[test_case(60, true, true; "beyond it")]
+#[test_case(60, false, false; "beyond it, but nobody had been told")]
+fn a_cold_server(sent: u32, told: bool, pushed_over: bool) {
+    let verdict = flood(sent, told);
+    let found: Vec<_> = verdict.breaches.iter().map(|breach| (breach.rule, breach.of.as_str())).collect();
+    assert_eq!(found, if pushed_over { vec![(4, "server 0")] } else { vec![] });
+    assert_eq!(verdict.tested[3].cases, u64::from(sent));
+}
+
+#[test_case(set_up().respond(200, 0, 200, 1).connect(210, 2), 1.0; "in time")]
+#[test_case(set_up().respond(1_800, 0, 200, 1).connect(1_810, 2), 0.25; "after the target")]
+#[test_case(set_up().off(300, 0, 1).tone(310, 2), 0.0; "refused")]
+#[test_case(set_up().connect(210, 2).sent(900, FRONT, Party::Gateway, &format!("DLCX 9 norte/1@g MGCP 1.0\nX-Try: {TRY}")), 0.0; "cut")]
+fn service(course: Course, share: f64) {
+    let verdict = course.judged();
+    assert_eq!((verdict.service.whole, verdict.service.offered), (share, 1));
+}
+
+#[test]
+fn the_ceiling_takes_the_worthiest_first() {
+    let at = Moment::from_micros(500_000);
+    let offered: Vec<(Moment, f64)> = (0..80).map(|nth| (at, if nth < 20 { 3.0 } else { 1.0 })).collect();
+    // Two servers of ten a second for two seconds: the twenty of value 3, and twenty more.
+    assert!((ceiling(&day(), &offered) - 80.0 / 120.0).abs() < 1e-9);
+}
