--- a/crates/ochrelead-day/src/audit/rules.rs
+++ b/crates/ochrelead-day/src/audit/rules.rs
@@ -38,8 +38,8 @@
 #[derive(Default)]
 struct Front {
     tries: BTreeMap<String, Try>,
-    /// All INVITEs by their transaction: try and whether it is over.
-    invites: HashMap<TransactionId, (String, bool)>,
+    /// All INVITEs by their transaction: try, and from when on no repeat of it may go out.
+    invites: HashMap<TransactionId, (String, Option<Moment>)>,
     /// Servers that drain or are gone, since when this front was told.
     leaving: BTreeMap<u8, Moment>,
     halted: bool,
@@ -192,7 +192,7 @@
                     held.out = None;
                     held.release_from = Some(at);
                     if let Some((_, over)) = front.invites.get_mut(&out.transaction) {
-                        *over = true;
+                        *over = Some(at);
                     }
                 }
             }
@@ -204,13 +204,13 @@
     fn invited(&mut self, at: Moment, number: u8, server: u8, tried: &str, transaction: TransactionId) {
         let front = self.fronts.entry(number).or_default();
         if let Some((tried, over)) = front.invites.get(&transaction) {
-            if *over {
+            if over.is_some_and(|over| at >= over) {
                 let tried = tried.clone();
                 self.verdict.breach(1, tried, at, "an INVITE repeated after its end");
             }
             return;
         }
-        front.invites.insert(transaction, (tried.to_owned(), false));
+        front.invites.insert(transaction, (tried.to_owned(), None));
         let told = front.leaving.get(&server).copied();
         let resumed = front.resumed;
         let Some(held) = front.tries.get_mut(tried) else {
@@ -266,7 +266,7 @@
         let Some((tried, over)) = front.invites.get_mut(&response.transaction) else { return };
         let Some(held) = front.tries.get_mut(tried.as_str()) else { return };
         if held.out.is_some_and(|out| out.transaction == response.transaction && out.server == server) {
-            *over = true;
+            *over = Some(at + IN_SOCKET);
             held.out = None;
             let cut = matches!(
                 response.code,
@@ -335,7 +335,7 @@
                 held.out = None;
                 held.release_from = Some(at);
                 if let Some((_, over)) = self.invites.get_mut(&out.transaction) {
-                    *over = true;
+                    *over = Some(at + IN_SOCKET);
                 }
             }
         }
--- a/crates/ochrelead-day/src/main.rs
+++ b/crates/ochrelead-day/src/main.rs
@@ -9,6 +9,7 @@
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use ochrelead_day::audit::{self, RULES, Service, Verdict};
+use ochrelead_day::load::{self, Between};
 use ochrelead_day::party::Street;
 use ochrelead_day::world::{Deciding, World, capture_file};
 use ochrelead_day::{capture, part};
@@ -52,6 +53,21 @@
         #[arg(required = true)]
         days: Vec<PathBuf>,
     },
+    /// How much one front carries on one core, beside a bare relay of the same datagrams
+    Load {
+        #[arg(long, value_name = "DIR")]
+        out: PathBuf,
+        /// Of each step
+        #[arg(long, default_value_t = 3)]
+        seconds: u64,
+        /// Sessions a second, step by step
+        #[arg(
+            long,
+            value_delimiter = ',',
+            default_value = "500,1000,2000,3000,4000,5000,6000,7200,8500,10000,12000,15000,20000,26000"
+        )]
+        rates: Vec<u32>,
+    },
     /// What the rig starts for itself
     #[command(subcommand, hide = true)]
     Part(Part),
@@ -81,6 +97,14 @@
         #[command(flatten)]
         stand_in: StandIn,
     },
+    Relay {
+        #[arg(long)]
+        listen: SocketAddrV4,
+        #[arg(long)]
+        one: SocketAddrV4,
+        #[arg(long)]
+        other: SocketAddrV4,
+    },
 }
 
 #[derive(Args)]
@@ -106,6 +130,7 @@
         What::Run { day, out, alone } => run(&day, &out, alone),
         What::Audit { capture, day } => judge(&capture, &day),
         What::Check { days } => days.iter().try_for_each(|day| read(day).map(drop)).map(|()| Outcome::Kept),
+        What::Load { out, seconds, rates } => measure(&out, seconds, &rates),
         What::Part(part) => play(part).map(|()| Outcome::Kept),
     };
     match done {
@@ -135,12 +160,36 @@
             let day = read(&stand_in.day)?;
             part::server(&day, nth, stand_in.listen, &stand_in.fronts, stand_in.start_us, fresh)
         }
+        Part::Relay { listen, one, other } => load::relay(listen, one, other),
         Part::Callers { stand_in } => {
             part::callers(read(&stand_in.day)?, stand_in.listen, &stand_in.fronts, stand_in.start_us)
         }
     }
 }
 
+fn measure(out: &Path, seconds: u64, rates: &[u32]) -> anyhow::Result<Outcome> {
+    let mut best = Vec::new();
+    println!("{:<7} {:>11} {:>9} {:>9} {:>9}", "between", "sessions/s", "INVITEs", "p50 us", "p99 us");
+    for between in [Between::Relay, Between::Front] {
+        let steps = load::climb(between, rates, seconds, out)?;
+        for step in &steps {
+            let named = format!("{between:?}").to_lowercase();
+            let share = step.invited as f64 / step.offered.max(1) as f64;
+            let (p50, p99) = (step.p50.as_micros(), step.p99.as_micros());
+            println!("{named:<7} {:>11} {share:>9.3} {p50:>9} {p99:>9}", step.rate);
+        }
+        best.push(steps.iter().filter(|step| step.holds()).map(|step| step.rate).max().unwrap_or(0));
+    }
+    let (relay, front) = (f64::from(best[0]), f64::from(best[1]));
+    println!(
+        "\none front on one core: {:.1} times the fleet's {} a second, {:.2} of the bare relay",
+        front / f64::from(load::FLEET),
+        load::FLEET,
+        front / relay.max(1.0)
+    );
+    Ok(Outcome::Kept)
+}
+
 fn run(day_file: &Path, out: &Path, alone: bool) -> anyhow::Result<Outcome> {
     let day = read(day_file)?;
     let policies = if alone { vec![Deciding::Module] } else { Deciding::ALL.map(|(_, own)| own).to_vec() };
--- a/crates/ochrelead-day/tests/audit.rs
+++ b/crates/ochrelead-day/tests/audit.rs
@@ -123,6 +123,7 @@
 #[test_case(set_up().hang_up(500).off(505, 0, 2); "hung up")]
 #[test_case(set_up().restart(150, 0, 7, "forced").invite(400, 1, 3).respond(450, 1, 200, 3).connect(460, 4); "reset and waited")]
 #[test_case(set_up().restart(105, 0, 7, "graceful").respond(200, 0, 200, 1).connect(210, 2); "sent within the grace")]
+#[test_case(set_up().respond(600, 0, 409, 1).invite(610, 0, 1).tone(650, 3); "repeated while the answer waits in the socket")]
 #[test_case(set_up().mark(120, "kill 10.0.1.1:2727"); "killed: what it held is not its duty")]
 #[test_case(set_up().connect(210, 2).connect(710, 2); "a repeated answer is one")]
 fn kept(course: Course) {
@@ -136,6 +137,7 @@
 #[test_case(set_up().hang_up(500).off(505, 0, 2).invite(900, 1, 3), 1, 900, "after the caller hung up"; "sent after a hang-up")]
 #[test_case(set_up().off(505, 0, 2).tone(506, 3).invite(900, 1, 4), 1, 900, "after the final answer"; "sent after the answer")]
 #[test_case(set_up().off(505, 0, 2).invite(620, 0, 1).tone(700, 3), 1, 620, "repeated after its end"; "repeated after the end")]
+#[test_case(set_up().respond(600, 0, 409, 1).invite(655, 0, 1).tone(700, 3), 1, 655, "repeated after its end"; "repeated after the answer")]
 #[test_case(set_up().invite(700, 1, 3).tone(800, 4), 2, 700, "while another is out"; "two at once")]
 #[test_case(Course::new().restart(10, 0, 7, "graceful").dial(300).invite(310, 0, 1).tone(400, 2), 3, 310, "to server 0 299 ms"; "to one that drains")]
 #[test_case(Course::new().restart(10, 0, 7, "forced").dial(900).invite(910, 0, 1).tone(950, 2), 3, 910, "to server 0 899 ms"; "to one that is gone")]
