Let the draw start from listed weights; give the re-send bucket its own file

Change: a listing carries a weight, 1 where nothing is said; the weighted draw starts from it and the destination still comes first.

Of 4000 drawn sessions the share per server is within five standard deviations of its weight for 1:1, 3:1 and 1:4.

--- a/crates/ochrelead-benchlink/src/front.rs
+++ b/crates/ochrelead-benchlink/src/front.rs
@@ -69,6 +69,7 @@
                 server: self.door.server(entry.server),
                 number: entry.number,
                 state: entry.state,
+                weight: 1.0,
             })
             .collect();
         self.rules.clock(now);
--- a/crates/ochrelead-core/src/call.rs
+++ b/crates/ochrelead-core/src/call.rs
@@ -61,6 +61,8 @@
     pub server: ServerIx,
     pub number: i64,
     pub state: ListState,
+    /// Its part of drawn sessions against the other servers' weights; above zero, 1 where nothing is said.
+    pub weight: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/ochrelead-core/src/ledger.rs
+++ b/crates/ochrelead-core/src/ledger.rs
@@ -1,10 +1,10 @@
 //! What the rules keep of services, members, sessions, servers and numbers; it holds no judgement.
 
+use crate::bucket::Bucket;
 use crate::call::{Ending, Lines, Offer, Report};
 use crate::index::{NumberIx, ServerIx, SessionIx};
 use crate::provision::Service;
 use crate::ring::{Levels, Ring};
-use crate::rules::Bucket;
 use crate::time::{Moment, Span};
 
 /// The figures of one service that decisions use.
@@ -106,6 +106,9 @@
     pub barred_until: Moment,
     pub gap: Span,
     pub tried: bool,
+    /// Its weight in the draw as the list has it, against the other servers'.
+    pub listed_weight: f64,
+    /// What is left of that by its own set-ups of late.
     pub weight: f64,
     pub weight_at: Moment,
 }
@@ -249,6 +252,7 @@
             barred_until: Moment::START,
             gap: Span::ZERO,
             tried: false,
+            listed_weight: 1.0,
             weight: 1.0,
             weight_at: now,
         }
--- a/crates/ochrelead-core/src/lib.rs
+++ b/crates/ochrelead-core/src/lib.rs
@@ -1,7 +1,8 @@
 //! The decisions of the ochrelead call controller, free of any wire and any clock of their own.
 //!
-//! [`rules`] is the one module that decides; the others hold plain types.
+//! [`rules`] is the one module that decides, with the re-send budget of [`bucket`]; the others hold plain types.
 
+pub mod bucket;
 pub mod call;
 pub mod index;
 mod ledger;
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -20,12 +20,6 @@
 use crate::ring::Ring;
 use crate::time::{Moment, Span};
 
-/// One token in whole small units, so that ten deposits make exactly one token.
-const TOKEN: u64 = 1_000_000_000;
-const DEPOSIT: u64 = TOKEN / 10;
-const TOKEN_LIFE: Span = Span::from_secs(10);
-/// A re-send is also allowed where none went to the server for this long.
-const FLOOR_GAP: Span = Span::from_secs(1);
 const USUAL_INVITES: u32 = 3;
 /// The share of a server's lines that is kept from a session of the least value, and less from a worthier.
 const LINES_KEPT: f64 = 0.01;
@@ -71,47 +65,6 @@
 /// The longest time between two trials of a sick server, in post-dial targets.
 const LONGEST_GAP: u64 = 4;
 
-/// The re-send budget of one server.
-#[derive(Clone, Debug, Default)]
-pub struct Bucket {
-    units: u64,
-    at: Moment,
-    last_resend: Option<Moment>,
-}
-
-impl Bucket {
-    fn decay(&mut self, now: Moment) {
-        let (elapsed, life) = (u128::from(now.since(self.at).micros()), u128::from(TOKEN_LIFE.micros()));
-        let lost = u128::from(self.units) * elapsed / life;
-        self.units = self.units.saturating_sub(u64::try_from(lost).unwrap_or(u64::MAX));
-        self.at = now;
-    }
-
-    /// A session is first sent to the server.
-    pub fn deposit(&mut self, now: Moment) {
-        self.decay(now);
-        self.units += DEPOSIT;
-    }
-
-    /// Takes one token for a re-send, or lets it pass by the floor.
-    pub fn withdraw(&mut self, now: Moment) -> bool {
-        self.decay(now);
-        let floor = self.last_resend.is_none_or(|last| now.since(last) >= FLOOR_GAP);
-        if self.units < TOKEN && !floor {
-            return false;
-        }
-        self.units = if self.units >= TOKEN { self.units - TOKEN } else { self.units };
-        self.last_resend = Some(now);
-        true
-    }
-
-    /// A paid re-send goes elsewhere after all.
-    fn refund(&mut self, now: Moment) {
-        self.decay(now);
-        self.units += TOKEN;
-    }
-}
-
 /// The decisions of one front.
 pub struct Controller {
     now: Moment,
@@ -349,6 +302,7 @@
             let warm_after = self.warm_after;
             let server = &mut self.servers[listing.server.at()];
             server.number = listing.number;
+            server.listed_weight = listing.weight;
             server.open = matches!(listing.state, ListState::Ready { .. });
             if let ListState::Ready { started: Some(started) } = listing.state
                 && server.started != Some(started)
@@ -480,7 +434,7 @@
         if let Some(first) = fit.iter().find(|at| self.servers[at.at()].number == destination) {
             return Some(*first);
         }
-        let weigh = |at: &Server| at.weight(self.now) * f64::from(at.lines.free.max(1));
+        let weigh = |at: &Server| at.listed_weight * at.weight(self.now) * f64::from(at.lines.free.max(1));
         let draw = WeightedIndex::new(fit.iter().map(|at| weigh(&self.servers[at.at()]))).ok()?;
         Some(fit[draw.sample(&mut self.chance)])
     }
--- a/crates/ochrelead-core/tests/helper/mod.rs
+++ b/crates/ochrelead-core/tests/helper/mod.rs
@@ -62,7 +62,10 @@
 
     pub fn list(&mut self, ms: u64, server: usize, state: ListState) {
         self.rules.clock(at(ms));
-        self.rules.listed(false, &[Listing { server: ServerIx::new(server), number: server as i64, state }]);
+        self.rules.listed(
+            false,
+            &[Listing { server: ServerIx::new(server), number: server as i64, state, weight: 1.0 }],
+        );
     }
 
     pub fn lines(&mut self, server: usize, free: u32, all: u32) {
--- a/crates/ochrelead-core/tests/rules.rs
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -3,10 +3,10 @@
 mod helper;
 
 use helper::{BUSY, Front, LIMIT_MS, RELEASE_MS, TARGET_MS, at, given_up, invited, provision};
+use ochrelead_core::bucket::Bucket;
 use ochrelead_core::call::{Decision, Ending, ListState, Listing, Report};
 use ochrelead_core::index::{MemberIx, ServerIx};
 use ochrelead_core::provision::{Member, Provision};
-use ochrelead_core::rules::Bucket;
 use ochrelead_core::time::Span;
 use test_case::test_case;
 
@@ -376,7 +376,7 @@
     front.list(4_000, 1, ListState::Gone);
     let number = if before == 1 { 1 } else { 2 };
     let state = ListState::Ready { started: Some(at(3_900)) };
-    front.rules.listed(false, &[Listing { server: ServerIx::new(2), number, state }]);
+    front.rules.listed(false, &[Listing { server: ServerIx::new(2), number, state, weight: 1.0 }]);
     (0..3).for_each(|server| front.lines(server, 1_000, 1_000));
     let tries = (4_000..8_000).step_by(20);
     let sent = tries.filter(|ms| front.sent_in_vain(*ms, number) == Some(2)).count();
@@ -396,3 +396,41 @@
     let sent = tries.filter(|ms| front.sent_in_vain(*ms, 0) == Some(0)).count();
     assert!((4..=15).contains(&sent), "{sent} sent");
 }
+
+/// The destination has left; what comes is drawn among the others.
+#[test_case(&[1.0, 1.0], 0.5; "alike")]
+#[test_case(&[3.0, 1.0], 0.75; "three to one")]
+#[test_case(&[0.5, 2.0], 0.2; "one to four")]
+fn the_draw_starts_from_the_listed_weights(weights: &[f64], share: f64) {
+    let mut front = Front::with(3);
+    front.list(0, 0, ListState::Gone);
+    let state = ListState::Ready { started: None };
+    for (at, weight) in weights.iter().enumerate() {
+        let (server, number) = (ServerIx::new(at + 1), at as i64 + 1);
+        front.rules.listed(false, &[Listing { server, number, state, weight: *weight }]);
+    }
+    let drawn = 4_000;
+    let first = (0..drawn).filter(|nth| {
+        let (session, decisions) = front.send(*nth * 200, 0);
+        let server = invited(&decisions).unwrap();
+        front.rules.clock(at(*nth * 200 + 20));
+        front.rules.stands(session);
+        front.rules.ended(session, ServerIx::new(server), Ending::Released, true);
+        server == 1
+    });
+    let got = first.count() as f64 / drawn as f64;
+    // Five standard deviations of a draw of that many.
+    let bound = 5.0 * (share * (1.0 - share) / drawn as f64).sqrt();
+    assert!((got - share).abs() < bound, "{got}");
+}
+
+#[test]
+fn a_first_set_up_goes_to_its_destination_whatever_the_weights() {
+    let mut front = Front::with(2);
+    let state = ListState::Ready { started: None };
+    let listing =
+        |server, weight| Listing { server: ServerIx::new(server), number: server as i64, state, weight };
+    front.rules.listed(true, &[listing(0, 0.01), listing(1, 100.0)]);
+    let (_, decisions) = front.send(10, 0);
+    assert_eq!(invited(&decisions), Some(0));
+}
--- a/crates/ochrelead-day/src/audit/service.rs
+++ b/crates/ochrelead-day/src/audit/service.rs
@@ -16,6 +16,8 @@
 pub struct Service {
     pub whole: f64,
     pub worst_window: f64,
+    /// The course of the day, stretch by stretch of five seconds: what was offered then.
+    pub course: Vec<f64>,
     pub by_service: Vec<f64>,
     pub by_member: Vec<f64>,
     pub offered: usize,
@@ -47,6 +49,8 @@
 const HOT_WORTH: f64 = 0.1;
 /// The worst stretch that counts.
 const WINDOW: Span = Span::from_secs(10);
+/// The stretches of the course.
+const STRETCH: Span = Span::from_secs(5);
 /// Members' shares are reckoned over this time.
 const QUOTA_SPAN: Span = Span::from_secs(5);
 
@@ -150,6 +154,12 @@
     Service {
         whole: of(&|_| true),
         worst_window: (0..=last).map(window).fold(1.0, f64::min),
+        course: (0..day.length.micros().div_ceil(STRETCH.micros()))
+            .map(|nth| {
+                let begins = Moment::START + STRETCH * nth;
+                of(&|caller| caller.came >= begins && caller.came.since(begins) < STRETCH)
+            })
+            .collect(),
         by_service: (0..day.front.timer_limits.len()).map(|at| of(&|caller| caller.service == at)).collect(),
         by_member: (0..day.front.trunks.len()).map(|at| of(&|caller| caller.member == Some(at))).collect(),
         offered: callers.len(),
@@ -163,14 +173,14 @@
 /// worthiest first, as many as the script's servers could do then. Nobody who sees only his own traffic can
 /// know that; calls cut by a server's end are not taken off.
 pub fn ceiling(day: &Day, offered: &[(Moment, f64)]) -> f64 {
-    const STRETCH: u64 = 2_000_000;
+    const SPELL: u64 = 2_000_000;
     let mut stretches: BTreeMap<u64, Vec<f64>> = BTreeMap::new();
     for (came, value) in offered {
-        stretches.entry(came.micros() / STRETCH).or_default().push(*value);
+        stretches.entry(came.micros() / SPELL).or_default().push(*value);
     }
     let (mut got, mut all) = (0.0, 0.0);
     for (stretch, mut values) in stretches {
-        let at = Moment::from_micros(stretch * STRETCH + STRETCH / 2);
+        let at = Moment::from_micros(stretch * SPELL + SPELL / 2);
         let capacity: f64 = day
             .stand_ins
             .iter()
@@ -184,7 +194,7 @@
             .sum();
         values.sort_by(|a, b| b.total_cmp(a));
         all += values.iter().sum::<f64>();
-        let carried = capacity * STRETCH as f64 / 1e6;
+        let carried = capacity * SPELL as f64 / 1e6;
         got += values.iter().take(carried.ceil() as usize).sum::<f64>();
     }
     if all > 0.0 { got / all } else { 1.0 }
--- a/crates/ochrelead-day/src/main.rs
+++ b/crates/ochrelead-day/src/main.rs
@@ -258,7 +258,9 @@
     let day = read(day)?;
     let verdict = audit::audit(&day, &capture::read(capture)?);
     tell(&verdict);
-    println!("\nservice {:.3}, worst 10 s {:.3}", verdict.service.whole, verdict.service.worst_window);
+    let course: Vec<String> = verdict.service.course.iter().map(|share| format!("{share:.2}")).collect();
+    println!("\nby five seconds: {}", course.join(" "));
+    println!("service {:.3}, worst 10 s {:.3}", verdict.service.whole, verdict.service.worst_window);
     Ok(outcome(&verdict))
 }
 
--- a/crates/ochrelead-front/src/roster.rs
+++ b/crates/ochrelead-front/src/roster.rs
@@ -82,7 +82,7 @@
 
     fn listing(&self, server: ServerIx) -> Listing {
         let known = &self.servers[server.at()];
-        Listing { server, number: known.post.number, state: known.state }
+        Listing { server, number: known.post.number, state: known.state, weight: known.post.weight }
     }
 
     /// A server speaks of its own restart. Nothing follows from what is known already: a server that drains
--- a/crates/ochrelead-front/tests/parts.rs
+++ b/crates/ochrelead-front/tests/parts.rs
@@ -45,7 +45,14 @@
 
 fn post(name: &str, port: u16) -> Post {
     let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
-    Post { name: name.to_owned(), address, number: i64::from(port), started: None, draining: false }
+    Post {
+        name: name.to_owned(),
+        address,
+        number: i64::from(port),
+        started: None,
+        draining: false,
+        weight: 1.0,
+    }
 }
 
 const READY: ListState = ListState::Ready { started: None };
--- a/crates/ochrelead-settings/src/commission.rs
+++ b/crates/ochrelead-settings/src/commission.rs
@@ -32,7 +32,7 @@
 }
 
 /// A signalling server as it is listed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Post {
     /// The domain of its endpoint names.
     pub name: String,
@@ -40,8 +40,14 @@
     pub number: i64,
     pub started: Option<Moment>,
     pub draining: bool,
+    /// Its part of drawn sessions against the other servers' weights.
+    pub weight: f64,
 }
 
+/// The weights that a server may have.
+pub const LEAST_WEIGHT: f64 = 0.001;
+pub const MOST_WEIGHT: f64 = 1_000.0;
+
 /// Reads and checks a front's settings.
 ///
 /// # Errors
@@ -236,6 +242,7 @@
             number: i64::from(sheet.need(&path("number"), own.number)),
             started: own.started_us.map(Moment::from_micros),
             draining: own.draining.unwrap_or(false),
+            weight: sheet.between(&path("weight"), own.weight.unwrap_or(1.0), LEAST_WEIGHT, MOST_WEIGHT),
         };
         for before in &roster {
             if before.number == post.number {
