Take the fleet from watched files: whole or not at all, and remember it through a kill

Need: operators add, drain and reweigh servers while calls run. A half-written file must not send donors to nowhere.

Change: ochrelead-fleet. Files are read whole and joined; a candidate is adopted in one step or refused with every error by place. Adoption is policy of its own: older generations, changes under one generation, files that vanish, and more than half the capacity leaving at once are refused or held. The roster moved here, with one table of who wins between list, a server's own word and what was kept. Calls are released at the process that has them, also after their server moved. The module learns which servers take a service when a list says so (served).

--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -1,8 +1,8 @@
 //! All that ochrelead decides.
 //!
 //! The host feeds a [`Controller`] with what it sees (`clock`, `offered`, `stands`, `ended`, `hung_up`,
-//! `listed`, `lines_told`, `reported`); these calls only update what is known. After each turn it pulls
-//! [`Controller::decide`] until there is no decision left and asks [`Controller::wake`] when to come again.
+//! `listed`, `served`, `lines_told`, `reported`); these calls only update what is known. After each turn it
+//! pulls [`Controller::decide`] until there is none left and asks [`Controller::wake`] when to come again.
 //! The interface: `call.rs` has the types that pass between the two, `provision.rs` the start-up figures,
 //! `index.rs` and `time.rs` what stands for ids and times. `ledger.rs` is the module's memory.
 
@@ -14,7 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::call::{Decision, Ending, Lines, ListState, Listing, Offer, Report};
-use crate::index::{MemberIx, ServerIx, SessionIx};
+use crate::index::{MemberIx, ServerIx, ServiceIx, SessionIx};
 use crate::ledger::{Desk, Numbers, Out, Quota, Server, Session, Sessions};
 use crate::provision::{Member, Provision};
 use crate::ring::Ring;
@@ -315,6 +315,13 @@
         }
     }
 
+    /// The numbers of the servers that take a service from now on; any where none is named.
+    pub fn served(&mut self, service: ServiceIx, servers: &[i64]) {
+        if let Some(desk) = self.desks.get_mut(service.at()) {
+            desk.servers = servers.to_vec();
+        }
+    }
+
     pub fn lines_told(&mut self, server: ServerIx, lines: Lines) {
         let hold = Desk::mean_hold(&self.desks);
         if let Some(at) = self.servers.get_mut(server.at()) {
--- a/crates/ochrelead-day/src/baseline.rs
+++ b/crates/ochrelead-day/src/baseline.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use ochrelead_core::call::{Decision, Ending, Lines, ListState, Listing, Offer, Report};
-use ochrelead_core::index::{ServerIx, SessionIx};
+use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_front::judge::Judge;
 use rand::seq::IndexedRandom;
@@ -133,6 +133,8 @@
         }
     }
 
+    fn served(&mut self, _service: ServiceIx, _servers: &[i64]) {}
+
     fn lines_told(&mut self, _server: ServerIx, _lines: Lines) {}
 
     fn reported(&mut self, _server: ServerIx, _report: Report) {}
--- a/crates/ochrelead-day/src/load.rs
+++ b/crates/ochrelead-day/src/load.rs
@@ -99,7 +99,6 @@
                 command
                     .args(["part", "front", "--deciding", "module", "--seed", "1", "--settings"])
                     .arg(&settings);
-                command.arg("--list").arg(out.join("front.list"));
             }
             Between::Relay => {
                 command.args(["part", "relay", "--listen", &own.to_string()]);
--- a/crates/ochrelead-day/src/main.rs
+++ b/crates/ochrelead-day/src/main.rs
@@ -13,6 +13,7 @@
 use ochrelead_day::party::Street;
 use ochrelead_day::world::{Deciding, World, capture_file};
 use ochrelead_day::{capture, part};
+use ochrelead_front::host::Places;
 use ochrelead_settings::day::{self, Day};
 
 /// Plays scripted days through real fronts on loopback sockets, and judges them from what the sockets saw.
@@ -79,7 +80,9 @@
         #[arg(long)]
         settings: PathBuf,
         #[arg(long)]
-        list: PathBuf,
+        fleet: Option<PathBuf>,
+        #[arg(long)]
+        state: Option<PathBuf>,
         #[arg(long)]
         deciding: String,
         #[arg(long)]
@@ -151,10 +154,10 @@
 
 fn play(part: Part) -> anyhow::Result<()> {
     match part {
-        Part::Front { settings, list, deciding, seed } => {
+        Part::Front { settings, fleet, state, deciding, seed } => {
             let known = Deciding::ALL.iter().find(|(name, _)| *name == deciding);
             let (_, deciding) = known.with_context(|| format!("--deciding {deciding}: no such policy"))?;
-            part::front(&settings, list, *deciding, seed)
+            part::front(&settings, Places { fleet, state }, *deciding, seed)
         }
         Part::Server { stand_in, nth, fresh } => {
             let day = read(&stand_in.day)?;
--- a/crates/ochrelead-day/src/part.rs
+++ b/crates/ochrelead-day/src/part.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use anyhow::{Context, bail};
@@ -11,8 +11,8 @@
 use ochrelead_core::rules::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_front::engine::Engine;
-use ochrelead_front::host::{self, Clock};
-use ochrelead_settings::commission;
+use ochrelead_front::host::{self, Clock, Places};
+use ochrelead_settings::commission::{self, Commission};
 use ochrelead_settings::day::Day;
 use ochrelead_settings::text::Complaint;
 use ochrelead_standin::Peer;
@@ -31,35 +31,34 @@
 }
 
 /// Runs a front as its program does, but for who decides.
-pub fn front(settings: &Path, list: PathBuf, deciding: Deciding, seed: u64) -> anyhow::Result<()> {
+pub fn front(settings: &Path, places: Places, deciding: Deciding, seed: u64) -> anyhow::Result<()> {
     let clock = Clock::start();
     let mut commission = commission::open(settings).map_err(complained)?;
-    if list.exists() {
-        commission.remember(&commission::open_roster(&list).map_err(complained)?);
-    }
-    tracing_subscriber::fmt()
-        .with_max_level(tracing_subscriber::filter::LevelFilter::ERROR)
-        .with_writer(io::stderr)
-        .init();
+    let level = tracing_subscriber::filter::LevelFilter::ERROR;
+    tracing_subscriber::fmt().with_max_level(level).with_writer(io::stderr).init();
     let first = Pcg64Mcg::seed_from_u64(clock.now().micros() ^ seed).random();
     commission.provision.seed = seed;
     let socket =
         UdpSocket::bind(commission.listen).with_context(|| format!("listen on {}", commission.listen))?;
     let socket = Async::new(socket)?;
-    let now = clock.now();
     let policy = match deciding {
         Deciding::Module => {
-            let judge = Controller::new(&commission.provision, now);
-            let engine = Engine::new(commission, judge, first, now);
-            return Ok(future::block_on(host::serve(engine, socket, clock, Some(list)))?);
+            let engine = |commission: Commission| {
+                let judge = Controller::new(&commission.provision, clock.now());
+                Engine::new(commission, judge, first, clock.now())
+            };
+            return Ok(future::block_on(host::serve(commission, engine, socket, clock, places))?);
         }
         Deciding::Random => Policy::Random,
         Deciding::Unbounded => Policy::Unbounded,
     };
-    let target = commission.provision.services.iter().map(|s| s.post_dial_target).max().unwrap_or_default();
-    let judge = Baseline::new(policy, commission.provision.release_wait, target, seed);
-    let engine = Engine::new(commission, judge, first, now);
-    Ok(future::block_on(host::serve(engine, socket, clock, Some(list)))?)
+    let engine = |commission: Commission| {
+        let target =
+            commission.provision.services.iter().map(|s| s.post_dial_target).max().unwrap_or_default();
+        let judge = Baseline::new(policy, commission.provision.release_wait, target, seed);
+        Engine::new(commission, judge, first, clock.now())
+    };
+    Ok(future::block_on(host::serve(commission, engine, socket, clock, places))?)
 }
 
 /// Runs the `nth` stand-in server.
--- a/crates/ochrelead-day/src/world.rs
+++ b/crates/ochrelead-day/src/world.rs
@@ -160,9 +160,9 @@
             ..own.clone()
         };
         let file = self.settings_file(front);
-        let list = file.with_extension("list");
-        if list.exists() {
-            fs::remove_file(&list)?;
+        let state = file.with_extension("state");
+        if state.exists() {
+            fs::remove_dir_all(&state)?;
         }
         fs::write(&file, ochrelead_settings::text::written(&settings, "Front"))
             .with_context(|| format!("{}", file.display()))
@@ -184,7 +184,7 @@
                 let settings = self.settings_file(party);
                 let seed = self.day.seed ^ (u64::from(nth) << 32) ^ u64::from(fresh);
                 command.args(["part", "front", "--settings"]).arg(&settings);
-                command.arg("--list").arg(settings.with_extension("list"));
+                command.arg("--state").arg(settings.with_extension("state"));
                 command.args(["--deciding", self.deciding.name(), "--seed", &seed.to_string()]);
             }
             Party::Server(nth) => {
--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -13,8 +13,9 @@
 use std::net::SocketAddr;
 
 use ochrelead_core::call::{Decision, Ending};
-use ochrelead_core::index::{ServerIx, SessionIx};
+use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_fleet::roster::{Roster, Said};
 use ochrelead_mgcp::exchange::{Claim, Exchange, News};
 use ochrelead_mgcp::message::{Command, Endpoint, Response, TransactionId, Verb, code, name};
 use ochrelead_settings::commission::{Commission, Post};
@@ -23,7 +24,6 @@
 use crate::judge::Judge;
 use crate::note::{Note, Step};
 use crate::numbers::Numbers;
-use crate::roster::Roster;
 use book::{Book, Call, Circuit, Phase, Session};
 
 /// Numbers that are remembered at once: a flood of fresh ones pushes the oldest out.
@@ -100,11 +100,34 @@
     /// The server list is given anew, whole.
     pub fn relist(&mut self, now: Moment, posts: &[Post]) {
         self.clock(now);
-        let listings = self.roster.relist(posts);
+        self.commission.numbering.serve(posts);
+        for (at, name) in self.commission.service_names.iter().enumerate() {
+            let takes = |post: &&Post| post.services.is_empty() || post.services.contains(name);
+            let mut servers: Vec<i64> = posts.iter().filter(takes).map(|post| post.number).collect();
+            // What the settings say of a service holds where the list says nothing of it.
+            let own = &self.commission.provision.services[at].servers;
+            servers.retain(|number| own.is_empty() || own.contains(number));
+            let all = servers.len() == posts.len();
+            self.judge.served(ServiceIx::new(at), if all { &[] } else { &servers });
+        }
+        let listings = self.roster.relist(posts, self.now);
+        self.judge.listed(true, &listings);
+        self.note(Note::List(self.roster.posts()));
+    }
+
+    /// What the servers had said of themselves in a former life of this front.
+    pub fn remember(&mut self, now: Moment, kept: &[(Post, Said)]) {
+        self.clock(now);
+        let listings = self.roster.remember(kept);
         self.judge.listed(true, &listings);
         self.note(Note::List(self.roster.posts()));
     }
 
+    /// One line a server: its state and the reason for it.
+    pub fn status(&self) -> Vec<String> {
+        self.roster.status()
+    }
+
     /// A datagram could not leave. A set-up to that address has failed to connect; all else is repeated.
     pub fn undeliverable(&mut self, now: Moment, to: SocketAddr) {
         self.clock(now);
--- a/crates/ochrelead-front/src/engine/book.rs
+++ b/crates/ochrelead-front/src/engine/book.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Invite {
     pub server: ServerIx,
+    /// Where it was sent; the server may have moved since.
+    pub to: SocketAddr,
     pub transaction: TransactionId,
     pub until: Moment,
 }
@@ -27,6 +29,8 @@
 #[derive(Clone, Debug)]
 pub struct Circuit {
     pub server: ServerIx,
+    /// Where the process is that has it.
+    pub to: SocketAddr,
     pub endpoint: Endpoint,
     pub connection: String,
 }
--- a/crates/ochrelead-front/src/engine/callers.rs
+++ b/crates/ochrelead-front/src/engine/callers.rs
@@ -104,7 +104,10 @@
         });
         match far {
             Some((connection, endpoint)) => match self.roster.named(endpoint.domain()) {
-                Some(server) => self.take_down(server, endpoint, Some(tried), Some(connection)),
+                Some(server) => {
+                    let to = self.roster.post(server).address;
+                    self.take_down(to, endpoint, Some(tried), Some(connection));
+                }
                 None => self.pass_over(from, format!("try {tried}: no server {}", endpoint.domain())),
             },
             None => {
--- a/crates/ochrelead-front/src/engine/servers.rs
+++ b/crates/ochrelead-front/src/engine/servers.rs
@@ -2,9 +2,9 @@
 
 use super::*;
 use crate::endings;
-use crate::roster::Restart;
 use book::Invite;
 use ochrelead_core::call::Report;
+use ochrelead_fleet::roster::Restart;
 use ochrelead_mgcp::message::Parameters;
 
 impl<J: Judge> Engine<J> {
@@ -20,8 +20,8 @@
     }
 
     fn trunk(&self, server: ServerIx, which: &str) -> Endpoint {
-        let name = &self.roster.post(server).name;
-        format!("trunk/{which}@{name}").parse().expect("the names of the list were checked")
+        let Post { name, trunk, .. } = self.roster.post(server);
+        format!("{trunk}/{which}@{name}").parse().expect("the names of the list were checked")
     }
 
     /// One INVITE: one CRCX transaction on the server's trunk group.
@@ -42,7 +42,7 @@
             return self.judge.ended(session, server, Ending::Unsent, false);
         };
         let until = patience.map_or(timer_limit, |span| timer_limit.min(self.now + span));
-        self.book.turn_to(session, Phase::Inviting(Invite { server, transaction, until }));
+        self.book.turn_to(session, Phase::Inviting(Invite { server, to, transaction, until }));
     }
 
     /// The answer to the INVITE that is out.
@@ -57,9 +57,9 @@
         if let Some(ending) = endings::of_set_up(response) {
             return self.invite_ended(index, invite.server, ending);
         }
-        let Some(circuit) = circuit(invite.server, response) else {
+        let Some(circuit) = circuit(invite.server, invite.to, response) else {
             // It says that the call stands but not where: it can be neither used nor taken down by name.
-            self.take_down_call(invite.server, index);
+            self.take_down_call(invite, index);
             return self.invite_ended(index, invite.server, Ending::Fault { lines_busy: false });
         };
         self.judge.stands(index);
@@ -93,19 +93,19 @@
         };
         self.exchange.abandon(self.now, invite.transaction);
         self.pending.remove(&invite.transaction);
-        self.take_down_call(invite.server, session);
+        self.take_down_call(invite, session);
     }
 
-    fn take_down_call(&mut self, server: ServerIx, session: SessionIx) {
+    fn take_down_call(&mut self, invite: Invite, session: SessionIx) {
         let Some(tried) = self.book.get(session).map(|call| call.tried.clone()) else { return };
-        let endpoint = self.trunk(server, "*");
-        self.take_down(server, endpoint, Some(&tried), None);
+        let endpoint = self.trunk(invite.server, "*");
+        self.take_down(invite.to, endpoint, Some(&tried), None);
     }
 
     /// Takes a call down at a server; nothing hangs on the response.
     pub(super) fn take_down(
         &mut self,
-        server: ServerIx,
+        to: SocketAddr,
         endpoint: Endpoint,
         call: Option<&str>,
         connection: Option<&str>,
@@ -117,8 +117,7 @@
         if let Some(connection) = connection {
             command.parameters.add(name::CONNECTION, connection);
         }
-        let address = self.roster.post(server).address;
-        self.ask(address, command, Pending::Courtesy);
+        self.ask(to, command, Pending::Courtesy);
     }
 
     /// A response that nobody waits for. Where it says that a call was set up, nobody will ever release it:
@@ -129,14 +128,14 @@
             return;
         }
         let Some(circuit) =
-            circuit(server, response).filter(|circuit| !self.book.is_in_use(&circuit.endpoint))
+            circuit(server, from, response).filter(|circuit| !self.book.is_in_use(&circuit.endpoint))
         else {
             return;
         };
         let name = self.roster.post(server).name.clone();
         let tried = response.parameters.get(name::TRY).unwrap_or("").to_owned();
         self.note(Note::Session { tried, what: Step::TakenDown { server: name } });
-        self.take_down(server, circuit.endpoint, None, Some(&circuit.connection));
+        self.take_down(from, circuit.endpoint, None, Some(&circuit.connection));
     }
 
     /// The caller of a call that stands has hung up.
@@ -145,7 +144,7 @@
         let command = Command::new(Verb::DeleteConnection, 0, circuit.endpoint)
             .with(name::CALL, &call.tried)
             .with(name::CONNECTION, &circuit.connection);
-        let (to, held) = (self.roster.post(circuit.server).address, self.book.session(session));
+        let (to, held) = (circuit.to, self.book.session(session));
         self.book.turn_to(session, Phase::Releasing);
         if self.ask(to, command, Pending::Release(held, circuit.server)).is_none() {
             self.released(held, circuit.server, Ending::TimedOut);
@@ -163,8 +162,8 @@
     /// A server takes a call down by itself (RFC 3435 section 2.3.10).
     pub(super) fn cut_by_server(&mut self, from: SocketAddr, command: &Command) {
         let call = command.parameters.get(name::CALL).and_then(|call| self.book.tried(call));
-        let at = call.and_then(|session| Some((session, self.server_of(session)?)));
-        let Some((session, server)) = at.filter(|(_, server)| self.roster.at(from) == Some(*server)) else {
+        let at = call.and_then(|session| Some((session, self.held_by(session)?)));
+        let Some((session, (server, _))) = at.filter(|(_, (_, address))| *address == from) else {
             self.exchange.answer(from, Response::new(code::UNKNOWN_CALL, command.transaction));
             return;
         };
@@ -172,10 +171,11 @@
         self.lost(session, server);
     }
 
-    fn server_of(&self, session: SessionIx) -> Option<ServerIx> {
+    /// The server that has the session, and the address of its process.
+    fn held_by(&self, session: SessionIx) -> Option<(ServerIx, SocketAddr)> {
         match &self.book.get(session)?.phase {
-            Phase::Inviting(invite) => Some(invite.server),
-            Phase::Standing(circuit) => Some(circuit.server),
+            Phase::Inviting(invite) => Some((invite.server, invite.to)),
+            Phase::Standing(circuit) => Some((circuit.server, circuit.to)),
             Phase::Waiting | Phase::Releasing => None,
         }
     }
@@ -210,12 +210,16 @@
         };
         self.exchange.answer(from, Response::new(code::DONE, command.transaction));
         // The delay of a drain is how long it lasts, not when it begins: nothing new goes from now on.
-        let delay = Span::ZERO;
-        let Some(news) = self.roster.told(server, restart, delay, self.now) else { return };
+        let Some(news) = self.roster.told(server, restart, self.now) else { return };
         if news.cut {
             // What the old process held is gone; its answers are no use any more.
             let held = [self.book.inviting_at(server), self.book.standing_at(server)].concat();
-            held.into_iter().for_each(|session| self.lost(session, server));
+            for session in held {
+                // Calls at an address that the server has left are another process's.
+                if self.held_by(session).is_some_and(|(_, address)| address == from) {
+                    self.lost(session, server);
+                }
+            }
         }
         self.judge.listed(false, &[news.listing]);
         let what = match restart {
@@ -231,8 +235,8 @@
 }
 
 /// Where a call was set up (RFC 3435 section 2.3.5: `Z` where the endpoint was named by a wildcard).
-fn circuit(server: ServerIx, response: &Response) -> Option<Circuit> {
+fn circuit(server: ServerIx, to: SocketAddr, response: &Response) -> Option<Circuit> {
     let endpoint = response.parameters.get(name::SPECIFIC)?.parse().ok()?;
     let connection = response.parameters.get(name::CONNECTION)?.to_owned();
-    Some(Circuit { server, endpoint, connection })
+    Some(Circuit { server, to, endpoint, connection })
 }
--- a/crates/ochrelead-front/src/host.rs
+++ b/crates/ochrelead-front/src/host.rs
@@ -1,24 +1,33 @@
-//! Sockets, clock, signals and the list's file. It owns them and nothing else.
+//! Sockets, clock, signals, and the files of the fleet. It owns them and nothing else.
 
-use std::fs;
-use std::io::{self, ErrorKind, Write};
-use std::net::UdpSocket;
-use std::path::{Path, PathBuf};
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
+use std::sync::mpsc::Sender;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use async_channel::Receiver;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future, stream};
-use ochrelead_core::time::Moment;
-use ochrelead_settings::commission;
+use ochrelead_core::time::{Moment, Span};
+use ochrelead_fleet::keeper::{Keeper, Outcome};
+use ochrelead_fleet::sheet::Page;
+use ochrelead_fleet::store::{self, Folder, Kept};
+use ochrelead_fleet::watch;
+use ochrelead_settings::commission::Commission;
 use tracing::{info, warn};
 
 use crate::engine::Engine;
 use crate::judge::Judge;
+use crate::keeping::{self, Writing};
 use crate::note::{Note, Step};
 
 /// So many datagrams are taken before the next turn.
 const MOST_AT_ONCE: usize = 512;
+/// How often the status is written.
+const STATUS_GAP: Span = Span::from_secs(1);
 
 /// Microseconds since 1970, from a clock that never goes back while the process runs.
 #[derive(Clone, Copy, Debug)]
@@ -46,29 +55,67 @@
     }
 }
 
+/// Where a front has its fleet from, and where it keeps what it must not forget.
+#[derive(Clone, Debug, Default)]
+pub struct Places {
+    /// A fleet file or a folder of them; without, the settings' servers are the list.
+    pub fleet: Option<PathBuf>,
+    pub state: Option<PathBuf>,
+}
+
 enum Event {
     Datagrams,
+    Fleet(Vec<Page>),
     Leave,
     Tick,
 }
 
-/// Runs a front until it has left service.
+/// What goes to disk, and when.
+struct Books {
+    out: Option<(Sender<Writing>, JoinHandle<()>)>,
+    next_status: Moment,
+}
+
+/// Runs a front until it has left service. `engine` makes one of the settings.
 ///
 /// # Errors
 ///
-/// Where signals or the socket fail for good.
+/// Where signals, the socket or the folder of the state fail for good.
 pub async fn serve<J: Judge>(
-    mut engine: Engine<J>,
+    commission: Commission,
+    engine: impl FnOnce(Commission) -> Engine<J>,
     socket: Async<UdpSocket>,
     clock: Clock,
-    list: Option<PathBuf>,
+    places: Places,
 ) -> io::Result<()> {
+    let kept = recall(&places)?;
+    let services = commission.service_names.clone();
+    let mut engine = engine(commission);
+    let mut keeper = None;
+    let (readings, watched) = match &places.fleet {
+        Some(path) => {
+            let fleet = kept.as_ref().and_then(Kept::fleet);
+            if let Some(fleet) = &fleet {
+                info!(generation = fleet.generation(), "the fleet that was kept is in force");
+                engine.relist(clock.now(), &fleet.servers);
+            }
+            keeper = Some(Keeper::new(services, fleet));
+            (watch::start(path.clone())?, true)
+        }
+        None => (async_channel::unbounded().1, false),
+    };
+    if let Some(kept) = &kept {
+        engine.remember(clock.now(), &kept.servers);
+    }
+    let out = places.state.as_deref().map(keeping::start).transpose()?;
+    let mut books = Books { out, next_status: clock.now() };
     let leave = Signals::new([Signal::Term, Signal::Int])?.map(|_| Event::Leave);
     let readable = stream::unfold(&socket, |socket| async move {
         socket.readable().await.ok()?;
         Some((Event::Datagrams, socket))
     });
-    let events = stream::or(leave, readable);
+    let fleets = pages(readings, watched);
+    let events = stream::or(leave, stream::or(fleets, readable));
     futures_lite::pin!(events);
     let mut datagram = vec![0; 65_536];
     while !engine.is_closed() {
@@ -81,22 +128,62 @@
             }
         }
         while let Some(note) = engine.next_note() {
-            write_down(note, list.as_deref());
+            books.write_down(note, keeper.as_ref());
         }
-        let alarm = clock.timer(engine.wake());
+        books.status(clock.now(), &engine, keeper.as_ref());
+        let alarms = [engine.wake(), keeper.as_ref().and_then(Keeper::wake), books.wake()];
+        let alarm = clock.timer(alarms.into_iter().flatten().min());
         let tick = async {
             alarm.await;
             Some(Event::Tick)
         };
-        if let Some(Event::Leave) = future::or(events.next(), tick).await {
-            info!("leaving service");
-            engine.leave(clock.now());
+        let event = future::or(events.next(), tick).await;
+        let outcome = match (event, keeper.as_mut()) {
+            (Some(Event::Leave), _) => {
+                info!("leaving service");
+                engine.leave(clock.now());
+                None
+            }
+            (Some(Event::Fleet(pages)), Some(keeper)) => keeper.read(clock.now(), pages),
+            (_, Some(keeper)) => keeper.told(clock.now()),
+            _ => None,
+        };
+        match outcome {
+            Some(Outcome::Adopt { servers, generation, changes }) => {
+                engine.relist(clock.now(), &servers);
+                let changes: Vec<String> =
+                    changes.iter().map(|(name, change)| format!("{name} {}", change.name())).collect();
+                info!(generation, changes = changes.join(", "), "fleet adopted");
+            }
+            Some(Outcome::Complain(why)) => warn!(why, "the fleet in force stands"),
+            None => {}
         }
     }
+    books.close();
     info!("out of service");
     Ok(())
 }
 
+/// Readings as a stream; one that never yields where nothing is watched.
+fn pages(readings: Receiver<Vec<Page>>, watched: bool) -> impl stream::Stream<Item = Event> {
+    stream::unfold(readings, move |readings| async move {
+        if !watched {
+            future::pending::<()>().await;
+        }
+        let pages = readings.recv().await.ok()?;
+        Some((Event::Fleet(pages), readings))
+    })
+}
+
+fn recall(places: &Places) -> io::Result<Option<Kept>> {
+    let Some(path) = &places.state else { return Ok(None) };
+    let (kept, passed_over) = store::load(&Folder::open(path)?)?;
+    for why in passed_over {
+        warn!(why, "passed over in the state's folder");
+    }
+    Ok(kept)
+}
+
 fn take_all<J: Judge>(engine: &mut Engine<J>, socket: &Async<UdpSocket>, clock: &Clock, buffer: &mut [u8]) {
     for _ in 0..MOST_AT_ONCE {
         match socket.get_ref().recv_from(buffer) {
@@ -108,44 +195,80 @@
     }
 }
 
-async fn send(socket: &Async<UdpSocket>, bytes: &[u8], to: std::net::SocketAddr) -> io::Result<usize> {
+async fn send(socket: &Async<UdpSocket>, bytes: &[u8], to: SocketAddr) -> io::Result<usize> {
     match socket.get_ref().send_to(bytes, to) {
         Err(error) if error.kind() == ErrorKind::WouldBlock => socket.send_to(bytes, to).await,
         done => done,
     }
 }
 
-fn write_down(note: Note, list: Option<&Path>) {
-    match note {
-        Note::Session { tried, what } => match what {
-            Step::Taken => info!(tried, "taken"),
-            Step::Invited { server, nth } => info!(tried, server, nth, "INVITE"),
-            Step::InviteEnded { server, ending } => info!(tried, server, ?ending, "INVITE ended"),
-            Step::Stands { server } => info!(tried, server, "stands"),
-            Step::Refused { come_back_ms } => info!(tried, come_back_ms, "refused"),
-            Step::Failed => info!(tried, "failed"),
-            Step::HungUp => info!(tried, "caller hung up"),
-            Step::Cut => info!(tried, "cut"),
-            Step::Released => info!(tried, "released"),
-            Step::TakenDown { server } => info!(tried, server, "taken down: nobody claims it"),
-        },
-        Note::Server { name, what } => info!(server = name, what, "server"),
-        Note::PassedOver { from, why } => warn!(from, why, "passed over"),
-        Note::List(posts) => {
-            if let Some(path) = list
-                && let Err(error) = keep(path, &commission::roster_text(&posts))
-            {
-                warn!(path = %path.display(), %error, "the list could not be kept");
+impl Books {
+    fn write(&self, writing: Writing) {
+        if let Some((out, _)) = &self.out {
+            // The thread lives as long as its sender.
+            let _ = out.send(writing);
+        }
+    }
+
+    fn status<J: Judge>(&mut self, now: Moment, engine: &Engine<J>, keeper: Option<&Keeper>) {
+        if self.out.is_none() || now < self.next_status {
+            return;
+        }
+        self.next_status = now + STATUS_GAP;
+        let (held, open) = engine.load();
+        let mut status =
+            format!("written_us: {}\nsessions held: {held}, commands open: {open}\n", now.micros());
+        if let Some(keeper) = keeper {
+            let generation = keeper.in_force().generation();
+            let age = keeper.age(now).map_or("kept from before".to_owned(), |age| {
+                format!("adopted {} s ago", age.micros() / 1_000_000)
+            });
+            status.push_str(&format!("fleet generation {generation}, {age}\n"));
+        }
+        for line in engine.status() {
+            status.push_str(&line);
+            status.push('\n');
+        }
+        let counters = keeper.map_or(String::new(), |keeper| {
+            keeper.tallies().text(keeper.in_force().generation(), keeper.age(now))
+        });
+        self.write(Writing::Status { status, counters });
+    }
+
+    fn wake(&self) -> Option<Moment> {
+        self.out.as_ref().map(|_| self.next_status)
+    }
+
+    fn write_down(&self, note: Note, keeper: Option<&Keeper>) {
+        match note {
+            Note::Session { tried, what } => match what {
+                Step::Taken => info!(tried, "taken"),
+                Step::Invited { server, nth } => info!(tried, server, nth, "INVITE"),
+                Step::InviteEnded { server, ending } => info!(tried, server, ?ending, "INVITE ended"),
+                Step::Stands { server } => info!(tried, server, "stands"),
+                Step::Refused { come_back_ms } => info!(tried, come_back_ms, "refused"),
+                Step::Failed => info!(tried, "failed"),
+                Step::HungUp => info!(tried, "caller hung up"),
+                Step::Cut => info!(tried, "cut"),
+                Step::Released => info!(tried, "released"),
+                Step::TakenDown { server } => info!(tried, server, "taken down: nobody claims it"),
+            },
+            Note::Server { name, what } => info!(server = name, what, "server"),
+            Note::PassedOver { from, why } => warn!(from, why, "passed over"),
+            Note::List(servers) if servers.is_empty() => {}
+            Note::List(servers) => {
+                let files = keeper.map(|keeper| &keeper.in_force().files).into_iter().flatten();
+                let files = files.map(|(name, (generation, _))| (name.clone(), *generation)).collect();
+                self.write(Writing::Kept(Kept { files, servers }));
             }
         }
     }
-}
 
-/// Replaces a file whole: a reader sees the old text or the new one.
-fn keep(path: &Path, text: &str) -> io::Result<()> {
-    let beside = path.with_extension("new");
-    let mut file = fs::File::create(&beside)?;
-    file.write_all(text.as_bytes())?;
-    file.sync_all()?;
-    fs::rename(&beside, path)
+    /// Waits until all is on disk.
+    fn close(self) {
+        if let Some((out, thread)) = self.out {
+            drop(out);
+            let _ = thread.join();
+        }
+    }
 }
--- a/crates/ochrelead-front/src/judge.rs
+++ b/crates/ochrelead-front/src/judge.rs
@@ -1,7 +1,7 @@
 //! What the engine asks of whoever decides on sessions.
 
 use ochrelead_core::call::{Decision, Ending, Lines, Listing, Offer, Report};
-use ochrelead_core::index::{ServerIx, SessionIx};
+use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::rules::Controller;
 use ochrelead_core::time::Moment;
 
@@ -13,6 +13,7 @@
     fn ended(&mut self, session: SessionIx, server: ServerIx, ending: Ending, over: bool);
     fn hung_up(&mut self, session: SessionIx);
     fn listed(&mut self, whole: bool, listings: &[Listing]);
+    fn served(&mut self, service: ServiceIx, servers: &[i64]);
     fn lines_told(&mut self, server: ServerIx, lines: Lines);
     fn reported(&mut self, server: ServerIx, report: Report);
     fn decide(&mut self) -> Option<Decision>;
@@ -44,6 +45,10 @@
         Controller::listed(self, whole, listings);
     }
 
+    fn served(&mut self, service: ServiceIx, servers: &[i64]) {
+        Controller::served(self, service, servers);
+    }
+
     fn lines_told(&mut self, server: ServerIx, lines: Lines) {
         Controller::lines_told(self, server, lines);
     }
--- /dev/null
+++ b/crates/ochrelead-front/src/keeping.rs
@@ -0,0 +1,49 @@
+//! What a front writes to disk, on a thread of its own: sessions never wait for it. Only the newest matters.
+
+use std::io;
+use std::path::Path;
+use std::sync::mpsc::{self, Sender};
+use std::thread;
+
+use ochrelead_fleet::store::{self, Folder, Kept};
+use tracing::warn;
+
+/// The status, one line a server, as `ochrelead-front status` prints it.
+pub const STATUS: &str = "status";
+/// The counters in the prometheus text form.
+pub const COUNTERS: &str = "counters.prom";
+
+/// What is to be written.
+pub enum Writing {
+    Kept(Kept),
+    Status { status: String, counters: String },
+}
+
+/// Starts the thread; it ends when the sender is dropped.
+///
+/// # Errors
+///
+/// Where the folder can't be made or the thread can't be started.
+pub fn start(path: &Path) -> io::Result<(Sender<Writing>, thread::JoinHandle<()>)> {
+    let mut folder = Folder::open(path)?;
+    let (out, writings) = mpsc::channel();
+    let thread = thread::Builder::new().name("keeping".to_owned()).spawn(move || {
+        while let Ok(first) = writings.recv() {
+            let (mut kept, mut told) = (None, None);
+            for writing in std::iter::once(first).chain(std::iter::from_fn(|| writings.try_recv().ok())) {
+                match writing {
+                    Writing::Kept(own) => kept = Some(own),
+                    Writing::Status { status, counters } => told = Some((status, counters)),
+                }
+            }
+            let saved = kept.map_or(Ok(()), |kept| store::save(&mut folder, &kept));
+            let written = told.map_or(Ok(()), |(status, counters)| {
+                folder.put(STATUS, &status).and_then(|()| folder.put(COUNTERS, &counters))
+            });
+            if let Err(error) = saved.and(written) {
+                warn!(%error, "the state could not be kept");
+            }
+        }
+    })?;
+    Ok((out, thread))
+}
--- a/crates/ochrelead-front/src/lib.rs
+++ b/crates/ochrelead-front/src/lib.rs
@@ -4,17 +4,16 @@
 //! - [`engine`]: the whole front without I/O. Datagrams, list news and ticks go in; datagrams and notes come
 //!   out; [`engine::Engine::wake`] says when to come again.
 //! - [`endings`]: what a server's answer means to the module.
-//! - [`roster`]: which servers there are and what they said of themselves.
 //! - [`numbers`]: called numbers by index, bounded.
 //! - [`drain`]: leaving service without losing a session.
 //! - [`judge`]: what the engine asks of whoever decides, so that a rig can put a baseline in the module's place.
-//! - [`host`]: sockets, clock, signals and the list's file; it decides nothing.
+//! - [`host`]: sockets, clock, signals; [`keeping`]: what is written to disk. They decide nothing.
 
 pub mod drain;
 pub mod endings;
 pub mod engine;
 pub mod host;
 pub mod judge;
+pub mod keeping;
 pub mod note;
 pub mod numbers;
-pub mod roster;
--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -1,17 +1,20 @@
 //! The program `ochrelead-front`.
 
+use std::fs;
 use std::io::{self, IsTerminal};
 use std::net::UdpSocket;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use anyhow::Context;
 use async_io::Async;
-use clap::Parser;
+use clap::{Parser, Subcommand};
 use futures_lite::future;
 use ochrelead_core::rules::Controller;
+use ochrelead_core::time::{Moment, Span};
 use ochrelead_front::engine::Engine;
-use ochrelead_front::host::{self, Clock};
+use ochrelead_front::host::{self, Clock, Places};
+use ochrelead_front::keeping;
 use ochrelead_settings::commission::{self, Commission};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -23,17 +26,24 @@
 #[derive(Parser)]
 #[command(
     version,
-    after_help = "Examples:\n  ochrelead-front --settings front.textproto\n  \
-    ochrelead-front --settings front.textproto --check\n  \
-    ochrelead-front --settings front.textproto --list last-list.textproto --json --log info"
+    args_conflicts_with_subcommands = true,
+    after_help = "Examples:
+  ochrelead-front --settings front.textproto --check
+  ochrelead-front --settings front.textproto --fleet fleet.d --state state --json --log info
+  ochrelead-front status --state state"
 )]
 struct Line {
+    #[command(subcommand)]
+    what: Option<What>,
     /// The settings, in protobuf text format (schema Front)
-    #[arg(long, value_name = "FILE")]
-    settings: PathBuf,
-    /// Where the last server list is kept; it is read at the start where it is there
-    #[arg(long, value_name = "FILE")]
-    list: Option<PathBuf>,
+    #[arg(long, value_name = "FILE", required = true)]
+    settings: Option<PathBuf>,
+    /// A fleet file, or a folder of them, that is watched; without, the settings' servers are the list
+    #[arg(long, value_name = "PATH")]
+    fleet: Option<PathBuf>,
+    /// Where the last list, the status and the counters are kept
+    #[arg(long, value_name = "DIR")]
+    state: Option<PathBuf>,
     /// Check the settings and stop
     #[arg(long)]
     check: bool,
@@ -48,8 +58,20 @@
     json: bool,
 }
 
+#[derive(Subcommand)]
+enum What {
+    /// Print what a running front last wrote of its fleet: a line a server, its state and why
+    Status {
+        #[arg(long, value_name = "DIR")]
+        state: PathBuf,
+    },
+}
+
 fn main() -> ExitCode {
     let line = Line::parse();
+    if let Some(What::Status { state }) = &line.what {
+        return status(state);
+    }
     let commission = match read(&line) {
         Ok(commission) => commission,
         Err(complaints) => {
@@ -81,12 +103,30 @@
     }
 }
 
+fn status(state: &Path) -> ExitCode {
+    match fs::read_to_string(state.join(keeping::STATUS)) {
+        Ok(text) => {
+            let (written, rest) = text.split_once('\n').unwrap_or(("", &text));
+            let then = written.strip_prefix("written_us: ").and_then(|us| us.parse().ok()).unwrap_or(0);
+            let age = Clock::start().now().since(Moment::from_micros(then));
+            println!("as of {:.1} s ago", age.ratio(Span::from_secs(1)));
+            print!("{rest}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("ochrelead-front: {}: {error}", state.join(keeping::STATUS).display());
+            ExitCode::from(2)
+        }
+    }
+}
+
 fn read(line: &Line) -> Result<Commission, Vec<String>> {
+    let settings = line.settings.as_deref().unwrap_or(Path::new(""));
     let told = |complaints: Vec<_>| complaints.iter().map(ToString::to_string).collect::<Vec<_>>();
-    let mut commission = commission::open(&line.settings).map_err(told)?;
-    // What this front last knew of its servers goes before what its settings said of them.
-    if let Some(list) = line.list.as_deref().filter(|list| list.exists()) {
-        commission.remember(&commission::open_roster(list).map_err(told)?);
+    let commission = commission::open(settings).map_err(told)?;
+    if line.fleet.is_some() && !commission.roster.is_empty() {
+        let what = "server: with --fleet the servers are said in its files alone";
+        return Err(vec![format!("{}: {what}", settings.display())]);
     }
     Ok(commission)
 }
@@ -98,8 +138,11 @@
     commission.provision.seed = seed;
     let socket =
         UdpSocket::bind(commission.listen).with_context(|| format!("listen on {}", commission.listen))?;
-    let judge = Controller::new(&commission.provision, clock.now());
-    let engine = Engine::new(commission, judge, first, clock.now());
-    let served = host::serve(engine, Async::new(socket)?, clock, line.list);
+    let places = Places { fleet: line.fleet, state: line.state };
+    let engine = |commission: Commission| {
+        let judge = Controller::new(&commission.provision, clock.now());
+        Engine::new(commission, judge, first, clock.now())
+    };
+    let served = host::serve(commission, engine, Async::new(socket)?, clock, places);
     future::block_on(served).context("serving")
 }
--- a/crates/ochrelead-front/src/note.rs
+++ b/crates/ochrelead-front/src/note.rs
@@ -1,6 +1,7 @@
 //! What the engine tells the log. The host writes it; nothing is decided by it.
 
 use ochrelead_core::call::Ending;
+use ochrelead_fleet::roster::Said;
 use ochrelead_settings::commission::Post;
 
 /// One line for the log.
@@ -11,7 +12,7 @@
     /// A server said something of itself, or the list did.
     Server { name: String, what: &'static str },
     /// The list has changed: this is what a front that starts anew should know.
-    List(Vec<Post>),
+    List(Vec<(Post, Said)>),
     /// A message that was passed over, and why.
     PassedOver { from: String, why: String },
 }
--- a/crates/ochrelead-front/tests/front.rs
+++ b/crates/ochrelead-front/tests/front.rs
@@ -314,7 +314,7 @@
         .into_iter()
         .filter_map(|note| if let Note::List(posts) = note { Some(posts) } else { None })
         .collect();
-    assert_eq!(lists[0][1].started, Some(at(10)));
+    assert_eq!(lists[0][1].0.started, Some(at(10)));
     front.ask(20, gateway(), "RSIP *@s1", "RM: forced");
     front.sent(20);
     assert!(
--- a/crates/ochrelead-front/tests/parts.rs
+++ b/crates/ochrelead-front/tests/parts.rs
@@ -1,13 +1,11 @@
 //! The parts that decide or remember by themselves.
 
-use ochrelead_core::call::{Ending, ListState};
+use ochrelead_core::call::Ending;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_front::drain::Service;
 use ochrelead_front::endings;
 use ochrelead_front::numbers::Numbers;
-use ochrelead_front::roster::{Restart, Roster};
 use ochrelead_mgcp::message::Response;
-use ochrelead_settings::commission::Post;
 use test_case::test_case;
 
 const BUSY: Ending = Ending::BusyReplied { no_line: false, wait: None };
@@ -43,51 +41,6 @@
     assert_eq!((report.can_take, report.hold_back), expected);
 }
 
-fn post(name: &str, port: u16) -> Post {
-    let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
-    Post {
-        name: name.to_owned(),
-        address,
-        number: i64::from(port),
-        started: None,
-        draining: false,
-        weight: 1.0,
-    }
-}
-
-const READY: ListState = ListState::Ready { started: None };
-const FRESH: ListState = ListState::Ready { started: Some(Moment::from_micros(7)) };
-
-#[test_case(&[Restart::Drains], &[ListState::Draining]; "drains")]
-#[test_case(&[Restart::Gone, Restart::Drains], &[ListState::Gone]; "a drain told late does not bring it back")]
-#[test_case(&[Restart::Drains, Restart::Back], &[ListState::Draining, READY]; "back from a drain")]
-#[test_case(&[Restart::Gone, Restart::Back], &[ListState::Gone]; "gone is not back without a start")]
-#[test_case(&[Restart::Gone, Restart::Started], &[ListState::Gone, FRESH]; "started anew")]
-#[test_case(&[Restart::Disconnected], &[]; "disconnected changes nothing")]
-fn restarts(told: &[Restart], states: &[ListState]) {
-    let mut roster = Roster::default();
-    roster.relist(&[post("s0", 1)]);
-    let server = roster.named("S0").unwrap();
-    let news: Vec<ListState> = told
-        .iter()
-        .filter_map(|restart| roster.told(server, *restart, Span::ZERO, Moment::from_micros(7)))
-        .map(|news| news.listing.state)
-        .collect();
-    assert_eq!(news, states);
-}
-
-#[test]
-fn a_list_given_anew_keeps_indices_and_leaves_out_what_is_gone() {
-    let mut roster = Roster::default();
-    roster.relist(&[post("s0", 1), post("s1", 2)]);
-    let listings = roster.relist(&[post("s1", 9), post("s2", 2)]);
-    let states: Vec<bool> = listings.iter().map(|listing| listing.state == READY).collect();
-    assert_eq!(states, [false, true, true]);
-    assert_eq!(roster.at(post("", 9).address), roster.named("s1"), "moved, with its index");
-    assert_eq!(roster.at(post("", 1).address), None);
-    assert_eq!(roster.posts().len(), 2);
-}
-
 #[test]
 fn numbers_are_bounded_and_the_oldest_makes_room() {
     let mut numbers = Numbers::new(2);
--- a/crates/ochrelead-settings/src/commission.rs
+++ b/crates/ochrelead-settings/src/commission.rs
@@ -6,6 +6,7 @@
 use ochrelead_core::provision::{Member, Provision, Service};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_mgcp::exchange::Pace;
+use ochrelead_mgcp::message::Endpoint;
 
 use crate::numbering::{Numbering, collide};
 use crate::schema;
@@ -20,6 +21,7 @@
     /// For the module; its seed is given at each start.
     pub provision: Provision,
     pub numbering: Numbering,
+    pub service_names: Vec<String>,
     /// The timer limit of each service, for callers that name none.
     pub timer_limits: Vec<Span>,
     /// The first terms of the members' endpoint names.
@@ -38,12 +40,23 @@
     pub name: String,
     pub address: SocketAddr,
     pub number: i64,
+    /// The digits that name it as first choice.
+    pub dialled: String,
+    /// The first term of its trunk group's endpoint names.
+    pub trunk: String,
+    /// How many lines it has; zero where that is not known.
+    pub lines: u32,
+    /// The names of the services that it takes; empty where it takes all.
+    pub services: Vec<String>,
     pub started: Option<Moment>,
     pub draining: bool,
     /// Its part of drawn sessions against the other servers' weights.
     pub weight: f64,
 }
 
+/// The first term of a trunk group's endpoint names where nothing is said.
+const TRUNK: &str = "trunk";
+
 /// The weights that a server may have.
 pub const LEAST_WEIGHT: f64 = 0.001;
 pub const MOST_WEIGHT: f64 = 1_000.0;
@@ -89,7 +102,7 @@
     sheet.between(&path("fronts"), f64::from(fronts), 1.0, 100_000.0);
     let services = services(front, at, sheet);
     let (trunks, members) = members(front, at, sheet);
-    let roster = roster(front, at, sheet);
+    let roster = roster(&front.server, at, sheet);
     let numbers: Vec<i64> = roster.iter().map(|post| post.number).collect();
     for (nth, service) in front.service.iter().enumerate() {
         for (which, number) in service.server.iter().enumerate() {
@@ -99,7 +112,6 @@
             }
         }
     }
-    let dialled = front.server.iter().map(|server| server.dialled.clone().unwrap_or_default());
     let cold = front.cold.unwrap_or_default();
     let share = cold.share.unwrap_or(0.25);
     sheet.between(&path("cold.share"), share, 0.01, 1.0);
@@ -133,8 +145,9 @@
         },
         numbering: Numbering::new(
             front.service.iter().map(|service| service.dialled.clone().unwrap_or_default()).collect(),
-            dialled.zip(numbers).collect(),
+            &roster,
         ),
+        service_names: front.service.iter().map(|service| service.name.clone().unwrap_or_default()).collect(),
         timer_limits: front.service.iter().map(|s| millis(s.timer_limit_ms.unwrap_or(0))).collect(),
         trunks,
         roster,
@@ -232,19 +245,36 @@
     (trunks, members)
 }
 
-fn roster(front: &schema::Front, at: &str, sheet: &mut Sheet) -> Vec<Post> {
+/// Reads and checks the servers that stand at `at` in their file.
+pub fn roster(servers: &[schema::Server], at: &str, sheet: &mut Sheet) -> Vec<Post> {
     let mut roster: Vec<Post> = Vec::new();
-    for (nth, own) in front.server.iter().enumerate() {
+    for (nth, own) in servers.iter().enumerate() {
         let path = |field: &str| format!("{at}server[{nth}].{field}");
         let post = Post {
             name: sheet.need(&path("name"), own.name.clone()).to_ascii_lowercase(),
             address: address(sheet, &path("address"), own.address.as_deref()),
             number: i64::from(sheet.need(&path("number"), own.number)),
+            dialled: own.dialled.clone().unwrap_or_default(),
+            trunk: own.trunk.clone().unwrap_or_else(|| TRUNK.to_owned()),
+            lines: own.lines.unwrap_or(0),
+            services: own.service.clone(),
             started: own.started_us.map(Moment::from_micros),
             draining: own.draining.unwrap_or(false),
             weight: sheet.between(&path("weight"), own.weight.unwrap_or(1.0), LEAST_WEIGHT, MOST_WEIGHT),
         };
+        if format!("{}/1@{}", post.trunk, post.name).parse::<Endpoint>().is_err() || post.trunk.contains('/')
+        {
+            sheet.complain(&path("name"), format!("{}/1@{} is no endpoint name", post.trunk, post.name));
+        }
+        if !post.dialled.bytes().all(|byte| byte.is_ascii_digit()) {
+            sheet.complain(&path("dialled"), format!("dialled is {:?}; it must be digits", post.dialled));
+        }
         for before in &roster {
+            let shared = !before.dialled.is_empty() && !post.dialled.is_empty();
+            if shared && collide(&before.dialled, &post.dialled) {
+                let what = format!("dialled {:?} could mean {} too", post.dialled, before.name);
+                sheet.complain(&path("dialled"), what);
+            }
             if before.number == post.number {
                 sheet.complain(&path("number"), format!("number {} is {}'s too", post.number, before.name));
             }
@@ -272,37 +302,3 @@
         unset
     })
 }
-
-impl Commission {
-    /// Takes what was last known of the servers that the settings list; others in `last` are not listed any
-    /// more and are passed over.
-    pub fn remember(&mut self, last: &[Post]) {
-        for post in &mut self.roster {
-            if let Some(known) = last.iter().find(|known| known.name == post.name) {
-                (post.started, post.draining) = (known.started, known.draining);
-            }
-        }
-    }
-}
-
-/// A list as a front keeps it between two lives: the servers alone, in the form of the settings.
-pub fn roster_text(posts: &[Post]) -> String {
-    let line = |post: &Post| {
-        let started = post.started.map_or(String::new(), |at| format!(" started_us: {}", at.micros()));
-        let draining = if post.draining { " draining: true" } else { "" };
-        let Post { name, address, number, .. } = post;
-        format!("server {{ name: \"{name}\" address: \"{address}\" number: {number}{started}{draining} }}\n")
-    };
-    posts.iter().map(line).collect()
-}
-
-/// Reads a list that [`roster_text`] wrote.
-///
-/// # Errors
-///
-/// All that is wrong with it.
-pub fn open_roster(path: &Path) -> Result<Vec<Post>, Vec<Complaint>> {
-    let (front, mut sheet) = Sheet::open::<schema::Front>(path, "Front")?;
-    let posts = roster(&front, "", &mut sheet);
-    sheet.finish(posts)
-}
--- a/crates/ochrelead-settings/src/numbering.rs
+++ b/crates/ochrelead-settings/src/numbering.rs
@@ -2,6 +2,8 @@
 
 use ochrelead_core::index::ServiceIx;
 
+use crate::commission::Post;
+
 /// What a called number means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Dialled {
@@ -21,8 +23,15 @@
 pub const LONGEST_NUMBER: usize = 32;
 
 impl Numbering {
-    pub fn new(services: Vec<String>, servers: Vec<(String, i64)>) -> Numbering {
-        Numbering { services, servers }
+    pub fn new(services: Vec<String>, roster: &[Post]) -> Numbering {
+        let mut numbering = Numbering { services, servers: Vec::new() };
+        numbering.serve(roster);
+        numbering
+    }
+
+    /// The servers' digits, given anew.
+    pub fn serve(&mut self, roster: &[Post]) {
+        self.servers = roster.iter().map(|post| (post.dialled.clone(), post.number)).collect();
     }
 
     /// Reads the digits; none where no service begins so, or where they are no digits.
--- a/crates/ochrelead-settings/src/text.rs
+++ b/crates/ochrelead-settings/src/text.rs
@@ -78,19 +78,30 @@
 
     /// Something is wrong at a field, named as `server[1].lines`; a missing one is placed at what holds it.
     pub fn complain(&mut self, path: &str, what: impl Into<String>) {
+        let (line, column) = self.place(path);
+        self.complaints.push(Complaint { file: self.file.clone(), line, column, what: what.into() });
+    }
+
+    /// Where a field stands, as `file:line:column`.
+    pub fn whereabouts(&self, path: &str) -> String {
+        let (line, column) = self.place(path);
+        format!("{}:{line}:{column}", self.file)
+    }
+
+    /// The place of a field, or of what would hold it.
+    fn place(&self, path: &str) -> (usize, usize) {
         // A single field and the first of several are the same place.
         let path = path.replace("[0]", "");
         let mut at = path.as_str();
-        let (line, column) = loop {
+        loop {
             if let Some(place) = self.places.get(at) {
-                break *place;
+                return *place;
             }
             match at.rfind('.') {
                 Some(end) => at = &at[..end],
-                None => break (1, 1),
+                None => return (1, 1),
             }
-        };
-        self.complaints.push(Complaint { file: self.file.clone(), line, column, what: what.into() });
+        }
     }
 
     /// The value of a field that must be there.
@@ -112,6 +123,12 @@
         least
     }
 
+    /// Whether nothing stands behind a field.
+    pub fn ends_with(&self, path: &str) -> bool {
+        let last = self.places.values().max();
+        last.is_some() && self.places.get(path) == last
+    }
+
     /// The checked figures, unless something was wrong.
     ///
     /// # Errors
