--- a/crates/ochrelead-day/src/audit/mod.rs
+++ b/crates/ochrelead-day/src/audit/mod.rs
@@ -1,16 +1,18 @@
 //! The judge of a day: what was seen on the sockets and the day's script, nothing else.
 
 mod cold;
+mod drawn;
 mod rules;
 mod service;
 mod sightings;
 
 use std::fmt;
 
-use ochrelead_core::time::Moment;
+use ochrelead_core::time::{Moment, Span};
 use ochrelead_settings::day::Day;
 
 use crate::capture::Sight;
+pub use drawn::Drawn;
 pub use service::{Service, ceiling};
 
 /// The rules by their numbers, from 1.
@@ -63,6 +65,9 @@
 pub struct Verdict {
     pub tested: [Tested; 5],
     pub breaches: Vec<Breach>,
+    /// For each drain by file: from the file's last byte to the last INVITE to the server, zero where none came.
+    pub drained: Vec<Span>,
+    pub drawn: Drawn,
     pub service: Service,
 }
 
@@ -82,6 +87,7 @@
     let mut verdict = Verdict::default();
     rules::judge(day, &seen, &mut verdict);
     cold::judge(day, &seen, &mut verdict);
+    verdict.drawn = drawn::measure(day, &seen);
     verdict.service = service::measure(day, &seen);
     verdict.breaches.sort_by_key(|breach| (breach.at, breach.rule));
     verdict
--- a/crates/ochrelead-day/src/audit/rules.rs
+++ b/crates/ochrelead-day/src/audit/rules.rs
@@ -42,6 +42,8 @@
     invites: HashMap<TransactionId, (String, Option<Moment>)>,
     /// Servers that drain or are gone, since when this front was told.
     leaving: BTreeMap<u8, Moment>,
+    /// The server that this front's fleet file has draining, and since when; its last INVITE after that.
+    drained: Option<(u8, Moment, Option<Moment>)>,
     halted: bool,
     /// The last time that it stood still, until then.
     resumed: Option<Moment>,
@@ -94,11 +96,24 @@
                 let front = self.fronts.entry(front).or_default();
                 (front.halted, front.resumed) = (false, Some(at));
             }
+            Mark::Fleet(Party::Front(front), drains) => self.listed(at, front, drains),
             Mark::End => self.end(at),
             _ => {}
         }
     }
 
+    /// A front's fleet file is whole on disk: the time runs from its last byte.
+    fn listed(&mut self, at: Moment, front: u8, drains: Option<u8>) {
+        let front = self.fronts.entry(front).or_default();
+        if front.drained.map(|(server, ..)| server) == drains {
+            return;
+        }
+        if let Some((_, since, last)) = front.drained {
+            self.verdict.drained.push(last.map_or(Span::ZERO, |last| last.since(since)));
+        }
+        front.drained = drains.map(|server| (server, at, None));
+    }
+
     /// A caller's NTFY reached its front.
     fn notified(&mut self, at: Moment, front: u8, command: &Command) {
         let Some(tried) = command.parameters.get(name::TRY).filter(|_| command.verb == Verb::Notify) else {
@@ -212,6 +227,11 @@
         }
         front.invites.insert(transaction, (tried.to_owned(), None));
         let told = front.leaving.get(&server).copied();
+        let by_file = front.drained.as_mut().filter(|(drained, ..)| *drained == server);
+        let told = by_file.map_or(told, |(_, since, last)| {
+            *last = Some(at);
+            Some(told.unwrap_or(*since).min(*since))
+        });
         let resumed = front.resumed;
         let Some(held) = front.tries.get_mut(tried) else {
             return self.verdict.breach(1, tried, at, "an INVITE for a try that the front has not taken");
--- a/crates/ochrelead-day/src/audit/sightings.rs
+++ b/crates/ochrelead-day/src/audit/sightings.rs
@@ -29,6 +29,8 @@
     Begin(Party),
     Halt(Party),
     Resume(Party),
+    /// A front's fleet file is whole on disk and says that this server drains, or none.
+    Fleet(Party, Option<u8>),
     End,
 }
 
@@ -60,6 +62,11 @@
         return Some(Mark::End);
     }
     let (what, party) = text.split_once(' ')?;
+    if what == "fleet" {
+        let (party, drains) = party.split_once(' ')?;
+        let front = Party::of_shown(party.parse().ok()?)?;
+        return Some(Mark::Fleet(front, drains.parse().ok()));
+    }
     let party = Party::of_shown(party.trim().parse().ok()?)?;
     match what {
         "kill" => Some(Mark::Kill(party)),
--- a/crates/ochrelead-day/src/main.rs
+++ b/crates/ochrelead-day/src/main.rs
@@ -8,6 +8,7 @@
 use anyhow::Context;
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
+use ochrelead_core::time::Span;
 use ochrelead_day::audit::{self, RULES, Service, Verdict};
 use ochrelead_day::load::{self, Between};
 use ochrelead_day::party::Street;
@@ -267,6 +268,33 @@
     Ok(outcome(&verdict))
 }
 
+/// What became of drains and weights by file.
+fn tell_churn(verdict: &Verdict) {
+    let mut late: Vec<f64> = verdict
+        .drained
+        .iter()
+        .filter(|span| **span > Span::ZERO)
+        .map(|span| span.ratio(Span::from_millis(1)))
+        .collect();
+    late.sort_by(f64::total_cmp);
+    let quantile =
+        |share: f64| late.get(((late.len() as f64 - 1.0) * share) as usize).copied().unwrap_or(0.0);
+    println!(
+        "{} drains by file, an INVITE after {} of them: median {:.1} ms, nine in ten {:.1} ms, longest {:.1} ms",
+        verdict.drained.len(),
+        late.len(),
+        quantile(0.5),
+        quantile(0.9),
+        quantile(1.0)
+    );
+    println!(
+        "{} drawn INVITEs; widest gap to a weight {:.2} points, likelihood {:.3} (chi-squared)",
+        verdict.drawn.seen.iter().sum::<f64>(),
+        verdict.drawn.widest(),
+        verdict.drawn.likelihood()
+    );
+}
+
 fn outcome(verdict: &Verdict) -> Outcome {
     if verdict.is_kept() { Outcome::Kept } else { Outcome::Broken }
 }
@@ -283,6 +311,9 @@
         let state = if broken == 0 { "kept".to_owned() } else { format!("broken {broken} times") };
         println!("rule {}: {rule}: {state}; {} cases, nearest {nearest}", nth + 1, tested.cases);
     }
+    if !verdict.drained.is_empty() {
+        tell_churn(verdict);
+    }
     for breach in verdict.breaches.iter().take(MOST_TOLD) {
         println!("{breach}");
     }
--- a/crates/ochrelead-day/src/world.rs
+++ b/crates/ochrelead-day/src/world.rs
@@ -19,6 +19,8 @@
 use ochrelead_settings::day::{Day, Kind};
 use ochrelead_settings::schema;
 use ochrelead_standin::network::{Network, faults};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::capture::{Sight, Tape};
@@ -107,6 +109,13 @@
             executor.spawn(receive(socket, rig, clock, by, seen, self.street.own(by), wake)).detach();
         }
         executor.spawn(deliver(rig.clone(), clock, self.street, woken)).detach();
+        if let Some(churn) = &self.day.churn {
+            let fleets: anyhow::Result<Vec<Churning>> =
+                fronts.iter().map(|front| Churning::new(self, *front)).collect();
+            let span = (start, start + self.day.length);
+            let churn = churn.clone();
+            executor.spawn(rewrite(churn, fleets?, rig.clone(), clock, span, self.day.seed)).detach();
+        }
         let played =
             future::block_on(executor.run(self.follow(start, clock, &rig, &mut processes, progress)));
         processes.end();
@@ -156,9 +165,12 @@
         let settings = schema::Front {
             name: Some("front.example".to_owned()),
             listen: Some(self.street.own(front).to_string()),
-            server: listed.collect(),
+            server: if self.day.churn.is_some() { Vec::new() } else { listed.collect() },
             ..own.clone()
         };
+        if self.day.churn.is_some() {
+            Churning::new(self, front)?.write(1, None, false, 0)?;
+        }
         let file = self.settings_file(front);
         let state = file.with_extension("state");
         if state.exists() {
@@ -185,6 +197,9 @@
                 let seed = self.day.seed ^ (u64::from(nth) << 32) ^ u64::from(fresh);
                 command.args(["part", "front", "--settings"]).arg(&settings);
                 command.arg("--state").arg(settings.with_extension("state"));
+                if self.day.churn.is_some() {
+                    command.arg("--fleet").arg(settings.with_extension("fleet"));
+                }
                 command.args(["--deciding", self.deciding.name(), "--seed", &seed.to_string()]);
             }
             Party::Server(nth) => {
@@ -290,6 +305,99 @@
     }
 }
 
+/// The fleet file of one front.
+struct Churning {
+    front: Party,
+    folder: PathBuf,
+    servers: Vec<schema::Server>,
+}
+
+impl Churning {
+    fn new(world: &World, front: Party) -> anyhow::Result<Churning> {
+        let folder = world.settings_file(front).with_extension("fleet");
+        fs::create_dir_all(&folder).with_context(|| format!("{}", folder.display()))?;
+        let weights = world.day.churn.iter().flat_map(|churn| &churn.weights);
+        let server = |(nth, weight): (usize, &f64)| schema::Server {
+            name: Some(server_name(nth)),
+            address: Some(world.street.seen(Party::Server(nth as u8), front).to_string()),
+            number: Some(nth as u32),
+            dialled: Some(format!("{nth:02}")),
+            weight: Some(*weight),
+            ..schema::Server::default()
+        };
+        Ok(Churning { front, folder, servers: weights.enumerate().map(server).collect() })
+    }
+
+    /// Writes a generation in which one server drains: whole and sound, or `broken` in some way. In place or
+    /// beside and renamed, in turn.
+    fn write(&self, generation: u64, drains: Option<usize>, broken: bool, luck: u64) -> anyhow::Result<()> {
+        let mut servers = self.servers.clone();
+        if let Some(server) = drains.and_then(|nth| servers.get_mut(nth)) {
+            server.draining = Some(true);
+        }
+        if broken && luck % 3 == 0 {
+            servers[0].weight = Some(0.0);
+        }
+        let fleet =
+            schema::Fleet { generation: Some(generation), server: servers, ..schema::Fleet::default() };
+        let mut text = ochrelead_settings::text::written(&fleet, "Fleet");
+        text.push_str(&format!("\nend: {generation}\n"));
+        if broken && luck % 3 == 1 {
+            text.truncate(luck as usize % text.len());
+        }
+        if broken && luck % 3 == 2 {
+            text.push_str("server {");
+        }
+        let file = self.folder.join("fleet.textproto");
+        if generation % 2 == 0 {
+            return Ok(fs::write(file, text)?);
+        }
+        let beside = self.folder.join(".next");
+        fs::write(&beside, text)?;
+        Ok(fs::rename(beside, file)?)
+    }
+}
+
+/// Rewrites all fleet files, and marks in the capture what each sound one says.
+async fn rewrite(
+    churn: ochrelead_settings::day::Churn,
+    fleets: Vec<Churning>,
+    rig: Rc<RefCell<Rig>>,
+    clock: Clock,
+    (start, ends): (Moment, Moment),
+    seed: u64,
+) {
+    let mut chance = Pcg64Mcg::seed_from_u64(seed);
+    let mut generation = 1;
+    let mut next = start;
+    while next < ends {
+        clock.timer(Some(next)).await;
+        next = next + churn.every;
+        generation += 1;
+        let turn = (clock.now().since(start).micros() / churn.drain.micros()) as usize;
+        let drains = (turn % 2 == 1).then_some(turn / 2 % churn.weights.len());
+        for fleet in &fleets {
+            let broken = chance.random::<f64>() < churn.broken;
+            let written = fleet.write(generation, drains, broken, chance.random::<u32>().into());
+            let mut rig = rig.borrow_mut();
+            if let Err(error) = written {
+                rig.error = Some(error);
+            } else if !broken {
+                let said = drains.map_or("-".to_owned(), |nth| nth.to_string());
+                let text = format!("fleet {} {said}", fleet.front.shown());
+                let sight = Sight {
+                    at: clock.now(),
+                    from: Party::Rig,
+                    to: Party::Rig,
+                    reached: false,
+                    bytes: text.into_bytes(),
+                };
+                rig.error = rig.tape.put(&sight).err().or(rig.error.take());
+            }
+        }
+    }
+}
+
 /// Takes what `by` sends to `seen`.
 async fn receive(
     socket: Rc<Async<UdpSocket>>,
--- a/crates/ochrelead-settings/src/day.rs
+++ b/crates/ochrelead-settings/src/day.rs
@@ -22,6 +22,16 @@
     pub callers: Callers,
     pub network: Network,
     pub troubles: Vec<Trouble>,
+    pub churn: Option<Churn>,
+}
+
+/// Fleet files that are rewritten all day.
+#[derive(Clone, Debug)]
+pub struct Churn {
+    pub every: Span,
+    pub broken: f64,
+    pub drain: Span,
+    pub weights: Vec<f64>,
 }
 
 /// A stand-in signalling server.
@@ -195,6 +205,7 @@
     let callers =
         callers(&sheet.need("callers", day.callers), front.timer_limits.len(), front.trunks.len(), sheet);
     let network = network(day.network.unwrap_or_default(), sheet);
+    let churn = day.churn.as_ref().map(|own| churn(own, stand_ins.len(), sheet));
     let counts = (fronts, stand_ins.len());
     let troubles =
         day.trouble.iter().enumerate().map(|(nth, own)| trouble(own, nth, counts, sheet)).collect();
@@ -208,6 +219,7 @@
         callers,
         network,
         troubles,
+        churn,
     }
 }
 
@@ -274,6 +286,21 @@
     }
 }
 
+fn churn(own: &schema::Churn, servers: usize, sheet: &mut Sheet) -> Churn {
+    let every = sheet.need("churn.every_ms", own.every_ms);
+    if own.weight.len() != servers || own.weight.iter().any(|weight| !(0.001..=1_000.0).contains(weight)) {
+        let what =
+            format!("weight has {} figures; it must have {servers}, from 0.001 to 1000", own.weight.len());
+        sheet.complain("churn.weight", what);
+    }
+    Churn {
+        every: millis(sheet.between("churn.every_ms", f64::from(every), 1.0, 60_000.0) as u32),
+        broken: sheet.between("churn.broken", own.broken.unwrap_or(0.0), 0.0, 0.9),
+        drain: millis(own.drain_ms.unwrap_or(1_000).max(1)),
+        weights: own.weight.clone(),
+    }
+}
+
 fn trouble(own: &schema::Trouble, nth: usize, counts: (usize, usize), sheet: &mut Sheet) -> Trouble {
     let path = |field: &str| format!("trouble[{nth}].{field}");
     let named = sheet.need(&path("kind"), own.kind.clone());
