--- /dev/null
+++ b/crates/ochrelead-check/tests/program.rs
@@ -0,0 +1,30 @@
+//! The program says what a front would.
+
+use std::fs;
+use std::path::Path;
+use std::process::Command;
+
+use test_case::test_case;
+
+const SETTINGS: &str = r#"name: "f" listen: "127.0.0.1:1" fronts: 1 release_wait_ms: 200
+service { name: "check" dialled: "1" value: 1 post_dial_target_ms: 1500 timer_limit_ms: 9000 }
+"#;
+
+#[test_case(SETTINGS, "generation: 1 server { name: \"s0\" address: \"127.0.0.1:2\" number: 0 dialled: \"00\" } end: 1", 0, "warning"; "sound, with a warning")]
+#[test_case(SETTINGS, "generation: 1 server { name: \"s0\" address: \"127.0.0.1:2\" number: 0", 2, "a.textproto:1:"; "cut short")]
+#[test_case(SETTINGS, "", 2, "a.textproto:1:1: empty"; "empty")]
+#[test_case("fronts: 0", "", 2, "front.textproto:1:1: fronts is 0"; "settings")]
+fn checks(settings: &str, fleet: &str, code: i32, says: &str) {
+    let name = format!("{:08x}", settings.len() * 10_000 + fleet.len());
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::create_dir_all(folder.join("fleet")).unwrap();
+    fs::write(folder.join("front.textproto"), settings).unwrap();
+    fs::write(folder.join("fleet/a.textproto"), fleet).unwrap();
+    let run = Command::new(env!("CARGO_BIN_EXE_ochrelead-check"))
+        .args(["--settings", "front.textproto", "--fleet", "fleet"])
+        .current_dir(&folder)
+        .output()
+        .unwrap();
+    let said = String::from_utf8([run.stdout, run.stderr].concat()).unwrap();
+    assert!(run.status.code() == Some(code) && said.contains(says), "{said}");
+}
