Take servers that swap addresses for the running processes they are

Cause: a file that swaps two servers' addresses made both cold, and a fleet of two refused nearly all that came (found by the new engine test: the session after the swap had no INVITE).

Change: a moved server starts when the one did that the former list had at its new address, and now only where nobody was there.

Result: the session after the swap is set up at once, and the call that stood is released at its own process.

--- a/crates/ochrelead-fleet/src/roster.rs
+++ b/crates/ochrelead-fleet/src/roster.rs
@@ -6,7 +6,7 @@
 //! | ready | nothing, or that it started | ready |
 //! | ready | that it drains, or that it is gone | draining, gone |
 //! | ready after draining (news) | anything | ready: the operator takes it back |
-//! | another address (news) | anything | ready, started now: it is another process |
+//! | another address (news) | anything | ready; another process, started now or as who was there before |
 //! | new in a list that was in force | - | ready, started now unless the list says when |
 //! | a later start than known | - | ready, started then |
 //! | not there | anything | gone |
@@ -96,12 +96,18 @@
     /// The list is given anew and whole: what it names is listed, all else is gone. A server that moves to
     /// another address keeps its index.
     pub fn relist(&mut self, posts: &[Post], now: Moment) -> Vec<Listing> {
+        let listed = self.servers.iter().filter(|known| known.listed);
+        let processes: HashMap<SocketAddr, Option<Moment>> =
+            listed.map(|known| (known.post.address, known.post.started)).collect();
         for known in &mut self.servers {
             known.listed = false;
         }
         for post in posts {
             match self.by_name.get(&post.name) {
-                Some(index) => self.servers[index.at()].renew(post, now),
+                Some(index) => {
+                    let process = processes.get(&post.address).copied();
+                    self.servers[index.at()].renew(post, process.unwrap_or(Some(now)));
+                }
                 None => {
                     let mut post = post.clone();
                     // One more server in a running fleet is most likely a fresh one.
@@ -203,9 +209,11 @@
 }
 
 impl Known {
-    fn renew(&mut self, post: &Post, now: Moment) {
+    /// Listed again. `started`: the start of the process that a moved server is now.
+    fn renew(&mut self, post: &Post, started: Option<Moment>) {
         let (moved, back) = (self.post.address != post.address, self.post.draining && !post.draining);
-        let started = if moved { post.started.or(Some(now)) } else { self.post.started.max(post.started) };
+        let known = if moved { started } else { self.post.started };
+        let started = known.max(post.started);
         if moved || back {
             self.said = Said::Nothing;
         }
--- a/crates/ochrelead-fleet/tests/fleet.rs
+++ b/crates/ochrelead-fleet/tests/fleet.rs
@@ -241,6 +241,15 @@
     assert_eq!(roster.posts().len(), 2);
 }
 
+#[test]
+fn servers_that_swap_addresses_are_processes_that_were_running() {
+    let mut roster = Roster::default();
+    roster.relist(&[post("s0", 1), Post { started: Some(at(3)), ..post("s1", 2) }], at(9));
+    let moved = |name, port| Post { number: 1, ..post(name, port) };
+    let listings = roster.relist(&[moved("s0", 2), moved("s1", 1)], at(50));
+    assert_eq!([listings[0].state, listings[1].state], [ready(Some(3)), ready(None)]);
+}
+
 #[test]
 fn a_drain_undone_and_done_again_within_a_tenth_of_a_second() {
     let mut roster = Roster::default();
--- a/crates/ochrelead-front/tests/front.rs
+++ b/crates/ochrelead-front/tests/front.rs
@@ -322,3 +322,30 @@
         "only the server itself is believed"
     );
 }
+
+#[test]
+fn a_call_is_released_at_the_process_that_has_it_though_two_servers_swapped_addresses() {
+    let mut front = Front::start(100);
+    let (transaction, to) = front.invited(0, "a1");
+    front.stands(20, to, transaction, 5);
+    front.sent(20);
+    let mut posts = ochrelead_settings::commission::read("test", helper::SETTINGS).unwrap().roster;
+    (posts[0].address, posts[1].address) = (posts[1].address, posts[0].address);
+    front.engine.relist(at(100), &posts);
+    front.hang_up(200, "a1");
+    let sent = front.sent(200);
+    let Sent::Command(Verb::DeleteConnection, to, release) = &sent[1] else { panic!("{sent:?}") };
+    assert_eq!((*to, release.endpoint.to_string().as_str()), (server(0), "trunk/5@s0"));
+    // What comes is set up at the new address of its destination.
+    front.dial(300, "a2", "1004711");
+    assert_eq!(invite(&front.sent(300)).unwrap().1, server(1));
+}
+
+#[test]
+fn an_empty_list_refuses_every_session_at_once() {
+    let mut front = Front::start(100);
+    front.engine.relist(at(0), &[]);
+    front.dial(10, "a1", "1004711");
+    let sent = front.sent(10);
+    assert_eq!((answers(&sent), invite(&sent)), (vec!["busy"], None));
+}
