Say why each decision is what it is, and what is held of a server

Need: records and reports have to tell why an INVITE went where it did, what paid for it, and why a session was given up.

Change: Controller::why and Controller::outlook, read after a decision or at any moment; the decisions carry no more than before. The bucket remembers what its last re-send was paid by.

--- a/crates/ochrelead-core/src/bucket.rs
+++ b/crates/ochrelead-core/src/bucket.rs
@@ -1,5 +1,6 @@
 //! The re-send budget of a server: every re-send pays, a first set-up deposits, and what is not used decays.
 
+use crate::call::Payment;
 use crate::time::{Moment, Span};
 
 /// One token in whole small units, so that ten deposits make exactly one token.
@@ -15,6 +16,7 @@
     units: u64,
     at: Moment,
     last_resend: Option<Moment>,
+    by_floor: bool,
 }
 
 impl Bucket {
@@ -38,11 +40,17 @@
         if self.units < TOKEN && !floor {
             return false;
         }
-        self.units = if self.units >= TOKEN { self.units - TOKEN } else { self.units };
+        self.by_floor = self.units < TOKEN;
+        self.units -= if self.by_floor { 0 } else { TOKEN };
         self.last_resend = Some(now);
         true
     }
 
+    /// What the last re-send that passed was paid by.
+    pub fn last_payment(&self) -> Payment {
+        if self.by_floor { Payment::Floor } else { Payment::Token }
+    }
+
     /// A paid re-send goes elsewhere after all.
     pub fn refund(&mut self, now: Moment) {
         self.decay(now);
--- a/crates/ochrelead-core/src/call.rs
+++ b/crates/ochrelead-core/src/call.rs
@@ -75,6 +75,62 @@
     Gone,
 }
 
+/// Why a decision is what it is, for records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    Sent { choice: Choice, payment: Payment },
+    Denied(Denial),
+}
+
+/// How the server of an INVITE was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    Destination,
+    Drawn,
+}
+
+/// What let an INVITE pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Payment {
+    /// A first set-up asks no budget.
+    Free,
+    Token,
+    /// No re-send had gone to the server of late.
+    Floor,
+}
+
+/// Why a session was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// Its last ending is not sent again.
+    NotAgain,
+    /// The timer limit would come first.
+    TooLate,
+    /// All lines of its number were busy a moment ago.
+    NumberBusy,
+    InvitesSpent,
+    /// No server that it may go to has room.
+    NoRoom,
+    NoToken,
+}
+
+/// What is held of a server at a moment, for records.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Outlook {
+    /// How many INVITEs may be out.
+    pub limit: f64,
+    /// How many are.
+    pub waiting: u32,
+    pub answer_time: Span,
+    pub sick: bool,
+    pub fresh: bool,
+    /// The last sign of it was a slow answer or a failure.
+    pub troubled: bool,
+    /// What it sets up for all fronts, in sessions a second, as its lines show it.
+    pub flow: Option<f64>,
+    pub lines: Lines,
+}
+
 /// What the host is to do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Decision {
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -13,7 +13,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::call::{Decision, Ending, Lines, ListState, Listing, Offer, Report};
+use crate::call::{
+    Choice, Decision, Denial, Ending, Lines, ListState, Listing, Offer, Outlook, Payment, Reason, Report,
+};
 use crate::index::{MemberIx, ServerIx, ServiceIx, SessionIx};
 use crate::ledger::{Desk, Numbers, Out, Quota, Server, Session, Sessions};
 use crate::provision::{Member, Provision};
@@ -98,6 +100,8 @@
     /// When the host was last asked to come, and by how much it came too late for this turn.
     alarm: Option<Moment>,
     overslept: Span,
+    /// Why the decision last pulled is what it is.
+    reason: Reason,
     chance: Pcg64Mcg,
 }
 
@@ -136,6 +140,7 @@
             due: BTreeSet::new(),
             alarm: None,
             overslept: Span::ZERO,
+            reason: Reason::Denied(Denial::NoRoom),
             chance: Pcg64Mcg::seed_from_u64(provision.seed),
         }
     }
@@ -354,6 +359,26 @@
         None
     }
 
+    /// Why the decision last pulled is what it is.
+    pub fn why(&self) -> Reason {
+        self.reason
+    }
+
+    /// What is held of a server now, for records.
+    pub fn outlook(&self, server: ServerIx) -> Option<Outlook> {
+        let (at, now, target) = (self.servers.get(server.at())?, self.now, self.target);
+        Some(Outlook {
+            limit: at.limit(now, target),
+            waiting: at.waiting(target).count() as u32,
+            answer_time: at.answer_time(now, target),
+            sick: at.sick,
+            fresh: now < at.fresh_until,
+            troubled: at.troubled,
+            flow: at.flow,
+            lines: at.lines,
+        })
+    }
+
     /// When the host is to come again although nothing happens. While an answer is awaited that is often
     /// enough to tell by a late turn that this front itself stood still.
     pub fn wake(&mut self) -> Option<Moment> {
@@ -381,8 +406,15 @@
         let in_time = ready + self.margin < held.offer.timer_limit;
         // A number whose lines were all busy a moment ago takes nothing.
         let busy = held.offer.number.is_some_and(|number| self.numbers.get(number).busy_until > now);
-        if !may_run || !in_time || busy || held.invites >= self.most_invites {
-            return Some(self.give_up(session));
+        let spent = held.invites >= self.most_invites;
+        let denials = [
+            (!may_run, Denial::NotAgain),
+            (!in_time, Denial::TooLate),
+            (busy, Denial::NumberBusy),
+            (spent, Denial::InvitesSpent),
+        ];
+        if let Some((_, denial)) = denials.into_iter().find(|(holds, _)| *holds) {
+            return Some(self.give_up(session, denial));
         }
         let (resend, paid) = (held.invites > 0, held.paid);
         let kept = paid.filter(|to| self.has_room(*to, session));
@@ -392,14 +424,14 @@
             self.overflow.add(now, Span::ZERO);
         }
         let Some(server) = chosen else {
-            return Some(self.give_up(session));
+            return Some(self.give_up(session, Denial::NoRoom));
         };
         if resend && paid != Some(server) {
             if let Some(before) = paid {
                 self.servers[before.at()].bucket.refund(now);
             }
             if !self.servers[server.at()].bucket.withdraw(now) {
-                return Some(self.give_up(session));
+                return Some(self.give_up(session, Denial::NoToken));
             }
         }
         let held = self.sessions.get_mut(session)?;
@@ -421,6 +453,9 @@
         if !resend {
             at.bucket.deposit(now);
         }
+        let choice = if at.number == destination { Choice::Destination } else { Choice::Drawn };
+        let payment = if resend { at.bucket.last_payment() } else { Payment::Free };
+        self.reason = Reason::Sent { choice, payment };
         // Where answers get lost there is time for another INVITE.
         let patience = (now < at.lossy_until && repeatable).then(|| target.scaled(LOST_SHARE));
         Some(Decision::Invite { session, server, patience })
@@ -593,8 +628,9 @@
     }
 
     /// Given up: answered at once, with a time to come back where that may be named.
-    fn give_up(&mut self, session: SessionIx) -> Decision {
+    fn give_up(&mut self, session: SessionIx, denial: Denial) -> Decision {
         let now = self.now;
+        self.reason = Reason::Denied(denial);
         let Some(held) = self.forget(session) else { return Decision::Terminate { session } };
         if let Some(number) = held.offer.number {
             self.numbers.get_mut(number).given_up = Some(now);
--- a/crates/ochrelead-core/tests/rules.rs
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -4,7 +4,7 @@
 
 use helper::{BUSY, Front, LIMIT_MS, RELEASE_MS, TARGET_MS, at, given_up, invited, provision};
 use ochrelead_core::bucket::Bucket;
-use ochrelead_core::call::{Decision, Ending, ListState, Listing, Report};
+use ochrelead_core::call::{Choice, Decision, Denial, Ending, ListState, Listing, Payment, Reason, Report};
 use ochrelead_core::index::{MemberIx, ServerIx};
 use ochrelead_core::provision::{Member, Provision};
 use ochrelead_core::time::Span;
@@ -434,3 +434,28 @@
     let (_, decisions) = front.send(10, 0);
     assert_eq!(invited(&decisions), Some(0));
 }
+
+#[test]
+fn each_decision_says_why() {
+    let mut front = Front::with(2);
+    let sent = |choice, payment| Reason::Sent { choice, payment };
+    let mut why = Vec::new();
+    let (first, _) = front.send(0, 0);
+    why.push(front.rules.why());
+    front.end(10, first, 0, BUSY);
+    why.push(front.rules.why());
+    let (second, _) = front.send(20, 0);
+    front.end(30, second, 0, BUSY);
+    why.push(front.rules.why());
+    let (third, _) = front.send(40, 0);
+    front.end(50, third, 0, Ending::Fault { lines_busy: false });
+    why.push(front.rules.why());
+    let expected = [
+        sent(Choice::Destination, Payment::Free),
+        sent(Choice::Drawn, Payment::Floor),
+        Reason::Denied(Denial::NoToken),
+        Reason::Denied(Denial::NotAgain),
+    ];
+    assert_eq!(why, expected);
+    assert!(front.rules.outlook(ServerIx::new(0)).is_some_and(|outlook| outlook.troubled && outlook.sick));
+}
--- a/crates/ochrelead-front/src/judge.rs
+++ b/crates/ochrelead-front/src/judge.rs
@@ -1,6 +1,6 @@
 //! What the engine asks of whoever decides on sessions.
 
-use ochrelead_core::call::{Decision, Ending, Lines, Listing, Offer, Report};
+use ochrelead_core::call::{Decision, Ending, Lines, Listing, Offer, Outlook, Reason, Report};
 use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::rules::Controller;
 use ochrelead_core::time::Moment;
@@ -18,6 +18,14 @@
     fn reported(&mut self, server: ServerIx, report: Report);
     fn decide(&mut self) -> Option<Decision>;
     fn wake(&mut self) -> Option<Moment>;
+    /// Why the decision last pulled is what it is, where the judge tells.
+    fn why(&self) -> Option<Reason> {
+        None
+    }
+    /// What is held of a server now, where the judge tells.
+    fn outlook(&self, _server: ServerIx) -> Option<Outlook> {
+        None
+    }
 }
 
 impl Judge for Controller {
@@ -64,4 +72,12 @@
     fn wake(&mut self) -> Option<Moment> {
         Controller::wake(self)
     }
+
+    fn why(&self) -> Option<Reason> {
+        Some(Controller::why(self))
+    }
+
+    fn outlook(&self, server: ServerIx) -> Option<Outlook> {
+        Controller::outlook(self, server)
+    }
 }
