--- a/crates/ochrelead-day/src/main.rs
+++ b/crates/ochrelead-day/src/main.rs
@@ -85,6 +85,8 @@
         #[arg(long)]
         state: Option<PathBuf>,
         #[arg(long)]
+        records: Option<PathBuf>,
+        #[arg(long)]
         deciding: String,
         #[arg(long)]
         seed: u64,
@@ -155,10 +157,10 @@
 
 fn play(part: Part) -> anyhow::Result<()> {
     match part {
-        Part::Front { settings, fleet, state, deciding, seed } => {
+        Part::Front { settings, fleet, state, records, deciding, seed } => {
             let known = Deciding::ALL.iter().find(|(name, _)| *name == deciding);
             let (_, deciding) = known.with_context(|| format!("--deciding {deciding}: no such policy"))?;
-            part::front(&settings, Places { fleet, state }, *deciding, seed)
+            part::front(&settings, Places { fleet, state, records }, *deciding, seed)
         }
         Part::Server { stand_in, nth, fresh } => {
             let day = read(&stand_in.day)?;
--- a/crates/ochrelead-day/src/world.rs
+++ b/crates/ochrelead-day/src/world.rs
@@ -89,6 +89,10 @@
     /// Plays the day; `progress` is told how much of it has passed, in milliseconds.
     pub fn play(&self, progress: impl Fn(u64)) -> anyhow::Result<()> {
         fs::create_dir_all(&self.out).with_context(|| format!("{}", self.out.display()))?;
+        let records = self.out.join("records");
+        if records.exists() {
+            fs::remove_dir_all(&records)?;
+        }
         let clock = Clock::start();
         let start = clock.now() + Span::from_micros(LEAD.as_micros() as u64);
         let mut processes = Processes::default();
@@ -163,7 +167,7 @@
             ..schema::Server::default()
         });
         let settings = schema::Front {
-            name: Some("front.example".to_owned()),
+            name: Some(format!("f{}.example", front.shown().ip().octets()[3] - 1)),
             listen: Some(self.street.own(front).to_string()),
             server: if self.day.churn.is_some() { Vec::new() } else { listed.collect() },
             ..own.clone()
@@ -196,6 +200,7 @@
                 let settings = self.settings_file(party);
                 let seed = self.day.seed ^ (u64::from(nth) << 32) ^ u64::from(fresh);
                 command.args(["part", "front", "--settings"]).arg(&settings);
+                command.arg("--records").arg(self.out.join("records"));
                 command.arg("--state").arg(settings.with_extension("state"));
                 if self.day.churn.is_some() {
                     command.arg("--fleet").arg(settings.with_extension("fleet"));
--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -12,7 +12,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use ochrelead_core::call::{Decision, Ending};
+use ochrelead_core::call::{Decision, Denial, Ending, Outlook, Reason};
 use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_fleet::roster::{Roster, Said};
@@ -30,6 +30,8 @@
 const MOST_NUMBERS: usize = 65_536;
 /// Hang-ups that came before their try are remembered for so many tries.
 const MOST_OVERTAKEN: usize = 1_024;
+/// A turn that comes so much later than it was asked for is told.
+const PAUSE: Span = Span::from_millis(250);
 /// Notes that wait for the host; what comes beyond is dropped, the sessions go on.
 const MOST_NOTES: usize = 65_536;
 
@@ -59,6 +61,8 @@
     service: Service,
     notes: VecDeque<Note>,
     alarm: Option<Moment>,
+    /// When anything was last heard of each server.
+    heard: Vec<Option<Moment>>,
 }
 
 impl<J: Judge> Engine<J> {
@@ -78,16 +82,39 @@
             service: Service::Open,
             notes: VecDeque::new(),
             alarm: None,
+            heard: Vec::new(),
         };
         engine.relist(now, &roster);
         engine
     }
 
     fn clock(&mut self, now: Moment) {
+        let late = self.alarm.map_or(Span::ZERO, |alarm| now.since(alarm));
+        if late > PAUSE {
+            self.alarm = None;
+            self.note(Note::Paused(late));
+        }
         self.now = self.now.max(now);
         self.judge.clock(self.now);
     }
 
+    fn hear_of(&mut self, server: ServerIx) {
+        if self.heard.len() <= server.at() {
+            self.heard.resize(server.at() + 1, None);
+        }
+        self.heard[server.at()] = Some(self.now);
+    }
+
+    /// What is held of each listed server, and how long nothing was heard of it (none where nothing ever was).
+    pub fn outlooks(&self) -> Vec<(String, Outlook, Option<Span>)> {
+        let of = |name: String| {
+            let server = self.roster.named(&name)?;
+            let heard = self.heard.get(server.at()).copied().flatten();
+            Some((name, self.judge.outlook(server)?, heard.map(|at| self.now.since(at))))
+        };
+        self.roster.posts().into_iter().filter_map(|(post, _)| of(post.name)).collect()
+    }
+
     // ---- What comes in ----
 
     /// A datagram has come.
@@ -231,6 +258,7 @@
 
     fn asked(&mut self, from: SocketAddr, command: Command) {
         if let Some(server) = self.roster.at(from) {
+            self.hear_of(server);
             self.learn(server, &command.parameters);
         }
         match command.verb {
@@ -249,6 +277,7 @@
 
     fn answered(&mut self, from: SocketAddr, response: &Response, claim: Claim) {
         if let Some(server) = self.roster.at(from) {
+            self.hear_of(server);
             self.learn(server, &response.parameters);
         }
         match (claim, self.pending.remove(&response.transaction)) {
@@ -280,10 +309,14 @@
     }
 
     fn carry_out(&mut self, decision: Decision) {
+        let denial = match self.judge.why() {
+            Some(Reason::Denied(denial)) => Some(denial),
+            _ => None,
+        };
         match decision {
             Decision::Invite { session, server, patience } => self.invite(session, server, patience),
-            Decision::Refuse { session, come_back } => self.refuse(session, come_back),
-            Decision::Terminate { session } => self.fail(session),
+            Decision::Refuse { session, come_back } => self.refuse(session, come_back, denial),
+            Decision::Terminate { session } => self.fail(session, denial),
         }
     }
 
@@ -309,6 +342,6 @@
             self.call_off(session);
             self.judge.ended(session, server, Ending::Cancelled, true);
         }
-        self.fail(session);
+        self.fail(session, None);
     }
 }
--- a/crates/ochrelead-front/src/engine/book.rs
+++ b/crates/ochrelead-front/src/engine/book.rs
@@ -22,6 +22,7 @@
     /// Where it was sent; the server may have moved since.
     pub to: SocketAddr,
     pub transaction: TransactionId,
+    pub sent: Moment,
     pub until: Moment,
 }
 
@@ -54,6 +55,7 @@
     pub connection: Option<String>,
     pub tried: String,
     pub called: String,
+    pub taken: Moment,
     pub timer_limit: Moment,
     pub invites: u32,
     pub phase: Phase,
@@ -61,20 +63,15 @@
 }
 
 impl Call {
-    pub fn new(
-        gateway: SocketAddr,
-        line: Endpoint,
-        tried: String,
-        called: String,
-        timer_limit: Moment,
-    ) -> Call {
+    pub fn new(gateway: SocketAddr, line: Endpoint, tried: String, called: String, taken: Moment) -> Call {
         Call {
             gateway,
             line,
             connection: None,
             tried,
             called,
-            timer_limit,
+            taken,
+            timer_limit: taken,
             invites: 0,
             phase: Phase::Waiting,
             serial: 0,
@@ -127,10 +124,6 @@
         call.invites
     }
 
-    pub fn set_connection(&mut self, index: SessionIx, connection: Option<&str>) {
-        self.calls[index.at()].connection = connection.map(str::to_owned);
-    }
-
     /// Puts a session into its next phase and keeps all tables in step.
     pub fn turn_to(&mut self, index: SessionIx, phase: Phase) -> Phase {
         self.leave_phase(index);
--- a/crates/ochrelead-front/src/engine/callers.rs
+++ b/crates/ochrelead-front/src/engine/callers.rs
@@ -60,34 +60,38 @@
             command.parameters.read::<u32>(name::PATIENCE).map(|ms| Span::from_millis(u64::from(ms)));
         let limit = meant.map_or(Span::ZERO, |dialled| self.commission.timer_limits[dialled.service.at()]);
         let limit = patience.map_or(limit, |own| own.min(limit));
-        let call = Call::new(
-            from,
-            command.endpoint.clone(),
-            tried.to_owned(),
-            digits.to_owned(),
-            self.now + (limit - self.commission.answer_margin),
-        );
+        let (line, called) = (command.endpoint.clone(), digits.to_owned());
+        let mut call = Call::new(from, line, tried.to_owned(), called, self.now);
+        call.timer_limit = self.now + (limit - self.commission.answer_margin);
+        call.connection = command.parameters.get(name::CONNECTION).map(str::to_owned);
         let timer_limit = call.timer_limit;
         let session = self.book.enter(call);
-        self.book.set_connection(session, command.parameters.get(name::CONNECTION));
-        self.step(session, Step::Taken);
+        let trunk = command.endpoint.local().split('/').next().unwrap_or("");
+        let member = self.commission.trunks.iter().position(|own| own == trunk);
+        let redial = command.parameters.get(name::REDIAL).is_some_and(|value| value != "0");
+        let taken = Step::Taken {
+            service: meant.map_or(0, |dialled| dialled.service.at()),
+            member,
+            destination: meant.map_or(-1, |dialled| dialled.destination),
+            called: digits.to_owned(),
+            redial,
+        };
+        self.step(session, taken);
         let Some(Dialled { service, destination }) = meant else {
             // A number that means nothing: nothing can be set up.
-            return self.fail(session);
+            return self.fail(session, None);
         };
         if !self.service.takes_sessions() || self.book.len() > self.commission.most_held {
             let away = self.commission.provision.longest_away;
-            return self.refuse(session, (away > Span::ZERO).then_some(away));
+            return self.refuse(session, (away > Span::ZERO).then_some(away), None);
         }
-        let trunk = command.endpoint.local().split('/').next().unwrap_or("");
-        let member = self.commission.trunks.iter().position(|own| own == trunk).map(MemberIx::new);
         let offer = Offer {
             service,
-            member,
+            member: member.map(MemberIx::new),
             number: Some(self.numbers.index(digits)),
             destination,
             timer_limit,
-            redial: command.parameters.get(name::REDIAL).is_some_and(|value| value != "0"),
+            redial,
         };
         self.judge.offered(session, offer);
     }
@@ -130,11 +134,13 @@
         match call.phase.clone() {
             Phase::Waiting => {
                 self.judge.hung_up(session);
-                self.step(session, Step::HungUp);
+                self.step(session, Step::HungUp { out: None });
                 self.book.leave(session);
             }
             Phase::Inviting(invite) => {
-                self.step(session, Step::HungUp);
+                let server = self.roster.post(invite.server).name.clone();
+                let out = Some((server, self.now.since(invite.sent)));
+                self.step(session, Step::HungUp { out });
                 self.judge.hung_up(session);
                 self.call_off(session);
                 self.judge.ended(session, invite.server, Ending::Cancelled, true);
@@ -163,15 +169,15 @@
     }
 
     /// The one final answer of a refused session: busy tone, and when to come back.
-    pub(super) fn refuse(&mut self, session: SessionIx, come_back: Option<Span>) {
+    pub(super) fn refuse(&mut self, session: SessionIx, come_back: Option<Span>, denial: Option<Denial>) {
         let come_back_ms = come_back.map(|span| span.micros() / 1_000);
-        self.step(session, Step::Refused { come_back_ms });
+        self.step(session, Step::GivenUp { denial, refused: true, come_back_ms });
         self.tone(session, "L/bz", come_back_ms);
     }
 
     /// The one final answer of a failed session: reorder tone.
-    pub(super) fn fail(&mut self, session: SessionIx) {
-        self.step(session, Step::Failed);
+    pub(super) fn fail(&mut self, session: SessionIx, denial: Option<Denial>) {
+        self.step(session, Step::GivenUp { denial, refused: false, come_back_ms: None });
         self.tone(session, "L/ro", None);
     }
 
@@ -189,8 +195,9 @@
     }
 
     /// A call that stood was cut: the caller's half is taken down too. Its final answer was given before.
-    pub(super) fn cut(&mut self, session: SessionIx) {
-        self.step(session, Step::Cut);
+    pub(super) fn cut(&mut self, session: SessionIx, server: ServerIx) {
+        let server = self.roster.post(server).name.clone();
+        self.step(session, Step::Cut { server });
         let Some(call) = self.book.leave(session) else { return };
         let mut command = Command::new(Verb::DeleteConnection, 0, call.line)
             .with(name::CALL, &call.tried)
--- a/crates/ochrelead-front/src/engine/servers.rs
+++ b/crates/ochrelead-front/src/engine/servers.rs
@@ -37,12 +37,14 @@
         let (to, held) = (self.roster.post(server).address, self.book.session(session));
         let nth = self.book.count_invite(session);
         let name = self.roster.post(server).name.clone();
-        self.step(session, Step::Invited { server: name, nth });
+        let why = self.judge.why();
+        self.step(session, Step::Invited { server: name, nth, why });
         let Some(transaction) = self.ask(to, command, Pending::Invite(held)) else {
             return self.judge.ended(session, server, Ending::Unsent, false);
         };
         let until = patience.map_or(timer_limit, |span| timer_limit.min(self.now + span));
-        self.book.turn_to(session, Phase::Inviting(Invite { server, to, transaction, until }));
+        let sent = self.now;
+        self.book.turn_to(session, Phase::Inviting(Invite { server, to, transaction, sent, until }));
     }
 
     /// The answer to the INVITE that is out.
@@ -55,16 +57,18 @@
             return;
         };
         if let Some(ending) = endings::of_set_up(response) {
-            return self.invite_ended(index, invite.server, ending);
+            return self.invite_ended(index, invite, ending);
         }
         let Some(circuit) = circuit(invite.server, invite.to, response) else {
             // It says that the call stands but not where: it can be neither used nor taken down by name.
             self.take_down_call(invite, index);
-            return self.invite_ended(index, invite.server, Ending::Fault { lines_busy: false });
+            return self.invite_ended(index, invite, Ending::Fault { lines_busy: false });
         };
         self.judge.stands(index);
         let name = self.roster.post(invite.server).name.clone();
-        self.step(index, Step::Stands { server: name });
+        let taken = self.book.get(index).map_or(self.now, |call| call.taken);
+        let (took, since_taken) = (self.now.since(invite.sent), self.now.since(taken));
+        self.step(index, Step::Stands { server: name, took, since_taken });
         self.book.turn_to(index, Phase::Standing(circuit.clone()));
         self.connect(index, &circuit, response.description.clone());
     }
@@ -75,12 +79,14 @@
             return;
         };
         self.call_off(session);
-        self.invite_ended(session, invite.server, ending);
+        self.invite_ended(session, invite, ending);
     }
 
-    fn invite_ended(&mut self, session: SessionIx, server: ServerIx, ending: Ending) {
+    fn invite_ended(&mut self, session: SessionIx, invite: Invite, ending: Ending) {
+        let server = invite.server;
         let name = self.roster.post(server).name.clone();
-        self.step(session, Step::InviteEnded { server: name, ending });
+        let took = self.now.since(invite.sent);
+        self.step(session, Step::InviteEnded { server: name, ending, took });
         self.book.turn_to(session, Phase::Waiting);
         self.judge.ended(session, server, ending, false);
     }
@@ -153,7 +159,9 @@
 
     pub(super) fn released(&mut self, session: Session, server: ServerIx, ending: Ending) {
         if self.book.is(session) {
-            self.step(session.index, Step::Released);
+            let name = self.roster.post(server).name.clone();
+            let confirmed = ending == Ending::Released;
+            self.step(session.index, Step::Released { server: name, confirmed });
             self.judge.ended(session.index, server, ending, true);
             self.book.leave(session.index);
         }
@@ -186,11 +194,11 @@
             Some(Phase::Inviting(invite)) => {
                 self.exchange.abandon(self.now, invite.transaction);
                 self.pending.remove(&invite.transaction);
-                self.invite_ended(session, server, Ending::Reset);
+                self.invite_ended(session, invite, Ending::Reset);
             }
             Some(Phase::Standing(_)) => {
                 self.judge.ended(session, server, Ending::Reset, true);
-                self.cut(session);
+                self.cut(session, server);
             }
             _ => {}
         }
--- a/crates/ochrelead-front/src/host.rs
+++ b/crates/ochrelead-front/src/host.rs
@@ -16,6 +16,8 @@
 use ochrelead_fleet::sheet::Page;
 use ochrelead_fleet::store::{self, Folder, Kept};
 use ochrelead_fleet::watch;
+use ochrelead_records::schema::event::What;
+use ochrelead_records::writer::{Bounds, Recorder};
 use ochrelead_settings::commission::Commission;
 use tracing::{info, warn};
 
@@ -23,6 +25,7 @@
 use crate::judge::Judge;
 use crate::keeping::{self, Writing};
 use crate::note::{Note, Step};
+use crate::recording;
 
 /// So many datagrams are taken before the next turn.
 const MOST_AT_ONCE: usize = 512;
@@ -61,6 +64,8 @@
     /// A fleet file or a folder of them; without, the settings' servers are the list.
     pub fleet: Option<PathBuf>,
     pub state: Option<PathBuf>,
+    /// The folder of the event log.
+    pub records: Option<PathBuf>,
 }
 
 enum Event {
@@ -73,6 +78,8 @@
 /// What goes to disk, and when.
 struct Books {
     out: Option<(Sender<Writing>, JoinHandle<()>)>,
+    records: Option<Recorder>,
+    clock: Clock,
     next_status: Moment,
 }
 
@@ -89,7 +96,7 @@
     places: Places,
 ) -> io::Result<()> {
     let kept = recall(&places)?;
-    let services = commission.service_names.clone();
+    let (services, name) = (commission.service_names.clone(), commission.name.clone());
     let mut engine = engine(commission);
     let mut keeper = None;
     let (readings, watched) = match &places.fleet {
@@ -108,7 +115,12 @@
         engine.remember(clock.now(), &kept.servers);
     }
     let out = places.state.as_deref().map(keeping::start).transpose()?;
-    let mut books = Books { out, next_status: clock.now() };
+    let records = places.records.as_deref().map(|folder| {
+        let complain = |error| warn!(%error, "the records can't be written");
+        Recorder::start(folder, &name, clock.now().micros(), Bounds::default(), complain)
+    });
+    let mut books = Books { out, records: records.transpose()?, clock, next_status: clock.now() };
+    books.record(What::Life("start".to_owned()));
     let leave = Signals::new([Signal::Term, Signal::Int])?.map(|_| Event::Leave);
     let readable = stream::unfold(&socket, |socket| async move {
         socket.readable().await.ok()?;
@@ -141,6 +153,7 @@
         let outcome = match (event, keeper.as_mut()) {
             (Some(Event::Leave), _) => {
                 info!("leaving service");
+                books.record(What::Life("drain".to_owned()));
                 engine.leave(clock.now());
                 None
             }
@@ -159,6 +172,7 @@
             None => {}
         }
     }
+    books.record(What::Life("stop".to_owned()));
     books.close();
     info!("out of service");
     Ok(())
@@ -211,10 +225,18 @@
     }
 
     fn status<J: Judge>(&mut self, now: Moment, engine: &Engine<J>, keeper: Option<&Keeper>) {
-        if self.out.is_none() || now < self.next_status {
+        if now < self.next_status {
             return;
         }
         self.next_status = now + STATUS_GAP;
+        if self.records.is_some() {
+            for (server, held, unheard) in engine.outlooks() {
+                self.record(recording::outlook(server, held, unheard));
+            }
+        }
+        if self.out.is_none() {
+            return;
+        }
         let (held, open) = engine.load();
         let mut status =
             format!("written_us: {}\nsessions held: {held}, commands open: {open}\n", now.micros());
@@ -236,24 +258,38 @@
     }
 
     fn wake(&self) -> Option<Moment> {
-        self.out.as_ref().map(|_| self.next_status)
+        (self.out.is_some() || self.records.is_some()).then_some(self.next_status)
     }
 
-    fn write_down(&self, note: Note, keeper: Option<&Keeper>) {
+    fn record(&mut self, what: What) {
+        if let Some(records) = &mut self.records {
+            records.put(self.clock.now().micros(), what);
+        }
+    }
+
+    fn write_down(&mut self, note: Note, keeper: Option<&Keeper>) {
+        if self.records.is_some() {
+            let generation = keeper.map_or(0, |keeper| keeper.in_force().generation());
+            if let Some(what) = recording::record(&note, generation) {
+                self.record(what);
+            }
+        }
         match note {
             Note::Session { tried, what } => match what {
-                Step::Taken => info!(tried, "taken"),
-                Step::Invited { server, nth } => info!(tried, server, nth, "INVITE"),
-                Step::InviteEnded { server, ending } => info!(tried, server, ?ending, "INVITE ended"),
-                Step::Stands { server } => info!(tried, server, "stands"),
-                Step::Refused { come_back_ms } => info!(tried, come_back_ms, "refused"),
-                Step::Failed => info!(tried, "failed"),
-                Step::HungUp => info!(tried, "caller hung up"),
-                Step::Cut => info!(tried, "cut"),
-                Step::Released => info!(tried, "released"),
+                Step::Taken { called, .. } => info!(tried, called, "taken"),
+                Step::Invited { server, nth, why } => info!(tried, server, nth, ?why, "INVITE"),
+                Step::InviteEnded { server, ending, .. } => info!(tried, server, ?ending, "INVITE ended"),
+                Step::Stands { server, .. } => info!(tried, server, "stands"),
+                Step::GivenUp { denial, refused, come_back_ms } => {
+                    info!(tried, ?denial, refused, come_back_ms, "given up");
+                }
+                Step::HungUp { .. } => info!(tried, "caller hung up"),
+                Step::Cut { server } => info!(tried, server, "cut"),
+                Step::Released { server, confirmed } => info!(tried, server, confirmed, "released"),
                 Step::TakenDown { server } => info!(tried, server, "taken down: nobody claims it"),
             },
             Note::Server { name, what } => info!(server = name, what, "server"),
+            Note::Paused(span) => warn!(ms = span.micros() / 1_000, "this front stood still"),
             Note::PassedOver { from, why } => warn!(from, why, "passed over"),
             Note::List(servers) if servers.is_empty() => {}
             Note::List(servers) => {
--- a/crates/ochrelead-front/src/lib.rs
+++ b/crates/ochrelead-front/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`endings`]: what a server's answer means to the module.
 //! - [`numbers`]: called numbers by index, bounded.
 //! - [`drain`]: leaving service without losing a session.
+//! - [`note`]: what the engine tells; [`recording`]: its form in the records.
 //! - [`judge`]: what the engine asks of whoever decides, so that a rig can put a baseline in the module's place.
 //! - [`host`]: sockets, clock, signals; [`keeping`]: what is written to disk. They decide nothing.
 
@@ -17,3 +18,4 @@
 pub mod keeping;
 pub mod note;
 pub mod numbers;
+pub mod recording;
--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -44,6 +44,9 @@
     /// Where the last list, the status and the counters are kept
     #[arg(long, value_name = "DIR")]
     state: Option<PathBuf>,
+    /// Where the event log goes
+    #[arg(long, value_name = "DIR")]
+    records: Option<PathBuf>,
     /// Check the settings and stop
     #[arg(long)]
     check: bool,
@@ -138,7 +141,7 @@
     commission.provision.seed = seed;
     let socket =
         UdpSocket::bind(commission.listen).with_context(|| format!("listen on {}", commission.listen))?;
-    let places = Places { fleet: line.fleet, state: line.state };
+    let places = Places { fleet: line.fleet, state: line.state, records: line.records };
     let engine = |commission: Commission| {
         let judge = Controller::new(&commission.provision, clock.now());
         Engine::new(commission, judge, first, clock.now())
--- a/crates/ochrelead-front/src/note.rs
+++ b/crates/ochrelead-front/src/note.rs
@@ -1,6 +1,7 @@
-//! What the engine tells the log. The host writes it; nothing is decided by it.
+//! What the engine tells the log and the records. The host writes it; nothing is decided by it.
 
-use ochrelead_core::call::Ending;
+use ochrelead_core::call::{Denial, Ending, Reason};
+use ochrelead_core::time::Span;
 use ochrelead_fleet::roster::Said;
 use ochrelead_settings::commission::Post;
 
@@ -9,36 +10,62 @@
 pub enum Note {
     /// Of one session, known by the id of its caller's try.
     Session { tried: String, what: Step },
-    /// A server said something of itself, or the list did.
+    /// A server said something of itself.
     Server { name: String, what: &'static str },
     /// The list has changed: this is what a front that starts anew should know.
     List(Vec<(Post, Said)>),
     /// A message that was passed over, and why.
     PassedOver { from: String, why: String },
+    /// This front was called so much later than it had asked for.
+    Paused(Span),
 }
 
 /// A step of a session.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
-    Taken,
+    Taken {
+        /// As in the settings, by their places.
+        service: usize,
+        member: Option<usize>,
+        destination: i64,
+        called: String,
+        redial: bool,
+    },
     Invited {
         server: String,
         nth: u32,
+        /// Where the judge tells.
+        why: Option<Reason>,
     },
     InviteEnded {
         server: String,
         ending: Ending,
+        took: Span,
     },
     Stands {
         server: String,
+        /// From the INVITE, and from the caller's try.
+        took: Span,
+        since_taken: Span,
     },
-    Refused {
+    GivenUp {
+        /// None where the front itself gave it up, or the judge does not tell.
+        denial: Option<Denial>,
+        refused: bool,
         come_back_ms: Option<u64>,
     },
-    Failed,
-    HungUp,
-    Cut,
-    Released,
+    HungUp {
+        /// The INVITE that was out, and since when.
+        out: Option<(String, Span)>,
+    },
+    Cut {
+        server: String,
+    },
+    Released {
+        server: String,
+        /// The server confirmed it.
+        confirmed: bool,
+    },
     /// A call that nobody claims is taken down.
     TakenDown {
         server: String,
--- /dev/null
+++ b/crates/ochrelead-front/src/recording.rs
@@ -0,0 +1,123 @@
+//! From notes to records.
+
+use ochrelead_core::call::{Choice, Denial, Ending, Outlook, Payment, Reason};
+use ochrelead_core::time::Span;
+use ochrelead_records::schema::{self, event::What};
+
+use crate::note::{Note, Step};
+
+/// The record of a note; none where it is for the log alone. `generation`: of the fleet in force.
+pub fn record(note: &Note, generation: u64) -> Option<What> {
+    Some(match note {
+        Note::Session { tried, what } => step(tried.clone(), what)?,
+        Note::Server { name, what } => {
+            What::Told(schema::Told { server: name.clone(), what: (*what).to_owned() })
+        }
+        Note::List(posts) => {
+            let server = posts.iter().map(|(post, _)| post.name.clone()).collect();
+            What::Fleet(schema::Fleet { generation, server })
+        }
+        Note::Paused(span) => What::PausedUs(span.micros()),
+        Note::PassedOver { .. } => return None,
+    })
+}
+
+fn step(tried: String, what: &Step) -> Option<What> {
+    Some(match what.clone() {
+        Step::Taken { service, member, destination, called, redial } => What::Taken(schema::Taken {
+            tried,
+            service: service as u32,
+            member: member.map_or(0, |member| member as u32 + 1),
+            destination,
+            called,
+            redial,
+        }),
+        Step::Invited { server, nth, why } => {
+            let (choice, payment) = sent(why);
+            let (choice, payment) = (choice.into(), payment.into());
+            What::Invite(schema::Invite { tried, server, nth, choice, payment })
+        }
+        Step::InviteEnded { server, ending, took } => {
+            let (ending, took_us) = (ended(ending).into(), took.micros());
+            What::Ended(schema::Ended { tried, server, ending, took_us })
+        }
+        Step::Stands { server, took, since_taken } => What::Stands(schema::Stands {
+            tried,
+            server,
+            took_us: took.micros(),
+            since_taken_us: since_taken.micros(),
+        }),
+        Step::GivenUp { denial, refused, come_back_ms } => What::GivenUp(schema::GivenUp {
+            tried,
+            denial: denied(denial).into(),
+            refused,
+            come_back_ms: come_back_ms.unwrap_or(0) as u32,
+        }),
+        Step::HungUp { out } => {
+            let (server, waited) = out.unwrap_or_default();
+            What::HungUp(schema::HungUp { tried, server, waited_us: waited.micros() })
+        }
+        Step::Cut { server } => What::Cut(schema::Cut { tried, server }),
+        Step::Released { server, confirmed } => What::Released(schema::Released { tried, server, confirmed }),
+        Step::TakenDown { .. } => return None,
+    })
+}
+
+fn sent(why: Option<Reason>) -> (schema::Choice, schema::Payment) {
+    let Some(Reason::Sent { choice, payment }) = why else {
+        return (schema::Choice::Destination, schema::Payment::Free);
+    };
+    let choice = match choice {
+        Choice::Destination => schema::Choice::Destination,
+        Choice::Drawn => schema::Choice::Drawn,
+    };
+    let payment = match payment {
+        Payment::Free => schema::Payment::Free,
+        Payment::Token => schema::Payment::Token,
+        Payment::Floor => schema::Payment::Floor,
+    };
+    (choice, payment)
+}
+
+fn denied(denial: Option<Denial>) -> schema::Denial {
+    match denial {
+        None => schema::Denial::Front,
+        Some(Denial::NotAgain) => schema::Denial::NotAgain,
+        Some(Denial::TooLate) => schema::Denial::TooLate,
+        Some(Denial::NumberBusy) => schema::Denial::NumberBusy,
+        Some(Denial::InvitesSpent) => schema::Denial::InvitesSpent,
+        Some(Denial::NoRoom) => schema::Denial::NoRoom,
+        Some(Denial::NoToken) => schema::Denial::NoToken,
+    }
+}
+
+fn ended(ending: Ending) -> schema::Ending {
+    match ending {
+        Ending::Released | Ending::Fault { lines_busy: false } => schema::Ending::Fault,
+        Ending::Fault { lines_busy: true } => schema::Ending::LinesBusy,
+        Ending::BusyReplied { no_line: false, .. } => schema::Ending::Full,
+        Ending::BusyReplied { no_line: true, .. } => schema::Ending::NoLine,
+        Ending::TimedOut => schema::Ending::TimedOut,
+        Ending::ConnectFailed => schema::Ending::ConnectFailed,
+        Ending::Reset => schema::Ending::Reset,
+        Ending::Cancelled => schema::Ending::Cancelled,
+        Ending::Unsent => schema::Ending::Unsent,
+    }
+}
+
+/// What is held of a server, as a record.
+pub fn outlook(server: String, held: Outlook, unheard: Option<Span>) -> What {
+    What::Outlook(schema::Outlook {
+        server,
+        limit: held.limit,
+        waiting: held.waiting,
+        answer_us: held.answer_time.micros(),
+        sick: held.sick,
+        fresh: held.fresh,
+        troubled: held.troubled,
+        flow: held.flow.unwrap_or(-1.0),
+        free: held.lines.free,
+        lines: held.lines.all,
+        unheard_us: unheard.map_or(0, |span| span.micros().max(1)),
+    })
+}
