--- /dev/null
+++ b/crates/ochrelead-day/src/found.rs
@@ -0,0 +1,121 @@
+//! How well the diagnosis finds what a day's script did: from the fronts' records, against the script.
+
+use std::path::Path;
+
+use anyhow::Context;
+use ochrelead_core::time::{Moment, Span};
+use ochrelead_diagnosis::trouble::{Kind, Trouble};
+use ochrelead_report::incident::Incident;
+use ochrelead_settings::day::{self, Day};
+
+use crate::capture::Sight;
+use crate::party::Party;
+use crate::world::server_name;
+
+/// A trouble may be found so much later or earlier than it began, and so much than it ended.
+const ONSET: Span = Span::from_secs(3);
+const END: Span = Span::from_secs(5);
+
+/// One scripted trouble at one party, and what was made of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scripted {
+    pub kind: Kind,
+    pub of: String,
+    pub at: Span,
+    pub length: Span,
+    pub found: Option<Trouble>,
+}
+
+/// The outcome for one day; moments of troubles are counted from the day's start.
+#[derive(Clone, Debug, Default)]
+pub struct Found {
+    pub scripted: Vec<Scripted>,
+    /// Found, but in no script.
+    pub invented: Vec<Trouble>,
+}
+
+/// What the script says, in the diagnosis's words. A surge is a trouble where more is offered than the
+/// script's servers can carry.
+fn scripted(day: &Day) -> Vec<Scripted> {
+    let mut all = Vec::new();
+    for own in &day.troubles {
+        let mut add = |kind, of: String| {
+            all.push(Scripted { kind, of, at: own.at, length: own.length, found: None });
+        };
+        match own.kind {
+            day::Kind::AllSlow => add(Kind::AllSlow, String::new()),
+            day::Kind::HotNumber => add(Kind::HotNumber, String::new()),
+            day::Kind::Surge => {
+                let capacity: f64 = day.stand_ins.iter().map(|own| own.sessions_per_s).sum();
+                if day.callers.sessions_per_s * own.size > capacity {
+                    add(Kind::Overload, String::new());
+                }
+            }
+            kind => {
+                for which in &own.which {
+                    let front = format!("f{which}.example");
+                    match kind {
+                        day::Kind::Crash | day::Kind::Vanish => add(Kind::Crashed, server_name(*which)),
+                        day::Kind::Silent => add(Kind::Silent, server_name(*which)),
+                        day::Kind::Slow => add(Kind::Slow, server_name(*which)),
+                        day::Kind::Replaced => add(Kind::Replaced, server_name(*which)),
+                        day::Kind::AnswersLost => add(Kind::AnswersLost, server_name(*which)),
+                        day::Kind::FrontKilled => add(Kind::FrontKilled, front),
+                        day::Kind::FrontStall => add(Kind::FrontStalled, front),
+                        day::Kind::LinkCut => add(Kind::CutOff, front),
+                        day::Kind::Redials => add(Kind::Redials, format!("member {}", which + 1)),
+                        day::Kind::AllSlow | day::Kind::HotNumber | day::Kind::Surge => {}
+                    }
+                }
+            }
+        }
+    }
+    all
+}
+
+/// Compares the records of a day with its script.
+///
+/// # Errors
+///
+/// Where records or capture can't be read.
+pub fn compare(day: &Day, sights: &[Sight], records: &Path) -> anyhow::Result<Found> {
+    let marks = sights.iter().filter(|sight| sight.from == Party::Rig);
+    let start = marks
+        .map(|sight| String::from_utf8_lossy(&sight.bytes).into_owned())
+        .find_map(|text| text.strip_prefix("start ").and_then(|us| us.parse().ok()))
+        .map(Moment::from_micros)
+        .context("the capture has no start")?;
+    let incident = Incident::read(&[records.to_owned()])?;
+    let shifted = |at: Moment| Moment::START + at.since(start);
+    let troubles = incident.troubles.into_iter().map(|own| Trouble {
+        onset: shifted(own.onset),
+        end: own.end.map(shifted),
+        ..own
+    });
+    Ok(matched(day, troubles.collect()))
+}
+
+fn apart(a: Moment, b: Moment) -> Span {
+    a.since(b).max(b.since(a))
+}
+
+fn matched(day: &Day, mut troubles: Vec<Trouble>) -> Found {
+    let mut found = Found { scripted: scripted(day), invented: Vec::new() };
+    let day_ends = Moment::START + day.length;
+    for own in &mut found.scripted {
+        let (begins, ends) = (Moment::START + own.at, Moment::START + own.at + own.length);
+        let fits = |trouble: &Trouble| {
+            let of = trouble.of == own.of || matches!(own.kind, Kind::HotNumber);
+            let end = trouble.end.unwrap_or(day_ends);
+            trouble.kind == own.kind && of && apart(trouble.onset, begins) <= ONSET && apart(end, ends) <= END
+        };
+        if let Some(at) = troubles.iter().position(fits) {
+            own.found = Some(troubles.remove(at));
+        }
+    }
+    // Where more is offered than all servers together could carry, saying so is never invented.
+    let capacity: f64 = day.stand_ins.iter().map(|own| own.sessions_per_s).sum();
+    let over = day.callers.sessions_per_s > capacity;
+    found.invented = troubles.into_iter().filter(|own| !(over && own.kind == Kind::Overload)).collect();
+    found
+}
--- a/crates/ochrelead-day/src/lib.rs
+++ b/crates/ochrelead-day/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`part`]: what each of those processes runs.
 //! - [`baseline`]: textbook policies in the module's place.
 //! - [`capture`]: the capture file, written and read.
+//! - [`found`]: how well the diagnosis finds what the script did.
 //! - [`load`]: what one front carries, beside a bare relay.
 //! - [`audit`]: the five rules and the service, from the capture and the day's script alone. It shares no code
 //!   with the front beyond the MGCP grammar.
@@ -13,6 +14,7 @@
 pub mod audit;
 pub mod baseline;
 pub mod capture;
+pub mod found;
 pub mod load;
 pub mod part;
 pub mod party;
--- a/crates/ochrelead-day/src/main.rs
+++ b/crates/ochrelead-day/src/main.rs
@@ -8,8 +8,9 @@
 use anyhow::Context;
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
-use ochrelead_core::time::Span;
+use ochrelead_core::time::{Moment, Span};
 use ochrelead_day::audit::{self, RULES, Service, Verdict};
+use ochrelead_day::found;
 use ochrelead_day::load::{self, Between};
 use ochrelead_day::party::Street;
 use ochrelead_day::world::{Deciding, World, capture_file};
@@ -50,6 +51,13 @@
         #[arg(long)]
         day: PathBuf,
     },
+    /// How well the diagnosis finds what a played day's script did
+    Found {
+        /// The folder that the day was played into
+        out: PathBuf,
+        #[arg(long)]
+        day: PathBuf,
+    },
     /// Check days and stop
     Check {
         #[arg(required = true)]
@@ -135,6 +143,7 @@
     let done = match Line::parse().what {
         What::Run { day, out, alone } => run(&day, &out, alone),
         What::Audit { capture, day } => judge(&capture, &day),
+        What::Found { out, day } => found(&out, &day),
         What::Check { days } => days.iter().try_for_each(|day| read(day).map(drop)).map(|()| Outcome::Kept),
         What::Load { out, seconds, rates } => measure(&out, seconds, &rates),
         What::Part(part) => play(part).map(|()| Outcome::Kept),
@@ -173,6 +182,29 @@
     }
 }
 
+fn found(out: &Path, day: &Path) -> anyhow::Result<Outcome> {
+    let day = read(day)?;
+    let sights = capture::read(&capture_file(out))?;
+    let found = found::compare(&day, &sights, &out.join("records"))?;
+    let secs = |span: Span| span.ratio(Span::from_secs(1));
+    for own in &found.scripted {
+        let (at, ends) = (secs(own.at), secs(own.at + own.length));
+        let made = own.found.as_ref().map_or("missed".to_owned(), |trouble| {
+            let end = trouble
+                .end
+                .map_or("lasts".to_owned(), |end| format!("{:.1}", secs(end.since(Moment::START))));
+            format!("found {:.1} to {end}", secs(trouble.onset.since(Moment::START)))
+        });
+        println!("{} {}: scripted {at:.1} to {ends:.1}, {made}", own.kind.name(), own.of);
+    }
+    for own in &found.invented {
+        let end = own.end.map_or("lasts".to_owned(), |end| format!("{:.1}", secs(end.since(Moment::START))));
+        println!("invented, {:.1} to {end}: {own}", secs(own.onset.since(Moment::START)));
+    }
+    let all = found.scripted.iter().all(|own| own.found.is_some()) && found.invented.is_empty();
+    Ok(if all { Outcome::Kept } else { Outcome::Broken })
+}
+
 fn measure(out: &Path, seconds: u64, rates: &[u32]) -> anyhow::Result<Outcome> {
     let mut best = Vec::new();
     println!("{:<7} {:>11} {:>9} {:>9} {:>9}", "between", "sessions/s", "INVITEs", "p50 us", "p99 us");
--- /dev/null
+++ b/crates/ochrelead-report/src/lib.rs
@@ -0,0 +1,10 @@
+//! An incident explained from the fronts' own records.
+//!
+//! - [`incident`]: all records of some folders on one clock, with the diagnosis.
+//! - [`series`]: what is plotted, in fixed stretches of time.
+//! - [`page`]: one file for people; [`json`]: the same for machines.
+
+pub mod incident;
+pub mod json;
+pub mod page;
+pub mod series;
