Tell what is slow from what is overloaded, and a trouble from its wake

Cause: the first diagnosis took every late answer for a slow server: neighbours of a silent one, servers in a surge, those that had just started; a killed front for one that is cut off; late answers of a queue for lost ones.

Change: late while no more is offered than usual is slow, late while more is offered is overload; nothing is said of pace or refusals in the wake of a server's restart or a front's absence; an answer counts as one to a repeat only just after a repeat is due; a flooded number is one with many tries open at once; what several servers show together is one trouble of all.

--- a/crates/ochrelead-diagnosis/src/course.rs
+++ b/crates/ochrelead-diagnosis/src/course.rs
@@ -48,8 +48,40 @@
     pub heard: Option<Moment>,
     pub heard_by: BTreeMap<String, Moment>,
     pub drains_since: Option<Moment>,
-    /// The usual answer time while nothing was wrong; slow to follow.
-    pub usual: Option<f64>,
+    /// INVITEs sent there of late.
+    pub sent: Lately<()>,
+    /// The usual answer time, and INVITEs in a stretch, while nothing was wrong; slow to follow.
+    pub usual_answer: Usual,
+    pub usual_sent: Usual,
+    /// The first INVITE that was seen.
+    pub first_sent: Option<Moment>,
+    /// When it last started, as it said.
+    pub started: Option<Moment>,
+    /// When it last was silent.
+    pub silent: Option<Moment>,
+}
+
+/// A mean that is quick to learn and slow to forget.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usual {
+    mean: f64,
+    cases: u32,
+}
+
+/// After so many cases a mean follows no faster.
+const SETTLED: u32 = 50;
+/// Before so many it is not known.
+const KNOWN: u32 = 4;
+
+impl Usual {
+    pub fn learn(&mut self, figure: f64) {
+        self.cases = (self.cases + 1).min(SETTLED);
+        self.mean += (figure - self.mean) / f64::from(self.cases);
+    }
+
+    pub fn known(&self) -> Option<f64> {
+        (self.cases >= KNOWN).then_some(self.mean)
+    }
 }
 
 impl Default for Server {
@@ -60,7 +92,12 @@
             heard: None,
             heard_by: BTreeMap::new(),
             drains_since: None,
-            usual: None,
+            sent: Lately::new(Span::from_secs(6)),
+            usual_answer: Usual::default(),
+            usual_sent: Usual::default(),
+            first_sent: None,
+            started: None,
+            silent: None,
         }
     }
 }
--- a/crates/ochrelead-diagnosis/src/diagnosis.rs
+++ b/crates/ochrelead-diagnosis/src/diagnosis.rs
@@ -9,7 +9,7 @@
 use ochrelead_records::reader::Life;
 use ochrelead_records::schema::{Denial, Ending, Event, event::What};
 
-use crate::course::{Front, Lately, Server, seconds};
+use crate::course::{Front, Lately, Server, Usual, seconds};
 use crate::trouble::{Kind, Trouble};
 
 /// How often it is judged.
@@ -25,26 +25,32 @@
 /// Slow: so many times the usual answer time, and so much in seconds.
 const SLOW_TIMES: f64 = 2.5;
 const SLOW_LEAST: f64 = 0.12;
-/// An answer to a repeat: the first was lost. Repeats go out half a second after the INVITE.
-const REPEATED: f64 = 0.45;
+/// Repeats go out so many seconds after the INVITE (RFC 3435 section 4.3, doubling gaps): an answer just after
+/// one is an answer to it.
+const REPEATS: [f64; 3] = [0.5, 1.5, 3.5];
 /// A redial so soon after the last try's end is none of a patient caller.
 const AT_ONCE: Span = Span::from_millis(150);
 /// How many of them within the stretch are a trouble.
-const MANY: usize = 5;
+const MANY: usize = 4;
+/// A number with so many tries and calls at once is flooded.
+const FLOOD: usize = 4;
 /// The share of tries refused for lack of room that is overload.
 const REFUSED: f64 = 0.12;
+/// More offered than usual, as a multiple: what is late then is late for that.
+const MORE: f64 = 1.3;
+/// A try to a number whose last try ended less than this ago is a redial, and no new demand.
+const REDIAL: Span = Span::from_secs(5);
+/// A server that has started is slow for so long because it is cold.
+const COLD: Span = Span::from_secs(12);
+/// The wake of a server's silence or restart: what is refused or late then is so because of it.
+const WAKE: Span = Span::from_secs(8);
 /// A front that stood still for less is not worth a word.
 const STALL: Span = Span::from_millis(500);
+/// A front in service writes at least so often.
+const SIGNS: Span = Span::from_millis(1_200);
 /// A front that writes nothing for so long has ended; it writes each second.
 const NO_SIGN: Span = Span::from_secs(4);
 
-/// What callers of late did.
-#[derive(Clone, Debug)]
-struct Redial {
-    member: u32,
-    called: String,
-}
-
 /// The state of the diagnosis.
 pub struct Diagnosis {
     now: Moment,
@@ -55,13 +61,20 @@
     tries: BTreeMap<String, (u32, String)>,
     /// When a number's last try ended.
     ended: BTreeMap<String, Moment>,
-    redials: Lately<Redial>,
+    /// The members of redials that came at once.
+    redials: Lately<u32>,
     busy_numbers: Lately<String>,
+    /// Tries and calls of a number that are not over.
+    numbers: BTreeMap<String, usize>,
+    calls: BTreeMap<String, String>,
+    /// Tries that are no redials, and how many are usual in a stretch.
+    fresh: Lately<()>,
+    usual_fresh: Usual,
+    first_taken: Option<Moment>,
+    /// When more than usual was last offered.
+    last_more: Option<Moment>,
     taken: Lately<()>,
     refused: Lately<()>,
-    stood: Lately<()>,
-    /// The most that stood in a stretch so far: what the fleet was seen to carry.
-    carried: f64,
     open: BTreeMap<(Kind, String), Trouble>,
     /// When an open trouble was last seen.
     seen: BTreeMap<(Kind, String), Moment>,
@@ -79,10 +92,14 @@
             ended: BTreeMap::new(),
             redials: Lately::new(WINDOW),
             busy_numbers: Lately::new(WINDOW),
+            numbers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            fresh: Lately::new(WINDOW),
+            usual_fresh: Usual::default(),
+            first_taken: None,
+            last_more: None,
             taken: Lately::new(WINDOW),
             refused: Lately::new(WINDOW),
-            stood: Lately::new(WINDOW),
-            carried: 0.0,
             open: BTreeMap::new(),
             seen: BTreeMap::new(),
             closed: Vec::new(),
@@ -101,16 +118,25 @@
             What::Taken(taken) => {
                 self.taken.add(at, ());
                 let called = taken.called.clone();
-                if self.ended.get(&called).is_some_and(|then| at.since(*then) < AT_ONCE) {
-                    self.redials.add(at, Redial { member: taken.member, called: called.clone() });
+                let since = self.ended.get(&called).map(|then| at.since(*then));
+                if since.is_some_and(|since| since < AT_ONCE) {
+                    self.redials.add(at, taken.member);
                 }
+                if since.is_none_or(|since| since >= REDIAL) {
+                    self.first_taken.get_or_insert(at);
+                    self.fresh.add(at, ());
+                }
+                *self.numbers.entry(called.clone()).or_insert(0) += 1;
+                self.calls.insert(taken.tried.clone(), called.clone());
                 self.tries.insert(taken.tried.clone(), (taken.member, called));
             }
             What::Invite(invite) => {
-                self.server(&invite.server).out.insert(invite.tried.clone(), at);
+                let server = self.server(&invite.server);
+                server.out.insert(invite.tried.clone(), at);
+                server.sent.add(at, ());
+                server.first_sent.get_or_insert(at);
             }
             What::Stands(stands) => {
-                self.stood.add(at, ());
                 let took = Span::from_micros(stands.took_us);
                 let server = self.server(&stands.server);
                 server.out.remove(&stands.tried);
@@ -144,15 +170,19 @@
                     self.busy_numbers.add(at, called.clone());
                 }
                 self.try_ended(&given_up.tried, at);
+                self.call_over(&given_up.tried);
             }
             What::HungUp(hung_up) => {
                 if !hung_up.server.is_empty() {
                     self.server(&hung_up.server).out.remove(&hung_up.tried);
                 }
                 self.try_ended(&hung_up.tried, at);
+                self.call_over(&hung_up.tried);
             }
-            What::Cut(_) | What::Lost(_) | What::Fleet(_) => {}
+            What::Cut(cut) => self.call_over(&cut.tried),
+            What::Lost(_) | What::Fleet(_) => {}
             What::Released(released) => {
+                self.call_over(&released.tried);
                 if released.confirmed {
                     self.server(&released.server).hear(front, at);
                 }
@@ -213,12 +243,26 @@
         }
     }
 
+    fn call_over(&mut self, tried: &str) {
+        if let Some(called) = self.calls.remove(tried)
+            && let Some(open) = self.numbers.get_mut(&called)
+        {
+            *open -= 1;
+            if *open == 0 {
+                self.numbers.remove(&called);
+            }
+        }
+    }
+
     /// A front writes: it is alive, perhaps in a new life.
     fn front_seen(&mut self, life: &Life, at: Moment) {
         let front = self.fronts.entry(life.front.clone()).or_default();
         let (before, last, stopped) = (front.life, front.last, front.stopped);
         if before != life.started_us {
             *front = Front { life: life.started_us, last: at, stopped: false };
+            for server in self.servers.values_mut() {
+                server.heard_by.remove(&life.front);
+            }
             if before != 0 && !stopped {
                 let evidence = "its records end without a word and begin anew".to_owned();
                 self.open.remove(&(Kind::FrontKilled, life.front.clone()));
@@ -241,6 +285,7 @@
                 server.drains_since = None;
                 server.out.clear();
                 server.answers = Lately::new(Span::from_secs(6));
+                server.started = Some(at);
                 self.started(at, name, before, drains);
             }
             _ => {}
@@ -306,7 +351,7 @@
     }
 
     fn judge(&mut self, at: Moment) {
-        for lately in [&mut self.taken, &mut self.refused, &mut self.stood] {
+        for lately in [&mut self.taken, &mut self.refused, &mut self.fresh] {
             lately.forget(at);
         }
         self.redials.forget(at);
@@ -345,12 +390,14 @@
         }
         for (name, heard, waits) in &silent {
             let evidence = format!("no sign of it since, with {waits} INVITEs out over all fronts");
+            self.server(name).silent = Some(at);
             self.see(at, Kind::Silent, name, *heard, 0.9, evidence);
         }
         let gone = |name: &String| silent.iter().any(|(own, ..)| own == name);
         let mut cut_off = Vec::new();
         for (front, known) in &self.fronts {
-            if known.stopped || at.since(known.last) > Span::from_secs(2) {
+            // One that writes nothing itself stands still or is gone: that is another trouble.
+            if known.stopped || at.since(known.last) > SIGNS {
                 continue;
             }
             let heard: Vec<(Moment, Moment)> = self
@@ -371,56 +418,78 @@
         }
     }
 
-    /// Answer times: one server slow, all of them, or answers that came to the repeat only.
+    /// Answer times: one server slow, all of them, or answers that came to the repeat only. What is late while
+    /// no more is offered than usual is slow; what is late while more is offered is overloaded.
     fn judge_pace(&mut self, at: Moment) {
-        let mut slow: Vec<(String, f64, f64)> = Vec::new();
-        let mut judged = 0;
+        let mut late: Vec<(String, f64, f64)> = Vec::new();
+        let (mut judged, mut well, mut pressed) = (0, 0, 0);
         let mut lossy = Vec::new();
+        let recent = |then: Option<Moment>, span| then.is_some_and(|then| at.since(then) < span);
         for (name, server) in &mut self.servers {
             server.answers.forget(at);
+            server.sent.forget(at);
             let Some((middle, count)) = server.middle(at, WINDOW) else { continue };
-            if count < ENOUGH {
+            if count < ENOUGH || recent(server.started, COLD) || recent(server.silent, WAKE / 2) {
                 continue;
             }
             judged += 1;
-            let times = || server.answers.within(at, WINDOW).map(|(_, took)| seconds(*took));
-            let late = times().filter(|took| *took > REPEATED).count();
-            let easy = times().filter(|took| *took < REPEATED / 2.0).count();
-            let usual = server.usual.unwrap_or(middle);
-            // Some at once and some half a second late, with nothing between: the late ones answered a repeat.
-            if late >= 3 && easy >= 3 && late + easy >= count * 9 / 10 && late * 6 >= count {
-                lossy.push((name.clone(), late, count));
+            let seen = server.first_sent.map_or(Span::ZERO, |then| at.since(then)).min(WINDOW);
+            let whole = seen >= WINDOW / 2;
+            let sent = server.sent.within(at, WINDOW).count() as f64 / seconds(seen).max(0.5);
+            let usual = server.usual_answer.known().unwrap_or(middle);
+            let usually_sent = server.usual_sent.known().unwrap_or(f64::INFINITY);
+            let times: Vec<f64> = server.answers.within(at, WINDOW).map(|(_, took)| seconds(*took)).collect();
+            if let Some(repeated) = to_repeats(&times) {
+                lossy.push((name.clone(), repeated, count));
             } else if middle > usual * SLOW_TIMES && middle - usual > SLOW_LEAST {
-                slow.push((name.clone(), middle, usual));
-            } else {
-                server.usual = Some(usual + (middle - usual) * 0.02);
+                pressed += 1;
+                if sent <= usually_sent * MORE + 0.5 {
+                    late.push((name.clone(), middle, usual));
+                }
+            } else if whole {
+                well += usize::from(middle < usual * 1.5);
+                server.usual_answer.learn(middle);
+                server.usual_sent.learn(sent);
             }
         }
-        for (name, late, count) in lossy {
-            let onset = Moment::from_micros(at.micros().saturating_sub(WINDOW.micros() / 2));
-            let evidence = format!("{late} of {count} answers came to a repeat, the others at once");
-            self.see(at, Kind::AnswersLost, &name, onset, (late as f64 / 8.0).min(1.0), evidence);
-        }
-        let stood = self.stood.iter().count() as f64;
-        let tries = self.taken.iter().count().max(1) as f64;
-        let refused = self.refused.iter().count() as f64 / tries;
-        let all = judged > 1 && slow.len() == judged;
         let onset = Moment::from_micros(at.micros().saturating_sub(WINDOW.micros() / 2));
-        let carries = stood >= self.carried * 0.75;
-        if refused >= REFUSED && carries && slow.len() * 2 >= judged {
-            let evidence = format!(
-                "{:.0} in 100 tries refused for lack of room while the servers carry as much as ever",
-                refused * 100.0
-            );
-            self.see(at, Kind::Overload, "", onset, (refused * 2.0).min(1.0), evidence);
-        } else if all && !carries {
+        let wake = self.servers.values().any(|own| recent(own.started, WAKE) || recent(own.silent, WAKE));
+        for (name, repeated, count) in lossy.into_iter().filter(|_| !wake && late.is_empty()) {
+            let evidence = format!("{repeated} of {count} answers came to a repeat, the others at once");
+            self.see(at, Kind::AnswersLost, &name, onset, (repeated as f64 / 8.0).min(1.0), evidence);
+        }
+        let refused = self.refused.iter().count() as f64 / self.taken.iter().count().max(1) as f64;
+        let seen = self.first_taken.map_or(Span::ZERO, |then| at.since(then)).min(WINDOW);
+        let fresh = self.fresh.iter().count() as f64 / seconds(seen).max(0.5);
+        let more = self.usual_fresh.known().is_some_and(|usual| fresh > usual * MORE);
+        if more {
+            self.last_more = Some(at);
+        }
+        // What waits from a rush is late for a while after it.
+        let calm = self.last_more.is_none_or(|then| at.since(then) > WINDOW * 2);
+        let whole = self.fleet_is_whole(at);
+        let struck = self.open.keys().any(|(kind, _)| matches!(kind, Kind::Slow | Kind::AllSlow));
+        if late.len() > 1 && well == 0 && calm && whole && !wake {
             let evidence =
-                format!("all {judged} answer {SLOW_TIMES} times as late as usual and carry less than before");
+                format!("{} of {judged} answer late while no more is offered than usual", late.len());
+            let onset = self.take_over(Kind::Slow, onset);
             self.see(at, Kind::AllSlow, "", onset, 0.8, evidence);
-        } else if !all {
-            for (name, middle, usual) in slow {
+        } else if refused >= REFUSED && !wake && (more || !struck) && whole {
+            let percent = refused * 100.0;
+            let evidence =
+                format!("{percent:.0} in 100 tries refused for lack of room, with no server to blame");
+            self.see(at, Kind::Overload, "", onset, (refused * 2.0).min(1.0), evidence);
+        } else if more && judged > 1 && pressed * 2 >= judged {
+            let evidence = format!("{pressed} of {judged} answer late while more is offered than usual");
+            self.see(at, Kind::Overload, "", onset, 0.6, evidence);
+        } else if late.len() == 1 && calm && whole && !wake {
+            let lossy = |own: &Trouble, name: &str| own.kind == Kind::AnswersLost && own.of == name;
+            late.retain(|(name, ..)| {
+                !self.open.values().chain(self.closed.iter().rev().take(5)).any(|own| lossy(own, name))
+            });
+            for (name, middle, usual) in late {
                 let evidence =
-                    format!("answers after {middle:.2} s where {usual:.2} s are usual; others do not");
+                    format!("answers after {middle:.2} s where {usual:.2} s are usual, with no more to do");
                 self.see(
                     at,
                     Kind::Slow,
@@ -431,36 +500,51 @@
                 );
             }
         }
-        self.carried = self.carried.max(stood);
+        if !more && seen >= WINDOW / 2 && whole {
+            self.usual_fresh.learn(fresh);
+        }
+    }
+
+    /// What was held for one server's trouble is all servers': the onset of the first of them.
+    fn take_over(&mut self, kind: Kind, onset: Moment) -> Moment {
+        let same = |own: &Trouble| own.kind == kind && own.end.is_none_or(|end| onset.since(end) < SAME);
+        let first = self.open.values().chain(&self.closed).filter(|own| same(own)).map(|own| own.onset).min();
+        self.closed.retain(|own| !same(own));
+        self.open.retain(|_, own| !same(own));
+        first.map_or(onset, |first| first.min(onset))
+    }
+
+    /// Whether no front is, or was a moment ago, cut off, stalled or gone: its refusals are its own.
+    fn fleet_is_whole(&self, at: Moment) -> bool {
+        let fronts = |kind: Kind| matches!(kind, Kind::CutOff | Kind::FrontStalled | Kind::FrontKilled);
+        let recent = |own: &Trouble| own.end.is_some_and(|end| at.since(end) < WAKE / 2);
+        !self.open.keys().any(|(kind, _)| fronts(*kind))
+            && !self.closed.iter().rev().take(20).any(|own| fronts(own.kind) && recent(own))
     }
 
     /// Callers that dial again at once, and numbers that many dial.
     fn judge_callers(&mut self, at: Moment) {
-        let mut by_number: BTreeMap<&str, usize> = BTreeMap::new();
-        let mut by_member: BTreeMap<u32, usize> = BTreeMap::new();
-        for (_, redial) in self.redials.iter() {
-            *by_number.entry(&redial.called).or_insert(0) += 1;
-            *by_member.entry(redial.member).or_insert(0) += 1;
-        }
+        let mut busy: BTreeMap<&str, usize> = BTreeMap::new();
         for (_, called) in self.busy_numbers.iter() {
-            *by_number.entry(called).or_insert(0) += 1;
+            *busy.entry(called).or_insert(0) += 1;
         }
-        let all: usize = by_member.values().sum();
-        let hot = by_number
-            .iter()
-            .max_by_key(|(_, count)| **count)
-            .map(|(called, count)| ((*called).to_owned(), *count));
-        let worst =
-            by_member.iter().max_by_key(|(_, count)| **count).map(|(member, count)| (*member, *count));
+        let mut members: BTreeMap<u32, usize> = BTreeMap::new();
+        for (_, member) in self.redials.iter() {
+            *members.entry(*member).or_insert(0) += 1;
+        }
+        let most = |counts: Vec<(String, usize)>| counts.into_iter().max_by_key(|(_, count)| *count);
+        let busiest = most(busy.iter().map(|(called, count)| ((*called).to_owned(), *count)).collect());
+        let fullest = most(self.numbers.iter().map(|(called, open)| (called.clone(), *open)).collect());
         let onset = Moment::from_micros(at.micros().saturating_sub(WINDOW.micros() / 2));
-        if let Some((called, count)) = hot.filter(|(_, count)| *count >= MANY) {
-            let evidence = format!(
-                "{count} tries in {} s that met its busy lines or came again at once",
-                seconds(WINDOW)
-            );
-            self.see(at, Kind::HotNumber, &called, onset, (count as f64 / 15.0).min(1.0), evidence);
+        let flooded =
+            busiest.filter(|(_, count)| *count >= MANY).or(fullest.filter(|(_, open)| *open >= FLOOD));
+        if let Some((called, count)) = flooded {
+            let evidence = format!("{count} tries met its busy lines, or are open, at once");
+            self.see(at, Kind::HotNumber, &called, onset, (count as f64 / 12.0).min(1.0), evidence);
             return;
         }
+        let all: usize = members.values().sum();
+        let worst = members.iter().max_by_key(|(_, count)| **count).map(|(member, count)| (*member, *count));
         if let Some((member, count)) = worst.filter(|(_, count)| *count >= MANY && *count * 4 >= all * 3) {
             let evidence = format!("{count} of {all} tries that came again at once are its callers'");
             let name = format!("member {member}");
@@ -484,3 +568,16 @@
         }
     }
 }
+
+/// How many answers came to a repeat, where the others came at once and nothing between: the first ones were
+/// lost. A slow server answers at all times.
+fn to_repeats(times: &[f64]) -> Option<usize> {
+    let first = REPEATS[0];
+    let easy: Vec<f64> = times.iter().copied().filter(|took| *took < first / 2.0).collect();
+    let late: Vec<f64> = times.iter().copied().filter(|took| *took >= first / 2.0).collect();
+    let reach = easy.iter().copied().fold(0.0, f64::max) + 0.05;
+    let just_after = |took: &&f64| REPEATS.iter().any(|repeat| (0.0..reach).contains(&(**took - repeat)));
+    let repeated = late.iter().filter(just_after).count();
+    let mixed = easy.len() >= 3 && late.len() >= 3 && late.len() * 6 >= times.len();
+    (mixed && repeated * 5 >= late.len() * 4).then_some(repeated)
+}
