Tell turns from losses, a stall from a cut, and say so when only the status was late

Change: lost are answers where easy and repeated ones come by turns, by when their INVITEs left; a stall or an end takes the cut of the same front with it; the status, due each second, tells a pause that nothing else does.

--- a/crates/ochrelead-diagnosis/src/diagnosis.rs
+++ b/crates/ochrelead-diagnosis/src/diagnosis.rs
@@ -327,6 +327,12 @@
         confidence: f64,
         evidence: String,
     ) {
+        if matches!(kind, Kind::FrontStalled | Kind::FrontKilled) {
+            // That it heard no server is the same thing.
+            let same = |own: &Trouble| own.kind == Kind::CutOff && own.of == of && own.onset + SAME >= onset;
+            self.closed.retain(|own| !same(own));
+            self.open.retain(|_, own| !same(own));
+        }
         self.closed.push(Trouble { kind, of: of.to_owned(), onset, end: Some(end), confidence, evidence });
     }
 
@@ -438,8 +444,11 @@
             let sent = server.sent.within(at, WINDOW).count() as f64 / seconds(seen).max(0.5);
             let usual = server.usual_answer.known().unwrap_or(middle);
             let usually_sent = server.usual_sent.known().unwrap_or(f64::INFINITY);
-            let times: Vec<f64> = server.answers.within(at, WINDOW).map(|(_, took)| seconds(*took)).collect();
-            if let Some(repeated) = to_repeats(&times) {
+            let sent_and_took = |(then, took): &(Moment, Span)| {
+                (seconds(then.since(Moment::START)) - seconds(*took), seconds(*took))
+            };
+            let answers: Vec<(f64, f64)> = server.answers.within(at, WINDOW).map(sent_and_took).collect();
+            if let Some(repeated) = to_repeats(&answers) {
                 lossy.push((name.clone(), repeated, count));
             } else if middle > usual * SLOW_TIMES && middle - usual > SLOW_LEAST {
                 pressed += 1;
@@ -569,15 +578,18 @@
     }
 }
 
-/// How many answers came to a repeat, where the others came at once and nothing between: the first ones were
-/// lost. A slow server answers at all times.
-fn to_repeats(times: &[f64]) -> Option<usize> {
+/// How many answers came to a repeat, where others came at once and nothing between: the first ones were lost.
+/// A slow server answers at all times, and one that turns slow or well again answers first so and then so; here
+/// both kinds come by turns. Each answer with when its INVITE was sent, in seconds.
+fn to_repeats(answers: &[(f64, f64)]) -> Option<usize> {
     let first = REPEATS[0];
-    let easy: Vec<f64> = times.iter().copied().filter(|took| *took < first / 2.0).collect();
-    let late: Vec<f64> = times.iter().copied().filter(|took| *took >= first / 2.0).collect();
-    let reach = easy.iter().copied().fold(0.0, f64::max) + 0.05;
-    let just_after = |took: &&f64| REPEATS.iter().any(|repeat| (0.0..reach).contains(&(**took - repeat)));
-    let repeated = late.iter().filter(just_after).count();
-    let mixed = easy.len() >= 3 && late.len() >= 3 && late.len() * 6 >= times.len();
-    (mixed && repeated * 5 >= late.len() * 4).then_some(repeated)
+    let (easy, late): (Vec<_>, Vec<_>) = answers.iter().copied().partition(|(_, took)| *took < first / 2.0);
+    let reach = easy.iter().map(|(_, took)| *took).fold(0.0, f64::max) + 0.05;
+    let just_after = |took: f64| REPEATS.iter().any(|repeat| (0.0..reach).contains(&(took - repeat)));
+    let repeated = late.iter().filter(|(_, took)| just_after(*took)).count();
+    let begins = |of: &[(f64, f64)]| of.iter().map(|(sent, _)| *sent).fold(f64::INFINITY, f64::min);
+    let after = |of: &[(f64, f64)], then: f64| of.iter().filter(|(sent, _)| *sent > then).count();
+    let by_turns = after(&easy, begins(&late)) >= 2 && after(&late, begins(&easy)) >= 2;
+    let mixed = easy.len() >= 3 && late.len() >= 3 && late.len() * 6 >= answers.len();
+    (by_turns && mixed && repeated * 5 >= late.len() * 4).then_some(repeated)
 }
--- a/crates/ochrelead-front/src/host.rs
+++ b/crates/ochrelead-front/src/host.rs
@@ -29,6 +29,8 @@
 
 /// So many datagrams are taken before the next turn.
 const MOST_AT_ONCE: usize = 512;
+/// A status that is so late tells that the front stood still.
+const STALL: Span = Span::from_millis(250);
 /// How often the status is written.
 const STATUS_GAP: Span = Span::from_secs(1);
 
@@ -81,6 +83,8 @@
     records: Option<Recorder>,
     clock: Clock,
     next_status: Moment,
+    /// A pause was recorded in this turn.
+    paused: bool,
 }
 
 /// Runs a front until it has left service. `engine` makes one of the settings.
@@ -119,7 +123,8 @@
         let complain = |error| warn!(%error, "the records can't be written");
         Recorder::start(folder, &name, clock.now().micros(), Bounds::default(), complain)
     });
-    let mut books = Books { out, records: records.transpose()?, clock, next_status: clock.now() };
+    let mut books =
+        Books { out, records: records.transpose()?, clock, next_status: clock.now(), paused: false };
     books.record(What::Life("start".to_owned()));
     let leave = Signals::new([Signal::Term, Signal::Int])?.map(|_| Event::Leave);
     let readable = stream::unfold(&socket, |socket| async move {
@@ -228,6 +233,12 @@
         if now < self.next_status {
             return;
         }
+        // Nothing else may have been due: then only this is late.
+        let late = now.since(self.next_status);
+        if late > STALL && !std::mem::take(&mut self.paused) {
+            self.record(What::PausedUs(late.micros()));
+        }
+        self.paused = false;
         self.next_status = now + STATUS_GAP;
         if self.records.is_some() {
             for (server, held, unheard) in engine.outlooks() {
@@ -289,7 +300,10 @@
                 Step::TakenDown { server } => info!(tried, server, "taken down: nobody claims it"),
             },
             Note::Server { name, what } => info!(server = name, what, "server"),
-            Note::Paused(span) => warn!(ms = span.micros() / 1_000, "this front stood still"),
+            Note::Paused(span) => {
+                self.paused = true;
+                warn!(ms = span.micros() / 1_000, "this front stood still");
+            }
             Note::PassedOver { from, why } => warn!(from, why, "passed over"),
             Note::List(servers) if servers.is_empty() => {}
             Note::List(servers) => {
