Show the fleet now on a console; tell all slow from one slow

Need: a silent server must show within seconds. And the first figures of the diagnosis called one server slow where none was well.

A silent server shows on the console in under 3 s of its records.

--- /dev/null
+++ b/crates/ochrelead-console/tests/watch.rs
@@ -0,0 +1,104 @@
+//! What the console makes of records as they come, and that a silent server shows within seconds.
+
+use ochrelead_console::plain;
+use ochrelead_console::screen::{Shown, draw};
+use ochrelead_console::watch::Watch;
+use ochrelead_core::time::Span;
+use ochrelead_records::reader::{Life, Record};
+use ochrelead_records::schema::event::What;
+use ochrelead_records::schema::{Event, Invite, Outlook, Stands, Taken};
+use ratatui::Terminal;
+use ratatui::backend::TestBackend;
+
+fn record(ms: u64, front: u64, what: What) -> Record {
+    let life = Life { front: format!("f{front}"), started_us: 1 };
+    Record { life, event: Event { at_us: 5_000_000_000 + ms * 1_000, nth: 0, what: Some(what) }, unknown: 0 }
+}
+
+/// Two fronts, two servers; one is silent from a moment on.
+fn course(length: u64, silent_from: u64) -> Vec<Record> {
+    let mut records = Vec::new();
+    for nth in 0..length / 50 {
+        let (ms, front, server) = (nth * 50, nth % 2, nth / 2 % 2);
+        let (tried, name) = (format!("{nth:x}"), format!("s{server}"));
+        records.push(record(
+            ms,
+            front,
+            What::Taken(Taken { tried: tried.clone(), called: tried.clone(), ..Taken::default() }),
+        ));
+        let invite = Invite { tried: tried.clone(), server: name.clone(), nth: 1, ..Invite::default() };
+        records.push(record(ms + 1, front, What::Invite(invite)));
+        if server == 0 || ms < silent_from {
+            let stands = Stands { tried, server: name, took_us: 50_000, since_taken_us: 51_000 };
+            records.push(record(ms + 50, front, What::Stands(stands)));
+        }
+    }
+    for second in 0..length / 1_000 {
+        for (front, server) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
+            let ms = second * 1_000;
+            let since = if server == 1 && ms > silent_from { ms - silent_from } else { 100 };
+            let held = Outlook {
+                server: format!("s{server}"),
+                limit: 2.5,
+                unheard_us: since * 1_000,
+                ..Outlook::default()
+            };
+            records.push(record(ms, front, What::Outlook(held)));
+        }
+    }
+    records.sort_by_key(|own| own.event.at_us);
+    records
+}
+
+#[test]
+fn a_silent_server_shows_within_three_seconds() {
+    let mut watch = Watch::default();
+    let mut shown_at = None;
+    for own in course(20_000, 10_000) {
+        let ms = (own.event.at_us - 5_000_000_000) / 1_000;
+        watch.take(own);
+        watch.settle(Span::ZERO);
+        if shown_at.is_none() && watch.servers.get("s1").is_some_and(|server| server.state() == "silent") {
+            shown_at = Some(ms);
+        }
+    }
+    let after = shown_at.expect("it shows") - 10_000;
+    assert!((1_000..3_000).contains(&after), "{after} ms");
+    assert_eq!(watch.servers["s0"].state(), "well");
+    assert!(plain::of(&watch).contains("s1: silent"), "{}", plain::of(&watch));
+    assert_eq!(watch.fronts_here(), 2);
+}
+
+#[test]
+fn records_that_come_out_of_order_are_taken_in_order() {
+    let mut apart = course(12_000, 6_000);
+    // One front's come a second's worth at a time after the other's.
+    apart.sort_by_key(|own| (own.event.at_us / 400_000, own.life.front.clone(), own.event.at_us));
+    let (mut one, mut other) = (Watch::default(), Watch::default());
+    course(12_000, 6_000).into_iter().for_each(|own| {
+        one.take(own);
+        one.settle(Span::ZERO);
+    });
+    apart.into_iter().for_each(|own| {
+        other.take(own);
+        other.settle(Span::ZERO);
+    });
+    [&mut one, &mut other].into_iter().for_each(|watch| watch.settle(Span::from_secs(2)));
+    assert_eq!(plain::of(&one), plain::of(&other));
+}
+
+#[test]
+fn the_screen_shows_servers_troubles_and_a_servers_sessions() {
+    let mut watch = Watch::default();
+    course(20_000, 10_000).into_iter().for_each(|own| watch.take(own));
+    watch.settle(Span::ZERO);
+    let text = |shown: &Shown| {
+        let mut terminal = Terminal::new(TestBackend::new(140, 40)).unwrap();
+        terminal.draw(|frame| draw(frame, &watch, shown)).unwrap();
+        terminal.backend().to_string()
+    };
+    let fleet = text(&Shown::default());
+    assert!(fleet.contains("s1: silent") && fleet.contains("no sign of it since"), "{fleet}");
+    let story = text(&Shown { picked: 1, story: true });
+    assert!(story.contains("last sessions at s1") && story.contains("INVITE 1 to s1"), "{story}");
+}
--- a/crates/ochrelead-diagnosis/src/diagnosis.rs
+++ b/crates/ochrelead-diagnosis/src/diagnosis.rs
@@ -24,7 +24,7 @@
 const ENOUGH: usize = 5;
 /// Slow: so many times the usual answer time, and so much in seconds.
 const SLOW_TIMES: f64 = 2.5;
-const SLOW_LEAST: f64 = 0.12;
+const SLOW_LEAST: f64 = 0.16;
 /// Repeats go out so many seconds after the INVITE (RFC 3435 section 4.3, doubling gaps): an answer just after
 /// one is an answer to it.
 const REPEATS: [f64; 3] = [0.5, 1.5, 3.5];
@@ -478,7 +478,7 @@
         let calm = self.last_more.is_none_or(|then| at.since(then) > WINDOW * 2);
         let whole = self.fleet_is_whole(at);
         let struck = self.open.keys().any(|(kind, _)| matches!(kind, Kind::Slow | Kind::AllSlow));
-        if late.len() > 1 && well == 0 && calm && whole && !wake {
+        if !late.is_empty() && judged > 1 && well == 0 && calm && whole && !wake {
             let evidence =
                 format!("{} of {judged} answer late while no more is offered than usual", late.len());
             let onset = self.take_over(Kind::Slow, onset);
@@ -491,7 +491,7 @@
         } else if more && judged > 1 && pressed * 2 >= judged {
             let evidence = format!("{pressed} of {judged} answer late while more is offered than usual");
             self.see(at, Kind::Overload, "", onset, 0.6, evidence);
-        } else if late.len() == 1 && calm && whole && !wake {
+        } else if late.len() == 1 && well > 0 && calm && whole && !wake {
             let lossy = |own: &Trouble, name: &str| own.kind == Kind::AnswersLost && own.of == name;
             late.retain(|(name, ..)| {
                 !self.open.values().chain(self.closed.iter().rev().take(5)).any(|own| lossy(own, name))
@@ -590,6 +590,6 @@
     let begins = |of: &[(f64, f64)]| of.iter().map(|(sent, _)| *sent).fold(f64::INFINITY, f64::min);
     let after = |of: &[(f64, f64)], then: f64| of.iter().filter(|(sent, _)| *sent > then).count();
     let by_turns = after(&easy, begins(&late)) >= 2 && after(&late, begins(&easy)) >= 2;
-    let mixed = easy.len() >= 3 && late.len() >= 3 && late.len() * 6 >= answers.len();
+    let mixed = easy.len() >= 3 && late.len() >= 4 && late.len() * 4 >= answers.len();
     (by_turns && mixed && repeated * 5 >= late.len() * 4).then_some(repeated)
 }
--- a/crates/ochrelead-diagnosis/src/trouble.rs
+++ b/crates/ochrelead-diagnosis/src/trouble.rs
@@ -34,6 +34,24 @@
 }
 
 impl Kind {
+    /// In a word or two, for plots.
+    pub fn short(self) -> &'static str {
+        match self {
+            Kind::Slow => "slow",
+            Kind::AllSlow => "all slow",
+            Kind::Silent => "silent",
+            Kind::Crashed => "crashed",
+            Kind::Replaced => "replaced",
+            Kind::AnswersLost => "answers lost",
+            Kind::CutOff => "cut off",
+            Kind::FrontKilled => "killed",
+            Kind::FrontStalled => "stood still",
+            Kind::Redials => "redials",
+            Kind::HotNumber => "flooded",
+            Kind::Overload => "overload",
+        }
+    }
+
     /// In plain words.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/ochrelead-report/src/page.rs
+++ b/crates/ochrelead-report/src/page.rs
@@ -28,7 +28,7 @@
 table { border-collapse: collapse; width: 100%; font-size: .92rem; }
 th, td { text-align: left; padding: .3rem .6rem .3rem 0; border-bottom: 1px solid var(--line);
   vertical-align: top; }
-td.num, th.num { text-align: right; font-variant-numeric: tabular-nums; }
+td.num, th.num { text-align: right; white-space: nowrap; font-variant-numeric: tabular-nums; }
 ol.story { font-size: .9rem; } details { background: var(--soft); padding: .5rem .8rem; margin: .5rem 0; }
 svg text { fill: var(--ink); font-size: 11px; } svg text.faint { fill: var(--faint); }
 .axis { stroke: var(--line); } .bar { fill: var(--bad); opacity: .75; } .life { fill: var(--good); opacity: .55; }
@@ -147,7 +147,7 @@
 
 fn label(own: &Trouble) -> String {
     let of = own.of.split('.').next().unwrap_or("");
-    let text = format!("{of} {}", own.kind.name());
+    let text = format!("{of} {}", own.kind.short());
     text.trim().chars().take(25).collect()
 }
 
