--- /dev/null
+++ b/crates/ochrelead-diagnosis/src/diagnosis/pace.rs
@@ -0,0 +1,145 @@
+//! Answer times, refusals and what is offered: slow, all slow, overloaded, or answers lost.
+
+use super::*;
+
+/// How many answers a judgement on a server's pace asks for.
+const ENOUGH: usize = 5;
+/// Slow: so many times the usual answer time, and so much in seconds.
+const SLOW_TIMES: f64 = 2.5;
+const SLOW_LEAST: f64 = 0.16;
+/// Repeats go out so many seconds after the INVITE (RFC 3435 section 4.3, doubling gaps): an answer just after
+/// one is an answer to it.
+const REPEATS: [f64; 3] = [0.5, 1.5, 3.5];
+/// The share of tries refused for lack of room that is overload.
+const REFUSED: f64 = 0.12;
+/// More offered than usual, as a multiple: what is late then is late for that.
+const MORE: f64 = 1.3;
+/// A server that has started is slow for so long because it is cold.
+const COLD: Span = Span::from_secs(12);
+/// The wake of a server's silence or restart: what is refused or late then is so because of it.
+const WAKE: Span = Span::from_secs(8);
+
+impl Diagnosis {
+    /// Answer times: one server slow, all of them, or answers that came to the repeat only. What is late while
+    /// no more is offered than usual is slow; what is late while more is offered is overloaded.
+    pub(super) fn judge_pace(&mut self, at: Moment) {
+        let mut late: Vec<(String, f64, f64)> = Vec::new();
+        let (mut judged, mut well, mut pressed) = (0, 0, 0);
+        let mut lossy = Vec::new();
+        let recent = |then: Option<Moment>, span| then.is_some_and(|then| at.since(then) < span);
+        for (name, server) in &mut self.servers {
+            server.answers.forget(at);
+            server.sent.forget(at);
+            let Some((middle, count)) = server.middle(at, WINDOW) else { continue };
+            if count < ENOUGH || recent(server.started, COLD) || recent(server.silent, WAKE / 2) {
+                continue;
+            }
+            judged += 1;
+            let seen = server.first_sent.map_or(Span::ZERO, |then| at.since(then)).min(WINDOW);
+            let whole = seen >= WINDOW / 2;
+            let sent = server.sent.within(at, WINDOW).count() as f64 / seconds(seen).max(0.5);
+            let usual = server.usual_answer.known().unwrap_or(middle);
+            let usually_sent = server.usual_sent.known().unwrap_or(f64::INFINITY);
+            let sent_and_took = |(then, took): &(Moment, Span)| {
+                (seconds(then.since(Moment::START)) - seconds(*took), seconds(*took))
+            };
+            let answers: Vec<(f64, f64)> = server.answers.within(at, WINDOW).map(sent_and_took).collect();
+            if let Some(repeated) = to_repeats(&answers) {
+                lossy.push((name.clone(), repeated, count));
+            } else if middle > usual * SLOW_TIMES && middle - usual > SLOW_LEAST {
+                pressed += 1;
+                if sent <= usually_sent * MORE + 0.5 {
+                    late.push((name.clone(), middle, usual));
+                }
+            } else if whole {
+                well += usize::from(middle < usual * 1.5);
+                server.usual_answer.learn(middle);
+                server.usual_sent.learn(sent);
+            }
+        }
+        let onset = Moment::from_micros(at.micros().saturating_sub(WINDOW.micros() / 2));
+        let wake = self.servers.values().any(|own| recent(own.started, WAKE) || recent(own.silent, WAKE));
+        for (name, repeated, count) in lossy.into_iter().filter(|_| !wake && late.is_empty()) {
+            let evidence = format!("{repeated} of {count} answers came to a repeat, the others at once");
+            self.see(at, Kind::AnswersLost, &name, onset, (repeated as f64 / 8.0).min(1.0), evidence);
+        }
+        let refused = self.refused.iter().count() as f64 / self.taken.iter().count().max(1) as f64;
+        let seen = self.first_taken.map_or(Span::ZERO, |then| at.since(then)).min(WINDOW);
+        let fresh = self.fresh.iter().count() as f64 / seconds(seen).max(0.5);
+        let more = self.usual_fresh.known().is_some_and(|usual| fresh > usual * MORE);
+        if more {
+            self.last_more = Some(at);
+        }
+        // What waits from a rush is late for a while after it.
+        let calm = self.last_more.is_none_or(|then| at.since(then) > WINDOW * 2);
+        let whole = self.fleet_is_whole(at);
+        let struck = self.open.keys().any(|(kind, _)| matches!(kind, Kind::Slow | Kind::AllSlow));
+        if !late.is_empty() && judged > 1 && well == 0 && calm && whole && !wake {
+            let evidence =
+                format!("{} of {judged} answer late while no more is offered than usual", late.len());
+            let onset = self.take_over(Kind::Slow, onset);
+            self.see(at, Kind::AllSlow, "", onset, 0.8, evidence);
+        } else if refused >= REFUSED && !wake && (more || !struck) && whole {
+            let percent = refused * 100.0;
+            let evidence =
+                format!("{percent:.0} in 100 tries refused for lack of room, with no server to blame");
+            self.see(at, Kind::Overload, "", onset, (refused * 2.0).min(1.0), evidence);
+        } else if more && judged > 1 && pressed * 2 >= judged {
+            let evidence = format!("{pressed} of {judged} answer late while more is offered than usual");
+            self.see(at, Kind::Overload, "", onset, 0.6, evidence);
+        } else if late.len() == 1 && well > 0 && calm && whole && !wake {
+            let lossy = |own: &Trouble, name: &str| own.kind == Kind::AnswersLost && own.of == name;
+            late.retain(|(name, ..)| {
+                !self.open.values().chain(self.closed.iter().rev().take(5)).any(|own| lossy(own, name))
+            });
+            for (name, middle, usual) in late {
+                let evidence =
+                    format!("answers after {middle:.2} s where {usual:.2} s are usual, with no more to do");
+                self.see(
+                    at,
+                    Kind::Slow,
+                    &name,
+                    onset,
+                    (middle / usual / SLOW_TIMES / 2.0).min(1.0),
+                    evidence,
+                );
+            }
+        }
+        if !more && seen >= WINDOW / 2 && whole {
+            self.usual_fresh.learn(fresh);
+        }
+    }
+
+    /// What was held for one server's trouble is all servers': the onset of the first of them.
+    fn take_over(&mut self, kind: Kind, onset: Moment) -> Moment {
+        let same = |own: &Trouble| own.kind == kind && own.end.is_none_or(|end| onset.since(end) < SAME);
+        let first = self.open.values().chain(&self.closed).filter(|own| same(own)).map(|own| own.onset).min();
+        self.closed.retain(|own| !same(own));
+        self.open.retain(|_, own| !same(own));
+        first.map_or(onset, |first| first.min(onset))
+    }
+
+    /// Whether no front is, or was a moment ago, cut off, stalled or gone: its refusals are its own.
+    fn fleet_is_whole(&self, at: Moment) -> bool {
+        let fronts = |kind: Kind| matches!(kind, Kind::CutOff | Kind::FrontStalled | Kind::FrontKilled);
+        let recent = |own: &Trouble| own.end.is_some_and(|end| at.since(end) < WAKE / 2);
+        !self.open.keys().any(|(kind, _)| fronts(*kind))
+            && !self.closed.iter().rev().take(20).any(|own| fronts(own.kind) && recent(own))
+    }
+}
+
+/// How many answers came to a repeat, where others came at once and nothing between: the first ones were lost.
+/// A slow server answers at all times, and one that turns slow or well again answers first so and then so; here
+/// both kinds come by turns. Each answer with when its INVITE was sent, in seconds.
+fn to_repeats(answers: &[(f64, f64)]) -> Option<usize> {
+    let first = REPEATS[0];
+    let (easy, late): (Vec<_>, Vec<_>) = answers.iter().copied().partition(|(_, took)| *took < first / 2.0);
+    let reach = easy.iter().map(|(_, took)| *took).fold(0.0, f64::max) + 0.05;
+    let just_after = |took: f64| REPEATS.iter().any(|repeat| (0.0..reach).contains(&(took - repeat)));
+    let repeated = late.iter().filter(|(_, took)| just_after(*took)).count();
+    let begins = |of: &[(f64, f64)]| of.iter().map(|(sent, _)| *sent).fold(f64::INFINITY, f64::min);
+    let after = |of: &[(f64, f64)], then: f64| of.iter().filter(|(sent, _)| *sent > then).count();
+    let by_turns = after(&easy, begins(&late)) >= 2 && after(&late, begins(&easy)) >= 2;
+    let mixed = easy.len() >= 3 && late.len() >= 4 && late.len() * 4 >= answers.len();
+    (by_turns && mixed && repeated * 5 >= late.len() * 4).then_some(repeated)
+}
