Hold the report to its word: clocks off, records cut out, a page that stands alone

Need: a page that explains an incident has to do so with clocks that disagree and gaps, and without asking anything from elsewhere.

Change: tests of the whole way from records to page and JSON.

Result: a crash found alike with one clock 40 s fast or 3 s slow, the offsets within a tenth of a second; events cut out are counted on the page; no reference leaves the file.

--- /dev/null
+++ b/crates/ochrelead-report/tests/report.rs
@@ -0,0 +1,130 @@
+//! The page and the JSON of a small incident.
+
+use std::fs;
+use std::path::Path;
+use std::process::Command;
+
+use ochrelead_records::reader::{Damage, Life, Record};
+use ochrelead_records::schema::event::What;
+use ochrelead_records::schema::{Event, Invite, Outlook, Stands, Taken, Told};
+use ochrelead_report::incident::Incident;
+use ochrelead_report::{json, page};
+use test_case::test_case;
+
+/// Two fronts; one server crashes at 10 s and is back at 12 s. The second front's clock is off, and events of it
+/// may be cut out.
+fn records(off_ms: i64, cut: std::ops::Range<u64>) -> Vec<Record> {
+    let mut records = Vec::new();
+    let mut nth = [0, 0];
+    let mut put = |ms: u64, front: usize, what: What| {
+        let own = nth[front];
+        nth[front] += 1;
+        if front == 1 && cut.contains(&ms) {
+            return;
+        }
+        let off = if front == 1 { off_ms } else { 0 };
+        let at_us = (1_000_000 + ms).saturating_add_signed(off) * 1_000;
+        let life = Life { front: format!("f{front}"), started_us: 1 };
+        records.push(Record { life, event: Event { at_us, nth: own, what: Some(what) }, unknown: 0 });
+    };
+    for nth in 0..600_u64 {
+        let (ms, front, server) = (nth * 50, (nth % 2) as usize, nth / 2 % 2);
+        let (tried, name) = (format!("{nth:x}"), format!("s{server}"));
+        put(
+            ms,
+            front,
+            What::Taken(Taken {
+                tried: tried.clone(),
+                called: format!("{nth}"),
+                member: 1,
+                ..Taken::default()
+            }),
+        );
+        put(
+            ms + 1,
+            front,
+            What::Invite(Invite { tried: tried.clone(), server: name.clone(), nth: 1, ..Invite::default() }),
+        );
+        if server == 0 || !(10_000..12_000).contains(&ms) {
+            put(
+                ms + 2,
+                front,
+                What::Stands(Stands { tried, server: name, took_us: 50_000, since_taken_us: 51_000 }),
+            );
+        }
+        if nth % 20 == 0 {
+            let silent = (10_000..12_000).contains(&ms);
+            let unheard_us = if silent { (ms - 9_900) * 1_000 } else { 100_000 };
+            for front in 0..2 {
+                put(
+                    ms + 3,
+                    front,
+                    What::Outlook(Outlook { server: "s1".to_owned(), unheard_us, ..Outlook::default() }),
+                );
+            }
+        }
+        if ms == 12_000 || ms == 20_000 {
+            let server = if ms == 12_000 { "s1" } else { "s9" };
+            let told = || What::Told(Told { server: server.to_owned(), what: "started".to_owned() });
+            put(ms + 4, 0, told());
+            put(ms + 14, 1, told());
+        }
+    }
+    records
+}
+
+#[test_case(0; "clocks that agree")]
+#[test_case(40_000; "one forty seconds fast")]
+#[test_case(-3_000; "one three seconds slow")]
+fn the_crash_is_found_whatever_the_clocks(off_ms: i64) {
+    let incident = Incident::of(records(off_ms, 0..0), Damage::default());
+    let crash: Vec<_> = incident.troubles.iter().filter(|own| own.of == "s1").collect();
+    assert_eq!(crash.len(), 1, "{:?}", incident.troubles);
+    let first = incident.records.iter().map(|(at, _)| *at).min().unwrap();
+    let onset = crash[0].onset.since(first).micros() / 1_000;
+    assert!((7_000..13_000).contains(&onset), "{onset}");
+    let moved: Vec<i64> = incident.stretches.iter().map(|own| own.moved_us / 1_000).collect();
+    let gap = moved[1] - moved[0];
+    assert!((gap + off_ms).abs() <= 100, "{moved:?}");
+}
+
+#[test]
+fn what_was_cut_out_is_counted() {
+    let incident = Incident::of(records(0, 15_000..18_000), Damage::default());
+    let missing: Vec<u64> = incident.stretches.iter().map(|own| own.missing).collect();
+    assert!(missing[0] == 0 && missing[1] > 50, "{missing:?}");
+    assert!(page::of(&incident).contains(&missing[1].to_string()));
+}
+
+#[test]
+fn the_page_stands_alone_and_tells_the_story() {
+    let page = page::of(&Incident::of(records(0, 0..0), Damage::default()));
+    for elsewhere in ["http:", "https:", "<script", "src=", "@import", "url("] {
+        assert!(!page.contains(elsewhere), "{elsewhere}");
+    }
+    for said in
+        ["crashed and started anew", "s1", "prefers-color-scheme: dark", "width=device-width", "stands at s"]
+    {
+        assert!(page.contains(said), "{said}");
+    }
+}
+
+#[test]
+fn a_quiet_course_is_said_to_be_one() {
+    let quiet = records(0, 0..0).into_iter().filter(|own| own.event.at_us < 1_009_000_000).collect();
+    let incident = Incident::of(quiet, Damage::default());
+    assert!(page::of(&incident).contains("Nothing was wrong that these records show."));
+    assert_eq!(json::of(&incident)["troubles"].as_array().unwrap().len(), 0);
+}
+
+#[test]
+fn a_folder_that_is_not_there_is_one_line_and_exit_two() {
+    let run = Command::new(env!("CARGO_BIN_EXE_ochrelead-report")).arg("nowhere").output().unwrap();
+    let said = String::from_utf8(run.stderr).unwrap();
+    assert!(run.status.code() == Some(2) && said.starts_with("ochrelead-report: nowhere: "), "{said}");
+    let empty = Path::new(env!("CARGO_TARGET_TMPDIR")).join("empty");
+    fs::create_dir_all(&empty).unwrap();
+    let run =
+        Command::new(env!("CARGO_BIN_EXE_ochrelead-report")).arg(&empty).arg("--json").output().unwrap();
+    assert!(run.status.success() && String::from_utf8_lossy(&run.stdout).contains("\"troubles\": []"));
+}
