--- a/crates/ochrelead-day/src/load.rs
+++ b/crates/ochrelead-day/src/load.rs
@@ -30,6 +30,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Between {
     Front,
+    /// A front that keeps records.
+    Recorded,
     Relay,
 }
 
@@ -42,6 +44,8 @@
     pub invited: u64,
     pub p50: Duration,
     pub p99: Duration,
+    /// Processor time of what stands between, in clock ticks, over the whole step.
+    pub ticks: u64,
 }
 
 impl Step {
@@ -82,7 +86,7 @@
 impl Rig {
     fn start(between: Between, out: &Path) -> anyhow::Result<Rig> {
         std::fs::create_dir_all(out).with_context(|| format!("{}", out.display()))?;
-        let street = Street::new(if between == Between::Front { 0 } else { 1 });
+        let street = Street::new(between as u8);
         let bind = |party| -> anyhow::Result<UdpSocket> {
             let address = street.own(party);
             let socket = UdpSocket::bind(address).with_context(|| format!("listen on {address}"))?;
@@ -93,12 +97,15 @@
         let own = street.own(Party::Front(0));
         let mut command = Command::new(std::env::current_exe()?);
         match between {
-            Between::Front => {
+            Between::Front | Between::Recorded => {
                 let settings = out.join("front.textproto");
                 std::fs::write(&settings, settings_text(own, street.own(Party::Server(0))))?;
                 command
                     .args(["part", "front", "--deciding", "module", "--seed", "1", "--settings"])
                     .arg(&settings);
+                if between == Between::Recorded {
+                    command.arg("--records").arg(out.join("records"));
+                }
             }
             Between::Relay => {
                 command.args(["part", "relay", "--listen", &own.to_string()]);
@@ -159,7 +166,7 @@
             }
             while let Some(text) = received(&self.server, &mut buffer)? {
                 let first = text.split(' ').next().unwrap_or("");
-                let set_up = if self.between == Between::Front { "CRCX" } else { "NTFY" };
+                let set_up = if self.between == Between::Relay { "NTFY" } else { "CRCX" };
                 let tried = field(&text, "X-Try: ").to_owned();
                 let transaction = text.split(' ').nth(1).unwrap_or("0");
                 if first == set_up
@@ -182,7 +189,7 @@
             }
             while let Some(text) = received(&self.callers, &mut buffer)? {
                 let connects = match self.between {
-                    Between::Front => text.starts_with("MDCX"),
+                    Between::Front | Between::Recorded => text.starts_with("MDCX"),
                     Between::Relay => text.starts_with("200"),
                 };
                 if connects || text.starts_with("RQNT") {
@@ -195,7 +202,8 @@
             }
         }
         let quantile = |share| Duration::from_micros(times.value_at_quantile(share));
-        Ok(Step { rate, offered, invited, p50: quantile(0.5), p99: quantile(0.99) })
+        let ticks = processor_ticks(self.process.id());
+        Ok(Step { rate, offered, invited, p50: quantile(0.5), p99: quantile(0.99), ticks })
     }
 }
 
@@ -206,6 +214,13 @@
     }
 }
 
+/// User and system time of a process (proc(5), fields 14 and 15 of `stat`); 0 where the system tells none.
+fn processor_ticks(pid: u32) -> u64 {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let behind_name = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    behind_name.split_whitespace().skip(11).take(2).filter_map(|field| field.parse::<u64>().ok()).sum()
+}
+
 fn received(socket: &UdpSocket, buffer: &mut [u8]) -> anyhow::Result<Option<String>> {
     match socket.recv_from(buffer) {
         Ok((length, _)) => Ok(Some(String::from_utf8_lossy(&buffer[..length]).into_owned())),
--- a/crates/ochrelead-day/src/main.rs
+++ b/crates/ochrelead-day/src/main.rs
@@ -208,7 +208,8 @@
 fn measure(out: &Path, seconds: u64, rates: &[u32]) -> anyhow::Result<Outcome> {
     let mut best = Vec::new();
     println!("{:<7} {:>11} {:>9} {:>9} {:>9}", "between", "sessions/s", "INVITEs", "p50 us", "p99 us");
-    for between in [Between::Relay, Between::Front] {
+    let mut ticks = Vec::new();
+    for between in [Between::Relay, Between::Front, Between::Recorded] {
         let steps = load::climb(between, rates, seconds, out)?;
         for step in &steps {
             let named = format!("{between:?}").to_lowercase();
@@ -216,8 +217,12 @@
             let (p50, p99) = (step.p50.as_micros(), step.p99.as_micros());
             println!("{named:<7} {:>11} {share:>9.3} {p50:>9} {p99:>9}", step.rate);
         }
+        ticks.push(steps.iter().map(|step| (step.rate, step.ticks)).collect::<Vec<_>>());
         best.push(steps.iter().filter(|step| step.holds()).map(|step| step.rate).max().unwrap_or(0));
     }
+    // Both fronts at the rates that both were put to.
+    let both = ticks[1].iter().zip(&ticks[2]).filter(|(plain, recorded)| plain.0 == recorded.0);
+    let (plain, recorded) = both.fold((0, 0), |sum, (plain, recorded)| (sum.0 + plain.1, sum.1 + recorded.1));
     let (relay, front) = (f64::from(best[0]), f64::from(best[1]));
     println!(
         "\none front on one core: {:.1} times the fleet's {} a second, {:.2} of the bare relay",
@@ -225,6 +230,7 @@
         load::FLEET,
         front / relay.max(1.0)
     );
+    println!("recording: {:.3} times the processor time", recorded as f64 / plain.max(1) as f64);
     Ok(Outcome::Kept)
 }
 
