Judge what a killed front sent before its end by the life that sent it

The rig had marked the kill while a datagram of that front was still in the relay's socket; it was read 37 millionths of a second after the mark (seen in the capture).

Change: the auditor keeps a killed front's state until its next life begins, takes nothing new for it meanwhile, and owes nothing for it.

--- a/crates/ochrelead-day/src/audit/rules.rs
+++ b/crates/ochrelead-day/src/audit/rules.rs
@@ -44,6 +44,8 @@
     leaving: BTreeMap<u8, Moment>,
     /// The server that this front's fleet file has draining, and since when; its last INVITE after that.
     drained: Option<(u8, Moment, Option<Moment>)>,
+    /// Its process was killed and has not begun anew.
+    dead: bool,
     halted: bool,
     /// The last time that it stood still, until then.
     resumed: Option<Moment>,
@@ -86,7 +88,9 @@
 impl Judge<'_> {
     fn mark(&mut self, at: Moment, mark: Mark) {
         match mark {
-            Mark::Kill(Party::Front(front)) => {
+            // What left it before the end may be seen after it: the rig reads sockets in its own time.
+            Mark::Kill(Party::Front(front)) => self.fronts.entry(front).or_default().dead = true,
+            Mark::Begin(Party::Front(front)) => {
                 // What it held is no longer its duty; what it was told of servers it has on its list.
                 let leaving = self.fronts.remove(&front).map(|front| front.leaving).unwrap_or_default();
                 self.fronts.insert(front, Front { leaving, ..Front::default() });
@@ -121,6 +125,9 @@
         };
         let events = command.parameters.get(name::OBSERVED).unwrap_or("");
         let front = self.fronts.entry(front).or_default();
+        if front.dead {
+            return;
+        }
         if events.contains("L/hu") {
             if let Some(held) = front.tries.get_mut(tried) {
                 held.hung_up.get_or_insert(at);
@@ -327,7 +334,7 @@
 
     /// The capture ends: what was taken and is past its limit must have its answer.
     fn end(&mut self, at: Moment) {
-        for front in self.fronts.values().filter(|front| !front.halted) {
+        for front in self.fronts.values().filter(|front| !front.halted && !front.dead) {
             for (tried, held) in &front.tries {
                 let owed = held.answered.is_none() && held.hung_up.is_none();
                 if owed && held.limit + ANSWER_GRACE < at {
--- a/crates/ochrelead-day/tests/audit.rs
+++ b/crates/ochrelead-day/tests/audit.rs
@@ -126,6 +126,8 @@
 #[test_case(set_up().respond(600, 0, 409, 1).invite(610, 0, 1).tone(650, 3); "repeated while the answer waits in the socket")]
 #[test_case(set_up().mark(120, "kill 10.0.1.1:2727"); "killed: what it held is not its duty")]
 #[test_case(set_up().connect(210, 2).connect(710, 2); "a repeated answer is one")]
+#[test_case(Course::new().dial(100).mark(105, "kill 10.0.1.1:2727").invite(112, 0, 1).mark(900, "begin 10.0.1.1:2727"); "sent before the kill, seen after it")]
+#[test_case(Course::new().mark(50, "kill 10.0.1.1:2727").dial(100).mark(900, "begin 10.0.1.1:2727"); "a dead front takes nothing")]
 fn kept(course: Course) {
     assert_eq!(course.judged().breaches, []);
 }
@@ -138,6 +140,7 @@
 #[test_case(set_up().off(505, 0, 2).tone(506, 3).invite(900, 1, 4), 1, 900, "after the final answer"; "sent after the answer")]
 #[test_case(set_up().off(505, 0, 2).invite(620, 0, 1).tone(700, 3), 1, 620, "repeated after its end"; "repeated after the end")]
 #[test_case(set_up().respond(600, 0, 409, 1).invite(655, 0, 1).tone(700, 3), 1, 655, "repeated after its end"; "repeated after the answer")]
+#[test_case(set_up().mark(120, "kill 10.0.1.1:2727").mark(300, "begin 10.0.1.1:2727").invite(500, 1, 3), 1, 500, "has not taken"; "an INVITE of a former life")]
 #[test_case(set_up().invite(700, 1, 3).tone(800, 4), 2, 700, "while another is out"; "two at once")]
 #[test_case(Course::new().restart(10, 0, 7, "graceful").dial(300).invite(310, 0, 1).tone(400, 2), 3, 310, "to server 0 299 ms"; "to one that drains")]
 #[test_case(Course::new().restart(10, 0, 7, "forced").dial(900).invite(910, 0, 1).tone(950, 2), 3, 910, "to server 0 899 ms"; "to one that is gone")]
