--- a/crates/ochrelead-front/src/host.rs
+++ b/crates/ochrelead-front/src/host.rs
@@ -31,6 +31,8 @@
 const MOST_AT_ONCE: usize = 512;
 /// A status that is so late tells that the front stood still.
 const STALL: Span = Span::from_millis(250);
+/// Records are handed to the disk so often while anything happens, and with each status.
+const FLUSH_GAP: Span = Span::from_millis(200);
 /// How often the status is written.
 const STATUS_GAP: Span = Span::from_secs(1);
 
@@ -83,6 +85,7 @@
     records: Option<Recorder>,
     clock: Clock,
     next_status: Moment,
+    next_flush: Moment,
     /// A pause was recorded in this turn.
     paused: bool,
 }
@@ -123,8 +126,14 @@
         let complain = |error| warn!(%error, "the records can't be written");
         Recorder::start(folder, &name, clock.now().micros(), Bounds::default(), complain)
     });
-    let mut books =
-        Books { out, records: records.transpose()?, clock, next_status: clock.now(), paused: false };
+    let mut books = Books {
+        out,
+        records: records.transpose()?,
+        clock,
+        next_status: clock.now(),
+        next_flush: clock.now(),
+        paused: false,
+    };
     books.record(What::Life("start".to_owned()));
     let leave = Signals::new([Signal::Term, Signal::Int])?.map(|_| Event::Leave);
     let readable = stream::unfold(&socket, |socket| async move {
@@ -230,6 +239,12 @@
     }
 
     fn status<J: Judge>(&mut self, now: Moment, engine: &Engine<J>, keeper: Option<&Keeper>) {
+        if now >= self.next_flush
+            && let Some(records) = &mut self.records
+        {
+            self.next_flush = now + FLUSH_GAP;
+            records.flush();
+        }
         if now < self.next_status {
             return;
         }
@@ -245,6 +260,9 @@
                 self.record(recording::outlook(server, held, unheard));
             }
         }
+        if let Some(records) = &mut self.records {
+            records.flush();
+        }
         if self.out.is_none() {
             return;
         }
--- a/crates/ochrelead-records/src/writer.rs
+++ b/crates/ochrelead-records/src/writer.rs
@@ -3,9 +3,10 @@
 use std::fs::{self, File};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::sync::mpsc::{self, Receiver, RecvTimeoutError, SyncSender, TrySendError};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{self, Receiver, Sender};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
 
 use prost::Message;
 
@@ -18,7 +19,7 @@
 /// The bounds of a log.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
-    /// Events that wait for the disk.
+    /// Events that wait for the disk, in all.
     pub queue: usize,
     /// Bytes of one segment, and of all segments of this front in the folder.
     pub segment: u64,
@@ -31,19 +32,23 @@
     }
 }
 
-/// How long written events may stay in memory while nothing new comes.
-const FLUSH: Duration = Duration::from_millis(200);
+/// So many events go to the writing thread at once: each hand-over wakes it.
+const BATCH: usize = 128;
 
 /// The log of one life of a front. Dropping it ends the thread after all is written.
 pub struct Recorder {
-    out: Option<SyncSender<Event>>,
+    out: Option<Sender<Vec<Event>>>,
     thread: Option<JoinHandle<()>>,
+    /// What has not been handed over yet, and how many events the thread still has.
+    pending: Vec<Event>,
+    handed: Arc<AtomicUsize>,
+    most: usize,
     nth: u64,
     lost: u64,
 }
 
 impl Recorder {
-    /// Starts a log in a folder. `complain` is told, once each, what goes wrong with the disk.
+    /// Starts a log in a folder. `complain` is told, once, what goes wrong with the disk.
     ///
     /// # Errors
     ///
@@ -56,37 +61,53 @@
         complain: impl Fn(io::Error) + Send + 'static,
     ) -> io::Result<Recorder> {
         fs::create_dir_all(folder)?;
-        let (out, events) = mpsc::sync_channel(bounds.queue);
+        let (out, events) = mpsc::channel();
+        let handed = Arc::new(AtomicUsize::new(0));
         let head = Head { version: VERSION, front: front.to_owned(), started_us, segment: 0 };
         let mut segments = Segments { folder: folder.to_owned(), head, bounds, open: None, size: 0 };
+        let written = handed.clone();
         let thread = thread::Builder::new().name("records".to_owned()).spawn(move || {
-            if let Err(error) = segments.follow(&events) {
+            if let Err(error) = segments.follow(&events, &written) {
                 complain(error);
             }
         })?;
-        Ok(Recorder { out: Some(out), thread: Some(thread), nth: 0, lost: 0 })
+        let (out, thread, most) = (Some(out), Some(thread), bounds.queue);
+        Ok(Recorder { out, thread, pending: Vec::new(), handed, most, nth: 0, lost: 0 })
     }
 
-    /// Hands an event over; it never waits. What finds no room is counted, and the count is recorded as soon
-    /// as there is room again.
+    /// Takes an event; it never waits. What finds no room is counted, and the count is recorded as soon as
+    /// there is room again. It goes to the disk with the next [`Recorder::flush`], or when many are together.
     pub fn put(&mut self, at_us: u64, what: What) {
-        if self.lost > 0 && self.send(at_us, What::Lost(self.lost)) {
+        if self.lost > 0 && self.keep(at_us, What::Lost(self.lost)) {
             self.lost = 0;
         }
-        if !self.send(at_us, what) {
+        if !self.keep(at_us, what) {
             self.lost += 1;
         }
+        if self.pending.len() >= BATCH.min(self.most / 2) {
+            self.flush();
+        }
     }
 
-    fn send(&mut self, at_us: u64, what: What) -> bool {
-        let Some(out) = &self.out else { return false };
+    fn keep(&mut self, at_us: u64, what: What) -> bool {
         let event = Event { at_us, nth: self.nth, what: Some(what) };
         self.nth += 1;
-        match out.try_send(event) {
-            Ok(()) => true,
-            // A log whose disk has failed takes nothing more; the front goes on.
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
+        let room = self.pending.len() + self.handed.load(Ordering::Acquire) < self.most;
+        if room {
+            self.pending.push(event);
         }
+        room
+    }
+
+    /// Hands over what is pending.
+    pub fn flush(&mut self) {
+        let Some(out) = self.out.as_ref().filter(|_| !self.pending.is_empty()) else { return };
+        let batch = std::mem::take(&mut self.pending);
+        let count = batch.len();
+        self.handed.fetch_add(count, Ordering::AcqRel);
+        // A log whose disk has failed takes nothing more; what is handed stays counted, so that room runs out
+        // and all else is counted as lost. The front goes on.
+        let _ = out.send(batch);
     }
 
     /// Events that found no room and are not recorded as lost yet.
@@ -97,6 +118,7 @@
 
 impl Drop for Recorder {
     fn drop(&mut self) {
+        self.flush();
         drop(self.out.take());
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
@@ -113,23 +135,17 @@
 }
 
 impl Segments {
-    fn follow(&mut self, events: &Receiver<Event>) -> io::Result<()> {
+    fn follow(&mut self, events: &Receiver<Vec<Event>>, handed: &AtomicUsize) -> io::Result<()> {
         let mut bytes = Vec::new();
-        loop {
-            match events.recv_timeout(FLUSH) {
-                Ok(event) => {
-                    frame::put(&mut bytes, &event.encode_to_vec());
-                    while bytes.len() < 64 * 1024
-                        && let Ok(event) = events.try_recv()
-                    {
-                        frame::put(&mut bytes, &event.encode_to_vec());
-                    }
-                    self.write(&mut bytes)?;
-                }
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+        while let Ok(batch) = events.recv() {
+            let count = batch.len();
+            for event in batch {
+                frame::put(&mut bytes, &event.encode_to_vec());
             }
+            self.write(&mut bytes)?;
+            handed.fetch_sub(count, Ordering::AcqRel);
         }
+        Ok(())
     }
 
     fn write(&mut self, bytes: &mut Vec<u8>) -> io::Result<()> {
