--- a/crates/ochrelead-mgcp/src/lib.rs
+++ b/crates/ochrelead-mgcp/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`message`]: commands, responses, parameter lines and endpoint names, as values.
 //! - [`parse`]: from a datagram to messages. It never panics and its cost is bounded by the datagram's size.
-//! - [`write`]: from messages to a datagram.
+//! - [`mod@write`]: from messages to a datagram.
 //! - [`exchange`]: transactions over datagrams: repeats at doubling gaps, at most one execution at the
 //!   receiver, provisional answers, acknowledged answers, and a bound on every table.
 //!
--- a/crates/ochrelead-mgcp/src/message.rs
+++ b/crates/ochrelead-mgcp/src/message.rs
@@ -5,7 +5,7 @@
 
 use thiserror::Error;
 
-/// The number of a transaction, 1 to [`TransactionId::LAST`] (RFC 3435 section 3.2.1.2).
+/// The number of a transaction, 1 to [`LAST_TRANSACTION`] (RFC 3435 section 3.2.1.2).
 pub type TransactionId = u32;
 
 /// The largest transaction id there is.
