Read records piece by piece; tie clocks that drift, are set, or are an hour off

The report kept and sorted all events of an incident, so that its memory grew with the log, and a clock was one number for a whole life: one that ran fast or was set in mid-run spoilt the order of everything after it.

Logs are now read in pieces of 32 KB, merged front by front on the common clock, three times over: what ties the clocks, what happened, the steps of the sessions that are told. A life is cut where its moments step; each piece has an offset and a drift, from the words of servers that all fronts saw, each pair of which is a vote. What a front held when it ended is let go by the diagnosis.

--- a/crates/ochrelead-console/src/watch.rs
+++ b/crates/ochrelead-console/src/watch.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_diagnosis::clocks::{Clocks, Ties};
 use ochrelead_diagnosis::diagnosis::Diagnosis;
 use ochrelead_diagnosis::trouble::{Kind, Trouble};
 use ochrelead_records::reader::{Life, Record};
@@ -44,6 +45,8 @@
     waiting: BTreeMap<(u64, u64), (Life, Event)>,
     arrived: u64,
     newest: u64,
+    ties: Ties,
+    clocks: Clocks,
     now: Moment,
     second: u64,
     diagnosis: Diagnosis,
@@ -64,8 +67,12 @@
     /// A record has come.
     pub fn take(&mut self, record: Record) {
         self.arrived += 1;
-        self.newest = self.newest.max(record.event.at_us);
-        self.waiting.insert((record.event.at_us, self.arrived), (record.life, record.event));
+        if self.ties.take(&record.life, &record.event) {
+            self.clocks = self.ties.clone().settle();
+        }
+        let at = self.clocks.common(&record.life, &record.event);
+        self.newest = self.newest.max(at);
+        self.waiting.insert((at, self.arrived), (record.life, record.event));
     }
 
     /// Works off what is old enough. Where nothing new comes, `idle` is how long: time goes on with it.
--- a/crates/ochrelead-diagnosis/src/diagnosis.rs
+++ b/crates/ochrelead-diagnosis/src/diagnosis.rs
@@ -29,6 +29,15 @@
 /// A front that stood still for less is not worth a word.
 const STALL: Span = Span::from_millis(500);
 
+/// An INVITE whose end is not in the records is forgotten after this: longer than any caller waits.
+const LOST_TRACK: Span = Span::from_secs(60);
+
+/// A try or call that is not over: the front that holds it, and the number called.
+struct Call {
+    front: String,
+    called: String,
+}
+
 /// The state of the diagnosis.
 pub struct Diagnosis {
     now: Moment,
@@ -44,7 +53,7 @@
     busy_numbers: Lately<String>,
     /// Tries and calls of a number that are not over.
     numbers: BTreeMap<String, usize>,
-    calls: BTreeMap<String, String>,
+    calls: BTreeMap<String, Call>,
     /// Tries that are no redials, and how many are usual in a stretch.
     fresh: Lately<()>,
     usual_fresh: Usual,
@@ -105,7 +114,8 @@
                     self.fresh.add(at, ());
                 }
                 *self.numbers.entry(called.clone()).or_insert(0) += 1;
-                self.calls.insert(taken.tried.clone(), called.clone());
+                let call = Call { front: front.to_owned(), called: called.clone() };
+                self.calls.insert(taken.tried.clone(), call);
                 self.tries.insert(taken.tried.clone(), (taken.member, called));
             }
             What::Invite(invite) => {
@@ -222,16 +232,26 @@
     }
 
     fn call_over(&mut self, tried: &str) {
-        if let Some(called) = self.calls.remove(tried)
-            && let Some(open) = self.numbers.get_mut(&called)
+        if let Some(call) = self.calls.remove(tried)
+            && let Some(open) = self.numbers.get_mut(&call.called)
         {
             *open -= 1;
             if *open == 0 {
-                self.numbers.remove(&called);
+                self.numbers.remove(&call.called);
             }
         }
     }
 
+    /// What a front held when it ended has no end in its records.
+    fn let_go(&mut self, front: &str) {
+        let of = |(tried, call): (&String, &Call)| (call.front == front).then(|| tried.clone());
+        let held: Vec<String> = self.calls.iter().filter_map(of).collect();
+        for tried in held {
+            self.tries.remove(&tried);
+            self.call_over(&tried);
+        }
+    }
+
     /// A front writes: it is alive, perhaps in a new life.
     fn front_seen(&mut self, life: &Life, at: Moment) {
         let front = self.fronts.entry(life.front.clone()).or_default();
@@ -241,6 +261,9 @@
             for server in self.servers.values_mut() {
                 server.heard_by.remove(&life.front);
             }
+            if before != 0 {
+                self.let_go(&life.front);
+            }
             if before != 0 && !stopped {
                 let evidence = "its records end without a word and begin anew".to_owned();
                 self.open.remove(&(Kind::FrontKilled, life.front.clone()));
@@ -338,6 +361,9 @@
         for lately in [&mut self.taken, &mut self.refused, &mut self.fresh] {
             lately.forget(at);
         }
+        for server in self.servers.values_mut() {
+            server.out.retain(|_, sent| at.since(*sent) < LOST_TRACK);
+        }
         self.redials.forget(at);
         self.busy_numbers.forget(at);
         self.judge_fronts(at);
--- a/crates/ochrelead-diagnosis/src/diagnosis/presence.rs
+++ b/crates/ochrelead-diagnosis/src/diagnosis/presence.rs
@@ -20,6 +20,9 @@
             .collect();
         for (name, last) in missing.into_iter().filter(|_| alive > 0) {
             let evidence = "it has written nothing since, while others write".to_owned();
+            if !self.open.contains_key(&(Kind::FrontKilled, name.clone())) {
+                self.let_go(&name);
+            }
             self.see(at, Kind::FrontKilled, &name, last, 0.8, evidence);
         }
     }
--- a/crates/ochrelead-records/src/lib.rs
+++ b/crates/ochrelead-records/src/lib.rs
@@ -3,7 +3,7 @@
 //! - [`schema`]: the events (see `proto/records.proto`, with the rules of how it may change).
 //! - [`frame`]: length, checksum, message; what is left of a torn or flipped file.
 //! - [`writer`]: segments of bounded size, the oldest dropped; a bounded queue before the disk.
-//! - [`reader`]: whole logs, and logs that still grow.
+//! - [`reader`]: whole logs piece by piece, and logs that still grow.
 //!
 //! ```
 //! use ochrelead_records::frame::{Frames, put};
--- a/crates/ochrelead-records/src/reader.rs
+++ b/crates/ochrelead-records/src/reader.rs
@@ -1,6 +1,6 @@
 //! Reading: whole logs, and logs that still grow.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::fs::{self, File};
 use std::io::{self, Read, Seek, SeekFrom};
 use std::path::{Path, PathBuf};
@@ -146,7 +146,134 @@
     })
 }
 
-/// Reads all logs of some folders at once.
+/// One life's log in the order in which it was written, read piece by piece: memory does not grow with its length.
+#[derive(Clone, Debug)]
+pub struct Log {
+    pub life: Life,
+    segments: VecDeque<PathBuf>,
+    /// Where the first of them is read on, and what is decoded already.
+    at: u64,
+    ready: VecDeque<Record>,
+    damage: Damage,
+}
+
+/// Bytes that are read at once; a longer frame is read whole.
+const PIECE: u64 = 1 << 15;
+
+impl Log {
+    /// A log that is in memory.
+    pub fn of(life: Life, records: impl IntoIterator<Item = Record>) -> Log {
+        let ready = records.into_iter().collect();
+        Log { life, segments: VecDeque::new(), at: 0, ready, damage: Damage::default() }
+    }
+
+    /// What could not be read so far.
+    pub fn damage(&self) -> &Damage {
+        &self.damage
+    }
+
+    /// Reads on in the first segment; false where there is nothing more in it. One that can't be read, or is
+    /// torn, ends there; the next may be whole.
+    fn read_on(&mut self, path: &Path) -> io::Result<bool> {
+        let mut file = File::open(path)?;
+        let length = file.metadata()?.len();
+        let name = || path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        let mut size = PIECE;
+        loop {
+            file.seek(SeekFrom::Start(self.at))?;
+            let mut bytes = Vec::new();
+            file.by_ref().take(size).read_to_end(&mut bytes)?;
+            let mut frames = Frames::new(&bytes);
+            let mut version = VERSION;
+            if self.at == 0 {
+                let Some(head) = frames.next().and_then(|frame| Head::decode(frame).ok()) else {
+                    return Ok(false);
+                };
+                version = head.version;
+                if version > VERSION {
+                    self.damage.newer.insert(name(), version);
+                }
+            } else if self.damage.newer.contains_key(&name()) {
+                version = VERSION + 1;
+            }
+            for frame in frames.by_ref() {
+                let Ok(event) = Event::decode(frame) else { continue };
+                let unknown = if version > VERSION { unknown_fields(frame) } else { 0 };
+                self.damage.unknown_events += u64::from(event.what.is_none());
+                self.ready.push_back(Record { life: self.life.clone(), event, unknown });
+            }
+            let whole = frames.at() as u64;
+            if whole > 0 {
+                self.at += whole;
+                return Ok(true);
+            }
+            let left = length.saturating_sub(self.at);
+            if size >= left {
+                if left > 0 {
+                    self.damage.torn.insert(name(), left);
+                }
+                return Ok(false);
+            }
+            size *= 8;
+        }
+    }
+}
+
+impl Iterator for Log {
+    type Item = Record;
+
+    fn next(&mut self) -> Option<Record> {
+        loop {
+            if let Some(record) = self.ready.pop_front() {
+                return Some(record);
+            }
+            let path = self.segments.front()?.clone();
+            if !self.read_on(&path).unwrap_or(false) {
+                self.segments.pop_front();
+                self.at = 0;
+            }
+        }
+    }
+}
+
+/// The logs of a folder, by front and life, and what holds none.
+///
+/// # Errors
+///
+/// Where the folder can't be read.
+pub fn logs(folder: &Path) -> io::Result<(Vec<Log>, Damage)> {
+    let mut segments: BTreeMap<Life, BTreeMap<u32, PathBuf>> = BTreeMap::new();
+    let mut damage = Damage::default();
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.extension().is_none_or(|own| own != ENDING) {
+            continue;
+        }
+        let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        let mut bytes = Vec::new();
+        if File::open(&path).and_then(|file| file.take(PIECE).read_to_end(&mut bytes)).is_err() {
+            damage.foreign.push(name);
+            continue;
+        }
+        let first = Frames::new(&bytes).next().map(Head::decode);
+        match first {
+            Some(Ok(head)) if !head.front.is_empty() => {
+                let life = Life { front: head.front, started_us: head.started_us };
+                segments.entry(life).or_default().insert(head.segment, path);
+            }
+            None => drop(damage.torn.insert(name, bytes.len() as u64)),
+            Some(_) => damage.foreign.push(name),
+        }
+    }
+    damage.foreign.sort();
+    let log = |(life, segments): (Life, BTreeMap<u32, PathBuf>)| Log {
+        segments: segments.into_values().collect(),
+        ..Log::of(life, [])
+    };
+    Ok((segments.into_iter().map(log).collect(), damage))
+}
+
+/// Reads all logs of some folders, life by life.
 ///
 /// # Errors
 ///
@@ -154,13 +281,22 @@
 pub fn read_all(folders: &[PathBuf], mut take: impl FnMut(Record)) -> io::Result<Damage> {
     let mut damage = Damage::default();
     for folder in folders {
-        let mut follower = Follower::new(folder);
-        while follower.follow(&mut take)? {}
-        let own = follower.damage;
-        damage.foreign.extend(own.foreign);
-        damage.torn.extend(own.torn);
-        damage.newer.extend(own.newer);
-        damage.unknown_events += own.unknown_events;
+        let (logs, own) = logs(folder)?;
+        damage.add(&own);
+        for mut log in logs {
+            log.by_ref().for_each(&mut take);
+            damage.add(log.damage());
+        }
     }
     Ok(damage)
 }
+
+impl Damage {
+    /// Both together.
+    pub fn add(&mut self, other: &Damage) {
+        self.foreign.extend(other.foreign.iter().cloned());
+        self.torn.extend(other.torn.iter().map(|(name, bytes)| (name.clone(), *bytes)));
+        self.newer.extend(other.newer.iter().map(|(name, version)| (name.clone(), *version)));
+        self.unknown_events += other.unknown_events;
+    }
+}
--- a/crates/ochrelead-report/src/incident.rs
+++ b/crates/ochrelead-report/src/incident.rs
@@ -1,16 +1,21 @@
-//! All records of some folders on one clock, with the diagnosis.
+//! All records of some folders on one clock, with the diagnosis. They are read three times, piece by piece: what
+//! ties the clocks, what happened, and the steps of the sessions that are told. None is kept.
 
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 
 use anyhow::Context;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_diagnosis::clocks::Clocks;
+use ochrelead_diagnosis::clocks::{Clocks, Ties};
 use ochrelead_diagnosis::diagnosis::Diagnosis;
 use ochrelead_diagnosis::trouble::Trouble;
-use ochrelead_records::reader::{Damage, Life, Record, read_all};
+use ochrelead_records::reader::{Damage, Life, Log, Record, logs};
 use ochrelead_records::schema::event::What;
 
+use crate::merged::Merged;
+use crate::series::Series;
+use crate::story::{Stories, Story};
+
 /// A front's life as its records have it, on the common clock.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Stretch {
@@ -20,6 +25,9 @@
     /// How far its clock was moved, in microseconds, and give or take how much; none where nothing ties it.
     pub moved_us: i64,
     pub bound: Option<Span>,
+    /// Microseconds that its clock was found to gain in a second, and how often it was set.
+    pub gains_us: f64,
+    pub steps: usize,
     pub lost: u64,
     /// Numbers of events that are missing: dropped segments, or cut out.
     pub missing: u64,
@@ -27,10 +35,13 @@
 
 /// What is known of an incident.
 pub struct Incident {
-    /// In the order of the common clock.
-    pub records: Vec<(Moment, Record)>,
+    pub from: Moment,
+    pub to: Moment,
+    pub events: u64,
     pub stretches: Vec<Stretch>,
     pub troubles: Vec<Trouble>,
+    pub series: Series,
+    pub stories: Vec<Story>,
     pub damage: Damage,
     pub loose: Vec<Life>,
 }
@@ -42,50 +53,82 @@
     ///
     /// Where one can't be read.
     pub fn read(folders: &[PathBuf]) -> anyhow::Result<Incident> {
-        let mut records = Vec::new();
-        let names = || folders.iter().map(|own| own.display().to_string()).collect::<Vec<_>>().join(", ");
-        let damage = read_all(folders, |record| records.push(record)).with_context(names)?;
-        Ok(Incident::of(records, damage))
+        let mut all = Vec::new();
+        let mut damage = Damage::default();
+        for folder in folders {
+            let (own, foreign) = logs(folder).with_context(|| folder.display().to_string())?;
+            all.extend(own);
+            damage.add(&foreign);
+        }
+        Ok(Incident::of(&all, damage))
     }
 
-    /// Puts records on one clock and diagnoses them.
-    pub fn of(records: Vec<Record>, damage: Damage) -> Incident {
-        let clocks = Clocks::estimate(records.iter());
-        let loose = clocks.loose().into_iter().cloned().collect();
-        let mut stretches: BTreeMap<Life, (Stretch, u64)> = BTreeMap::new();
-        let mut ordered: Vec<(Moment, Record)> = Vec::with_capacity(records.len());
-        for record in records {
-            let at = Moment::from_micros(clocks.common(&record.life, record.event.at_us));
-            let offset = clocks.of(&record.life);
-            let (stretch, next) = stretches.entry(record.life.clone()).or_insert_with(|| {
-                let (life, bound) = (record.life.clone(), offset.bound);
-                let stretch =
-                    Stretch { life, from: at, to: at, moved_us: offset.add, bound, lost: 0, missing: 0 };
-                (stretch, record.event.nth)
-            });
-            stretch.to = stretch.to.max(at);
-            stretch.missing += record.event.nth.saturating_sub(*next);
-            *next = record.event.nth + 1;
-            if let Some(What::Lost(lost)) = record.event.what {
-                stretch.lost += lost;
-                stretch.missing = stretch.missing.saturating_sub(lost);
-            }
-            ordered.push((at, record));
-        }
-        ordered.sort_by(|(a, one), (b, other)| {
-            (a, &one.life, one.event.nth).cmp(&(b, &other.life, other.event.nth))
-        });
+    /// Of logs, with what was already found damaged about them.
+    pub fn of(logs: &[Log], mut damage: Damage) -> Incident {
+        let (clocks, mut lives) = survey(logs);
+        let reached = |stretch: &Stretch| (stretch.from, stretch.to);
+        let from = lives.values().map(|own| reached(own).0).min().unwrap_or(Moment::START);
+        let to = lives.values().map(|own| reached(own).1).max().unwrap_or(from);
+        let (mut series, mut stories) = (Series::over(from, to), Stories::default());
         let mut diagnosis = Diagnosis::default();
-        for (at, record) in &ordered {
-            diagnosis.take(*at, &record.life, &record.event);
+        let mut events = 0;
+        let mut merged = Merged::new(logs.to_vec(), &clocks);
+        for (at, record) in merged.by_ref() {
+            events += 1;
+            diagnosis.take(at, &record.life, &record.event);
+            series.take(at, &record);
+            stories.weigh(&record);
+        }
+        damage.add(merged.damage());
+        series.finish();
+        if stories.are_any() {
+            Merged::new(logs.to_vec(), &clocks).for_each(|(at, record)| stories.take(at, &record));
         }
-        let stretches = stretches.into_values().map(|(stretch, _)| stretch).collect();
-        Incident { records: ordered, stretches, troubles: diagnosis.troubles(), damage, loose }
+        let stretches: Vec<Stretch> = std::mem::take(&mut lives).into_values().collect();
+        let (troubles, loose) = (diagnosis.troubles(), clocks.loose().to_vec());
+        Incident { from, to, events, stretches, troubles, series, stories: stories.told(), damage, loose }
     }
 
     /// The first and the last moment.
     pub fn span(&self) -> (Moment, Moment) {
-        let first = self.records.first().map_or(Moment::START, |(at, _)| *at);
-        (first, self.records.last().map_or(first, |(at, _)| *at))
+        (self.from, self.to)
+    }
+}
+
+/// The clocks, and what there is of each life.
+fn survey(logs: &[Log]) -> (Clocks, BTreeMap<Life, Stretch>) {
+    let mut ties = Ties::default();
+    let mut ends: BTreeMap<Life, (Record, Record, u64, u64)> = BTreeMap::new();
+    for log in logs {
+        for record in log.clone() {
+            ties.take(&record.life, &record.event);
+            let held = ends.entry(record.life.clone());
+            let (_, last, lost, missing) = held.or_insert_with(|| (record.clone(), record.clone(), 0, 0));
+            *missing += record.event.nth.saturating_sub(last.event.nth + 1);
+            if let Some(What::Lost(own)) = record.event.what {
+                *lost += own;
+                *missing = missing.saturating_sub(own);
+            }
+            *last = record;
+        }
+    }
+    let clocks = ties.settle();
+    let at = |record: &Record| Moment::from_micros(clocks.common(&record.life, &record.event));
+    let mut stretches = BTreeMap::new();
+    for (life, (first, last, lost, missing)) in ends {
+        let offset = clocks.of(&life);
+        let stretch = Stretch {
+            from: at(&first),
+            to: at(&last).max(at(&first)),
+            moved_us: offset.add,
+            bound: offset.bound,
+            gains_us: -offset.drift * 1e6,
+            steps: clocks.steps(&life),
+            lost,
+            missing,
+            life: life.clone(),
+        };
+        stretches.insert(life, stretch);
     }
+    (clocks, stretches)
 }
--- a/crates/ochrelead-report/src/json.rs
+++ b/crates/ochrelead-report/src/json.rs
@@ -24,13 +24,14 @@
             json!({
                 "front": own.life.front, "started_us": own.life.started_us,
                 "from_us": own.from.micros(), "to_us": own.to.micros(), "clock_moved_us": own.moved_us,
-                "clock_bound_us": own.bound.map(|bound| bound.micros()), "lost": own.lost, "missing": own.missing,
+                "clock_bound_us": own.bound.map(|bound| bound.micros()), "clock_gains_us_per_s": own.gains_us,
+                "clock_set": own.steps, "lost": own.lost, "missing": own.missing,
             })
         })
         .collect();
     let (from, to) = incident.span();
     json!({
-        "from_us": from.micros(), "to_us": to.micros(), "troubles": troubles, "lives": lives,
+        "from_us": from.micros(), "to_us": to.micros(), "events": incident.events, "troubles": troubles, "lives": lives,
         "torn": incident.damage.torn, "newer": incident.damage.newer, "foreign": incident.damage.foreign,
     })
 }
--- a/crates/ochrelead-report/src/page.rs
+++ b/crates/ochrelead-report/src/page.rs
@@ -3,16 +3,14 @@
 use maud::{DOCTYPE, Markup, PreEscaped, html};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_diagnosis::trouble::Trouble;
-use ochrelead_records::schema::event::What;
 
 use crate::incident::Incident;
 use crate::series::{self, Series};
+use crate::story::words;
 
 /// The width of all plots and the place of the time axis in them, in SVG units.
 const WIDE: f64 = 900.0;
 const LEFT: f64 = 150.0;
-/// How many sessions are told step by step.
-const STORIES: usize = 5;
 
 const STYLE: &str = "
 :root { color-scheme: light dark; --ink: #1c1b19; --paper: #fbfaf7; --faint: #8a867c; --line: #ddd8cc;
@@ -38,7 +36,7 @@
 
 /// The whole page.
 pub fn of(incident: &Incident) -> String {
-    let series = series::of(incident);
+    let series = &incident.series;
     let (from, to) = incident.span();
     let length = seconds(to.since(from));
     let page = html! {
@@ -53,19 +51,19 @@
             body {
                 h1 { "What happened" }
                 p.sub { (format!("{length:.0} s of records, from {} lives of fronts", incident.stretches.len())) }
-                (summary(incident, &series))
+                (summary(incident, series))
                 h2 { "Timeline of troubles" }
                 div.scroll { (timeline(incident)) }
                 (table(incident))
                 h2 { "Servers" }
                 p.sub { "Answer times (red, seconds), INVITEs a second (blue), the fronts' in-flight limit (green, dashed)." }
                 @for (name, course) in &series.servers {
-                    div.scroll { (server(name, course, &series, length)) }
+                    div.scroll { (server(name, course, series, length)) }
                 }
                 h2 { "Service" }
-                (service(&series))
+                (service(series))
                 h2 { "Why sessions were given up, and how INVITEs ended" }
-                (reasons(&series))
+                (reasons(series))
                 h2 { "Fronts and their records" }
                 div.scroll { (lives(incident)) }
                 (clocks(incident))
@@ -224,10 +222,6 @@
     }
 }
 
-fn words(name: &str) -> String {
-    name.to_lowercase().replace('_', " ")
-}
-
 fn reasons(series: &Series) -> Markup {
     let kinds = [
         ("given up", &series.denials),
@@ -266,17 +260,22 @@
 }
 
 fn clocks(incident: &Incident) -> Markup {
-    let odd = |own: &&crate::incident::Stretch| own.moved_us != 0 || own.lost > 0 || own.missing > 0;
+    let odd = |own: &&crate::incident::Stretch| {
+        own.moved_us != 0 || own.steps > 0 || own.lost > 0 || own.missing > 0
+    };
     let damage = &incident.damage;
     html! {
         @if incident.stretches.iter().any(|own| odd(&own)) {
             table {
-                tr { th { "Front" } th.num { "Clock moved by" } th.num { "Give or take" } th.num { "Events lost" } }
+                tr { th { "Front" } th.num { "Clock moved by" } th.num { "Give or take" } th.num { "Gained" } th.num { "Set" }
+                    th.num { "Events lost" } }
                 @for own in incident.stretches.iter().filter(odd) {
                     tr {
                         td { (own.life.front) }
                         td.num { (format!("{:.2} s", own.moved_us as f64 / 1e6)) }
                         td.num { (own.bound.map_or("not known".to_owned(), |bound| format!("{:.2} s", seconds(bound)))) }
+                        td.num { (format!("{:.0} in a million", own.gains_us)) }
+                        td.num { @if own.steps > 0 { (own.steps) " times" } }
                         td.num { (own.lost + own.missing) }
                     }
                 }
@@ -293,65 +292,17 @@
 
 /// The longest sessions, each with all its steps.
 fn stories(incident: &Incident) -> Markup {
-    let mut longest: Vec<(u64, String)> = Vec::new();
-    for (_, record) in &incident.records {
-        match &record.event.what {
-            Some(What::Stands(own)) => longest.push((own.since_taken_us, own.tried.clone())),
-            Some(What::HungUp(own)) => longest.push((own.waited_us, own.tried.clone())),
-            _ => {}
-        }
-    }
-    longest.sort_by(|a, b| b.cmp(a));
-    longest.dedup_by(|a, b| a.1 == b.1);
-    longest.truncate(STORIES);
     let (from, _) = incident.span();
     html! {
-        @for (us, tried) in longest {
+        @for own in &incident.stories {
             details {
-                summary { "Try " (tried) ", " (format!("{:.2} s", us as f64 / 1e6)) }
+                summary { "Try " (own.tried) ", " (format!("{:.2} s", seconds(own.waited))) }
                 ol.story {
-                    @for (at, record) in &incident.records {
-                        @if let Some(text) = record.event.what.as_ref().and_then(|what| step(what, &tried)) {
-                            li { (format!("{:.3} s", seconds(at.since(from)))) " " (record.life.front) ": " (text) }
-                        }
+                    @for (at, text) in &own.steps {
+                        li { (format!("{:.3} s", seconds(at.since(from)))) " " (text) }
                     }
                 }
             }
         }
     }
 }
-
-/// A step of one try in plain words; none where the event is not its.
-fn step(what: &What, tried: &str) -> Option<String> {
-    let (own, text) = match what {
-        What::Taken(own) => (&own.tried, format!("taken, to {}", own.called)),
-        What::Invite(own) => {
-            let how = words(own.choice().as_str_name());
-            (
-                &own.tried,
-                format!(
-                    "INVITE {} to {} ({how}, {})",
-                    own.nth,
-                    own.server,
-                    words(own.payment().as_str_name())
-                ),
-            )
-        }
-        What::Ended(own) => (
-            &own.tried,
-            format!(
-                "{} answered {} after {:.2} s",
-                own.server,
-                words(own.ending().as_str_name()),
-                own.took_us as f64 / 1e6
-            ),
-        ),
-        What::Stands(own) => (&own.tried, format!("stands at {}", own.server)),
-        What::GivenUp(own) => (&own.tried, format!("given up: {}", words(own.denial().as_str_name()))),
-        What::HungUp(own) => (&own.tried, format!("caller hung up, waiting for {}", own.server)),
-        What::Cut(own) => (&own.tried, format!("cut by {}", own.server)),
-        What::Released(own) => (&own.tried, format!("released at {}", own.server)),
-        _ => return None,
-    };
-    (own == tried).then_some(text)
-}
--- a/crates/ochrelead-report/src/series.rs
+++ b/crates/ochrelead-report/src/series.rs
@@ -2,13 +2,15 @@
 
 use std::collections::BTreeMap;
 
+use hdrhistogram::Histogram;
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_records::reader::Record;
 use ochrelead_records::schema::{Choice, Denial, Ending, event::What};
 
-use crate::incident::Incident;
-
 /// The most stretches of a plot.
 const MOST: u64 = 240;
+/// A try whose end is not in the records is forgotten after this.
+const HELD: Span = Span::from_secs(600);
 
 /// A server's course.
 #[derive(Clone, Debug, Default)]
@@ -36,81 +38,122 @@
     /// Tries and those that stood, by service and by member (0 is none).
     pub services: BTreeMap<u32, (u64, u64)>,
     pub members: BTreeMap<u32, (u64, u64)>,
+    /// The stretch under way, and what came in it.
+    at: usize,
+    within: BTreeMap<String, Within>,
+    /// Service, member and stretch of tries under way.
+    tries: BTreeMap<String, (u32, u32, usize)>,
 }
 
-pub fn of(incident: &Incident) -> Series {
-    let (from, to) = incident.span();
-    let stretch = (to.since(from) / MOST).max(Span::from_millis(250));
-    let count = (to.since(from).micros() / stretch.micros().max(1) + 1) as usize;
-    let mut series = Series { stretch, from, ..Series::default() };
-    (series.tried, series.stood, series.given_up) = (vec![0.0; count], vec![0.0; count], vec![0.0; count]);
-    let mut times: BTreeMap<(String, usize), Vec<f64>> = BTreeMap::new();
-    let mut limits: BTreeMap<(String, usize), (f64, f64)> = BTreeMap::new();
-    let mut tries: BTreeMap<String, (u32, u32)> = BTreeMap::new();
-    for (at, record) in &incident.records {
-        let nth = (at.since(from).micros() / stretch.micros().max(1)) as usize;
-        let Some(what) = &record.event.what else { continue };
+/// A server in one stretch: memory is the same for a second and for an hour.
+#[derive(Clone, Debug, Default)]
+struct Within {
+    answers: Option<Histogram<u64>>,
+    /// Sum and count of the fronts' limits.
+    limit: (f64, f64),
+}
+
+impl Series {
+    /// For records of that time.
+    pub fn over(from: Moment, to: Moment) -> Series {
+        let stretch = (to.since(from) / MOST).max(Span::from_millis(250));
+        let count = (to.since(from).micros() / stretch.micros().max(1) + 1) as usize;
+        let empty = || vec![0.0; count];
+        Series { stretch, from, tried: empty(), stood: empty(), given_up: empty(), ..Series::default() }
+    }
+
+    /// A record, in the order of the common clock.
+    pub fn take(&mut self, at: Moment, record: &Record) {
+        let nth = (at.since(self.from).micros() / self.stretch.micros().max(1)) as usize;
+        let nth = nth.min(self.tried.len().saturating_sub(1));
+        if nth != self.at {
+            self.close_stretch();
+            self.at = nth;
+        }
+        let Some(what) = &record.event.what else { return };
         match what {
             What::Taken(taken) => {
-                series.tried[nth] += 1.0;
-                tries.insert(taken.tried.clone(), (taken.service, taken.member));
-                series.services.entry(taken.service).or_default().0 += 1;
-                series.members.entry(taken.member).or_default().0 += 1;
+                self.tried[nth] += 1.0;
+                self.tries.insert(taken.tried.clone(), (taken.service, taken.member, nth));
+                self.services.entry(taken.service).or_default().0 += 1;
+                self.members.entry(taken.member).or_default().0 += 1;
             }
             What::Invite(invite) => {
-                let course = series.server(&invite.server, count);
+                let course = self.server(&invite.server);
                 course.invites[nth] += 1.0;
                 course.drawn[nth] += f64::from(u8::from(invite.choice() == Choice::Drawn));
                 if invite.nth > 1 {
-                    *series.payments.entry(invite.payment().as_str_name()).or_insert(0) += 1;
+                    *self.payments.entry(invite.payment().as_str_name()).or_insert(0) += 1;
                 }
             }
             What::Stands(stands) => {
-                series.stood[nth] += 1.0;
-                times.entry((stands.server.clone(), nth)).or_default().push(stands.took_us as f64 / 1e6);
-                if let Some((service, member)) = tries.remove(&stands.tried) {
-                    series.services.entry(service).or_default().1 += 1;
-                    series.members.entry(member).or_default().1 += 1;
+                self.stood[nth] += 1.0;
+                let within = self.within.entry(stands.server.clone()).or_default();
+                within.answers.get_or_insert_with(histogram).saturating_record(stands.took_us.max(1));
+                if let Some((service, member, _)) = self.tries.remove(&stands.tried) {
+                    self.services.entry(service).or_default().1 += 1;
+                    self.members.entry(member).or_default().1 += 1;
                 }
             }
             What::Ended(ended) => {
                 let name = Ending::try_from(ended.ending).map_or("UNKNOWN", |own| own.as_str_name());
-                *series.endings.entry(name).or_insert(0) += 1;
+                *self.endings.entry(name).or_insert(0) += 1;
             }
             What::GivenUp(given_up) => {
-                series.given_up[nth] += 1.0;
-                tries.remove(&given_up.tried);
+                self.given_up[nth] += 1.0;
+                self.tries.remove(&given_up.tried);
                 let name = Denial::try_from(given_up.denial).map_or("UNKNOWN", |own| own.as_str_name());
-                *series.denials.entry(name).or_insert(0) += 1;
+                *self.denials.entry(name).or_insert(0) += 1;
             }
             What::HungUp(hung_up) => {
-                tries.remove(&hung_up.tried);
+                self.tries.remove(&hung_up.tried);
             }
             What::Outlook(outlook) => {
-                series.server(&outlook.server, count);
-                let own = limits.entry((outlook.server.clone(), nth)).or_default();
-                *own = (own.0 + outlook.limit, own.1 + 1.0);
+                self.server(&outlook.server);
+                let within = self.within.entry(outlook.server.clone()).or_default();
+                within.limit = (within.limit.0 + outlook.limit, within.limit.1 + 1.0);
             }
             _ => {}
         }
     }
-    for ((server, nth), mut own) in times {
-        own.sort_by(f64::total_cmp);
-        series.server(&server, count).answers[nth] = Some(own[own.len() / 2]);
+
+    /// The last stretch is over too.
+    pub fn finish(&mut self) {
+        self.close_stretch();
+        self.tries.clear();
     }
-    for ((server, nth), (sum, count_of)) in limits {
-        series.server(&server, count).limit[nth] = Some(sum / count_of);
+
+    fn close_stretch(&mut self) {
+        let nth = self.at;
+        for (server, own) in std::mem::take(&mut self.within) {
+            let course = self.server(&server);
+            let middle = own.answers.map(|answers| answers.value_at_quantile(0.5) as f64 / 1e6);
+            course.answers[nth] = middle.or(course.answers[nth]);
+            if own.limit.1 > 0.0 {
+                course.limit[nth] = Some(own.limit.0 / own.limit.1);
+            }
+        }
+        // Tries that a killed front held have no end in the records.
+        let (longest, stretch) = (HELD.micros(), self.stretch.micros().max(1));
+        self.tries.retain(|_, (.., taken)| (nth.saturating_sub(*taken)) as u64 * stretch <= longest);
     }
-    series
-}
 
-impl Series {
-    fn server(&mut self, name: &str, count: usize) -> &mut Course {
-        self.servers.entry(name.to_owned()).or_insert_with(|| Course {
-            invites: vec![0.0; count],
-            drawn: vec![0.0; count],
-            answers: vec![None; count],
-            limit: vec![None; count],
-        })
+    fn server(&mut self, name: &str) -> &mut Course {
+        let count = self.tried.len();
+        if !self.servers.contains_key(name) {
+            let course = Course {
+                invites: vec![0.0; count],
+                drawn: vec![0.0; count],
+                answers: vec![None; count],
+                limit: vec![None; count],
+            };
+            self.servers.insert(name.to_owned(), course);
+        }
+        self.servers.get_mut(name).expect("it was put in just now")
     }
 }
+
+/// Answer times in microseconds, to three digits, up to ten minutes.
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 600_000_000, 3).expect("these bounds are valid")
+}
--- a/crates/ochrelead-report/tests/report.rs
+++ b/crates/ochrelead-report/tests/report.rs
@@ -1,10 +1,11 @@
 //! The page and the JSON of a small incident.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::path::Path;
 use std::process::Command;
 
-use ochrelead_records::reader::{Damage, Life, Record};
+use ochrelead_records::reader::{Damage, Life, Log, Record};
 use ochrelead_records::schema::event::What;
 use ochrelead_records::schema::{Event, Invite, Outlook, Stands, Taken, Told};
 use ochrelead_report::incident::Incident;
@@ -73,15 +74,23 @@
     records
 }
 
+fn incident(records: Vec<Record>) -> Incident {
+    let mut lives: BTreeMap<Life, Vec<Record>> = BTreeMap::new();
+    for record in records {
+        lives.entry(record.life.clone()).or_default().push(record);
+    }
+    let logs: Vec<Log> = lives.into_iter().map(|(life, own)| Log::of(life, own)).collect();
+    Incident::of(&logs, Damage::default())
+}
+
 #[test_case(0; "clocks that agree")]
 #[test_case(40_000; "one forty seconds fast")]
 #[test_case(-3_000; "one three seconds slow")]
 fn the_crash_is_found_whatever_the_clocks(off_ms: i64) {
-    let incident = Incident::of(records(off_ms, 0..0), Damage::default());
+    let incident = incident(records(off_ms, 0..0));
     let crash: Vec<_> = incident.troubles.iter().filter(|own| own.of == "s1").collect();
     assert_eq!(crash.len(), 1, "{:?}", incident.troubles);
-    let first = incident.records.iter().map(|(at, _)| *at).min().unwrap();
-    let onset = crash[0].onset.since(first).micros() / 1_000;
+    let onset = crash[0].onset.since(incident.from).micros() / 1_000;
     assert!((7_000..13_000).contains(&onset), "{onset}");
     let moved: Vec<i64> = incident.stretches.iter().map(|own| own.moved_us / 1_000).collect();
     let gap = moved[1] - moved[0];
@@ -90,7 +99,7 @@
 
 #[test]
 fn what_was_cut_out_is_counted() {
-    let incident = Incident::of(records(0, 15_000..18_000), Damage::default());
+    let incident = incident(records(0, 15_000..18_000));
     let missing: Vec<u64> = incident.stretches.iter().map(|own| own.missing).collect();
     assert!(missing[0] == 0 && missing[1] > 50, "{missing:?}");
     assert!(page::of(&incident).contains(&missing[1].to_string()));
@@ -98,7 +107,7 @@
 
 #[test]
 fn the_page_stands_alone_and_tells_the_story() {
-    let page = page::of(&Incident::of(records(0, 0..0), Damage::default()));
+    let page = page::of(&incident(records(0, 0..0)));
     for elsewhere in ["http:", "https:", "<script", "src=", "@import", "url("] {
         assert!(!page.contains(elsewhere), "{elsewhere}");
     }
@@ -112,7 +121,7 @@
 #[test]
 fn a_quiet_course_is_said_to_be_one() {
     let quiet = records(0, 0..0).into_iter().filter(|own| own.event.at_us < 1_009_000_000).collect();
-    let incident = Incident::of(quiet, Damage::default());
+    let incident = incident(quiet);
     assert!(page::of(&incident).contains("Nothing was wrong that these records show."));
     assert_eq!(json::of(&incident)["troubles"].as_array().unwrap().len(), 0);
 }
