--- a/crates/ochrelead-day/src/found.rs
+++ b/crates/ochrelead-day/src/found.rs
@@ -1,12 +1,16 @@
 //! How well the diagnosis finds what a day's script did: from the fronts' records, against the script.
 
+use std::collections::BTreeMap;
 use std::path::Path;
 
 use anyhow::Context;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_diagnosis::trouble::{Kind, Trouble};
+use ochrelead_records::reader::{Damage, Log, Record, logs};
 use ochrelead_report::incident::Incident;
 use ochrelead_settings::day::{self, Day};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 use crate::capture::Sight;
 use crate::party::Party;
@@ -73,19 +77,22 @@
     all
 }
 
-/// Compares the records of a day with its script.
+/// Compares the records of a day with its script; marred first where there is a seed for it.
 ///
 /// # Errors
 ///
 /// Where records or capture can't be read.
-pub fn compare(day: &Day, sights: &[Sight], records: &Path) -> anyhow::Result<Found> {
+pub fn compare(day: &Day, sights: &[Sight], records: &Path, mar: Option<u64>) -> anyhow::Result<Found> {
     let marks = sights.iter().filter(|sight| sight.from == Party::Rig);
     let start = marks
         .map(|sight| String::from_utf8_lossy(&sight.bytes).into_owned())
         .find_map(|text| text.strip_prefix("start ").and_then(|us| us.parse().ok()))
         .map(Moment::from_micros)
         .context("the capture has no start")?;
-    let incident = Incident::read(&[records.to_owned()])?;
+    let incident = match mar {
+        None => Incident::read(&[records.to_owned()])?,
+        Some(seed) => Incident::of(&marred(logs(records)?.0, seed), Damage::default()),
+    };
     let shifted = |at: Moment| Moment::START + at.since(start);
     let troubles = incident.troubles.into_iter().map(|own| Trouble {
         onset: shifted(own.onset),
@@ -95,6 +102,77 @@
     Ok(matched(day, troubles.collect()))
 }
 
+/// Records that are cut out together, and one run of so many is.
+const RUN: usize = 25;
+const CUT: u32 = 10;
+/// What the clocks of the fronts show, by turns: ahead, behind, fast, set back in mid-life; the others are right.
+const OFF: [fn(f64, f64) -> f64; 4] = [
+    |at, _| at + 40.0,
+    |at, _| at - 3.0,
+    |at, _| at * 1.000_2,
+    |at, half| if at < half { at } else { at - 5.0 },
+];
+
+/// The same records with clocks that are wrong and a tenth of them gone.
+fn marred(logs: Vec<Log>, seed: u64) -> Vec<Log> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut fronts: Vec<String> = logs.iter().map(|log| log.life.front.clone()).collect();
+    fronts.dedup();
+    let mut all = Vec::new();
+    for log in logs {
+        let nth = fronts.iter().position(|front| *front == log.life.front).unwrap_or(0);
+        let life = log.life.clone();
+        let records: Vec<Record> = log.collect();
+        let first = records.first().map_or(0, |own| own.event.at_us);
+        let last = records.last().map_or(first, |own| own.event.at_us);
+        let half = (last - first) as f64 / 2e6;
+        let shown = |at: u64| {
+            // One of all fronts at least is right, wherever there is more than one.
+            let off = OFF.get(nth).filter(|_| nth + 1 < fronts.len() || fronts.len() == 1);
+            let since = (at - first) as f64 / 1e6;
+            first.saturating_add_signed((off.map_or(since, |off| off(since, half)) * 1e6) as i64)
+        };
+        let mut kept = Vec::new();
+        for run in records.chunks(RUN) {
+            if rng.random_ratio(1, CUT) {
+                continue;
+            }
+            kept.extend(run.iter().cloned().map(|mut own| {
+                own.event.at_us = shown(own.event.at_us);
+                own
+            }));
+        }
+        all.push(Log::of(life, kept));
+    }
+    all
+}
+
+/// What was found of each kind, over many days.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    pub scripted: usize,
+    pub found: usize,
+    pub invented: usize,
+    /// How far off the onsets of those found were, in seconds.
+    pub onsets: Vec<f64>,
+}
+
+/// Adds a day to the tally.
+pub fn count(tally: &mut BTreeMap<Kind, Tally>, found: &Found) {
+    for own in &found.scripted {
+        let kind = tally.entry(own.kind).or_default();
+        kind.scripted += 1;
+        if let Some(trouble) = &own.found {
+            kind.found += 1;
+            let off = apart(trouble.onset, Moment::START + own.at);
+            kind.onsets.push(off.ratio(Span::from_secs(1)));
+        }
+    }
+    for own in &found.invented {
+        tally.entry(own.kind).or_default().invented += 1;
+    }
+}
+
 fn apart(a: Moment, b: Moment) -> Span {
     a.since(b).max(b.since(a))
 }
--- a/crates/ochrelead-day/src/main.rs
+++ b/crates/ochrelead-day/src/main.rs
@@ -1,5 +1,6 @@
 //! The program `ochrelead-day`.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -10,10 +11,10 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_day::audit::{self, RULES, Service, Verdict};
-use ochrelead_day::found;
+use ochrelead_day::found::{self, Found, Tally};
 use ochrelead_day::load::{self, Between};
 use ochrelead_day::party::Street;
-use ochrelead_day::world::{Deciding, World, capture_file};
+use ochrelead_day::world::{Deciding, World, capture_file, day_file};
 use ochrelead_day::{capture, part};
 use ochrelead_front::host::Places;
 use ochrelead_settings::day::{self, Day};
@@ -53,10 +54,12 @@
     },
     /// How well the diagnosis finds what a played day's script did
     Found {
-        /// The folder that the day was played into
-        out: PathBuf,
-        #[arg(long)]
-        day: PathBuf,
+        /// Folders that days were played into; of more than one a table by kind is shown
+        #[arg(required = true)]
+        outs: Vec<PathBuf>,
+        /// Set the fronts' clocks wrong and cut out a tenth of the records first, by this seed
+        #[arg(long, value_name = "SEED")]
+        marred: Option<u64>,
     },
     /// Check days and stop
     Check {
@@ -143,7 +146,7 @@
     let done = match Line::parse().what {
         What::Run { day, out, alone } => run(&day, &out, alone),
         What::Audit { capture, day } => judge(&capture, &day),
-        What::Found { out, day } => found(&out, &day),
+        What::Found { outs, marred } => found(&outs, marred),
         What::Check { days } => days.iter().try_for_each(|day| read(day).map(drop)).map(|()| Outcome::Kept),
         What::Load { out, seconds, rates } => measure(&out, seconds, &rates),
         What::Part(part) => play(part).map(|()| Outcome::Kept),
@@ -182,10 +185,31 @@
     }
 }
 
-fn found(out: &Path, day: &Path) -> anyhow::Result<Outcome> {
-    let day = read(day)?;
-    let sights = capture::read(&capture_file(out))?;
-    let found = found::compare(&day, &sights, &out.join("records"))?;
+fn found(outs: &[PathBuf], marred: Option<u64>) -> anyhow::Result<Outcome> {
+    let mut tally = BTreeMap::new();
+    for out in outs {
+        let day = read(&day_file(out))?;
+        let sights = capture::read(&capture_file(out))?;
+        let found = found::compare(&day, &sights, &out.join("records"), marred)?;
+        found::count(&mut tally, &found);
+        if outs.len() > 1 {
+            println!("{}", out.display());
+        }
+        tell_found(&found);
+    }
+    if outs.len() > 1 {
+        println!("\n{:<38} {:>8} {:>6} {:>9} {:>9}", "kind", "scripted", "found", "invented", "onset off");
+        for (kind, Tally { scripted, found, invented, onsets }) in &mut tally {
+            onsets.sort_by(f64::total_cmp);
+            let off = onsets.get(onsets.len() / 2).map_or("-".to_owned(), |own| format!("{own:.1} s"));
+            println!("{:<38} {scripted:>8} {found:>6} {invented:>9} {off:>9}", kind.name());
+        }
+    }
+    let all = tally.values().all(|own| own.found == own.scripted && own.invented == 0);
+    Ok(if all { Outcome::Kept } else { Outcome::Broken })
+}
+
+fn tell_found(found: &Found) {
     let secs = |span: Span| span.ratio(Span::from_secs(1));
     for own in &found.scripted {
         let (at, ends) = (secs(own.at), secs(own.at + own.length));
@@ -201,8 +225,6 @@
         let end = own.end.map_or("lasts".to_owned(), |end| format!("{:.1}", secs(end.since(Moment::START))));
         println!("invented, {:.1} to {end}: {own}", secs(own.onset.since(Moment::START)));
     }
-    let all = found.scripted.iter().all(|own| own.found.is_some()) && found.invented.is_empty();
-    Ok(if all { Outcome::Kept } else { Outcome::Broken })
 }
 
 fn measure(out: &Path, seconds: u64, rates: &[u32]) -> anyhow::Result<Outcome> {
--- a/crates/ochrelead-day/src/world.rs
+++ b/crates/ochrelead-day/src/world.rs
@@ -93,6 +93,9 @@
         if records.exists() {
             fs::remove_dir_all(&records)?;
         }
+        if self.day_file != day_file(&self.out) {
+            fs::copy(&self.day_file, day_file(&self.out))?;
+        }
         let clock = Clock::start();
         let start = clock.now() + Span::from_micros(LEAD.as_micros() as u64);
         let mut processes = Processes::default();
@@ -519,3 +522,8 @@
 pub fn capture_file(out: &Path) -> PathBuf {
     out.join("capture.pcap")
 }
+
+/// The day that was played into a folder.
+pub fn day_file(out: &Path) -> PathBuf {
+    out.join("day.textproto")
+}
--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -21,6 +21,7 @@
 use ochrelead_settings::commission::{Commission, Post};
 
 use crate::drain::Service;
+use crate::gone::Gone;
 use crate::judge::Judge;
 use crate::note::{Note, Step};
 use crate::numbers::Numbers;
@@ -28,8 +29,8 @@
 
 /// Numbers that are remembered at once: a flood of fresh ones pushes the oldest out.
 const MOST_NUMBERS: usize = 65_536;
-/// Hang-ups that came before their try are remembered for so many tries.
-const MOST_OVERTAKEN: usize = 1_024;
+/// Hang-ups that no held session belongs to are remembered, for so many tries.
+const MOST_HUNG_UP: usize = 16_384;
 /// A turn that comes so much later than it was asked for is told.
 const PAUSE: Span = Span::from_millis(250);
 /// Notes that wait for the host; what comes beyond is dropped, the sessions go on.
@@ -56,8 +57,8 @@
     roster: Roster,
     numbers: Numbers,
     pending: HashMap<TransactionId, Pending>,
-    /// Tries whose hang-up came first.
-    overtaken: VecDeque<String>,
+    /// Tries that are over, though this front does not hold them: nothing is set up for what still comes of them.
+    hung_up: Gone,
     service: Service,
     notes: VecDeque<Note>,
     alarm: Option<Moment>,
@@ -78,7 +79,7 @@
             roster: Roster::default(),
             numbers: Numbers::new(MOST_NUMBERS),
             pending: HashMap::new(),
-            overtaken: VecDeque::new(),
+            hung_up: Gone::new(MOST_HUNG_UP),
             service: Service::Open,
             notes: VecDeque::new(),
             alarm: None,
--- a/crates/ochrelead-front/src/engine/callers.rs
+++ b/crates/ochrelead-front/src/engine/callers.rs
@@ -50,9 +50,8 @@
 
     /// A caller's try: one session.
     fn tried(&mut self, from: SocketAddr, command: &Command, tried: &str, digits: &str) {
-        // A hang-up overtook its try: nobody waits for an answer.
-        if let Some(at) = self.overtaken.iter().position(|own| own == tried) {
-            self.overtaken.remove(at);
+        // A hang-up overtook its try: nobody waits for an answer. More repeats of it may follow.
+        if self.hung_up.contains(tried) {
             return self.pass_over(from, format!("try {tried} had hung up before it came"));
         }
         let meant = self.commission.numbering.read(digits);
@@ -102,24 +101,20 @@
         if let Some(session) = self.book.tried(tried) {
             return self.caller_left(session);
         }
+        // Its try may still come: overtaken, or repeated to a front that was started anew and whose answer to
+        // the first one got lost.
+        self.hung_up.insert(tried);
         let far = command.parameters.get(name::FAR).and_then(|far| {
             let (connection, endpoint) = far.split_once(' ')?;
             Some((connection, endpoint.parse::<Endpoint>().ok()?))
         });
-        match far {
-            Some((connection, endpoint)) => match self.roster.named(endpoint.domain()) {
-                Some(server) => {
-                    let to = self.roster.post(server).address;
-                    self.take_down(to, endpoint, Some(tried), Some(connection));
-                }
-                None => self.pass_over(from, format!("try {tried}: no server {}", endpoint.domain())),
-            },
-            None => {
-                if self.overtaken.len() == MOST_OVERTAKEN {
-                    self.overtaken.pop_front();
-                }
-                self.overtaken.push_back(tried.to_owned());
+        let Some((connection, endpoint)) = far else { return };
+        match self.roster.named(endpoint.domain()) {
+            Some(server) => {
+                let to = self.roster.post(server).address;
+                self.take_down(to, endpoint, Some(tried), Some(connection));
             }
+            None => self.pass_over(from, format!("try {tried}: no server {}", endpoint.domain())),
         }
     }
 
--- a/crates/ochrelead-front/src/lib.rs
+++ b/crates/ochrelead-front/src/lib.rs
@@ -5,6 +5,7 @@
 //!   out; [`engine::Engine::wake`] says when to come again.
 //! - [`endings`]: what a server's answer means to the module.
 //! - [`numbers`]: called numbers by index, bounded.
+//! - [`gone`]: tries that are over, bounded.
 //! - [`drain`]: leaving service without losing a session.
 //! - [`note`]: what the engine tells; [`recording`]: its form in the records.
 //! - [`judge`]: what the engine asks of whoever decides, so that a rig can put a baseline in the module's place.
@@ -13,6 +14,7 @@
 pub mod drain;
 pub mod endings;
 pub mod engine;
+pub mod gone;
 pub mod host;
 pub mod judge;
 pub mod keeping;
--- a/crates/ochrelead-front/tests/front.rs
+++ b/crates/ochrelead-front/tests/front.rs
@@ -188,6 +188,19 @@
     assert_eq!((*to, release.parameters.get("I")), (server(1), Some("i9")));
 }
 
+#[test]
+fn a_try_that_hung_up_at_a_front_started_anew_is_not_set_up_again() {
+    // The front that took it was killed, and its answer to the try's NTFY had got lost.
+    let mut new = Front::start(100);
+    new.ask(0, gateway(), "NTFY norte/1@g", "X-Try: b7|O: L/hu|X-Far: i9 trunk/9@s1");
+    new.sent(0);
+    for repeat in 0..2 {
+        new.dial(500 + repeat, "b7", "1004711");
+        let sent = new.sent(500 + repeat);
+        assert_eq!((invite(&sent), answers(&sent).len(), new.engine.load().0), (None, 0, 0));
+    }
+}
+
 #[test]
 fn a_late_double_does_not_take_down_a_circuit_in_use() {
     let mut front = Front::start(100);
