--- a/crates/ochrelead-day/src/found.rs
+++ b/crates/ochrelead-day/src/found.rs
@@ -68,7 +68,7 @@
                         day::Kind::FrontStall => add(Kind::FrontStalled, front),
                         day::Kind::LinkCut => add(Kind::CutOff, front),
                         day::Kind::Redials => add(Kind::Redials, format!("member {}", which + 1)),
-                        day::Kind::AllSlow | day::Kind::HotNumber | day::Kind::Surge => {}
+                        _ => {}
                     }
                 }
             }
--- a/crates/ochrelead-diagnosis/src/clocks.rs
+++ b/crates/ochrelead-diagnosis/src/clocks.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 
 use ochrelead_core::time::Span;
+use ochrelead_records::LINES;
 use ochrelead_records::reader::{Life, Record};
 use ochrelead_records::schema::{Event, event::What};
 
@@ -41,6 +42,20 @@
     pub bound: Option<Span>,
 }
 
+/// Words that are kept of a piece before those on lines are thinned out, and how far that goes.
+const MOST_WORDS: usize = 4_096;
+const COARSEST: u64 = 1 << 20;
+/// So many more words on lines are worth settling anew.
+const SETTLE_EACH: usize = 32;
+/// News that was not repeated is this near to the middle of its kind.
+const PROMPT: i64 = 100_000;
+
+/// The free lines that a word tells.
+fn free_lines(name: &str) -> Option<u64> {
+    let (_, figure) = name.split_once(LINES)?;
+    figure.split('/').next()?.parse().ok()
+}
+
 const UNTIED: Offset = Offset { add: 0, drift: 0.0, bound: None };
 
 impl Offset {
@@ -57,6 +72,8 @@
     /// From the last event before it to its first, on the front's own clock.
     step: i64,
     words: Vec<(String, i64)>,
+    /// Of words on lines only those are kept whose free lines are a multiple of this.
+    coarse: u64,
     offset: Option<Offset>,
 }
 
@@ -78,7 +95,8 @@
     /// True where the offsets may be known better by it.
     pub fn take(&mut self, life: &Life, event: &Event) -> bool {
         let (at, nth) = (event.at_us, event.nth);
-        let piece = |step| Piece { first_nth: nth, first_at: at, step, words: Vec::new(), offset: None };
+        let piece =
+            |step| Piece { first_nth: nth, first_at: at, step, words: Vec::new(), coarse: 1, offset: None };
         if !self.lives.contains_key(life) {
             let course = Course { last_nth: nth, last_at: at, pieces: vec![piece(0)] };
             self.lives.insert(life.clone(), course);
@@ -97,7 +115,17 @@
             _ => return cut,
         };
         if let Some(piece) = course.pieces.last_mut() {
-            piece.words.push((name, at as i64));
+            let free = free_lines(&name);
+            if free.is_none_or(|free| free % piece.coarse == 0) {
+                piece.words.push((name, at as i64));
+            }
+            // Thinned out by what they say, so that the words that are left are the same in each life.
+            while piece.words.len() > MOST_WORDS && piece.coarse < COARSEST {
+                piece.coarse *= 2;
+                let coarse = piece.coarse;
+                piece.words.retain(|(name, _)| free_lines(name).is_none_or(|free| free % coarse == 0));
+            }
+            return free.is_none() || piece.words.len() % SETTLE_EACH == 0;
         }
         true
     }
@@ -229,6 +257,9 @@
     };
     let better = drifting.len() > steady.len() || around(&drifting, drift) * 2 < around(&steady, 0.0);
     let (kept, drift) = if better { (drifting, drift) } else { (steady, 0.0) };
+    // Where most came promptly, what came late says nothing more.
+    let prompt = cluster(&kept, drift, PROMPT)?;
+    let kept = if prompt.len() > 2 && prompt.len() * 2 >= kept.len() { prompt } else { kept };
     let wide = spread(&kept, drift);
     let bound = if kept.len() > 2 { wide / 2 } else { NEWS_TAKES.max(wide) };
     let mut levels: Vec<i64> = kept.iter().map(|vote| level(*vote, drift)).collect();
--- a/crates/ochrelead-diagnosis/src/diagnosis/pace.rs
+++ b/crates/ochrelead-diagnosis/src/diagnosis/pace.rs
@@ -19,11 +19,45 @@
 /// The wake of a server's silence or restart: what is refused or late then is so because of it.
 const WAKE: Span = Span::from_secs(8);
 
+/// A server that answers late and carries less than this share of its usual is what is slow; the others that
+/// are late carry what it does not.
+const CARRIES_LESS: f64 = 0.8;
+const CARRIES_ON: f64 = 0.9;
+
+/// A server that answers late with no more to do than usual.
+struct Late {
+    name: String,
+    /// Its middle answer time now and usually, in seconds.
+    middle: f64,
+    usual: f64,
+    /// INVITEs it gets, as a share of the usual.
+    carries: f64,
+}
+
+impl Late {
+    fn evidence(&self) -> String {
+        let Late { middle, usual, .. } = self;
+        format!("answers after {middle:.2} s where {usual:.2} s are usual, with no more to do")
+    }
+
+    fn confidence(&self) -> f64 {
+        (self.middle / self.usual / SLOW_TIMES / 2.0).min(1.0)
+    }
+}
+
+/// The one of several late servers that carries less, while the others carry on: theirs is the wake of it.
+fn alone(late: &[Late]) -> Option<&Late> {
+    let one = late.iter().min_by(|a, b| a.carries.total_cmp(&b.carries))?;
+    let others = late.iter().filter(|own| own.name != one.name);
+    let carry_on = others.clone().count() > 0 && others.clone().all(|own| own.carries >= CARRIES_ON);
+    (one.carries < CARRIES_LESS && carry_on).then_some(one)
+}
+
 impl Diagnosis {
     /// Answer times: one server slow, all of them, or answers that came to the repeat only. What is late while
     /// no more is offered than usual is slow; what is late while more is offered is overloaded.
     pub(super) fn judge_pace(&mut self, at: Moment) {
-        let mut late: Vec<(String, f64, f64)> = Vec::new();
+        let mut late: Vec<Late> = Vec::new();
         let (mut judged, mut well, mut pressed) = (0, 0, 0);
         let mut lossy = Vec::new();
         let recent = |then: Option<Moment>, span| then.is_some_and(|then| at.since(then) < span);
@@ -49,7 +83,7 @@
             } else if middle > usual * SLOW_TIMES && middle - usual > SLOW_LEAST {
                 pressed += 1;
                 if sent <= usually_sent * MORE + 0.5 {
-                    late.push((name.clone(), middle, usual));
+                    late.push(Late { name: name.clone(), middle, usual, carries: sent / usually_sent });
                 }
             } else if whole {
                 well += usize::from(middle < usual * 1.5);
@@ -74,12 +108,21 @@
         let calm = self.last_more.is_none_or(|then| at.since(then) > WINDOW * 2);
         let whole = self.fleet_is_whole(at);
         let struck = self.open.keys().any(|(kind, _)| matches!(kind, Kind::Slow | Kind::AllSlow));
-        if !late.is_empty() && judged > 1 && well == 0 && calm && whole && !wake {
+        // Nothing else explains what is late; what was found before goes on as long as it is late.
+        let clear = calm && whole && !wake && !self.callers_press(at);
+        let found = |kind: Kind, of: &str| self.open.contains_key(&(kind, of.to_owned()));
+        let hampered = alone(&late).filter(|own| judged > 1 && (clear || found(Kind::Slow, &own.name)));
+        if let Some(own) = hampered {
+            let evidence = own.evidence();
+            let confidence = own.confidence();
+            let name = own.name.clone();
+            self.see(at, Kind::Slow, &name, onset, confidence, evidence);
+        } else if !late.is_empty() && judged > 1 && well == 0 && (clear || found(Kind::AllSlow, "")) {
             let evidence =
                 format!("{} of {judged} answer late while no more is offered than usual", late.len());
             let onset = self.take_over(Kind::Slow, onset);
             self.see(at, Kind::AllSlow, "", onset, 0.8, evidence);
-        } else if refused >= REFUSED && !wake && (more || !struck) && whole {
+        } else if refused >= REFUSED && !wake && (more || !struck) && whole && !self.callers_press(at) {
             let percent = refused * 100.0;
             let evidence =
                 format!("{percent:.0} in 100 tries refused for lack of room, with no server to blame");
@@ -87,22 +130,14 @@
         } else if more && judged > 1 && pressed * 2 >= judged {
             let evidence = format!("{pressed} of {judged} answer late while more is offered than usual");
             self.see(at, Kind::Overload, "", onset, 0.6, evidence);
-        } else if late.len() == 1 && well > 0 && calm && whole && !wake {
+        } else if late.len() == 1 && well > 0 && (clear || found(Kind::Slow, &late[0].name)) {
             let lossy = |own: &Trouble, name: &str| own.kind == Kind::AnswersLost && own.of == name;
-            late.retain(|(name, ..)| {
-                !self.open.values().chain(self.closed.iter().rev().take(5)).any(|own| lossy(own, name))
+            late.retain(|late| {
+                let recent = self.closed.iter().rev().take(5);
+                !self.open.values().chain(recent).any(|own| lossy(own, &late.name))
             });
-            for (name, middle, usual) in late {
-                let evidence =
-                    format!("answers after {middle:.2} s where {usual:.2} s are usual, with no more to do");
-                self.see(
-                    at,
-                    Kind::Slow,
-                    &name,
-                    onset,
-                    (middle / usual / SLOW_TIMES / 2.0).min(1.0),
-                    evidence,
-                );
+            for own in late {
+                self.see(at, Kind::Slow, &own.name, onset, own.confidence(), own.evidence());
             }
         }
         if !more && seen >= WINDOW / 2 && whole {
@@ -110,6 +145,14 @@
         }
     }
 
+    /// Whether callers that dial again at once, or all dial one number, make more of what is offered.
+    fn callers_press(&self, at: Moment) -> bool {
+        let press = |kind: Kind| matches!(kind, Kind::Redials | Kind::HotNumber);
+        let recent = |own: &Trouble| own.end.is_some_and(|end| at.since(end) < WAKE / 2);
+        self.open.keys().any(|(kind, _)| press(*kind))
+            || self.closed.iter().rev().take(20).any(|own| press(own.kind) && recent(own))
+    }
+
     /// What was held for one server's trouble is all servers': the onset of the first of them.
     fn take_over(&mut self, kind: Kind, onset: Moment) -> Moment {
         let same = |own: &Trouble| own.kind == kind && own.end.is_none_or(|end| onset.since(end) < SAME);
@@ -122,7 +165,7 @@
     /// Whether no front is, or was a moment ago, cut off, stalled or gone: its refusals are its own.
     fn fleet_is_whole(&self, at: Moment) -> bool {
         let fronts = |kind: Kind| matches!(kind, Kind::CutOff | Kind::FrontStalled | Kind::FrontKilled);
-        let recent = |own: &Trouble| own.end.is_some_and(|end| at.since(end) < WAKE / 2);
+        let recent = |own: &Trouble| own.end.is_some_and(|end| at.since(end) < WAKE);
         !self.open.keys().any(|(kind, _)| fronts(*kind))
             && !self.closed.iter().rev().take(20).any(|own| fronts(own.kind) && recent(own))
     }
--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -12,7 +12,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use ochrelead_core::call::{Decision, Denial, Ending, Outlook, Reason};
+use ochrelead_core::call::{Decision, Denial, Ending, Lines, Outlook, Reason};
 use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_fleet::roster::{Roster, Said};
@@ -33,6 +33,8 @@
 const MOST_HUNG_UP: usize = 16_384;
 /// A turn that comes so much later than it was asked for is told.
 const PAUSE: Span = Span::from_millis(250);
+/// A front that has nothing to do looks at the clock so often: else it could not tell that it stood still.
+const PULSE: Span = Span::from_secs(1);
 /// Notes that wait for the host; what comes beyond is dropped, the sessions go on.
 const MOST_NOTES: usize = 65_536;
 
@@ -62,8 +64,13 @@
     service: Service,
     notes: VecDeque<Note>,
     alarm: Option<Moment>,
+    /// The last turn, and the most that what is read now may have waited to be read.
+    turned: Moment,
+    waited: Span,
     /// When anything was last heard of each server.
     heard: Vec<Option<Moment>>,
+    /// The lines of each server that were last noted.
+    noted: Vec<Option<Lines>>,
 }
 
 impl<J: Judge> Engine<J> {
@@ -83,7 +90,10 @@
             service: Service::Open,
             notes: VecDeque::new(),
             alarm: None,
+            turned: now,
+            waited: Span::ZERO,
             heard: Vec::new(),
+            noted: Vec::new(),
         };
         engine.relist(now, &roster);
         engine
@@ -93,6 +103,8 @@
         let late = self.alarm.map_or(Span::ZERO, |alarm| now.since(alarm));
         if late > PAUSE {
             self.alarm = None;
+            // What came since the last turn lay unread, nobody knows how long.
+            self.waited = now.since(self.turned);
             self.note(Note::Paused(late));
         }
         self.now = self.now.max(now);
@@ -199,7 +211,8 @@
         self.service.settle(self.now, self.owed(), self.commission.drain);
         let alarms = [self.judge.wake(), self.exchange.wake(), self.book.wake()];
         let alarms = alarms.into_iter().chain([self.service.wake(self.now, self.commission.drain)]);
-        self.alarm = alarms.flatten().min();
+        self.alarm = alarms.flatten().chain([self.now + PULSE]).min();
+        (self.turned, self.waited) = (self.now, Span::ZERO);
     }
 
     fn owed(&self) -> usize {
@@ -219,6 +232,11 @@
         self.notes.pop_front()
     }
 
+    /// Whether the session of that try is held.
+    pub fn holds(&self, tried: &str) -> bool {
+        self.book.tried(tried).is_some()
+    }
+
     /// Sessions held (with a final answer or not) and commands that wait for a response.
     pub fn load(&self) -> (usize, usize) {
         (self.book.len(), self.exchange.load().0)
@@ -264,7 +282,12 @@
         }
         match command.verb {
             Verb::Notify if self.roster.at(from).is_none() => self.notified(from, &command),
-            Verb::Notify => self.exchange.answer(from, Response::new(code::DONE, command.transaction)),
+            Verb::Notify => {
+                self.exchange.answer(from, Response::new(code::DONE, command.transaction));
+                if let Some(server) = self.roster.at(from) {
+                    self.note_lines(server, &command.parameters);
+                }
+            }
             Verb::DeleteConnection => self.cut_by_server(from, &command),
             Verb::RestartInProgress => self.restart_told(from, &command),
             Verb::AuditEndpoint => self.exchange.answer(from, Response::new(code::DONE, command.transaction)),
--- a/crates/ochrelead-front/src/engine/book.rs
+++ b/crates/ochrelead-front/src/engine/book.rs
@@ -34,6 +34,8 @@
     pub to: SocketAddr,
     pub endpoint: Endpoint,
     pub connection: String,
+    /// When the server's word on it came.
+    pub since: Moment,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/ochrelead-front/src/engine/callers.rs
+++ b/crates/ochrelead-front/src/engine/callers.rs
@@ -58,7 +58,8 @@
         let patience =
             command.parameters.read::<u32>(name::PATIENCE).map(|ms| Span::from_millis(u64::from(ms)));
         let limit = meant.map_or(Span::ZERO, |dialled| self.commission.timer_limits[dialled.service.at()]);
-        let limit = patience.map_or(limit, |own| own.min(limit));
+        // A front that stood still takes a try for as old as it may be: its caller has waited all the while.
+        let limit = patience.map_or(limit, |own| own.min(limit)) - self.waited;
         let (line, called) = (command.endpoint.clone(), digits.to_owned());
         let mut call = Call::new(from, line, tried.to_owned(), called, self.now);
         call.timer_limit = self.now + (limit - self.commission.answer_margin);
--- a/crates/ochrelead-front/src/engine/servers.rs
+++ b/crates/ochrelead-front/src/engine/servers.rs
@@ -7,6 +7,11 @@
 use ochrelead_fleet::roster::Restart;
 use ochrelead_mgcp::message::Parameters;
 
+/// News that is lost three times comes so many first gaps late: 1, 2 and 4 of them (RFC 3435 section 3.5.3).
+const LATE_NEWS: u64 = 7;
+/// One figure of so many is noted.
+const NOTED: u32 = 4;
+
 impl<J: Judge> Engine<J> {
     /// What any message of a server says of its lines and its processor.
     pub(super) fn learn(&mut self, server: ServerIx, parameters: &Parameters) {
@@ -19,6 +24,19 @@
         }
     }
 
+    /// A server tells all fronts of its lines at one moment: a figure here and there, the same ones at each front,
+    /// is noted, so that the records of all can be set on one clock.
+    pub(super) fn note_lines(&mut self, server: ServerIx, parameters: &Parameters) {
+        let Some(lines) = endings::lines(parameters).filter(|lines| lines.free % NOTED == 0) else { return };
+        if self.noted.len() <= server.at() {
+            self.noted.resize(server.at() + 1, None);
+        }
+        if self.noted[server.at()].replace(lines) != Some(lines) {
+            let name = self.roster.post(server).name.clone();
+            self.note(Note::Lines { name, lines });
+        }
+    }
+
     fn trunk(&self, server: ServerIx, which: &str) -> Endpoint {
         let Post { name, trunk, .. } = self.roster.post(server);
         format!("{trunk}/{which}@{name}").parse().expect("the names of the list were checked")
@@ -59,7 +77,7 @@
         if let Some(ending) = endings::of_set_up(response) {
             return self.invite_ended(index, invite, ending);
         }
-        let Some(circuit) = circuit(invite.server, invite.to, response) else {
+        let Some(circuit) = circuit(invite.server, invite.to, response, self.now) else {
             // It says that the call stands but not where: it can be neither used nor taken down by name.
             self.take_down_call(invite, index);
             return self.invite_ended(index, invite, Ending::Fault { lines_busy: false });
@@ -133,8 +151,8 @@
         if response.code != code::DONE {
             return;
         }
-        let Some(circuit) =
-            circuit(server, from, response).filter(|circuit| !self.book.is_in_use(&circuit.endpoint))
+        let Some(circuit) = circuit(server, from, response, self.now)
+            .filter(|circuit| !self.book.is_in_use(&circuit.endpoint))
         else {
             return;
         };
@@ -204,6 +222,24 @@
         }
     }
 
+    /// News of a restart may come late, by repeats: a call that was set up just before it, or whose INVITE was just
+    /// repeated, may be the new process's, and would stand there for ever.
+    fn release_if_new(&mut self, session: SessionIx) {
+        let Some(call) = self.book.get(session) else { return };
+        let (tried, late) = (call.tried.clone(), self.commission.pace.first_gap * LATE_NEWS);
+        match call.phase.clone() {
+            Phase::Inviting(invite) if self.now.since(invite.sent) < late => {
+                self.take_down_call(invite, session)
+            }
+            Phase::Standing(Circuit { to, endpoint, connection, since, .. })
+                if self.now.since(since) < late =>
+            {
+                self.take_down(to, endpoint, Some(&tried), Some(&connection));
+            }
+            _ => {}
+        }
+    }
+
     /// A server speaks of its restart.
     pub(super) fn restart_told(&mut self, from: SocketAddr, command: &Command) {
         let server = self.roster.named(command.endpoint.domain());
@@ -225,6 +261,7 @@
             for session in held {
                 // Calls at an address that the server has left are another process's.
                 if self.held_by(session).is_some_and(|(_, address)| address == from) {
+                    self.release_if_new(session);
                     self.lost(session, server);
                 }
             }
@@ -243,8 +280,8 @@
 }
 
 /// Where a call was set up (RFC 3435 section 2.3.5: `Z` where the endpoint was named by a wildcard).
-fn circuit(server: ServerIx, to: SocketAddr, response: &Response) -> Option<Circuit> {
+fn circuit(server: ServerIx, to: SocketAddr, response: &Response, since: Moment) -> Option<Circuit> {
     let endpoint = response.parameters.get(name::SPECIFIC)?.parse().ok()?;
     let connection = response.parameters.get(name::CONNECTION)?.to_owned();
-    Some(Circuit { server, to, endpoint, connection })
+    Some(Circuit { server, to, endpoint, connection, since })
 }
--- a/crates/ochrelead-front/src/host.rs
+++ b/crates/ochrelead-front/src/host.rs
@@ -318,6 +318,7 @@
                 Step::TakenDown { server } => info!(tried, server, "taken down: nobody claims it"),
             },
             Note::Server { name, what } => info!(server = name, what, "server"),
+            Note::Lines { .. } => {}
             Note::Paused(span) => {
                 self.paused = true;
                 warn!(ms = span.micros() / 1_000, "this front stood still");
--- a/crates/ochrelead-front/src/note.rs
+++ b/crates/ochrelead-front/src/note.rs
@@ -1,6 +1,6 @@
 //! What the engine tells the log and the records. The host writes it; nothing is decided by it.
 
-use ochrelead_core::call::{Denial, Ending, Reason};
+use ochrelead_core::call::{Denial, Ending, Lines, Reason};
 use ochrelead_core::time::Span;
 use ochrelead_fleet::roster::Said;
 use ochrelead_settings::commission::Post;
@@ -12,6 +12,8 @@
     Session { tried: String, what: Step },
     /// A server said something of itself.
     Server { name: String, what: &'static str },
+    /// A server told all fronts of its lines.
+    Lines { name: String, lines: Lines },
     /// The list has changed: this is what a front that starts anew should know.
     List(Vec<(Post, Said)>),
     /// A message that was passed over, and why.
--- a/crates/ochrelead-front/src/recording.rs
+++ b/crates/ochrelead-front/src/recording.rs
@@ -2,6 +2,7 @@
 
 use ochrelead_core::call::{Choice, Denial, Ending, Outlook, Payment, Reason};
 use ochrelead_core::time::Span;
+use ochrelead_records::LINES;
 use ochrelead_records::schema::{self, event::What};
 
 use crate::note::{Note, Step};
@@ -13,6 +14,10 @@
         Note::Server { name, what } => {
             What::Told(schema::Told { server: name.clone(), what: (*what).to_owned() })
         }
+        Note::Lines { name, lines } => What::Told(schema::Told {
+            server: name.clone(),
+            what: format!("{LINES}{}/{}", lines.free, lines.all),
+        }),
         Note::List(posts) => {
             let server = posts.iter().map(|(post, _)| post.name.clone()).collect();
             What::Fleet(schema::Fleet { generation, server })
--- a/crates/ochrelead-records/src/lib.rs
+++ b/crates/ochrelead-records/src/lib.rs
@@ -28,3 +28,6 @@
 
 /// The version of the schema that this program writes.
 pub const VERSION: u32 = 1;
+
+/// How a server's word on its lines begins; `free/all` follows.
+pub const LINES: &str = "lines ";
--- a/crates/ochrelead-settings/src/day.rs
+++ b/crates/ochrelead-settings/src/day.rs
@@ -113,10 +113,26 @@
     AnswersLost,
     /// The link between a front and all servers is cut, both ways.
     LinkCut,
+    /// Nothing of the servers reaches a front, a share of `size` of it.
+    FrontDeaf,
+    /// Nothing of a front reaches the servers, a share of `size` of it.
+    FrontMute,
+    /// The link between a front and the callers loses a share of `size`, both ways.
+    CallersCut,
+    /// A front's system clock is set by `size` seconds, ahead; its next process has it.
+    ClockAhead,
+    /// The same, back.
+    ClockBack,
+    /// A front's clock runs fast by `size` in a million.
+    ClockFast,
+    /// A front's disk takes nothing for the length.
+    DiskFull,
+    /// What a front was writing when it was killed within the length is torn.
+    DiskTorn,
 }
 
 impl Kind {
-    pub const ALL: [(&'static str, Kind); 13] = [
+    pub const ALL: [(&'static str, Kind); 21] = [
         ("crash", Kind::Crash),
         ("vanish", Kind::Vanish),
         ("silent", Kind::Silent),
@@ -130,12 +146,33 @@
         ("redials", Kind::Redials),
         ("answers_lost", Kind::AnswersLost),
         ("link_cut", Kind::LinkCut),
+        ("front_deaf", Kind::FrontDeaf),
+        ("front_mute", Kind::FrontMute),
+        ("callers_cut", Kind::CallersCut),
+        ("clock_ahead", Kind::ClockAhead),
+        ("clock_back", Kind::ClockBack),
+        ("clock_fast", Kind::ClockFast),
+        ("disk_full", Kind::DiskFull),
+        ("disk_torn", Kind::DiskTorn),
     ];
 
+    /// As days name it.
+    pub fn name(self) -> &'static str {
+        Kind::ALL.iter().find(|(_, own)| *own == self).map_or("", |(name, _)| name)
+    }
+
+    /// Clocks and disks are the system's: real processes can't be given others.
+    pub fn is_emulated_only(self) -> bool {
+        use Kind::{ClockAhead, ClockBack, ClockFast, DiskFull, DiskTorn};
+        matches!(self, ClockAhead | ClockBack | ClockFast | DiskFull | DiskTorn)
+    }
+
     /// Whether it strikes fronts (true), servers (false), or neither.
     fn strikes_fronts(self) -> Option<bool> {
         match self {
             Kind::FrontKilled | Kind::FrontStall | Kind::LinkCut => Some(true),
+            Kind::FrontDeaf | Kind::FrontMute | Kind::CallersCut => Some(true),
+            _ if self.is_emulated_only() => Some(true),
             Kind::Surge | Kind::HotNumber | Kind::Redials | Kind::AllSlow => None,
             _ => Some(false),
         }
@@ -175,11 +212,15 @@
     sheet.finish(day)
 }
 
+/// The most fronts and servers of a day.
+const MOST_FRONTS: f64 = 2_000.0;
+const MOST_SERVERS: usize = 90;
+
 fn check(day: schema::Day, sheet: &mut Sheet) -> Day {
     let length = sheet.need("length_ms", day.length_ms);
     sheet.between("length_ms", f64::from(length), 500.0, 3_600_000.0);
     let fronts = sheet.need("fronts", day.fronts);
-    let fronts = sheet.between("fronts", f64::from(fronts), 1.0, 200.0) as usize;
+    let fronts = sheet.between("fronts", f64::from(fronts), 1.0, MOST_FRONTS) as usize;
     let mut own = sheet.need("front", day.front);
     for (named, field) in
         [(own.name.is_some(), "name"), (own.listen.is_some(), "listen"), (own.fronts.is_some(), "fronts")]
@@ -197,7 +238,7 @@
     (own.name, own.listen) = (Some("front".to_owned()), Some("127.0.0.1:0".to_owned()));
     own.fronts = Some(fronts as u32);
     let front = commission::check(&own, "front.", sheet);
-    if day.stand_in.is_empty() || day.stand_in.len() > 90 {
+    if day.stand_in.is_empty() || day.stand_in.len() > MOST_SERVERS {
         sheet.complain("stand_in", "there must be 1 to 90 stand-ins");
     }
     let stand_ins: Vec<StandIn> =
--- /dev/null
+++ b/crates/ochrelead-sim/src/play.rs
@@ -0,0 +1,107 @@
+//! A whole day, and what it came to.
+
+use ochrelead_core::time::{Moment, Span};
+use ochrelead_day::audit::{self, Service};
+use ochrelead_day::world::Deciding;
+use ochrelead_records::reader::Log;
+use ochrelead_settings::day::Day;
+
+use crate::books::Violation;
+use crate::world::{Honest, Keep, Meddler, World};
+
+/// What a day came to.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    pub steps: u64,
+    /// The sum of all events.
+    pub sum: u32,
+    /// The first thing that must never be.
+    pub violation: Option<Violation>,
+    /// What was served, where every datagram was kept and no step went wrong.
+    pub service: Service,
+    pub seconds: f64,
+    pub trace: String,
+    pub logs: Vec<Log>,
+    /// The last events of the parties concerned, where something went wrong.
+    pub last: Vec<String>,
+}
+
+/// Lines of the last events that are told.
+const TOLD: usize = 40;
+/// The auditor's moments fit to a step by this much.
+const NEAR: Span = Span::from_micros(1);
+
+/// Plays a day as the program is.
+///
+/// # Errors
+///
+/// Where the day gives no sound settings.
+pub fn play(day: &Day, deciding: Deciding, keep: Keep) -> Result<Outcome, String> {
+    meddled(day, deciding, keep, Box::new(Honest))
+}
+
+/// Plays a day with something changed on purpose.
+///
+/// # Errors
+///
+/// Where the day gives no sound settings.
+pub fn meddled(
+    day: &Day,
+    deciding: Deciding,
+    keep: Keep,
+    meddler: Box<dyn Meddler>,
+) -> Result<Outcome, String> {
+    let mut world = World::new(day, deciding, meddler, keep)?;
+    let mut violation = None;
+    while let Some(step) = world.step() {
+        if let Err(wrong) = step {
+            violation = Some(wrong);
+            break;
+        }
+    }
+    if violation.is_none() {
+        violation = world.settle().err();
+    }
+    let mut outcome =
+        Outcome { steps: world.step, sum: world.sum(), seconds: world.passed(), ..Outcome::default() };
+    if keep.sights && !world.sights.is_empty() {
+        let verdict = audit::audit(day, &world.sights);
+        let breach = verdict.breaches.first().map(|breach| Violation {
+            step: 0,
+            at: breach.at,
+            kind: format!("rule {}", breach.rule),
+            of: breach.of.clone(),
+            how: breach.how.clone(),
+        });
+        // What came first is the cause, or nearer to it.
+        let first =
+            |wrong: &Option<Violation>| wrong.as_ref().map_or(Moment::from_micros(u64::MAX), |own| own.at);
+        if first(&breach) < first(&violation) {
+            violation = breach;
+        }
+        outcome.service = verdict.service;
+        if let Some(wrong) = &violation {
+            outcome.last = last_of(&world, wrong);
+        }
+    }
+    outcome.violation = violation;
+    outcome.trace = std::mem::take(&mut world.trace);
+    outcome.logs = world.fronts.into_iter().flat_map(|machine| machine.into_logs()).collect();
+    Ok(outcome)
+}
+
+/// The last datagrams that name the party or the try concerned, and what the day did.
+fn last_of(world: &World, wrong: &Violation) -> Vec<String> {
+    let start = world.sights.first().map_or(Moment::START, |own| own.at) + Span::from_millis(700);
+    let until = start + wrong.at.since(Moment::START) + NEAR;
+    let concerned = world.sights.iter().filter(|own| own.at <= until).filter_map(|own| {
+        let text = String::from_utf8_lossy(&own.bytes);
+        let named = text.contains(&wrong.of) || own.from == own.to;
+        let ms = own.at.since(start).micros() as f64 / 1e3;
+        let way = if own.reached { "reached" } else { "left" };
+        let first = text.lines().next().unwrap_or("").to_owned();
+        named.then(|| format!("{ms:>10.3} ms {way:>7} {:?} to {:?}: {first}", own.from, own.to))
+    });
+    let all: Vec<String> = concerned.collect();
+    all[all.len().saturating_sub(TOLD)..].to_vec()
+}
--- a/crates/ochrelead-standin/src/server.rs
+++ b/crates/ochrelead-standin/src/server.rs
@@ -419,6 +419,11 @@
         self.circuits.len()
     }
 
+    /// The calls that stand here: whose, and of which try.
+    pub fn calls(&self) -> impl Iterator<Item = (SocketAddr, &str)> {
+        self.circuits.values().map(|circuit| (circuit.front, circuit.call.as_str()))
+    }
+
     pub fn has_fallen(&self) -> bool {
         self.health == Health::Fallen
     }
