--- a/crates/ochrelead-diagnosis/src/diagnosis/pace.rs
+++ b/crates/ochrelead-diagnosis/src/diagnosis/pace.rs
@@ -14,15 +14,19 @@
 const REFUSED: f64 = 0.12;
 /// More offered than usual, as a multiple: what is late then is late for that.
 const MORE: f64 = 1.3;
+/// Of the usual, less than this is offered when callers leave.
+const STILL_LOADED: f64 = 0.6;
 /// A server that has started is slow for so long because it is cold.
 const COLD: Span = Span::from_secs(12);
 /// The wake of a server's silence or restart: what is refused or late then is so because of it.
-const WAKE: Span = Span::from_secs(8);
+const WAKE: Span = Span::from_secs(12);
 
 /// A server that answers late and carries less than this share of its usual is what is slow; the others that
 /// are late carry what it does not.
 const CARRIES_LESS: f64 = 0.8;
 const CARRIES_ON: f64 = 0.9;
+/// Less than this, and nothing else can explain it.
+const CARRIES_LITTLE: f64 = 0.5;
 
 /// A server that answers late with no more to do than usual.
 struct Late {
@@ -48,9 +52,11 @@
 /// The one of several late servers that carries less, while the others carry on: theirs is the wake of it.
 fn alone(late: &[Late]) -> Option<&Late> {
     let one = late.iter().min_by(|a, b| a.carries.total_cmp(&b.carries))?;
+    let far_less = |own: &Late| own.carries >= one.carries * 2.0;
     let others = late.iter().filter(|own| own.name != one.name);
     let carry_on = others.clone().count() > 0 && others.clone().all(|own| own.carries >= CARRIES_ON);
-    (one.carries < CARRIES_LESS && carry_on).then_some(one)
+    let few_sent = one.carries < CARRIES_LITTLE && others.clone().count() > 0 && others.clone().all(far_less);
+    (few_sent || (one.carries < CARRIES_LESS && carry_on)).then_some(one)
 }
 
 impl Diagnosis {
@@ -60,12 +66,31 @@
         let mut late: Vec<Late> = Vec::new();
         let (mut judged, mut well, mut pressed) = (0, 0, 0);
         let mut lossy = Vec::new();
+        let mut avoided_all = Vec::new();
         let recent = |then: Option<Moment>, span| then.is_some_and(|then| at.since(then) < span);
+        let seen = self.first_taken.map_or(Span::ZERO, |then| at.since(then)).min(WINDOW);
+        let fresh = self.fresh.iter().count() as f64 / seconds(seen).max(0.5);
+        // Where hardly anybody calls any more, little is sent to everybody.
+        let usual_load = self.usual_fresh.known().is_none_or(|usual| fresh >= usual * STILL_LOADED);
         for (name, server) in &mut self.servers {
             server.answers.forget(at);
             server.sent.forget(at);
-            let Some((middle, count)) = server.middle(at, WINDOW) else { continue };
-            if count < ENOUGH || recent(server.started, COLD) || recent(server.silent, WAKE / 2) {
+            // A server that is slow is soon sent little: what it answered before counts longer then.
+            let usually = server.usual_sent.known().unwrap_or(0.0);
+            let avoided = (server.sent.within(at, WINDOW).count() as f64) < usually * seconds(WINDOW) / 2.0;
+            let avoided = avoided && usual_load;
+            if avoided && server.drains_since.is_none() {
+                avoided_all.push(name.clone());
+            }
+            let few = avoided && server.answers.within(at, WINDOW).count() < ENOUGH;
+            let Some((middle, count)) = server.middle(at, if few { WINDOW * 3 } else { WINDOW }) else {
+                continue;
+            };
+            if count < ENOUGH
+                || server.drains_since.is_some()
+                || recent(server.started, COLD)
+                || recent(server.silent, WAKE / 2)
+            {
                 continue;
             }
             judged += 1;
@@ -98,8 +123,6 @@
             self.see(at, Kind::AnswersLost, &name, onset, (repeated as f64 / 8.0).min(1.0), evidence);
         }
         let refused = self.refused.iter().count() as f64 / self.taken.iter().count().max(1) as f64;
-        let seen = self.first_taken.map_or(Span::ZERO, |then| at.since(then)).min(WINDOW);
-        let fresh = self.fresh.iter().count() as f64 / seconds(seen).max(0.5);
         let more = self.usual_fresh.known().is_some_and(|usual| fresh > usual * MORE);
         if more {
             self.last_more = Some(at);
@@ -111,7 +134,17 @@
         // Nothing else explains what is late; what was found before goes on as long as it is late.
         let clear = calm && whole && !wake && !self.callers_press(at);
         let found = |kind: Kind, of: &str| self.open.contains_key(&(kind, of.to_owned()));
-        let hampered = alone(&late).filter(|own| judged > 1 && (clear || found(Kind::Slow, &own.name)));
+        let hampered = alone(&late).filter(|own| {
+            judged > 1
+                && usual_load
+                && (clear || own.carries < CARRIES_LITTLE || found(Kind::Slow, &own.name))
+        });
+        // Nobody sends much to a server that was slow a moment ago: nothing says that it is well again.
+        for name in avoided_all.into_iter().filter(|name| !late.iter().any(|own| own.name == *name)) {
+            if found(Kind::Slow, &name) {
+                self.seen.insert((Kind::Slow, name), at);
+            }
+        }
         if let Some(own) = hampered {
             let evidence = own.evidence();
             let confidence = own.confidence();
--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -25,6 +25,7 @@
 use crate::judge::Judge;
 use crate::note::{Note, Step};
 use crate::numbers::Numbers;
+use crate::releases::{Release, Releases};
 use book::{Book, Call, Circuit, Phase, Session};
 
 /// Numbers that are remembered at once: a flood of fresh ones pushes the oldest out.
@@ -34,7 +35,9 @@
 /// A turn that comes so much later than it was asked for is told.
 const PAUSE: Span = Span::from_millis(250);
 /// A front that has nothing to do looks at the clock so often: else it could not tell that it stood still.
-const PULSE: Span = Span::from_secs(1);
+const PULSE: Span = Span::from_millis(250);
+/// What a busy machine's clock may be late by; beyond it what is read may have lain there since the last turn.
+const LATE: Span = Span::from_millis(40);
 /// Notes that wait for the host; what comes beyond is dropped, the sessions go on.
 const MOST_NOTES: usize = 65_536;
 
@@ -45,7 +48,9 @@
     Release(Session, ServerIx),
     /// The caller was told that its call stands.
     Connect(Session),
-    /// A tone, or a call taken down: nothing hangs on the response.
+    /// A call taken down at a server.
+    TakeDown,
+    /// A tone, or a caller's half taken down: nothing hangs on the response.
     Courtesy,
 }
 
@@ -61,6 +66,7 @@
     pending: HashMap<TransactionId, Pending>,
     /// Tries that are over, though this front does not hold them: nothing is set up for what still comes of them.
     hung_up: Gone,
+    releases: Releases,
     service: Service,
     notes: VecDeque<Note>,
     alarm: Option<Moment>,
@@ -79,6 +85,7 @@
         let roster = commission.roster.clone();
         let mut engine = Engine {
             exchange: Exchange::new(commission.pace, first),
+            releases: Releases::new(&commission.pace),
             commission,
             judge,
             now,
@@ -101,10 +108,12 @@
 
     fn clock(&mut self, now: Moment) {
         let late = self.alarm.map_or(Span::ZERO, |alarm| now.since(alarm));
-        if late > PAUSE {
-            self.alarm = None;
+        if late > LATE {
             // What came since the last turn lay unread, nobody knows how long.
             self.waited = now.since(self.turned);
+        }
+        if late > PAUSE {
+            self.alarm = None;
             self.note(Note::Paused(late));
         }
         self.now = self.now.max(now);
@@ -204,19 +213,25 @@
                 self.give_up_at_last(index);
             }
         }
+        while let Some(release) = self.releases.due(self.now) {
+            // A server that has left the list is asked for nothing more.
+            if self.roster.at(release.to).is_some() {
+                self.ask_release(release);
+            }
+        }
         while let Some(decision) = self.judge.decide() {
             self.carry_out(decision);
         }
         // Where a decision met a table that is full, its session came back to the module.
         self.service.settle(self.now, self.owed(), self.commission.drain);
-        let alarms = [self.judge.wake(), self.exchange.wake(), self.book.wake()];
+        let alarms = [self.judge.wake(), self.exchange.wake(), self.book.wake(), self.releases.wake()];
         let alarms = alarms.into_iter().chain([self.service.wake(self.now, self.commission.drain)]);
         self.alarm = alarms.flatten().chain([self.now + PULSE]).min();
         (self.turned, self.waited) = (self.now, Span::ZERO);
     }
 
     fn owed(&self) -> usize {
-        self.book.unanswered().len() + self.exchange.load().0
+        self.book.unanswered().len() + self.exchange.load().0 + self.releases.put_off()
     }
 
     /// When the host is to call [`Engine::turn`] although nothing came.
@@ -232,6 +247,11 @@
         self.notes.pop_front()
     }
 
+    /// Releases that servers have not confirmed.
+    pub fn owed_releases(&self) -> usize {
+        self.releases.owed()
+    }
+
     /// Whether the session of that try is held.
     pub fn holds(&self, tried: &str) -> bool {
         self.book.tried(tried).is_some()
@@ -307,6 +327,7 @@
         match (claim, self.pending.remove(&response.transaction)) {
             (Claim::Awaited, Some(Pending::Invite(session))) => self.set_up_answered(session, response),
             (Claim::Awaited, Some(Pending::Release(session, server))) => {
+                self.releases.answered(self.now, response.transaction);
                 self.released(session, server, Ending::Released);
             }
             (Claim::Awaited, Some(Pending::Connect(session))) => {
@@ -315,9 +336,15 @@
                     self.caller_gone(session);
                 }
             }
+            (Claim::Awaited, Some(Pending::TakeDown)) => {
+                self.releases.answered(self.now, response.transaction)
+            }
             (Claim::Awaited, Some(Pending::Courtesy) | None) => {}
             // Given up, or asked by the process that ran here before: what was set up is taken down again.
-            (Claim::Late | Claim::Unknown, _) => self.set_up_unclaimed(from, response),
+            (Claim::Late | Claim::Unknown, _) => {
+                self.releases.heard(response.transaction);
+                self.set_up_unclaimed(from, response);
+            }
         }
     }
 
@@ -326,7 +353,11 @@
             Some(Pending::Invite(session)) if self.book.is(session) => {
                 self.invite_over(session.index, Ending::TimedOut);
             }
-            Some(Pending::Release(session, server)) => self.released(session, server, Ending::TimedOut),
+            Some(Pending::Release(session, server)) => {
+                self.releases.unanswered(self.now, transaction);
+                self.released(session, server, Ending::TimedOut);
+            }
+            Some(Pending::TakeDown) => self.releases.unanswered(self.now, transaction),
             Some(Pending::Connect(session)) => self.caller_gone(session),
             _ => {}
         }
--- a/crates/ochrelead-front/src/engine/servers.rs
+++ b/crates/ochrelead-front/src/engine/servers.rs
@@ -123,10 +123,11 @@
     fn take_down_call(&mut self, invite: Invite, session: SessionIx) {
         let Some(tried) = self.book.get(session).map(|call| call.tried.clone()) else { return };
         let endpoint = self.trunk(invite.server, "*");
-        self.take_down(invite.to, endpoint, Some(&tried), None);
+        let release = Release::new(invite.to, endpoint, Some(&tried), None);
+        self.ask_release(release.of_invite(invite.transaction));
     }
 
-    /// Takes a call down at a server; nothing hangs on the response.
+    /// Takes a call down at a server.
     pub(super) fn take_down(
         &mut self,
         to: SocketAddr,
@@ -134,14 +135,20 @@
         call: Option<&str>,
         connection: Option<&str>,
     ) {
-        let mut command = Command::new(Verb::DeleteConnection, 0, endpoint);
-        if let Some(call) = call {
+        self.ask_release(Release::new(to, endpoint, call, connection));
+    }
+
+    pub(super) fn ask_release(&mut self, release: Release) {
+        let mut command = Command::new(Verb::DeleteConnection, 0, release.endpoint.clone());
+        if let Some(call) = &release.call {
             command.parameters.add(name::CALL, call);
         }
-        if let Some(connection) = connection {
+        if let Some(connection) = &release.connection {
             command.parameters.add(name::CONNECTION, connection);
         }
-        self.ask(to, command, Pending::Courtesy);
+        if let Some(transaction) = self.ask(release.to, command, Pending::TakeDown) {
+            self.releases.asked(transaction, release);
+        }
     }
 
     /// A response that nobody waits for. Where it says that a call was set up, nobody will ever release it:
@@ -169,9 +176,16 @@
             .with(name::CALL, &call.tried)
             .with(name::CONNECTION, &circuit.connection);
         let (to, held) = (circuit.to, self.book.session(session));
+        let release = Release::new(
+            to,
+            command.endpoint.clone(),
+            command.parameters.get(name::CALL),
+            Some(&circuit.connection),
+        );
         self.book.turn_to(session, Phase::Releasing);
-        if self.ask(to, command, Pending::Release(held, circuit.server)).is_none() {
-            self.released(held, circuit.server, Ending::TimedOut);
+        match self.ask(to, command, Pending::Release(held, circuit.server)) {
+            Some(transaction) => self.releases.asked(transaction, release),
+            None => self.released(held, circuit.server, Ending::TimedOut),
         }
     }
 
--- a/crates/ochrelead-front/src/lib.rs
+++ b/crates/ochrelead-front/src/lib.rs
@@ -5,7 +5,7 @@
 //!   out; [`engine::Engine::wake`] says when to come again.
 //! - [`endings`]: what a server's answer means to the module.
 //! - [`numbers`]: called numbers by index, bounded.
-//! - [`gone`]: tries that are over, bounded.
+//! - [`gone`]: tries that are over, bounded; [`releases`]: what servers still owe an answer to.
 //! - [`drain`]: leaving service without losing a session.
 //! - [`note`]: what the engine tells; [`recording`]: its form in the records.
 //! - [`judge`]: what the engine asks of whoever decides, so that a rig can put a baseline in the module's place.
@@ -21,3 +21,4 @@
 pub mod note;
 pub mod numbers;
 pub mod recording;
+pub mod releases;
--- a/crates/ochrelead-sim/src/front.rs
+++ b/crates/ochrelead-sim/src/front.rs
@@ -30,6 +30,8 @@
 const SOCKET: usize = 512;
 /// INVITEs of one session where the settings name none, and at the most (docs/design.md).
 const USUAL_INVITES: u32 = 3;
+/// A session waits for its release, and a little for a server that is cold; then it has its answer.
+const WAITS: Span = Span::from_millis(500);
 /// So many turns at one moment are a loop without end.
 const SPIN: u32 = 2_000;
 
@@ -165,7 +167,7 @@
                 process.record(&mut self.logs, shows, what);
             }
             if let Note::Session { tried, what } = &note {
-                let noted = process.books.note(tried, what, most_invites);
+                let noted = process.books.note(shows, tried, what, most_invites);
                 wrong = wrong.and(noted.map_err(|how| (tried.clone(), how)));
             }
         }
@@ -185,6 +187,13 @@
         if process.turned.1 > SPIN {
             return Err((own(), format!("{SPIN} turns at one moment")));
         }
+        let most = self.commission.provision.release_wait * 2 + WAITS;
+        if let Some(tried) = process.books.forgotten(shows, most) {
+            return Err((
+                tried.to_owned(),
+                format!("nothing is under way for it for {} ms", most.micros() / 1_000),
+            ));
+        }
         let (held, engine) = (process.books.held(), process.engine.load().0);
         if held != engine {
             return Err((own(), format!("{engine} sessions held where the notes say {held}")));
--- a/crates/ochrelead-sim/src/world.rs
+++ b/crates/ochrelead-sim/src/world.rs
@@ -12,6 +12,7 @@
 use ochrelead_day::world::{Deciding, server_name};
 use ochrelead_fleet::store::Kept;
 use ochrelead_front::judge::Judge;
+use ochrelead_mgcp::exchange::Pace;
 use ochrelead_settings::commission::{self, Commission};
 use ochrelead_settings::day::{Day, Kind};
 use ochrelead_settings::{schema, text};
@@ -107,6 +108,8 @@
     addresses: BTreeMap<SocketAddr, Party>,
     chance: Pcg64Mcg,
     pub sights: Vec<Sight>,
+    /// The step of each.
+    sight_steps: Vec<u64>,
     pub trace: String,
     /// The sum of all events, whether they are kept or not.
     sum: crc32fast::Hasher,
@@ -160,6 +163,7 @@
             addresses,
             chance: Pcg64Mcg::seed_from_u64(day.seed ^ 0x0c4_1ead),
             sights: Vec::new(),
+            sight_steps: Vec::new(),
             trace: String::new(),
             sum: crc32fast::Hasher::new(),
             ended: false,
@@ -210,6 +214,13 @@
         Violation { step: self.step, at, kind: kind.to_owned(), of: of.into(), how: how.into() }
     }
 
+    /// The first step that was seen at or after a moment of the day.
+    pub fn step_at(&self, at: Moment) -> u64 {
+        let then = START + LEAD + at.since(Moment::START);
+        let nth = self.sights.partition_point(|sight| sight.at < then);
+        self.sight_steps.get(nth).copied().unwrap_or(self.step)
+    }
+
     /// The sum of all events so far.
     pub fn sum(&self) -> u32 {
         self.sum.clone().finalize()
@@ -240,6 +251,7 @@
 
     fn see(&mut self, from: Party, to: Party, reached: bool, bytes: &[u8]) {
         if self.keep.sights {
+            self.sight_steps.push(self.step);
             self.sights.push(Sight { at: self.now, from, to, reached, bytes: bytes.to_vec() });
         }
     }
@@ -376,6 +388,9 @@
             let unclaimed = server.iter().flat_map(Server::calls).find(|(from, call)| {
                 // What a killed front had set up and not told is nobody's until its servers can be asked.
                 let killed = self.fronts.iter().any(|own| own.lives > 1 && address_of(own) == *from);
+                let owes =
+                    |own: &Machine| own.process.as_ref().is_some_and(|own| own.engine.owed_releases() > 0);
+                let killed = killed || self.fronts.iter().any(|own| address_of(own) == *from && owes(own));
                 let held =
                     |machine: &Machine| machine.process.as_ref().is_some_and(|own| own.engine.holds(call));
                 !killed && !self.callers.stands(call) && !self.fronts.iter().any(held)
@@ -439,9 +454,14 @@
     commission::read("front", &text::written(&settings, "Front")).map_err(told)
 }
 
+/// After this nobody owes anybody anything: a release is asked for three times.
+fn last_words(pace: &Pace) -> Span {
+    pace.give_up * 3 + pace.longest_gap * 2 + Span::from_secs(1)
+}
+
 fn script(day: &Day, start: Moment) -> VecDeque<(Moment, Act)> {
     let ends = start + day.length + TAIL;
-    let mut script = vec![(ends, Act::End), (ends + day.front.pace.give_up, Act::Close)];
+    let mut script = vec![(ends, Act::End), (ends + last_words(&day.front.pace), Act::Close)];
     for trouble in &day.troubles {
         let (begins, ends) = (start + trouble.at, start + trouble.at + trouble.length);
         for &which in &trouble.which {
