--- a/crates/ochrelead-day/src/found.rs
+++ b/crates/ochrelead-day/src/found.rs
@@ -89,17 +89,23 @@
         .find_map(|text| text.strip_prefix("start ").and_then(|us| us.parse().ok()))
         .map(Moment::from_micros)
         .context("the capture has no start")?;
-    let incident = match mar {
-        None => Incident::read(&[records.to_owned()])?,
-        Some(seed) => Incident::of(&marred(logs(records)?.0, seed), Damage::default()),
-    };
+    Ok(of_logs(day, logs(records)?.0, start, mar))
+}
+
+/// Compares logs with the script of a day that began at `start`.
+pub fn of_logs(day: &Day, logs: Vec<Log>, start: Moment, mar: Option<u64>) -> Found {
+    let logs = mar.map_or(logs.clone(), |seed| marred(logs, seed));
+    let incident = Incident::of(&logs, Damage::default());
+    // The common clock is some front's: the script's is that of the last, which is never marred.
+    let right = incident.stretches.last().map_or(0, |own| own.moved_us);
+    let start = Moment::from_micros(start.micros().saturating_add_signed(right));
     let shifted = |at: Moment| Moment::START + at.since(start);
     let troubles = incident.troubles.into_iter().map(|own| Trouble {
         onset: shifted(own.onset),
         end: own.end.map(shifted),
         ..own
     });
-    Ok(matched(day, troubles.collect()))
+    matched(day, troubles.collect())
 }
 
 /// Records that are cut out together, and one run of so many is.
--- a/crates/ochrelead-diagnosis/src/diagnosis.rs
+++ b/crates/ochrelead-diagnosis/src/diagnosis.rs
@@ -272,6 +272,8 @@
             }
         } else {
             front.last = front.last.max(at);
+            // The same life goes on: what is missing is records, not the front.
+            self.open.remove(&(Kind::FrontKilled, life.front.clone()));
         }
     }
 
--- a/crates/ochrelead-diagnosis/src/diagnosis/pace.rs
+++ b/crates/ochrelead-diagnosis/src/diagnosis/pace.rs
@@ -20,6 +20,8 @@
 const COLD: Span = Span::from_secs(12);
 /// The wake of a server's silence or restart: what is refused or late then is so because of it.
 const WAKE: Span = Span::from_secs(12);
+/// It is one where a server in so many is concerned.
+const WAKE_SHARE: usize = 5;
 
 /// A server that answers late and carries less than this share of its usual is what is slow; the others that
 /// are late carry what it does not.
@@ -117,7 +119,9 @@
             }
         }
         let onset = Moment::from_micros(at.micros().saturating_sub(WINDOW.micros() / 2));
-        let wake = self.servers.values().any(|own| recent(own.started, WAKE) || recent(own.silent, WAKE));
+        // One of many servers leaves the others little more to do.
+        let woken = self.servers.values().filter(|own| recent(own.started, WAKE) || recent(own.silent, WAKE));
+        let wake = woken.count() * WAKE_SHARE >= self.servers.len().max(1);
         for (name, repeated, count) in lossy.into_iter().filter(|_| !wake && late.is_empty()) {
             let evidence = format!("{repeated} of {count} answers came to a repeat, the others at once");
             self.see(at, Kind::AnswersLost, &name, onset, (repeated as f64 / 8.0).min(1.0), evidence);
--- a/crates/ochrelead-report/src/incident.rs
+++ b/crates/ochrelead-report/src/incident.rs
@@ -96,7 +96,7 @@
 }
 
 /// The clocks, and what there is of each life.
-fn survey(logs: &[Log]) -> (Clocks, BTreeMap<Life, Stretch>) {
+pub fn survey(logs: &[Log]) -> (Clocks, BTreeMap<Life, Stretch>) {
     let mut ties = Ties::default();
     let mut ends: BTreeMap<Life, (Record, Record, u64, u64)> = BTreeMap::new();
     for log in logs {
--- a/crates/ochrelead-report/src/main.rs
+++ b/crates/ochrelead-report/src/main.rs
@@ -7,7 +7,7 @@
 use anyhow::Context;
 use clap::Parser;
 use ochrelead_report::incident::Incident;
-use ochrelead_report::{json, page};
+use ochrelead_report::{export, json, page};
 
 /// Explains what happened, from the fronts' own records.
 #[derive(Parser)]
@@ -24,6 +24,9 @@
     /// One self-contained page
     #[arg(long, value_name = "FILE")]
     out: Option<PathBuf>,
+    /// All events as a Parquet table
+    #[arg(long, value_name = "FILE")]
+    parquet: Option<PathBuf>,
     /// The diagnosis for machines, to standard output
     #[arg(long)]
     json: bool,
@@ -44,6 +47,9 @@
     if let Some(out) = &line.out {
         fs::write(out, page::of(&incident)).with_context(|| out.display().to_string())?;
     }
+    if let Some(path) = &line.parquet {
+        export::export(&line.folders, path)?;
+    }
     if line.json {
         println!("{:#}", json::of(&incident));
     } else {
--- a/crates/ochrelead-settings/build.rs
+++ b/crates/ochrelead-settings/build.rs
@@ -9,7 +9,8 @@
 
 fn main() -> Result<(), Box<dyn Error>> {
     println!("cargo:rerun-if-changed=proto");
-    let descriptors = protox::compile(["front.proto", "fleet.proto", "day.proto"], ["proto"])?;
+    let descriptors =
+        protox::compile(["front.proto", "fleet.proto", "day.proto", "experiment.proto"], ["proto"])?;
     let out = PathBuf::from(env::var("OUT_DIR")?);
     fs::write(out.join("schemas.bin"), descriptors.encode_to_vec())?;
     prost_build::Config::new().compile_fds(descriptors)?;
--- a/crates/ochrelead-settings/src/day.rs
+++ b/crates/ochrelead-settings/src/day.rs
@@ -167,6 +167,10 @@
         matches!(self, ClockAhead | ClockBack | ClockFast | DiskFull | DiskTorn)
     }
 
+    pub fn strikes_a_front(self) -> bool {
+        self.strikes_fronts() == Some(true)
+    }
+
     /// Whether it strikes fronts (true), servers (false), or neither.
     fn strikes_fronts(self) -> Option<bool> {
         match self {
--- a/crates/ochrelead-sim/src/lib.rs
+++ b/crates/ochrelead-sim/src/lib.rs
@@ -9,11 +9,13 @@
 //! - [`clock`]: a system clock that is off, runs fast and is set.
 //! - [`books`]: what must balance after every step, and at the end.
 //! - [`schedule`]: days with faults drawn from a seed.
+//! - [`experiment`]: grids of days, their table and their plots.
 //! - [`play`]: a whole day and what it came to; [`shrink`]: the fewest faults that still break something.
 
 pub mod books;
 pub mod clock;
 pub mod disk;
+pub mod experiment;
 pub mod front;
 pub mod play;
 pub mod schedule;
--- a/crates/ochrelead-sim/src/main.rs
+++ b/crates/ochrelead-sim/src/main.rs
@@ -1,5 +1,6 @@
 //! The program `ochrelead-sim`.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::ops::Range;
 use std::path::{Path, PathBuf};
@@ -12,14 +13,18 @@
 use anyhow::{Context, bail};
 use clap::{Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
+use ochrelead_day::found::{self, Tally};
 use ochrelead_day::world::Deciding;
-use ochrelead_settings::day;
+use ochrelead_records::reader::Log;
+use ochrelead_records::writer::{Bounds, Recorder};
+use ochrelead_settings::day::{self, Day};
 use ochrelead_settings::text::Sheet as Text;
 use ochrelead_sim::books::Violation;
+use ochrelead_sim::experiment::{self, Experiment};
 use ochrelead_sim::play::{Outcome, play};
 use ochrelead_sim::schedule::{self, Sheet};
 use ochrelead_sim::shrink::shrink;
-use ochrelead_sim::world::Keep;
+use ochrelead_sim::world::{self, Keep};
 
 /// Plays days with the front's own engines on a virtual clock: seeded faults, exact replay.
 ///
@@ -64,7 +69,32 @@
         out: PathBuf,
     },
     /// Play a scripted day with all policies
-    Play { day: PathBuf },
+    Play {
+        day: PathBuf,
+        /// Where the module's fronts leave their records, for report and console
+        #[arg(long, value_name = "DIR")]
+        records: Option<PathBuf>,
+        /// Leave out the textbooks
+        #[arg(long)]
+        alone: bool,
+    },
+    /// How well the diagnosis finds what the scripts of days did, over many seeds
+    Found {
+        #[arg(required = true)]
+        days: Vec<PathBuf>,
+        #[arg(long, value_name = "A..B", value_parser = range)]
+        seeds: Range<u64>,
+        /// Set the fronts' clocks wrong and cut out a tenth of the records first
+        #[arg(long)]
+        marred: bool,
+    },
+    /// Play a grid of days and write what came of it
+    Experiment {
+        grid: PathBuf,
+        /// The table; plots go beside it
+        #[arg(long, value_name = "FILE")]
+        out: PathBuf,
+    },
 }
 
 fn range(text: &str) -> Result<Range<u64>, String> {
@@ -78,7 +108,9 @@
         What::Explore { seeds, threads } => explore(seeds, threads),
         What::Replay { of, trace, step } => replay(&of, trace.as_deref(), step),
         What::Shrink { of, out } => shrunk(&of, &out),
-        What::Play { day } => compare(&day),
+        What::Play { day, records, alone } => compare(&day, records.as_deref(), alone),
+        What::Found { days, seeds, marred } => found(&days, seeds, marred),
+        What::Experiment { grid, out } => tried(&grid, &out),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
@@ -199,20 +231,124 @@
     Ok(true)
 }
 
-fn compare(path: &Path) -> anyhow::Result<bool> {
-    let told = |complaints: Vec<ochrelead_settings::text::Complaint>| {
+fn scripted(path: &Path) -> anyhow::Result<Day> {
+    day::open(path).map_err(|complaints| {
         let lines: Vec<String> = complaints.iter().map(ToString::to_string).collect();
         anyhow::anyhow!("{}", lines.join("\n"))
-    };
-    let day = day::open(path).map_err(told)?;
+    })
+}
+
+/// Writes the records as the fronts themselves would have.
+fn write_logs(folder: &Path, logs: Vec<Log>) -> anyhow::Result<()> {
+    let bounds = Bounds { queue: usize::MAX, all: u64::MAX, ..Bounds::default() };
+    for log in logs {
+        let (front, started) = (log.life.front.clone(), log.life.started_us);
+        let complain = |error| eprintln!("ochrelead-sim: {error}");
+        let mut recorder = Recorder::start(folder, &front, started, bounds, complain)
+            .with_context(|| folder.display().to_string())?;
+        log.for_each(|record| {
+            if let Some(what) = record.event.what {
+                recorder.put(record.event.at_us, what);
+            }
+        });
+    }
+    Ok(())
+}
+
+fn found(days: &[PathBuf], seeds: Range<u64>, marred: bool) -> anyhow::Result<bool> {
+    let mut jobs = Vec::new();
+    for path in days {
+        let day = scripted(path)?;
+        jobs.extend(seeds.clone().map(|seed| Day { seed, ..day.clone() }));
+    }
+    let keep = Keep { records: true, ..Keep::default() };
+    let made = over_all(&jobs, |day| {
+        let outcome = play(day, Deciding::Module, keep).map_err(anyhow::Error::msg)?;
+        let start = world::START + world::LEAD;
+        Ok(found::of_logs(day, outcome.logs, start, marred.then_some(day.seed)))
+    })?;
+    let mut tally: BTreeMap<_, Tally> = BTreeMap::new();
+    made.iter().for_each(|own| found::count(&mut tally, own));
+    println!("{} days; onset off: middle, and nine in ten", jobs.len());
+    println!(
+        "{:<38} {:>8} {:>6} {:>9} {:>7} {:>10}",
+        "kind", "scripted", "found", "invented", "middle", "nine in 10"
+    );
+    for (kind, Tally { scripted, found, invented, onsets }) in &mut tally {
+        onsets.sort_by(f64::total_cmp);
+        let at = |share: f64| onsets.get((onsets.len() as f64 * share) as usize).copied().unwrap_or(0.0);
+        println!(
+            "{:<38} {scripted:>8} {found:>6} {invented:>9} {:>5.1} s {:>8.1} s",
+            kind.name(),
+            at(0.5),
+            at(0.9)
+        );
+    }
+    println!("on simulated servers");
+    Ok(tally.values().all(|own| own.found == own.scripted && own.invented == 0))
+}
+
+fn tried(grid: &Path, out: &Path) -> anyhow::Result<bool> {
+    let experiment = Experiment::open(grid)?;
+    let cases = experiment.cases();
+    let runs = over_all(&cases, |case| case.play().map_err(anyhow::Error::msg))?;
+    let table = experiment::write(out, &cases, &runs).with_context(|| out.display().to_string())?;
+    let points = experiment::points(&cases, &runs);
+    println!(
+        "{:<12} {:>10} {:>8} {:>8} {:>22} {:>8}",
+        "policy", "sessions/s", "fronts", "repeats", "service (95 in 100)", "kept"
+    );
+    for own in &points {
+        let range = format!("{:.3} ({:.3} to {:.3})", own.mean, own.low, own.high);
+        println!(
+            "{:<12} {:>10.1} {:>8} {:>8} {range:>22} {:>8}",
+            own.policy, own.rate, own.fronts, own.repeats, own.kept
+        );
+    }
+    experiment::plot(&out.with_extension("svg"), &points)?;
+    println!("{table} runs, on simulated servers");
+    Ok(true)
+}
+
+/// Does the same for all of some things, on all cores; the outcomes in the order of the things.
+fn over_all<T: Sync, R: Send>(
+    things: &[T],
+    each: impl Fn(&T) -> anyhow::Result<R> + Sync,
+) -> anyhow::Result<Vec<R>> {
+    let cores = thread::available_parallelism().map_or(1, |own| own.get());
+    let bar = ProgressBar::new(things.len() as u64);
+    bar.set_style(ProgressStyle::with_template("{bar:40} {pos}/{len} days, {eta} to go")?);
+    let (next, done) = (AtomicU64::new(0), Mutex::new(Vec::new()));
+    thread::scope(|scope| {
+        for _ in 0..cores {
+            scope.spawn(|| {
+                loop {
+                    let nth = next.fetch_add(1, Ordering::Relaxed) as usize;
+                    let Some(thing) = things.get(nth) else { return };
+                    let outcome = each(thing);
+                    done.lock().unwrap_or_else(|own| own.into_inner()).push((nth, outcome));
+                    bar.inc(1);
+                }
+            });
+        }
+    });
+    bar.finish_and_clear();
+    let mut done = done.into_inner().unwrap_or_else(|own| own.into_inner());
+    done.sort_by_key(|(nth, _)| *nth);
+    done.into_iter().map(|(_, outcome)| outcome).collect()
+}
+
+fn compare(path: &Path, records: Option<&Path>, alone: bool) -> anyhow::Result<bool> {
+    let day = scripted(path)?;
     let mut kept = true;
     println!(
         "{:<12} {:>7} {:>11} {:>9} {:>12} {:>10}",
         "service", "whole", "worst 10 s", "events", "rules", "x real"
     );
-    for (name, deciding) in Deciding::ALL {
+    for (name, deciding) in Deciding::ALL.into_iter().take(if alone { 1 } else { 3 }) {
         let began = Instant::now();
-        let keep = Keep { sights: true, ..Keep::default() };
+        let own = deciding == Deciding::Module;
+        let keep = Keep { sights: true, records: own && records.is_some(), trace: false };
         let outcome = play(&day, deciding, keep).map_err(anyhow::Error::msg)?;
         let faster = outcome.seconds / began.elapsed().as_secs_f64().max(1e-3);
         let rules = outcome.violation.as_ref().map_or("kept".to_owned(), |own| own.kind.clone());
@@ -220,6 +356,9 @@
         println!("{name:<12} {whole:>7.3} {worst:>11.3} {:>9} {rules:>12} {faster:>10.1}", outcome.steps);
         if deciding == Deciding::Module {
             kept = outcome.violation.is_none();
+            if let Some(folder) = records {
+                write_logs(folder, outcome.logs.clone())?;
+            }
             if let Some(wrong) = &outcome.violation {
                 println!("{wrong}");
                 outcome.last.iter().for_each(|line| println!("{line}"));
--- a/crates/ochrelead-sim/src/play.rs
+++ b/crates/ochrelead-sim/src/play.rs
@@ -65,8 +65,9 @@
     if violation.is_none() && deciding == Deciding::Module {
         violation = world.settle().err();
     }
-    let mut outcome =
-        Outcome { steps: world.step, sum: world.sum(), seconds: world.passed(), ..Outcome::default() };
+    // The tail, in which only what is owed goes on, is not counted.
+    let seconds = world.passed().min(day.length.ratio(Span::from_secs(1)));
+    let mut outcome = Outcome { steps: world.step, sum: world.sum(), seconds, ..Outcome::default() };
     if keep.sights && !world.sights.is_empty() {
         let verdict = audit::audit(day, &world.sights);
         let breach = verdict.breaches.first().map(|breach| Violation {
--- a/crates/ochrelead-sim/src/world.rs
+++ b/crates/ochrelead-sim/src/world.rs
@@ -27,12 +27,12 @@
 use crate::front::Machine;
 
 /// Everything is up before the day begins.
-const LEAD: Span = Span::from_millis(700);
+pub const LEAD: Span = Span::from_millis(700);
 /// After its length a day runs on until the last sessions have their answers.
 /// Then commands that nobody answers are given up, and what is left must be nobody's.
 const TAIL: Span = Span::from_secs(4);
 /// The moment of the day's start: far from zero, so that a clock may be behind.
-const START: Moment = Moment::from_micros(1_700_000_000_000_000);
+pub const START: Moment = Moment::from_micros(1_700_000_000_000_000);
 
 /// Something that is changed on purpose, to see that it is found. The product is none of these.
 pub trait Meddler: Send {
