--- a/crates/ochrelead-sim/src/main.rs
+++ b/crates/ochrelead-sim/src/main.rs
@@ -295,14 +295,14 @@
     let table = experiment::write(out, &cases, &runs).with_context(|| out.display().to_string())?;
     let points = experiment::points(&cases, &runs);
     println!(
-        "{:<12} {:>10} {:>8} {:>8} {:>22} {:>8}",
-        "policy", "sessions/s", "fronts", "repeats", "service (95 in 100)", "kept"
+        "{:<12} {:>10} {:>8} {:>8} {:>8} {:>22} {:>8}",
+        "policy", "sessions/s", "fronts", "servers", "repeats", "service (95 in 100)", "kept"
     );
     for own in &points {
         let range = format!("{:.3} ({:.3} to {:.3})", own.mean, own.low, own.high);
         println!(
-            "{:<12} {:>10.1} {:>8} {:>8} {range:>22} {:>8}",
-            own.policy, own.rate, own.fronts, own.repeats, own.kept
+            "{:<12} {:>10.1} {:>8} {:>8} {:>8} {range:>22} {:>8}",
+            own.policy, own.rate, own.fronts, own.servers, own.repeats, own.kept
         );
     }
     experiment::plot(&out.with_extension("svg"), &points)?;
--- /dev/null
+++ b/crates/ochrelead-sim/tests/console.rs
@@ -0,0 +1,57 @@
+//! How long after a server falls silent the console shows it, with records that come as a front's host writes them.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use ochrelead_console::watch::Watch;
+use ochrelead_core::time::{Moment, Span};
+use ochrelead_day::world::Deciding;
+use ochrelead_records::reader::Record;
+use ochrelead_settings::day::{self, Day, Kind};
+use ochrelead_sim::play::play;
+use ochrelead_sim::world::{Keep, LEAD, START};
+use test_case::test_case;
+
+/// A front hands its records over so often, and the console looks at the files so often.
+const FLUSH: Span = Span::from_millis(200);
+const LOOK: Span = Span::from_millis(250);
+
+/// Seconds from the silence's beginning to the console's word on it; none where it came too late.
+fn shown_after(day: &Day) -> Option<f64> {
+    let trouble = day.troubles.iter().find(|own| own.kind == Kind::Silent).unwrap();
+    let begins = START + LEAD + trouble.at;
+    let name = ochrelead_day::world::server_name(trouble.which[0]);
+    let outcome = play(day, Deciding::Module, Keep { records: true, ..Keep::default() }).unwrap();
+    // By when the disk has them.
+    let mut arrive: BTreeMap<u64, Vec<Record>> = BTreeMap::new();
+    for record in outcome.logs.into_iter().flatten() {
+        let flushed = record.event.at_us.div_ceil(FLUSH.micros()) * FLUSH.micros();
+        arrive.entry(flushed).or_default().push(record);
+    }
+    let (mut watch, mut now, mut last) = (Watch::default(), START, START);
+    while now < begins + trouble.length {
+        now = now + LOOK;
+        let later = arrive.split_off(&(now.micros() + 1));
+        for (at, records) in std::mem::replace(&mut arrive, later) {
+            last = Moment::from_micros(at);
+            records.into_iter().for_each(|record| watch.take(record));
+        }
+        watch.settle(now.since(last));
+        if watch.in_hand().iter().any(|own| own.kind.short() == "silent" && own.of == name) {
+            return Some(now.since(begins).ratio(Span::from_secs(1)));
+        }
+    }
+    None
+}
+
+#[test_case("bad-day", 6; "the bad day")]
+#[test_case("short/silent", 12; "the short one")]
+fn a_silent_server_is_shown_within_three_seconds(file: &str, seeds: u64) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days").join(format!("{file}.textproto"));
+    let day = day::open(&path).unwrap();
+    let mut after: Vec<f64> =
+        (1..=seeds).map(|seed| shown_after(&Day { seed, ..day.clone() }).unwrap_or(f64::INFINITY)).collect();
+    after.sort_by(f64::total_cmp);
+    println!("{file}: middle {:.2} s, worst {:.2} s", after[after.len() / 2], after[after.len() - 1]);
+    assert!(after[after.len() - 1] <= 3.0, "{after:?}");
+}
