--- a/crates/ochrelead-sim/src/world.rs
+++ b/crates/ochrelead-sim/src/world.rs
@@ -386,14 +386,15 @@
     pub fn settle(&self) -> Result<(), Violation> {
         for (nth, server) in self.servers.iter().enumerate() {
             let unclaimed = server.iter().flat_map(Server::calls).find(|(from, call)| {
-                // What a killed front had set up and not told is nobody's until its servers can be asked.
-                let killed = self.fronts.iter().any(|own| own.lives > 1 && address_of(own) == *from);
+                // What a killed front had set up and not told is nobody's until its servers can be asked; what a
+                // front still asks to have released is in hand.
                 let owes =
                     |own: &Machine| own.process.as_ref().is_some_and(|own| own.engine.owed_releases() > 0);
-                let killed = killed || self.fronts.iter().any(|own| address_of(own) == *from && owes(own));
+                let excused = |own: &Machine| own.lives > 1 || owes(own);
+                let excused = self.fronts.iter().any(|own| address_of(own) == *from && excused(own));
                 let held =
                     |machine: &Machine| machine.process.as_ref().is_some_and(|own| own.engine.holds(call));
-                !killed && !self.callers.stands(call) && !self.fronts.iter().any(held)
+                !excused && !self.callers.stands(call) && !self.fronts.iter().any(held)
             });
             if let Some((_, call)) = unclaimed {
                 let how =
