Take nothing from a waiting command when another peer answers by its id

The exchange did not count it, but the engine had already taken what waited under that transaction id from its table, whoever the answer came from (engine.rs, `match (claim, self.pending.remove(..))`). The true answer then met nothing: a call that stood at its server was never connected, its caller waited to the timer limit, and the INVITE was called off. A doubled answer is no such case (the exchange tells it once); a server with two addresses, or a late answer to the process that ran here before, is.

Change: only an answer that was awaited takes its command from the table, and only a late one of the right peer settles that a called-off INVITE was heard.

Measured: the new test had no final answer where `stands` was due; now it has, and what the other peer set up is taken down.

--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -324,27 +324,28 @@
             self.hear_of(server);
             self.learn(server, &response.parameters);
         }
-        match (claim, self.pending.remove(&response.transaction)) {
-            (Claim::Awaited, Some(Pending::Invite(session))) => self.set_up_answered(session, response),
-            (Claim::Awaited, Some(Pending::Release(session, server))) => {
+        if claim != Claim::Awaited {
+            // Given up, or asked by the process that ran here before: what was set up is taken down again. The id may
+            // be that of a command that waits for another peer's answer: nothing is taken from that one.
+            if claim == Claim::Late {
+                self.releases.heard(response.transaction);
+            }
+            return self.set_up_unclaimed(from, response);
+        }
+        match self.pending.remove(&response.transaction) {
+            Some(Pending::Invite(session)) => self.set_up_answered(session, response),
+            Some(Pending::Release(session, server)) => {
                 self.releases.answered(self.now, response.transaction);
                 self.released(session, server, Ending::Released);
             }
-            (Claim::Awaited, Some(Pending::Connect(session))) => {
+            Some(Pending::Connect(session)) => {
                 // The caller's gateway no longer knows the call: it has hung up, and its NTFY got lost.
                 if response.code >= 400 {
                     self.caller_gone(session);
                 }
             }
-            (Claim::Awaited, Some(Pending::TakeDown)) => {
-                self.releases.answered(self.now, response.transaction)
-            }
-            (Claim::Awaited, Some(Pending::Courtesy) | None) => {}
-            // Given up, or asked by the process that ran here before: what was set up is taken down again.
-            (Claim::Late | Claim::Unknown, _) => {
-                self.releases.heard(response.transaction);
-                self.set_up_unclaimed(from, response);
-            }
+            Some(Pending::TakeDown) => self.releases.answered(self.now, response.transaction),
+            Some(Pending::Courtesy) | None => {}
         }
     }
 
--- a/crates/ochrelead-front/tests/front.rs
+++ b/crates/ochrelead-front/tests/front.rs
@@ -451,3 +451,15 @@
     assert_eq!(invite(&sent).is_none(), over, "{sent:?}");
     assert_eq!(answers(&sent).len(), usize::from(over), "{sent:?}");
 }
+
+#[test]
+fn an_answer_of_another_peer_takes_nothing_from_the_one_that_was_asked() {
+    let mut front = Front::start(100);
+    let (transaction, to) = front.invited(0, "a1");
+    front.stands(10, server(1), transaction, 7);
+    front.stands(30, to, transaction, 5);
+    let sent = front.sent(30);
+    assert_eq!(answers(&sent), ["stands"]);
+    // What the other peer set up by that id is nobody's.
+    assert_eq!(count(&sent, Verb::DeleteConnection), 1, "{sent:?}");
+}
