End only the INVITEs of the address that a datagram could not leave for

Seen: `undeliverable` looks up the server by address and fails all its INVITEs. A server that has moved is still known by its old address (releases go there), so a release that could not leave for the old one ended every INVITE that was under way at the new one as "connecting failed", which is not sent again, and held the server unfit.

Change: an INVITE ends where the address is its own (engine.rs `undeliverable`, by `held_by` as for restarts).

Measured: the new test saw one final answer (failed) for a call that was being set up; now none, and it stands.

--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -180,8 +180,10 @@
     /// A datagram could not leave. A set-up to that address has failed to connect; all else is repeated.
     pub fn undeliverable(&mut self, now: Moment, to: SocketAddr) {
         self.clock(now);
-        if let Some(server) = self.roster.at(to) {
-            for session in self.book.inviting_at(server) {
+        let Some(server) = self.roster.at(to) else { return };
+        for session in self.book.inviting_at(server) {
+            // The server may have moved: what is out to its other address is under way.
+            if self.held_by(session).is_some_and(|(_, address)| address == to) {
                 self.invite_over(session, Ending::ConnectFailed);
             }
         }
--- a/crates/ochrelead-front/src/engine/servers.rs
+++ b/crates/ochrelead-front/src/engine/servers.rs
@@ -212,7 +212,7 @@
     }
 
     /// The server that has the session, and the address of its process.
-    fn held_by(&self, session: SessionIx) -> Option<(ServerIx, SocketAddr)> {
+    pub(super) fn held_by(&self, session: SessionIx) -> Option<(ServerIx, SocketAddr)> {
         match &self.book.get(session)?.phase {
             Phase::Inviting(invite) => Some((invite.server, invite.to)),
             Phase::Standing(circuit) => Some((circuit.server, circuit.to)),
--- a/crates/ochrelead-front/tests/front.rs
+++ b/crates/ochrelead-front/tests/front.rs
@@ -463,3 +463,18 @@
     // What the other peer set up by that id is nobody's.
     assert_eq!(count(&sent, Verb::DeleteConnection), 1, "{sent:?}");
 }
+
+#[test]
+fn a_datagram_that_could_not_leave_to_a_servers_old_address_ends_nothing_at_its_new_one() {
+    let mut front = Front::start(100);
+    let mut posts = ochrelead_settings::commission::read("test", helper::SETTINGS).unwrap().roster;
+    posts[0].address = server(7);
+    front.engine.relist(at(0), &posts);
+    front.dial(100, "a1", "1004711");
+    let (transaction, to) = invite(&front.sent(100)).expect("set up at the new address");
+    assert_eq!(to, server(7));
+    front.engine.undeliverable(at(110), server(0));
+    assert_eq!(answers(&front.sent(110)).len(), 0);
+    front.stands(120, to, transaction, 5);
+    assert_eq!(answers(&front.sent(120)), ["stands"]);
+}
