Begin transaction ids elsewhere at each start whatever the seed; refuse a margin over the limit

Seen: with `--seed` both lives of a front began at one transaction id (main.rs, `first` drawn from the seed). Servers keep their answers (RFC 3435 section 3.5.1): the new life's INVITE was answered with the former life's call. The rig draws `first` from the clock and so never showed it. And an `answer_margin_ms` at or over a service's timer limit was taken without a word: each session of it was refused at once.

Change: the ids come from the clock alone, the seed is for the decisions; such a margin is one line with its place.

Measured: the new test read `CRCX` from two lives of one process; now they differ. The settings' test had no complaint; now line and words.

--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -50,7 +50,7 @@
     /// Check the settings and stop
     #[arg(long)]
     check: bool,
-    /// The seed of chance; another at each start where none is given
+    /// The seed of the decisions' chance; another at each start where none is given
     #[arg(long)]
     seed: Option<u64>,
     /// What is logged: error, warn, info, or per part as in ochrelead_front=warn
@@ -136,9 +136,9 @@
 
 fn run(mut commission: Commission, line: Line) -> anyhow::Result<()> {
     let clock = Clock::start();
-    let seed = line.seed.unwrap_or(clock.now().micros());
-    let first = Pcg64Mcg::seed_from_u64(seed).random();
-    commission.provision.seed = seed;
+    // Transaction ids begin elsewhere with each process, whatever the seed: servers keep their answers to the last.
+    let first = Pcg64Mcg::seed_from_u64(clock.now().micros()).random();
+    commission.provision.seed = line.seed.unwrap_or(clock.now().micros());
     let socket =
         UdpSocket::bind(commission.listen).with_context(|| format!("listen on {}", commission.listen))?;
     let places = Places { fleet: line.fleet, state: line.state, records: line.records };
--- a/crates/ochrelead-front/tests/program.rs
+++ b/crates/ochrelead-front/tests/program.rs
@@ -61,13 +61,17 @@
     }
 
     fn start(&self) -> Running {
-        let arguments =
-            ["--settings", "front.textproto", "--fleet", "fleet", "--state", "state", "--log", "error"];
+        let arguments = ["--settings", "front.textproto", "--fleet", "fleet", "--state", "state", "--seed", "7"];
         Running(self.command(&arguments).spawn().unwrap())
     }
 
     /// Dials until the server sees an INVITE or the caller a tone; what came first, and after how long.
     fn dial(&mut self, patience: Duration) -> (String, Duration) {
+        let (line, took) = self.dial_for(patience);
+        (line[..4].to_owned(), took)
+    }
+
+    fn dial_for(&mut self, patience: Duration) -> (String, Duration) {
         let begun = Instant::now();
         let mut buffer = [0; 2_048];
         while begun.elapsed() < patience {
@@ -80,7 +84,7 @@
                 while let Ok((length, _)) = socket.recv_from(&mut buffer) {
                     let text = String::from_utf8_lossy(&buffer[..length]).into_owned();
                     if text.starts_with("CRCX") || text.starts_with("RQNT") {
-                        return (text[..4].to_owned(), begun.elapsed());
+                        return (text.lines().next().unwrap_or("").to_owned(), begun.elapsed());
                     }
                 }
             }
@@ -115,6 +119,19 @@
     assert!(seen == "CRCX" && took < Duration::from_secs(1), "{seen} after {took:?}");
 }
 
+/// A server keeps its answers for a while: an id of the former process would be answered with the former call.
+#[test]
+fn two_lives_with_one_seed_use_other_transactions() {
+    let mut rig = Rig::new("two-lives");
+    rig.fleet(1);
+    let mut lives = [(); 2].map(|()| {
+        let _front = rig.start();
+        rig.dial_for(Duration::from_secs(5)).0
+    });
+    let numbers = lives.each_mut().map(|line| line.split(' ').nth(1).unwrap().parse::<u32>().unwrap());
+    assert!(numbers[0].abs_diff(numbers[1]) > 100, "{lives:?}");
+}
+
 #[test]
 fn with_neither_file_nor_store_sessions_are_refused_at_once_until_a_fleet_comes() {
     let mut rig = Rig::new("nothing");
--- a/crates/ochrelead-settings/src/commission.rs
+++ b/crates/ochrelead-settings/src/commission.rs
@@ -125,6 +125,14 @@
     sheet.between(&path("turn_ms"), f64::from(turn), 1.0, 100.0);
     let most_held = front.most_held.unwrap_or(100_000);
     sheet.between(&path("most_held"), f64::from(most_held), 1.0, 1_000_000.0);
+    let answer_margin = front.answer_margin_ms.unwrap_or(50);
+    let shortest = front.service.iter().filter_map(|own| own.timer_limit_ms).min();
+    if let Some(limit) = shortest.filter(|limit| answer_margin >= *limit) {
+        let what = format!(
+            "answer_margin_ms is {answer_margin}; it must be less than the shortest timer_limit_ms, {limit}"
+        );
+        sheet.complain(&path("answer_margin_ms"), what);
+    }
     Commission {
         name,
         listen,
@@ -153,7 +161,7 @@
         roster,
         pace: pace(front.repeats.unwrap_or_default(), at, sheet),
         most_held: most_held as usize,
-        answer_margin: millis(front.answer_margin_ms.unwrap_or(50)),
+        answer_margin: millis(answer_margin),
         drain: millis(front.drain_ms.unwrap_or(10_000)),
     }
 }
--- a/crates/ochrelead-settings/tests/settings.rs
+++ b/crates/ochrelead-settings/tests/settings.rs
@@ -32,6 +32,7 @@
 #[test_case("fronts: 7", "fronts: 0", 4, "fronts is 0; it must be from 1 to 100000"; "zero")]
 #[test_case("fronts: 7", "fronts: \"7\"", 4, "expected"; "wrong type")]
 #[test_case("fronts: 7", "front: 7", 4, "front"; "unknown field")]
+#[test_case("release_wait_ms: 200", "release_wait_ms: 200 answer_margin_ms: 9000", 5, "less than the shortest timer_limit_ms, 9000"; "no time is left to answer in")]
 #[test_case("release_wait_ms: 200", "", 1, "release_wait_ms is missing"; "missing")]
 #[test_case("number: 5", "number: 4", 10, "number 4 is s0.line's too"; "same number")]
 #[test_case("127.0.0.1:2428", "127.0.0.1:2427", 10, "is s0.line's too"; "same address")]
