Give back only what a re-send has paid, and tell each its own payment

Seen: a re-send that the floor let pass pays nothing, yet when it went elsewhere after its release wait, or its caller hung up in it, `refund` added a whole token (bucket.rs `refund`; rules.rs `judge`, `forget`): tokens that no session had deposited. And the payment that is told for records was that of the bucket's last re-send, not of the one that goes out after its wait (rules.rs `last_payment`). The refund in `stands` was never reached: `paid` is cleared before an INVITE is out.

Change: a session that waits keeps what let it pass (server and payment); a refund gives a token back only for a token. `last_payment`, its flag and the refund in `stands` are gone. Ruled out: giving the floor's second back as well, as it would let two re-sends of one second pass.

Measured: bucket tests had one re-send too many after a floor's refund, now none; two sessions in wait were told `Token` for a `Floor`, now each its own.

--- a/crates/ochrelead-core/src/bucket.rs
+++ b/crates/ochrelead-core/src/bucket.rs
@@ -16,7 +16,6 @@
     units: u64,
     at: Moment,
     last_resend: Option<Moment>,
-    by_floor: bool,
 }
 
 impl Bucket {
@@ -33,27 +32,26 @@
         self.units += DEPOSIT;
     }
 
-    /// Takes one token for a re-send, or lets it pass by the floor.
-    pub fn withdraw(&mut self, now: Moment) -> bool {
+    /// What lets a re-send pass: one token, else the floor; none where it may not pass.
+    pub fn withdraw(&mut self, now: Moment) -> Option<Payment> {
         self.decay(now);
-        let floor = self.last_resend.is_none_or(|last| now.since(last) >= FLOOR_GAP);
-        if self.units < TOKEN && !floor {
-            return false;
-        }
-        self.by_floor = self.units < TOKEN;
-        self.units -= if self.by_floor { 0 } else { TOKEN };
+        let payment = if self.units >= TOKEN {
+            self.units -= TOKEN;
+            Payment::Token
+        } else if self.last_resend.is_none_or(|last| now.since(last) >= FLOOR_GAP) {
+            Payment::Floor
+        } else {
+            return None;
+        };
         self.last_resend = Some(now);
-        true
-    }
-
-    /// What the last re-send that passed was paid by.
-    pub fn last_payment(&self) -> Payment {
-        if self.by_floor { Payment::Floor } else { Payment::Token }
+        Some(payment)
     }
 
-    /// A paid re-send goes elsewhere after all.
-    pub fn refund(&mut self, now: Moment) {
+    /// A re-send that had passed goes elsewhere after all: what it paid comes back.
+    pub fn refund(&mut self, now: Moment, payment: Payment) {
         self.decay(now);
-        self.units += TOKEN;
+        if payment == Payment::Token {
+            self.units += TOKEN;
+        }
     }
 }
--- a/crates/ochrelead-core/src/ledger.rs
+++ b/crates/ochrelead-core/src/ledger.rs
@@ -1,7 +1,7 @@
 //! What the rules keep of services, members, sessions, servers and numbers; it holds no judgement.
 
 use crate::bucket::Bucket;
-use crate::call::{Ending, Lines, Offer, Report};
+use crate::call::{Ending, Lines, Offer, Payment, Report};
 use crate::index::{NumberIx, ServerIx, SessionIx};
 use crate::provision::Service;
 use crate::ring::{Levels, Ring};
@@ -42,8 +42,8 @@
     pub due: Option<Moment>,
     /// Rule five: no INVITE before this moment.
     pub not_before: Moment,
-    /// The server whose bucket has paid for the next INVITE.
-    pub paid: Option<ServerIx>,
+    /// The server whose bucket let the next INVITE pass, and by what.
+    pub paid: Option<(ServerIx, Payment)>,
     /// Servers that failed this session.
     pub spurned: Vec<ServerIx>,
     pub last: Option<Ending>,
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -188,13 +188,9 @@
         let Some(held) = self.sessions.get_mut(session) else { return };
         let Some(Out { server, sent }) = held.out.take() else { return };
         held.standing = true;
-        let (number, paid) = (held.offer.number, held.paid.take());
-        if let Some(number) = number {
+        if let Some(number) = held.offer.number {
             self.numbers.get_mut(number).run = 0;
         }
-        if let Some(paid) = paid {
-            self.servers[paid.at()].bucket.refund(now);
-        }
         let took = now.since(sent) - self.overslept;
         self.answers.add(now, took);
         let slow = self.target.scaled(EASY_SHARE * 2.0);
@@ -417,7 +413,7 @@
             return Some(self.give_up(session, denial));
         }
         let (resend, paid) = (held.invites > 0, held.paid);
-        let kept = paid.filter(|to| self.has_room(*to, session));
+        let kept = paid.map(|(to, _)| to).filter(|to| self.has_room(*to, session));
         let chosen = kept.or_else(|| self.choose(session));
         let destination = self.sessions.get(session)?.offer.destination;
         if chosen.is_none_or(|to| self.servers[to.at()].number != destination) {
@@ -426,17 +422,20 @@
         let Some(server) = chosen else {
             return Some(self.give_up(session, Denial::NoRoom));
         };
-        if resend && paid != Some(server) {
-            if let Some(before) = paid {
-                self.servers[before.at()].bucket.refund(now);
+        let payment = match paid {
+            _ if !resend => Payment::Free,
+            Some((to, payment)) if to == server => payment,
+            _ => {
+                self.refund(session);
+                let Some(payment) = self.servers[server.at()].bucket.withdraw(now) else {
+                    return Some(self.give_up(session, Denial::NoToken));
+                };
+                payment
             }
-            if !self.servers[server.at()].bucket.withdraw(now) {
-                return Some(self.give_up(session, Denial::NoToken));
-            }
-        }
+        };
         let held = self.sessions.get_mut(session)?;
         if ready > now {
-            held.paid = Some(server);
+            held.paid = Some((server, payment));
             held.due = Some(ready);
             self.due.insert((ready, session));
             return None;
@@ -454,7 +453,6 @@
             at.bucket.deposit(now);
         }
         let choice = if at.number == destination { Choice::Destination } else { Choice::Drawn };
-        let payment = if resend { at.bucket.last_payment() } else { Payment::Free };
         self.reason = Reason::Sent { choice, payment };
         // Where answers get lost there is time for another INVITE.
         let patience = (now < at.lossy_until && repeatable).then(|| target.scaled(LOST_SHARE));
@@ -645,15 +643,20 @@
     }
 
     fn forget(&mut self, session: SessionIx) -> Option<Session> {
+        self.refund(session);
         let held = self.sessions.take(session)?;
         if let Some(due) = held.due {
             self.due.remove(&(due, session));
         }
-        if let Some(paid) = held.paid {
-            self.servers[paid.at()].bucket.refund(self.now);
-        }
         Some(held)
     }
+
+    /// What a session's next INVITE had paid goes back, once.
+    fn refund(&mut self, session: SessionIx) {
+        if let Some((to, payment)) = self.sessions.get_mut(session).and_then(|held| held.paid.take()) {
+            self.servers[to.at()].bucket.refund(self.now, payment);
+        }
+    }
 }
 
 impl Server {
--- a/crates/ochrelead-core/tests/helper/mod.rs
+++ b/crates/ochrelead-core/tests/helper/mod.rs
@@ -74,6 +74,22 @@
 
     /// Offers a session of the service and returns its index.
     pub fn offer(&mut self, ms: u64, service: usize, destination: i64, number: usize) -> SessionIx {
+        self.offered_as(ms, service, destination, number, false)
+    }
+
+    /// Offers a session whose caller says that it has tried before.
+    pub fn offer_again(&mut self, ms: u64, destination: i64) -> SessionIx {
+        self.offered_as(ms, 0, destination, 1_000 + self.offered, true)
+    }
+
+    fn offered_as(
+        &mut self,
+        ms: u64,
+        service: usize,
+        destination: i64,
+        number: usize,
+        redial: bool,
+    ) -> SessionIx {
         self.rules.clock(at(ms));
         let session = SessionIx::new(self.offered);
         self.offered += 1;
@@ -83,7 +99,7 @@
             number: Some(NumberIx::new(number)),
             destination,
             timer_limit: at(ms + LIMIT_MS),
-            redial: false,
+            redial,
         };
         self.rules.offered(session, offer);
         session
--- a/crates/ochrelead-core/tests/rules.rs
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -21,7 +21,7 @@
     let mut bucket = Bucket::default();
     (0..deposits).for_each(|_| bucket.deposit(at(0)));
     let now = at(idle_ms);
-    let mut paid = (0..50).filter(|_| bucket.withdraw(now)).count();
+    let mut paid = (0..50).filter(|_| bucket.withdraw(now).is_some()).count();
     if funded == 0 {
         assert_eq!(paid, 1, "the floor lets one pass");
         paid -= 1;
@@ -33,7 +33,7 @@
 #[test_case(&[0, 500, 1_500, 2_499, 2_500], &[true, false, true, false, true]; "counted from the last re-send")]
 fn bucket_floor(moments: &[u64], allowed: &[bool]) {
     let mut bucket = Bucket::default();
-    let got: Vec<bool> = moments.iter().map(|ms| bucket.withdraw(at(*ms))).collect();
+    let got: Vec<bool> = moments.iter().map(|ms| bucket.withdraw(at(*ms)).is_some()).collect();
     assert_eq!(got, allowed);
 }
 
@@ -459,3 +459,29 @@
     assert_eq!(why, expected);
     assert!(front.rules.outlook(ServerIx::new(0)).is_some_and(|outlook| outlook.troubled && outlook.sick));
 }
+
+/// A re-send that its server's floor let pass had paid nothing: what goes elsewhere after all brings nothing back.
+#[test_case(0, Payment::Floor, 0; "passed by the floor")]
+#[test_case(10, Payment::Token, 1; "paid by a token")]
+fn what_a_re_send_gives_back(deposits: usize, paid: Payment, back: usize) {
+    let mut bucket = Bucket::default();
+    (0..deposits).for_each(|_| bucket.deposit(at(0)));
+    let payment = bucket.withdraw(at(0)).unwrap();
+    assert_eq!(payment, paid);
+    bucket.refund(at(0), payment);
+    assert_eq!((0..50).filter(|_| bucket.withdraw(at(0)).is_some()).count(), back);
+}
+
+/// Two sessions wait for their release: the first was let pass by the floor, the second pays a token meanwhile.
+#[test]
+fn the_payment_that_is_told_is_the_sessions_own() {
+    let mut front = Front::with(2);
+    let sessions: Vec<_> = (0..2).map(|_| front.send(0, 0).0).collect();
+    front.end(10, sessions[0], 0, Ending::Reset);
+    (0..11).for_each(|nth| front.served(20 + nth * 10, 1, 5));
+    front.end(150, sessions[1], 0, Ending::Reset);
+    for (ms, payment) in [(10, Payment::Floor), (150, Payment::Token)] {
+        assert_eq!(invited(&front.decide(ms + RELEASE_MS)), Some(1));
+        assert_eq!(front.rules.why(), Reason::Sent { choice: Choice::Drawn, payment });
+    }
+}
--- a/crates/ochrelead-front/tests/program.rs
+++ b/crates/ochrelead-front/tests/program.rs
@@ -61,7 +61,8 @@
     }
 
     fn start(&self) -> Running {
-        let arguments = ["--settings", "front.textproto", "--fleet", "fleet", "--state", "state", "--seed", "7"];
+        let arguments =
+            ["--settings", "front.textproto", "--fleet", "fleet", "--state", "state", "--seed", "7"];
         Running(self.command(&arguments).spawn().unwrap())
     }
 
