Let a sick server be tried again after a trial that met a busy number

Seen: a server held unfit is tried with one session. Where that session's number was busy (401), its end changed nothing (rules.rs `ended`, the arm of `lines_busy`): `tried` stayed set with no INVITE out, `has_room` refuses while it is, and `trial_over` has no INVITE to time. The front sent that server nothing more until it started anew. One INVITE to a busy number at the wrong moment took a server away for good.

Change: such an end takes `tried` back; the next session is the trial. Ruled out: counting it as an answer that makes the server fit, for a 401 says nothing of its processor.

Measured: of 40 sessions over 400 s after it none was sent, now they are.

--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -224,7 +224,9 @@
             }
             match ending {
                 // Busy lines, a number's or its own, are no trouble of the processor.
-                Ending::Released | Ending::Fault { lines_busy: true } => at.heard = now,
+                Ending::Released => at.heard = now,
+                // Nor does a trial that met them tell whether it is fit: the next session is another.
+                Ending::Fault { lines_busy: true } => (at.heard, at.tried) = (now, false),
                 // A server that answers quickly with faults would draw ever more sessions into them.
                 Ending::Fault { lines_busy: false } => {
                     at.heard = now;
--- a/crates/ochrelead-core/tests/rules.rs
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -485,3 +485,16 @@
         assert_eq!(front.rules.why(), Reason::Sent { choice: Choice::Drawn, payment });
     }
 }
+
+/// A sick server is tried with one session; its number was busy, which says nothing of the server.
+#[test]
+fn a_trial_that_meets_a_busy_number_does_not_bar_a_server_for_good() {
+    let mut front = Front::with(1);
+    let (first, _) = front.send(0, 0);
+    front.end(10, first, 0, Ending::ConnectFailed);
+    let (trial, decisions) = front.send(2_000, 0);
+    assert_eq!(invited(&decisions), Some(0), "tried again");
+    front.end(2_020, trial, 0, Ending::Fault { lines_busy: true });
+    let later = (0..40).filter(|nth| front.sent_in_vain(10_000 + nth * 10_000, 0).is_some()).count();
+    assert!(later > 0, "never tried again");
+}
