Set up what earns nothing where nothing is short

`has_room` then compares with an infinite share times 0, which is no number, and with a limit times the root of 0: the session was refused by every server however idle, and so was each re-send past the target. A caller whose redial is marked was turned away always.

Change: the worth is never quite nothing. Ruled out: another default of `late_share`, since a deployment may mean 0.

Measured: the new test refused a redial at an idle server with `late_share` 0 and took it with 0.25; now both are taken. A front's test of time-outs now sees its session sent again as the budget allows.

--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -567,12 +567,14 @@
     }
 
     /// What is left to gain with a session, in values of the least service: a redial that comes after the
-    /// post-dial target of its first try earns the late share only.
+    /// post-dial target of its first try earns the late share only. Never nothing at all: what earns nothing is
+    /// still set up where nothing is short.
     fn worth(&self, held: &Session) -> f64 {
         let desk = &self.desks[held.offer.service.at()];
         let late = self.now.since(held.first_tried) > desk.target
             || (held.offer.redial && held.first_tried == held.came);
-        desk.value * self.in_share(held.offer.member) * if late { desk.late } else { 1.0 }
+        let left = desk.value * self.in_share(held.offer.member) * if late { desk.late } else { 1.0 };
+        left.max(f64::MIN_POSITIVE)
     }
 
     /// What is left of the value of a member's sessions, on the mean, when it asks here for more than an even
--- a/crates/ochrelead-core/tests/rules.rs
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -498,3 +498,15 @@
     let later = (0..40).filter(|nth| front.sent_in_vain(10_000 + nth * 10_000, 0).is_some()).count();
     assert!(later > 0, "never tried again");
 }
+
+/// What comes too late to earn anything is set up all the same where nothing is short.
+#[test_case(0.0; "a late session earns nothing")]
+#[test_case(0.25; "a late session earns a quarter")]
+fn a_redial_at_an_idle_server_is_set_up(late_share: f64) {
+    let mut figures = provision();
+    figures.services[0].late_share = late_share;
+    let mut front = Front::from(&figures, 1);
+    let session = front.offer_again(10, 0);
+    let decisions = front.decide(10);
+    assert_eq!((invited(&decisions), session.at()), (Some(0), 0));
+}
