Try a little at servers that are all fresh and tell no lines

Seen: what a fresh server may be sent is derived from warm servers' answers, its lines or what stood in its place. Where all servers have just started and none tells lines (or no usual hold is set), all three are nothing (rules.rs `cold_grant`), and the grant was 0: a front that had just started refused every session for the whole warm-up, 15 s.

Change: the grant is at least one set-up in the fall time from all fronts together, this front's even part of it. It is the least rate that any server must stand; its own answers take over from there. Ruled out: counting fronts by what they hear of each other (a departure that shares state).

Measured: four fronts over 14 s sent nothing; now some, and fewer than two a second of all together (the test's bound).

--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -615,7 +615,9 @@
         let share = fresh.before.or(former).map_or(alike, |rate| alike.clamp(rate, rate * GROWTH));
         let left = fresh.fresh_until.since(now).ratio(self.warm_after).min(1.0);
         let budget = self.cold_multiple * left + self.fall_multiple * (1.0 - left);
-        (share * budget * COLD_PART).max(fresh.recent_rate(now) * GROWTH)
+        // Where nothing at all says how large it is, all fronts together try one in the fall time.
+        let least = self.even_part / self.fall_after.ratio(Span::from_secs(1));
+        (share * budget * COLD_PART).max(fresh.recent_rate(now) * GROWTH).max(least)
     }
 
     /// Trials that were not answered. A server that is only silent is not barred: the age of what waits there
--- a/crates/ochrelead-core/tests/rules.rs
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -510,3 +510,20 @@
     let decisions = front.decide(10);
     assert_eq!((invited(&decisions), session.at()), (Some(0), 0));
 }
+
+/// Nothing says how large they are: nobody tells lines, and nobody has answered this front yet.
+#[test]
+fn where_all_servers_are_fresh_and_untold_a_little_is_tried() {
+    let (mut sent, seconds) = (0, 14);
+    let fronts = 4;
+    for nth in 0..fronts {
+        let mut figures = provision();
+        (figures.seed, figures.fronts) = (nth, fronts as u32);
+        let mut front = Front::from(&figures, 1);
+        front.list(0, 0, ListState::Ready { started: Some(at(0)) });
+        let tries = (0..seconds * 4).map(|nth| nth * 250);
+        sent += tries.filter(|ms| front.sent_in_vain(*ms, 0).is_some()).count();
+    }
+    assert!(sent > 0, "not one of {fronts} fronts in {seconds} s");
+    assert!(sent <= 2 * seconds as usize, "{sent} of all fronts together in {seconds} s");
+}
