Let what a server told of its lines wear out, as its reports do

Seen: a server that tells its lines at its start and never again, as a peer may that knows `X-Lines` only in part. Each INVITE takes one from the free lines told; after as many sessions as there were none is left (rules.rs `lines_share`, `share`), and the front sent it nothing more for good. Reports of the processor wear out after six targets; lines and the flow drawn from them did not.

Change: they do, by the same figure (`is_news`). Ruled out: adding released lines back, for other fronts take them.

Measured: a minute after its last word 0 of 20 sessions were sent to an idle server, now more than ten.

--- a/crates/ochrelead-core/src/ledger.rs
+++ b/crates/ochrelead-core/src/ledger.rs
@@ -74,6 +74,8 @@
     pub wanted: Ring<16>,
     /// As last told, the free ones less what was sent since; none at all where nothing is told.
     pub lines: Lines,
+    /// When they were last told.
+    pub told_at: Moment,
     /// The lines in use of late, as told.
     pub used: Levels<4>,
     /// What it sets up for all fronts, in sessions a second, as its lines show it.
@@ -234,6 +236,7 @@
             before: None,
             wanted: Ring::new(long),
             lines: Lines::default(),
+            told_at: Moment::START,
             used: Levels::new(told),
             flow: None,
             freed: 0.0,
@@ -260,7 +263,7 @@
 
     /// Its lines are told; `hold` is how long sessions stand on the mean, in seconds, zero where unknown.
     pub fn told(&mut self, now: Moment, lines: Lines, hold: f64) {
-        self.lines = lines;
+        (self.lines, self.told_at) = (lines, now);
         self.used.note(now, f64::from(lines.all.saturating_sub(lines.free)));
         let course = self.used.course(now).filter(|_| hold > 0.0);
         self.freed = course.map_or(0.0, |(mean, _)| mean / hold);
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -53,7 +53,7 @@
 const LOST_SHARE: f64 = 0.5;
 /// How far one session moves the mean worth.
 const WORTH_STEP: f64 = 0.05;
-/// A server's report is good for so many post-dial targets.
+/// What a server says of its lines and its processor is good for so many post-dial targets.
 const REPORT_TARGETS: u64 = 6;
 /// The widths of the buckets of time: of lines told, of the present (eight), of the long run (sixteen).
 const TOLD: Span = Span::from_secs(1);
@@ -510,11 +510,11 @@
     /// no more than a multiple of what it sets up. Where this front has answers enough, its own limit serves
     /// better; a destination is left alone until something says that it is pressed.
     fn share(&self, at: &Server, destined: bool) -> f64 {
-        let Some(flow) = at.flow.filter(|_| at.present.tally(self.now).count < ENOUGH) else {
+        let asked = at.present.tally(self.now).count < ENOUGH && self.is_news(at.told_at);
+        let Some(flow) = at.flow.filter(|_| asked) else {
             return f64::INFINITY;
         };
-        let fits = self.now.since(at.reported) < self.target * REPORT_TARGETS;
-        let news = if fits { at.report } else { Report::default() };
+        let news = if self.is_news(at.reported) { at.report } else { Report::default() };
         let held_back = news.hold_back.unwrap_or(0.0).clamp(0.0, 1.0);
         let short = news.can_take.filter(|most| *most < flow);
         if destined && !at.troubled && held_back == 0.0 && short.is_none() {
@@ -527,10 +527,15 @@
         self.allot(at, destined, room * part, self.rate(&at.wanted).min(flow * part))
     }
 
+    /// Whether what was told then is still good.
+    fn is_news(&self, then: Moment) -> bool {
+        self.now.since(then) < self.target * REPORT_TARGETS
+    }
+
     /// What is left of a server's room when its last answer took more than half the target: its queue has to
     /// drain, or all that it sets up is late.
     fn slowed(&self, at: &Server) -> f64 {
-        let recent = at.latest.filter(|(then, _)| self.now.since(*then) < self.target * REPORT_TARGETS);
+        let recent = at.latest.filter(|(then, _)| self.is_news(*then));
         let ratio = recent.map_or(1.0, |(_, took)| self.target.scaled(LATE_SHARE).ratio(took).min(1.0));
         ratio * ratio
     }
@@ -539,7 +544,7 @@
     /// lines reaches all fronts at once; all staying away and all coming back would leave them half empty.
     fn lines_share(&self, at: &Server, destined: bool, worth: f64) -> f64 {
         let kept = f64::from(at.lines.all) * LINES_KEPT / worth;
-        if f64::from(at.lines.free) >= kept {
+        if f64::from(at.lines.free) >= kept || !self.is_news(at.told_at) {
             return f64::INFINITY;
         }
         if destined { at.freed * FREED_USED * self.part() / self.rate(&at.wanted) } else { 0.0 }
--- a/crates/ochrelead-core/tests/rules.rs
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -527,3 +527,13 @@
     assert!(sent > 0, "not one of {fronts} fronts in {seconds} s");
     assert!(sent <= 2 * seconds as usize, "{sent} of all fronts together in {seconds} s");
 }
+
+/// A server that told its lines at its start and never again: what was told wears out.
+#[test]
+fn lines_that_were_told_long_ago_bar_nobody() {
+    let mut front = Front::with(1);
+    front.lines(0, 4, 1_000);
+    (0..8).for_each(|nth| front.served(nth * 100, 0, 20));
+    let later = (0..20).filter(|nth| front.sent_in_vain(60_000 + nth * 500, 0).is_some()).count();
+    assert!(later > 10, "{later} of 20");
+}
