Pace repeats by how long a peer takes, and bound those of a session

The first gap was 500 ms however long a server took, so a server whose wait passed that was asked twice for each set-up, and each repeat is work that makes it slower. And each of a session's INVITEs was repeated as if it were the only one.

Change: the first gap follows the peer's answers, as RFC 3435 section 4.3 asks for: mean and deviations of what was answered unrepeated, and after a repeated command the gap that it had come to; never under `first_gap_ms`, never over `longest_gap_ms`. All INVITEs of a session share the repeats of a single one that waits to the limit: three INVITEs and four repeats at the most with the usual figures, where three times five were possible.

--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -380,7 +380,17 @@
 
     /// Sends a command; where the table of commands is full, none.
     fn ask(&mut self, to: SocketAddr, command: Command, pending: Pending) -> Option<TransactionId> {
-        match self.exchange.ask(self.now, to, command) {
+        self.ask_at_most(to, command, pending, u32::MAX)
+    }
+
+    fn ask_at_most(
+        &mut self,
+        to: SocketAddr,
+        command: Command,
+        pending: Pending,
+        most_repeats: u32,
+    ) -> Option<TransactionId> {
+        match self.exchange.ask_at_most(self.now, to, command, most_repeats) {
             Ok(transaction) => {
                 self.pending.insert(transaction, pending);
                 Some(transaction)
--- a/crates/ochrelead-front/src/engine/book.rs
+++ b/crates/ochrelead-front/src/engine/book.rs
@@ -60,6 +60,8 @@
     pub taken: Moment,
     pub timer_limit: Moment,
     pub invites: u32,
+    /// How many repeats all its INVITEs together may still see.
+    pub repeats: u32,
     pub phase: Phase,
     serial: u64,
 }
@@ -75,6 +77,7 @@
             taken,
             timer_limit: taken,
             invites: 0,
+            repeats: 0,
             phase: Phase::Waiting,
             serial: 0,
         }
@@ -120,6 +123,12 @@
         self.tries.get(tried).copied()
     }
 
+    /// An INVITE that was out has seen so many repeats at the most.
+    pub fn count_repeats(&mut self, index: SessionIx, repeats: u32) {
+        let call = &mut self.calls[index.at()];
+        call.repeats = call.repeats.saturating_sub(repeats);
+    }
+
     pub fn count_invite(&mut self, index: SessionIx) -> u32 {
         let call = &mut self.calls[index.at()];
         call.invites += 1;
--- a/crates/ochrelead-front/src/engine/callers.rs
+++ b/crates/ochrelead-front/src/engine/callers.rs
@@ -63,6 +63,8 @@
         let (line, called) = (command.endpoint.clone(), digits.to_owned());
         let mut call = Call::new(from, line, tried.to_owned(), called, self.now);
         call.timer_limit = self.now + (limit - self.commission.answer_margin);
+        // One INVITE that waits all the while sees so many; several share them.
+        call.repeats = self.commission.pace.repeats(call.timer_limit.since(self.now));
         call.connection = command.parameters.get(name::CONNECTION).map(str::to_owned);
         let timer_limit = call.timer_limit;
         let session = self.book.enter(call);
--- a/crates/ochrelead-front/src/engine/servers.rs
+++ b/crates/ochrelead-front/src/engine/servers.rs
@@ -52,12 +52,13 @@
             .with(name::OPTIONS, "p:20, a:PCMU")
             .with(name::TRY, &call.tried)
             .with(name::CALLED, &call.called);
-        let (to, held) = (self.roster.post(server).address, self.book.session(session));
+        let (to, held, repeats) =
+            (self.roster.post(server).address, self.book.session(session), call.repeats);
         let nth = self.book.count_invite(session);
         let name = self.roster.post(server).name.clone();
         let why = self.judge.why();
         self.step(session, Step::Invited { server: name, nth, why });
-        let Some(transaction) = self.ask(to, command, Pending::Invite(held)) else {
+        let Some(transaction) = self.ask_at_most(to, command, Pending::Invite(held), repeats) else {
             return self.judge.ended(session, server, Ending::Unsent, false);
         };
         let until = patience.map_or(timer_limit, |span| timer_limit.min(self.now + span));
@@ -104,6 +105,7 @@
         let server = invite.server;
         let name = self.roster.post(server).name.clone();
         let took = self.now.since(invite.sent);
+        self.book.count_repeats(session, self.commission.pace.repeats(took));
         self.step(session, Step::InviteEnded { server: name, ending, took });
         self.book.turn_to(session, Phase::Waiting);
         self.judge.ended(session, server, ending, false);
--- a/crates/ochrelead-front/tests/front.rs
+++ b/crates/ochrelead-front/tests/front.rs
@@ -478,3 +478,17 @@
     front.stands(120, to, transaction, 5);
     assert_eq!(answers(&front.sent(120)), ["stands"]);
 }
+
+/// Two INVITEs that are each answered late share the repeats that one would have seen: two and four, not eight.
+#[test]
+fn the_repeats_of_all_invites_of_a_session_are_bounded_together() {
+    let mut front = Front::start(100);
+    let (first, to) = front.invited(0, "a1");
+    front.run(1, 3_600);
+    front.respond(3_600, to, Response::new(405, first));
+    let (second, to) = invite(&front.run(3_600, 3_900)).unwrap();
+    front.run(3_901, 7_600);
+    front.respond(7_600, to, Response::new(405, second));
+    assert_eq!(answers(&front.run(7_600, 9_000)), ["busy"]);
+    assert_eq!(front.invites, 2 + 4);
+}
--- a/crates/ochrelead-front/tests/helper/mod.rs
+++ b/crates/ochrelead-front/tests/helper/mod.rs
@@ -30,6 +30,8 @@
     pub engine: Engine<Controller>,
     /// Each command is seen once, however often it is repeated.
     seen: Vec<u32>,
+    /// The datagrams of INVITEs that have left, repeats and all.
+    pub invites: u32,
     own: u32,
 }
 
@@ -49,7 +51,7 @@
     pub fn start(first: u32) -> Front {
         let commission = commission::read("test", SETTINGS).unwrap();
         let judge = Controller::new(&commission.provision, at(0));
-        Front { engine: Engine::new(commission, judge, first, at(0)), seen: Vec::new(), own: 0 }
+        Front { engine: Engine::new(commission, judge, first, at(0)), seen: Vec::new(), invites: 0, own: 0 }
     }
 
     pub fn take(&mut self, ms: u64, from: SocketAddr, bytes: &[u8]) {
@@ -77,6 +79,7 @@
     fn turn(&mut self, ms: u64, sent: &mut Vec<Sent>) {
         self.engine.turn(at(ms));
         while let Some((to, bytes)) = self.engine.next_datagram() {
+            self.invites += u32::from(bytes.starts_with(b"CRCX "));
             match parse::datagram(&bytes).unwrap().remove(0).unwrap() {
                 Message::Command(command) if self.seen.contains(&command.transaction) => {}
                 Message::Command(command) => {
--- a/crates/ochrelead-mgcp/src/exchange.rs
+++ b/crates/ochrelead-mgcp/src/exchange.rs
@@ -46,6 +46,18 @@
     }
 }
 
+impl Pace {
+    /// How many repeats a command may see that waits for so long.
+    pub fn repeats(&self, wait: Span) -> u32 {
+        let (mut gap, mut at, mut count) = (self.first_gap, self.first_gap, 0);
+        while at <= wait && gap > Span::ZERO {
+            gap = (gap * 2).min(self.longest_gap);
+            (at, count) = (at + gap, count + 1);
+        }
+        count
+    }
+}
+
 /// Whose answer a response is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Claim {
@@ -87,6 +99,39 @@
     asked: Moment,
     gap: Span,
     next: Moment,
+    repeats: u32,
+    most_repeats: u32,
+}
+
+/// How long a peer takes to answer (RFC 3435 section 4.3): the mean, how far off it the answers are, and the gap that
+/// the last repeated command had come to. What was repeated tells no time: which copy was answered is not known.
+#[derive(Clone, Copy, Default)]
+struct Delay {
+    /// None where nothing was measured yet.
+    mean: Option<Span>,
+    off: Span,
+    backed_off: Option<Span>,
+}
+
+impl Delay {
+    /// How far one answer moves the figures, and how many deviations a repeat waits (as in RFC 6298 section 2).
+    const STEP: u64 = 8;
+    const DEVIATIONS: u64 = 4;
+
+    fn learn(&mut self, took: Span) {
+        let toward = |own: Span, to: Span| own - own / Self::STEP + to / Self::STEP;
+        let (mean, off) = match self.mean {
+            None => (took, took / 2),
+            Some(mean) => (toward(mean, took), toward(self.off, (took - mean) + (mean - took))),
+        };
+        *self = Delay { mean: Some(mean), off, backed_off: None };
+    }
+
+    fn gap(&self, pace: &Pace) -> Span {
+        let measured = self.mean.unwrap_or_default() + self.off * Self::DEVIATIONS;
+        let gap = self.backed_off.unwrap_or(measured);
+        gap.clamp(pace.first_gap, pace.longest_gap)
+    }
 }
 
 enum Kept {
@@ -107,6 +152,8 @@
     finished_in_order: VecDeque<(Moment, TransactionId)>,
     kept: HashMap<(SocketAddr, TransactionId), Kept>,
     kept_in_order: VecDeque<(Moment, (SocketAddr, TransactionId))>,
+    /// How long those took to answer that were asked.
+    delays: HashMap<SocketAddr, Delay>,
     /// Responses that a peer is to be told of with the next command (RFC 3435 section 3.2.2.19).
     acknowledge: HashMap<SocketAddr, Vec<TransactionId>>,
     datagrams: VecDeque<(SocketAddr, Vec<u8>)>,
@@ -129,6 +176,7 @@
             finished_in_order: VecDeque::new(),
             kept: HashMap::new(),
             kept_in_order: VecDeque::new(),
+            delays: HashMap::new(),
             acknowledge: HashMap::new(),
             datagrams: VecDeque::new(),
             news: VecDeque::new(),
@@ -141,6 +189,21 @@
     ///
     /// Where as many commands as there may be wait for an answer.
     pub fn ask(&mut self, now: Moment, to: SocketAddr, command: Command) -> Result<TransactionId, Full> {
+        self.ask_at_most(now, to, command, u32::MAX)
+    }
+
+    /// Like [`Exchange::ask`], with so many repeats at most.
+    ///
+    /// # Errors
+    ///
+    /// Where as many commands as there may be wait for an answer.
+    pub fn ask_at_most(
+        &mut self,
+        now: Moment,
+        to: SocketAddr,
+        command: Command,
+        most_repeats: u32,
+    ) -> Result<TransactionId, Full> {
         if self.open.len() >= self.pace.most_open {
             return Err(Full(self.open.len()));
         }
@@ -152,9 +215,11 @@
         }
         let bytes = write::datagram(&[Message::Command(command)]);
         self.datagrams.push_back((to, bytes.clone()));
-        let next = now + self.pace.first_gap;
+        let gap = self.delays.get(&to).map_or(self.pace.first_gap, |delay| delay.gap(&self.pace));
+        let next = now + gap;
         self.due.insert((next, transaction));
-        self.open.insert(transaction, Open { to, bytes, asked: now, gap: self.pace.first_gap, next });
+        let open = Open { to, bytes, asked: now, gap, next, repeats: 0, most_repeats };
+        self.open.insert(transaction, open);
         Ok(transaction)
     }
 
@@ -301,6 +366,12 @@
             let open = self.open.remove(&transaction).expect("just seen");
             self.due.remove(&(open.next, transaction));
             self.finish(now, transaction, from, false);
+            let delay = self.delays.entry(from).or_default();
+            if open.repeats == 0 {
+                delay.learn(now.since(open.asked));
+            } else {
+                delay.backed_off = Some(open.gap);
+            }
             let heard = self.acknowledge.entry(from).or_default();
             if heard.len() < ACKNOWLEDGED_AT_ONCE {
                 heard.push(transaction);
@@ -336,7 +407,10 @@
             open.gap = (open.gap * 2).min(self.pace.longest_gap);
             open.next = now + open.gap;
             self.due.insert((open.next, transaction));
-            self.datagrams.push_back((open.to, open.bytes.clone()));
+            if open.repeats < open.most_repeats {
+                open.repeats += 1;
+                self.datagrams.push_back((open.to, open.bytes.clone()));
+            }
         }
         let kept = self.pace.kept;
         while self.finished_in_order.front().is_some_and(|(at, _)| now.since(*at) >= kept) {
--- a/crates/ochrelead-mgcp/tests/exchange.rs
+++ b/crates/ochrelead-mgcp/tests/exchange.rs
@@ -150,3 +150,56 @@
     let mut exchange = Exchange::new(Pace { most_open: 2, ..Pace::default() }, 0);
     assert!((0..3).map(|_| exchange.ask(at(0), peer(), asked())).collect::<Result<Vec<_>, _>>().is_err());
 }
+
+/// When the next command is repeated, after answers that took so long: what is slow is not asked twice for that.
+#[test_case(&[], 500; "nothing known")]
+#[test_case(&[20; 20], 500; "quick answers change nothing")]
+#[test_case(&[450; 80], 500; "all within the gap")]
+#[test_case(&[700], 1_000; "answered after a repeat: the gap that it had come to")]
+#[test_case(&[1_700], 2_000; "after two")]
+#[test_case(&[9_000], 4_000; "never over the longest gap")]
+#[test_case(&[700, 20], 500; "a quick answer after that tells that it is quick")]
+fn the_first_gap_follows_a_peers_answers(took: &[u64], gap: u64) {
+    let mut exchange = Exchange::new(Pace::default(), 0);
+    let mut now = 0;
+    for took in took {
+        let id = exchange.ask(at(now), peer(), asked()).unwrap();
+        (now..now + took).for_each(|ms| exchange.tick(at(ms)));
+        now += took;
+        exchange.take(at(now), peer(), &responded(200, id));
+    }
+    exchange.ask(at(now), peer(), asked()).unwrap();
+    assert_eq!(exchange.wake(), Some(at(now + gap)));
+}
+
+#[test]
+fn a_slow_peer_whose_answers_come_unrepeated_is_waited_for() {
+    let mut exchange = Exchange::new(Pace::default(), 0);
+    let mut now = 0;
+    let mut repeats = 0;
+    for _ in 0..40 {
+        let id = exchange.ask(at(now), peer(), asked()).unwrap();
+        (now..now + 800).for_each(|ms| exchange.tick(at(ms)));
+        now += 800;
+        exchange.take(at(now), peer(), &responded(200, id));
+        repeats += sent(&mut exchange).len() - 1;
+    }
+    assert_eq!(repeats, 1, "of the first alone");
+}
+
+#[test]
+fn a_bound_on_repeats_is_kept_until_it_is_given_up() {
+    let mut exchange = Exchange::new(Pace { give_up: Span::from_secs(10), ..Pace::default() }, 5);
+    exchange.ask_at_most(at(0), peer(), asked(), 2).unwrap();
+    (0..15_000).for_each(|ms| exchange.tick(at(ms)));
+    assert_eq!(sent(&mut exchange).len(), 3);
+    assert!(matches!(news(&mut exchange)[..], [News::Unanswered { .. }]));
+}
+
+#[test_case(499, 0)]
+#[test_case(500, 1)]
+#[test_case(9_000, 4)]
+#[test_case(12_000, 5)]
+fn repeats_within(ms: u64, repeats: u32) {
+    assert_eq!(Pace::default().repeats(Span::from_millis(ms)), repeats);
+}
