--- a/crates/ochrelead-day/src/part.rs
+++ b/crates/ochrelead-day/src/part.rs
@@ -45,7 +45,7 @@
         Deciding::Module => {
             let engine = |commission: Commission| {
                 let judge = Controller::new(&commission.provision, clock.now());
-                Engine::new(commission, judge, first, clock.now())
+                Engine::new(commission, Box::new(judge), first, clock.now())
             };
             return Ok(future::block_on(host::serve(commission, engine, socket, clock, places))?);
         }
@@ -56,7 +56,7 @@
         let target =
             commission.provision.services.iter().map(|s| s.post_dial_target).max().unwrap_or_default();
         let judge = Baseline::new(policy, commission.provision.release_wait, target, seed);
-        Engine::new(commission, judge, first, clock.now())
+        Engine::new(commission, Box::new(judge), first, clock.now())
     };
     Ok(future::block_on(host::serve(commission, engine, socket, clock, places))?)
 }
--- a/crates/ochrelead-front/benches/turn.rs
+++ b/crates/ochrelead-front/benches/turn.rs
@@ -17,7 +17,7 @@
 "#;
 
 struct Rig {
-    engine: Engine<Controller>,
+    engine: Engine,
     now: u64,
     asked: u32,
     circuits: u32,
@@ -28,7 +28,12 @@
         let commission = commission::read("bench", SETTINGS).expect("sound settings");
         let now = Moment::from_micros(1_000_000);
         let judge = Controller::new(&commission.provision, now);
-        Rig { engine: Engine::new(commission, judge, 1, now), now: 1_000_000, asked: 0, circuits: 0 }
+        Rig {
+            engine: Engine::new(commission, Box::new(judge), 1, now),
+            now: 1_000_000,
+            asked: 0,
+            circuits: 0,
+        }
     }
 
     fn take(&mut self, from: &str, bytes: &[u8]) {
--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -55,9 +55,9 @@
 }
 
 /// A front without I/O.
-pub struct Engine<J> {
+pub struct Engine {
     commission: Commission,
-    judge: J,
+    judge: Box<dyn Judge + Send>,
     now: Moment,
     exchange: Exchange,
     book: Book,
@@ -79,9 +79,9 @@
     noted: Vec<Option<Lines>>,
 }
 
-impl<J: Judge> Engine<J> {
+impl Engine {
     /// A front in service. `first`: where its transaction ids begin, other at each start.
-    pub fn new(commission: Commission, judge: J, first: u32, now: Moment) -> Engine<J> {
+    pub fn new(commission: Commission, judge: Box<dyn Judge + Send>, first: u32, now: Moment) -> Engine {
         let roster = commission.roster.clone();
         let mut engine = Engine {
             exchange: Exchange::new(commission.pace, first),
@@ -216,10 +216,7 @@
             }
         }
         while let Some(release) = self.releases.due(self.now) {
-            // A server that has left the list is asked for nothing more.
-            if self.roster.at(release.to).is_some() {
-                self.ask_release(release);
-            }
+            self.ask_release(release);
         }
         while let Some(decision) = self.judge.decide() {
             self.carry_out(decision);
--- a/crates/ochrelead-front/src/engine/callers.rs
+++ b/crates/ochrelead-front/src/engine/callers.rs
@@ -30,7 +30,7 @@
     }
 }
 
-impl<J: Judge> Engine<J> {
+impl Engine {
     pub(super) fn notified(&mut self, from: SocketAddr, command: &Command) {
         let observed = Observed::read(command.parameters.get(name::OBSERVED).unwrap_or(""));
         let tried = command.parameters.get(name::TRY).unwrap_or("");
--- a/crates/ochrelead-front/src/engine/servers.rs
+++ b/crates/ochrelead-front/src/engine/servers.rs
@@ -12,7 +12,7 @@
 /// One figure of so many is noted.
 const NOTED: u32 = 4;
 
-impl<J: Judge> Engine<J> {
+impl Engine {
     /// What any message of a server says of its lines and its processor.
     pub(super) fn learn(&mut self, server: ServerIx, parameters: &Parameters) {
         if let Some(lines) = endings::lines(parameters) {
--- a/crates/ochrelead-front/src/host.rs
+++ b/crates/ochrelead-front/src/host.rs
@@ -22,7 +22,6 @@
 use tracing::{info, warn};
 
 use crate::engine::Engine;
-use crate::judge::Judge;
 use crate::keeping::{self, Writing};
 use crate::note::{Note, Step};
 use crate::recording;
@@ -95,9 +94,9 @@
 /// # Errors
 ///
 /// Where signals, the socket or the folder of the state fail for good.
-pub async fn serve<J: Judge>(
+pub async fn serve(
     commission: Commission,
-    engine: impl FnOnce(Commission) -> Engine<J>,
+    engine: impl FnOnce(Commission) -> Engine,
     socket: Async<UdpSocket>,
     clock: Clock,
     places: Places,
@@ -212,7 +211,7 @@
     Ok(kept)
 }
 
-fn take_all<J: Judge>(engine: &mut Engine<J>, socket: &Async<UdpSocket>, clock: &Clock, buffer: &mut [u8]) {
+fn take_all(engine: &mut Engine, socket: &Async<UdpSocket>, clock: &Clock, buffer: &mut [u8]) {
     for _ in 0..MOST_AT_ONCE {
         match socket.get_ref().recv_from(buffer) {
             Ok((length, from)) => engine.take(clock.now(), from, &buffer[..length]),
@@ -238,7 +237,7 @@
         }
     }
 
-    fn status<J: Judge>(&mut self, now: Moment, engine: &Engine<J>, keeper: Option<&Keeper>) {
+    fn status(&mut self, now: Moment, engine: &Engine, keeper: Option<&Keeper>) {
         if now >= self.next_flush
             && let Some(records) = &mut self.records
         {
--- a/crates/ochrelead-front/src/judge.rs
+++ b/crates/ochrelead-front/src/judge.rs
@@ -5,7 +5,7 @@
 use ochrelead_core::rules::Controller;
 use ochrelead_core::time::Moment;
 
-/// Decides on sessions. The methods are those of the module, [`Controller`], and mean the same.
+/// Decides on sessions; chosen at start. The methods are those of the module, [`Controller`], and mean the same.
 pub trait Judge {
     fn clock(&mut self, now: Moment);
     fn offered(&mut self, session: SessionIx, offer: Offer);
@@ -81,58 +81,3 @@
         Controller::outlook(self, server)
     }
 }
-
-/// Whoever decides may be chosen at start.
-impl Judge for Box<dyn Judge + Send> {
-    fn clock(&mut self, now: Moment) {
-        (**self).clock(now);
-    }
-
-    fn offered(&mut self, session: SessionIx, offer: Offer) {
-        (**self).offered(session, offer);
-    }
-
-    fn stands(&mut self, session: SessionIx) {
-        (**self).stands(session);
-    }
-
-    fn ended(&mut self, session: SessionIx, server: ServerIx, ending: Ending, over: bool) {
-        (**self).ended(session, server, ending, over);
-    }
-
-    fn hung_up(&mut self, session: SessionIx) {
-        (**self).hung_up(session);
-    }
-
-    fn listed(&mut self, whole: bool, listings: &[Listing]) {
-        (**self).listed(whole, listings);
-    }
-
-    fn served(&mut self, service: ServiceIx, servers: &[i64]) {
-        (**self).served(service, servers);
-    }
-
-    fn lines_told(&mut self, server: ServerIx, lines: Lines) {
-        (**self).lines_told(server, lines);
-    }
-
-    fn reported(&mut self, server: ServerIx, report: Report) {
-        (**self).reported(server, report);
-    }
-
-    fn decide(&mut self) -> Option<Decision> {
-        (**self).decide()
-    }
-
-    fn wake(&mut self) -> Option<Moment> {
-        (**self).wake()
-    }
-
-    fn why(&self) -> Option<Reason> {
-        (**self).why()
-    }
-
-    fn outlook(&self, server: ServerIx) -> Option<Outlook> {
-        (**self).outlook(server)
-    }
-}
--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -144,7 +144,7 @@
     let places = Places { fleet: line.fleet, state: line.state, records: line.records };
     let engine = |commission: Commission| {
         let judge = Controller::new(&commission.provision, clock.now());
-        Engine::new(commission, judge, first, clock.now())
+        Engine::new(commission, Box::new(judge), first, clock.now())
     };
     let served = host::serve(commission, engine, Async::new(socket)?, clock, places);
     future::block_on(served).context("serving")
--- a/crates/ochrelead-front/tests/helper/mod.rs
+++ b/crates/ochrelead-front/tests/helper/mod.rs
@@ -27,7 +27,7 @@
 }
 
 pub struct Front {
-    pub engine: Engine<Controller>,
+    pub engine: Engine,
     /// Each command is seen once, however often it is repeated.
     seen: Vec<u32>,
     /// The datagrams of INVITEs that have left, repeats and all.
@@ -51,7 +51,12 @@
     pub fn start(first: u32) -> Front {
         let commission = commission::read("test", SETTINGS).unwrap();
         let judge = Controller::new(&commission.provision, at(0));
-        Front { engine: Engine::new(commission, judge, first, at(0)), seen: Vec::new(), invites: 0, own: 0 }
+        Front {
+            engine: Engine::new(commission, Box::new(judge), first, at(0)),
+            seen: Vec::new(),
+            invites: 0,
+            own: 0,
+        }
     }
 
     pub fn take(&mut self, ms: u64, from: SocketAddr, bytes: &[u8]) {
--- a/crates/ochrelead-sim/src/front.rs
+++ b/crates/ochrelead-sim/src/front.rs
@@ -19,9 +19,6 @@
 use crate::clock::{ProcessClock, SystemClock};
 use crate::disk::MemoryDisk;
 
-/// The front's engine with whoever decides.
-pub type FrontEngine = Engine<Box<dyn Judge + Send>>;
-
 /// The writing thread comes to a list after so long.
 const WRITES_AFTER: Span = Span::from_millis(2);
 /// The status, and what is held of each server, is recorded so often.
@@ -37,7 +34,7 @@
 
 /// A process while it runs.
 pub struct Process {
-    pub engine: FrontEngine,
+    pub engine: Engine,
     pub clock: ProcessClock,
     pub books: Books,
     /// The list that is to be written, and when.
--- a/crates/ochrelead-sim/tests/tiny/mod.rs
+++ b/crates/ochrelead-sim/tests/tiny/mod.rs
@@ -64,7 +64,7 @@
 
 struct Seat {
     commission: Commission,
-    engine: Option<Engine<Box<dyn Judge + Send>>>,
+    engine: Option<Engine>,
     stalled_at: Option<u64>,
     /// What waits in the socket, and since when.
     socket: Vec<(u64, SocketAddr, Vec<u8>)>,
