Let a slow answer cut the weight alone, not count as trouble besides

Cause: a slow answer acted three times: on the weight in the draw, on the room by the square of its lateness (`slowed`), and as trouble, which cut the trickle to a fifth until the next easy answer.

Change: `stands` cuts the weight; only failures are trouble.

--- a/crates/ochrelead-core/src/call.rs
+++ b/crates/ochrelead-core/src/call.rs
@@ -124,7 +124,7 @@
     pub answer_time: Span,
     pub sick: bool,
     pub fresh: bool,
-    /// The last sign of it was a slow answer or a failure.
+    /// The last sign of it was a failure.
     pub troubled: bool,
     /// What it sets up for all fronts, in sessions a second, as its lines show it.
     pub flow: Option<f64>,
--- a/crates/ochrelead-core/src/ledger.rs
+++ b/crates/ochrelead-core/src/ledger.rs
@@ -96,7 +96,7 @@
     pub latest: Option<(Moment, Span)>,
     /// The last sign of life.
     pub heard: Moment,
-    /// Whether the last sign of how it does was a slow answer or a failure.
+    /// Whether the last sign of how it does was a failure.
     pub troubled: bool,
     /// When the latest INVITE that was answered had been sent.
     pub answered_sent: Moment,
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -203,7 +203,7 @@
         at.heard = now;
         at.troubled = false;
         if took > slow {
-            at.meet_trouble(now);
+            at.cut_weight(now);
         }
         if took > self.target {
             at.fall_sick(now, self.target, self.target);
@@ -693,7 +693,7 @@
         self.out.iter().map(|(sent, _)| *sent).filter(move |sent| self.counts(*sent, target))
     }
 
-    /// A slow answer or a failure; it lasts until an easy answer.
+    /// A failure; it lasts until an answer.
     fn meet_trouble(&mut self, now: Moment) {
         self.troubled = true;
         self.cut_weight(now);
