Tell a lost INVITE from a slow server when its repeat is answered

Seen: after a repeated command the next first gap was the one that it had come to, whether the first copy was lost or the answer late.

Change: an answer that comes as soon after a repeat as the peer usually answers is that repeat's, and changes nothing.

--- a/crates/ochrelead-mgcp/src/exchange.rs
+++ b/crates/ochrelead-mgcp/src/exchange.rs
@@ -100,6 +100,7 @@
     gap: Span,
     next: Moment,
     repeats: u32,
+    repeated: Moment,
     most_repeats: u32,
 }
 
@@ -127,10 +128,20 @@
         *self = Delay { mean: Some(mean), off, backed_off: None };
     }
 
+    /// A repeated command was answered. An answer that comes as soon after a repeat as answers usually come is that
+    /// repeat's: the first copy was lost, and the peer is not slow.
+    fn learn_repeated(&mut self, since_repeat: Span, gap: Span) {
+        if self.mean.is_none() || since_repeat > self.usual() {
+            self.backed_off = Some(gap);
+        }
+    }
+
+    fn usual(&self) -> Span {
+        self.mean.unwrap_or_default() + self.off * Self::DEVIATIONS
+    }
+
     fn gap(&self, pace: &Pace) -> Span {
-        let measured = self.mean.unwrap_or_default() + self.off * Self::DEVIATIONS;
-        let gap = self.backed_off.unwrap_or(measured);
-        gap.clamp(pace.first_gap, pace.longest_gap)
+        self.backed_off.unwrap_or(self.usual()).clamp(pace.first_gap, pace.longest_gap)
     }
 }
 
@@ -218,7 +229,7 @@
         let gap = self.delays.get(&to).map_or(self.pace.first_gap, |delay| delay.gap(&self.pace));
         let next = now + gap;
         self.due.insert((next, transaction));
-        let open = Open { to, bytes, asked: now, gap, next, repeats: 0, most_repeats };
+        let open = Open { to, bytes, asked: now, gap, next, repeats: 0, repeated: now, most_repeats };
         self.open.insert(transaction, open);
         Ok(transaction)
     }
@@ -370,7 +381,7 @@
             if open.repeats == 0 {
                 delay.learn(now.since(open.asked));
             } else {
-                delay.backed_off = Some(open.gap);
+                delay.learn_repeated(now.since(open.repeated), open.gap);
             }
             let heard = self.acknowledge.entry(from).or_default();
             if heard.len() < ACKNOWLEDGED_AT_ONCE {
@@ -408,7 +419,7 @@
             open.next = now + open.gap;
             self.due.insert((open.next, transaction));
             if open.repeats < open.most_repeats {
-                open.repeats += 1;
+                (open.repeats, open.repeated) = (open.repeats + 1, now);
                 self.datagrams.push_back((open.to, open.bytes.clone()));
             }
         }
--- a/crates/ochrelead-mgcp/tests/exchange.rs
+++ b/crates/ochrelead-mgcp/tests/exchange.rs
@@ -157,6 +157,8 @@
 #[test_case(&[450; 80], 500; "all within the gap")]
 #[test_case(&[700], 1_000; "answered after a repeat: the gap that it had come to")]
 #[test_case(&[1_700], 2_000; "after two")]
+#[test_case(&[20, 20, 520], 500; "at once after a repeat, as usual: the first copy was lost")]
+#[test_case(&[20, 20, 800], 1_000; "not at once after it")]
 #[test_case(&[9_000], 4_000; "never over the longest gap")]
 #[test_case(&[700, 20], 500; "a quick answer after that tells that it is quick")]
 fn the_first_gap_follows_a_peers_answers(took: &[u64], gap: u64) {
