--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -32,12 +32,12 @@
 const MOST_NUMBERS: usize = 65_536;
 /// Hang-ups that no held session belongs to are remembered, for so many tries.
 const MOST_HUNG_UP: usize = 16_384;
-/// A turn that comes so much later than it was asked for is told.
-const PAUSE: Span = Span::from_millis(250);
-/// A front that has nothing to do looks at the clock so often: else it could not tell that it stood still.
-const PULSE: Span = Span::from_millis(250);
-/// What a busy machine's clock may be late by; beyond it what is read may have lain there since the last turn.
-const LATE: Span = Span::from_millis(40);
+/// A turn that comes so much later than it was asked for, as a share of the shortest post-dial target, is told. A front
+/// that has nothing to do looks at the clock as often: else it could not tell that it stood still.
+const PULSES: u64 = 6;
+/// What a busy machine's clock may be late by, as a share of the answer margin; beyond it what is read may have lain
+/// there since the last turn. Less than the margin, or an answer that is in time by this clock is late for its caller.
+const LATE_SHARE: f64 = 0.8;
 /// Notes that wait for the host; what comes beyond is dropped, the sessions go on.
 const MOST_NOTES: usize = 65_536;
 
@@ -68,6 +68,8 @@
     hung_up: Gone,
     releases: Releases,
     service: Service,
+    /// How often it looks at the clock at the least.
+    pulse: Span,
     notes: VecDeque<Note>,
     alarm: Option<Moment>,
     /// The last turn, and the most that what is read now may have waited to be read.
@@ -83,6 +85,8 @@
     /// A front in service. `first`: where its transaction ids begin, other at each start.
     pub fn new(commission: Commission, judge: Box<dyn Judge + Send>, first: u32, now: Moment) -> Engine {
         let roster = commission.roster.clone();
+        let targets = commission.provision.services.iter().map(|service| service.post_dial_target);
+        let pulse = targets.min().unwrap_or(Span::from_secs(1)) / PULSES;
         let mut engine = Engine {
             exchange: Exchange::new(commission.pace, first),
             releases: Releases::new(&commission.pace),
@@ -95,6 +99,7 @@
             pending: HashMap::new(),
             hung_up: Gone::new(MOST_HUNG_UP),
             service: Service::Open,
+            pulse,
             notes: VecDeque::new(),
             alarm: None,
             turned: now,
@@ -108,11 +113,12 @@
 
     fn clock(&mut self, now: Moment) {
         let late = self.alarm.map_or(Span::ZERO, |alarm| now.since(alarm));
-        if late > LATE {
+        let usual = self.commission.answer_margin.scaled(LATE_SHARE).max(self.commission.provision.turn * 4);
+        if late > usual {
             // What came since the last turn lay unread, nobody knows how long.
             self.waited = now.since(self.turned);
         }
-        if late > PAUSE {
+        if late > self.pulse {
             self.alarm = None;
             self.note(Note::Paused(late));
         }
@@ -225,7 +231,7 @@
         self.service.settle(self.now, self.owed(), self.commission.drain);
         let alarms = [self.judge.wake(), self.exchange.wake(), self.book.wake(), self.releases.wake()];
         let alarms = alarms.into_iter().chain([self.service.wake(self.now, self.commission.drain)]);
-        self.alarm = alarms.flatten().chain([self.now + PULSE]).min();
+        self.alarm = alarms.flatten().chain([self.now + self.pulse]).min();
         (self.turned, self.waited) = (self.now, Span::ZERO);
     }
 
--- a/crates/ochrelead-front/tests/front.rs
+++ b/crates/ochrelead-front/tests/front.rs
@@ -296,6 +296,17 @@
     assert!(front.engine.is_closed(), "though no peer has responded");
 }
 
+#[test]
+fn a_second_request_to_leave_changes_nothing() {
+    let mut front = Front::start(100);
+    front.invited(0, "a1");
+    front.engine.leave(at(0));
+    front.run(0, 2_900);
+    front.engine.leave(at(2_900));
+    assert_eq!(answers(&front.run(2_900, 3_000)), ["failed"], "the bound holds from the first");
+    assert!(!front.engine.is_closed(), "its release is still owed");
+}
+
 #[test]
 fn what_is_held_is_bounded() {
     let mut front = Front::start(100);
