Hold by a test that a late answer cuts a server's overflow

Cause: with each mechanism of the module switched off in turn, its own tests fail for all but one: nothing held what a late answer does to the room of a server's flow.

Change: a test; no code.

--- a/crates/ochrelead-core/tests/rules.rs
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -326,6 +326,19 @@
     assert!((least..=most).contains(&sent), "{sent} send");
 }
 
+/// Seconds after a late answer the server is given less overflow still: its queue has to drain.
+#[test_case(40, 6, 20; "an easy answer")]
+#[test_case(1_400, 0, 3; "one just within the target")]
+fn a_late_answer_cuts_the_overflow_for_a_while(took: u64, least: usize, most: usize) {
+    let sent = fronts_that_send([600; 5], 0, 1, |front| {
+        front.served(8_010, 1, took);
+        (0..2).for_each(|server| front.list(12_000, server, ListState::Draining));
+        (0..4).for_each(|nth| drop(front.send(12_010 + nth, 0)));
+        front.list(12_100, 1, ListState::Ready { started: None });
+    });
+    assert!((least..=most).contains(&sent), "{sent} send");
+}
+
 /// showroom-calls, places-line-gh: that a server is pressed came in its reports, and was not read.
 #[test_case(Report::default(), 50, 50; "nothing said")]
 #[test_case(Report { hold_back: Some(0.95), can_take: None }, 0, 10; "asks to hold back")]
