Mark that the diagnosis knows MGCP's usual gaps only

Seen: `pace.rs` takes repeats at 0.5, 1.5 and 3.5 s and 12 s for a cold server, where both are settings of the fronts that it judges. Where repeats come after 250 ms a server that loses answers is told as slow.

The mend needs the fronts' settings in the records, a change of their schema.

--- a/crates/ochrelead-diagnosis/tests/diagnosis.rs
+++ b/crates/ochrelead-diagnosis/tests/diagnosis.rs
@@ -34,6 +34,8 @@
     AllSlow,
     Silent(u64),
     Lost(u64),
+    /// Where repeats come after 250 ms: records do not say a front's settings.
+    LostAtOtherGaps(u64),
     Killed(u64),
     Cut(u64),
     Surge,
@@ -73,6 +75,7 @@
             Wrong::AllSlow if on => usual * 7,
             Wrong::Surge if on => usual * 6,
             Wrong::Lost(struck) if on && struck == server && nth % 4 < 2 => 500 + usual,
+            Wrong::LostAtOtherGaps(struck) if on && struck == server && nth % 4 < 2 => 250 + usual,
             Wrong::Silent(struck) | Wrong::Crash(struck) if on && struck == server => 0,
             Wrong::Cut(struck) if on && struck == front => 0,
             _ => usual,
@@ -197,6 +200,7 @@
 #[test_case(Wrong::AllSlow, Kind::AllSlow, "", 10_000, 16_000; "all slow")]
 #[test_case(Wrong::Silent(0), Kind::Silent, "s0", 10_000, 16_000; "one silent")]
 #[test_case(Wrong::Lost(2), Kind::AnswersLost, "s2", 10_000, 16_000; "answers lost")]
+#[test_case(Wrong::LostAtOtherGaps(2), Kind::AnswersLost, "s2", 10_000, 16_000 => panics "(Slow, \"s2\")"; "answers lost where repeats come sooner")]
 #[test_case(Wrong::Crash(1), Kind::Crashed, "s1", 10_000, 13_000; "one crashed")]
 #[test_case(Wrong::Killed(3), Kind::FrontKilled, "f3", 10_000, 12_000; "a front killed")]
 #[test_case(Wrong::Killed(3), Kind::FrontKilled, "f3", 10_000, 20_000; "a gap of ten seconds")]
