Bound the table of peers' delays; count repeats without a step each

Seen on reading the pacing again: docs/front.md says that every table of the transactions has a bound, and the new one of peers' delays had none.

Change: delays of so many peers are kept as answers are; a further one has the first gap. Past the longest gap the repeats are divided, not counted.

Measured: two new tests (a second peer beyond a bound of one; a limit of 46 days, 1,000,002 repeats); those of the transactions, the front and the layers' count as before.

--- a/crates/ochrelead-mgcp/src/exchange.rs
+++ b/crates/ochrelead-mgcp/src/exchange.rs
@@ -50,11 +50,15 @@
     /// How many repeats a command may see that waits for so long.
     pub fn repeats(&self, wait: Span) -> u32 {
         let (mut gap, mut at, mut count) = (self.first_gap, self.first_gap, 0);
-        while at <= wait && gap > Span::ZERO {
+        while gap < self.longest_gap && at <= wait {
             gap = (gap * 2).min(self.longest_gap);
             (at, count) = (at + gap, count + 1);
         }
-        count
+        if at > wait {
+            return count;
+        }
+        let steady = (wait - at).micros() / gap.micros().max(1);
+        count.saturating_add(u32::try_from(steady).unwrap_or(u32::MAX)).saturating_add(1)
     }
 }
 
@@ -377,11 +381,14 @@
             let open = self.open.remove(&transaction).expect("just seen");
             self.due.remove(&(open.next, transaction));
             self.finish(now, transaction, from, false);
-            let delay = self.delays.entry(from).or_default();
-            if open.repeats == 0 {
-                delay.learn(now.since(open.asked));
-            } else {
-                delay.learn_repeated(now.since(open.repeated), open.gap);
+            // Of more peers than answers are kept for, no delay is kept.
+            if self.delays.len() < self.pace.most_kept || self.delays.contains_key(&from) {
+                let delay = self.delays.entry(from).or_default();
+                if open.repeats == 0 {
+                    delay.learn(now.since(open.asked));
+                } else {
+                    delay.learn_repeated(now.since(open.repeated), open.gap);
+                }
             }
             let heard = self.acknowledge.entry(from).or_default();
             if heard.len() < ACKNOWLEDGED_AT_ONCE {
--- a/crates/ochrelead-mgcp/tests/exchange.rs
+++ b/crates/ochrelead-mgcp/tests/exchange.rs
@@ -202,6 +202,24 @@
 #[test_case(500, 1)]
 #[test_case(9_000, 4)]
 #[test_case(12_000, 5)]
+#[test_case(4_000_000_000, 1_000_002)]
 fn repeats_within(ms: u64, repeats: u32) {
     assert_eq!(Pace::default().repeats(Span::from_millis(ms)), repeats);
 }
+
+#[test]
+fn the_delays_of_so_many_peers_are_kept_and_of_no_more() {
+    let mut exchange = Exchange::new(Pace { most_kept: 1, ..Pace::default() }, 0);
+    let peers: [SocketAddr; 2] = [peer(), "127.0.0.1:2428".parse().unwrap()];
+    let mut gaps = Vec::new();
+    for (nth, to) in peers.into_iter().enumerate() {
+        let begun = nth as u64 * 60_000;
+        let id = exchange.ask(at(begun), to, asked()).unwrap();
+        (begun..begun + 700).for_each(|ms| exchange.tick(at(ms)));
+        exchange.take(at(begun + 700), to, &responded(200, id));
+        exchange.ask(at(begun + 1_000), to, asked()).unwrap();
+        gaps.push(exchange.wake());
+        exchange.tick(at(begun + 50_000));
+    }
+    assert_eq!(gaps, [Some(at(2_000)), Some(at(61_500))], "the second peer has the first gap");
+}
