--- a/crates/ochrelead-benchlink/src/front.rs
+++ b/crates/ochrelead-benchlink/src/front.rs
@@ -3,12 +3,12 @@
 use serde_json::{Value, json};
 
 use crate::door::Door;
-use crate::facts::Facts;
 use crate::{millis, moment, whole};
 use ochrelead_core::call::{Decision, Ending, Lines, ListState, Listing, Offer, Report};
 use ochrelead_core::index::{MemberIx, ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::rules::Controller;
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_platform::facts::Facts;
 
 /// One line of a numbered list.
 pub struct Entry {
@@ -44,7 +44,7 @@
 
 impl Front {
     pub fn start(body: &Value, now: Moment) -> Result<Front, String> {
-        let facts = Facts::read(body)?;
+        let facts = Facts::read(body.get("facts")).map_err(|error| format!("Hello: facts: {error}"))?;
         let provision = facts.provision(whole(body, "initSeed").unwrap_or(0));
         let asks = facts.discovery == "on_request";
         let services = provision.services.len();
--- a/crates/ochrelead-benchlink/src/lib.rs
+++ b/crates/ochrelead-benchlink/src/lib.rs
@@ -1,7 +1,6 @@
 //! Carries the bench's wire to the calls of `ochrelead-core` and its decisions back. Nothing is decided here.
 
 mod door;
-mod facts;
 mod front;
 
 use std::collections::BTreeMap;
--- a/crates/ochrelead-day/src/world.rs
+++ b/crates/ochrelead-day/src/world.rs
@@ -15,7 +15,7 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_front::host::Clock;
+use ochrelead_hosting::clock::Clock;
 use ochrelead_settings::day::{Day, Kind};
 use ochrelead_settings::schema;
 use ochrelead_standin::network::{Network, faults};
--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -21,12 +21,12 @@
 use ochrelead_settings::commission::{Commission, Post};
 
 use crate::drain::Service;
-use crate::gone::Gone;
-use crate::judge::Judge;
 use crate::note::{Note, Step};
-use crate::numbers::Numbers;
 use crate::releases::{Release, Releases};
 use book::{Book, Call, Circuit, Phase, Session};
+use ochrelead_hosting::gone::Gone;
+use ochrelead_hosting::judge::Judge;
+use ochrelead_hosting::numbers::Numbers;
 
 /// Numbers that are remembered at once: a flood of fresh ones pushes the oldest out.
 const MOST_NUMBERS: usize = 65_536;
--- a/crates/ochrelead-front/src/host.rs
+++ b/crates/ochrelead-front/src/host.rs
@@ -5,10 +5,9 @@
 use std::path::PathBuf;
 use std::sync::mpsc::Sender;
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_channel::Receiver;
-use async_io::{Async, Timer};
+use async_io::Async;
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future, stream};
 use ochrelead_core::time::{Moment, Span};
@@ -16,6 +15,7 @@
 use ochrelead_fleet::sheet::Page;
 use ochrelead_fleet::store::{self, Folder, Kept};
 use ochrelead_fleet::watch;
+use ochrelead_hosting::clock::Clock;
 use ochrelead_records::schema::event::What;
 use ochrelead_records::writer::{Bounds, Recorder};
 use ochrelead_settings::commission::Commission;
@@ -35,32 +35,6 @@
 /// How often the status is written.
 const STATUS_GAP: Span = Span::from_secs(1);
 
-/// Microseconds since 1970, from a clock that never goes back while the process runs.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    born: Instant,
-    then: u64,
-}
-
-impl Clock {
-    pub fn start() -> Clock {
-        let then = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { born: Instant::now(), then: then.as_micros() as u64 }
-    }
-
-    pub fn now(&self) -> Moment {
-        Moment::from_micros(self.then + self.born.elapsed().as_micros() as u64)
-    }
-
-    /// The timer that fires at `moment`; one that never does where there is none.
-    pub fn timer(&self, moment: Option<Moment>) -> Timer {
-        match moment {
-            Some(moment) => Timer::after(Duration::from_micros(moment.since(self.now()).micros())),
-            None => Timer::never(),
-        }
-    }
-}
-
 /// Where a front has its fleet from, and where it keeps what it must not forget.
 #[derive(Clone, Debug, Default)]
 pub struct Places {
--- a/crates/ochrelead-front/src/lib.rs
+++ b/crates/ochrelead-front/src/lib.rs
@@ -4,21 +4,16 @@
 //! - [`engine`]: the whole front without I/O. Datagrams, list news and ticks go in; datagrams and notes come
 //!   out; [`engine::Engine::wake`] says when to come again.
 //! - [`endings`]: what a server's answer means to the module.
-//! - [`numbers`]: called numbers by index, bounded.
-//! - [`gone`]: tries that are over, bounded; [`releases`]: what servers still owe an answer to.
+//! - [`releases`]: what servers still owe an answer to.
 //! - [`drain`]: leaving service without losing a session.
 //! - [`note`]: what the engine tells; [`recording`]: its form in the records.
-//! - [`judge`]: what the engine asks of whoever decides, so that a rig can put a baseline in the module's place.
 //! - [`host`]: sockets, clock, signals; [`keeping`]: what is written to disk. They decide nothing.
 
 pub mod drain;
 pub mod endings;
 pub mod engine;
-pub mod gone;
 pub mod host;
-pub mod judge;
 pub mod keeping;
 pub mod note;
-pub mod numbers;
 pub mod recording;
 pub mod releases;
--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -13,8 +13,11 @@
 use ochrelead_core::rules::Controller;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_front::engine::Engine;
-use ochrelead_front::host::{self, Clock, Places};
+use ochrelead_front::host::{self, Places};
 use ochrelead_front::keeping;
+use ochrelead_hosting::clock::Clock;
+use ochrelead_node::engine::Engine as Node;
+use ochrelead_platform::commission as platform;
 use ochrelead_settings::commission::{self, Commission};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -68,12 +71,23 @@
         #[arg(long, value_name = "DIR")]
         state: PathBuf,
     },
+    /// Serve as a front of the operators' platform: JSON lines from callers, SIP to signalling servers
+    Node {
+        /// The platform's configuration
+        #[arg(long, value_name = "FILE", env = "ROUTER_CONFIG")]
+        config: PathBuf,
+        /// What is logged, as for a front
+        #[arg(long, default_value = "warn")]
+        log: String,
+    },
 }
 
 fn main() -> ExitCode {
     let line = Line::parse();
-    if let Some(What::Status { state }) = &line.what {
-        return status(state);
+    match &line.what {
+        Some(What::Status { state }) => return status(state),
+        Some(What::Node { config, log }) => return node(config, log),
+        None => {}
     }
     let commission = match read(&line) {
         Ok(commission) => commission,
@@ -123,6 +137,33 @@
     }
 }
 
+/// The node writes nothing but its log: no records, no state.
+fn node(config: &Path, log: &str) -> ExitCode {
+    let Ok(filter) = EnvFilter::try_new(log) else {
+        eprintln!("ochrelead-front: --log {log}: no such level");
+        return ExitCode::from(2);
+    };
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(io::stderr).with_ansi(false).init();
+    let text = fs::read_to_string(config).map_err(|error| error.to_string());
+    let commission = match text.and_then(|text| platform::read(&text).map_err(|error| error.to_string())) {
+        Ok(commission) => commission,
+        Err(error) => {
+            eprintln!("ochrelead-front: {}: {error}", config.display());
+            return ExitCode::from(2);
+        }
+    };
+    let (clock, listen) = (Clock::start(), commission.listen);
+    let judge = Controller::new(&commission.provision, clock.now());
+    let engine = Node::new(commission, Box::new(judge), clock.now());
+    match ochrelead_node::host::serve(listen, config.to_owned(), engine, clock) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("ochrelead-front: listen on {listen}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn read(line: &Line) -> Result<Commission, Vec<String>> {
     let settings = line.settings.as_deref().unwrap_or(Path::new(""));
     let told = |complaints: Vec<_>| complaints.iter().map(ToString::to_string).collect::<Vec<_>>();
--- /dev/null
+++ b/crates/ochrelead-hosting/src/lib.rs
@@ -0,0 +1,11 @@
+//! What every host of the decisions needs, whatever its wire.
+//!
+//! - [`judge`]: what an engine asks of whoever decides, so that a rig can put a baseline in the module's place.
+//! - [`clock`]: the machine's clock as moments, and timers on it.
+//! - [`numbers`]: called numbers by index, bounded.
+//! - [`gone`]: names that are over, bounded.
+
+pub mod clock;
+pub mod gone;
+pub mod judge;
+pub mod numbers;
--- /dev/null
+++ b/crates/ochrelead-node/src/bounds.rs
@@ -0,0 +1,59 @@
+//! What each table may hold: ratios of the limits that the node is told.
+
+use ochrelead_core::time::Span;
+use ochrelead_platform::LONGEST;
+use ochrelead_platform::commission::Limits;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Connections of callers: half the descriptors. Usual callers keep to a third.
+    pub callers: usize,
+    /// Connections to signalling servers, all together: a third of the descriptors.
+    pub links: usize,
+    /// Calls that are held, standing or not: two thousand bytes of memory for each.
+    pub calls: usize,
+    /// Bytes of descriptions that are held for set-ups: an eighth of the memory.
+    pub descriptions: usize,
+    /// Bytes that wait for one slow reader: its even part of an eighth of the memory, one message at the least.
+    pub waiting: usize,
+    /// Called numbers that are remembered.
+    pub numbers: usize,
+    /// Releases that found no connection of a caller yet.
+    pub owed: usize,
+    /// Signalling servers that are remembered at once, those that have gone included.
+    pub servers: usize,
+}
+
+impl Bounds {
+    pub fn new(limits: Limits, most_held: Option<usize>) -> Bounds {
+        let calls = (limits.memory / 2_048).min(most_held.unwrap_or(usize::MAX));
+        Bounds {
+            callers: limits.sockets / 2,
+            links: limits.sockets / 3,
+            calls,
+            descriptions: limits.memory / 8,
+            waiting: (limits.memory / 8 / limits.sockets).max(2 * LONGEST),
+            numbers: limits.memory / 16_384,
+            owed: calls,
+            servers: (limits.memory / 65_536).max(16),
+        }
+    }
+}
+
+/// Spans of the platform's protocol, which the settings do not name.
+pub mod platform {
+    use super::Span;
+
+    /// A caller that sent nothing of use is owed a refusal, an error or a close within this.
+    pub const BAD_CALLER: Span = Span::from_secs(3);
+    /// Callers close a connection without a call after this.
+    pub const CALLER_IDLE: Span = Span::from_secs(4);
+    /// After SIGTERM set-ups keep coming for this long at the most.
+    pub const STILL_COMING: Span = Span::from_millis(700);
+    /// The coordinator says its last number this often.
+    pub const FEED_PULSE: Span = Span::from_secs(1);
+    /// What has stood is to be released towards its caller within this, where its server could not say so.
+    pub const SILENT_END: Span = Span::from_secs(8);
+    /// A connection attempt that is not up by then has failed, where the settings name no time.
+    pub const CONNECT: Span = Span::from_millis(500);
+}
--- /dev/null
+++ b/crates/ochrelead-node/src/callers.rs
@@ -0,0 +1,99 @@
+//! The connections of callers; it only keeps them.
+
+use std::collections::BTreeMap;
+
+use ochrelead_core::index::SessionIx;
+use ochrelead_core::time::Moment;
+use ochrelead_platform::lines::Lines;
+
+use crate::bounds::platform;
+
+/// A caller's connection, counted by the host; never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallerId(pub u64);
+
+/// One connection.
+#[derive(Debug)]
+pub struct Caller {
+    pub lines: Lines,
+    pub opened: Moment,
+    /// When it last brought or was sent anything.
+    pub used: Moment,
+    /// A call was set up for it: it is a usual caller's.
+    pub proven: bool,
+    /// Its set-ups that wait for an answer.
+    pub open: Vec<SessionIx>,
+    /// Calls that were set up on it and stand.
+    pub standing: usize,
+}
+
+/// All of them.
+#[derive(Default)]
+pub struct Callers(BTreeMap<CallerId, Caller>);
+
+impl Callers {
+    pub fn open(&mut self, id: CallerId, now: Moment) {
+        let caller = Caller {
+            lines: Lines::default(),
+            opened: now,
+            used: now,
+            proven: false,
+            open: Vec::new(),
+            standing: 0,
+        };
+        self.0.insert(id, caller);
+    }
+
+    pub fn get_mut(&mut self, id: CallerId) -> Option<&mut Caller> {
+        self.0.get_mut(&id)
+    }
+
+    pub fn get(&self, id: CallerId) -> Option<&Caller> {
+        self.0.get(&id)
+    }
+
+    pub fn close(&mut self, id: CallerId) -> Option<Caller> {
+        self.0.remove(&id)
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Where a release goes whose own connection has closed: to the usual caller that was heard last.
+    pub fn substitute(&self) -> Option<CallerId> {
+        self.0
+            .iter()
+            .filter(|(_, caller)| caller.proven)
+            .max_by_key(|(_, caller)| caller.used)
+            .map(|(id, _)| *id)
+    }
+
+    /// Who makes room for another connection: of those without an open set-up first who never was of use, then who
+    /// was not used for longest.
+    pub fn dispensable(&self) -> Option<CallerId> {
+        let idle = self.0.iter().filter(|(_, caller)| caller.open.is_empty());
+        idle.min_by_key(|(_, caller)| (caller.proven, caller.used)).map(|(id, _)| *id)
+    }
+
+    /// Those to be closed now: what said nothing of use in most of the time in which that is owed, and what is idle
+    /// for longer than usual callers let it be.
+    pub fn overdue(&self, now: Moment) -> Vec<CallerId> {
+        let (owed, idle) = (platform::BAD_CALLER.scaled(0.8), platform::CALLER_IDLE);
+        let is_overdue = |caller: &Caller| {
+            if !caller.open.is_empty() {
+                return false;
+            }
+            let rested = now.since(caller.used);
+            // Usual callers take the release of a call on any connection; a call's own serves longest.
+            (!caller.proven && now.since(caller.opened) >= owed)
+                || (rested >= idle.scaled(1.25) && caller.standing == 0)
+                || rested >= idle * 4
+        };
+        self.0.iter().filter(|(_, caller)| is_overdue(caller)).map(|(id, _)| *id).collect()
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-node/src/engine.rs
@@ -0,0 +1,233 @@
+//! The node from what sockets bring to what goes out on them.
+//!
+//! A call's way: a caller's line is read (`entry`) and offered to the module; the module's INVITE leaves on a
+//! connection to its server (`exit`); the server's answer makes the caller's, its refusal goes back to the module;
+//! the module's refusal or failure becomes the caller's at once. What the host hands in only updates what is known;
+//! [`Engine::turn`] then pulls decisions until there is none.
+
+mod entry;
+mod exit;
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use ochrelead_core::call::{Decision, Ending};
+use ochrelead_core::index::{MemberIx, ServerIx, ServiceIx, SessionIx};
+use ochrelead_core::time::{Moment, Span};
+use ochrelead_hosting::gone::Gone;
+use ochrelead_hosting::judge::Judge;
+use ochrelead_hosting::numbers::Numbers;
+use ochrelead_platform::callers::{self as lines, CallId, cause};
+use ochrelead_platform::commission::Commission;
+use ochrelead_platform::events::Change;
+
+use crate::book::{Book, Call, Phase};
+use crate::bounds::{Bounds, platform};
+use crate::callers::{CallerId, Callers};
+use crate::feed::{Feed, FeedId, Step};
+use crate::roster::{LinkId, Roster};
+
+/// What came in.
+#[derive(Debug)]
+pub enum Input<'a> {
+    CallerOpened(CallerId),
+    CallerSaid(CallerId, &'a [u8]),
+    CallerClosed(CallerId),
+    LinkUp(LinkId),
+    LinkSaid(LinkId, &'a [u8]),
+    /// A connection has ended, or could not be made; `refused` where nobody listened there.
+    LinkClosed {
+        link: LinkId,
+        refused: bool,
+    },
+    FeedUp(FeedId),
+    FeedSaid(FeedId, &'a [u8]),
+    FeedClosed(FeedId),
+    /// The coordinator has moved.
+    Redirect(SocketAddr),
+    /// To leave service.
+    Leave,
+}
+
+/// What the host is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    ToCaller(CallerId, Vec<u8>),
+    /// After what was written to it has left.
+    CloseCaller(CallerId),
+    Dial(LinkId, SocketAddr),
+    ToLink(LinkId, Vec<u8>),
+    CloseLink(LinkId),
+    Feed(Step),
+}
+
+/// A node without I/O.
+pub struct Engine {
+    judge: Box<dyn Judge>,
+    now: Moment,
+    bounds: Bounds,
+    /// The names of services and members, and the longest that a service's callers may wait.
+    services: Vec<(String, Span)>,
+    members: Vec<String>,
+    /// The numbers of the servers that may take each service.
+    places: Vec<Vec<i64>>,
+    connect: Span,
+    book: Book,
+    callers: Callers,
+    roster: Roster,
+    numbers: Numbers,
+    feed: Feed,
+    /// INVITEs that were called off: what still stands by them is released.
+    called_off: Gone,
+    /// Releases that no connection of a caller was there for.
+    owed: VecDeque<(CallId, u32)>,
+    leaving: Option<Moment>,
+    /// The tables are looked through no later than this.
+    pulse_at: Moment,
+    out: VecDeque<Output>,
+    alarm: Option<Moment>,
+}
+
+impl Engine {
+    pub fn new(commission: Commission, judge: Box<dyn Judge>, now: Moment) -> Engine {
+        let facts = &commission.facts;
+        let bounds = Bounds::new(commission.limits, facts.most_held());
+        let connect = facts.connect_timeout().unwrap_or(platform::CONNECT);
+        let mut engine = Engine {
+            judge,
+            now,
+            bounds,
+            services: facts.services().map(|(name, longest)| (name.to_owned(), longest)).collect(),
+            members: facts.members().map(str::to_owned).collect(),
+            places: commission.provision.services.iter().map(|service| service.servers.clone()).collect(),
+            connect,
+            book: Book::default(),
+            callers: Callers::default(),
+            roster: Roster::new(bounds.servers),
+            numbers: Numbers::new(bounds.numbers),
+            feed: Feed::new(commission.coordinator, commission.followed, connect, now),
+            called_off: Gone::new(bounds.numbers),
+            owed: VecDeque::new(),
+            leaving: None,
+            pulse_at: now,
+            out: VecDeque::new(),
+            alarm: None,
+        };
+        engine.clock(now);
+        for change in &commission.known {
+            engine.listed(change);
+        }
+        engine
+    }
+
+    fn clock(&mut self, now: Moment) {
+        self.now = self.now.max(now);
+        self.judge.clock(self.now);
+    }
+
+    /// What came in is taken note of; nothing is decided yet.
+    pub fn take(&mut self, now: Moment, input: Input<'_>) {
+        self.clock(now);
+        match input {
+            Input::CallerOpened(caller) => self.caller_opened(caller),
+            Input::CallerSaid(caller, bytes) => self.caller_said(caller, bytes),
+            Input::CallerClosed(caller) => self.caller_closed(caller),
+            Input::LinkUp(link) => self.link_up(link),
+            Input::LinkSaid(link, bytes) => self.link_said(link, bytes),
+            Input::LinkClosed { link, refused } => self.link_closed(link, refused),
+            Input::FeedUp(feed) => {
+                let step = self.feed.connected(feed, self.now);
+                self.out.extend(step.map(Output::Feed));
+            }
+            Input::FeedSaid(feed, bytes) => {
+                let (changes, step) = self.feed.heard(feed, bytes, self.now);
+                self.out.extend(step.map(Output::Feed));
+                for change in &changes {
+                    self.listed(change);
+                }
+            }
+            Input::FeedClosed(feed) => self.feed.closed(feed, self.now),
+            Input::Redirect(to) => {
+                let step = self.feed.redirect(to, self.now);
+                self.out.extend(step.map(Output::Feed));
+            }
+            Input::Leave => self.leaving = self.leaving.or(Some(self.now)),
+        }
+    }
+
+    /// All that is due now, and the module's decisions.
+    pub fn turn(&mut self, now: Moment) {
+        self.clock(now);
+        while let Some(session) = self.book.timed_out(self.now) {
+            self.invite_over(session, Ending::TimedOut);
+        }
+        while let Some(step) = self.feed.turn(self.now) {
+            self.out.push_back(Output::Feed(step));
+        }
+        if self.pulse_at <= self.now {
+            self.pulse_at = self.now + self.connect / 8;
+            self.tend_servers();
+            self.tend_callers();
+        }
+        while let Some(decision) = self.judge.decide() {
+            self.carry_out(decision);
+        }
+        let alarms = [self.judge.wake(), self.book.wake(), self.feed.wake(), Some(self.pulse_at)];
+        self.alarm = alarms.into_iter().flatten().min();
+    }
+
+    /// What the host is to do next.
+    #[allow(clippy::should_implement_trait)]
+    pub fn next(&mut self) -> Option<Output> {
+        self.out.pop_front()
+    }
+
+    /// When [`Engine::turn`] is due although nothing came.
+    pub fn wake(&self) -> Option<Moment> {
+        self.alarm
+    }
+
+    /// Whether a node that leaves owes nothing any more and nothing can still come.
+    pub fn is_closed(&self) -> bool {
+        let still = platform::STILL_COMING;
+        self.leaving.is_some_and(|since| self.now.since(since) >= still && self.book.unanswered() == 0)
+    }
+
+    /// The most bytes that may wait for one connection's reader.
+    pub fn most_waiting(&self) -> usize {
+        self.bounds.waiting
+    }
+
+    /// Calls that are held, callers' connections, connections to servers, and callers without an answer.
+    pub fn load(&self) -> [usize; 4] {
+        [self.book.len(), self.callers.len(), self.roster.links(), self.book.unanswered()]
+    }
+
+    fn listed(&mut self, change: &Change) {
+        let book = &self.book;
+        let (listings, turns) = self.roster.change(change, self.now, |server| !book.any_standing_at(server));
+        self.judge.listed(change.whole, &listings);
+        for turn in turns {
+            self.follow(&turn);
+        }
+        self.pulse_at = self.now;
+    }
+
+    fn carry_out(&mut self, decision: Decision) {
+        match decision {
+            Decision::Invite { session, server, patience } => self.invite(session, server, patience),
+            Decision::Refuse { session, come_back } => self.give_up(session, cause::REFUSED, come_back),
+            Decision::Terminate { session } => self.give_up(session, cause::FAILED, None),
+        }
+    }
+
+    /// The module has given a session up: its caller learns it at once.
+    fn give_up(&mut self, session: SessionIx, cause: u32, come_back: Option<Span>) {
+        let Some(call) = self.book.leave(session) else { return };
+        if let Some(caller) = self.callers.get_mut(call.caller) {
+            caller.open.retain(|open| *open != session);
+            caller.used = self.now;
+            self.out.push_back(Output::ToCaller(call.caller, lines::down(call.id, cause, come_back)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-node/src/engine/entry.rs
@@ -0,0 +1,242 @@
+//! The side of the callers.
+
+use ochrelead_core::call::Offer;
+use ochrelead_platform::LONGEST;
+use ochrelead_platform::callers::{Said, SetUp, Unusable};
+
+use super::*;
+
+/// What a SIP head around a description may take.
+const HEAD: usize = LONGEST / 16;
+
+impl Engine {
+    pub(super) fn caller_opened(&mut self, caller: CallerId) {
+        if self.callers.len() >= self.bounds.callers {
+            let Some(other) = self.callers.dispensable() else {
+                self.out.push_back(Output::CloseCaller(caller));
+                return;
+            };
+            self.drop_caller(other);
+        }
+        self.callers.open(caller, self.now);
+    }
+
+    pub(super) fn caller_closed(&mut self, caller: CallerId) {
+        let Some(closed) = self.callers.close(caller) else { return };
+        for session in closed.open {
+            self.hang_up(session);
+        }
+    }
+
+    /// The node closes a connection; set-ups that are open on it are given up.
+    fn drop_caller(&mut self, caller: CallerId) {
+        self.caller_closed(caller);
+        self.out.push_back(Output::CloseCaller(caller));
+    }
+
+    pub(super) fn caller_said(&mut self, id: CallerId, bytes: &[u8]) {
+        let Some(caller) = self.callers.get_mut(id) else { return };
+        caller.used = self.now;
+        let (lines, sound) = caller.lines.cut(bytes);
+        for line in lines {
+            match lines::read(&line) {
+                Ok(said) => self.said(id, said),
+                Err(unusable) => self.turn_away(id, &unusable),
+            }
+            if self.callers.get(id).is_none() {
+                return;
+            }
+        }
+        if sound.is_err() {
+            self.turn_away(id, &Unusable { call: None, why: "an endless line".to_owned() });
+        }
+    }
+
+    fn said(&mut self, id: CallerId, said: Said) {
+        match said {
+            Said::SetUp(set_up) => {
+                let call = set_up.call;
+                if let Err(why) = self.set_up(id, set_up) {
+                    self.turn_away(id, &Unusable { call: Some(call), why: why.to_owned() });
+                }
+            }
+            Said::StandsAt { call, server } => self.stands_at(id, call, &server),
+            Said::Down { call } => self.down(id, call),
+            Said::Test { id: test } => {
+                let passed = self.leaving.is_none();
+                self.out.push_back(Output::ToCaller(id, lines::tested(&test, passed)));
+            }
+            Said::Nothing => {}
+        }
+    }
+
+    /// A line that can't be used gets an error. A connection that was of no use yet is closed besides.
+    fn turn_away(&mut self, id: CallerId, unusable: &Unusable) {
+        // The id may be that of a call that is open on this connection: an error would be taken for its answer.
+        let open = unusable.call.and_then(|call| self.book.find(call));
+        let own = open.and_then(|session| self.book.get(session)).is_some_and(|call| call.caller == id);
+        let line = match unusable.call {
+            Some(call) => lines::down(call, cause::INVALID, None),
+            None => lines::unreadable(),
+        };
+        let Some(caller) = self.callers.get(id) else { return };
+        let useful = caller.proven || !caller.open.is_empty();
+        if !own {
+            self.out.push_back(Output::ToCaller(id, line));
+        }
+        if !useful || own || unusable.call.is_none() {
+            self.drop_caller(id);
+        }
+    }
+
+    fn set_up(&mut self, id: CallerId, set_up: SetUp) -> Result<(), &'static str> {
+        if self.book.find(set_up.call).is_some() {
+            return Err("the id of a call that is held");
+        }
+        let class =
+            self.services.iter().position(|(name, _)| *name == set_up.class).ok_or("no such class")?;
+        let member = match &set_up.tenant {
+            Some(tenant) => {
+                Some(self.members.iter().position(|name| name == tenant).ok_or("no such tenant")?)
+            }
+            None if self.members.is_empty() => None,
+            None => return Err("no tenant"),
+        };
+        let longest = self.services[class].1;
+        if longest > Span::ZERO && set_up.left > longest {
+            return Err("more time left than the class has");
+        }
+        let known = |number: i64| self.roster.knows_number(number) || self.places[class].contains(&number);
+        if set_up.destination.is_some_and(|number| number >= 0 && !known(number)) {
+            return Err("no such destination");
+        }
+        if set_up.description.len() + HEAD > LONGEST {
+            return Err("too long to be passed on");
+        }
+        let full = self.book.len() >= self.bounds.calls
+            || self.book.described() + set_up.description.len() > self.bounds.descriptions;
+        if full {
+            self.out.push_back(Output::ToCaller(id, lines::down(set_up.call, cause::REFUSED, None)));
+            return Ok(());
+        }
+        let timer_limit = self.now + set_up.left;
+        let offer = Offer {
+            service: ServiceIx::new(class),
+            member: member.map(MemberIx::new),
+            number: Some(self.numbers.index(&set_up.number)),
+            destination: set_up.destination.unwrap_or(-1),
+            timer_limit,
+            redial: false,
+        };
+        let session = self.book.enter(Call {
+            id: set_up.call,
+            caller: id,
+            class,
+            number: set_up.number,
+            description: set_up.description,
+            timer_limit,
+            invites: 0,
+            phase: Phase::Waiting,
+        });
+        if let Some(caller) = self.callers.get_mut(id) {
+            caller.open.push(session);
+        }
+        self.judge.offered(session, offer);
+        Ok(())
+    }
+
+    /// A call that stands already, set up by a former life of this node or by another: it is held for its release.
+    fn stands_at(&mut self, id: CallerId, call: CallId, server: &str) {
+        if self.book.find(call).is_some() {
+            return;
+        }
+        let server = self.roster.named(server).filter(|server| !self.roster.get(*server).is_gone());
+        let Some(server) = server.filter(|_| self.book.len() < self.bounds.calls) else {
+            self.out.push_back(Output::ToCaller(id, lines::down(call, cause::FAILED, None)));
+            return;
+        };
+        let session = self.book.enter(Call {
+            id: call,
+            caller: id,
+            class: 0,
+            number: String::new(),
+            description: String::new(),
+            timer_limit: self.now,
+            invites: 0,
+            phase: Phase::Standing { server, link: None, since: self.now },
+        });
+        if let Some(caller) = self.callers.get_mut(id) {
+            caller.standing += 1;
+        }
+        self.judge.stands(session);
+    }
+
+    /// A set-up is given up, on its own connection, or a call that stands is released, on any.
+    fn down(&mut self, id: CallerId, call: CallId) {
+        self.out.push_back(Output::ToCaller(id, lines::heard(call)));
+        let Some(session) = self.book.find(call) else { return };
+        let Some(held) = self.book.get(session) else { return };
+        match held.phase {
+            Phase::Standing { server, link, .. } => {
+                self.say_bye(server, link, call, cause::NORMAL);
+                self.judge.ended(session, server, Ending::Released, true);
+                self.forget_standing(session);
+            }
+            _ if held.caller == id => {
+                if let Some(caller) = self.callers.get_mut(id) {
+                    caller.open.retain(|open| *open != session);
+                }
+                self.hang_up(session);
+            }
+            _ => {}
+        }
+    }
+
+    /// Nobody waits for the answer any more.
+    fn hang_up(&mut self, session: SessionIx) {
+        let Some(phase) = self.book.get(session).map(|call| call.phase) else { return };
+        self.judge.hung_up(session);
+        if let Phase::Inviting(invite) = phase {
+            self.call_off(session);
+            self.judge.ended(session, invite.server, Ending::Cancelled, true);
+        }
+        self.book.leave(session);
+    }
+
+    /// A call that stood leaves the book.
+    fn forget_standing(&mut self, session: SessionIx) -> Option<Call> {
+        let call = self.book.leave(session)?;
+        if let Some(caller) = self.callers.get_mut(call.caller) {
+            caller.standing = caller.standing.saturating_sub(1);
+        }
+        Some(call)
+    }
+
+    /// A call that stood is over: its caller is told, on its own connection, else on another's, else later.
+    pub(super) fn release(&mut self, session: SessionIx, cause: u32) {
+        let Some(call) = self.forget_standing(session) else { return };
+        let own = self.callers.get(call.caller).map(|_| call.caller);
+        match own.or_else(|| self.callers.substitute()) {
+            Some(caller) => self.out.push_back(Output::ToCaller(caller, lines::down(call.id, cause, None))),
+            None if self.owed.len() < self.bounds.owed => self.owed.push_back((call.id, cause)),
+            None => {}
+        }
+    }
+
+    /// A call was set up for a caller: its connection is a usual one.
+    pub(super) fn prove(&mut self, id: CallerId, session: SessionIx) {
+        let Some(caller) = self.callers.get_mut(id) else { return };
+        caller.open.retain(|open| *open != session);
+        caller.standing += 1;
+        (caller.used, caller.proven) = (self.now, true);
+        for (call, cause) in self.owed.drain(..) {
+            self.out.push_back(Output::ToCaller(id, lines::down(call, cause, None)));
+        }
+    }
+
+    pub(super) fn tend_callers(&mut self) {
+        for caller in self.callers.overdue(self.now) {
+            self.drop_caller(caller);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-node/src/engine/exit.rs
@@ -0,0 +1,410 @@
+//! The side of the signalling servers.
+
+use std::mem;
+
+use ochrelead_sip::message::{Message, Start, header, write};
+
+use super::*;
+use crate::book::Invite;
+use crate::meaning;
+use crate::roster::{Turn, Way};
+
+/// Connections without a set-up on them that a server in service has ready: as many spoilt ones cost no time.
+const SPARE: usize = 2;
+
+impl Engine {
+    // ---- Connections ----
+
+    pub(super) fn link_up(&mut self, id: LinkId) {
+        let now = self.now;
+        let Some(link) = self.roster.link_mut(id) else { return };
+        (link.way, link.since, link.used) = (Way::Up, now, now);
+        let server = link.server;
+        let at = self.roster.get_mut(server);
+        (at.heard, at.failed) = (now, 0);
+        let (waiting, owed) = (mem::take(&mut at.waiting), mem::take(&mut at.owed));
+        for call in owed {
+            self.say_bye(server, None, call, cause::NORMAL);
+        }
+        for session in waiting {
+            self.send_invite(session);
+        }
+    }
+
+    pub(super) fn link_closed(&mut self, id: LinkId, refused: bool) {
+        let Some(link) = self.roster.close(id) else { return };
+        let server = link.server;
+        for session in link.open {
+            self.invite_over(session, Ending::Reset);
+        }
+        let (up, now, connect) = (self.roster.is_up(server), self.now, self.connect);
+        let at = self.roster.get_mut(server);
+        let new = link.way == Way::Up && now.since(link.since) < connect / 8;
+        if refused || new || link.way == Way::Dialing {
+            // Turned away with others up, it takes no more of them for now.
+            at.dial_at = now + if refused && up { connect * 2 } else { connect / 8 };
+        }
+        if refused && !up {
+            // Nobody listens there: the process has ended, and its calls with it.
+            self.lose(server);
+        }
+        self.pulse_at = now;
+    }
+
+    /// What comes on a connection is not readable, or never ends: the calls that are open on it are doomed.
+    fn spoil(&mut self, id: LinkId) {
+        self.out.push_back(Output::CloseLink(id));
+        self.link_closed(id, false);
+    }
+
+    /// A server has ended without a word.
+    fn lose(&mut self, server: ServerIx) {
+        for link in self.roster.get(server).links.clone() {
+            if self.roster.link(link).is_some_and(|link| link.way == Way::Up) {
+                self.spoil(link);
+            }
+        }
+        for session in mem::take(&mut self.roster.get_mut(server).waiting) {
+            self.invite_over(session, Ending::ConnectFailed);
+        }
+        self.cut(server, self.now);
+    }
+
+    /// The calls that stood at a server before a moment are over.
+    fn cut(&mut self, server: ServerIx, before: Moment) {
+        for session in self.book.standing_at(server) {
+            let phase = self.book.get(session).map(|call| call.phase);
+            if matches!(phase, Some(Phase::Standing { since, .. }) if since <= before) {
+                self.judge.ended(session, server, Ending::Reset, true);
+                self.release(session, cause::FAILED);
+            }
+        }
+    }
+
+    pub(super) fn follow(&mut self, turn: &Turn) {
+        match *turn {
+            Turn::Closed(server) => {
+                for session in mem::take(&mut self.roster.get_mut(server).waiting) {
+                    self.invite_over(session, Ending::Unsent);
+                }
+            }
+            Turn::Replaced(server, started) => self.cut(server, started),
+        }
+    }
+
+    /// Connections that failed are closed, such as are wanted are dialed, and what is silent is looked after.
+    pub(super) fn tend_servers(&mut self) {
+        let now = self.now;
+        for id in self.roster.stuck(now, self.connect) {
+            let Some((server, way)) = self.roster.link(id).map(|link| (link.server, link.way)) else {
+                continue;
+            };
+            self.spoil(id);
+            if way == Way::Dialing {
+                let at = self.roster.get_mut(server);
+                at.failed += 1;
+                // Connections that never come up and not a word: the machine has vanished.
+                if at.failed >= 2 && at.is_silent(now) {
+                    self.lose(server);
+                }
+            }
+        }
+        for server in self.roster.all() {
+            self.tend(server);
+        }
+    }
+
+    fn tend(&mut self, server: ServerIx) {
+        let now = self.now;
+        let late: Vec<SessionIx> = self
+            .roster
+            .get(server)
+            .waiting
+            .iter()
+            .copied()
+            .filter(|session| self.is_late(*session))
+            .collect();
+        for session in late {
+            self.invite_over(session, Ending::ConnectFailed);
+        }
+        let stands = self.book.any_standing_at(server);
+        let at = self.roster.get(server);
+        let (silent, ready, waits) = (at.is_silent(now), at.is_ready(), !at.waiting.is_empty());
+        if at.is_gone() {
+            // Another may listen at its address by now: it is not dialed again.
+            let over = !self.roster.is_up(server) || self.roster.get(server).is_silent(now);
+            if over && (stands || !self.roster.get(server).links.is_empty()) {
+                self.lose(server);
+            }
+            return;
+        }
+        let idle = self.roster.idle(server);
+        let (dialing, links) = (self.roster.dialing(server), at.links.len());
+        let wanted = if ready { SPARE } else { usize::from(stands && !self.roster.is_up(server)) };
+        let wanted = if silent && (ready || stands) { wanted.max(idle.len() + 1) } else { wanted };
+        let wanted = wanted.max(usize::from(waits));
+        let short = wanted.saturating_sub(idle.len() + dialing);
+        let most =
+            self.roster.part(self.bounds.links).saturating_sub(links).min(SPARE.saturating_sub(dialing));
+        if at.dial_at <= now {
+            let to = at.address;
+            for _ in 0..short.min(most) {
+                let link = self.roster.dial(server, now);
+                self.out.push_back(Output::Dial(link, to));
+            }
+        }
+        let rests = |id: &LinkId| {
+            self.roster.link(*id).is_some_and(|link| now.since(link.used) >= platform::CALLER_IDLE)
+        };
+        let surplus = idle.len().saturating_sub(SPARE * 2);
+        let resting: Vec<LinkId> = idle.iter().take(surplus).copied().filter(rests).collect();
+        for id in resting {
+            self.spoil(id);
+        }
+    }
+
+    fn is_late(&self, session: SessionIx) -> bool {
+        let phase = self.book.get(session).map(|call| call.phase);
+        matches!(phase, Some(Phase::Inviting(invite)) if self.now.since(invite.asked) >= self.connect)
+    }
+
+    // ---- INVITEs ----
+
+    pub(super) fn invite(&mut self, session: SessionIx, server: ServerIx, patience: Option<Span>) {
+        let Some(call) = self.book.get(session) else { return };
+        let until = patience.map_or(call.timer_limit, |span| call.timer_limit.min(self.now + span));
+        self.book.advance(session, Phase::Inviting(Invite { server, link: None, asked: self.now, until }));
+        self.send_invite(session);
+    }
+
+    /// Sends an INVITE on a connection to its server; where none is up it waits for one.
+    fn send_invite(&mut self, session: SessionIx) {
+        let Some(call) = self.book.get(session) else { return };
+        let Phase::Inviting(invite) = call.phase else { return };
+        let server = invite.server;
+        let Some(id) = self.roster.pick(server) else {
+            self.roster.get_mut(server).waiting.push(session);
+            self.pulse_at = self.now;
+            return;
+        };
+        let first = format!("INVITE sip:{}@net SIP/2.0", call.number);
+        let sequence = format!("{} INVITE", call.invites);
+        let timer = (invite.until.since(self.now).micros() / 1_000).max(1).to_string();
+        let headers = [
+            ("Via", "SIP/2.0/TCP front"),
+            (header::CALL_ID, call.id.as_str()),
+            (header::CSEQ, &sequence),
+            ("X-Cos", &self.services[call.class].0),
+            ("X-Timer-Ms", &timer),
+        ];
+        let bytes = write(&first, &headers, call.description.as_bytes());
+        self.out.push_back(Output::ToLink(id, bytes));
+        self.book.advance(session, Phase::Inviting(Invite { link: Some(id), ..invite }));
+        if let Some(link) = self.roster.link_mut(id) {
+            link.open.push(session);
+            link.used = self.now;
+        }
+        if self.roster.idle(server).len() < SPARE {
+            self.pulse_at = self.now;
+        }
+    }
+
+    /// An INVITE has ended without an answer that stands; the module goes on with the session.
+    pub(super) fn invite_over(&mut self, session: SessionIx, ending: Ending) {
+        let Some(Phase::Inviting(invite)) = self.book.get(session).map(|call| call.phase) else { return };
+        if ending == Ending::TimedOut {
+            self.call_off(session);
+        }
+        self.unbind(session, invite);
+        self.book.advance(session, Phase::Waiting);
+        self.judge.ended(session, invite.server, ending, false);
+    }
+
+    /// An INVITE is given up: its server is told, where it had left.
+    pub(super) fn call_off(&mut self, session: SessionIx) {
+        let Some(call) = self.book.get(session) else { return };
+        let Phase::Inviting(invite) = call.phase else { return };
+        if let Some(link) = invite.link {
+            let bytes = request("CANCEL", &call.number, call.id, call.invites);
+            self.called_off.insert(call.id.as_str());
+            self.out.push_back(Output::ToLink(link, bytes));
+        }
+        self.unbind(session, invite);
+    }
+
+    fn unbind(&mut self, session: SessionIx, invite: Invite) {
+        match invite.link {
+            Some(link) => {
+                if let Some(link) = self.roster.link_mut(link) {
+                    link.open.retain(|open| *open != session);
+                }
+            }
+            None => self.roster.get_mut(invite.server).waiting.retain(|own| *own != session),
+        }
+    }
+
+    /// Releases a call at its server: on the connection of its set-up, else on any, else on the next.
+    pub(super) fn say_bye(&mut self, server: ServerIx, link: Option<LinkId>, call: CallId, cause: u32) {
+        let own = link.filter(|id| self.roster.link(*id).is_some_and(|link| link.way == Way::Up));
+        let Some(id) = own.or_else(|| self.roster.pick(server)) else {
+            let (most, at) = (self.bounds.owed, self.roster.get_mut(server));
+            if !at.is_gone() && at.owed.len() < most {
+                at.owed.push(call);
+            }
+            return;
+        };
+        let reason = format!("Q.850;cause={cause}");
+        let headers = [
+            ("Via", "SIP/2.0/TCP front"),
+            (header::CALL_ID, call.as_str()),
+            (header::CSEQ, "9 BYE"),
+            (header::REASON, &reason),
+        ];
+        self.out.push_back(Output::ToLink(id, write("BYE sip:call@net SIP/2.0", &headers, &[])));
+    }
+
+    // ---- What servers say ----
+
+    pub(super) fn link_said(&mut self, id: LinkId, bytes: &[u8]) {
+        let now = self.now;
+        let Some(link) = self.roster.link_mut(id) else { return };
+        link.framer.push(bytes);
+        let server = link.server;
+        loop {
+            let Some(link) = self.roster.link_mut(id) else { return };
+            match link.framer.next() {
+                Some(Ok(message)) => {
+                    let at = self.roster.get_mut(server);
+                    (at.heard, at.failed) = (now, 0);
+                    if !self.heard(id, server, &message) {
+                        return self.spoil(id);
+                    }
+                }
+                Some(Err(_)) => return self.spoil(id),
+                None => {
+                    let midway = link.framer.is_midway();
+                    link.midway = if midway { link.midway.or(Some(now)) } else { None };
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Takes one message in; false where it can't be what a server says.
+    fn heard(&mut self, id: LinkId, server: ServerIx, message: &Message) -> bool {
+        if let Some(lines) = meaning::lines(message) {
+            self.judge.lines_told(server, lines);
+        }
+        self.judge.reported(server, meaning::report(message));
+        let call = message.get(header::CALL_ID).and_then(CallId::read);
+        match &message.start {
+            Start::Request { method, .. } => {
+                match (method.as_str(), call) {
+                    ("NOTIFY" | "ACK", _) => return true,
+                    ("BYE", Some(call)) => self.released(server, call, message),
+                    _ => {}
+                }
+                self.out.push_back(Output::ToLink(id, accepted(message, method)));
+                true
+            }
+            Start::Response { code } => {
+                let Some((number, "INVITE")) = message.sequence() else { return true };
+                let Some(call) = call else { return true };
+                match code {
+                    100..200 => true,
+                    200..300 => self.answered(id, server, call, number, message),
+                    _ => {
+                        self.out.push_back(Output::ToLink(id, request("ACK", "call", call, number)));
+                        self.refused(id, call, number, meaning::of_refusal(*code, message));
+                        true
+                    }
+                }
+            }
+        }
+    }
+
+    /// The session whose INVITE, by its number, is out on that connection.
+    fn out_on(&self, id: LinkId, call: CallId, number: u32) -> Option<SessionIx> {
+        let session = self.book.find(call)?;
+        let held = self.book.get(session)?;
+        let out = matches!(held.phase, Phase::Inviting(invite) if invite.link == Some(id));
+        (out && held.invites == number).then_some(session)
+    }
+
+    /// A call stands. What nobody waits for any more is released; a second copy is passed over.
+    fn answered(
+        &mut self,
+        id: LinkId,
+        server: ServerIx,
+        call: CallId,
+        number: u32,
+        message: &Message,
+    ) -> bool {
+        let Ok(description) = std::str::from_utf8(&message.body) else { return false };
+        self.out.push_back(Output::ToLink(id, request("ACK", "call", call, number)));
+        let Some(session) = self.out_on(id, call, number) else {
+            if self.book.find(call).is_none() && self.called_off.contains(call.as_str()) {
+                self.say_bye(server, Some(id), call, cause::NORMAL);
+            }
+            return true;
+        };
+        if !is_whole(description) {
+            return false;
+        }
+        let Some(caller) = self.book.get(session).map(|call| call.caller) else { return true };
+        if let Some(link) = self.roster.link_mut(id) {
+            link.open.retain(|open| *open != session);
+            link.used = self.now;
+        }
+        self.book.advance(session, Phase::Standing { server, link: Some(id), since: self.now });
+        self.judge.stands(session);
+        self.out.push_back(Output::ToCaller(caller, lines::up(call, description)));
+        self.prove(caller, session);
+        true
+    }
+
+    fn refused(&mut self, id: LinkId, call: CallId, number: u32, ending: Ending) {
+        if let Some(session) = self.out_on(id, call, number) {
+            if let Some(link) = self.roster.link_mut(id) {
+                link.used = self.now;
+            }
+            self.invite_over(session, ending);
+        }
+    }
+
+    fn released(&mut self, server: ServerIx, call: CallId, message: &Message) {
+        let Some(session) = self.book.find(call) else { return };
+        match self.book.get(session).map(|call| call.phase) {
+            Some(Phase::Standing { server: own, .. }) if own == server => {
+                let ending = meaning::of_release(message.cause());
+                self.judge.ended(session, server, ending, true);
+                self.release(session, message.cause().unwrap_or(cause::FAILED));
+            }
+            Some(Phase::Inviting(invite)) if invite.server == server => {
+                self.invite_over(session, Ending::Reset)
+            }
+            _ => {}
+        }
+    }
+}
+
+/// A description as servers give them: lines of text, each ended.
+fn is_whole(description: &str) -> bool {
+    description.ends_with("\r\n") && !description.contains('\0')
+}
+
+/// A request without a body.
+fn request(method: &str, number: &str, call: CallId, sequence: u32) -> Vec<u8> {
+    let sequence = format!("{sequence} {method}");
+    let headers = [("Via", "SIP/2.0/TCP front"), (header::CALL_ID, call.as_str()), (header::CSEQ, &sequence)];
+    write(&format!("{method} sip:{number}@net SIP/2.0"), &headers, &[])
+}
+
+/// 200 to a request of a server.
+fn accepted(message: &Message, method: &str) -> Vec<u8> {
+    let call = message.get(header::CALL_ID).unwrap_or_default();
+    let number = message.sequence().map_or(1, |(number, _)| number);
+    let sequence = format!("{number} {method}");
+    let headers = [("Via", "SIP/2.0/TCP front"), (header::CALL_ID, call), (header::CSEQ, &sequence)];
+    write("SIP/2.0 200 OK", &headers, &[])
+}
--- /dev/null
+++ b/crates/ochrelead-node/src/meaning.rs
@@ -0,0 +1,53 @@
+//! What a signalling server's word means to the module.
+
+use ochrelead_core::call::{Ending, Lines, Report};
+use ochrelead_sip::message::Message;
+
+/// The header with the reason of a refusal, and the one with a server's figures.
+const DIAGNOSIS: &str = "X-Diagnosis";
+const OCCUPANCY: &str = "X-Occupancy";
+
+/// How an INVITE ended by this refusal.
+pub fn of_refusal(code: u16, message: &Message) -> Ending {
+    let diagnosis = message.get(DIAGNOSIS);
+    match code {
+        503 => Ending::BusyReplied { no_line: diagnosis == Some("group_full"), wait: None },
+        480 => Ending::Unsent,
+        504 => Ending::Reset,
+        487 => Ending::Cancelled,
+        _ => Ending::Fault { lines_busy: diagnosis == Some("user_busy") },
+    }
+}
+
+/// How a call ended that stood, by its server's release.
+pub fn of_release(cause: Option<u32>) -> Ending {
+    if cause == Some(16) { Ending::Released } else { Ending::Reset }
+}
+
+/// A server's figures, by their names; what is no figure is passed over.
+fn figures(message: &Message) -> impl Iterator<Item = (&str, f64)> {
+    let pairs = message.get(OCCUPANCY).unwrap_or_default().split([',', ';', ' ']);
+    pairs.filter_map(|pair| {
+        let (name, value) = pair.split_once(['=', ':'])?;
+        let figure = value.trim().parse::<f64>().ok().filter(|figure| figure.is_finite())?;
+        Some((name.trim(), figure))
+    })
+}
+
+/// The lines that a server tells. More free than there are is no news.
+pub fn lines(message: &Message) -> Option<Lines> {
+    let count = |wanted: &str| {
+        let (_, figure) = figures(message).find(|(name, _)| *name == wanted)?;
+        (0.0..=f64::from(u32::MAX)).contains(&figure).then_some(figure as u32)
+    };
+    let lines = Lines { free: count("free")?, all: count("size")? };
+    (lines.free <= lines.all).then_some(lines)
+}
+
+/// What a server says of its processor; a figure out of its range says nothing.
+pub fn report(message: &Message) -> Report {
+    let figure = |wanted: &str| {
+        figures(message).find(|(name, figure)| *name == wanted && *figure >= 0.0).map(|at| at.1)
+    };
+    Report { can_take: figure("can_take"), hold_back: figure("hold_back").filter(|share| *share <= 1.0) }
+}
--- a/crates/ochrelead-benchlink/src/facts.rs
+++ b/crates/ochrelead-platform/src/facts.rs
@@ -1,4 +1,5 @@
-//! The settings of an instance's first message, read into the provisioning of the rules.
+//! The settings object of the platform, read into the provisioning of the rules: the one reader for the bench's
+//! adapter, which has it in a first message, and for the node, which has it in its configuration.
 
 use serde::Deserialize;
 use serde_json::Value;
@@ -18,11 +19,13 @@
     over_share_worth: f64,
     pub discovery: String,
     tick_ms: f64,
+    reporting: Reporting,
 }
 
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "camelCase", default)]
 struct RequestClass {
+    name: String,
     target_ms: f64,
     deadline_ms: f64,
     worth: f64,
@@ -33,6 +36,7 @@
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "camelCase", default)]
 struct Org {
+    name: String,
     quota_per_s: f64,
 }
 
@@ -42,6 +46,15 @@
     max_attempts: u32,
     max_retry_after_ms: f64,
     retry_after: bool,
+    most_held: f64,
+    connect_timeout_ms: f64,
+    conn_idle_ms: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct Reporting {
+    fields: Vec<String>,
 }
 
 #[derive(Deserialize, Default)]
@@ -66,13 +79,45 @@
 }
 
 impl Facts {
-    pub fn read(body: &Value) -> Result<Facts, String> {
-        match body.get("facts") {
+    /// # Errors
+    ///
+    /// Where the object, or a part of it, has another form.
+    pub fn read(facts: Option<&Value>) -> Result<Facts, serde_json::Error> {
+        match facts {
             None | Some(Value::Null) => Ok(Facts::default()),
-            Some(facts) => Facts::deserialize(facts).map_err(|error| format!("Hello: facts: {error}")),
+            Some(facts) => Facts::deserialize(facts),
         }
     }
 
+    /// The names of the services, in the order of their indices, each with the most that a caller may wait.
+    pub fn services(&self) -> impl Iterator<Item = (&str, Span)> {
+        self.request_classes.iter().map(|class| (class.name.as_str(), span(class.deadline_ms)))
+    }
+
+    pub fn members(&self) -> impl Iterator<Item = &str> {
+        self.orgs.iter().map(|org| org.name.as_str())
+    }
+
+    /// What the figures of a server's report are called, in their order; the first two are its lines.
+    pub fn report_fields(&self) -> &[String] {
+        &self.reporting.fields
+    }
+
+    /// The most sessions that a front may hold; none where nothing is said.
+    pub fn most_held(&self) -> Option<usize> {
+        (self.limits.most_held >= 1.0).then_some(self.limits.most_held as usize)
+    }
+
+    /// A connection that is not up by then has failed.
+    pub fn connect_timeout(&self) -> Option<Span> {
+        (self.limits.connect_timeout_ms > 0.0).then(|| span(self.limits.connect_timeout_ms))
+    }
+
+    /// Idle connections are closed by the servers after this.
+    pub fn idle_limit(&self) -> Option<Span> {
+        (self.limits.conn_idle_ms > 0.0).then(|| span(self.limits.conn_idle_ms))
+    }
+
     pub fn provision(&self, seed: u64) -> Provision {
         let services = self.request_classes.iter().enumerate().map(|(at, class)| Service {
             value: class.worth,
--- a/crates/ochrelead-sim/src/world.rs
+++ b/crates/ochrelead-sim/src/world.rs
@@ -11,7 +11,7 @@
 use ochrelead_day::party::Party;
 use ochrelead_day::world::{Deciding, server_name};
 use ochrelead_fleet::store::Kept;
-use ochrelead_front::judge::Judge;
+use ochrelead_hosting::judge::Judge;
 use ochrelead_mgcp::exchange::Pace;
 use ochrelead_settings::commission::{self, Commission};
 use ochrelead_settings::day::{Day, Kind};
--- a/crates/ochrelead-sim/tests/sabotage.rs
+++ b/crates/ochrelead-sim/tests/sabotage.rs
@@ -6,7 +6,7 @@
 use ochrelead_day::world::Deciding;
 use ochrelead_fleet::roster::Said;
 use ochrelead_fleet::store::Kept;
-use ochrelead_front::judge::Judge;
+use ochrelead_hosting::judge::Judge;
 use ochrelead_settings::commission::Commission;
 use ochrelead_sim::play::meddled;
 use ochrelead_sim::schedule::{Sheet, drawn, read};
