--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -20,6 +20,7 @@
 use ochrelead_platform::callers::{self as lines, CallId, cause};
 use ochrelead_platform::commission::Commission;
 use ochrelead_platform::events::Change;
+use tracing::{Level, debug};
 
 use crate::book::{Book, Call, Phase};
 use crate::bounds::{Bounds, platform};
@@ -84,6 +85,8 @@
     leaving: Option<Moment>,
     /// The tables are looked through no later than this.
     pulse_at: Moment,
+    /// When the log is next told of the servers.
+    tell_at: Moment,
     out: VecDeque<Output>,
     alarm: Option<Moment>,
 }
@@ -110,6 +113,7 @@
             owed: VecDeque::new(),
             leaving: None,
             pulse_at: now,
+            tell_at: now,
             out: VecDeque::new(),
             alarm: None,
         };
@@ -168,6 +172,7 @@
             self.pulse_at = self.now + self.connect / 8;
             self.tend_servers();
             self.tend_callers();
+            self.tell();
         }
         while let Some(decision) = self.judge.decide() {
             self.carry_out(decision);
@@ -176,6 +181,19 @@
         self.alarm = alarms.into_iter().flatten().min();
     }
 
+    /// What is held of each server, a line each second, for the log.
+    fn tell(&mut self) {
+        if !tracing::enabled!(Level::DEBUG) || self.now < self.tell_at {
+            return;
+        }
+        self.tell_at = self.now + Span::from_secs(1);
+        for server in self.roster.all().filter(|server| !self.roster.get(*server).is_gone()) {
+            let (id, outlook) = (&self.roster.get(server).id, self.judge.outlook(server));
+            debug!(id, ?outlook, stands = self.book.standing_at(server).len(), "held of a server");
+        }
+        debug!(load = ?self.load(), "held");
+    }
+
     /// What the host is to do next.
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Option<Output> {
@@ -214,6 +232,11 @@
     }
 
     fn carry_out(&mut self, decision: Decision) {
+        if let (Decision::Refuse { session, .. } | Decision::Terminate { session }, Some(why)) =
+            (decision, self.judge.why())
+        {
+            debug!(call = ?self.book.get(session).map(|call| call.id), ?why, "given up");
+        }
         match decision {
             Decision::Invite { session, server, patience } => self.invite(session, server, patience),
             Decision::Refuse { session, come_back } => self.give_up(session, cause::REFUSED, come_back),
--- a/crates/ochrelead-node/src/engine/exit.rs
+++ b/crates/ochrelead-node/src/engine/exit.rs
@@ -215,6 +215,8 @@
         if ending == Ending::TimedOut {
             self.call_off(session);
         }
+        let (call, server) = (self.book.get(session).map(|call| call.id), &self.roster.get(invite.server).id);
+        debug!(?call, server, ?ending, took = ?self.now.since(invite.asked), "an INVITE is over");
         self.unbind(session, invite);
         self.book.advance(session, Phase::Waiting);
         self.judge.ended(session, invite.server, ending, false);
@@ -357,6 +359,7 @@
             link.used = self.now;
         }
         self.book.advance(session, Phase::Standing { server, link: Some(id), since: self.now });
+        debug!(?call, server = self.roster.get(server).id, "stands");
         self.judge.stands(session);
         self.out.push_back(Output::ToCaller(caller, lines::up(call, description)));
         self.prove(caller, session);
