Use a server that is left for its faults where no other has room

Each front held the first sick (a Fault bars it for a post-dial target, doubling) and refused everything meanwhile: 1,313 denials, all NoRoom but 61. Ruled out from the log: latency (40 to 50 ms throughout), lines (165 of 166 free), connections (no reset), the node (to the first attempt 0.08 ms). At fault: choose() and has_room() in rules.rs, which know no difference between faulty and unfit.

Change: where no server has room, one that is sick for faults alone is sent one session at a time; never a fresh one. Other cases it should cover: any share of faults during a drain, a deploy, a vanished neighbour. Harm: a server that answers faults only is asked once per 40 ms and front.

--- a/crates/ochrelead-core/src/ledger.rs
+++ b/crates/ochrelead-core/src/ledger.rs
@@ -104,6 +104,8 @@
     pub lossy_until: Moment,
     /// Held unfit by the rules.
     pub sick: bool,
+    /// Whether that is for its faults alone, which it answers as any session.
+    pub faulty: bool,
     /// What a sick server waits for: first this moment, then the answer to one trial.
     pub barred_until: Moment,
     pub gap: Span,
@@ -252,6 +254,7 @@
             answered_sent: Moment::START,
             lossy_until: Moment::START,
             sick: false,
+            faulty: false,
             barred_until: Moment::START,
             gap: Span::ZERO,
             tried: false,
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -232,6 +232,7 @@
                     at.heard = now;
                     at.meet_trouble(now);
                     at.fall_sick(now, self.target, self.target);
+                    at.faulty = true;
                 }
                 Ending::BusyReplied { no_line: true, .. } => {
                     (at.heard, at.lines.free, at.sick) = (now, 0, false);
@@ -465,13 +466,15 @@
     fn choose(&mut self, session: SessionIx) -> Option<ServerIx> {
         let held = self.sessions.get(session)?;
         let allowed = &self.desks[held.offer.service.at()].servers;
-        let all = 0..self.servers.len();
-        let fit: Vec<ServerIx> = all
-            .map(ServerIx::new)
+        let all = (0..self.servers.len()).map(ServerIx::new);
+        let open: Vec<ServerIx> = all
             .filter(|at| allowed.is_empty() || allowed.contains(&self.servers[at.at()].number))
             .filter(|at| !held.spurned.contains(at))
-            .filter(|at| self.has_room(*at, session))
             .collect();
+        let mut fit: Vec<ServerIx> = open.iter().copied().filter(|at| self.has_room(*at, session)).collect();
+        if fit.is_empty() {
+            fit = open.into_iter().filter(|at| self.is_last_resort(*at)).collect();
+        }
         let destination = held.offer.destination;
         if let Some(first) = fit.iter().find(|at| self.servers[at.at()].number == destination) {
             return Some(*first);
@@ -506,6 +509,14 @@
         draw < share * worth / self.usual_worth
     }
 
+    /// Where no server has room, one left alone for its faults alone is better than none: it answers, some well.
+    /// Protects against a second trouble while one server answers faults; covers faults of any share. Harm: where
+    /// it answers nothing else, each such session costs it a look. One at a time, and never to a fresh one.
+    fn is_last_resort(&self, server: ServerIx) -> bool {
+        let (at, now) = (&self.servers[server.at()], self.now);
+        at.open && at.sick && at.faulty && now >= at.fresh_until && at.waiting(self.target).next().is_none()
+    }
+
     /// The share of the sessions that want the server which may go there, so that all fronts together send it
     /// no more than a multiple of what it sets up. Where this front has answers enough, its own limit serves
     /// better; a destination is left alone until something says that it is pressed.
@@ -678,7 +689,7 @@
             return;
         }
         self.gap = if self.sick { (self.gap * 2).clamp(target, target * LONGEST_GAP) } else { gap };
-        (self.sick, self.tried) = (true, false);
+        (self.sick, self.tried, self.faulty) = (true, false, false);
         self.barred_until = now + self.gap;
         self.present.clear();
     }
--- a/crates/ochrelead-core/tests/rules.rs
+++ b/crates/ochrelead-core/tests/rules.rs
@@ -192,6 +192,20 @@
     assert_eq!(invited(&front.send(50, 0).1), Some(1));
 }
 
+/// norte-donaciones on sockets: one server answered three in four with faults while the other was replaced, and
+/// every session was refused though one in four would have stood.
+#[test_case(Ending::Fault { lines_busy: false }, true; "left for its faults alone")]
+#[test_case(Ending::ConnectFailed, false; "left because it can't be reached")]
+fn a_faulty_server_is_better_than_none(ending: Ending, sent: bool) {
+    let mut front = Front::with(2);
+    let (session, _) = front.send(0, 0);
+    front.end(40, session, 0, ending);
+    assert_eq!(invited(&front.send(50, 0).1), Some(1), "the other has room");
+    front.list(60, 1, ListState::Draining);
+    assert_eq!(invited(&front.send(70, 0).1).is_some(), sent);
+    assert!(given_up(&front.send(80, 0).1), "one at a time");
+}
+
 /// A trial goes out again and again, whatever became of the one before: no front locks itself out.
 #[test_case(Ending::TimedOut; "unanswered")]
 #[test_case(BUSY; "busy")]
