Read only the newest of fleet files that change faster than they are read

Checked: readings came through an unbounded channel and each was parsed and judged on the thread that serves sessions (pages() in host.rs); they piled up. Change: what is older than the newest reading is dropped unread.

--- a/crates/ochrelead-front/src/host.rs
+++ b/crates/ochrelead-front/src/host.rs
@@ -171,7 +171,11 @@
         if !watched {
             future::pending::<()>().await;
         }
-        let pages = readings.recv().await.ok()?;
+        let mut pages = readings.recv().await.ok()?;
+        // Files that change faster than they can be read: only the newest reading matters.
+        while let Ok(newer) = readings.try_recv() {
+            pages = newer;
+        }
         Some((Event::Fleet(pages), readings))
     })
 }
