Let a smaller server take over from a larger one within a drain

At fault: share() in rules.rs: a tenth of what fills its lines beside its flow; the three seconds were over before the growth began. Ruled out from the log: sickness, the in-flight limit (1.25, nothing waiting), a cold server (fresh: false), connections.

Change: the trickle of an untroubled server is a fifth; that of a troubled one and what is granted to a cold one stay as they were.

--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -40,12 +40,15 @@
 const COLD_PART: f64 = 0.4;
 /// A server is sent so many times what it answers or sets up ...
 const GROWTH: f64 = 1.5;
-/// ... and, where it is not fresh, this share of what fills its lines besides.
-const TRICKLE: f64 = 0.1;
+/// ... and, where it is not fresh, this share of what fills its lines besides: what takes over from a larger one
+/// has to grow within a drain, not within the next.
+const TRICKLE: f64 = 0.2;
+/// What is known of a cold server by its lines alone counts for this share.
+const UNTOLD: f64 = 0.1;
 /// With so many answers of late a front sees a queue by itself.
 const ENOUGH: u32 = 4;
 /// What is left of the trickle while this front has met trouble there.
-const TROUBLED_TRICKLE: f64 = TRICKLE / 5.0;
+const TROUBLED_TRICKLE: f64 = TRICKLE / 10.0;
 /// An answer that took more than this share of the target cuts what a server may be sent.
 const LATE_SHARE: f64 = 0.5;
 /// An INVITE to a server whose answers got lost so many targets ago is waited for this share of a target.
@@ -622,9 +625,9 @@
         let answers = warm().map(|at| at.long.rate(now, self.born)).sum::<f64>();
         let sizes = warm().map(size).sum::<f64>().max(size(fresh));
         // Where no lines are told, nothing says how large it is: then a trickle until its own answers count.
-        let told = if fresh.lines.all > 0 { 1.0 } else { TRICKLE };
+        let told = if fresh.lines.all > 0 { 1.0 } else { UNTOLD };
         let by_lines = told * answers * size(fresh) / sizes;
-        let alike = by_lines.max(fresh.fills * TRICKLE * self.even_part);
+        let alike = by_lines.max(fresh.fills * UNTOLD * self.even_part);
         // Lines can overstate a processor six times: what stood in its place before tells more.
         let stood = |at: &&Server| at.number == fresh.number && at.fresh_until < now;
         let former = self.servers.iter().filter(stood).map(|at| self.rate(&at.long)).reduce(f64::max);
