Never dial a server whose address is another's, and say less twice in the node

Found on reading the whole change again. Roster::change let a server whose address another had taken stay listed: its next connection would have reached the new process under the old id, past what the module grants a cold one. It leaves the list now, at the node and in the module. The test fails without it (4 connections there instead of 2).

Besides, without a change of behaviour: one writer for what each SIP message of ours carries (four copies before); an INVITE that timed out is unbound once, not twice; facts and fields that nobody read are gone.

--- a/crates/ochrelead-front/tests/node.rs
+++ b/crates/ochrelead-front/tests/node.rs
@@ -193,6 +193,28 @@
     assert!(stands(&rig.call(1)), "it serves on");
 }
 
+#[test]
+fn a_broken_configuration_leaves_the_one_in_force() {
+    let rig = Rig::start("is broken");
+    assert!(stands(&rig.call(1)));
+    fs::write(&rig.file, "{\"listen\":").unwrap();
+    rig.signal(Signal::HUP);
+    thread::sleep(Duration::from_millis(700));
+    assert!(stands(&rig.call(2)), "it serves on");
+}
+
+#[test]
+fn a_start_without_a_readable_configuration_says_what_and_where_in_a_line() {
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join("broken.json");
+    fs::write(&file, "{\n\"listen\": 5}").unwrap();
+    let ended =
+        Command::new(env!("CARGO_BIN_EXE_ochrelead-front")).arg("node").env("ROUTER_CONFIG", &file).output();
+    let ended = ended.unwrap();
+    let said = String::from_utf8(ended.stderr).unwrap();
+    assert_eq!((ended.status.code(), said.lines().count()), (Some(2), 1), "{said}");
+    assert!(said.contains("broken.json") && said.contains("line 2"), "{said}");
+}
+
 #[test]
 fn floods_and_clients_that_read_nothing_delay_nobody_else() {
     let rig = Rig::start("is flooded");
--- a/crates/ochrelead-node/src/engine/exit.rs
+++ b/crates/ochrelead-node/src/engine/exit.rs
@@ -133,8 +133,7 @@
         let (silent, ready, waits) = (at.is_silent(now), at.is_ready(), !at.waiting.is_empty());
         if at.is_gone() {
             // Another may listen at its address by now: it is not dialed again.
-            let over = !self.roster.is_up(server) || self.roster.get(server).is_silent(now);
-            if over && (stands || !self.roster.get(server).links.is_empty()) {
+            if (silent || !self.roster.is_up(server)) && (stands || !at.links.is_empty()) {
                 self.lose(server);
             }
             return;
@@ -191,14 +190,8 @@
         let first = format!("INVITE sip:{}@net SIP/2.0", call.number);
         let sequence = format!("{} INVITE", call.invites);
         let timer = (invite.until.since(self.now).micros() / 1_000).max(1).to_string();
-        let headers = [
-            ("Via", "SIP/2.0/TCP front"),
-            (header::CALL_ID, call.id.as_str()),
-            (header::CSEQ, &sequence),
-            ("X-Cos", &self.services[call.class].0),
-            ("X-Timer-Ms", &timer),
-        ];
-        let bytes = write(&first, &headers, call.description.as_bytes());
+        let more = [("X-Cos", self.services[call.class].0.as_str()), ("X-Timer-Ms", &timer)];
+        let bytes = message(&first, call.id.as_str(), &sequence, &more, call.description.as_bytes());
         self.out.push_back(Output::ToLink(id, bytes));
         self.book.advance(session, Phase::Inviting(Invite { link: Some(id), ..invite }));
         if let Some(link) = self.roster.link_mut(id) {
@@ -215,10 +208,11 @@
         let Some(Phase::Inviting(invite)) = self.book.get(session).map(|call| call.phase) else { return };
         if ending == Ending::TimedOut {
             self.call_off(session);
+        } else {
+            self.unbind(session, invite);
         }
         let (call, server) = (self.book.get(session).map(|call| call.id), &self.roster.get(invite.server).id);
         debug!(?call, server, ?ending, took = ?self.now.since(invite.asked), "an INVITE is over");
-        self.unbind(session, invite);
         self.book.advance(session, Phase::Waiting);
         self.judge.ended(session, invite.server, ending, false);
     }
@@ -257,13 +251,9 @@
             return;
         };
         let reason = format!("Q.850;cause={cause}");
-        let headers = [
-            ("Via", "SIP/2.0/TCP front"),
-            (header::CALL_ID, call.as_str()),
-            (header::CSEQ, "9 BYE"),
-            (header::REASON, &reason),
-        ];
-        self.out.push_back(Output::ToLink(id, write("BYE sip:call@net SIP/2.0", &headers, &[])));
+        let more = [(header::REASON, reason.as_str())];
+        let bytes = message("BYE sip:call@net SIP/2.0", call.as_str(), "9 BYE", &more, &[]);
+        self.out.push_back(Output::ToLink(id, bytes));
     }
 
     // ---- What servers say ----
@@ -415,16 +405,19 @@
 
 /// A request without a body.
 fn request(method: &str, number: &str, call: CallId, sequence: u32) -> Vec<u8> {
-    let sequence = format!("{sequence} {method}");
-    let headers = [("Via", "SIP/2.0/TCP front"), (header::CALL_ID, call.as_str()), (header::CSEQ, &sequence)];
-    write(&format!("{method} sip:{number}@net SIP/2.0"), &headers, &[])
+    let first = format!("{method} sip:{number}@net SIP/2.0");
+    message(&first, call.as_str(), &format!("{sequence} {method}"), &[], &[])
 }
 
 /// 200 to a request of a server.
 fn accepted(message: &Message, method: &str) -> Vec<u8> {
     let call = message.get(header::CALL_ID).unwrap_or_default();
     let number = message.sequence().map_or(1, |(number, _)| number);
-    let sequence = format!("{number} {method}");
-    let headers = [("Via", "SIP/2.0/TCP front"), (header::CALL_ID, call), (header::CSEQ, &sequence)];
-    write("SIP/2.0 200 OK", &headers, &[])
+    self::message("SIP/2.0 200 OK", call, &format!("{number} {method}"), &[], &[])
+}
+
+/// A message of ours: what each carries, and more.
+fn message(first: &str, call: &str, sequence: &str, more: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let usual = [("Via", "SIP/2.0/TCP front"), (header::CALL_ID, call), (header::CSEQ, sequence)];
+    write(first, &[&usual, more].concat(), body)
 }
--- a/crates/ochrelead-node/src/roster.rs
+++ b/crates/ochrelead-node/src/roster.rs
@@ -56,8 +56,6 @@
     pub failed: u32,
     /// No connection is tried before.
     pub dial_at: Moment,
-    /// When it left the list.
-    pub gone_at: Moment,
 }
 
 impl Server {
@@ -144,7 +142,7 @@
             let missing: Vec<ServerIx> =
                 self.all().filter(|at| !named(self.get(*at)) && !self.get(*at).is_gone()).collect();
             for server in missing {
-                self.set_gone(server, now);
+                self.set_gone(server);
                 turns.push(Turn::Closed(server));
             }
         }
@@ -153,7 +151,16 @@
             let Some(server) = self.place(post, now, &idle) else { continue };
             if new {
                 let there = |at: &ServerIx| *at != server && self.get(*at).address == post.address;
-                turns.extend(self.all().filter(there).map(Turn::Displaced));
+                let displaced: Vec<ServerIx> = self.all().filter(there).collect();
+                for old in displaced {
+                    // Whatever the list still says of it: what is sent there would reach the new one.
+                    if !self.get(old).is_gone() {
+                        let (number, state) = (self.get(old).number, ListState::Gone);
+                        listings.push(Listing { server: old, number, state, weight: 1.0 });
+                        self.set_gone(old);
+                    }
+                    turns.push(Turn::Displaced(old));
+                }
             }
             let at = &mut self.servers[server.at()];
             let former = at.state;
@@ -164,7 +171,7 @@
                 turns.push(Turn::Replaced(server, started));
             }
             if post.state == ListState::Gone {
-                self.set_gone(server, now);
+                self.set_gone(server);
             }
             if !matches!(post.state, ListState::Ready { .. }) {
                 turns.push(Turn::Closed(server));
@@ -175,10 +182,8 @@
         (listings, turns)
     }
 
-    fn set_gone(&mut self, server: ServerIx, now: Moment) {
-        let at = &mut self.servers[server.at()];
-        at.state = ListState::Gone;
-        at.gone_at = now;
+    fn set_gone(&mut self, server: ServerIx) {
+        self.servers[server.at()].state = ListState::Gone;
         if !self.gone.contains(&server) {
             self.gone.push_back(server);
         }
@@ -204,7 +209,6 @@
             heard: now,
             failed: 0,
             dial_at: now,
-            gone_at: now,
         };
         let server = if self.servers.len() < self.most {
             self.servers.push(fresh);
--- a/crates/ochrelead-node/tests/engine.rs
+++ b/crates/ochrelead-node/tests/engine.rs
@@ -207,6 +207,18 @@
     assert_eq!(rig.engine.load()[0], 0);
 }
 
+#[test]
+fn hundreds_that_are_withdrawn_at_once_leave_nothing_and_get_a_close() {
+    let mut rig = Rig::with(1);
+    rig.open(1);
+    let down = |nth| json!({"t": "down", "ref": id(nth), "f": {}, "c": 16});
+    (0..300).for_each(|nth| rig.say(1, format!("{}\n{}\n", Rig::set_up(nth, 0), down(nth)).as_bytes()));
+    assert_eq!((rig.engine.load()[0], rig.finals().len()), (0, 0));
+    assert_eq!(rig.sent("CANCEL").len(), rig.sent("INVITE").len());
+    rig.pass(2_900);
+    assert!(rig.closed(1));
+}
+
 #[test]
 fn connections_beyond_the_bound_push_out_who_was_of_no_use() {
     let mut rig = Rig::with(1);
@@ -257,6 +269,15 @@
     assert_eq!(rig.engine.load()[0], 0);
 }
 
+#[test]
+fn a_server_whose_address_is_anothers_is_not_dialed_again() {
+    let mut rig = Rig::with(2);
+    rig.list(2, json!([instance(21, 11, "up", 100)]));
+    rig.pass(1_000);
+    let there = rig.links.values().filter(|to| *to == "127.0.0.11").count();
+    assert_eq!(there, 2, "those of the new one");
+}
+
 #[test]
 fn a_silent_server_that_takes_connections_keeps_its_calls() {
     let mut rig = Rig::with(1);
--- a/crates/ochrelead-platform/src/facts.rs
+++ b/crates/ochrelead-platform/src/facts.rs
@@ -19,7 +19,6 @@
     over_share_worth: f64,
     pub discovery: String,
     tick_ms: f64,
-    reporting: Reporting,
 }
 
 #[derive(Deserialize, Default)]
@@ -48,13 +47,6 @@
     retry_after: bool,
     most_held: f64,
     connect_timeout_ms: f64,
-    conn_idle_ms: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Reporting {
-    fields: Vec<String>,
 }
 
 #[derive(Deserialize, Default)]
@@ -98,11 +90,6 @@
         self.orgs.iter().map(|org| org.name.as_str())
     }
 
-    /// What the figures of a server's report are called, in their order; the first two are its lines.
-    pub fn report_fields(&self) -> &[String] {
-        &self.reporting.fields
-    }
-
     /// The most sessions that a front may hold; none where nothing is said.
     pub fn most_held(&self) -> Option<usize> {
         (self.limits.most_held >= 1.0).then_some(self.limits.most_held as usize)
@@ -113,11 +100,6 @@
         (self.limits.connect_timeout_ms > 0.0).then(|| span(self.limits.connect_timeout_ms))
     }
 
-    /// Idle connections are closed by the servers after this.
-    pub fn idle_limit(&self) -> Option<Span> {
-        (self.limits.conn_idle_ms > 0.0).then(|| span(self.limits.conn_idle_ms))
-    }
-
     pub fn provision(&self, seed: u64) -> Provision {
         let services = self.request_classes.iter().enumerate().map(|(at, class)| Service {
             value: class.worth,
