Prove that an act on its way when its lease ends is refused, with processes

Need: the leases' hard case 'late between permit and act' was shown with processes only by SIGSTOP at random. Change: the rig's server holds a front's acts back as if late, until another holds; they are judged as they were read meanwhile. Seen on the way: the judge called three late acts 'refused twice' (its lines counted refusals that the front could not have read); it now counts acts that left after a refusal, and a test of the judge has both.

--- a/crates/ochrelead-front/tests/together.rs
+++ b/crates/ochrelead-front/tests/together.rs
@@ -2,7 +2,7 @@
 //! never two holders, numbers never fall, and somebody acts again. Waits are bounds, not verdicts.
 
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ochrelead_together::mistake::Mistake;
 use ochrelead_together::processes::Rig;
@@ -76,6 +76,29 @@
     holds(rig);
 }
 
+/// Between its permit and its effect an act is late, and its holder is followed meanwhile: it is refused.
+#[test]
+fn an_act_that_was_on_its_way_when_its_lease_ended_is_refused() {
+    let (rig, first) = rig("late", 77);
+    let holder = first.number.of.front;
+    rig.server.late(Some(holder));
+    let until = Instant::now() + LONG;
+    while rig.server.waiting() == 0 {
+        assert!(Instant::now() < until, "the holder acts no more");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    rig.relay.set(Faults { cut: ways(holder, false, false), ..Faults::default() });
+    let next = another(&rig, &first);
+    rig.server.late(None);
+    while !rig.server.acts().iter().any(|act| act.refused && act.number == first.number) {
+        assert!(Instant::now() < until + LONG, "it never arrived");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    rig.relay.set(Faults::default());
+    rig.until_act(LONG, |act| act.number >= next.number).unwrap();
+    holds(rig);
+}
+
 /// It is cut off from all fronts, one way or both, and not from the server.
 #[test]
 fn a_holder_that_is_cut_off_lets_go() {
--- a/crates/ochrelead-together/tests/judge.rs
+++ b/crates/ochrelead-together/tests/judge.rs
@@ -13,6 +13,7 @@
     let begun = Instant::now();
     let act = |&(ms, count, front, life, connection, refused): &Row| Taken {
         at: begun + Duration::from_millis(ms),
+        left: begun + Duration::from_millis(ms),
         number: Number { count, of: Who { front, life } },
         connection,
         refused,
@@ -38,3 +39,18 @@
 fn the_overlap(rows: &[Row], halted: &[u32], ms: u64) {
     assert_eq!(overlap(&acts(rows), halted), ms);
 }
+
+/// Three acts that had left before the first of them was refused: their front had read nothing yet.
+#[test]
+fn acts_that_were_on_their_way_together() {
+    let mut late = acts(&[
+        (0, 2, 3, 1, 0, false),
+        (9, 1, 4, 1, 1, true),
+        (10, 1, 4, 1, 2, true),
+        (11, 1, 4, 1, 3, true),
+    ]);
+    assert!(verdict(&late).is_err());
+    let left = late[0].at;
+    late.iter_mut().for_each(|act| act.left = left);
+    verdict(&late).unwrap();
+}
