--- a/crates/ochrelead-core/src/ledger.rs
+++ b/crates/ochrelead-core/src/ledger.rs
@@ -115,6 +115,8 @@
     /// What is left of that by its own set-ups of late.
     pub weight: f64,
     pub weight_at: Moment,
+    /// What share of the sessions it takes, for its district's sake.
+    pub eased: f64,
 }
 
 /// What is known of a called number.
@@ -261,6 +263,7 @@
             listed_weight: 1.0,
             weight: 1.0,
             weight_at: now,
+            eased: 1.0,
         }
     }
 
--- a/crates/ochrelead-core/src/rules.rs
+++ b/crates/ochrelead-core/src/rules.rs
@@ -336,6 +336,13 @@
         }
     }
 
+    /// What share of the sessions a server takes from now on, at all fronts alike: 1 where it is not eased.
+    pub fn eased(&mut self, server: ServerIx, share: f64) {
+        if let Some(at) = self.servers.get_mut(server.at()) {
+            at.eased = share;
+        }
+    }
+
     /// What a server says of its processor.
     pub fn reported(&mut self, server: ServerIx, report: Report) {
         let Some(at) = self.servers.get_mut(server.at()) else { return };
@@ -497,6 +504,12 @@
             return false;
         }
         let destined = held.offer.destination == at.number;
+        // A district that is left, or comes back: those that want the server first, the worthier ones before others.
+        if at.eased < 1.0
+            && (!destined || held.draws(server) >= at.eased * self.worth(held) / self.usual_worth)
+        {
+            return false;
+        }
         let waiting = at.waiting(self.target).count() as f64;
         let (limit, draw) = (at.limit(now, self.target), held.draws(server));
         if now < at.fresh_until {
@@ -517,7 +530,12 @@
     /// it answers nothing else, each such session costs it a look. One at a time, and never to a fresh one.
     fn is_last_resort(&self, server: ServerIx) -> bool {
         let (at, now) = (&self.servers[server.at()], self.now);
-        at.open && at.sick && at.faulty && now >= at.fresh_until && at.waiting(self.target).next().is_none()
+        at.open
+            && at.eased >= 1.0
+            && at.sick
+            && at.faulty
+            && now >= at.fresh_until
+            && at.waiting(self.target).next().is_none()
     }
 
     /// The share of the sessions that want the server which may go there, so that all fronts together send it
--- /dev/null
+++ b/crates/ochrelead-district/build.rs
@@ -0,0 +1,10 @@
+//! Compiles the schema of the words. No protoc is needed.
+
+use std::error::Error;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    println!("cargo:rerun-if-changed=proto");
+    let descriptors = protox::compile(["district.proto"], ["proto"])?;
+    prost_build::Config::new().compile_fds(descriptors)?;
+    Ok(())
+}
--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -12,6 +12,7 @@
 use futures_lite::future;
 use ochrelead_core::rules::Controller;
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_district::{District, Terms};
 use ochrelead_front::engine::Engine;
 use ochrelead_front::host::{self, Places};
 use ochrelead_hosting::STATUS;
@@ -76,6 +77,9 @@
     /// Speak to the other fronts that the configuration lists, where its settings allow it
     #[arg(long)]
     peers: bool,
+    /// Act with the fronts of its district where a district fails: leave it, and return step by step
+    #[arg(long)]
+    districts: bool,
     /// Where its promises as a voter are kept, and how its tasks stand is written; without, it abstains after each start
     #[arg(long, value_name = "DIR", requires = "peers")]
     state: Option<PathBuf>,
@@ -189,7 +193,7 @@
             return ExitCode::from(2);
         }
     };
-    if company.peers && peers.is_none() {
+    if (company.peers || company.districts) && peers.is_none() {
         warn!(
             "serves alone: the settings allow no messages between fronts, or this front is not among the peers"
         );
@@ -207,7 +211,7 @@
 /// What a node does with its peers, where their datagrams arrive, and where it keeps its promises; none where the
 /// settings do not allow it.
 fn together(commission: &Platform, company: &Company, now: Moment) -> anyhow::Result<Option<Peers>> {
-    let allowed = company.peers && commission.facts.may_speak_to_peers();
+    let allowed = (company.peers || company.districts) && commission.facts.may_speak_to_peers();
     let Some(listen) = commission.peer_listen.filter(|_| allowed) else { return Ok(None) };
     let (number, peers) = (commission.facts.peer_number(), commission.peers.clone());
     let (fronts, seed) = (peers.len() as u32, commission.provision.seed);
@@ -220,6 +224,21 @@
     let Some(mut together) = Together::new(listen, peers, number, electorate, seed, now) else {
         return Ok(None);
     };
+    if company.districts {
+        match commission.facts.district() {
+            Some(own) => {
+                let (names, pace) = (commission.facts.districts(), Terms::of(&commission.provision));
+                together.act_on_districts(District(own), names, pace, commission.peers_all, seed, now);
+            }
+            None => warn!("--districts has nothing to do: the settings name no district of this front"),
+        }
+    }
+    if !company.peers {
+        if !together.watches() {
+            return Ok(None);
+        }
+        together.only_districts();
+    }
     let mut promises = None;
     if let Some(folder) = &company.state {
         let opened = Promises::open(folder).with_context(|| format!("--state {}", folder.display()));
--- /dev/null
+++ b/crates/ochrelead-front/tests/districts.rs
@@ -0,0 +1,186 @@
+//! Twelve processes of the program in three districts, six servers, callers, and faults between them. Judged from the
+//! INVITEs that reached servers and from what callers were told. Waits are bounds, not verdicts.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use ochrelead_together::processes::Rig;
+use ochrelead_together::processes::relay::Faults;
+use ochrelead_together::processes::server::Server;
+use ochrelead_together::processes::town::Town;
+use serde_json::json;
+use test_case::test_case;
+
+const FRONTS: u32 = 12;
+const SERVERS: u32 = 6;
+const DISTRICTS: u32 = 3;
+/// The longest that anything is waited for.
+const LONG: Duration = Duration::from_secs(90);
+/// Callers of each front, a session so often.
+const APART: Duration = Duration::from_millis(20);
+
+/// `talks`: fronts also ask who is there and hold leases; else they speak of districts alone.
+struct Place {
+    rig: Rig,
+    town: Town,
+}
+
+impl Place {
+    fn new(name: &str, net: u8, talks: bool, districts: impl Fn(u32) -> bool) -> Place {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let host = (std::process::id() % 250) as u8 + 1;
+        let binary = Path::new(env!("CARGO_BIN_EXE_ochrelead-front"));
+        let town = Town::start(FRONTS, SERVERS).unwrap();
+        let arguments = |front| if districts(front) { vec!["--districts".to_owned()] } else { Vec::new() };
+        let listed = |front: u32| {
+            let names: Vec<String> = (0..DISTRICTS).map(|nth| format!("d{nth}")).collect();
+            (town.listed(front, DISTRICTS), json!({"az": front % DISTRICTS, "zones": names}))
+        };
+        let server = Server::start().unwrap();
+        let rig = Rig::start_with([binary, &folder], FRONTS, [net, host], arguments, server, talks, listed)
+            .unwrap();
+        for front in 0..FRONTS {
+            town.call(front, rig.listens(front), APART);
+        }
+        let place = Place { rig, town };
+        place.until(LONG, "all servers are in use", || {
+            let invites = place.town.invites();
+            (0..FRONTS).all(|front| invites.iter().filter(|own| own.front == front).count() > 100)
+        });
+        place
+    }
+
+    fn until(&self, most: Duration, what: &str, holds: impl Fn() -> bool) {
+        let until = Instant::now() + most;
+        while !holds() {
+            assert!(Instant::now() < until, "not in {most:?}: {what}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// INVITEs of some fronts to servers of a district since a moment.
+    fn to(&self, district: u32, since: Instant, of: impl Fn(u32) -> bool) -> usize {
+        let own = self.town.invites().into_iter().filter(|own| own.at >= since && of(own.front));
+        own.filter(|own| own.server % DISTRICTS == district).count()
+    }
+
+    /// Waits until no INVITE of these fronts reaches a district for that long, though many are asked for.
+    fn left(&self, district: u32, quiet: Duration, of: impl Fn(u32) -> bool + Copy) {
+        self.until(LONG, "the district is left", || self.to(district, Instant::now() - quiet, of) == 0);
+    }
+
+    /// Waits until a district gets its part of the INVITEs again.
+    fn whole(&self, district: u32) {
+        self.until(LONG, "the district is in use again", || {
+            let since = Instant::now() - Duration::from_secs(2);
+            let (own, all) = (self.to(district, since, |_| true), self.town.invites());
+            let all = all.into_iter().filter(|own| own.at >= since).count();
+            all > 200 && own as f64 > 0.8 * all as f64 / f64::from(DISTRICTS)
+        });
+    }
+
+    fn silence(&self, districts: &[u32], of: impl Fn(u32) -> bool) {
+        let pairs = (0..FRONTS).flat_map(|front| (0..SERVERS).map(move |server| (front, server)));
+        let silent = pairs.filter(|(front, server)| of(*front) && districts.contains(&(server % DISTRICTS)));
+        self.town.silence(silent.collect());
+    }
+
+    fn holds(mut self) {
+        assert!(self.rig.all_run(), "none has ended by itself");
+        self.town.verdict().unwrap();
+        let [_, _, longest] = self.rig.relay.seen();
+        assert!(longest <= 256, "{longest} bytes");
+        // Others are served all the while: those who asked long ago have an answer.
+        let told = self.town.told();
+        let old = told.values().filter(|own| own.asked.is_some_and(|at| at.elapsed().as_secs() > 20));
+        let (answered, all) = old.fold((0, 0), |(answered, all), own| {
+            (answered + u32::from(own.ups + own.downs_before > 0), all + 1)
+        });
+        // What a killed front held is lost; nothing else is.
+        assert!(answered * 100 >= all * 95, "{answered} of {all} had an answer");
+    }
+}
+
+#[test]
+fn a_district_that_answers_nothing_is_left_and_used_again() {
+    let place = Place::new("silent-district", 91, false, |_| true);
+    place.silence(&[1], |_| true);
+    place.left(1, Duration::from_secs(3), |_| true);
+    assert!(place.to(0, Instant::now() - Duration::from_secs(2), |_| true) > 0);
+    place.silence(&[], |_| true);
+    place.whole(1);
+    place.holds();
+}
+
+/// The fronts of one district alone are not answered by another: the third goes on.
+#[test]
+fn a_cut_concerns_the_fronts_that_it_cuts() {
+    let place = Place::new("cut-district", 92, true, |_| true);
+    place.silence(&[1], |front| front % DISTRICTS == 0);
+    place.left(1, Duration::from_secs(3), |front| front % DISTRICTS == 0);
+    let since = Instant::now() - Duration::from_secs(2);
+    assert!(place.to(1, since, |front| front % DISTRICTS == 2) > 0);
+    assert!(place.to(1, since, |front| front % DISTRICTS == 1) > 0);
+    place.silence(&[], |_| true);
+    place.whole(1);
+    place.holds();
+}
+
+/// Whoever observes is killed or stands still as soon as a district has failed: others take over.
+#[test_case(true; "killed")]
+#[test_case(false; "stands still")]
+fn the_observers_fail_with_the_district(killed: bool) {
+    let (name, net) = if killed { ("observers-killed", 93) } else { ("observers-halted", 94) };
+    let mut place = Place::new(name, net, !killed, |_| true);
+    place.until(LONG, "each district has an observer", || {
+        place.rig.relay.observers(Duration::from_secs(5)).len() >= DISTRICTS as usize
+    });
+    place.silence(&[1], |_| true);
+    let observers = place.rig.relay.observers(Duration::from_secs(5));
+    for front in &observers {
+        if killed {
+            place.rig.kill(*front);
+        } else {
+            place.rig.halt(*front);
+        }
+    }
+    place.left(1, Duration::from_secs(3), |_| true);
+    for front in &observers {
+        if killed {
+            place.rig.run(*front).unwrap();
+        } else {
+            place.rig.go_on(*front);
+        }
+    }
+    place.silence(&[], |_| true);
+    place.whole(1);
+    assert!(place.rig.all_run());
+    place.town.verdict().unwrap();
+}
+
+/// A third of the datagrams lost and the others late; half of the fronts know no districts and go on as they did.
+#[test]
+fn a_bad_net_and_half_of_the_fronts_of_the_former_kind() {
+    let place = Place::new("bad-net-district", 95, true, |front| front % 2 == 0);
+    let (loss, delay) = (0.3, Duration::from_millis(300));
+    place.rig.relay.set(Faults { loss, delay, doubled: 0.2, ..Faults::default() });
+    place.silence(&[1], |_| true);
+    place.left(1, Duration::from_secs(3), |front| front % 2 == 0);
+    place.silence(&[], |_| true);
+    place.whole(1);
+    place.holds();
+}
+
+/// Nobody hears anybody: each front serves as it would alone, also while a district is silent.
+#[test]
+fn without_a_word_of_others_fronts_serve_on() {
+    let place = Place::new("no-peers-district", 96, false, |_| true);
+    let cut = (0..FRONTS).flat_map(|from| (0..FRONTS).map(move |to| (from, to))).collect();
+    place.rig.relay.set(Faults { cut, ..Faults::default() });
+    place.silence(&[1], |_| true);
+    let begun = Instant::now();
+    place.until(LONG, "others are served", || place.to(0, begun, |_| true) > 300);
+    place.silence(&[], |_| true);
+    place.whole(1);
+    place.holds();
+}
--- a/crates/ochrelead-hosting/src/judge.rs
+++ b/crates/ochrelead-hosting/src/judge.rs
@@ -16,6 +16,8 @@
     fn served(&mut self, service: ServiceIx, servers: &[i64]);
     fn lines_told(&mut self, server: ServerIx, lines: Lines);
     fn reported(&mut self, server: ServerIx, report: Report);
+    /// What share of the sessions a server takes from now on, where the judge heeds that.
+    fn eased(&mut self, _server: ServerIx, _share: f64) {}
     fn decide(&mut self) -> Option<Decision>;
     fn wake(&mut self) -> Option<Moment>;
     /// Why the decision last pulled is what it is, where the judge tells.
@@ -65,6 +67,10 @@
         Controller::reported(self, server, report);
     }
 
+    fn eased(&mut self, server: ServerIx, share: f64) {
+        Controller::eased(self, server, share);
+    }
+
     fn decide(&mut self) -> Option<Decision> {
         Controller::decide(self)
     }
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -14,6 +14,7 @@
 use ochrelead_core::call::{Decision, Ending};
 use ochrelead_core::index::{MemberIx, ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_district::{District, MOST_DISTRICTS, Place, ServerKey};
 use ochrelead_hosting::gone::Gone;
 use ochrelead_hosting::judge::Judge;
 use ochrelead_hosting::numbers::Numbers;
@@ -69,6 +70,19 @@
     Feed(Step),
 }
 
+/// What came of an INVITE, or a sign of life, for what fronts do together. An INVITE is named by its session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sight {
+    Asked(ServerKey, u64),
+    Answered(u64),
+    Failed(u64),
+    CalledOff(u64),
+    Alive(ServerKey),
+}
+
+/// Sights that wait for the host; what comes beyond is dropped.
+const MOST_SIGHTS: usize = 65_536;
+
 /// A node without I/O.
 pub struct Engine {
     judge: Box<dyn Judge>,
@@ -93,6 +107,12 @@
     said: usize,
     /// Refusals of tests, by servers that have seen a higher number.
     outrun: VecDeque<(String, Number)>,
+    /// The names of the districts, and what share of sessions their servers take where that is not all.
+    districts: Vec<String>,
+    eased: Vec<(District, f64)>,
+    /// What was met is told, where anybody asks for it.
+    watches: bool,
+    sights: VecDeque<Sight>,
     leaving: Option<Moment>,
     /// The tables are looked through no later than this.
     pulse_at: Moment,
@@ -124,6 +144,10 @@
             owed: VecDeque::new(),
             said: 0,
             outrun: VecDeque::new(),
+            districts: facts.districts().to_vec(),
+            eased: Vec::new(),
+            watches: false,
+            sights: VecDeque::new(),
             leaving: None,
             pulse_at: now,
             tell_at: now,
@@ -233,6 +257,68 @@
         ready.map(quiet).collect()
     }
 
+    /// From now on what was met at servers is told.
+    pub fn watch(&mut self) {
+        self.watches = true;
+    }
+
+    /// What was met next.
+    pub fn sight(&mut self) -> Option<Sight> {
+        self.sights.pop_front()
+    }
+
+    fn see(&mut self, sight: Sight) {
+        if self.watches && self.sights.len() < MOST_SIGHTS {
+            self.sights.push_back(sight);
+        }
+    }
+
+    fn see_alive(&mut self, server: ServerIx) {
+        if self.watches {
+            self.see(Sight::Alive(self.key(server)));
+        }
+    }
+
+    fn see_asked(&mut self, server: ServerIx, session: SessionIx) {
+        if self.watches {
+            self.see(Sight::Asked(self.key(server), session.at() as u64));
+        }
+    }
+
+    /// The district of a server, by its number.
+    fn district(&self, server: ServerIx) -> Option<District> {
+        let name = self.roster.get(server).district.as_ref()?;
+        let at = self.districts.iter().position(|own| own == name);
+        let at = at.map_or_else(|| name.parse().ok(), |at| u32::try_from(at).ok())?;
+        (at < MOST_DISTRICTS && (at as usize) < self.districts.len()).then_some(District(at))
+    }
+
+    fn key(&self, server: ServerIx) -> ServerKey {
+        ServerKey::of(&self.roster.get(server).id)
+    }
+
+    /// The servers in service that are in a district.
+    pub fn places(&self) -> Vec<Place> {
+        let ready = self.roster.all().filter(|server| self.roster.get(*server).is_ready());
+        ready
+            .filter_map(|server| Some(Place { server: self.key(server), district: self.district(server)? }))
+            .collect()
+    }
+
+    /// What share of the sessions the servers of some districts take from now on; all of them those of the others.
+    pub fn ease(&mut self, eased: Vec<(District, f64)>) {
+        self.eased = eased;
+        for server in self.roster.all() {
+            self.ease_server(server);
+        }
+    }
+
+    fn ease_server(&mut self, server: ServerIx) {
+        let district = self.district(server);
+        let eased = self.eased.iter().find(|(of, _)| Some(*of) == district);
+        self.judge.eased(server, eased.map_or(1.0, |(_, share)| *share));
+    }
+
     /// Another front heard a server so lately.
     pub fn vouched(&mut self, server: &str, at: Moment) {
         if let Some(server) = self.roster.named(server) {
@@ -261,6 +347,9 @@
         let book = &self.book;
         let (listings, turns) = self.roster.change(change, self.now, |server| !book.any_standing_at(server));
         self.judge.listed(change.whole, &listings);
+        for listing in &listings {
+            self.ease_server(listing.server);
+        }
         for turn in turns {
             self.follow(&turn);
         }
--- a/crates/ochrelead-node/src/engine/exit.rs
+++ b/crates/ochrelead-node/src/engine/exit.rs
@@ -23,6 +23,7 @@
         let at = self.roster.get_mut(server);
         (at.heard, at.failed) = (now, 0);
         let (waiting, owed) = (mem::take(&mut at.waiting), mem::take(&mut at.owed));
+        self.see_alive(server);
         for call in owed {
             self.say_bye(server, None, call, cause::NORMAL);
         }
@@ -196,6 +197,7 @@
         let Some(call) = self.book.get(session) else { return };
         let until = patience.map_or(call.timer_limit, |span| call.timer_limit.min(self.now + span));
         self.book.advance(session, Phase::Inviting(Invite { server, link: None, asked: self.now, until }));
+        self.see_asked(server, session);
         self.send_invite(session);
     }
 
@@ -228,6 +230,12 @@
     /// An INVITE has ended without an answer that stands; the module goes on with the session.
     pub(super) fn invite_over(&mut self, session: SessionIx, ending: Ending) {
         let Some(Phase::Inviting(invite)) = self.book.get(session).map(|call| call.phase) else { return };
+        // One that was answered has been told of.
+        let ask = session.at() as u64;
+        self.see(match ending {
+            Ending::Reset | Ending::ConnectFailed => Sight::Failed(ask),
+            _ => Sight::CalledOff(ask),
+        });
         if ending == Ending::TimedOut {
             self.call_off(session);
         } else {
@@ -241,6 +249,7 @@
 
     /// An INVITE is given up: its server is told, where it had left.
     pub(super) fn call_off(&mut self, session: SessionIx) {
+        self.see(Sight::CalledOff(session.at() as u64));
         let Some(call) = self.book.get(session) else { return };
         let Phase::Inviting(invite) = call.phase else { return };
         if let Some(link) = invite.link {
@@ -310,6 +319,7 @@
                 Some(Ok(message)) => {
                     let at = self.roster.get_mut(server);
                     (at.heard, at.failed) = (now, 0);
+                    self.see_alive(server);
                     if !self.heard(id, server, &message) {
                         return self.spoil(id);
                     }
@@ -397,6 +407,7 @@
             return false;
         }
         self.out.push_back(Output::ToLink(id, request("ACK", "call", call, number)));
+        self.see(Sight::Answered(session.at() as u64));
         let Some(caller) = self.book.get(session).map(|call| call.caller) else { return true };
         if let Some(link) = self.roster.link_mut(id) {
             link.open.retain(|open| *open != session);
@@ -427,6 +438,7 @@
 
     fn refused(&mut self, id: LinkId, call: CallId, number: u32, ending: Ending) {
         if let Some(session) = self.out_on(id, call, number) {
+            self.see(Sight::Answered(session.at() as u64));
             if let Some(link) = self.roster.link_mut(id) {
                 link.used = self.now;
             }
@@ -448,6 +460,7 @@
                 self.release(session, message.cause().unwrap_or(cause::FAILED));
             }
             Some(Phase::Inviting(invite)) if invite.server == server => {
+                self.see(Sight::Answered(session.at() as u64));
                 self.invite_over(session, Ending::Reset)
             }
             _ => {}
--- a/crates/ochrelead-node/src/host.rs
+++ b/crates/ochrelead-node/src/host.rs
@@ -109,7 +109,7 @@
 pub fn serve(
     listen: SocketAddr,
     configuration: PathBuf,
-    engine: Engine,
+    mut engine: Engine,
     peers: Option<Peers>,
     clock: Clock,
 ) -> io::Result<()> {
@@ -117,6 +117,9 @@
     let (lines, scratch) = (HashMap::new(), vec![0; LONGEST]);
     let (mut company, mut written) = (None, None);
     if let Some(Peers { together, listen: at, promises }) = peers {
+        if together.watches() {
+            engine.watch();
+        }
         let socket = Async::<UdpSocket>::bind(at).map_err(|error| named("peers", at, &error))?;
         let (out, done) = promises.map(|promises| (promises.out, promises.written)).unzip();
         company = Some(Company { together, socket: Rc::new(socket), out });
@@ -156,8 +159,14 @@
         while let Some((server, highest)) = self.engine.outrun() {
             together.outrun(now, &server, highest);
         }
+        while let Some(sight) = self.engine.sight() {
+            together.met(now, sight);
+        }
         together.turn(now);
-        together.look(now, || self.engine.quiet());
+        together.look(now, || (self.engine.quiet(), self.engine.places()));
+        if let Some(eased) = together.shares(now) {
+            self.engine.ease(eased);
+        }
         while let Some(duty) = together.duty() {
             match duty {
                 Duty::Sound { server, number } => self.engine.sound(&server, number),
--- a/crates/ochrelead-node/src/roster.rs
+++ b/crates/ochrelead-node/src/roster.rs
@@ -48,6 +48,8 @@
     pub address: SocketAddr,
     pub number: i64,
     pub state: ListState,
+    /// The district that it is in, as the list says it.
+    pub district: Option<String>,
     pub links: Vec<LinkId>,
     /// INVITEs that wait for a connection.
     pub waiting: Vec<SessionIx>,
@@ -172,6 +174,7 @@
             let at = &mut self.servers[server.at()];
             let former = at.state;
             (at.address, at.number, at.state) = (post.address, post.number, post.state);
+            at.district.clone_from(&post.district);
             if let ListState::Ready { started: Some(started) } = post.state
                 && !matches!(former, ListState::Ready { started: Some(known) } if known >= started)
             {
@@ -210,6 +213,7 @@
             address: post.address,
             number: post.number,
             state: ListState::Draining,
+            district: post.district.clone(),
             links: Vec::new(),
             waiting: Vec::new(),
             owed: Vec::new(),
--- a/crates/ochrelead-node/src/together.rs
+++ b/crates/ochrelead-node/src/together.rs
@@ -1,21 +1,26 @@
-//! What a node does with its peers: their talk, the leases on it, and sounding. Without I/O; off unless it is asked for.
+//! What a node does with its peers: their talk, the leases on it, sounding, and leaving districts. Without I/O; off unless
+//! it is asked for.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_district::engine::{Engine as Districts, To};
+use ochrelead_district::word::Eased;
+use ochrelead_district::{District, Place, Terms as Paces};
 use ochrelead_lease::electorate::Electorate;
 use ochrelead_lease::engine::Engine as Leases;
 use ochrelead_lease::voter::Kept;
 use ochrelead_lease::word::Word;
 use ochrelead_lease::{Number, Task, Terms, Who, letter};
-use ochrelead_peers::engine::{Counts, Engine as Peers, Pace};
+use ochrelead_peers::engine::{ALL, Counts, Engine as Peers, Pace};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use tracing::{Level, debug};
 
+use crate::engine::Sight;
 use crate::sounding::{self, Quiet, Sounding};
 
 /// How long a lease runs.
@@ -36,10 +41,20 @@
 
 pub struct Together {
     addresses: Vec<SocketAddr>,
+    /// Where one datagram reaches all of them.
+    all: Option<SocketAddr>,
     numbers: HashMap<SocketAddr, u32>,
     peers: Peers,
     leases: Leases,
     sounding: Sounding,
+    /// It takes no part in tasks of the fleet, and does not ask who is there: districts alone.
+    only_districts: bool,
+    districts: Option<Districts>,
+    /// Their names, and the shares that were last handed out.
+    district_names: Vec<String>,
+    eased: Vec<(District, f64)>,
+    /// Datagrams for all, that go to each by itself.
+    copies: VecDeque<(SocketAddr, Vec<u8>)>,
     duties: VecDeque<Duty>,
     /// How servers stood when they were looked at last, and when they are next.
     quiet: Vec<Quiet>,
@@ -81,10 +96,16 @@
         let numbers = addresses.iter().enumerate().map(|(at, address)| (*address, at as u32)).collect();
         Some(Together {
             addresses,
+            all: None,
             numbers,
             peers: Peers::new(me, fronts, None, Pace::USUAL, seed, now),
             leases: Leases::new(me, electorate, Terms::of(SPAN), None, seed ^ 1, now),
             sounding: Sounding::default(),
+            only_districts: false,
+            districts: None,
+            district_names: Vec::new(),
+            eased: Vec::new(),
+            copies: VecDeque::new(),
             duties: VecDeque::new(),
             quiet: Vec::new(),
             look_at: now,
@@ -94,6 +115,62 @@
         })
     }
 
+    /// From its start on this front acts with the others of its district where districts fail. `all`: where one datagram
+    /// reaches all fronts.
+    pub fn act_on_districts(
+        &mut self,
+        own: District,
+        names: &[String],
+        pace: Paces,
+        all: Option<SocketAddr>,
+        seed: u64,
+        now: Moment,
+    ) {
+        self.all = all;
+        self.district_names = names.to_vec();
+        self.districts = Some(Districts::new(self.leases.me(), own, pace, seed ^ 2, now));
+    }
+
+    /// It takes no part in tasks of the fleet, and does not ask who is there: nobody has to know that for districts.
+    pub fn only_districts(&mut self) {
+        self.only_districts = true;
+        self.peers.hush();
+    }
+
+    /// Whether it wants to be told what came of INVITEs.
+    pub fn watches(&self) -> bool {
+        self.districts.is_some()
+    }
+
+    /// Its part in leaving districts.
+    pub fn districts(&self) -> Option<&Districts> {
+        self.districts.as_ref()
+    }
+
+    /// What was met at a server.
+    pub fn met(&mut self, now: Moment, sight: Sight) {
+        let Some(districts) = &mut self.districts else { return };
+        match sight {
+            Sight::Asked(server, ask) => districts.asked(now, server, ask),
+            Sight::Answered(ask) => districts.answered(now, ask),
+            Sight::Failed(ask) => districts.failed(ask),
+            Sight::CalledOff(ask) => districts.called_off(ask),
+            Sight::Alive(server) => districts.alive(now, server),
+        }
+    }
+
+    /// The shares in force, where they have changed since they were last asked for.
+    pub fn shares(&mut self, now: Moment) -> Option<Vec<(District, f64)>> {
+        let districts = self.districts.as_ref()?;
+        let share = |district: District| (district, districts.share(now, district));
+        let eased: Vec<(District, f64)> =
+            districts.districts().into_iter().map(share).filter(|(_, share)| *share < 1.0).collect();
+        (eased != self.eased).then(|| {
+            self.eased.clone_from(&eased);
+            eased
+        })
+    }
+
     /// The number of this front among its peers.
     pub fn front(&self) -> u32 {
         self.leases.me().front
@@ -166,15 +243,25 @@
     /// It leaves service: what it holds is handed back.
     pub fn leave(&mut self, now: Moment) {
         self.leases.leave(now);
+        if let Some(districts) = &mut self.districts {
+            districts.leave(now);
+        }
     }
 
-    /// Servers are to be looked at; what is handed in then is how they stand.
-    pub fn look(&mut self, now: Moment, quiet: impl FnOnce() -> Vec<Quiet>) {
+    /// Servers are to be looked at; what is handed in then is how they stand, and what districts they are in.
+    pub fn look(&mut self, now: Moment, quiet: impl FnOnce() -> (Vec<Quiet>, Vec<Place>)) {
         if now < self.look_at {
             return;
         }
         self.look_at = now + LOOK;
-        self.quiet = quiet();
+        let (quiet, places) = quiet();
+        self.quiet = quiet;
+        if let Some(districts) = &mut self.districts {
+            districts.listed(&places);
+        }
+        if self.only_districts {
+            return;
+        }
         for task in self.sounding.answered(&self.quiet) {
             self.peers.tell(now, sounding::TOPIC, task.0, Vec::new());
         }
@@ -199,12 +286,56 @@
                 self.vouched(now, Task(key));
             }
         }
-        self.leases.turn(now);
-        self.say_words();
+        while let Some((from, word)) = self.peers.district_word() {
+            if let Some(districts) = &mut self.districts {
+                districts.take(now, from, &word);
+            }
+        }
+        self.turn_districts(now);
+        if !self.only_districts {
+            self.leases.turn(now);
+            self.say_words();
+        }
         self.peers.turn(now);
         self.tell(now);
     }
 
+    fn turn_districts(&mut self, now: Moment) {
+        let Some(districts) = &mut self.districts else { return };
+        districts.turn(now);
+        while let Some((to, word)) = districts.next() {
+            let front = match to {
+                To::Front(front) => front,
+                To::All => ALL,
+            };
+            self.peers.district_to(front, word);
+        }
+    }
+
+    /// How it stands with the districts, a line each.
+    fn district_lines(&self, now: Moment) -> Vec<String> {
+        let Some(districts) = &self.districts else { return Vec::new() };
+        let name = |district: District| {
+            let name = self.district_names.get(district.0 as usize);
+            name.cloned().unwrap_or_else(|| district.0.to_string())
+        };
+        let own = districts.own();
+        let mut lines = vec![match districts.row(now, own) {
+            _ if districts.observes() => format!("district {}: this front observes", name(own)),
+            Some(told) => format!("district {}: front {} observes", name(own), told.by),
+            None => format!("district {}: nobody observes, each front acts alone", name(own)),
+        }];
+        for from in (0..self.district_names.len() as u32).map(District) {
+            for Eased { district, share, why } in
+                districts.row(now, from).map(|told| &told.eased).into_iter().flatten()
+            {
+                let (to, part) = (name(*district), share * 100.0);
+                lines.push(format!("from {} to {to}: {part:.0} in 100, {}", name(from), why.text()));
+            }
+        }
+        lines
+    }
+
     fn vouched(&mut self, now: Moment, task: Task) {
         let Some((_, age)) = self.peers.known(now, sounding::TOPIC, task.0) else { return };
         let at = Moment::from_micros(now.micros().saturating_sub(age.micros()));
@@ -227,6 +358,9 @@
     /// How it stands with the fleet and each task, a line each.
     fn lines(&self, now: Moment) -> Vec<String> {
         let seconds = |span: Span| format!("{:.1} s", span.ratio(Span::from_secs(1)));
+        if self.only_districts {
+            return self.district_lines(now);
+        }
         let (members, me) = (self.peers.members(), self.leases.me());
         let votes = match self.leases.voter() {
             None => "does not vote".to_owned(),
@@ -243,6 +377,7 @@
             me.front,
             voters.join(",")
         )];
+        lines.extend(self.district_lines(now));
         for standing in self.leases.standing(now) {
             let server = self.quiet.iter().find(|server| sounding::task(&server.id) == standing.task);
             let name = server
@@ -318,12 +453,26 @@
     /// The next datagram, and where it goes.
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        if let Some(copy) = self.copies.pop_front() {
+            return Some(copy);
+        }
         let (to, bytes) = self.peers.next()?;
-        Some((self.addresses[to as usize], bytes))
+        if to != ALL {
+            return Some((*self.addresses.get(to as usize)?, bytes));
+        }
+        if let Some(all) = self.all {
+            return Some((all, bytes));
+        }
+        let own = self.leases.me().front as usize;
+        let others = self.addresses.iter().enumerate().filter(|(front, _)| *front != own);
+        self.copies.extend(others.map(|(_, address)| (*address, bytes.clone())));
+        self.copies.pop_front()
     }
 
     /// When [`Together::turn`] is due although nothing came.
     pub fn wake(&self) -> Option<Moment> {
-        [self.peers.wake(), self.leases.wake(), Some(self.look_at)].into_iter().flatten().min()
+        let districts = self.districts.as_ref().and_then(Districts::wake);
+        let leases = self.leases.wake().filter(|_| !self.only_districts);
+        [self.peers.wake(), leases, districts, Some(self.look_at)].into_iter().flatten().min()
     }
 }
--- a/crates/ochrelead-node/tests/together.rs
+++ b/crates/ochrelead-node/tests/together.rs
@@ -48,7 +48,10 @@
             for (number, front) in self.fronts.iter_mut().enumerate() {
                 front.turn(now);
                 // A server that fell silent when all began.
-                front.look(now, || vec![Quiet { id: "s-0".to_owned(), spoke: at(0), heard: at(0) }]);
+                front.look(now, || {
+                    let quiet = Quiet { id: "s-0".to_owned(), spoke: at(0), heard: at(0) };
+                    (vec![quiet], Vec::new())
+                });
                 while let Some(duty) = front.duty() {
                     if let Duty::Sound { number: under, .. } = duty {
                         self.sounded.push((number as u32, under.count));
--- a/crates/ochrelead-peers/src/engine.rs
+++ b/crates/ochrelead-peers/src/engine.rs
@@ -23,16 +23,21 @@
 }
 
 impl Pace {
-    /// A second; a ping, its share of answers, and as much again for news and leases.
-    pub const USUAL: Pace = Pace { period: Span::from_secs(1), budget: 8 };
+    /// A second; a ping, its share of answers, four reports on districts, and as much again for news and leases.
+    pub const USUAL: Pace = Pace { period: Span::from_secs(1), budget: 16 };
 }
 
+/// The number that stands for all fronts in what goes out.
+pub const ALL: u32 = u32::MAX;
+
 /// Others that are asked to ask where an answer does not come.
 const HELPERS: usize = 2;
 /// The most by which a front that doubts itself stretches its patience.
 const MOST_DOUBT: u32 = 8;
 /// Words to single fronts that wait for the budget.
 const MOST_WAITING: usize = 256;
+/// Words about districts that came and wait for a turn: all fronts of a district may speak to one.
+const MOST_UNREAD: usize = 4_096;
 
 /// What was passed over, for those who operate it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -73,12 +78,17 @@
     errands: BTreeMap<u32, (u32, u32, Moment)>,
     doubt: u32,
     turned: Moment,
+    /// It asks nobody who is there: only words that are handed in go out.
+    hushed: bool,
     /// What is left of the budget, in thousandths of a datagram, and when it was counted.
     left: u64,
     counted: Moment,
     waiting: VecDeque<(u32, Vec<What>)>,
     out: VecDeque<(u32, Vec<u8>)>,
+    /// Words about districts that go out by themselves: news do not ride on them.
+    urgent: VecDeque<(u32, Vec<u8>)>,
     lease_words: VecDeque<(Who, Vec<u8>)>,
+    district_words: VecDeque<(Who, Vec<u8>)>,
     news: VecDeque<(u32, u64)>,
     counts: Counts,
 }
@@ -104,16 +114,24 @@
             errands: BTreeMap::new(),
             doubt: 0,
             turned: now,
+            hushed: false,
             left: u64::from(pace.budget) * 1_000,
             counted: now,
             waiting: VecDeque::new(),
             out: VecDeque::new(),
+            urgent: VecDeque::new(),
             lease_words: VecDeque::new(),
+            district_words: VecDeque::new(),
             news: VecDeque::new(),
             counts: Counts::default(),
         }
     }
 
+    /// From now on it asks nobody who is there. It answers those who ask, and carries the words that are handed in.
+    pub fn hush(&mut self) {
+        self.hushed = true;
+    }
+
     pub fn me(&self) -> Who {
         self.me
     }
@@ -207,6 +225,11 @@
                     self.lease_words.push_back((from, word));
                 }
             }
+            What::District(word) => {
+                if self.district_words.len() < MOST_UNREAD {
+                    self.district_words.push_back((from, word));
+                }
+            }
         }
     }
 
@@ -215,6 +238,11 @@
         self.lease_words.pop_front()
     }
 
+    /// The next word about districts that came.
+    pub fn district_word(&mut self) -> Option<(Who, Vec<u8>)> {
+        self.district_words.pop_front()
+    }
+
     /// The next news that came: topic and key.
     pub fn news(&mut self) -> Option<(u32, u64)> {
         self.news.pop_front()
@@ -233,6 +261,15 @@
         self.say(front, vec![What::Lease(word)]);
     }
 
+    /// A word about districts, to one front or to [`ALL`]; nothing else goes with it.
+    pub fn district_to(&mut self, front: u32, word: Vec<u8>) {
+        if self.urgent.len() >= MOST_WAITING {
+            self.urgent.pop_front();
+            self.counts.dropped += 1;
+        }
+        self.urgent.push_back((front, word));
+    }
+
     /// Makes news known to all, with what is sent anyway. Bodies are bounded.
     pub fn tell(&mut self, now: Moment, topic: u32, key: u64, body: Vec<u8>) {
         debug_assert!(body.len() <= LONGEST_NEWS);
@@ -304,7 +341,7 @@
     }
 
     fn ask_one(&mut self, now: Moment) {
-        if self.probe.is_some() {
+        if self.probe.is_some() || self.hushed {
             return;
         }
         if self.round.is_empty() {
@@ -332,6 +369,17 @@
         if earned > 0 {
             (self.left, self.counted) = ((self.left + earned).min(full), now);
         }
+        while self.left >= 1_000
+            && let Some((to, word)) = self.urgent.pop_front()
+        {
+            self.left -= 1_000;
+            let mut sheet = Sheet::new(self.me);
+            if sheet.add(What::District(word)) {
+                self.send_sheet(to, &sheet);
+            } else {
+                self.counts.dropped += 1;
+            }
+        }
         while self.left >= 1_000
             && let Some((to, parts)) = self.waiting.pop_front()
         {
@@ -361,14 +409,20 @@
                 }
                 self.spread.carried(about, most);
             }
-            let bytes = sheet.bytes();
-            self.counts.sent += 1;
-            self.counts.bytes += bytes.len() as u64;
-            self.out.push_back((to, bytes));
+            self.send_sheet(to, &sheet);
         }
     }
 
-    /// The next datagram to send, and to whom.
+    fn send_sheet(&mut self, to: u32, sheet: &Sheet) {
+        let bytes = sheet.bytes();
+        let (count, fronts) = (&mut self.counts, u64::from(self.members.fronts()));
+        let reached = if to == ALL { fronts.saturating_sub(1) } else { 1 };
+        count.sent += reached;
+        count.bytes += bytes.len() as u64 * reached;
+        self.out.push_back((to, bytes));
+    }
+
+    /// The next datagram to send, and to whom, which may be [`ALL`].
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Option<(u32, Vec<u8>)> {
         self.out.pop_front()
@@ -378,7 +432,7 @@
     pub fn wake(&self) -> Option<Moment> {
         let patience = self.pace.period / 2 * u64::from(1 + self.doubt);
         let probe = self.probe.map(|probe| probe.at + if probe.helped { patience } else { patience / 2 });
-        let waits = (!self.waiting.is_empty())
+        let waits = (!self.waiting.is_empty() || !self.urgent.is_empty())
             .then(|| self.counted + self.pace.period / u64::from(self.pace.budget.max(1)));
         // Looked at once a period at the least, so that standing still shows.
         [probe, waits, Some(self.next_round)].into_iter().flatten().min()
--- a/crates/ochrelead-peers/src/lib.rs
+++ b/crates/ochrelead-peers/src/lib.rs
@@ -21,7 +21,7 @@
 }
 
 /// The version of the schema that this program speaks.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 
 /// A front in one of its lives: a front that starts anew is another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/ochrelead-platform/src/commission.rs
+++ b/crates/ochrelead-platform/src/commission.rs
@@ -19,6 +19,8 @@
     /// Where datagrams of other fronts arrive, and where each front of the tier is reached, this one among them.
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
+    /// What is sent there reaches all fronts of the tier.
+    pub peers_all: Option<SocketAddr>,
     pub followed: Followed,
     /// The list at the start, as the changes that led to it.
     pub known: Vec<Change>,
@@ -49,6 +51,8 @@
     #[serde(default)]
     peers: Value,
     #[serde(default)]
+    peers_all: Value,
+    #[serde(default)]
     known: Value,
     #[serde(default)]
     settings: Value,
@@ -91,6 +95,7 @@
         peers: file.peers.as_array().map_or_else(Vec::new, |peers| {
             peers.iter().map(|peer| address(peer).unwrap_or(NOWHERE)).collect()
         }),
+        peers_all: address(&file.peers_all),
         followed,
         known,
         provision: facts.provision(seed(&file.seed)),
--- a/crates/ochrelead-platform/src/events.rs
+++ b/crates/ochrelead-platform/src/events.rs
@@ -17,6 +17,8 @@
     pub number: i64,
     pub state: ListState,
     pub weight: f64,
+    /// The district that it is in, by name or number, where that is said.
+    pub district: Option<String>,
 }
 
 /// A change of the list; `whole` where it names all servers there are.
@@ -56,6 +58,8 @@
     instance_id: String,
     host_port: SocketAddr,
     #[serde(default)]
+    zone: Value,
+    #[serde(default)]
     cell: Option<i64>,
     lifecycle: String,
     #[serde(default)]
@@ -136,6 +140,11 @@
         };
         let weight = self.weight.filter(|weight| weight.is_finite() && *weight > 0.0).unwrap_or(1.0);
         let number = self.cell.unwrap_or(-1);
-        Ok(Post { id: self.instance_id, address: self.host_port, number, state, weight })
+        let district = match self.zone {
+            Value::String(name) => Some(name),
+            Value::Number(number) => Some(number.to_string()),
+            _ => None,
+        };
+        Ok(Post { id: self.instance_id, address: self.host_port, number, state, weight, district })
     }
 }
--- a/crates/ochrelead-platform/src/facts.rs
+++ b/crates/ochrelead-platform/src/facts.rs
@@ -19,6 +19,9 @@
     rules: Rules,
     family_info: FamilyInfo,
     over_share_worth: f64,
+    /// The district that this front is in, by its place among `zones`, and their names.
+    az: Option<u32>,
+    zones: Vec<String>,
     pub discovery: String,
     tick_ms: f64,
 }
@@ -108,6 +111,16 @@
         self.index.filter(|_| self.limits.peers)
     }
 
+    /// The names of the districts, in the order of their numbers.
+    pub fn districts(&self) -> &[String] {
+        &self.zones
+    }
+
+    /// The number of the district that this front is in, where there are several.
+    pub fn district(&self) -> Option<u32> {
+        self.az.filter(|own| self.zones.len() > 1 && (*own as usize) < self.zones.len())
+    }
+
     /// Whether fronts may speak to each other.
     pub fn may_speak_to_peers(&self) -> bool {
         self.limits.peers
--- /dev/null
+++ b/crates/ochrelead-together/src/districts/world.rs
@@ -0,0 +1,794 @@
+//! Fronts, servers and callers on one queue.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use ochrelead_core::call::{Decision, Ending, ListState, Listing, Offer};
+use ochrelead_core::index::{NumberIx, ServerIx, ServiceIx, SessionIx};
+use ochrelead_core::rules::Controller;
+use ochrelead_core::time::Moment;
+use ochrelead_district::{District, Place, ServerKey, Terms};
+use ochrelead_lease::electorate::{Electorate, USUAL};
+use ochrelead_node::engine::Sight;
+use ochrelead_node::together::Together;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal};
+use rand_pcg::Pcg64Mcg;
+
+use super::load::{self, Answer, MS, Server};
+use super::watch::Watch;
+use super::{Day, Kind, Shown, Slip};
+
+/// One way within a district, and between two; and of a datagram, at the most.
+const NEAR: u64 = 5 * MS;
+const FAR: u64 = 15 * MS;
+const DATAGRAM: u64 = 15 * MS;
+/// A server's restart is listed so long after it, at the most.
+const LISTED: u64 = 2_500 * MS;
+/// Callers that dial again after a refusal, and how long they wait on the mean.
+const REDIALS: f64 = 0.35;
+const BACK_OFF: f64 = 0.8;
+const LOOK: u64 = 100 * MS;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    Turn(u32, u64),
+    Datagram(u32, SocketAddr, Vec<u8>),
+    Tries(usize),
+    Arrives { server: u32, front: u32, session: usize, ask: u64 },
+    Answered { server: u32, life: u32, front: u32, session: usize, ask: u64, stands: Option<bool> },
+    TimedOut { front: u32, session: usize, ask: u64 },
+    Released { server: u32, life: u32, front: u32, session: usize, ask: u64 },
+    Lines,
+    Look,
+    Begins(usize),
+    Ends(usize),
+    Listed(u32, u32),
+    Back(u32),
+}
+
+/// A caller's wish, over all its tries.
+pub(super) struct Wish {
+    pub front: u32,
+    pub service: usize,
+    pub destination: u32,
+    pub number: u32,
+    pub came: u64,
+    pub tries: u32,
+    /// What came of it, in its value.
+    pub worth: f64,
+}
+
+pub(super) struct Held {
+    pub wish: usize,
+    /// The INVITE that is out, or that set the call up.
+    pub ask: u64,
+    pub server: Option<u32>,
+    pub stands: bool,
+    pub limit: u64,
+}
+
+pub(super) struct Front {
+    pub district: u32,
+    pub judge: Controller,
+    pub together: Option<Together>,
+    pub up_since: u64,
+    pub halted: bool,
+    pub held: BTreeMap<usize, Held>,
+    free: Vec<usize>,
+    count: usize,
+    turn_at: u64,
+    unread: Vec<(SocketAddr, Vec<u8>)>,
+    /// The shares that the module was told.
+    pub eased: Vec<(District, f64)>,
+    /// Whether it had a word of shares in this life.
+    told: bool,
+    /// Its last INVITE to each district.
+    pub last_invite: Vec<u64>,
+}
+
+pub(super) struct World {
+    pub day: Day,
+    pub now: u64,
+    queue: BinaryHeap<Reverse<(u64, u64, What)>>,
+    nth: u64,
+    pub fronts: Vec<Front>,
+    pub servers: Vec<Server>,
+    wishes: Vec<Wish>,
+    chance: Pcg64Mcg,
+    pub on: Vec<bool>,
+    asks: u64,
+    watch: Watch,
+    pub shown: Shown,
+    /// Words that were heard, to be heard again.
+    old: Vec<(u32, SocketAddr, Vec<u8>)>,
+}
+
+pub(super) fn address(front: u32) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::from(0x0a00_0000 + front)), 7946)
+}
+
+fn front_at(address: SocketAddr) -> u32 {
+    match address.ip() {
+        IpAddr::V4(ip) => u32::from(ip) & 0x00ff_ffff,
+        IpAddr::V6(_) => 0,
+    }
+}
+
+const ALL: u32 = 0x00ff_ffff;
+
+pub(super) fn moment(now: u64) -> Moment {
+    Moment::from_micros(3_600_000 * MS + now)
+}
+
+fn key(server: u32) -> ServerKey {
+    ServerKey::of(&format!("s-{server:08x}"))
+}
+
+impl World {
+    pub fn new(day: Day) -> World {
+        let mut chance = Pcg64Mcg::seed_from_u64(day.seed);
+        let servers = (0..day.servers).map(|nth| Server::new(nth % day.districts)).collect();
+        let (queue, on) = (BinaryHeap::new(), vec![false; day.troubles.len()]);
+        let draw: u64 = chance.random();
+        let mut world = World {
+            watch: Watch::new(&day),
+            now: 0,
+            queue,
+            nth: 0,
+            fronts: Vec::new(),
+            servers,
+            wishes: Vec::new(),
+            chance,
+            on,
+            asks: 0,
+            shown: Shown::default(),
+            old: Vec::new(),
+            day,
+        };
+        for front in 0..world.day.fronts {
+            let made = world.make(front, draw ^ u64::from(front));
+            world.fronts.push(made);
+            world.at(0, What::Turn(front, 0));
+        }
+        world.draw_wishes();
+        for (nth, trouble) in world.day.troubles.clone().into_iter().enumerate() {
+            world.at(trouble.at_ms * MS, What::Begins(nth));
+            world.at((trouble.at_ms + trouble.length_ms) * MS, What::Ends(nth));
+        }
+        world.at(500 * MS, What::Lines);
+        world.at(LOOK, What::Look);
+        world
+    }
+
+    fn make(&mut self, front: u32, seed: u64) -> Front {
+        let (now, day) = (moment(self.now), &self.day);
+        let provision = load::provision(day.fronts, seed);
+        let district = front % day.districts;
+        let names: Vec<String> = (0..day.districts).map(|nth| format!("d{nth}")).collect();
+        let together = day.together.then(|| {
+            let addresses = (0..day.fronts).map(address).collect();
+            let electorate = Electorate::spread(1, day.fronts, USUAL.min(day.fronts as usize));
+            let mut together = Together::new(address(front), addresses, Some(front), electorate, seed, now)
+                .expect("more than one");
+            let all = Some(address(ALL));
+            together.only_districts();
+            together.act_on_districts(District(district), &names, Terms::of(&provision), all, seed, now);
+            together
+        });
+        let mut judge = Controller::new(&provision, now);
+        let listing = |(nth, server): (usize, &Server)| Listing {
+            server: ServerIx::new(nth),
+            number: nth as i64,
+            state: ListState::Ready { started: server.started.map(moment) },
+            weight: 1.0,
+        };
+        let listings: Vec<Listing> = self.servers.iter().enumerate().map(listing).collect();
+        judge.clock(now);
+        judge.listed(true, &listings);
+        for (nth, server) in self.servers.iter().enumerate() {
+            judge.lines_told(ServerIx::new(nth), server.lines());
+        }
+        Front {
+            district,
+            judge,
+            together,
+            up_since: self.now,
+            halted: false,
+            held: BTreeMap::new(),
+            free: Vec::new(),
+            count: 0,
+            turn_at: self.now,
+            unread: Vec::new(),
+            eased: Vec::new(),
+            told: false,
+            last_invite: vec![0; day.districts as usize],
+        }
+    }
+
+    /// Callers' wishes over the day: spread unevenly over fronts and destinations.
+    fn draw_wishes(&mut self) {
+        let (fronts, servers) = (self.day.fronts as usize, self.day.servers as usize);
+        let uneven = LogNormal::new(0.0, 0.7).expect("a width");
+        let weights = |many: usize, chance: &mut Pcg64Mcg| -> Vec<f64> {
+            let mut sum = 0.0;
+            (0..many)
+                .map(|_| {
+                    sum += uneven.sample(chance);
+                    sum
+                })
+                .collect()
+        };
+        let by_front = weights(fronts, &mut self.chance);
+        // Destinations are a little uneven.
+        let by_server: Vec<f64> = (1..=servers).map(|nth| nth as f64).collect();
+        let pick = |sums: &[f64], chance: &mut Pcg64Mcg| {
+            let at = chance.random_range(0.0..*sums.last().expect("some"));
+            sums.partition_point(|sum| *sum <= at).min(sums.len() - 1)
+        };
+        let rate = self.day.load * load::CARRIES * servers as f64;
+        let (mut now, end) = (0.0, self.day.secs as f64);
+        let surges: Vec<(f64, f64, f64)> = self
+            .day
+            .troubles
+            .iter()
+            .filter_map(|trouble| {
+                let Kind::Surge { times } = trouble.kind else { return None };
+                let from = trouble.at_ms as f64 / 1e3;
+                Some((from, from + trouble.length_ms as f64 / 1e3, times))
+            })
+            .collect();
+        while now < end {
+            let times = surges.iter().find(|(from, to, _)| (*from..*to).contains(&now));
+            let rate = rate * times.map_or(1.0, |(.., times)| *times);
+            now += Exp::new(rate).expect("a rate").sample(&mut self.chance);
+            let front = pick(&by_front, &mut self.chance) as u32;
+            // Sessions go to a server of their own district rather than to another.
+            let mut destination = pick(&by_server, &mut self.chance) as u32;
+            if self.chance.random_bool(0.3) {
+                let own = front % self.day.districts;
+                destination = destination / self.day.districts * self.day.districts + own;
+                destination = destination.min(self.day.servers - 1);
+            }
+            let service = usize::from(self.chance.random_bool(0.23));
+            let came = (now * 1e6) as u64;
+            let number = self.wishes.len() as u32 % 1_000_000;
+            self.wishes.push(Wish { front, service, destination, number, came, tries: 0, worth: 0.0 });
+            self.at(came, What::Tries(self.wishes.len() - 1));
+        }
+    }
+
+    fn at(&mut self, when: u64, what: What) {
+        self.nth += 1;
+        self.queue.push(Reverse((when, self.nth, what)));
+    }
+
+    fn kinds(&self) -> impl Iterator<Item = Kind> {
+        self.day.troubles.iter().zip(&self.on).filter(|(_, on)| **on).map(|(trouble, _)| trouble.kind)
+    }
+
+    pub fn reaches(&self, front: u32, server: u32) -> bool {
+        let (of, to) = (front % self.day.districts, self.servers[server as usize].district);
+        !self.kinds().any(|kind| match kind {
+            Kind::Cut { from, to: other } => (from, other) == (of, to) || (other, from) == (of, to),
+            Kind::OwnLink { front: own } => own == front,
+            _ => false,
+        })
+    }
+
+    pub fn hears(&mut self, from: u32, to: u32) -> bool {
+        let (of, other) = (from % self.day.districts, to % self.day.districts);
+        let mut loss: f64 = 0.0;
+        for kind in self.kinds().collect::<Vec<_>>() {
+            match kind {
+                Kind::Cut { from, to } if (from, to) == (of, other) || (to, from) == (of, other) => {
+                    return false;
+                }
+                Kind::OwnLink { front } if front == from || front == to => return false,
+                Kind::Peers { loss: own } => loss = loss.max(own),
+                _ => {}
+            }
+        }
+        !self.chance.random_bool(loss)
+    }
+
+    fn way(&self, front: u32, server: u32) -> u64 {
+        if front % self.day.districts == self.servers[server as usize].district { NEAR } else { FAR }
+    }
+
+    // ---- Fronts ----
+
+    fn met(&mut self, front: u32, sight: Sight) {
+        let now = moment(self.now);
+        if let Some(together) = &mut self.fronts[front as usize].together {
+            together.met(now, sight);
+        }
+    }
+
+    fn turn(&mut self, front: u32) {
+        let now = moment(self.now);
+        let state = &mut self.fronts[front as usize];
+        if state.halted {
+            return;
+        }
+        state.judge.clock(now);
+        let mut sent = Vec::new();
+        let mut wake = None;
+        if let Some(together) = &mut state.together {
+            for (from, bytes) in std::mem::take(&mut state.unread) {
+                together.take(now, from, &bytes);
+            }
+            together.turn(now);
+            let servers = &self.servers;
+            together.look(now, || {
+                let place = |(nth, server): (usize, &Server)| Place {
+                    server: key(nth as u32),
+                    district: District(server.district),
+                };
+                let places = servers.iter().enumerate().map(place).collect();
+                (Vec::new(), places)
+            });
+            while together.duty().is_some() {}
+            while let Some(datagram) = together.next() {
+                sent.push(datagram);
+            }
+            wake = together.wake();
+        }
+        self.ease(front);
+        while let Some(decision) = self.fronts[front as usize].judge.decide() {
+            self.carry_out(front, decision);
+        }
+        for (to, bytes) in sent {
+            self.send(front, to, &bytes);
+        }
+        let judge_wake = self.fronts[front as usize].judge.wake();
+        if let Some(wake) = [wake, judge_wake].into_iter().flatten().min() {
+            let when = (self.now + wake.since(now).micros()).max(self.now + MS);
+            let state = &mut self.fronts[front as usize];
+            if state.turn_at <= self.now || when < state.turn_at {
+                state.turn_at = when;
+                self.at(when, What::Turn(front, when));
+            }
+        }
+    }
+
+    /// What is in force goes to the module, as the node does it.
+    fn ease(&mut self, front: u32) {
+        let (now, slip) = (moment(self.now), self.day.slip);
+        let state = &mut self.fronts[front as usize];
+        let Some(mut eased) = state.together.as_mut().and_then(|together| together.shares(now)) else {
+            return;
+        };
+        let former = |district: District, eased: &[(District, f64)]| {
+            eased.iter().find(|(of, _)| *of == district).map_or(1.0, |(_, share)| *share)
+        };
+        match slip {
+            Some(Slip::DrawnApart) => {
+                for (_, share) in eased.iter_mut().filter(|(_, share)| *share > 0.0) {
+                    *share = self.chance.random_range(*share..1.0);
+                }
+            }
+            Some(Slip::ReturnAtOnce) => eased.retain(|(_, share)| *share == 0.0),
+            Some(Slip::NoStepBack) => {
+                for (district, share) in eased.iter_mut().filter(|(_, share)| *share > 0.0) {
+                    *share = share.max(former(*district, &state.eased)).min(1.0);
+                }
+            }
+            Some(Slip::NeverLapses) => {
+                for (district, share) in &state.eased {
+                    if !eased.iter().any(|(of, _)| of == district) {
+                        eased.push((*district, *share));
+                    }
+                }
+            }
+            Some(Slip::NewOnesWhole) if state.up_since > 0 && !state.told => eased.clear(),
+            _ => {}
+        }
+        state.told |= eased.is_empty();
+        state.eased.clone_from(&eased);
+        for (nth, server) in self.servers.iter().enumerate() {
+            if slip != Some(Slip::ShareForSome) || nth as u32 / self.day.districts % 2 == 0 {
+                state.judge.eased(ServerIx::new(nth), former(District(server.district), &eased));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, front: u32, decision: Decision) {
+        let state = &mut self.fronts[front as usize];
+        match decision {
+            Decision::Invite { session, server, patience } => {
+                self.asks += 1;
+                let (ask, index, to) = (self.asks, session.at(), server.at() as u32);
+                let Some(held) = state.held.get_mut(&index) else { return };
+                (held.ask, held.server) = (ask, Some(to));
+                let until = patience.map_or(held.limit, |span| held.limit.min(self.now + span.micros()));
+                let (district, now) = (self.servers[to as usize].district, self.now);
+                state.last_invite[district as usize] = now;
+                let share = state.eased.iter().find(|(of, _)| of.0 == district).map(|(_, share)| *share);
+                self.watch.invited(now, front, district, share, &self.servers[to as usize], &mut self.shown);
+                if self.day.slip == Some(Slip::LossToldEarly) && district != front % self.day.districts {
+                    self.met(front, Sight::Asked(key(to), ask));
+                    self.met(front, Sight::Failed(ask));
+                } else {
+                    self.met(front, Sight::Asked(key(to), ask));
+                }
+                self.at(until, What::TimedOut { front, session: index, ask });
+                let way = self.way(front, to);
+                self.at(now + way, What::Arrives { server: to, front, session: index, ask });
+            }
+            Decision::Refuse { session, come_back } => {
+                let Some(held) = state.held.remove(&session.at()) else { return };
+                state.free.push(session.at());
+                self.redial(held.wish, come_back.map_or(0, |span| span.micros()));
+            }
+            Decision::Terminate { session } => {
+                let Some(held) = state.held.remove(&session.at()) else { return };
+                state.free.push(session.at());
+                self.redial(held.wish, 0);
+            }
+        }
+    }
+
+    fn redial(&mut self, wish: usize, away: u64) {
+        if self.wishes[wish].tries < 3 && self.chance.random_bool(REDIALS) {
+            let back_off = Exp::new(1.0 / BACK_OFF).expect("a rate").sample(&mut self.chance);
+            self.at(self.now + away + (back_off * 1e6) as u64, What::Tries(wish));
+        }
+    }
+
+    fn send(&mut self, from: u32, to: SocketAddr, bytes: &[u8]) {
+        let to = front_at(to);
+        let reached: Vec<u32> =
+            if to == ALL { (0..self.day.fronts).filter(|other| *other != from).collect() } else { vec![to] };
+        for to in reached {
+            self.shown.datagrams += 1;
+            self.shown.bytes += bytes.len() as u64;
+            if self.hears(from, to) {
+                let takes = self.chance.random_range(MS..DATAGRAM);
+                self.at(self.now + takes, What::Datagram(to, address(from), bytes.to_vec()));
+            }
+        }
+    }
+
+    fn datagram(&mut self, to: u32, from: SocketAddr, bytes: Vec<u8>) {
+        let bytes = super::watch::meddle(&self.day, &self.servers, key, to, front_at(from), bytes);
+        if self.day.slip == Some(Slip::OldWordsHeeded) && to % 2 == 0 && self.old.len() < 4_096 {
+            self.old.push((to, from, bytes.clone()));
+        }
+        let state = &mut self.fronts[to as usize];
+        // A socket holds so many while nobody reads it.
+        if state.unread.len() < 4_096 {
+            state.unread.push((from, bytes));
+        }
+        self.turn(to);
+    }
+
+    // ---- Sessions ----
+
+    fn tries(&mut self, wish: usize) {
+        let now = self.now;
+        let Wish { front, service, destination, number, .. } = self.wishes[wish];
+        self.wishes[wish].tries += 1;
+        let state = &mut self.fronts[front as usize];
+        if state.halted || state.up_since > now {
+            return self.redial(wish, 0);
+        }
+        let index = state.free.pop().unwrap_or_else(|| {
+            state.count += 1;
+            state.count - 1
+        });
+        let limit = now + load::TIMER_LIMIT;
+        state.held.insert(index, Held { wish, ask: 0, server: None, stands: false, limit });
+        let offer = Offer {
+            service: ServiceIx::new(service),
+            member: None,
+            number: Some(NumberIx::new(number as usize)),
+            destination: i64::from(destination),
+            timer_limit: moment(limit),
+            redial: false,
+        };
+        state.judge.clock(moment(now));
+        state.judge.offered(SessionIx::new(index), offer);
+        self.turn(front);
+    }
+
+    fn arrives(&mut self, server: u32, front: u32, session: usize, ask: u64) {
+        if !self.reaches(front, server) {
+            return;
+        }
+        let falls = self.servers[server as usize].falls;
+        let answer = self.servers[server as usize].take(self.now);
+        if self.servers[server as usize].falls > falls {
+            self.shown.falls += 1;
+            self.watch.fell(self.now, &self.day, &self.servers[server as usize], &mut self.shown);
+        }
+        let (life, way) = (self.servers[server as usize].life, self.way(front, server));
+        let (when, stands) = match answer {
+            Answer::Stands(when) => (when, Some(true)),
+            Answer::Full => (self.now, None),
+            Answer::NoLine => (self.now, Some(false)),
+            Answer::Nothing => return,
+        };
+        self.at(when + way, What::Answered { server, life, front, session, ask, stands });
+    }
+
+    fn answered(
+        &mut self,
+        server: u32,
+        life: u32,
+        front: u32,
+        session: usize,
+        ask: u64,
+        stands: Option<bool>,
+    ) {
+        let now = moment(self.now);
+        // What a server had taken ends with it, also what it was about to answer.
+        if self.servers[server as usize].life != life || !self.reaches(front, server) {
+            return;
+        }
+        if self.fronts[front as usize].halted {
+            return self.at(self.now + 50 * MS, What::Answered { server, life, front, session, ask, stands });
+        }
+        self.met(front, Sight::Answered(ask));
+        let state = &mut self.fronts[front as usize];
+        state.judge.clock(now);
+        let waits = state.held.get_mut(&session).filter(|held| held.ask == ask && !held.stands);
+        let index = SessionIx::new(session);
+        match (waits, stands) {
+            (None, Some(true)) => self.servers[server as usize].in_use -= 1,
+            (None, _) => {}
+            (Some(held), Some(true)) => {
+                held.stands = true;
+                let wish = &mut self.wishes[held.wish];
+                let late = self.now - wish.came > load::TARGET;
+                wish.worth = load::VALUES[wish.service] * if late { load::LATE_SHARE } else { 1.0 };
+                state.judge.stands(index);
+                let hold = Exp::new(1e6 / load::HOLD as f64).expect("a rate").sample(&mut self.chance);
+                let ends = self.now + (hold * 1e6) as u64;
+                self.at(ends, What::Released { server, life, front, session, ask });
+            }
+            (Some(_), full) => {
+                let ending = Ending::BusyReplied { no_line: full.is_some(), wait: None };
+                state.judge.ended(index, ServerIx::new(server as usize), ending, false);
+            }
+        }
+        self.turn(front);
+    }
+
+    fn timed_out(&mut self, front: u32, session: usize, ask: u64) {
+        let state = &mut self.fronts[front as usize];
+        let waits = state.held.get(&session).filter(|held| held.ask == ask && !held.stands);
+        let Some(server) = waits.and_then(|held| held.server) else { return };
+        state.judge.clock(moment(self.now));
+        state.judge.ended(SessionIx::new(session), ServerIx::new(server as usize), Ending::TimedOut, false);
+        self.met(front, Sight::CalledOff(ask));
+        self.turn(front);
+    }
+
+    fn released(&mut self, server: u32, life: u32, front: u32, session: usize, ask: u64) {
+        if self.servers[server as usize].life == life {
+            self.servers[server as usize].in_use -= 1;
+        }
+        let state = &mut self.fronts[front as usize];
+        if state.held.get(&session).is_some_and(|held| held.ask == ask) {
+            state.held.remove(&session);
+            state.free.push(session);
+            state.judge.clock(moment(self.now));
+            state.judge.ended(
+                SessionIx::new(session),
+                ServerIx::new(server as usize),
+                Ending::Released,
+                true,
+            );
+        }
+    }
+
+    // ---- Troubles ----
+
+    /// Those who observe; where nobody does, as many others, so that both kinds of day lose the same.
+    fn observers(&self) -> Vec<u32> {
+        if !self.day.together {
+            return (0..self.day.districts).collect();
+        }
+        let observes = |front: &Front| {
+            let districts = front.together.as_ref().and_then(Together::districts);
+            districts.is_some_and(|districts| districts.observes())
+        };
+        (0..self.day.fronts).filter(|front| observes(&self.fronts[*front as usize])).collect()
+    }
+
+    fn begins(&mut self, nth: usize) {
+        self.on[nth] = true;
+        let trouble = self.day.troubles[nth];
+        match trouble.kind {
+            Kind::Dead { district } => {
+                let own = self.servers.iter_mut().filter(|server| server.district == district);
+                own.for_each(Server::end);
+                self.watch.ended(self.now, district);
+            }
+            Kind::Slow { district, times } => self.slow(district, times),
+            Kind::Silent { district, servers } => {
+                let own = self.servers.iter_mut().filter(|server| server.district == district);
+                own.take(servers as usize).for_each(|server| server.silent = true);
+            }
+            Kind::ObserversKilled => {
+                for front in self.observers() {
+                    self.restart(front);
+                }
+            }
+            Kind::ObserversHalted => {
+                for front in self.observers() {
+                    self.fronts[front as usize].halted = true;
+                }
+            }
+            Kind::Restart { part } => {
+                for front in 0..self.day.fronts {
+                    if self.chance.random_bool(part) {
+                        self.restart(front);
+                    }
+                }
+            }
+            Kind::Cut { .. } | Kind::OwnLink { .. } | Kind::Surge { .. } | Kind::Peers { .. } => {}
+        }
+    }
+
+    /// Killed, and back after a while; what it held is lost.
+    fn restart(&mut self, front: u32) {
+        let seed: u64 = self.chance.random();
+        let back = self.chance.random_range(200 * MS..1_500 * MS);
+        let now = self.now;
+        self.now += back;
+        let mut made = self.make(front, seed);
+        self.now = now;
+        made.halted = true;
+        // Asks of the former life are known by their numbers and find nobody.
+        let former = std::mem::replace(&mut self.fronts[front as usize], made);
+        let state = &mut self.fronts[front as usize];
+        (state.count, state.last_invite) = (former.count, former.last_invite);
+        self.at(now + back, What::Back(front));
+    }
+
+    fn slow(&mut self, district: Option<u32>, times: f64) {
+        let own = |server: &&mut Server| district.is_none_or(|district| server.district == district);
+        self.servers.iter_mut().filter(own).for_each(|server| server.slow = times);
+    }
+
+    fn ends(&mut self, nth: usize) {
+        self.on[nth] = false;
+        match self.day.troubles[nth].kind {
+            Kind::Dead { district } => {
+                for server in 0..self.day.servers {
+                    if self.servers[server as usize].district != district {
+                        continue;
+                    }
+                    self.servers[server as usize].start(self.now);
+                    let listed = self.now + self.chance.random_range(200 * MS..LISTED);
+                    for front in 0..self.day.fronts {
+                        let spread = self.chance.random_range(0..300 * MS);
+                        self.at(listed + spread, What::Listed(front, server));
+                    }
+                }
+                self.watch.returned(self.now, district);
+            }
+            Kind::Slow { district, .. } => self.slow(district, 1.0),
+            Kind::Silent { district, .. } => {
+                let own = self.servers.iter_mut().filter(|server| server.district == district);
+                own.for_each(|server| server.silent = false);
+            }
+            Kind::ObserversHalted => {
+                for front in 0..self.day.fronts {
+                    if self.fronts[front as usize].halted && self.fronts[front as usize].up_since <= self.now
+                    {
+                        self.fronts[front as usize].halted = false;
+                        self.turn(front);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn listed(&mut self, front: u32, server: u32) {
+        let listing = Listing {
+            server: ServerIx::new(server as usize),
+            number: i64::from(server),
+            state: ListState::Ready { started: self.servers[server as usize].started.map(moment) },
+            weight: 1.0,
+        };
+        let state = &mut self.fronts[front as usize];
+        state.judge.clock(moment(self.now));
+        state.judge.listed(false, &[listing]);
+    }
+
+    /// Each server tells all fronts that it reaches of its lines.
+    fn tell_lines(&mut self) {
+        self.at(self.now + 1_000 * MS, What::Lines);
+        for server in 0..self.day.servers {
+            let here = &self.servers[server as usize];
+            let speaks = here.up && here.started.is_none_or(|started| started <= self.now);
+            let lines = here.lines();
+            for front in 0..self.day.fronts {
+                let alive = speaks && self.reaches(front, server) && !self.fronts[front as usize].halted;
+                if alive || self.day.slip == Some(Slip::DeadToldAlive) {
+                    self.met(front, Sight::Alive(key(server)));
+                }
+                if alive {
+                    let state = &mut self.fronts[front as usize];
+                    state.judge.clock(moment(self.now));
+                    state.judge.lines_told(ServerIx::new(server as usize), lines);
+                }
+            }
+        }
+    }
+
+    fn look(&mut self) {
+        self.at(self.now + LOOK, What::Look);
+        let mut watch = std::mem::replace(&mut self.watch, Watch::new(&self.day));
+        watch.look(self);
+        self.watch = watch;
+        if self.day.slip == Some(Slip::OldWordsHeeded) && self.now % (3_000 * MS) == 0 {
+            for (to, from, bytes) in std::mem::take(&mut self.old) {
+                let bytes = super::watch::renewed(bytes, front_at(from));
+                self.fronts[to as usize].unread.push((from, bytes));
+            }
+        }
+    }
+
+    pub fn play(mut self) -> Shown {
+        let until = self.day.secs * 1_000 * MS;
+        while let Some(Reverse((when, _, what))) = self.queue.pop() {
+            if when > until {
+                break;
+            }
+            self.now = when;
+            match what {
+                What::Turn(front, at) if self.fronts[front as usize].turn_at == at => {
+                    self.fronts[front as usize].turn_at = 0;
+                    self.turn(front);
+                }
+                What::Turn(..) => {}
+                What::Datagram(to, from, bytes) => self.datagram(to, from, bytes),
+                What::Tries(wish) => self.tries(wish),
+                What::Arrives { server, front, session, ask } => self.arrives(server, front, session, ask),
+                What::Answered { server, life, front, session, ask, stands } => {
+                    self.answered(server, life, front, session, ask, stands);
+                }
+                What::TimedOut { front, session, ask } => self.timed_out(front, session, ask),
+                What::Released { server, life, front, session, ask } => {
+                    self.released(server, life, front, session, ask);
+                }
+                What::Lines => self.tell_lines(),
+                What::Look => self.look(),
+                What::Begins(nth) => self.begins(nth),
+                What::Ends(nth) => self.ends(nth),
+                What::Listed(front, server) => self.listed(front, server),
+                What::Back(front) => {
+                    self.fronts[front as usize].halted = false;
+                    self.turn(front);
+                }
+            }
+        }
+        self.sum_up()
+    }
+
+    fn sum_up(mut self) -> Shown {
+        // What came too late in the day to be served within it does not count.
+        let counted = |wish: &&Wish| wish.came + load::TARGET < self.day.secs * 1_000 * MS;
+        let value = |wish: &Wish| load::VALUES[wish.service];
+        let wishes = || self.wishes.iter().filter(counted);
+        let offered: f64 = wishes().map(value).sum();
+        self.shown.served = wishes().map(|wish| wish.worth).sum::<f64>() / offered;
+        self.shown.offered = wishes().count() as u64;
+        let halves = self.day.secs * 2;
+        let half = |nth: u64| {
+            let own = || wishes().filter(move |wish| wish.came / (500 * MS) == nth);
+            let offered: f64 = own().map(value).sum();
+            let served: f64 = own().map(|wish| wish.worth).sum();
+            (nth as f64 / 2.0, if offered > 0.0 { served / offered } else { 1.0 })
+        };
+        self.shown.course = (0..halves).map(half).collect();
+        self.watch.sum_up(&mut self.shown);
+        self.shown
+    }
+}
--- a/crates/ochrelead-together/src/fleet.rs
+++ b/crates/ochrelead-together/src/fleet.rs
@@ -137,7 +137,7 @@
                 spoke: moment(0),
                 heard: moment(*heard),
             };
-            heard.iter().enumerate().map(quiet).collect()
+            (heard.iter().enumerate().map(quiet).collect(), Vec::new())
         });
         let (mut duties, mut sent) = (Vec::new(), Vec::new());
         while let Some(duty) = together.duty() {
--- a/crates/ochrelead-together/src/main.rs
+++ b/crates/ochrelead-together/src/main.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use clap::{Parser, Subcommand};
+use ochrelead_together::districts;
 use ochrelead_together::emulate::{Day, Shown, play};
 use ochrelead_together::explore::{Scene, explore};
 use ochrelead_together::fleet::{self, Blow, Course};
@@ -85,6 +86,23 @@
         #[arg(long, default_value_t = 20)]
         faults: u32,
     },
+    /// Play fleets with servers and callers whose districts fail and return, on a virtual clock; with and without acting
+    /// together on the same days
+    Districts {
+        /// Which seeds, as in 0..100
+        #[arg(value_parser = range)]
+        seeds: Range<u64>,
+        #[arg(long, default_value_t = 60, value_parser = clap::value_parser!(u32).range(8..))]
+        fronts: u32,
+        #[arg(long, default_value_t = 24, value_parser = clap::value_parser!(u32).range(8..))]
+        servers: u32,
+        /// Days on which no district may be left: all slow, overload, a few bad servers, a front cut off
+        #[arg(long)]
+        harmless: bool,
+        /// Each day's course beside: a line each half second with the service and the share in force
+        #[arg(long)]
+        course: bool,
+    },
     /// Play fleets on a virtual clock, with faults drawn from seeds
     Seeds {
         /// Which seeds, as in 0..1000
@@ -157,6 +175,13 @@
                 }
             }
         }
+        What::Districts { seeds, fronts, servers, harmless, course } => {
+            let day = |seed| {
+                let draw = if harmless { districts::Day::harmless } else { districts::Day::failing };
+                draw(seed, fronts, servers)
+            };
+            of_districts(seeds, day, course)
+        }
         What::Seeds { seeds, fronts, tasks, secs, calm } => {
             let size =
                 |seed: u64| fronts.unwrap_or(if seed % 10 == 0 { 300 } else { 7 + (seed % 13) as u32 });
@@ -214,6 +239,92 @@
     ExitCode::SUCCESS
 }
 
+/// A figure of a day.
+type Figure<'a, T> = &'a dyn Fn(&districts::Shown) -> T;
+
+fn of_districts(seeds: Range<u64>, day: impl Fn(u64) -> districts::Day + Sync, course: bool) -> ExitCode {
+    let (next, shown) = (AtomicU64::new(seeds.start), Mutex::new(Vec::new()));
+    let begun = Instant::now();
+    thread::scope(|scope| {
+        for _ in 0..cores() {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= seeds.end {
+                        return;
+                    }
+                    let day = day(seed);
+                    let alone = districts::play(&districts::Day { together: false, ..day.clone() });
+                    let pair = (seed, day.clone(), alone, districts::play(&day));
+                    shown.lock().expect("no panic under the lock").push(pair);
+                }
+            });
+        }
+    });
+    let mut shown = shown.into_inner().expect("all have ended");
+    shown.sort_by_key(|(seed, ..)| *seed);
+    println!("{} days twice, {:.1} s", shown.len(), begun.elapsed().as_secs_f64());
+    let mean = |of: Figure<f64>, together: bool| {
+        let own = shown.iter().map(|(.., alone, with)| of(if together { with } else { alone }));
+        own.sum::<f64>() / shown.len() as f64
+    };
+    let more: Vec<f64> = shown.iter().map(|(.., alone, with)| with.served - alone.served).collect();
+    let gain = more.iter().sum::<f64>() / more.len() as f64;
+    let spread = more.iter().map(|own| (own - gain).powi(2)).sum::<f64>() / (more.len().max(2) - 1) as f64;
+    let error = (spread / more.len() as f64).sqrt();
+    let rows: [(&str, Figure<f64>); 5] = [
+        ("value served", &|own| own.served),
+        ("INVITEs to dead districts", &|own| own.lost as f64),
+        ("cold servers that fell", &|own| own.falls as f64),
+        ("datagrams a day", &|own| own.datagrams as f64),
+        ("their bytes", &|own| own.bytes as f64),
+    ];
+    for (name, of) in rows {
+        println!("{name}: alone {:.3}, together {:.3}", mean(of, false), mean(of, true));
+    }
+    println!("more served together: {gain:.4}, standard error {error:.4}");
+    let spans: [(&str, Figure<Option<u64>>); 4] = [
+        ("nine in ten fronts have left", &|own| own.nine_in_ten_ms),
+        ("the last front has left", &|own| own.last_ms),
+        ("from the first front that heard to the last", &|own| own.spread_ms),
+        ("whole again after the return", &|own| own.whole_ms),
+    ];
+    for (name, of) in spans {
+        for (how, together) in [("alone", false), ("together", true)] {
+            let mut own: Vec<u64> = shown
+                .iter()
+                .filter_map(|(.., alone, with)| of(if together { with } else { alone }))
+                .collect();
+            own.sort_unstable();
+            if !own.is_empty() {
+                let worst = own[own.len() - 1];
+                let nine = own[own.len() * 9 / 10];
+                println!(
+                    "{name}, {how}, ms: median {}, nine in ten {nine}, worst {worst}, of {}",
+                    own[own.len() / 2],
+                    own.len()
+                );
+            }
+        }
+    }
+    if course {
+        for (seed, _, alone, with) in &shown {
+            for (nth, ((at, of), (_, other))) in alone.course.iter().zip(&with.course).enumerate() {
+                let share = with.shares.get(nth).copied();
+                println!("seed {seed} {at:.1} s: alone {of:.3}, together {other:.3}, share {share:?}");
+            }
+        }
+    }
+    let mut found = 0;
+    for (seed, day, _, with) in &shown {
+        if let Some(what) = &with.found {
+            found += 1;
+            println!("found: seed {seed}: {what}; {:?}", day.troubles);
+        }
+    }
+    if found == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 fn many(seeds: Range<u64>, day: impl Fn(u64) -> Day + Sync) -> ExitCode {
     let (next, count) = (AtomicU64::new(seeds.start), seeds.end.saturating_sub(seeds.start));
     let (sum, found) = (Mutex::new(Shown::default()), Mutex::new(Vec::new()));
--- a/crates/ochrelead-together/src/processes.rs
+++ b/crates/ochrelead-together/src/processes.rs
@@ -3,10 +3,11 @@
 //!
 //! Each front runs as a node of the operators' platform with its peers on. All datagrams between fronts go through a
 //! [`relay`], which knows the pair and the direction of each; the [`server`] takes connections and says nothing, so
-//! that one front of the fleet sounds it under a lease.
+//! that one front of the fleet sounds it under a lease. A [`town`] has servers that answer, and callers.
 
 pub mod relay;
 pub mod server;
+pub mod town;
 
 use std::fs;
 use std::io;
@@ -19,7 +20,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::processes::relay::{Faults, Relay};
 use crate::processes::server::{Server, Taken};
@@ -30,7 +31,10 @@
     pub server: Server,
     binary: PathBuf,
     pub folder: PathBuf,
+    listen: Vec<SocketAddr>,
     fronts: Vec<Option<Child>>,
+    /// Fronts talk of who is there and hold leases; else only what their own arguments say.
+    pub talks: bool,
     /// More arguments of each front, from its next start on.
     pub more: Vec<Vec<String>>,
 }
@@ -131,40 +135,69 @@
         fronts: u32,
         [net, host]: [u8; 2],
         arguments: impl Fn(u32) -> Vec<String>,
+    ) -> io::Result<Rig> {
+        let server = Server::start()?;
+        let instance = json!({"instanceId": "s-0", "hostPort": server.address().to_string(), "cell": 0,
+            "lifecycle": "up", "weight": 1, "startedAtMs": 0});
+        let listed = |_| (vec![instance.clone()], json!({}));
+        Rig::start_with([binary, folder], fronts, [net, host], arguments, server, true, listed)
+    }
+
+    /// The same with other servers: `listed` gives each front's list, and settings beside the usual ones.
+    ///
+    /// # Errors
+    ///
+    /// As [`Rig::start`].
+    pub fn start_with(
+        [binary, folder]: [&Path; 2],
+        fronts: u32,
+        [net, host]: [u8; 2],
+        arguments: impl Fn(u32) -> Vec<String>,
+        server: Server,
+        talks: bool,
+        listed: impl Fn(u32) -> (Vec<Value>, Value),
     ) -> io::Result<Rig> {
         let _ = fs::remove_dir_all(folder);
         fs::create_dir_all(folder)?;
         let at =
             |front: u32, port: u16| SocketAddr::from((Ipv4Addr::new(127, net, host, front as u8 + 1), port));
         let relay = Relay::start(fronts, |front| at(front, 7946))?;
-        let server = Server::start()?;
         for front in 0..fronts {
             let mut peers: Vec<String> =
                 (0..fronts).map(|other| relay.address(front, other).to_string()).collect();
             peers[front as usize] = at(front, 7946).to_string();
-            let instance = json!({"instanceId": "s-0", "hostPort": server.address().to_string(), "cell": 0,
-                "lifecycle": "up", "weight": 1, "startedAtMs": 0});
+            let (instances, more) = listed(front);
             let known =
-                json!({"index": 1, "endpoints": {"generation": 1, "reset": true, "instances": [instance]}});
+                json!({"index": 1, "endpoints": {"generation": 1, "reset": true, "instances": instances}});
             let class = json!({"name": "voice", "deadlineMs": 9000, "targetMs": 1500, "worth": 1});
+            let mut settings = json!({"balancers": fronts, "index": front, "requestClasses": [class], "tickMs": 5,
+                "limits": {"peers": true, "connectTimeoutMs": 500}});
+            for (name, value) in more.as_object().into_iter().flatten() {
+                settings[name] = value.clone();
+            }
             let config = json!({
                 "name": format!("n{front}"), "listen": at(front, 5080).to_string(), "seed": format!("{:x}", 77 + front),
-                "limits": {"memory_mb": 32, "sockets": 64},
+                "limits": {"memory_mb": 32, "sockets": 256},
                 "peer_listen": at(front, 7946).to_string(), "peers": peers,
                 "known": {"index": 1, "updates": [known]},
-                "settings": {"balancers": fronts, "index": front, "requestClasses": [class], "tickMs": 5,
-                    "limits": {"peers": true, "connectTimeoutMs": 500}},
+                "settings": settings,
             });
             fs::write(folder.join(format!("n{front}.json")), config.to_string())?;
         }
         let (binary, folder) = (binary.to_owned(), folder.to_owned());
         let more = (0..fronts).map(&arguments).collect();
         let own = (0..fronts).map(|_| None).collect();
-        let mut rig = Rig { relay, server, binary, folder, fronts: own, more };
+        let listen = (0..fronts).map(|front| at(front, 5080)).collect();
+        let mut rig = Rig { relay, server, binary, folder, listen, fronts: own, talks, more };
         (0..fronts).try_for_each(|front| rig.run(front))?;
         Ok(rig)
     }
 
+    /// Where a front listens for its callers.
+    pub fn listens(&self, front: u32) -> SocketAddr {
+        self.listen[front as usize]
+    }
+
     /// Starts a front's process.
     ///
     /// # Errors
@@ -173,7 +206,8 @@
     pub fn run(&mut self, front: u32) -> io::Result<()> {
         let log = fs::File::create(self.folder.join(format!("n{front}.log")))?;
         let child = Command::new(&self.binary)
-            .args(["node", "--peers", "--log", "warn"])
+            .args(["node", "--log", "warn"])
+            .args(if self.talks { &["--peers"][..] } else { &[] })
             .args(&self.more[front as usize])
             .env("ROUTER_CONFIG", self.folder.join(format!("n{front}.json")))
             .stdin(Stdio::null())
--- a/crates/ochrelead-together/src/processes/relay.rs
+++ b/crates/ochrelead-together/src/processes/relay.rs
@@ -1,6 +1,6 @@
 //! All datagrams between fronts go through here: a socket for each pair and direction, and what befalls them.
 
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -8,9 +8,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use ochrelead_district::word::{self, Word};
 use ochrelead_lease::letter;
-use ochrelead_peers::Who;
 use ochrelead_peers::schema::{Datagram, Part, part::What};
+use ochrelead_peers::{VERSION, Who};
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -72,6 +73,8 @@
     count: AtomicU64,
     bytes: AtomicU64,
     longest: AtomicU64,
+    /// When each front last spoke as its district's observer.
+    observed: Mutex<BTreeMap<u32, Instant>>,
 }
 
 pub struct Relay {
@@ -92,7 +95,7 @@
     let mut bytes = bytes.to_vec();
     // The version is the first field, one byte long.
     if let [0x08, version, ..] = bytes.as_mut_slice() {
-        *version = 2;
+        *version = VERSION as u8 + 1;
     }
     if bytes.len() + 8 <= 256 {
         bytes.extend([0x22, 3, 0xfa, 0x01, 0, 0x78, 9]);
@@ -100,6 +103,12 @@
     bytes
 }
 
+/// Whether a part is a word of an observer.
+fn speaks(part: &Part) -> bool {
+    let Some(What::District(bytes)) = &part.what else { return false };
+    matches!(word::read(bytes), Some(Word::Verdicts { .. }))
+}
+
 /// What a mistake makes of a datagram: the datagrams that arrive, and from whom.
 fn mistaken(mistake: Mistake, bytes: &[u8]) -> Vec<(u32, Vec<u8>)> {
     let Ok(datagram) = Datagram::decode(bytes) else { return Vec::new() };
@@ -149,6 +158,7 @@
             count: AtomicU64::new(0),
             bytes: AtomicU64::new(0),
             longest: AtomicU64::new(0),
+            observed: Mutex::new(BTreeMap::new()),
         });
         for from in 0..fronts {
             for to in (0..fronts).filter(|to| *to != from) {
@@ -172,6 +182,12 @@
         *self.shared.faults.lock().expect("no panic under the lock") = faults;
     }
 
+    /// Fronts that spoke as observers of their districts within that time.
+    pub fn observers(&self, within: Duration) -> Vec<u32> {
+        let observed = self.shared.observed.lock().expect("no panic under the lock");
+        observed.iter().filter(|(_, at)| at.elapsed() < within).map(|(front, _)| *front).collect()
+    }
+
     /// Datagrams, their bytes, and the longest, as fronts sent them.
     pub fn seen(&self) -> [u64; 3] {
         let shared = &self.shared;
@@ -187,6 +203,11 @@
             self.count.fetch_add(1, Ordering::Relaxed);
             self.bytes.fetch_add(length as u64, Ordering::Relaxed);
             self.longest.fetch_max(length as u64, Ordering::Relaxed);
+            if let Ok(datagram) = Datagram::decode(&bytes[..length])
+                && datagram.parts.iter().any(speaks)
+            {
+                self.observed.lock().expect("no panic under the lock").insert(from, Instant::now());
+            }
             let faults = self.faults.lock().expect("no panic under the lock").clone();
             let mut chance = self.chance.lock().expect("no panic under the lock");
             if faults.cut.contains(&(from, to)) || chance.random_bool(faults.loss) {
