--- a/crates/ochrelead-district/src/engine.rs
+++ b/crates/ochrelead-district/src/engine.rs
@@ -407,9 +407,4 @@
         districts.dedup();
         districts
     }
-
-    /// The share in force at a server.
-    pub fn share_of(&self, now: Moment, server: ServerKey) -> f64 {
-        self.places.get(&server).map_or(1.0, |district| self.share(now, *district))
-    }
 }
--- a/crates/ochrelead-district/src/pool.rs
+++ b/crates/ochrelead-district/src/pool.rs
@@ -1,7 +1,7 @@
 //! What all fronts of a district met, at its observer.
 //!
 //! For each server a run is kept: how many INVITEs were lost there since the last answer that any front had. A server
-//! that lives ends its run with its next answer; how long a run may grow by chance is what [`crate::verdict`] weighs.
+//! that lives ends its run with its next answer; how many answers may be missing by chance is what [`crate::verdict`] weighs.
 //! Besides, shares of answers in time over the last while, for a return and for a district that does less.
 
 use std::collections::BTreeMap;
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -80,9 +80,6 @@
     Alive(ServerKey),
 }
 
-/// Sights that wait for the host; what comes beyond is dropped.
-const MOST_SIGHTS: usize = 65_536;
-
 /// A node without I/O.
 pub struct Engine {
     judge: Box<dyn Judge>,
@@ -267,8 +264,9 @@
         self.sights.pop_front()
     }
 
+    /// For the host's next turn; as many as calls may be held, what comes beyond is dropped.
     fn see(&mut self, sight: Sight) {
-        if self.watches && self.sights.len() < MOST_SIGHTS {
+        if self.watches && self.sights.len() < self.bounds.calls {
             self.sights.push_back(sight);
         }
     }
