No one server carries a district's verdict; the rig hears an observer that is killed

The chance in verdict.rs was taken from the sum, so one server carried it. Change: of the answers missed no server counts for more than half as much again as an even part of what is needed; the rig takes down what a front has in force as an observer before it is killed, and nothing in force follows nothing in force. Tests: one_server_is_no_district fails without the bound.

--- a/crates/ochrelead-district/src/pool.rs
+++ b/crates/ochrelead-district/src/pool.rs
@@ -10,7 +10,7 @@
 use ochrelead_core::time::{Moment, Span};
 
 use crate::evidence::Met;
-use crate::verdict::Count;
+use crate::verdict::{self, Count};
 use crate::{District, Place, ServerKey, Terms};
 
 /// The most of a server's run that one front's report adds.
@@ -152,7 +152,7 @@
     pub fn count(&self, now: Moment, district: District) -> Count {
         let recent = |at: Option<Moment>, span: Span| at.is_some_and(|at| now.since(at) < span);
         let mut count = Count::default();
-        let mut by: Vec<u32> = Vec::new();
+        let (mut by, mut missed): (Vec<u32>, Vec<f64>) = (Vec::new(), Vec::new());
         for seen in self.servers.values().filter(|seen| seen.district == district) {
             count.servers += 1;
             let asked = seen.run > 0 || recent(seen.answered_at, self.memory());
@@ -161,13 +161,13 @@
                 count.silent += 1;
                 count.lost += seen.run;
                 // At the rate that it had when it answered last.
-                count.missed += match seen.first_at.zip(seen.answered_at) {
+                missed.push(match seen.first_at.zip(seen.answered_at) {
                     Some((first, last)) => {
                         seen.answers.rate(last, first) * now.since(last).ratio(Span::from_secs(1))
                     }
                     // This observer has come since: what was asked is all that it knows of.
                     None => f64::from(seen.run),
-                };
+                });
                 by.extend(seen.by.iter().filter(|front| !by.contains(front)).copied().collect::<Vec<_>>());
             }
             count.alive += u32::from(recent(seen.alive_at, self.terms.step()));
@@ -176,6 +176,7 @@
             count.recent_lost += seen.lost.tally(now).count;
         }
         count.by = by.len() as u32;
+        count.missed = verdict::missed(&missed);
         count
     }
 
--- a/crates/ochrelead-district/src/verdict.rs
+++ b/crates/ochrelead-district/src/verdict.rs
@@ -4,7 +4,8 @@
 //! what it took before. For such a one the chance that none of its silent servers answers anybody for as long as they have
 //! not is e^-m, where m is a quarter of the answers that these servers would have given meanwhile at their rate of late.
 //! A verdict that it is gone wants that to be [`WRONG`] at the most, most of its servers silent, and INVITEs lost there by
-//! several fronts: else nobody may have asked.
+//! several fronts: else nobody may have asked. Of m no server counts for much more than its part: one that has been silent
+//! for long would else carry the verdict, and two that only answer little beside it would make a district.
 //!
 //! A district that only does less is not eased here: measured, that cost more than it brought (docs/districts.md). The
 //! module holds back each of its servers by what that server answers.
@@ -13,6 +14,8 @@
 pub const WRONG: f64 = 1e-6;
 /// What is left of a server's answers where it lives.
 const LEFT: f64 = 0.25;
+/// No silent server speaks for more than so many times an even part of what is needed: one alone is no district.
+const OF_ONE: f64 = 1.5;
 /// INVITEs lost at its silent servers since their last answers.
 const LOST: u32 = 20;
 /// Of the servers that anybody asked, so many must be silent.
@@ -79,6 +82,13 @@
     counts.iter().map(verdict).collect()
 }
 
+/// The answers missed at silent servers together, from what was missed at each.
+pub fn missed(each: &[f64]) -> f64 {
+    let needed = -WRONG.ln() / LEFT;
+    let most = needed * OF_ONE / each.len().max(1) as f64;
+    each.iter().map(|missed| missed.min(most)).sum()
+}
+
 fn is_gone(count: &Count, reporters: u32) -> bool {
     // One server is no district: the module deals with it.
     count.servers >= 2
--- /dev/null
+++ b/crates/ochrelead-district/tests/missed.rs
@@ -0,0 +1,33 @@
+//! How much of a verdict one server carries.
+
+use ochrelead_district::verdict::{Count, Verdict, judge, missed};
+use test_case::test_case;
+
+/// What else was met at a district whose servers look silent, and one that does well beside it.
+fn verdict(each: &[f64]) -> Verdict {
+    let silent = each.len() as u32;
+    let count = Count {
+        servers: 4,
+        asked: 4,
+        silent,
+        lost: 27,
+        by: 6,
+        missed: missed(each),
+        alive: 2,
+        ..Count::default()
+    };
+    let well = Count { servers: 4, asked: 4, recent_in_time: 40, ..Count::default() };
+    judge(&[count, well], 6)[0]
+}
+
+/// A silent server of seven seconds and two whose answers were few made a district that is gone, on a day of one silent
+/// server (emulated fleet, harmless seed 2).
+#[test_case(&[92.9, 7.0, 3.1], Verdict::Stays; "one that is silent for long, and two that answer little")]
+#[test_case(&[500.0, 500.0], Verdict::Stays; "two of four, for however long")]
+#[test_case(&[19.0, 19.0, 19.0], Verdict::Gone; "three alike")]
+#[test_case(&[14.0, 14.0, 14.0, 14.0], Verdict::Gone; "four alike")]
+#[test_case(&[30.0, 20.0, 4.0, 2.0], Verdict::Stays; "four that differ, not yet")]
+#[test_case(&[30.0, 30.0, 12.0, 6.0], Verdict::Gone; "four that differ, a little later")]
+fn one_server_is_no_district(each: &[f64], want: Verdict) {
+    assert_eq!(verdict(each), want);
+}
--- a/crates/ochrelead-together/src/districts/watch.rs
+++ b/crates/ochrelead-together/src/districts/watch.rs
@@ -115,13 +115,8 @@
             return;
         }
         self.disturb(world);
-        for (front, state) in world.fronts.iter().enumerate() {
-            if let Some(shares) = observed(state, now, front as u32) {
-                let said = self.said.entry(state.district).or_default();
-                if said.back().is_none_or(|(at, last)| *at + 100 * MS <= now || *last != shares) {
-                    said.push_back((now, shares));
-                }
-            }
+        for state in &world.fronts {
+            self.hear(now, state);
         }
         for said in self.said.values_mut() {
             while said.front().is_some_and(|(at, _)| at + IN_FORCE < now) {
@@ -135,6 +130,15 @@
         self.count(world);
     }
 
+    /// What a front has in force as an observer, if it is one.
+    pub fn hear(&mut self, now: u64, front: &Front) {
+        let Some(shares) = observed(front, now) else { return };
+        let said = self.said.entry(front.district).or_default();
+        if said.back().is_none_or(|(at, last)| *at + 100 * MS <= now || *last != shares) {
+            said.push_back((now, shares));
+        }
+    }
+
     fn disturb(&mut self, world: &World) {
         let now = world.now;
         for (nth, trouble) in world.day.troubles.iter().enumerate().filter(|(nth, _)| world.on[*nth]) {
@@ -179,6 +183,10 @@
         }
         let span = if state.eased.is_empty() { LAG } else { IN_FORCE };
         let said = self.said.get(&state.district)?;
+        // Nothing was in force when the observer was heard last, and nothing is while nobody observes.
+        if state.eased.is_empty() && said.back().is_none_or(|(_, shares)| shares.is_empty()) {
+            return None;
+        }
         // Before anybody had observed for that long there is nothing to go by.
         let known = said.front().is_some_and(|(at, _)| at + LAG < now || *at + span <= now);
         let recent = said.iter().filter(|(at, _)| at + span >= now);
@@ -230,7 +238,7 @@
 }
 
 /// What an observer has in force.
-fn observed(front: &Front, now: u64, _nth: u32) -> Option<Shares> {
+fn observed(front: &Front, now: u64) -> Option<Shares> {
     let districts = front.together.as_ref().and_then(Together::districts)?;
     if !districts.observes() || front.halted {
         return None;
--- a/crates/ochrelead-together/src/districts/world.rs
+++ b/crates/ochrelead-together/src/districts/world.rs
@@ -635,6 +635,8 @@
 
     /// Killed, and back after a while; what it held is lost.
     fn restart(&mut self, front: u32) {
+        // What it said as an observer since the last look is still heeded.
+        self.watch.hear(self.now, &self.fronts[front as usize]);
         let seed: u64 = self.chance.random();
         let back = self.chance.random_range(200 * MS..1_500 * MS);
         let now = self.now;
