Let a leaving node that stood still answer and tell what it finds unread

Three new cases of crossings.rs failed on: a set-up on an open connection, one that waits to be taken, a server's release. Now what was read is decided and written first, and after that time only what is owed an answer keeps it.

--- a/crates/ochrelead-front/tests/crossings.rs
+++ b/crates/ochrelead-front/tests/crossings.rs
@@ -54,17 +54,19 @@
 
 // ---- Leaving service ----
 
-#[test_case(true; "on an open connection")]
-#[test_case(false; "on one that waits to be taken")]
-fn what_came_before_a_node_ends_is_answered(open: bool) {
-    let mut rig = Rig::start(if open { "ends-open" } else { "ends-waiting" });
+#[test_case(true, 1; "on an open connection")]
+#[test_case(false, 1; "on one that waits to be taken")]
+#[test_case(true, 2; "on an open connection of one that stood still for long")]
+#[test_case(false, 2; "on one that waits to be taken by one that stood still for long")]
+fn what_came_before_a_node_ends_is_answered(open: bool, times: u32) {
+    let mut rig = Rig::start(&format!("ends-{}-{times}", if open { "open" } else { "waiting" }));
     let mut caller = open.then(|| rig.connect());
     if let Some(caller) = &mut caller {
         rig.is_tested(caller);
     }
     rig.leave();
     rig.stop();
-    thread::sleep(STILL_COMING);
+    thread::sleep(STILL_COMING * times);
     let mut caller = caller.unwrap_or_else(|| rig.connect());
     caller.ask(1);
     rig.go_on();
@@ -74,9 +76,10 @@
     assert_eq!(rig.ended(), Some(0));
 }
 
-#[test]
-fn a_release_that_came_before_a_node_ends_reaches_its_caller() {
-    let mut rig = Rig::start("ends-released");
+#[test_case(1; "at once")]
+#[test_case(2; "of one that stood still for long")]
+fn a_release_that_came_before_a_node_ends_reaches_its_caller(times: u32) {
+    let mut rig = Rig::start(&format!("ends-released-{times}"));
     let mut caller = rig.connect();
     caller.ask(1);
     let invite = rig.server.next("INVITE");
@@ -84,7 +87,7 @@
     assert_eq!(caller.next().unwrap()["t"], "up");
     rig.leave();
     rig.stop();
-    thread::sleep(STILL_COMING);
+    thread::sleep(STILL_COMING * times);
     rig.server.bye(invite.connection, &id(1));
     rig.go_on();
     assert_eq!(caller.all(), [("down".to_owned(), id(1))]);
--- a/crates/ochrelead-front/tests/scripted/mod.rs
+++ b/crates/ochrelead-front/tests/scripted/mod.rs
@@ -8,6 +8,7 @@
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -191,6 +192,9 @@
     format!("{}\n", json!({"t": "new", "ref": id(nth), "f": fields, "d": DESCRIPTION}))
 }
 
+/// How many rigs this process has begun.
+static RIGS: AtomicU32 = AtomicU32::new(0);
+
 /// A node with one server.
 pub struct Rig {
     pub node: Child,
@@ -222,9 +226,9 @@
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("crossings").join(name);
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).unwrap();
-        // An address of its own, so that no other process takes the port.
+        // An address of its own, so that no other rig or process takes the port.
         let process = std::process::id();
-        let place = name.bytes().fold(0u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(u32::from(byte)));
+        let place = RIGS.fetch_add(1, Ordering::Relaxed);
         let host =
             Ipv4Addr::new(127, 20 + (place % 200) as u8, (process >> 8) as u8, (process % 250) as u8 + 1);
         let nobody = Command::new("true").spawn().unwrap();
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -281,7 +281,7 @@
         })
     }
 
-    /// Whether something that came may still be owed an answer, for one that stood still as it left.
+    /// Whether lines that are owed nothing still keep one that leaves: what follows them may be.
     pub fn may_still_come(&self) -> bool {
         self.leaving.is_none_or(|since| self.now.since(since) < platform::STILL_COMING * 2)
     }
--- a/crates/ochrelead-node/src/host.rs
+++ b/crates/ochrelead-node/src/host.rs
@@ -102,7 +102,11 @@
                 self.carry_all_out(&mut state);
                 if state.engine.is_closed() && state.all_written() {
                     let any = self.accept_all(&mut state, listener) | state.read_all();
-                    if !(any && state.engine.may_still_come()) {
+                    state.engine.turn(clock.now());
+                    self.carry_all_out(&mut state);
+                    // In the end only what is owed holds it: a flood of other lines would for ever.
+                    let over = !any || !state.engine.may_still_come();
+                    if over && state.engine.is_closed() && state.all_written() {
                         return;
                     }
                 }
