Guard behaviour, stored bytes and sent bytes before the code is renamed

Cause: names, files and packages are about to change for the people who will read the code; nothing that the program does may change with them.

--- /dev/null
+++ b/crates/ochrelead-fleet/tests/stored_bytes.rs
@@ -0,0 +1,92 @@
+//! A state folder and the counters' text, as written by an earlier program: read, and written again byte for byte.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use ochrelead_core::time::{Moment, Span};
+use ochrelead_fleet::counters::Tallies;
+use ochrelead_fleet::roster::{Roster, Said};
+use ochrelead_fleet::store::{self, Folder, Kept};
+use ochrelead_settings::commission::Post;
+
+fn fixtures() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures")
+}
+
+fn post(number: u16) -> Post {
+    Post {
+        name: format!("s{number}"),
+        address: ([127, 0, 0, 1], 1_000 + number).into(),
+        number: i64::from(number),
+        dialled: format!("0{number}"),
+        trunk: "trunk".to_owned(),
+        lines: 100,
+        services: vec!["check".to_owned(), "set".to_owned()],
+        started: (number > 0).then(|| Moment::from_micros(1_700_000_000_000_000)),
+        draining: number == 3,
+        weight: 2.5,
+    }
+}
+
+fn servers() -> Vec<(Post, Said)> {
+    let said = [Said::Nothing, Said::Drains, Said::Gone, Said::Nothing];
+    said.into_iter().enumerate().map(|(number, said)| (post(number as u16), said)).collect()
+}
+
+fn state(generation: u64) -> Kept {
+    Kept { files: vec![("fleet.d/a.textproto".to_owned(), generation)], servers: servers() }
+}
+
+fn assert_stored(folder: &Path, name: &str) {
+    let written = fs::read(folder.join(name)).unwrap();
+    let stored = fixtures().join(name);
+    let (written, stored) = (String::from_utf8(written).unwrap(), fs::read_to_string(stored).unwrap());
+    assert_eq!(written, stored, "{name}");
+}
+
+#[test]
+fn state_folder_is_written_as_it_was_stored() {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("stored_state");
+    let _ = fs::remove_dir_all(&path);
+    let mut folder = Folder::open(&path).unwrap();
+    store::save(&mut folder, &state(12)).unwrap();
+    store::save(&mut folder, &state(13)).unwrap();
+    assert_stored(&path, "kept");
+    assert_stored(&path, "kept.former");
+    assert!(!path.join("kept.next").exists());
+}
+
+#[test]
+fn stored_state_folder_is_read() {
+    let (loaded, passed_over) = store::load(&Folder::open(&fixtures()).unwrap()).unwrap();
+    assert_eq!((loaded, passed_over), (Some(state(13)), Vec::new()));
+    let former = fs::read_to_string(fixtures().join("kept.former")).unwrap();
+    assert_eq!(Kept::read("kept.former", &former), Ok(state(12)));
+}
+
+#[test]
+fn status_and_counters_are_the_stored_text() {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("stored_text");
+    fs::create_dir_all(&path).unwrap();
+    let mut roster = Roster::default();
+    let posts: Vec<Post> = servers().into_iter().map(|(post, _)| post).collect();
+    roster.relist(&posts, Moment::from_micros(1_700_000_000_000_000));
+    roster.remember(&servers());
+    roster.relist(&posts[1..], Moment::from_micros(1_700_000_001_000_000));
+    fs::write(path.join("status.txt"), roster.status().join("\n") + "\n").unwrap();
+    assert_stored(&path, "status.txt");
+    let tallies = Tallies {
+        readings: 9,
+        adoptions: 4,
+        changes: [("added", 3), ("moved", 2)].into(),
+        refusals: [("torn", 1)].into(),
+    };
+    // Lines of one family come in any order.
+    let sorted = |text: &str| {
+        let mut lines: Vec<String> = text.lines().map(str::to_owned).collect();
+        lines.sort();
+        lines
+    };
+    let stored = fs::read_to_string(fixtures().join("counters.prom")).unwrap();
+    assert_eq!(sorted(&tallies.text(13, Some(Span::from_secs(7)))), sorted(&stored));
+}
--- /dev/null
+++ b/crates/ochrelead-records/tests/stored_bytes.rs
@@ -0,0 +1,139 @@
+//! A segment with one event of each kind, as written by an earlier program: it is read, and written again byte for byte.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use ochrelead_records::frame;
+use ochrelead_records::reader::read_all;
+use ochrelead_records::schema::event::What;
+use ochrelead_records::schema::{
+    Choice, Cut, Denial, Ended, Ending, Fleet, GivenUp, HungUp, Invite, Outlook, Payment, Released, Stands,
+    Taken, Told,
+};
+use ochrelead_records::writer::{Bounds, Recorder};
+
+const SEGMENT: &str = "f1-0000000000001000-000000.records";
+
+fn fixture() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(SEGMENT)
+}
+
+fn events() -> Vec<What> {
+    let (tried, server) = (|| "5f-2a".to_owned(), || "s1".to_owned());
+    let mut events = vec![
+        What::Life("start".to_owned()),
+        What::Fleet(Fleet { generation: 12, server: vec![server(), "s2".to_owned()] }),
+        What::Taken(Taken {
+            tried: tried(),
+            service: 2,
+            member: 3,
+            destination: -4,
+            called: "5551000".to_owned(),
+            redial: true,
+        }),
+    ];
+    for (choice, payment) in [
+        (Choice::Destination, Payment::Free),
+        (Choice::Drawn, Payment::Token),
+        (Choice::Drawn, Payment::Floor),
+    ] {
+        events.push(What::Invite(Invite {
+            tried: tried(),
+            server: server(),
+            nth: 2,
+            choice: choice.into(),
+            payment: payment.into(),
+        }));
+    }
+    for ending in [
+        Ending::Fault,
+        Ending::LinesBusy,
+        Ending::Full,
+        Ending::NoLine,
+        Ending::TimedOut,
+        Ending::ConnectFailed,
+        Ending::Reset,
+        Ending::Cancelled,
+        Ending::Unsent,
+    ] {
+        events.push(What::Ended(Ended {
+            tried: tried(),
+            server: server(),
+            ending: ending.into(),
+            took_us: 70_000,
+        }));
+    }
+    events.push(What::Stands(Stands {
+        tried: tried(),
+        server: server(),
+        took_us: 50_000,
+        since_taken_us: 51_000,
+    }));
+    for denial in [
+        Denial::Front,
+        Denial::NotAgain,
+        Denial::TooLate,
+        Denial::NumberBusy,
+        Denial::InvitesSpent,
+        Denial::NoRoom,
+        Denial::NoToken,
+    ] {
+        events.push(What::GivenUp(GivenUp {
+            tried: tried(),
+            denial: denial.into(),
+            refused: true,
+            come_back_ms: 200,
+        }));
+    }
+    events.extend([
+        What::HungUp(HungUp { tried: tried(), server: server(), waited_us: 30_000 }),
+        What::Cut(Cut { tried: tried(), server: server() }),
+        What::Released(Released { tried: tried(), server: server(), confirmed: true }),
+        What::Told(Told { server: server(), what: "lines 7/100".to_owned() }),
+        What::Outlook(Outlook {
+            server: server(),
+            limit: 2.5,
+            waiting: 3,
+            answer_us: 40_000,
+            sick: true,
+            fresh: true,
+            troubled: true,
+            flow: 7.25,
+            free: 8,
+            lines: 9,
+            unheard_us: 100_000,
+        }),
+        What::PausedUs(400_000),
+        What::Lost(17),
+        What::Life("stop".to_owned()),
+    ]);
+    events
+}
+
+#[test]
+fn stored_segment_is_read_event_by_event() {
+    let mut read = Vec::new();
+    let folder = fixture().parent().unwrap().to_owned();
+    let damage = read_all(&[folder], |record| read.push(record)).unwrap();
+    assert_eq!((damage.torn.len(), damage.newer.len(), damage.foreign.len()), (0, 0, 0));
+    assert!(read.iter().all(|record| record.life.front == "f1" && record.life.started_us == 1_000));
+    let moments: Vec<(u64, u64)> = read.iter().map(|record| (record.event.at_us, record.event.nth)).collect();
+    assert_eq!(moments, (0..read.len() as u64).map(|nth| (2_000 + nth, nth)).collect::<Vec<_>>());
+    let read: Vec<What> = read.into_iter().map(|record| record.event.what.unwrap()).collect();
+    assert_eq!(read, events());
+}
+
+#[test]
+fn segment_is_written_as_it_was_stored() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("stored");
+    let _ = fs::remove_dir_all(&folder);
+    let mut recorder =
+        Recorder::start(&folder, "f1", 1_000, Bounds::default(), |error| panic!("{error}")).unwrap();
+    for (nth, event) in events().into_iter().enumerate() {
+        recorder.put(2_000 + nth as u64, event);
+    }
+    drop(recorder);
+    let written = fs::read(folder.join(SEGMENT)).unwrap();
+    assert_eq!(written, fs::read(fixture()).unwrap());
+    assert_eq!(frame::Frames::new(&written).count(), events().len() + 1);
+}
--- a/crates/ochrelead-report/tests/report.rs
+++ b/crates/ochrelead-report/tests/report.rs
@@ -5,6 +5,8 @@
 use std::path::Path;
 use std::process::Command;
 
+use ochrelead_core::time::Moment;
+use ochrelead_diagnosis::trouble::{Kind, Trouble};
 use ochrelead_records::reader::{Damage, Life, Log, Record};
 use ochrelead_records::schema::event::What;
 use ochrelead_records::schema::{Event, Invite, Outlook, Stands, Taken, Told};
@@ -137,3 +139,45 @@
         Command::new(env!("CARGO_BIN_EXE_ochrelead-report")).arg(&empty).arg("--json").output().unwrap();
     assert!(run.status.success() && String::from_utf8_lossy(&run.stdout).contains("\"troubles\": []"));
 }
+
+fn stored(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(name);
+    fs::read_to_string(path).unwrap()
+}
+
+/// Machines read the JSON: its keys and values are those of an earlier program.
+#[test]
+fn json_of_a_small_log_is_the_stored_text() {
+    let written = format!("{:#}\n", json::of(&incident(records(40_000, 15_000..18_000))));
+    assert_eq!(written, stored("small-log.json"));
+}
+
+#[test]
+fn json_names_each_kind_of_trouble_as_stored() {
+    let mut incident = incident(records(0, 0..0));
+    let kinds = [
+        Kind::Slow,
+        Kind::AllSlow,
+        Kind::Silent,
+        Kind::Crashed,
+        Kind::Replaced,
+        Kind::AnswersLost,
+        Kind::CutOff,
+        Kind::FrontKilled,
+        Kind::FrontStalled,
+        Kind::Redials,
+        Kind::HotNumber,
+        Kind::Overload,
+    ];
+    let trouble = |kind| Trouble {
+        kind,
+        of: "s1".to_owned(),
+        onset: Moment::from_micros(5),
+        end: None,
+        confidence: 0.5,
+        evidence: "seen".to_owned(),
+    };
+    incident.troubles = kinds.into_iter().map(trouble).collect();
+    let written = format!("{:#}\n", json::of(&incident)["troubles"]);
+    assert_eq!(written, stored("kinds.json"));
+}
