--- a/crates/ochrelead-check/src/main.rs
+++ b/crates/ochrelead-check/src/main.rs
@@ -4,10 +4,10 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use ochrelead_fleet::sheet;
-use ochrelead_fleet::watch;
-use ochrelead_settings::text::Complaint;
-use ochrelead_settings::{commission, day};
+use ochrelead_config::text::Complaint;
+use ochrelead_config::{commission, day};
+use ochrelead_discovery::sheet;
+use ochrelead_discovery::watch;
 
 /// Says all that a front or a rig would refuse, with the code that reads it there, and warns of what is odd.
 ///
@@ -18,7 +18,7 @@
     after_help = "Examples:
   ochrelead-check --settings front.textproto
   ochrelead-check --settings front.textproto --fleet fleet.d
-  ochrelead-check --day days/bad-day.textproto"
+  ochrelead-check --day scenarios/bad-day.textproto"
 )]
 struct Line {
     /// Settings of a front; a fleet is checked against their services
--- a/crates/ochrelead-settings/tests/settings.rs
+++ b/crates/ochrelead-config/tests/settings.rs
@@ -1,8 +1,8 @@
 //! What is refused, where, and with which words.
 
+use ochrelead_config::numbering::Dialled;
+use ochrelead_config::{commission, day};
 use ochrelead_core::index::ServiceIx;
-use ochrelead_settings::numbering::Dialled;
-use ochrelead_settings::{commission, day};
 use test_case::test_case;
 
 const FRONT: &str = r#"# a front
--- a/crates/ochrelead-console/src/main.rs
+++ b/crates/ochrelead-console/src/main.rs
@@ -9,7 +9,7 @@
 use ochrelead_console::screen::{Shown, draw};
 use ochrelead_console::watch::Watch;
 use ochrelead_core::time::Span;
-use ochrelead_records::reader::Follower;
+use ochrelead_event_log::reader::Follower;
 use ratatui::crossterm::event::{self, Event, KeyCode};
 
 /// Shows the fleet now, from records that grow. It reads files alone and never slows a front.
--- a/crates/ochrelead-console/src/watch.rs
+++ b/crates/ochrelead-console/src/watch.rs
@@ -6,8 +6,8 @@
 use ochrelead_diagnosis::clocks::{Clocks, Ties};
 use ochrelead_diagnosis::diagnosis::Diagnosis;
 use ochrelead_diagnosis::trouble::{Kind, Trouble};
-use ochrelead_records::reader::{Life, Record};
-use ochrelead_records::schema::{Event, event::What};
+use ochrelead_event_log::reader::{Life, Record};
+use ochrelead_event_log::schema::{Event, event::What};
 
 /// Records of several fronts come in any order; they are taken in the order of their moments once they are so
 /// old, and what comes later than that counts as it comes.
--- a/crates/ochrelead-console/tests/watch.rs
+++ b/crates/ochrelead-console/tests/watch.rs
@@ -4,9 +4,9 @@
 use ochrelead_console::screen::{Shown, draw};
 use ochrelead_console::watch::Watch;
 use ochrelead_core::time::Span;
-use ochrelead_records::reader::{Life, Record};
-use ochrelead_records::schema::event::What;
-use ochrelead_records::schema::{Event, Invite, Outlook, Stands, Taken};
+use ochrelead_event_log::reader::{Life, Record};
+use ochrelead_event_log::schema::event::What;
+use ochrelead_event_log::schema::{Event, Invite, Outlook, Stands, Taken};
 use ratatui::Terminal;
 use ratatui::backend::TestBackend;
 
--- a/crates/ochrelead-diagnosis/src/clocks.rs
+++ b/crates/ochrelead-diagnosis/src/clocks.rs
@@ -11,9 +11,9 @@
 use std::collections::BTreeMap;
 
 use ochrelead_core::time::Span;
-use ochrelead_records::LINES;
-use ochrelead_records::reader::{Life, Record};
-use ochrelead_records::schema::{Event, event::What};
+use ochrelead_event_log::LINES;
+use ochrelead_event_log::reader::{Life, Record};
+use ochrelead_event_log::schema::{Event, event::What};
 
 /// The longest that one news needs from the first front to the last: two repeats of a datagram.
 const NEWS_TAKES: i64 = 1_600_000;
--- a/crates/ochrelead-diagnosis/src/diagnosis.rs
+++ b/crates/ochrelead-diagnosis/src/diagnosis.rs
@@ -10,8 +10,8 @@
 use std::collections::BTreeMap;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_records::reader::Life;
-use ochrelead_records::schema::{Denial, Ending, Event, event::What};
+use ochrelead_event_log::reader::Life;
+use ochrelead_event_log::schema::{Denial, Ending, Event, event::What};
 
 use crate::course::{Front, Lately, Server, Usual, seconds};
 use crate::trouble::{Kind, Trouble};
--- a/crates/ochrelead-diagnosis/tests/clocks.rs
+++ b/crates/ochrelead-diagnosis/tests/clocks.rs
@@ -1,8 +1,8 @@
 //! Fronts whose clocks are off, run fast, are set in mid-run, and whose records have holes.
 
 use ochrelead_diagnosis::clocks::{Clocks, Ties};
-use ochrelead_records::reader::{Life, Record};
-use ochrelead_records::schema::{Event, Told, event::What};
+use ochrelead_event_log::reader::{Life, Record};
+use ochrelead_event_log::schema::{Event, Told, event::What};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use test_case::test_case;
--- a/crates/ochrelead-diagnosis/tests/diagnosis.rs
+++ b/crates/ochrelead-diagnosis/tests/diagnosis.rs
@@ -4,9 +4,9 @@
 use ochrelead_diagnosis::clocks::Clocks;
 use ochrelead_diagnosis::diagnosis::Diagnosis;
 use ochrelead_diagnosis::trouble::Kind;
-use ochrelead_records::reader::{Life, Record};
-use ochrelead_records::schema::event::What;
-use ochrelead_records::schema::{
+use ochrelead_event_log::reader::{Life, Record};
+use ochrelead_event_log::schema::event::What;
+use ochrelead_event_log::schema::{
     Denial, Ended, Ending, Event, GivenUp, HungUp, Invite, Outlook, Released, Stands, Taken, Told,
 };
 use test_case::test_case;
--- a/crates/ochrelead-fleet/benches/adoption.rs
+++ b/crates/ochrelead-discovery/benches/adoption.rs
@@ -10,8 +10,8 @@
 use hdrhistogram::Histogram;
 use notify::{RecursiveMode, Watcher};
 use ochrelead_core::time::Moment;
-use ochrelead_fleet::keeper::Keeper;
-use ochrelead_fleet::watch;
+use ochrelead_discovery::keeper::Keeper;
+use ochrelead_discovery::watch;
 
 const REWRITES: u64 = 2_000;
 const GAP: Duration = Duration::from_millis(10);
--- a/crates/ochrelead-fleet/src/adopt.rs
+++ b/crates/ochrelead-discovery/src/adopt.rs
@@ -1,6 +1,6 @@
 //! Whether a candidate takes the place of the fleet in force.
 
-use ochrelead_settings::commission::Post;
+use ochrelead_config::commission::Post;
 
 use crate::sheet::Fleet;
 
--- a/crates/ochrelead-fleet/src/keeper.rs
+++ b/crates/ochrelead-discovery/src/keeper.rs
@@ -1,7 +1,7 @@
 //! From what was read to what is in force. Every reading is whole; a bad one changes nothing.
 
+use ochrelead_config::commission::Post;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_settings::commission::Post;
 
 use crate::adopt::{self, Change, Verdict};
 use crate::counters::Tallies;
--- a/crates/ochrelead-fleet/src/roster.rs
+++ b/crates/ochrelead-discovery/src/roster.rs
@@ -14,10 +14,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use ochrelead_config::commission::Post;
 use ochrelead_core::call::{ListState, Listing};
 use ochrelead_core::index::ServerIx;
 use ochrelead_core::time::Moment;
-use ochrelead_settings::commission::Post;
 
 /// What a restart method asks for (RFC 3435 section 2.3.12).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/ochrelead-fleet/src/sheet.rs
+++ b/crates/ochrelead-discovery/src/sheet.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use ochrelead_settings::commission::{self, Post};
-use ochrelead_settings::schema;
-use ochrelead_settings::text::{Complaint, Sheet};
+use ochrelead_config::commission::{self, Post};
+use ochrelead_config::schema;
+use ochrelead_config::text::{Complaint, Sheet};
 
 /// What was found under one name: the text, or why there is none.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/ochrelead-fleet/src/store.rs
+++ b/crates/ochrelead-discovery/src/store.rs
@@ -7,10 +7,10 @@
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 
+use ochrelead_config::commission::{self, Post};
+use ochrelead_config::schema;
+use ochrelead_config::text::{Sheet, written};
 use ochrelead_core::time::Moment;
-use ochrelead_settings::commission::{self, Post};
-use ochrelead_settings::schema;
-use ochrelead_settings::text::{Sheet, written};
 
 use crate::roster::Said;
 use crate::sheet::Fleet;
--- a/crates/ochrelead-fleet/tests/stored_bytes.rs
+++ b/crates/ochrelead-discovery/tests/stored_bytes.rs
@@ -3,11 +3,11 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
+use ochrelead_config::commission::Post;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_fleet::counters::Tallies;
-use ochrelead_fleet::roster::{Roster, Said};
-use ochrelead_fleet::store::{self, Folder, Kept};
-use ochrelead_settings::commission::Post;
+use ochrelead_discovery::counters::Tallies;
+use ochrelead_discovery::roster::{Roster, Said};
+use ochrelead_discovery::store::{self, Folder, Kept};
 
 fn fixtures() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures")
--- a/crates/ochrelead-standin/src/callers.rs
+++ b/crates/ochrelead-emulator/src/callers.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
+use ochrelead_config::day::{Day, Kind};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_mgcp::exchange::{Exchange, News};
 use ochrelead_mgcp::message::{Command, Endpoint, Response, Verb, code, name};
-use ochrelead_settings::day::{Day, Kind};
 use rand::distr::weighted::WeightedIndex;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp};
@@ -90,9 +90,9 @@
     }
 
     /// The size of a trouble of that kind that is on at `moment`.
-    fn trouble(&self, kind: Kind, moment: Moment) -> Option<&ochrelead_settings::day::Trouble> {
+    fn trouble(&self, kind: Kind, moment: Moment) -> Option<&ochrelead_config::day::Trouble> {
         let at = moment.since(self.start);
-        let on = |own: &&ochrelead_settings::day::Trouble| own.at <= at && at < own.at + own.length;
+        let on = |own: &&ochrelead_config::day::Trouble| own.at <= at && at < own.at + own.length;
         self.day.troubles.iter().filter(|own| own.kind == kind).find(on)
     }
 
--- a/crates/ochrelead-standin/src/network.rs
+++ b/crates/ochrelead-emulator/src/network.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use ochrelead_config::day;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_settings::day;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Normal};
 use rand_pcg::Pcg64Mcg;
--- a/crates/ochrelead-standin/src/server.rs
+++ b/crates/ochrelead-emulator/src/server.rs
@@ -4,10 +4,10 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
+use ochrelead_config::day::{Day, Kind, StandIn};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_mgcp::exchange::{Exchange, News, Pace};
 use ochrelead_mgcp::message::{Command, Endpoint, Response, TransactionId, Verb, code, name};
-use ochrelead_settings::day::{Day, Kind, StandIn};
 
 use crate::Peer;
 
--- a/crates/ochrelead-standin/tests/standin.rs
+++ b/crates/ochrelead-emulator/tests/standin.rs
@@ -2,14 +2,14 @@
 
 use std::net::SocketAddr;
 
+use ochrelead_config::day::{self, Day};
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_emulator::Peer;
+use ochrelead_emulator::callers::Callers;
+use ochrelead_emulator::network::{Fault, Network};
+use ochrelead_emulator::server::Server;
 use ochrelead_mgcp::message::{Command, Message, Response, Verb, code, name};
 use ochrelead_mgcp::{parse, write};
-use ochrelead_settings::day::{self, Day};
-use ochrelead_standin::Peer;
-use ochrelead_standin::callers::Callers;
-use ochrelead_standin::network::{Fault, Network};
-use ochrelead_standin::server::Server;
 use test_case::test_case;
 
 const DAY: &str = r#"seed: 1 length_ms: 20000 fronts: 1
--- a/crates/ochrelead-records/src/lib.rs
+++ b/crates/ochrelead-event-log/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`reader`]: whole logs piece by piece, and logs that still grow.
 //!
 //! ```
-//! use ochrelead_records::frame::{Frames, put};
+//! use ochrelead_event_log::frame::{Frames, put};
 //!
 //! let mut bytes = Vec::new();
 //! put(&mut bytes, b"one");
--- a/crates/ochrelead-records/tests/records.rs
+++ b/crates/ochrelead-event-log/tests/records.rs
@@ -3,10 +3,10 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use ochrelead_records::frame;
-use ochrelead_records::reader::{Follower, Record, read_all};
-use ochrelead_records::schema::{Event, Head, Told, event::What};
-use ochrelead_records::writer::{Bounds, Recorder};
+use ochrelead_event_log::frame;
+use ochrelead_event_log::reader::{Follower, Record, read_all};
+use ochrelead_event_log::schema::{Event, Head, Told, event::What};
+use ochrelead_event_log::writer::{Bounds, Recorder};
 use prost::Message;
 use test_case::test_case;
 
--- a/crates/ochrelead-records/tests/stored_bytes.rs
+++ b/crates/ochrelead-event-log/tests/stored_bytes.rs
@@ -3,14 +3,14 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use ochrelead_records::frame;
-use ochrelead_records::reader::read_all;
-use ochrelead_records::schema::event::What;
-use ochrelead_records::schema::{
+use ochrelead_event_log::frame;
+use ochrelead_event_log::reader::read_all;
+use ochrelead_event_log::schema::event::What;
+use ochrelead_event_log::schema::{
     Choice, Cut, Denial, Ended, Ending, Fleet, GivenUp, HungUp, Invite, Outlook, Payment, Released, Stands,
     Taken, Told,
 };
-use ochrelead_records::writer::{Bounds, Recorder};
+use ochrelead_event_log::writer::{Bounds, Recorder};
 
 const SEGMENT: &str = "f1-0000000000001000-000000.records";
 
--- a/crates/ochrelead-front/benches/turn.rs
+++ b/crates/ochrelead-front/benches/turn.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use ochrelead_config::commission;
 use ochrelead_core::rules::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_front::engine::Engine;
 use ochrelead_mgcp::message::{Message, Response, Verb};
 use ochrelead_mgcp::{parse, write};
-use ochrelead_settings::commission;
 
 const SETTINGS: &str = r#"name: "f" listen: "127.0.0.1:1" fronts: 1 release_wait_ms: 200 most_held: 1000000
 service { dialled: "1" value: 1 post_dial_target_ms: 1500 timer_limit_ms: 9000 }
--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -12,21 +12,21 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
+use ochrelead_config::commission::{Commission, Post};
 use ochrelead_core::call::{Decision, Denial, Ending, Lines, Outlook, Reason};
 use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_fleet::roster::{Roster, Said};
+use ochrelead_discovery::roster::{Roster, Said};
 use ochrelead_mgcp::exchange::{Claim, Exchange, News};
 use ochrelead_mgcp::message::{Command, Endpoint, Response, TransactionId, Verb, code, name};
-use ochrelead_settings::commission::{Commission, Post};
 
 use crate::drain::Service;
 use crate::note::{Note, Step};
 use crate::releases::{Release, Releases};
 use book::{Book, Call, Circuit, Phase, Session};
-use ochrelead_hosting::gone::Gone;
-use ochrelead_hosting::judge::Judge;
-use ochrelead_hosting::numbers::Numbers;
+use ochrelead_host::gone::Gone;
+use ochrelead_host::judge::Judge;
+use ochrelead_host::numbers::Numbers;
 
 /// Numbers that are remembered at once: a flood of fresh ones pushes the oldest out.
 const MOST_NUMBERS: usize = 65_536;
--- a/crates/ochrelead-front/src/engine/callers.rs
+++ b/crates/ochrelead-front/src/engine/callers.rs
@@ -1,9 +1,9 @@
 //! The callers' side: NTFY in; MDCX, RQNT and DLCX out (RFC 3435 sections 2.3.3 to 2.3.8).
 
 use super::*;
+use ochrelead_config::numbering::Dialled;
 use ochrelead_core::call::Offer;
 use ochrelead_core::index::MemberIx;
-use ochrelead_settings::numbering::Dialled;
 
 /// The longest id of a try: that of a call id (RFC 3435 section 3.2.2.2).
 const LONGEST_TRY: usize = 32;
--- a/crates/ochrelead-front/src/engine/servers.rs
+++ b/crates/ochrelead-front/src/engine/servers.rs
@@ -4,7 +4,7 @@
 use crate::endings;
 use book::Invite;
 use ochrelead_core::call::Report;
-use ochrelead_fleet::roster::Restart;
+use ochrelead_discovery::roster::Restart;
 use ochrelead_mgcp::message::Parameters;
 
 /// News that is lost three times comes so many first gaps late: 1, 2 and 4 of them (RFC 3435 section 3.5.3).
--- a/crates/ochrelead-front/src/keeping.rs
+++ b/crates/ochrelead-front/src/keeping.rs
@@ -5,8 +5,8 @@
 use std::sync::mpsc::{self, Sender};
 use std::thread;
 
-use ochrelead_fleet::store::{self, Folder, Kept};
-use ochrelead_hosting::{COUNTERS, STATUS};
+use ochrelead_discovery::store::{self, Folder, Kept};
+use ochrelead_host::{COUNTERS, STATUS};
 use tracing::warn;
 
 /// What is to be written.
--- a/crates/ochrelead-front/src/note.rs
+++ b/crates/ochrelead-front/src/note.rs
@@ -1,9 +1,9 @@
 //! What the engine tells the log and the records. The host writes it; nothing is decided by it.
 
+use ochrelead_config::commission::Post;
 use ochrelead_core::call::{Denial, Ending, Lines, Reason};
 use ochrelead_core::time::Span;
-use ochrelead_fleet::roster::Said;
-use ochrelead_settings::commission::Post;
+use ochrelead_discovery::roster::Said;
 
 /// One line for the log.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/ochrelead-front/src/recording.rs
+++ b/crates/ochrelead-front/src/recording.rs
@@ -2,8 +2,8 @@
 
 use ochrelead_core::call::{Choice, Denial, Ending, Outlook, Payment, Reason};
 use ochrelead_core::time::Span;
-use ochrelead_records::LINES;
-use ochrelead_records::schema::{self, event::What};
+use ochrelead_event_log::LINES;
+use ochrelead_event_log::schema::{self, event::What};
 
 use crate::note::{Note, Step};
 
--- a/crates/ochrelead-front/tests/districts.rs
+++ b/crates/ochrelead-front/tests/districts.rs
@@ -4,10 +4,10 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use ochrelead_together::processes::Rig;
-use ochrelead_together::processes::relay::Faults;
-use ochrelead_together::processes::server::Server;
-use ochrelead_together::processes::town::Town;
+use ochrelead_verify::processes::Rig;
+use ochrelead_verify::processes::relay::Faults;
+use ochrelead_verify::processes::server::Server;
+use ochrelead_verify::processes::town::Town;
 use serde_json::json;
 use test_case::test_case;
 
--- a/crates/ochrelead-front/tests/helper/mod.rs
+++ b/crates/ochrelead-front/tests/helper/mod.rs
@@ -2,13 +2,13 @@
 
 use std::net::SocketAddr;
 
+use ochrelead_config::commission;
 use ochrelead_core::rules::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_front::engine::Engine;
 use ochrelead_front::note::Note;
 use ochrelead_mgcp::message::{Command, Message, Response, Verb, code};
 use ochrelead_mgcp::{parse, write};
-use ochrelead_settings::commission;
 
 pub const SETTINGS: &str = r#"name: "f0" listen: "127.0.0.1:1" fronts: 2 release_wait_ms: 200 longest_away_ms: 2000
 drain_ms: 3000 most_held: 50 repeats { first_gap_ms: 500 longest_gap_ms: 4000 give_up_ms: 6000 kept_ms: 30000 }
--- a/crates/ochrelead-front/tests/parts.rs
+++ b/crates/ochrelead-front/tests/parts.rs
@@ -4,7 +4,7 @@
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_front::drain::Service;
 use ochrelead_front::endings;
-use ochrelead_hosting::numbers::Numbers;
+use ochrelead_host::numbers::Numbers;
 use ochrelead_mgcp::message::Response;
 use test_case::test_case;
 
--- a/crates/ochrelead-front/tests/together.rs
+++ b/crates/ochrelead-front/tests/together.rs
@@ -4,10 +4,10 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use ochrelead_together::mistake::Mistake;
-use ochrelead_together::processes::Rig;
-use ochrelead_together::processes::relay::Faults;
-use ochrelead_together::processes::server::{Taken, overlap};
+use ochrelead_verify::mistake::Mistake;
+use ochrelead_verify::processes::Rig;
+use ochrelead_verify::processes::relay::Faults;
+use ochrelead_verify::processes::server::{Taken, overlap};
 
 const FRONTS: u32 = 7;
 /// The longest that anything is waited for.
@@ -170,7 +170,7 @@
 
 /// One vote is counted as two voters', at a server that takes all: a former holder's acts come on after the next one's
 /// first. The other mistakes take an order of events that processes seldom come to; the explorer and the seeds find
-/// them. (That there is no overlap without a mistake is timing too: `ochrelead-together play` measures it.)
+/// them. (That there is no overlap without a mistake is timing too: `ochrelead-verify play` measures it.)
 #[test]
 #[ignore = "by timing: found in four runs of five; for a look, with -- --ignored"]
 fn a_deliberate_mistake_shows_at_the_server() {
--- a/crates/ochrelead-peers/tests/fleet.rs
+++ b/crates/ochrelead-gossip/tests/fleet.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_peers::Who;
-use ochrelead_peers::engine::{Engine, Pace};
-use ochrelead_peers::members::State;
-use ochrelead_peers::schema::{Datagram, Member, Part, Ping, part::What};
+use ochrelead_gossip::Who;
+use ochrelead_gossip::engine::{Engine, Pace};
+use ochrelead_gossip::members::State;
+use ochrelead_gossip::schema::{Datagram, Member, Part, Ping, part::What};
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
--- a/crates/ochrelead-peers/tests/stored_bytes.rs
+++ b/crates/ochrelead-gossip/tests/stored_bytes.rs
@@ -3,9 +3,9 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use ochrelead_peers::Who;
-use ochrelead_peers::schema::{Ack, Member, News, Ping, PingFor, part::What};
-use ochrelead_peers::wire::{Sheet, read};
+use ochrelead_gossip::Who;
+use ochrelead_gossip::schema::{Ack, Member, News, Ping, PingFor, part::What};
+use ochrelead_gossip::wire::{Sheet, read};
 
 const SENDER: Who = Who { front: 3, life: 0xfedc_ba98 };
 
--- a/crates/ochrelead-peers/tests/wire.rs
+++ b/crates/ochrelead-gossip/tests/wire.rs
@@ -1,8 +1,8 @@
 //! Datagrams: their length, other versions, other senders, and what is none.
 
-use ochrelead_peers::schema::{Datagram, Part, Ping, part::What};
-use ochrelead_peers::wire::{LONGEST, Sheet, Unread, read};
-use ochrelead_peers::{VERSION, Who};
+use ochrelead_gossip::schema::{Datagram, Part, Ping, part::What};
+use ochrelead_gossip::wire::{LONGEST, Sheet, Unread, read};
+use ochrelead_gossip::{VERSION, Who};
 use proptest::prelude::*;
 use prost::Message;
 use test_case::test_case;
--- a/crates/ochrelead-lease/src/lib.rs
+++ b/crates/ochrelead-lease/src/lib.rs
@@ -27,7 +27,7 @@
 pub mod word;
 
 use ochrelead_core::time::Span;
-pub use ochrelead_peers::Who;
+pub use ochrelead_gossip::Who;
 
 /// The schema's own types.
 pub mod schema {
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -16,14 +16,14 @@
 use ochrelead_core::call::{Decision, Ending};
 use ochrelead_core::index::{MemberIx, ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_district::{District, ServerKey};
-use ochrelead_hosting::gone::Gone;
-use ochrelead_hosting::judge::Judge;
-use ochrelead_hosting::numbers::Numbers;
+use ochrelead_host::gone::Gone;
+use ochrelead_host::judge::Judge;
+use ochrelead_host::numbers::Numbers;
 use ochrelead_lease::Number;
 use ochrelead_platform::callers::{self as lines, CallId, cause};
 use ochrelead_platform::configuration::Configuration;
 use ochrelead_platform::events::Change;
+use ochrelead_zone::{District, ServerKey};
 use tracing::{Level, debug};
 
 use crate::book::{Book, Call, Phase};
--- a/crates/ochrelead-node/src/engine/observed.rs
+++ b/crates/ochrelead-node/src/engine/observed.rs
@@ -1,6 +1,6 @@
 //! What was met at servers, for what fronts do together, and what that says of them.
 
-use ochrelead_district::{MOST_DISTRICTS, Place};
+use ochrelead_zone::{MOST_DISTRICTS, Place};
 
 use super::*;
 use crate::roster::Server;
--- a/crates/ochrelead-node/src/host.rs
+++ b/crates/ochrelead-node/src/host.rs
@@ -18,7 +18,7 @@
 use async_signal::Signals;
 use futures_lite::future;
 use ochrelead_core::time::Moment;
-use ochrelead_hosting::clock::Clock;
+use ochrelead_host::clock::Clock;
 use tracing::{debug, info, warn};
 
 use crate::engine::{Engine, Input, Output};
--- a/crates/ochrelead-node/src/host/connections.rs
+++ b/crates/ochrelead-node/src/host/connections.rs
@@ -10,7 +10,7 @@
 use async_channel::Sender;
 use async_io::Async;
 use ochrelead_core::time::Moment;
-use ochrelead_hosting::clock::Clock;
+use ochrelead_host::clock::Clock;
 use ochrelead_platform::LONGEST;
 use tracing::{debug, trace};
 
--- a/crates/ochrelead-node/src/promises.rs
+++ b/crates/ochrelead-node/src/promises.rs
@@ -9,7 +9,7 @@
 use std::thread;
 
 use async_channel::Receiver;
-use ochrelead_hosting::{COUNTERS, STATUS};
+use ochrelead_host::{COUNTERS, STATUS};
 use tracing::warn;
 
 const PRESENT: &str = "promises";
--- a/crates/ochrelead-table/tests/table.rs
+++ b/crates/ochrelead-parquet/tests/table.rs
@@ -3,7 +3,7 @@
 use std::fs::File;
 use std::path::Path;
 
-use ochrelead_table::{Cell, Kind, Table};
+use ochrelead_parquet::{Cell, Kind, Table};
 use parquet::file::reader::{FileReader, SerializedFileReader};
 use test_case::test_case;
 
--- a/crates/ochrelead-report/src/export.rs
+++ b/crates/ochrelead-report/src/export.rs
@@ -4,9 +4,9 @@
 
 use anyhow::Context;
 use ochrelead_core::time::Moment;
-use ochrelead_records::reader::{Log, Record, logs};
-use ochrelead_records::schema::{Choice, Denial, Ending, Payment, event::What};
-use ochrelead_table::{Cell, Kind, Table};
+use ochrelead_event_log::reader::{Log, Record, logs};
+use ochrelead_event_log::schema::{Choice, Denial, Ending, Payment, event::What};
+use ochrelead_parquet::{Cell, Kind, Table};
 
 use crate::incident::survey;
 use crate::merged::Merged;
--- a/crates/ochrelead-report/src/incident.rs
+++ b/crates/ochrelead-report/src/incident.rs
@@ -9,8 +9,8 @@
 use ochrelead_diagnosis::clocks::{Clocks, Ties};
 use ochrelead_diagnosis::diagnosis::Diagnosis;
 use ochrelead_diagnosis::trouble::Trouble;
-use ochrelead_records::reader::{Damage, Life, Log, Record, logs};
-use ochrelead_records::schema::event::What;
+use ochrelead_event_log::reader::{Damage, Life, Log, Record, logs};
+use ochrelead_event_log::schema::event::What;
 
 use crate::merged::Merged;
 use crate::series::Series;
--- a/crates/ochrelead-report/src/merged.rs
+++ b/crates/ochrelead-report/src/merged.rs
@@ -8,7 +8,7 @@
 
 use ochrelead_core::time::Moment;
 use ochrelead_diagnosis::clocks::Clocks;
-use ochrelead_records::reader::{Damage, Log, Record};
+use ochrelead_event_log::reader::{Damage, Log, Record};
 
 /// One front's lives, the first of them under way.
 struct Course {
--- a/crates/ochrelead-report/src/series.rs
+++ b/crates/ochrelead-report/src/series.rs
@@ -4,8 +4,8 @@
 
 use hdrhistogram::Histogram;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_records::reader::Record;
-use ochrelead_records::schema::{Choice, Denial, Ending, event::What};
+use ochrelead_event_log::reader::Record;
+use ochrelead_event_log::schema::{Choice, Denial, Ending, event::What};
 
 /// The most stretches of a plot.
 const MOST: u64 = 240;
--- a/crates/ochrelead-report/src/story.rs
+++ b/crates/ochrelead-report/src/story.rs
@@ -1,8 +1,8 @@
 //! The sessions that waited longest, step by step.
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_records::reader::Record;
-use ochrelead_records::schema::event::What;
+use ochrelead_event_log::reader::Record;
+use ochrelead_event_log::schema::event::What;
 
 /// How many are told.
 const MOST: usize = 5;
--- a/crates/ochrelead-report/tests/report.rs
+++ b/crates/ochrelead-report/tests/report.rs
@@ -7,9 +7,9 @@
 
 use ochrelead_core::time::Moment;
 use ochrelead_diagnosis::trouble::{Kind, Trouble};
-use ochrelead_records::reader::{Damage, Life, Log, Record};
-use ochrelead_records::schema::event::What;
-use ochrelead_records::schema::{Event, Invite, Outlook, Stands, Taken, Told};
+use ochrelead_event_log::reader::{Damage, Life, Log, Record};
+use ochrelead_event_log::schema::event::What;
+use ochrelead_event_log::schema::{Event, Invite, Outlook, Stands, Taken, Told};
 use ochrelead_report::incident::Incident;
 use ochrelead_report::{json, page};
 use test_case::test_case;
--- a/crates/ochrelead-day/src/audit/drawn.rs
+++ b/crates/ochrelead-scenario/src/audit/drawn.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, HashSet};
 
+use ochrelead_config::day::Day;
 use ochrelead_mgcp::message::{Message, Verb, name};
-use ochrelead_settings::day::Day;
 use statrs::distribution::{ChiSquared, ContinuousCDF};
 
 use super::sightings::{Mark, Seen, What};
--- a/crates/ochrelead-day/src/audit/mod.rs
+++ b/crates/ochrelead-scenario/src/audit/mod.rs
@@ -8,8 +8,8 @@
 
 use std::fmt;
 
+use ochrelead_config::day::Day;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_settings::day::Day;
 
 use crate::capture::Sight;
 pub use drawn::Drawn;
--- a/crates/ochrelead-day/src/audit/rules.rs
+++ b/crates/ochrelead-scenario/src/audit/rules.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
+use ochrelead_config::day::Day;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_mgcp::message::{Command, Message, Response, TransactionId, Verb, code, name};
-use ochrelead_settings::day::Day;
 
 use super::Verdict;
 use super::sightings::{Mark, Seen, What};
--- a/crates/ochrelead-day/src/audit/service.rs
+++ b/crates/ochrelead-scenario/src/audit/service.rs
@@ -3,10 +3,10 @@
 
 use std::collections::BTreeMap;
 
+use ochrelead_config::day::Day;
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_emulator::callers::HOT;
 use ochrelead_mgcp::message::{Message, Verb, name};
-use ochrelead_settings::day::Day;
-use ochrelead_standin::callers::HOT;
 
 use super::sightings::{Seen, What, state};
 use crate::party::Party;
@@ -97,7 +97,7 @@
 
 fn offered(day: &Day, at: Moment, events: &str, trunk: &str, asked: &mut [Vec<Moment>]) -> Caller {
     let digits: String = events.split(',').filter_map(|event| event.trim().strip_prefix("D/")).collect();
-    let dialled = |own: &ochrelead_settings::schema::Service| {
+    let dialled = |own: &ochrelead_config::schema::Service| {
         own.dialled.as_deref().is_some_and(|dialled| digits.starts_with(dialled))
     };
     let service = day.sheet.service.iter().position(dialled).unwrap_or(0);
--- a/crates/ochrelead-day/src/audit/sightings.rs
+++ b/crates/ochrelead-scenario/src/audit/sightings.rs
@@ -1,9 +1,9 @@
 //! A capture as a course of messages, and what the day's script says of the servers.
 
+use ochrelead_config::day::{Day, Kind};
 use ochrelead_core::time::Moment;
 use ochrelead_mgcp::message::Message;
 use ochrelead_mgcp::parse;
-use ochrelead_settings::day::{Day, Kind};
 
 use crate::capture::Sight;
 use crate::party::Party;
--- a/crates/ochrelead-day/src/baseline.rs
+++ b/crates/ochrelead-scenario/src/baseline.rs
@@ -6,7 +6,7 @@
 use ochrelead_core::call::{Decision, Ending, Lines, ListState, Listing, Offer, Report};
 use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_hosting::judge::Judge;
+use ochrelead_host::judge::Judge;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
--- a/crates/ochrelead-day/src/found.rs
+++ b/crates/ochrelead-scenario/src/found.rs
@@ -4,11 +4,11 @@
 use std::path::Path;
 
 use anyhow::Context;
+use ochrelead_config::day::{self, Day};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_diagnosis::trouble::{Kind, Trouble};
-use ochrelead_records::reader::{Damage, Log, Record, logs};
+use ochrelead_event_log::reader::{Damage, Log, Record, logs};
 use ochrelead_report::incident::Incident;
-use ochrelead_settings::day::{self, Day};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
--- a/crates/ochrelead-day/src/load.rs
+++ b/crates/ochrelead-scenario/src/load.rs
@@ -13,7 +13,7 @@
 
 use anyhow::Context;
 use hdrhistogram::Histogram;
-use ochrelead_settings::schema;
+use ochrelead_config::schema;
 use rustix::process::Pid;
 use rustix::thread::{CpuSet, sched_setaffinity};
 
@@ -256,7 +256,7 @@
         }],
         ..schema::Front::default()
     };
-    ochrelead_settings::text::written(&settings, "Front")
+    ochrelead_config::text::written(&settings, "Front")
 }
 
 /// A bare relay: what comes from one goes to the other.
--- a/crates/ochrelead-day/src/main.rs
+++ b/crates/ochrelead-scenario/src/main.rs
@@ -1,4 +1,4 @@
-//! The program `ochrelead-day`.
+//! The program `ochrelead-scenario`.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -9,15 +9,15 @@
 use anyhow::Context;
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
+use ochrelead_config::day::{self, Day};
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_day::audit::{self, RULES, Service, Verdict};
-use ochrelead_day::found::{self, Found, Tally};
-use ochrelead_day::load::{self, Between};
-use ochrelead_day::party::Street;
-use ochrelead_day::world::{Deciding, World, capture_file, day_file};
-use ochrelead_day::{capture, part};
 use ochrelead_front::host::Places;
-use ochrelead_settings::day::{self, Day};
+use ochrelead_scenario::audit::{self, RULES, Service, Verdict};
+use ochrelead_scenario::found::{self, Found, Tally};
+use ochrelead_scenario::load::{self, Between};
+use ochrelead_scenario::party::Street;
+use ochrelead_scenario::world::{Deciding, World, capture_file, day_file};
+use ochrelead_scenario::{capture, part};
 
 /// Plays scripted days through real fronts on loopback sockets, and judges them from what the sockets saw.
 ///
@@ -25,9 +25,9 @@
 #[derive(Parser)]
 #[command(
     version,
-    after_help = "Examples:\n  ochrelead-day run days/bad-day.textproto --out target/day\n  \
-    ochrelead-day audit target/day/capture.pcap --day days/bad-day.textproto\n  \
-    ochrelead-day check days/bad-day.textproto"
+    after_help = "Examples:\n  ochrelead-scenario run scenarios/bad-day.textproto --out target/day\n  \
+    ochrelead-scenario audit target/day/capture.pcap --day scenarios/bad-day.textproto\n  \
+    ochrelead-scenario check scenarios/bad-day.textproto"
 )]
 struct Line {
     #[command(subcommand)]
@@ -156,7 +156,7 @@
         Ok(Outcome::Broken) => ExitCode::FAILURE,
         Err(error) => {
             for line in format!("{error:#}").lines() {
-                eprintln!("ochrelead-day: {line}");
+                eprintln!("ochrelead-scenario: {line}");
             }
             ExitCode::from(2)
         }
--- a/crates/ochrelead-day/src/world.rs
+++ b/crates/ochrelead-scenario/src/world.rs
@@ -14,11 +14,11 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use ochrelead_config::day::{Day, Kind};
+use ochrelead_config::schema;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_hosting::clock::Clock;
-use ochrelead_settings::day::{Day, Kind};
-use ochrelead_settings::schema;
-use ochrelead_standin::network::{Network, faults};
+use ochrelead_emulator::network::{Network, faults};
+use ochrelead_host::clock::Clock;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustix::process::{Pid, Signal, kill_process};
@@ -201,7 +201,7 @@
         if state.exists() {
             fs::remove_dir_all(&state)?;
         }
-        fs::write(&file, ochrelead_settings::text::written(&settings, "Front"))
+        fs::write(&file, ochrelead_config::text::written(&settings, "Front"))
             .with_context(|| format!("{}", file.display()))
     }
 
@@ -366,7 +366,7 @@
         }
         let fleet =
             schema::Fleet { generation: Some(generation), server: servers, ..schema::Fleet::default() };
-        let mut text = ochrelead_settings::text::written(&fleet, "Fleet");
+        let mut text = ochrelead_config::text::written(&fleet, "Fleet");
         text.push_str(&format!("\nend: {generation}\n"));
         if broken && luck % 3 == 1 {
             text.truncate(luck as usize % text.len());
@@ -386,7 +386,7 @@
 
 /// Rewrites all fleet files, and marks in the capture what each sound one says.
 async fn rewrite(
-    churn: ochrelead_settings::day::Churn,
+    churn: ochrelead_config::day::Churn,
     fleets: Vec<Churning>,
     rig: Rc<RefCell<Rig>>,
     clock: Clock,
--- a/crates/ochrelead-day/tests/audit.rs
+++ b/crates/ochrelead-scenario/tests/audit.rs
@@ -1,10 +1,10 @@
 //! Each rule broken in a capture, and found: rule, try and moment. Beside each stands the same course kept.
 
+use ochrelead_config::day::{self, Day};
 use ochrelead_core::time::Moment;
-use ochrelead_day::audit::{Verdict, audit, ceiling};
-use ochrelead_day::capture::{Sight, Tape, sights};
-use ochrelead_day::party::Party;
-use ochrelead_settings::day::{self, Day};
+use ochrelead_scenario::audit::{Verdict, audit, ceiling};
+use ochrelead_scenario::capture::{Sight, Tape, sights};
+use ochrelead_scenario::party::Party;
 use test_case::test_case;
 
 const DAY: &str = r#"seed: 1 length_ms: 20000 fronts: 2
--- a/crates/ochrelead-day/tests/days.rs
+++ b/crates/ochrelead-scenario/tests/days.rs
@@ -10,14 +10,14 @@
 const AT_ONCE: usize = 5;
 
 fn short_days() -> Vec<PathBuf> {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days/short");
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/short");
     let mut days: Vec<PathBuf> = fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()).collect();
     days.sort();
     days
 }
 
 fn program(arguments: &[&str]) -> (Option<i32>, String) {
-    let run = Command::new(env!("CARGO_BIN_EXE_ochrelead-day")).args(arguments).output().unwrap();
+    let run = Command::new(env!("CARGO_BIN_EXE_ochrelead-scenario")).args(arguments).output().unwrap();
     let said = [run.stdout, run.stderr].concat();
     (run.status.code(), String::from_utf8_lossy(&said).into_owned())
 }
--- a/crates/ochrelead-sim/src/disk.rs
+++ b/crates/ochrelead-sim/src/disk.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 
-use ochrelead_fleet::store::Disk;
+use ochrelead_discovery::store::Disk;
 
 /// One folder.
 #[derive(Clone, Debug, Default)]
--- a/crates/ochrelead-sim/src/experiment.rs
+++ b/crates/ochrelead-sim/src/experiment.rs
@@ -5,11 +5,11 @@
 use std::path::Path;
 
 use anyhow::{Context, bail};
-use ochrelead_day::world::Deciding;
-use ochrelead_settings::day::{self, Day, Kind};
-use ochrelead_settings::schema;
-use ochrelead_settings::text::{Complaint, Sheet};
-use ochrelead_table::{Cell, Kind as Column, Table};
+use ochrelead_config::day::{self, Day, Kind};
+use ochrelead_config::schema;
+use ochrelead_config::text::{Complaint, Sheet};
+use ochrelead_parquet::{Cell, Kind as Column, Table};
+use ochrelead_scenario::world::Deciding;
 use plotters::prelude::*;
 use statrs::distribution::{ContinuousCDF, StudentsT};
 
--- a/crates/ochrelead-sim/src/front.rs
+++ b/crates/ochrelead-sim/src/front.rs
@@ -3,15 +3,15 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use ochrelead_config::commission::Commission;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_fleet::store::{self, Kept};
+use ochrelead_discovery::store::{self, Kept};
+use ochrelead_event_log::reader::{Life, Log, Record};
+use ochrelead_event_log::schema::{Event, event::What};
 use ochrelead_front::engine::Engine;
 use ochrelead_front::note::Note;
 use ochrelead_front::recording;
-use ochrelead_hosting::judge::Judge;
-use ochrelead_records::reader::{Life, Log, Record};
-use ochrelead_records::schema::{Event, event::What};
-use ochrelead_settings::commission::Commission;
+use ochrelead_host::judge::Judge;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
--- a/crates/ochrelead-sim/src/main.rs
+++ b/crates/ochrelead-sim/src/main.rs
@@ -13,12 +13,12 @@
 use anyhow::{Context, bail};
 use clap::{Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
-use ochrelead_day::found::{self, Tally};
-use ochrelead_day::world::Deciding;
-use ochrelead_records::reader::Log;
-use ochrelead_records::writer::{Bounds, Recorder};
-use ochrelead_settings::day::{self, Day};
-use ochrelead_settings::text::Sheet as Text;
+use ochrelead_config::day::{self, Day};
+use ochrelead_config::text::Sheet as Text;
+use ochrelead_event_log::reader::Log;
+use ochrelead_event_log::writer::{Bounds, Recorder};
+use ochrelead_scenario::found::{self, Tally};
+use ochrelead_scenario::world::Deciding;
 use ochrelead_sim::books::Violation;
 use ochrelead_sim::experiment::{self, Experiment};
 use ochrelead_sim::play::{Outcome, play};
@@ -33,7 +33,7 @@
 #[command(
     version,
     after_help = "Examples:\n  ochrelead-sim explore --seeds 0..10000\n  ochrelead-sim replay 4711 --trace trace.txt\n  \
-    ochrelead-sim shrink 4711 --out found.textproto\n  ochrelead-sim play days/bad-day.textproto"
+    ochrelead-sim shrink 4711 --out found.textproto\n  ochrelead-sim play scenarios/bad-day.textproto"
 )]
 struct Line {
     #[command(subcommand)]
@@ -127,7 +127,7 @@
     if let Ok(seed) = of.parse() {
         return Ok(schedule::drawn(seed));
     }
-    let told = |complaints: Vec<ochrelead_settings::text::Complaint>| {
+    let told = |complaints: Vec<ochrelead_config::text::Complaint>| {
         let lines: Vec<String> = complaints.iter().map(ToString::to_string).collect();
         anyhow::anyhow!("{}", lines.join("\n"))
     };
--- a/crates/ochrelead-sim/src/play.rs
+++ b/crates/ochrelead-sim/src/play.rs
@@ -1,10 +1,10 @@
 //! A whole day, and what it came to.
 
+use ochrelead_config::day::Day;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_day::audit::{self, Service};
-use ochrelead_day::world::Deciding;
-use ochrelead_records::reader::Log;
-use ochrelead_settings::day::Day;
+use ochrelead_event_log::reader::Log;
+use ochrelead_scenario::audit::{self, Service};
+use ochrelead_scenario::world::Deciding;
 
 use crate::books::Violation;
 use crate::world::{Honest, Keep, Meddler, World};
--- a/crates/ochrelead-sim/src/schedule.rs
+++ b/crates/ochrelead-sim/src/schedule.rs
@@ -1,8 +1,8 @@
 //! Days with faults drawn from a seed. Each seed turns most kinds of fault off and some up: what one kind would
 //! hide of another is seen on a day that has only the other.
 
-use ochrelead_settings::day::{self, Day, Kind};
-use ochrelead_settings::{schema, text};
+use ochrelead_config::day::{self, Day, Kind};
+use ochrelead_config::{schema, text};
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
--- a/crates/ochrelead-sim/tests/console.rs
+++ b/crates/ochrelead-sim/tests/console.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
+use ochrelead_config::day::{self, Day, Kind};
 use ochrelead_console::watch::Watch;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_day::world::Deciding;
-use ochrelead_records::reader::Record;
-use ochrelead_settings::day::{self, Day, Kind};
+use ochrelead_event_log::reader::Record;
+use ochrelead_scenario::world::Deciding;
 use ochrelead_sim::play::play;
 use ochrelead_sim::world::{Keep, LEAD, START};
 use test_case::test_case;
@@ -20,7 +20,7 @@
 fn shown_after(day: &Day) -> Option<f64> {
     let trouble = day.troubles.iter().find(|own| own.kind == Kind::Silent).unwrap();
     let begins = START + LEAD + trouble.at;
-    let name = ochrelead_day::world::server_name(trouble.which[0]);
+    let name = ochrelead_scenario::world::server_name(trouble.which[0]);
     let outcome = play(day, Deciding::Module, Keep { records: true, ..Keep::default() }).unwrap();
     // By when the disk has them.
     let mut arrive: BTreeMap<u64, Vec<Record>> = BTreeMap::new();
@@ -47,7 +47,8 @@
 #[test_case("bad-day", 6; "the bad day")]
 #[test_case("short/silent", 12; "the short one")]
 fn a_silent_server_is_shown_within_three_seconds(file: &str, seeds: u64) {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days").join(format!("{file}.textproto"));
+    let path =
+        Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios").join(format!("{file}.textproto"));
     let day = day::open(&path).unwrap();
     let mut after: Vec<f64> =
         (1..=seeds).map(|seed| shown_after(&Day { seed, ..day.clone() }).unwrap_or(f64::INFINITY)).collect();
--- a/crates/ochrelead-sim/tests/replay.rs
+++ b/crates/ochrelead-sim/tests/replay.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::process::Command;
 
-use ochrelead_day::world::Deciding;
+use ochrelead_scenario::world::Deciding;
 use ochrelead_sim::play::{Outcome, play};
 use ochrelead_sim::schedule::{drawn, read};
 use ochrelead_sim::world::Keep;
--- a/crates/ochrelead-sim/tests/resent.rs
+++ b/crates/ochrelead-sim/tests/resent.rs
@@ -4,11 +4,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 
-use ochrelead_day::party::Party;
-use ochrelead_day::world::Deciding;
+use ochrelead_config::day;
 use ochrelead_mgcp::message::{Message, Verb, name};
 use ochrelead_mgcp::parse;
-use ochrelead_settings::day;
+use ochrelead_scenario::party::Party;
+use ochrelead_scenario::world::Deciding;
 use ochrelead_sim::world::{Honest, Keep, World};
 use test_case::test_case;
 
@@ -31,7 +31,7 @@
 
 /// What was counted, and the most that one session may come to: its INVITEs, and the repeats of a single one.
 fn count(day: &str) -> (Layers, u32) {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days");
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
     let day = day::open(&folder.join(day)).unwrap();
     let keep = Keep { sights: true, ..Keep::default() };
     let mut world = World::new(&day, Deciding::Module, Box::new(Honest), keep).unwrap();
--- a/crates/ochrelead-sim/tests/sabotage.rs
+++ b/crates/ochrelead-sim/tests/sabotage.rs
@@ -2,12 +2,12 @@
 
 mod wrong;
 
+use ochrelead_config::commission::Commission;
 use ochrelead_core::time::Span;
-use ochrelead_day::world::Deciding;
-use ochrelead_fleet::roster::Said;
-use ochrelead_fleet::store::Kept;
-use ochrelead_hosting::judge::Judge;
-use ochrelead_settings::commission::Commission;
+use ochrelead_discovery::roster::Said;
+use ochrelead_discovery::store::Kept;
+use ochrelead_host::judge::Judge;
+use ochrelead_scenario::world::Deciding;
 use ochrelead_sim::play::meddled;
 use ochrelead_sim::schedule::{Sheet, drawn, read};
 use ochrelead_sim::shrink::shrink;
--- a/crates/ochrelead-sim/tests/tiny/mod.rs
+++ b/crates/ochrelead-sim/tests/tiny/mod.rs
@@ -6,15 +6,15 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use ochrelead_config::commission::{self, Commission, Post};
 use ochrelead_core::rules::Controller;
 use ochrelead_core::time::Moment;
-use ochrelead_fleet::roster::Said;
+use ochrelead_discovery::roster::Said;
 use ochrelead_front::engine::Engine;
 use ochrelead_front::note::Note;
-use ochrelead_hosting::judge::Judge;
+use ochrelead_host::judge::Judge;
 use ochrelead_mgcp::message::{Command, Message, Response, Verb, name};
 use ochrelead_mgcp::{parse, write};
-use ochrelead_settings::commission::{self, Commission, Post};
 use oracle::Oracle;
 
 use crate::wrong::{Fault, Wrong};
--- a/crates/ochrelead-sim/tests/wrong/mod.rs
+++ b/crates/ochrelead-sim/tests/wrong/mod.rs
@@ -5,7 +5,7 @@
 use ochrelead_core::call::{Decision, Ending, Lines, ListState, Listing, Offer, Outlook, Reason, Report};
 use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::Moment;
-use ochrelead_hosting::judge::Judge;
+use ochrelead_host::judge::Judge;
 
 /// What is wrong with whoever decides.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/ochrelead-together/src/districts/watch.rs
+++ b/crates/ochrelead-verify/src/districts/watch.rs
@@ -3,11 +3,11 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use ochrelead_district::word::{Word, read, write};
-use ochrelead_district::{District, ServerKey};
+use ochrelead_gossip::schema::part::What;
+use ochrelead_gossip::wire::{self, Sheet};
 use ochrelead_node::together::Together;
-use ochrelead_peers::schema::part::What;
-use ochrelead_peers::wire::{self, Sheet};
+use ochrelead_zone::word::{Word, read, write};
+use ochrelead_zone::{District, ServerKey};
 
 use super::load::{MS, Server};
 use super::world::{Front, World, moment};
@@ -276,7 +276,7 @@
                 let all = (0..servers.len() as u32).filter(|nth| servers[*nth as usize].district == district);
                 for server in all.map(&key) {
                     met.retain(|(own, _)| *own != server);
-                    met.push((server, ochrelead_district::evidence::Met { lost, ..Default::default() }));
+                    met.push((server, ochrelead_zone::evidence::Met { lost, ..Default::default() }));
                 }
             }
             met.sort_unstable_by_key(|(server, _)| *server);
--- a/crates/ochrelead-together/src/main.rs
+++ b/crates/ochrelead-verify/src/main.rs
@@ -1,4 +1,4 @@
-//! The program `ochrelead-together`.
+//! The program `ochrelead-verify`.
 
 use std::ops::Range;
 use std::path::PathBuf;
@@ -9,11 +9,11 @@
 use std::time::Instant;
 
 use clap::{Parser, Subcommand};
-use ochrelead_together::districts;
-use ochrelead_together::emulate::{Day, Shown, play};
-use ochrelead_together::explore::{Scene, explore};
-use ochrelead_together::fleet::{self, Blow, Course};
-use ochrelead_together::processes::{self, Rig};
+use ochrelead_verify::districts;
+use ochrelead_verify::emulate::{Day, Shown, play};
+use ochrelead_verify::explore::{Scene, explore};
+use ochrelead_verify::fleet::{self, Blow, Course};
+use ochrelead_verify::processes::{self, Rig};
 
 /// Proof of what fronts do together: leases are never held twice, whatever happens between the fronts.
 ///
@@ -22,10 +22,10 @@
 #[command(
     version,
     after_help = "Examples:
-  ochrelead-together explore --depth 13
-  ochrelead-together explore --voters 5 --candidates 3 --fronts 5 --depth 11
-  ochrelead-together seeds 0..10000
-  ochrelead-together seeds 0..20 --fronts 2000 --calm"
+  ochrelead-verify explore --depth 13
+  ochrelead-verify explore --voters 5 --candidates 3 --fronts 5 --depth 11
+  ochrelead-verify seeds 0..10000
+  ochrelead-verify seeds 0..20 --fronts 2000 --calm"
 )]
 struct Line {
     #[command(subcommand)]
@@ -157,13 +157,12 @@
         }
         What::Costs { fronts, servers, secs, times } => costs(fronts, servers, secs, times),
         What::Play { front, fronts, seed, faults } => {
-            let folder =
-                std::env::temp_dir().join(format!("ochrelead-together-{seed}-{}", std::process::id()));
+            let folder = std::env::temp_dir().join(format!("ochrelead-verify-{seed}-{}", std::process::id()));
             let host = (std::process::id() % 250) as u8 + 1;
             let played = match Rig::start(&front, &folder, fronts, [80, host], |_| Vec::new()) {
                 Ok(mut rig) => processes::play(&mut rig, seed, faults),
                 Err(error) => {
-                    eprintln!("ochrelead-together: {fronts} processes of {}: {error}", front.display());
+                    eprintln!("ochrelead-verify: {fronts} processes of {}: {error}", front.display());
                     return ExitCode::from(2);
                 }
             };
--- a/crates/ochrelead-together/src/processes/relay.rs
+++ b/crates/ochrelead-verify/src/processes/relay.rs
@@ -8,10 +8,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use ochrelead_district::word::{self, Word};
+use ochrelead_gossip::schema::{Datagram, Part, part::What};
+use ochrelead_gossip::{VERSION, Who};
 use ochrelead_lease::letter;
-use ochrelead_peers::schema::{Datagram, Part, part::What};
-use ochrelead_peers::{VERSION, Who};
+use ochrelead_zone::word::{self, Word};
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
--- a/crates/ochrelead-together/tests/districts.rs
+++ b/crates/ochrelead-verify/tests/districts.rs
@@ -1,7 +1,7 @@
 //! Whole fleets whose districts fail and return, a short set: what must hold does, whatever the seed, and each deliberate
-//! mistake is found. `ochrelead-together districts` plays the long one.
+//! mistake is found. `ochrelead-verify districts` plays the long one.
 
-use ochrelead_together::districts::{Day, Kind, SLIPS, Slip, Trouble, play};
+use ochrelead_verify::districts::{Day, Kind, SLIPS, Slip, Trouble, play};
 use test_case::test_case;
 
 const FRONTS: u32 = 24;
--- a/crates/ochrelead-together/tests/emulate.rs
+++ b/crates/ochrelead-verify/tests/emulate.rs
@@ -1,7 +1,7 @@
 //! Seeded fleets: what must hold does, and each deliberate mistake is found within so many seeds.
 
-use ochrelead_together::emulate::{Day, Shown, play};
-use ochrelead_together::mistake::Mistake;
+use ochrelead_verify::emulate::{Day, Shown, play};
+use ochrelead_verify::mistake::Mistake;
 use test_case::test_case;
 
 fn day(seed: u64, mistake: Option<Mistake>) -> Day {
--- a/crates/ochrelead-together/tests/explore.rs
+++ b/crates/ochrelead-verify/tests/explore.rs
@@ -1,7 +1,7 @@
 //! Every order of a few events, complete to a depth that takes seconds; and each deliberate mistake is found.
 
-use ochrelead_together::explore::{Scene, explore, replay};
-use ochrelead_together::mistake::Mistake;
+use ochrelead_verify::explore::{Scene, explore, replay};
+use ochrelead_verify::mistake::Mistake;
 use test_case::test_case;
 
 fn scene(mistake: Option<Mistake>) -> Scene {
--- a/crates/ochrelead-together/tests/fleet.rs
+++ b/crates/ochrelead-verify/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! What a node does with its peers, as it ships, in fleets: its cost is bounded, and it spares tests.
 
-use ochrelead_together::fleet::{Blow, Course, play};
+use ochrelead_verify::fleet::{Blow, Course, play};
 use test_case::test_case;
 
 fn course(fronts: u32, together: bool, blow: Blow) -> Course {
--- a/crates/ochrelead-together/tests/judge.rs
+++ b/crates/ochrelead-verify/tests/judge.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use ochrelead_lease::{Number, Who};
-use ochrelead_together::processes::server::{Taken, overlap, verdict};
+use ochrelead_verify::processes::server::{Taken, overlap, verdict};
 use test_case::test_case;
 
 /// An act: ms, the number's count, front, life, connection, refused.
--- a/crates/ochrelead-district/src/engine.rs
+++ b/crates/ochrelead-zone/src/engine.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_peers::Who;
+use ochrelead_gossip::Who;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
--- a/crates/ochrelead-district/tests/course.rs
+++ b/crates/ochrelead-zone/tests/course.rs
@@ -1,9 +1,9 @@
 //! Leaving and coming back, step by step.
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_district::Terms;
-use ochrelead_district::course::Course;
-use ochrelead_district::verdict::{Count, Verdict};
+use ochrelead_zone::Terms;
+use ochrelead_zone::course::Course;
+use ochrelead_zone::verdict::{Count, Verdict};
 
 const TERMS: Terms = Terms { overdue: Span::from_millis(375), growth: 2.0 };
 const DEAD: Count = Count {
--- a/crates/ochrelead-district/tests/engine.rs
+++ b/crates/ochrelead-zone/tests/engine.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_district::course::Why;
-use ochrelead_district::engine::{Engine, To};
-use ochrelead_district::word::{Eased, Word, write};
-use ochrelead_district::{District, Place, ServerKey, Terms};
-use ochrelead_peers::Who;
+use ochrelead_gossip::Who;
+use ochrelead_zone::course::Why;
+use ochrelead_zone::engine::{Engine, To};
+use ochrelead_zone::word::{Eased, Word, write};
+use ochrelead_zone::{District, Place, ServerKey, Terms};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use test_case::test_case;
--- a/crates/ochrelead-district/tests/evidence.rs
+++ b/crates/ochrelead-zone/tests/evidence.rs
@@ -1,8 +1,8 @@
 //! What one front counts.
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_district::ServerKey;
-use ochrelead_district::evidence::{Evidence, Met};
+use ochrelead_zone::ServerKey;
+use ochrelead_zone::evidence::{Evidence, Met};
 use test_case::test_case;
 
 const OVERDUE: Span = Span::from_millis(400);
--- a/crates/ochrelead-district/tests/missed.rs
+++ b/crates/ochrelead-zone/tests/missed.rs
@@ -1,6 +1,6 @@
 //! How much of a verdict one server carries.
 
-use ochrelead_district::verdict::{Count, Verdict, judge, missed};
+use ochrelead_zone::verdict::{Count, Verdict, judge, missed};
 use test_case::test_case;
 
 /// What else was met at a district whose servers look silent, and one that does well beside it.
--- a/crates/ochrelead-district/tests/stored_bytes.rs
+++ b/crates/ochrelead-zone/tests/stored_bytes.rs
@@ -4,10 +4,10 @@
 use std::path::{Path, PathBuf};
 
 use ochrelead_core::time::Span;
-use ochrelead_district::course::Why;
-use ochrelead_district::evidence::Met;
-use ochrelead_district::word::{Eased, Word, read, write};
-use ochrelead_district::{District, ServerKey};
+use ochrelead_zone::course::Why;
+use ochrelead_zone::evidence::Met;
+use ochrelead_zone::word::{Eased, Word, read, write};
+use ochrelead_zone::{District, ServerKey};
 
 fn stored(name: &str) -> String {
     let path: PathBuf = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(name);
--- a/crates/ochrelead-district/tests/verdict.rs
+++ b/crates/ochrelead-zone/tests/verdict.rs
@@ -1,6 +1,6 @@
 //! What is said of districts by counts alone.
 
-use ochrelead_district::verdict::{Count, Verdict, judge};
+use ochrelead_zone::verdict::{Count, Verdict, judge};
 use test_case::test_case;
 
 const WELL: Count = Count {
--- a/crates/ochrelead-district/tests/word.rs
+++ b/crates/ochrelead-zone/tests/word.rs
@@ -1,11 +1,11 @@
 //! Words as bytes: read as written, bounded, and nothing foreign harms.
 
 use ochrelead_core::time::Span;
-use ochrelead_district::course::Why;
-use ochrelead_district::evidence::Met;
-use ochrelead_district::schema::{self, word::What};
-use ochrelead_district::word::{Eased, LONGEST, Word, read, write};
-use ochrelead_district::{District, ServerKey};
+use ochrelead_zone::course::Why;
+use ochrelead_zone::evidence::Met;
+use ochrelead_zone::schema::{self, word::What};
+use ochrelead_zone::word::{Eased, LONGEST, Word, read, write};
+use ochrelead_zone::{District, ServerKey};
 use proptest::prelude::*;
 use prost::Message;
 use test_case::test_case;
--- a/scripts/behaviour.sh
+++ b/scripts/behaviour.sh
@@ -9,8 +9,6 @@
 fi
 programs=${1:-target/release}
 verify="$programs/ochrelead-verify"
-# The name before the packages were renamed.
-[ -x "$verify" ] || verify="$programs/ochrelead-together"
 failed=0
 
 run() {
