--- a/crates/ochrelead-benchlink/src/door.rs
+++ b/crates/ochrelead-benchlink/src/door.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use ochrelead_core::index::{NumberIx, ServerIx, SessionIx};
+use ochrelead_core::index::{CalledNumberIx, ServerIx, SessionIx};
 use slab::Slab;
 
 /// A session as the wire knows it.
@@ -19,7 +19,7 @@
     callers: Slab<Caller>,
     servers: HashMap<u64, ServerIx>,
     server_ids: Vec<u64>,
-    numbers: HashMap<String, NumberIx>,
+    numbers: HashMap<String, CalledNumberIx>,
 }
 
 impl Door {
@@ -39,14 +39,14 @@
     }
 
     pub fn caller(&mut self, session: SessionIx) -> &mut Caller {
-        &mut self.callers[session.at()]
+        &mut self.callers[session.index()]
     }
 
     /// Frees the index of a session that is answered and has no INVITE out.
     pub fn leave(&mut self, session: SessionIx) {
-        let caller = &self.callers[session.at()];
+        let caller = &self.callers[session.index()];
         if caller.answered && caller.open == 0 {
-            let caller = self.callers.remove(session.at());
+            let caller = self.callers.remove(session.index());
             self.sessions.remove(&caller.id);
         }
     }
@@ -63,14 +63,14 @@
     }
 
     pub fn server_id(&self, server: ServerIx) -> u64 {
-        self.server_ids[server.at()]
+        self.server_ids[server.index()]
     }
 
-    pub fn number(&mut self, key: &str) -> NumberIx {
+    pub fn number(&mut self, key: &str) -> CalledNumberIx {
         if let Some(number) = self.numbers.get(key) {
             return *number;
         }
-        let number = NumberIx::new(self.numbers.len());
+        let number = CalledNumberIx::new(self.numbers.len());
         self.numbers.insert(key.to_owned(), number);
         number
     }
--- a/crates/ochrelead-benchlink/src/front.rs
+++ b/crates/ochrelead-benchlink/src/front.rs
@@ -4,26 +4,28 @@
 
 use crate::door::Door;
 use crate::{millis, moment, whole};
-use ochrelead_core::call::{Decision, Ending, Lines, ListState, Listing, Offer, Report};
-use ochrelead_core::index::{MemberIx, ServerIx, ServiceIx, SessionIx};
-use ochrelead_core::rules::Controller;
+use ochrelead_core::controller::Controller;
+use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx, TenantIx};
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_core::types::{
+    CallRequest, Decision, EndpointState, EndpointUpdate, InviteOutcome, LineCapacity, LoadReport,
+};
 use ochrelead_platform::facts::Facts;
 
 /// One line of a numbered list.
 pub struct Entry {
     server: u64,
     number: i64,
-    state: ListState,
+    state: EndpointState,
 }
 
 impl Entry {
     pub fn read(line: &Value) -> Result<Entry, String> {
         let started = line.get("startTimeMs").and_then(moment).filter(|at| *at > Moment::START);
         let state = match line.get("availability").and_then(Value::as_str) {
-            None | Some("ready") => ListState::Ready { started },
-            Some("draining") => ListState::Draining,
-            Some("gone") => ListState::Gone,
+            None | Some("ready") => EndpointState::Ready { started },
+            Some("draining") => EndpointState::Draining,
+            Some("gone") => EndpointState::Gone,
             Some(other) => return Err(format!("Page: unknown availability {other}")),
         };
         let server = whole(line, "server").ok_or("Page: an entry without server")?;
@@ -63,22 +65,22 @@
             other => return Err(format!("Endpoints: unknown scope {other}")),
         };
         let entries = list.ok_or("Endpoints: no such list")?;
-        let listings: Vec<Listing> = entries
+        let listings: Vec<EndpointUpdate> = entries
             .iter()
-            .map(|entry| Listing {
+            .map(|entry| EndpointUpdate {
                 server: self.door.server(entry.server),
                 number: entry.number,
                 state: entry.state,
                 weight: 1.0,
             })
             .collect();
-        self.rules.clock(now);
-        self.rules.listed(entire, &listings);
+        self.rules.advance_to(now);
+        self.rules.on_endpoints(entire, &listings);
         Ok(())
     }
 
     pub fn take(&mut self, name: &str, body: &Value, now: Moment) -> Result<(), String> {
-        self.rules.clock(now);
+        self.rules.advance_to(now);
         match name {
             "Wake" => {
                 self.armed = self.armed.filter(|at| *at > now);
@@ -87,7 +89,7 @@
             "Inbound" => self.inbound(body),
             "UnderWay" => {
                 if let Some(session) = self.session(body)? {
-                    self.rules.stands(session);
+                    self.rules.on_call_established(session);
                 }
                 Ok(())
             }
@@ -95,7 +97,7 @@
             "CancelledByClient" => {
                 if let Some(session) = self.session(body)? {
                     self.door.caller(session).answered = true;
-                    self.rules.hung_up(session);
+                    self.rules.on_caller_gone(session);
                     self.door.leave(session);
                 }
                 Ok(())
@@ -115,15 +117,15 @@
         let timer_limit = body.get("dropDeadMs").and_then(moment).ok_or("Inbound: no dropDeadMs")?;
         let session = self.door.admit(id).ok_or_else(|| format!("Inbound: {id} came before"))?;
         let number = body.get("affinity").and_then(Value::as_str).map(|key| self.door.number(key));
-        let offer = Offer {
+        let offer = CallRequest {
             service: ServiceIx::new(service),
-            member: Some(MemberIx::new(whole(body, "clientGroup").unwrap_or(0) as usize)),
-            number,
+            tenant: Some(TenantIx::new(whole(body, "clientGroup").unwrap_or(0) as usize)),
+            called_number: number,
             destination: integer(body, "calledNode").unwrap_or(-1),
-            timer_limit,
-            redial: body.get("againByClient").and_then(Value::as_bool).unwrap_or(false),
+            deadline: timer_limit,
+            is_redial: body.get("againByClient").and_then(Value::as_bool).unwrap_or(false),
         };
-        self.rules.offered(session, offer);
+        self.rules.on_call_request(session, offer);
         Ok(())
     }
 
@@ -131,15 +133,18 @@
         let why = whole(body, "why").unwrap_or(0);
         let wait = Span::from_millis(why >> 4);
         let ending = match whole(body, "result").ok_or("Settled: no result")? {
-            0 => Ending::Fault { lines_busy: why & 15 == 4 },
-            1 => Ending::Released,
+            0 => InviteOutcome::Failed { lines_busy: why & 15 == 4 },
+            1 => InviteOutcome::Released,
             // A wait stands above the four bits of the reason.
-            2 => Ending::BusyReplied { no_line: why & 15 == 1, wait: (wait > Span::ZERO).then_some(wait) },
-            3 => Ending::TimedOut,
-            4 => Ending::ConnectFailed,
-            5 => Ending::Reset,
-            6 => Ending::Cancelled,
-            7 => Ending::Unsent,
+            2 => InviteOutcome::Rejected {
+                no_line: why & 15 == 1,
+                retry_after: (wait > Span::ZERO).then_some(wait),
+            },
+            3 => InviteOutcome::TimedOut,
+            4 => InviteOutcome::ConnectFailed,
+            5 => InviteOutcome::Reset,
+            6 => InviteOutcome::Cancelled,
+            7 => InviteOutcome::Unsent,
             other => return Err(format!("Settled: unknown result {other}")),
         };
         let server = self.tell_state(body)?.ok_or("Settled: unknown server")?;
@@ -148,7 +153,7 @@
         let caller = self.door.caller(session);
         caller.open = caller.open.saturating_sub(1);
         caller.answered |= over;
-        self.rules.ended(session, server, ending, over);
+        self.rules.on_invite_ended(session, server, ending, over);
         self.door.leave(session);
         Ok(())
     }
@@ -157,10 +162,10 @@
     fn tell_state(&mut self, body: &Value) -> Result<Option<ServerIx>, String> {
         let server = self.server(body)?;
         if let (Some(server), Some(lines)) = (server, lines(body)) {
-            self.rules.lines_told(server, lines);
+            self.rules.on_line_capacity(server, lines);
         }
         if let Some(server) = server {
-            self.rules.reported(server, report(body));
+            self.rules.on_load_report(server, report(body));
         }
         Ok(server)
     }
@@ -177,15 +182,15 @@
 
     /// Pulls the decisions of this turn and writes them as actions.
     pub fn decisions(&mut self, now: Moment) -> Vec<Value> {
-        self.rules.clock(now);
+        self.rules.advance_to(now);
         let mut actions = Vec::new();
         if std::mem::take(&mut self.ask) {
             actions.push(json!({"Tail": {"want": true}}));
         }
-        while let Some(decision) = self.rules.decide() {
+        while let Some(decision) = self.rules.next_decision() {
             actions.push(self.action(decision));
         }
-        if let Some(wake) = self.rules.wake()
+        if let Some(wake) = self.rules.poll_timeout()
             && self.armed.is_none_or(|armed| wake < armed)
         {
             self.armed = Some(wake);
@@ -196,7 +201,7 @@
 
     fn action(&mut self, decision: Decision) -> Value {
         match decision {
-            Decision::Invite { session, server, patience } => {
+            Decision::Invite { session, server, answer_timeout: patience } => {
                 let server = self.door.server_id(server);
                 let caller = self.door.caller(session);
                 caller.open += 1;
@@ -206,14 +211,14 @@
                 }
                 json!({"Deliver": fields})
             }
-            Decision::Refuse { session, come_back } => {
+            Decision::Reject { session, retry_after: come_back } => {
                 let mut fields = json!({"req": self.answered(session)});
                 if let Some(away) = come_back {
                     fields["comeBackMs"] = json!(millis(away));
                 }
                 json!({"SayNo": fields})
             }
-            Decision::Terminate { session } => json!({"Fail": {"req": self.answered(session)}}),
+            Decision::Fail { session } => json!({"Fail": {"req": self.answered(session)}}),
         }
     }
 
@@ -230,13 +235,13 @@
     body.get(key).and_then(Value::as_i64)
 }
 
-fn lines(body: &Value) -> Option<Lines> {
+fn lines(body: &Value) -> Option<LineCapacity> {
     let figure = |name: &str| body.get("telemetry")?.get(name)?.as_u64();
-    Some(Lines { free: figure("free")? as u32, all: figure("size")? as u32 })
+    Some(LineCapacity { free: figure("free")? as u32, total: figure("size")? as u32 })
 }
 
 /// What a report says of the processor; a negative figure says nothing.
-fn report(body: &Value) -> Report {
+fn report(body: &Value) -> LoadReport {
     let figure = |name: &str| body.get("telemetry")?.get(name)?.as_f64().filter(|figure| *figure >= 0.0);
-    Report { can_take: figure("can_take"), hold_back: figure("hold_back") }
+    LoadReport { accepted_rate: figure("can_take"), hold_back_share: figure("hold_back") }
 }
--- a/crates/ochrelead-config/src/commission.rs
+++ b/crates/ochrelead-config/src/commission.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use ochrelead_core::provision::{Member, Provision, Service};
+use ochrelead_core::config::{ControllerConfig, Service, Tenant};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_mgcp::exchange::Pace;
 use ochrelead_mgcp::message::Endpoint;
@@ -19,7 +19,7 @@
     pub name: String,
     pub listen: SocketAddr,
     /// For the module; its seed is given at each start.
-    pub provision: Provision,
+    pub provision: ControllerConfig,
     pub numbering: Numbering,
     pub service_names: Vec<String>,
     /// The timer limit of each service, for callers that name none.
@@ -136,20 +136,20 @@
     Commission {
         name,
         listen,
-        provision: Provision {
+        provision: ControllerConfig {
             seed: 0,
             fronts,
             services,
-            members,
-            over_share_worth,
-            most_invites: front.most_invites.unwrap_or(0),
-            longest_away: millis(front.longest_away_ms.unwrap_or(0)),
-            release_wait: millis(sheet.need(&path("release_wait_ms"), front.release_wait_ms)),
-            cold_share: share,
-            warm_after: millis(cold.warm_after_ms.unwrap_or(15_000)),
-            fall_multiple,
-            fall_after: millis(fall_after),
-            turn: millis(turn),
+            tenants: members,
+            over_quota_value_share: over_share_worth,
+            max_invites: front.most_invites.unwrap_or(0),
+            max_retry_after: millis(front.longest_away_ms.unwrap_or(0)),
+            resend_delay: millis(sheet.need(&path("release_wait_ms"), front.release_wait_ms)),
+            cold_capacity_share: share,
+            warm_up_time: millis(cold.warm_after_ms.unwrap_or(15_000)),
+            overload_multiple: fall_multiple,
+            overload_duration: millis(fall_after),
+            min_turn_interval: millis(turn),
         },
         numbering: Numbering::new(
             front.service.iter().map(|service| service.dialled.clone().unwrap_or_default()).collect(),
@@ -221,16 +221,16 @@
         services.push(Service {
             value,
             post_dial_target: millis(target),
-            late_share,
-            usual_hold: millis(own.usual_hold_ms.unwrap_or(0)),
+            late_value_share: late_share,
+            mean_hold_time: millis(own.usual_hold_ms.unwrap_or(0)),
             servers: own.server.iter().map(|number| i64::from(*number)).collect(),
-            repeatable: !own.once.unwrap_or(false),
+            retryable: !own.once.unwrap_or(false),
         });
     }
     services
 }
 
-fn members(front: &schema::Front, at: &str, sheet: &mut Sheet) -> (Vec<String>, Vec<Member>) {
+fn members(front: &schema::Front, at: &str, sheet: &mut Sheet) -> (Vec<String>, Vec<Tenant>) {
     let mut trunks: Vec<String> = Vec::new();
     let mut members = Vec::new();
     for (nth, own) in front.member.iter().enumerate() {
@@ -248,7 +248,7 @@
         let quota = sheet.need(&path("quota_per_s"), own.quota_per_s);
         sheet.between(&path("quota_per_s"), quota, 0.0, 1e9);
         trunks.push(trunk);
-        members.push(Member { quota_per_s: quota });
+        members.push(Tenant { quota_per_s: quota });
     }
     (trunks, members)
 }
--- a/crates/ochrelead-core/src/rules/room.rs
+++ b/crates/ochrelead-core/src/controller/admission.rs
@@ -1,12 +1,12 @@
 //! Whether a server has room for a session: its limit, the shares in which it takes, what a session is worth.
 
 use super::Controller;
-use super::signs::{EASY_SHARE, ENOUGH};
-use crate::call::Report;
-use crate::index::{MemberIx, ServerIx, SessionIx};
-use crate::ledger::{Server, Session};
-use crate::ring::Ring;
+use super::health::{EASY_SHARE, ENOUGH};
+use crate::index::{ServerIx, SessionIx, TenantIx};
+use crate::sliding_window::SlidingWindow;
+use crate::state::{Server, Session};
 use crate::time::{Moment, Span};
+use crate::types::LoadReport;
 
 /// The share of a server's lines that is kept from a session of the least value, and less from a worthier.
 const LINES_KEPT: f64 = 0.01;
@@ -25,7 +25,7 @@
 impl Controller {
     /// Whether the server may be sent this session now.
     pub(super) fn has_room(&self, server: ServerIx, session: SessionIx) -> bool {
-        let (Some(at), Some(held)) = (self.servers.get(server.at()), self.sessions.get(session)) else {
+        let (Some(at), Some(held)) = (self.servers.get(server.index()), self.sessions.get(session)) else {
             return false;
         };
         let now = self.now;
@@ -58,7 +58,7 @@
     /// well. Protects against a second trouble while one server answers faults; covers faults of any share.
     /// Harm: where it answers nothing else, each such session costs it a look. One at a time.
     pub(super) fn is_last_resort(&self, server: ServerIx) -> bool {
-        let (at, now) = (&self.servers[server.at()], self.now);
+        let (at, now) = (&self.servers[server.index()], self.now);
         at.open
             && at.eased >= 1.0
             && at.sick
@@ -71,13 +71,13 @@
     /// no more than a multiple of what it sets up. Where this front has answers enough, its own limit serves
     /// better; a destination is left alone until something says that it is pressed.
     fn share(&self, at: &Server, destined: bool) -> f64 {
-        let asked = at.present.tally(self.now).count < ENOUGH && self.is_news(at.told_at);
+        let asked = at.present.stats(self.now).count < ENOUGH && self.is_news(at.told_at);
         let Some(flow) = at.flow.filter(|_| asked) else {
             return f64::INFINITY;
         };
-        let news = if self.is_news(at.reported) { at.report } else { Report::default() };
-        let held_back = news.hold_back.unwrap_or(0.0).clamp(0.0, 1.0);
-        let short = news.can_take.filter(|most| *most < flow);
+        let news = if self.is_news(at.reported) { at.report } else { LoadReport::default() };
+        let held_back = news.hold_back_share.unwrap_or(0.0).clamp(0.0, 1.0);
+        let short = news.accepted_rate.filter(|most| *most < flow);
         if destined && !at.troubled && held_back == 0.0 && short.is_none() {
             return f64::INFINITY;
         }
@@ -87,7 +87,7 @@
         // fails, the others take its sessions up more slowly.
         let growth = if destined { GROWTH } else { 1.0 };
         let grown = (flow * growth + at.fills * trickle) * (1.0 - held_back);
-        let room = short.unwrap_or(grown.max(news.can_take.unwrap_or(0.0))) * self.slowed(at);
+        let room = short.unwrap_or(grown.max(news.accepted_rate.unwrap_or(0.0))) * self.slowed(at);
         let part = self.part();
         self.allot(at, destined, room * part, self.rate(&at.wanted).min(flow * part))
     }
@@ -108,7 +108,7 @@
     /// Where lines are short: what falls free goes to sessions of its destination, by chance. News of free
     /// lines reaches all fronts at once; all staying away and all coming back would leave them half empty.
     fn lines_share(&self, at: &Server, destined: bool, worth: f64) -> f64 {
-        let kept = f64::from(at.lines.all) * LINES_KEPT / worth;
+        let kept = f64::from(at.lines.total) * LINES_KEPT / worth;
         if f64::from(at.lines.free) >= kept || !self.is_news(at.told_at) {
             return f64::INFINITY;
         }
@@ -125,14 +125,14 @@
     }
 
     /// What was counted as a rate, one over the whole span at the least.
-    pub(super) fn rate<const N: usize>(&self, ring: &Ring<N>) -> f64 {
-        ring.rate(self.now, self.born).max(1.0 / ring.span().ratio(Span::from_secs(1)))
+    pub(super) fn rate<const N: usize>(&self, ring: &SlidingWindow<N>) -> f64 {
+        ring.rate(self.now, self.born).max(1.0 / ring.duration().ratio(Span::from_secs(1)))
     }
 
     /// This front's part of all sessions that the servers set up; an even one while it has answers of few.
     fn part(&self) -> f64 {
         let all = self.servers.iter().filter_map(|at| at.flow).sum::<f64>();
-        let few = f64::from(ENOUGH) / self.answers.span().ratio(Span::from_secs(1));
+        let few = f64::from(ENOUGH) / self.answers.duration().ratio(Span::from_secs(1));
         (self.answers.rate(self.now, self.born) + few) / (all + few / self.even_part)
     }
 
@@ -140,18 +140,18 @@
     /// post-dial target of its first try earns the late share only. Never nothing at all: what earns nothing
     /// is still set up where nothing is short.
     pub(super) fn worth(&self, held: &Session) -> f64 {
-        let desk = &self.desks[held.offer.service.at()];
+        let desk = &self.desks[held.offer.service.index()];
         let late = self.now.since(held.first_tried) > desk.target
-            || (held.offer.redial && held.first_tried == held.came);
-        let left = desk.value * self.in_share(held.offer.member) * if late { desk.late } else { 1.0 };
+            || (held.offer.is_redial && held.first_tried == held.came);
+        let left = desk.value * self.in_share(held.offer.tenant) * if late { desk.late } else { 1.0 };
         left.max(f64::MIN_POSITIVE)
     }
 
     /// What is left of the value of a member's sessions, on the mean, when it asks here for more than an even
     /// part of its share: what lies beyond is worth little, and goes first when room is short. Harm: a front
     /// with much of a member's traffic ranks it low although all fronts together keep within its share.
-    fn in_share(&self, member: Option<MemberIx>) -> f64 {
-        let Some(quota) = member.and_then(|member| self.quotas.get(member.at())) else { return 1.0 };
+    fn in_share(&self, member: Option<TenantIx>) -> f64 {
+        let Some(quota) = member.and_then(|member| self.quotas.get(member.index())) else { return 1.0 };
         let within = (quota.part_per_s / self.rate(&quota.asked)).min(1.0);
         within + (1.0 - within) * self.over_share_worth
     }
--- a/crates/ochrelead-core/src/rules/signs.rs
+++ b/crates/ochrelead-core/src/controller/health.rs
@@ -1,8 +1,8 @@
 //! How a server does, by its own signs: sickness, trials, weight, answer time, how many INVITEs may be out.
 
 use super::Controller;
-use super::room::REPORT_TARGETS;
-use crate::ledger::Server;
+use super::admission::REPORT_TARGETS;
+use crate::state::Server;
 use crate::time::{Moment, Span};
 
 /// An answer within this share of the post-dial target is no sign of a queue.
@@ -75,14 +75,14 @@
         let waits = self.waiting(target).next().map_or(Span::ZERO, |sent| now.since(sent));
         let latest = self.latest.filter(|(then, _)| now.since(*then) < target * REPORT_TARGETS);
         let held = latest.map_or(Span::ZERO, |(_, took)| took);
-        self.present.tally(now).mean().unwrap_or(held).max(waits)
+        self.present.stats(now).mean().unwrap_or(held).max(waits)
     }
 
     /// How many INVITEs may be out: what it answered of late times the easy answer time, with one to
     /// spare, by the ratio of the easy answer time to the present one. A server that has answered
     /// little, being fresh or back from silence, so starts at about one and grows with its answers.
     pub(super) fn limit(&self, now: Moment, target: Span) -> f64 {
-        let least = self.long.tally(now).least.unwrap_or(Span::ZERO);
+        let least = self.long.stats(now).min.unwrap_or(Span::ZERO);
         let easy = (least * 2).max(target.scaled(EASY_SHARE));
         let carried = self.recent_rate(now) * easy.ratio(Span::from_secs(1));
         let ratio = easy.ratio(self.answer_time(now, target)).min(1.0);
@@ -91,7 +91,7 @@
 
     /// Answers a second of late.
     pub(super) fn recent_rate(&self, now: Moment) -> f64 {
-        f64::from(self.present.tally(now).count) / self.present.span().ratio(Span::from_secs(1))
+        f64::from(self.present.stats(now).count) / self.present.duration().ratio(Span::from_secs(1))
     }
 
     /// When a sick server's trial counts as unanswered: it must not keep the next one back until its
--- a/crates/ochrelead-core/src/rules/cold.rs
+++ b/crates/ochrelead-core/src/controller/slow_start.rs
@@ -1,8 +1,8 @@
 //! Rule four: what a server just started may be sent.
 
 use super::Controller;
-use super::room::GROWTH;
-use crate::ledger::Server;
+use super::admission::GROWTH;
+use crate::state::Server;
 use crate::time::Span;
 
 /// How much of a cold server's fall budget, by this front's share, set-ups may fill; the rest is for
@@ -16,8 +16,8 @@
     /// that is under one, by chance.
     pub(super) fn cold_room(&self, at: &Server, destined: bool, draw: f64) -> bool {
         let grant = self.cold_grant(at);
-        let most = grant * at.sent.span().ratio(Span::from_secs(1));
-        let sent = f64::from(at.sent.tally(self.now).count);
+        let most = grant * at.sent.duration().ratio(Span::from_secs(1));
+        let sent = f64::from(at.sent.stats(self.now).count);
         sent < most.max(1.0) && (most > 1.0 || draw < self.allot(at, destined, grant, self.rate(&at.wanted)))
     }
 
@@ -26,13 +26,13 @@
     /// the warm-up, and with what the fresh server itself answers.
     fn cold_grant(&self, fresh: &Server) -> f64 {
         let now = self.now;
-        let size = |at: &Server| f64::from(at.lines.all.max(1));
+        let size = |at: &Server| f64::from(at.lines.total.max(1));
         // All that are warm, also those that have not answered this front yet: a front just started has few.
         let warm = || self.servers.iter().filter(|at| now >= at.fresh_until && at.open);
         let answers = warm().map(|at| at.long.rate(now, self.born)).sum::<f64>();
         let sizes = warm().map(size).sum::<f64>().max(size(fresh));
         // Where no lines are told, nothing says how large it is: then a trickle until its own answers count.
-        let told = if fresh.lines.all > 0 { 1.0 } else { UNTOLD };
+        let told = if fresh.lines.total > 0 { 1.0 } else { UNTOLD };
         let by_lines = told * answers * size(fresh) / sizes;
         let alike = by_lines.max(fresh.fills * UNTOLD * self.even_part);
         // Lines can overstate a processor six times: what stood in its place before tells more.
--- a/crates/ochrelead-core/src/index.rs
+++ b/crates/ochrelead-core/src/index.rs
@@ -7,11 +7,11 @@
         pub struct $name(u32);
 
         impl $name {
-            pub const fn new(at: usize) -> Self {
-                $name(at as u32)
+            pub const fn new(index: usize) -> Self {
+                $name(index as u32)
             }
 
-            pub const fn at(self) -> usize {
+            pub const fn index(self) -> usize {
                 self.0 as usize
             }
         }
@@ -28,13 +28,13 @@
 );
 index!(
     /// A called number.
-    NumberIx
+    CalledNumberIx
 );
 index!(
-    /// A service, as in the provisioning.
+    /// A service, as in the configuration.
     ServiceIx
 );
 index!(
-    /// A member (tenant), as in the provisioning.
-    MemberIx
+    /// A tenant, as in the configuration.
+    TenantIx
 );
--- a/crates/ochrelead-core/src/lib.rs
+++ b/crates/ochrelead-core/src/lib.rs
@@ -1,12 +1,12 @@
 //! The decisions of the ochrelead call controller, free of any wire and any clock of their own.
 //!
-//! [`rules`] is the one module that decides, with the re-send budget of [`bucket`]; the others hold plain types.
+//! [`controller`] is the one module that decides, with the re-send budget of [`retry_budget`]; the others hold plain types.
 
-pub mod bucket;
-pub mod call;
+pub mod config;
+pub mod controller;
 pub mod index;
-mod ledger;
-pub mod provision;
-pub mod ring;
-pub mod rules;
+pub mod retry_budget;
+pub mod sliding_window;
+mod state;
 pub mod time;
+pub mod types;
--- a/crates/ochrelead-core/src/bucket.rs
+++ b/crates/ochrelead-core/src/retry_budget.rs
@@ -1,7 +1,7 @@
 //! The re-send budget of a server: every re-send pays, a first set-up deposits, and what is not used decays.
 
-use crate::call::Payment;
 use crate::time::{Moment, Span};
+use crate::types::BudgetGrant;
 
 /// One token in whole small units, so that ten deposits make exactly one token.
 const TOKEN: u64 = 1_000_000_000;
@@ -12,13 +12,13 @@
 
 /// The re-send budget of one server.
 #[derive(Clone, Debug, Default)]
-pub struct Bucket {
+pub struct RetryBudget {
     units: u64,
     at: Moment,
     last_resend: Option<Moment>,
 }
 
-impl Bucket {
+impl RetryBudget {
     fn decay(&mut self, now: Moment) {
         let (elapsed, life) = (u128::from(now.since(self.at).micros()), u128::from(TOKEN_LIFE.micros()));
         let lost = u128::from(self.units) * elapsed / life;
@@ -33,24 +33,24 @@
     }
 
     /// What lets a re-send pass: one token, else the floor; none where it may not pass.
-    pub fn withdraw(&mut self, now: Moment) -> Option<Payment> {
+    pub fn withdraw(&mut self, now: Moment) -> Option<BudgetGrant> {
         self.decay(now);
-        let payment = if self.units >= TOKEN {
+        let grant = if self.units >= TOKEN {
             self.units -= TOKEN;
-            Payment::Token
+            BudgetGrant::Token
         } else if self.last_resend.is_none_or(|last| now.since(last) >= FLOOR_GAP) {
-            Payment::Floor
+            BudgetGrant::Floor
         } else {
             return None;
         };
         self.last_resend = Some(now);
-        Some(payment)
+        Some(grant)
     }
 
     /// A re-send that had passed goes elsewhere after all: what it paid comes back.
-    pub fn refund(&mut self, now: Moment, payment: Payment) {
+    pub fn refund(&mut self, now: Moment, grant: BudgetGrant) {
         self.decay(now);
-        if payment == Payment::Token {
+        if grant == BudgetGrant::Token {
             self.units += TOKEN;
         }
     }
--- a/crates/ochrelead-core/src/ring.rs
+++ b/crates/ochrelead-core/src/sliding_window.rs
@@ -4,22 +4,22 @@
 
 /// What one bucket, or several together, have seen.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Tally {
+pub struct WindowStats {
     pub count: u32,
     pub total: Span,
-    pub least: Option<Span>,
+    pub min: Option<Span>,
 }
 
-impl Tally {
+impl WindowStats {
     pub fn mean(&self) -> Option<Span> {
         (self.count > 0).then(|| self.total / u64::from(self.count))
     }
 
-    fn join(self, other: Tally) -> Tally {
-        Tally {
+    fn join(self, other: WindowStats) -> WindowStats {
+        WindowStats {
             count: self.count + other.count,
             total: self.total + other.total,
-            least: match (self.least, other.least) {
+            min: match (self.min, other.min) {
                 (Some(a), Some(b)) => Some(a.min(b)),
                 (a, b) => a.or(b),
             },
@@ -29,16 +29,16 @@
 
 /// A ring of `N` buckets of `width` each.
 #[derive(Clone, Debug)]
-pub struct Ring<const N: usize> {
+pub struct SlidingWindow<const N: usize> {
     width: Span,
     /// The running number of the bucket in use, counted from the clock's zero.
     turn: u64,
-    buckets: [Tally; N],
+    buckets: [WindowStats; N],
 }
 
-impl<const N: usize> Ring<N> {
+impl<const N: usize> SlidingWindow<N> {
     pub fn new(width: Span) -> Self {
-        Ring { width, turn: 0, buckets: [Tally::default(); N] }
+        SlidingWindow { width, turn: 0, buckets: [WindowStats::default(); N] }
     }
 
     fn turn_to(&mut self, now: Moment) {
@@ -47,62 +47,62 @@
             return;
         }
         for passed in 0..(turn - self.turn).min(N as u64) {
-            self.buckets[((turn - passed) % N as u64) as usize] = Tally::default();
+            self.buckets[((turn - passed) % N as u64) as usize] = WindowStats::default();
         }
         self.turn = turn;
     }
 
-    pub fn add(&mut self, now: Moment, span: Span) {
+    pub fn record(&mut self, now: Moment, span: Span) {
         self.turn_to(now);
         let bucket = &mut self.buckets[(self.turn % N as u64) as usize];
-        *bucket = bucket.join(Tally { count: 1, total: span, least: Some(span) });
+        *bucket = bucket.join(WindowStats { count: 1, total: span, min: Some(span) });
     }
 
     /// All that lies within the ring at `now`.
-    pub fn tally(&self, now: Moment) -> Tally {
+    pub fn stats(&self, now: Moment) -> WindowStats {
         let turn = now.micros() / self.width.micros().max(1);
         let stale = turn.saturating_sub(self.turn);
         let kept = (0..(N as u64).saturating_sub(stale)).filter_map(|back| self.turn.checked_sub(back));
         let buckets = kept.map(|turn| self.buckets[(turn % N as u64) as usize]);
-        buckets.fold(Tally::default(), Tally::join)
+        buckets.fold(WindowStats::default(), WindowStats::join)
     }
 
     /// The count a second over the ring's span, or over the time since `start` where that is shorter, but a
-    /// second at least.
+    /// second at min.
     pub fn rate(&self, now: Moment, start: Moment) -> f64 {
-        let seen = now.since(start).min(self.span()).ratio(Span::from_secs(1)).max(1.0);
-        f64::from(self.tally(now).count) / seen
+        let seen = now.since(start).min(self.duration()).ratio(Span::from_secs(1)).max(1.0);
+        f64::from(self.stats(now).count) / seen
     }
 
     /// The time that the whole ring covers.
-    pub fn span(&self) -> Span {
+    pub fn duration(&self) -> Span {
         self.width * N as u64
     }
 
     pub fn clear(&mut self) {
-        self.buckets = [Tally::default(); N];
+        self.buckets = [WindowStats::default(); N];
     }
 }
 
 /// The last reading of a level in each of `N` buckets of `width`.
 #[derive(Clone, Debug)]
-pub struct Levels<const N: usize> {
+pub struct GaugeWindow<const N: usize> {
     width: Span,
     readings: [Option<(Moment, f64)>; N],
 }
 
-impl<const N: usize> Levels<N> {
+impl<const N: usize> GaugeWindow<N> {
     pub fn new(width: Span) -> Self {
-        Levels { width, readings: [None; N] }
+        GaugeWindow { width, readings: [None; N] }
     }
 
-    pub fn note(&mut self, now: Moment, level: f64) {
+    pub fn record(&mut self, now: Moment, level: f64) {
         let turn = now.micros() / self.width.micros().max(1);
         self.readings[(turn % N as u64) as usize] = Some((now, level));
     }
 
-    /// The mean level and its change a second, from readings a bucket's width apart at least.
-    pub fn course(&self, now: Moment) -> Option<(f64, f64)> {
+    /// The mean level and its change a second, from readings a bucket's width apart at min.
+    pub fn trend(&self, now: Moment) -> Option<(f64, f64)> {
         let recent = |reading: &&(Moment, f64)| now.since(reading.0) < self.width * N as u64;
         let kept = || self.readings.iter().flatten().filter(recent);
         let (first, last) = (kept().min_by_key(|(at, _)| *at)?, kept().max_by_key(|(at, _)| *at)?);
--- a/crates/ochrelead-core/src/ledger.rs
+++ b/crates/ochrelead-core/src/state.rs
@@ -1,11 +1,11 @@
 //! What the rules keep of services, members, sessions, servers and numbers; it holds no judgement.
 
-use crate::bucket::Bucket;
-use crate::call::{Ending, Lines, Offer, Payment, Report};
-use crate::index::{NumberIx, ServerIx, SessionIx};
-use crate::provision::Service;
-use crate::ring::{Levels, Ring};
+use crate::config::Service;
+use crate::index::{CalledNumberIx, ServerIx, SessionIx};
+use crate::retry_budget::RetryBudget;
+use crate::sliding_window::{GaugeWindow, SlidingWindow};
 use crate::time::{Moment, Span};
+use crate::types::{BudgetGrant, CallRequest, InviteOutcome, LineCapacity, LoadReport};
 
 /// The figures of one service that decisions use.
 pub struct Desk {
@@ -23,12 +23,12 @@
 /// An even part, at one front, of a member's share, and what the member asked for over the long run.
 pub struct Quota {
     pub part_per_s: f64,
-    pub asked: Ring<16>,
+    pub asked: SlidingWindow<16>,
 }
 
 /// A session that has no final answer yet, or one whose INVITE is still out.
 pub struct Session {
-    pub offer: Offer,
+    pub offer: CallRequest,
     pub came: Moment,
     /// When its caller, by all that is known, first tried.
     pub first_tried: Moment,
@@ -43,10 +43,10 @@
     /// Rule five: no INVITE before this moment.
     pub not_before: Moment,
     /// The server whose bucket let the next INVITE pass, and by what.
-    pub paid: Option<(ServerIx, Payment)>,
+    pub paid: Option<(ServerIx, BudgetGrant)>,
     /// Servers that failed this session.
     pub spurned: Vec<ServerIx>,
-    pub last: Option<Ending>,
+    pub last: Option<InviteOutcome>,
     /// Its own draw of chance, which decides where servers take a share of the sessions only.
     pub luck: f64,
 }
@@ -63,21 +63,21 @@
     pub number: i64,
     pub open: bool,
     pub started: Option<Moment>,
-    pub bucket: Bucket,
+    pub bucket: RetryBudget,
     /// Cold, for all this front knows, until then.
     pub fresh_until: Moment,
     /// What was sent of late, over the time in which a cold server falls.
-    pub sent: Ring<4>,
+    pub sent: SlidingWindow<4>,
     /// What it answered this front a second before its last start, where that was seen.
     pub before: Option<f64>,
     /// The sessions whose destination it was, over the long run.
-    pub wanted: Ring<16>,
+    pub wanted: SlidingWindow<16>,
     /// As last told, the free ones less what was sent since; none at all where nothing is told.
-    pub lines: Lines,
+    pub lines: LineCapacity,
     /// When they were last told.
     pub told_at: Moment,
     /// The lines in use of late, as told.
-    pub used: Levels<4>,
+    pub used: GaugeWindow<4>,
     /// What it sets up for all fronts, in sessions a second, as its lines show it.
     pub flow: Option<f64>,
     /// How many of its lines fall free in a second.
@@ -85,13 +85,13 @@
     /// How many sessions a second, from all fronts, would fill all its lines.
     pub fills: f64,
     /// What it last said of its processor, and when.
-    pub report: Report,
+    pub report: LoadReport,
     pub reported: Moment,
     /// The INVITEs that wait for an answer, oldest first.
     pub out: Vec<(Moment, SessionIx)>,
     /// Answer times of late, and over the long run.
-    pub present: Ring<8>,
-    pub long: Ring<16>,
+    pub present: SlidingWindow<8>,
+    pub long: SlidingWindow<16>,
     /// The latest answer, or time-out for want of one, and how long it took.
     pub latest: Option<(Moment, Span)>,
     /// The last sign of life.
@@ -134,11 +134,11 @@
     pub fn new(service: &Service, least: f64) -> Self {
         Desk {
             value: service.value / least.max(f64::MIN_POSITIVE),
-            late: service.late_share,
+            late: service.late_value_share,
             target: service.post_dial_target,
             servers: service.servers.clone(),
-            repeatable: service.repeatable,
-            usual_hold: service.usual_hold,
+            repeatable: service.retryable,
+            usual_hold: service.mean_hold_time,
             offered: 0.0,
         }
     }
@@ -153,7 +153,7 @@
 
 impl Quota {
     pub fn new(part_per_s: f64, long: Span) -> Self {
-        Quota { part_per_s, asked: Ring::new(long) }
+        Quota { part_per_s, asked: SlidingWindow::new(long) }
     }
 }
 
@@ -163,22 +163,22 @@
 
 impl Sessions {
     pub fn put(&mut self, at: SessionIx, session: Session) {
-        if self.0.len() <= at.at() {
-            self.0.resize_with(at.at() + 1, || None);
+        if self.0.len() <= at.index() {
+            self.0.resize_with(at.index() + 1, || None);
         }
-        self.0[at.at()] = Some(session);
+        self.0[at.index()] = Some(session);
     }
 
     pub fn get(&self, at: SessionIx) -> Option<&Session> {
-        self.0.get(at.at())?.as_ref()
+        self.0.get(at.index())?.as_ref()
     }
 
     pub fn get_mut(&mut self, at: SessionIx) -> Option<&mut Session> {
-        self.0.get_mut(at.at())?.as_mut()
+        self.0.get_mut(at.index())?.as_mut()
     }
 
     pub fn take(&mut self, at: SessionIx) -> Option<Session> {
-        self.0.get_mut(at.at())?.take()
+        self.0.get_mut(at.index())?.take()
     }
 }
 
@@ -187,20 +187,20 @@
 pub struct Numbers(Vec<Number>);
 
 impl Numbers {
-    pub fn get(&self, at: NumberIx) -> Number {
-        self.0.get(at.at()).copied().unwrap_or_default()
+    pub fn get(&self, at: CalledNumberIx) -> Number {
+        self.0.get(at.index()).copied().unwrap_or_default()
     }
 
-    pub fn get_mut(&mut self, at: NumberIx) -> &mut Number {
-        if self.0.len() <= at.at() {
-            self.0.resize(at.at() + 1, Number::default());
+    pub fn get_mut(&mut self, at: CalledNumberIx) -> &mut Number {
+        if self.0.len() <= at.index() {
+            self.0.resize(at.index() + 1, Number::default());
         }
-        &mut self.0[at.at()]
+        &mut self.0[at.index()]
     }
 }
 
 impl Session {
-    pub fn new(offer: Offer, came: Moment, first_tried: Moment, luck: f64) -> Self {
+    pub fn new(offer: CallRequest, came: Moment, first_tried: Moment, luck: f64) -> Self {
         Session {
             offer,
             came,
@@ -222,7 +222,7 @@
     /// the golden ratio lie far apart between 0 and 1, so one draw serves all servers.
     pub fn draws(&self, server: ServerIx) -> f64 {
         const GOLDEN: f64 = 0.618_034;
-        (self.luck + GOLDEN * server.at() as f64).fract()
+        (self.luck + GOLDEN * server.index() as f64).fract()
     }
 }
 
@@ -234,22 +234,22 @@
             number: -1,
             open: false,
             started: None,
-            bucket: Bucket::default(),
+            bucket: RetryBudget::default(),
             fresh_until: Moment::START,
-            sent: Ring::new(sent),
+            sent: SlidingWindow::new(sent),
             before: None,
-            wanted: Ring::new(long),
-            lines: Lines::default(),
+            wanted: SlidingWindow::new(long),
+            lines: LineCapacity::default(),
             told_at: Moment::START,
-            used: Levels::new(told),
+            used: GaugeWindow::new(told),
             flow: None,
             freed: 0.0,
             fills: 0.0,
-            report: Report::default(),
+            report: LoadReport::default(),
             reported: Moment::START,
             out: Vec::new(),
-            present: Ring::new(present),
-            long: Ring::new(long),
+            present: SlidingWindow::new(present),
+            long: SlidingWindow::new(long),
             latest: None,
             heard: now,
             troubled: false,
@@ -268,25 +268,25 @@
     }
 
     /// Its lines are told; `hold` is how long sessions stand on the mean, in seconds, zero where unknown.
-    pub fn told(&mut self, now: Moment, lines: Lines, hold: f64) {
+    pub fn told(&mut self, now: Moment, lines: LineCapacity, hold: f64) {
         (self.lines, self.told_at) = (lines, now);
-        self.used.note(now, f64::from(lines.all.saturating_sub(lines.free)));
-        let course = self.used.course(now).filter(|_| hold > 0.0);
+        self.used.record(now, f64::from(lines.total.saturating_sub(lines.free)));
+        let course = self.used.trend(now).filter(|_| hold > 0.0);
         self.freed = course.map_or(0.0, |(mean, _)| mean / hold);
         self.flow = course.map(|(mean, change)| (change + mean / hold).max(0.0));
-        self.fills = if hold > 0.0 { f64::from(lines.all) / hold } else { 0.0 };
+        self.fills = if hold > 0.0 { f64::from(lines.total) / hold } else { 0.0 };
     }
 
     /// It has started anew: what was seen of the old process counts no more.
     pub fn restart(&mut self, now: Moment, fresh_until: Moment) {
         self.fresh_until = fresh_until;
-        self.before = (self.long.tally(now).count > 0).then(|| self.long.rate(now, Moment::START));
+        self.before = (self.long.stats(now).count > 0).then(|| self.long.rate(now, Moment::START));
         self.present.clear();
         self.long.clear();
         self.latest = None;
         self.used.clear();
         self.flow = None;
-        self.report = Report::default();
+        self.report = LoadReport::default();
         self.sick = false;
         self.heard = now;
     }
--- a/crates/ochrelead-core/tests/cold_sum.rs
+++ b/crates/ochrelead-core/tests/cold_sum.rs
@@ -7,10 +7,10 @@
 use std::collections::{BinaryHeap, VecDeque};
 
 use helper::{Front, at, invited};
-use ochrelead_core::call::{Decision, Ending, ListState};
+use ochrelead_core::config::ControllerConfig;
 use ochrelead_core::index::{ServerIx, SessionIx};
-use ochrelead_core::provision::Provision;
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_core::types::{Decision, EndpointState, InviteOutcome};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use test_case::test_matrix;
@@ -58,13 +58,13 @@
     chance: Pcg64Mcg,
 }
 
-fn provision(fronts: usize, terms: Terms, seed: u64) -> Provision {
-    Provision {
+fn provision(fronts: usize, terms: Terms, seed: u64) -> ControllerConfig {
+    ControllerConfig {
         seed,
         fronts: fronts as u32,
-        cold_share: 0.29,
-        fall_multiple: terms.multiple,
-        fall_after: Span::from_millis(terms.window_ms),
+        cold_capacity_share: 0.29,
+        overload_multiple: terms.multiple,
+        overload_duration: Span::from_millis(terms.window_ms),
         ..helper::provision()
     }
 }
@@ -145,14 +145,14 @@
             }
             Event::Told => {
                 let started = Some(moment(micros(STARTS_MS)));
-                self.fronts[nth].0.list(us / 1_000, COLD, ListState::Ready { started });
+                self.fronts[nth].0.list(us / 1_000, COLD, EndpointState::Ready { started });
             }
             Event::Lines => {
                 self.put(us + micros(1_000), nth, Event::Lines);
                 for server in 0..SERVERS {
                     if server != COLD || us > micros(STARTS_MS + 400) {
                         let front = &mut self.fronts[nth].0;
-                        front.rules.clock(now);
+                        front.rules.advance_to(now);
                         front.lines(server, 100, 300);
                     }
                 }
@@ -163,20 +163,20 @@
                 *front = Front::from(&provision(count, terms, us + nth as u64), COLD);
                 *life += 1;
                 let started = Some(moment(micros(STARTS_MS)));
-                front.list(us / 1_000, COLD, ListState::Ready { started });
+                front.list(us / 1_000, COLD, EndpointState::Ready { started });
             }
             Event::Answered { life, session, server, stands } => {
                 let (front, own, _) = &mut self.fronts[nth];
                 if *own != life {
                     return;
                 }
-                front.rules.clock(now);
+                front.rules.advance_to(now);
                 let (session, server) = (SessionIx::new(session), ServerIx::new(server));
                 if stands {
-                    front.rules.stands(session);
-                    front.rules.ended(session, server, Ending::Released, true);
+                    front.rules.on_call_established(session);
+                    front.rules.on_invite_ended(session, server, InviteOutcome::Released, true);
                 } else {
-                    front.rules.ended(session, server, helper::BUSY, false);
+                    front.rules.on_invite_ended(session, server, helper::BUSY, false);
                 }
             }
             Event::Wake { .. } => {}
@@ -186,12 +186,12 @@
     fn decide(&mut self, us: u64, nth: usize) {
         let (front, life, _) = &mut self.fronts[nth];
         let life = *life;
-        front.rules.clock(moment(us));
-        let decisions: Vec<Decision> = std::iter::from_fn(|| front.rules.decide()).collect();
-        let wake = front.rules.wake().map(|wake| wake.since(at(0)).micros());
+        front.rules.advance_to(moment(us));
+        let decisions: Vec<Decision> = std::iter::from_fn(|| front.rules.next_decision()).collect();
+        let wake = front.rules.poll_timeout().map(|wake| wake.since(at(0)).micros());
         for decision in decisions {
             if let Decision::Invite { session, server, .. } = decision {
-                self.invite(us, nth, life, session.at(), server.at());
+                self.invite(us, nth, life, session.index(), server.index());
             }
         }
         if let Some(wake) = wake.filter(|wake| *wake > us) {
@@ -251,7 +251,8 @@
     // The same fleet, each front told that it is the only one.
     let mut fleet = Fleet::new(30, TIGHT, 1);
     for (nth, (front, _, _)) in fleet.fronts.iter_mut().enumerate() {
-        let alone = Provision { fronts: 1, cold_share: 2.9, ..provision(30, TIGHT, nth as u64) };
+        let alone =
+            ControllerConfig { fronts: 1, cold_capacity_share: 2.9, ..provision(30, TIGHT, nth as u64) };
         *front = Front::from(&alone, COLD);
     }
     let came = fleet.play();
--- a/crates/ochrelead-discovery/src/roster.rs
+++ b/crates/ochrelead-discovery/src/roster.rs
@@ -15,9 +15,9 @@
 use std::net::SocketAddr;
 
 use ochrelead_config::commission::Post;
-use ochrelead_core::call::{ListState, Listing};
 use ochrelead_core::index::ServerIx;
 use ochrelead_core::time::Moment;
+use ochrelead_core::types::{EndpointState, EndpointUpdate};
 
 /// What a restart method asks for (RFC 3435 section 2.3.12).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,7 +60,7 @@
 /// What follows from news of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct News {
-    pub listing: Listing,
+    pub listing: EndpointUpdate,
     /// Its calls are gone.
     pub cut: bool,
 }
@@ -72,13 +72,13 @@
 }
 
 impl Known {
-    fn state(&self) -> ListState {
+    fn state(&self) -> EndpointState {
         match self.said {
-            _ if !self.listed => ListState::Gone,
-            Said::Gone => ListState::Gone,
-            Said::Drains => ListState::Draining,
-            Said::Nothing if self.post.draining => ListState::Draining,
-            Said::Nothing => ListState::Ready { started: self.post.started },
+            _ if !self.listed => EndpointState::Gone,
+            Said::Gone => EndpointState::Gone,
+            Said::Drains => EndpointState::Draining,
+            Said::Nothing if self.post.draining => EndpointState::Draining,
+            Said::Nothing => EndpointState::Ready { started: self.post.started },
         }
     }
 }
@@ -95,7 +95,7 @@
 impl Roster {
     /// The list is given anew and whole: what it names is listed, all else is gone. A server that moves to
     /// another address keeps its index.
-    pub fn relist(&mut self, posts: &[Post], now: Moment) -> Vec<Listing> {
+    pub fn relist(&mut self, posts: &[Post], now: Moment) -> Vec<EndpointUpdate> {
         let listed = self.servers.iter().filter(|known| known.listed);
         let processes: HashMap<SocketAddr, Option<Moment>> =
             listed.map(|known| (known.post.address, known.post.started)).collect();
@@ -106,7 +106,7 @@
             match self.by_name.get(&post.name) {
                 Some(index) => {
                     let process = processes.get(&post.address).copied();
-                    self.servers[index.at()].renew(post, process.unwrap_or(Some(now)));
+                    self.servers[index.index()].renew(post, process.unwrap_or(Some(now)));
                 }
                 None => {
                     let mut post = post.clone();
@@ -128,10 +128,10 @@
     }
 
     /// What was kept from a former life: the servers' own words, for those that the list has.
-    pub fn remember(&mut self, kept: &[(Post, Said)]) -> Vec<Listing> {
+    pub fn remember(&mut self, kept: &[(Post, Said)]) -> Vec<EndpointUpdate> {
         for (post, said) in kept {
             if let Some(index) = self.by_name.get(&post.name) {
-                let known = &mut self.servers[index.at()];
+                let known = &mut self.servers[index.index()];
                 if known.post.address == post.address {
                     known.said = *said;
                     known.post.started = known.post.started.max(post.started);
@@ -141,15 +141,15 @@
         (0..self.servers.len()).map(ServerIx::new).map(|server| self.listing(server)).collect()
     }
 
-    fn listing(&self, server: ServerIx) -> Listing {
-        let known = &self.servers[server.at()];
-        Listing { server, number: known.post.number, state: known.state(), weight: known.post.weight }
+    fn listing(&self, server: ServerIx) -> EndpointUpdate {
+        let known = &self.servers[server.index()];
+        EndpointUpdate { server, number: known.post.number, state: known.state(), weight: known.post.weight }
     }
 
     /// A server speaks of its own restart. A drain told late does not bring back what is gone, and what is
     /// gone is not back without a start.
     pub fn told(&mut self, server: ServerIx, restart: Restart, now: Moment) -> Option<News> {
-        let known = &mut self.servers[server.at()];
+        let known = &mut self.servers[server.index()];
         let cut = match (restart, known.said) {
             (Restart::Started, _) => {
                 known.said = Said::Nothing;
@@ -182,7 +182,7 @@
     }
 
     pub fn post(&self, server: ServerIx) -> &Post {
-        &self.servers[server.at()].post
+        &self.servers[server.index()].post
     }
 
     /// The list as it stands, with what each server said of itself.
--- a/crates/ochrelead-discovery/tests/fleet.rs
+++ b/crates/ochrelead-discovery/tests/fleet.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use ochrelead_config::commission::Post;
-use ochrelead_core::call::ListState;
 use ochrelead_core::time::Moment;
+use ochrelead_core::types::EndpointState;
 use ochrelead_discovery::adopt::{self, Change, Refusal, Verdict};
 use ochrelead_discovery::keeper::{Keeper, Outcome};
 use ochrelead_discovery::roster::{Restart, Roster, Said};
@@ -180,21 +180,21 @@
     assert!(matches!(verdict, Verdict::Held { share, .. } if share > 0.7), "{verdict:?}");
 }
 
-fn ready(started: Option<u64>) -> ListState {
-    ListState::Ready { started: started.map(at) }
+fn ready(started: Option<u64>) -> EndpointState {
+    EndpointState::Ready { started: started.map(at) }
 }
 
-#[test_case(&[Restart::Drains], &[ListState::Draining]; "drains")]
-#[test_case(&[Restart::Gone, Restart::Drains], &[ListState::Gone]; "a drain told late does not bring it back")]
-#[test_case(&[Restart::Drains, Restart::Back], &[ListState::Draining, ready(None)]; "back from a drain")]
-#[test_case(&[Restart::Gone, Restart::Back], &[ListState::Gone]; "gone is not back without a start")]
-#[test_case(&[Restart::Gone, Restart::Started], &[ListState::Gone, ready(Some(7))]; "started anew")]
+#[test_case(&[Restart::Drains], &[EndpointState::Draining]; "drains")]
+#[test_case(&[Restart::Gone, Restart::Drains], &[EndpointState::Gone]; "a drain told late does not bring it back")]
+#[test_case(&[Restart::Drains, Restart::Back], &[EndpointState::Draining, ready(None)]; "back from a drain")]
+#[test_case(&[Restart::Gone, Restart::Back], &[EndpointState::Gone]; "gone is not back without a start")]
+#[test_case(&[Restart::Gone, Restart::Started], &[EndpointState::Gone, ready(Some(7))]; "started anew")]
 #[test_case(&[Restart::Disconnected], &[]; "disconnected changes nothing")]
-fn a_servers_own_word(told: &[Restart], states: &[ListState]) {
+fn a_servers_own_word(told: &[Restart], states: &[EndpointState]) {
     let mut roster = Roster::default();
     roster.relist(&[post("s0", 1)], at(0));
     let server = roster.named("S0").unwrap();
-    let news: Vec<ListState> = told
+    let news: Vec<EndpointState> = told
         .iter()
         .filter_map(|restart| roster.told(server, *restart, at(7)))
         .map(|news| news.listing.state)
@@ -204,15 +204,15 @@
 
 /// A list, what the server then says, and the list that comes after it.
 #[test_case(|_| (), None, |_| (), ready(None); "nothing new")]
-#[test_case(|_| (), None, |p| p.draining = true, ListState::Draining; "the list drains it")]
-#[test_case(|p| p.draining = true, Some(Restart::Started), |p| p.draining = true, ListState::Draining; "a start does not undo the list's drain")]
-#[test_case(|_| (), Some(Restart::Drains), |_| (), ListState::Draining; "the same list does not undo its own drain")]
-#[test_case(|_| (), Some(Restart::Gone), |p| p.weight = 2.0, ListState::Gone; "nor does a new weight")]
+#[test_case(|_| (), None, |p| p.draining = true, EndpointState::Draining; "the list drains it")]
+#[test_case(|p| p.draining = true, Some(Restart::Started), |p| p.draining = true, EndpointState::Draining; "a start does not undo the list's drain")]
+#[test_case(|_| (), Some(Restart::Drains), |_| (), EndpointState::Draining; "the same list does not undo its own drain")]
+#[test_case(|_| (), Some(Restart::Gone), |p| p.weight = 2.0, EndpointState::Gone; "nor does a new weight")]
 #[test_case(|p| p.draining = true, Some(Restart::Drains), |_| (), ready(None); "taken back by the operator")]
 #[test_case(|_| (), Some(Restart::Gone), |p| p.address.set_port(99), ready(Some(50)); "moved: another process")]
 #[test_case(|_| (), Some(Restart::Started), |p| p.started = Some(at(1)), ready(Some(7)); "an older start is no news")]
 #[test_case(|_| (), None, |p| p.started = Some(at(40)), ready(Some(40)); "a later start")]
-fn who_wins(first: fn(&mut Post), said: Option<Restart>, then: fn(&mut Post), state: ListState) {
+fn who_wins(first: fn(&mut Post), said: Option<Restart>, then: fn(&mut Post), state: EndpointState) {
     let mut roster = Roster::default();
     let listed = |change: fn(&mut Post)| {
         let mut post = post("s0", 1);
@@ -233,8 +233,8 @@
     let mut roster = Roster::default();
     roster.relist(&[post("s0", 1), post("s1", 2)], at(0));
     let listings = roster.relist(&[post("s1", 9), post("s2", 2)], at(50));
-    let states: Vec<ListState> = listings.iter().map(|listing| listing.state).collect();
-    assert_eq!(states, [ListState::Gone, ready(Some(50)), ready(Some(50))]);
+    let states: Vec<EndpointState> = listings.iter().map(|listing| listing.state).collect();
+    assert_eq!(states, [EndpointState::Gone, ready(Some(50)), ready(Some(50))]);
     assert_eq!(roster.at(post("", 9).address), roster.named("s1"), "moved, with its index");
     assert_eq!(roster.at(post("", 2).address), roster.named("s2"), "taken over");
     assert_eq!(roster.at(post("", 1).address), roster.named("s0"), "its late answers are still known");
@@ -256,7 +256,7 @@
     let course = [(0, false), (10, true), (50, false), (90, true)];
     let states =
         course.map(|(ms, draining)| roster.relist(&[Post { draining, ..post("s0", 1) }], at(ms))[0].state);
-    assert_eq!(states, [ready(None), ListState::Draining, ready(None), ListState::Draining]);
+    assert_eq!(states, [ready(None), EndpointState::Draining, ready(None), EndpointState::Draining]);
 }
 
 #[test]
@@ -265,7 +265,7 @@
     roster.relist(&[post("s0", 1), post("s1", 2)], at(0));
     let kept = |name, port| Post { started: Some(at(3)), ..post(name, port) };
     let listings = roster.remember(&[(kept("s0", 1), Said::Drains), (kept("s1", 77), Said::Gone)]);
-    assert_eq!([listings[0].state, listings[1].state], [ListState::Draining, ready(None)]);
+    assert_eq!([listings[0].state, listings[1].state], [EndpointState::Draining, ready(None)]);
 }
 
 fn text(generation: u64, weight: f64, broken: bool) -> String {
--- a/crates/ochrelead-emulator/src/callers.rs
+++ b/crates/ochrelead-emulator/src/callers.rs
@@ -114,7 +114,7 @@
             member.map_or(trouble.which.is_empty(), |member| trouble.which.contains(&member))
         });
         let desk = &self.day.front.provision.services[service];
-        let hold = desk.usual_hold.max(Span::from_millis(100)).scaled(-(1.0 - luck.1).ln());
+        let hold = desk.mean_hold_time.max(Span::from_millis(100)).scaled(-(1.0 - luck.1).ln());
         let dialled = self.day.sheet.service[service].dialled.clone().unwrap_or_default();
         let digits = match hot {
             true => format!("{dialled}00{HOT}"),
--- a/crates/ochrelead-front/benches/turn.rs
+++ b/crates/ochrelead-front/benches/turn.rs
@@ -5,7 +5,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use ochrelead_config::commission;
-use ochrelead_core::rules::Controller;
+use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_front::engine::Engine;
 use ochrelead_mgcp::message::{Message, Response, Verb};
--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -13,9 +13,11 @@
 use std::net::SocketAddr;
 
 use ochrelead_config::commission::{Commission, Post};
-use ochrelead_core::call::{Decision, Denial, Ending, Lines, Outlook, Reason};
 use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_core::types::{
+    Decision, DecisionReason, InviteOutcome, LineCapacity, RejectionCause, ServerSnapshot,
+};
 use ochrelead_discovery::roster::{Roster, Said};
 use ochrelead_mgcp::exchange::{Claim, Exchange, News};
 use ochrelead_mgcp::message::{Command, Endpoint, Response, TransactionId, Verb, code, name};
@@ -24,9 +26,9 @@
 use crate::note::{Note, Step};
 use crate::releases::{Release, Releases};
 use book::{Book, Call, Circuit, Phase, Session};
-use ochrelead_host::gone::Gone;
-use ochrelead_host::judge::Judge;
-use ochrelead_host::numbers::Numbers;
+use ochrelead_host::call_policy::CallPolicy;
+use ochrelead_host::called_numbers::CalledNumberTable;
+use ochrelead_host::recent_ids::RecentIds;
 
 /// Numbers that are remembered at once: a flood of fresh ones pushes the oldest out.
 const MOST_NUMBERS: usize = 65_536;
@@ -57,15 +59,15 @@
 /// A front without I/O.
 pub struct Engine {
     commission: Commission,
-    judge: Box<dyn Judge + Send>,
+    judge: Box<dyn CallPolicy + Send>,
     now: Moment,
     exchange: Exchange,
     book: Book,
     roster: Roster,
-    numbers: Numbers,
+    numbers: CalledNumberTable,
     pending: HashMap<TransactionId, Pending>,
     /// Tries that are over, though this front does not hold them: nothing is set up for what still comes of them.
-    hung_up: Gone,
+    hung_up: RecentIds,
     releases: Releases,
     service: Service,
     /// How often it looks at the clock at the least.
@@ -78,12 +80,12 @@
     /// When anything was last heard of each server.
     heard: Vec<Option<Moment>>,
     /// The lines of each server that were last noted.
-    noted: Vec<Option<Lines>>,
+    noted: Vec<Option<LineCapacity>>,
 }
 
 impl Engine {
     /// A front in service. `first`: where its transaction ids begin, other at each start.
-    pub fn new(commission: Commission, judge: Box<dyn Judge + Send>, first: u32, now: Moment) -> Engine {
+    pub fn new(commission: Commission, judge: Box<dyn CallPolicy + Send>, first: u32, now: Moment) -> Engine {
         let roster = commission.roster.clone();
         let targets = commission.provision.services.iter().map(|service| service.post_dial_target);
         let pulse = targets.min().unwrap_or(Span::from_secs(1)) / PULSES;
@@ -95,9 +97,9 @@
             now,
             book: Book::default(),
             roster: Roster::default(),
-            numbers: Numbers::new(MOST_NUMBERS),
+            numbers: CalledNumberTable::new(MOST_NUMBERS),
             pending: HashMap::new(),
-            hung_up: Gone::new(MOST_HUNG_UP),
+            hung_up: RecentIds::new(MOST_HUNG_UP),
             service: Service::Open,
             pulse,
             notes: VecDeque::new(),
@@ -113,7 +115,11 @@
 
     fn clock(&mut self, now: Moment) {
         let late = self.alarm.map_or(Span::ZERO, |alarm| now.since(alarm));
-        let usual = self.commission.answer_margin.scaled(LATE_SHARE).max(self.commission.provision.turn * 4);
+        let usual = self
+            .commission
+            .answer_margin
+            .scaled(LATE_SHARE)
+            .max(self.commission.provision.min_turn_interval * 4);
         if late > usual {
             // What came since the last turn lay unread, nobody knows how long.
             self.waited = now.since(self.turned);
@@ -123,22 +129,22 @@
             self.note(Note::Paused(late));
         }
         self.now = self.now.max(now);
-        self.judge.clock(self.now);
+        self.judge.advance_to(self.now);
     }
 
     fn hear_of(&mut self, server: ServerIx) {
-        if self.heard.len() <= server.at() {
-            self.heard.resize(server.at() + 1, None);
+        if self.heard.len() <= server.index() {
+            self.heard.resize(server.index() + 1, None);
         }
-        self.heard[server.at()] = Some(self.now);
+        self.heard[server.index()] = Some(self.now);
     }
 
     /// What is held of each listed server, and how long nothing was heard of it (none where nothing ever was).
-    pub fn outlooks(&self) -> Vec<(String, Outlook, Option<Span>)> {
+    pub fn outlooks(&self) -> Vec<(String, ServerSnapshot, Option<Span>)> {
         let of = |name: String| {
             let server = self.roster.named(&name)?;
-            let heard = self.heard.get(server.at()).copied().flatten();
-            Some((name, self.judge.outlook(server)?, heard.map(|at| self.now.since(at))))
+            let heard = self.heard.get(server.index()).copied().flatten();
+            Some((name, self.judge.server_snapshot(server)?, heard.map(|at| self.now.since(at))))
         };
         self.roster.posts().into_iter().filter_map(|(post, _)| of(post.name)).collect()
     }
@@ -163,10 +169,10 @@
             let own = &self.commission.provision.services[at].servers;
             servers.retain(|number| own.is_empty() || own.contains(number));
             let all = servers.len() == posts.len();
-            self.judge.served(ServiceIx::new(at), if all { &[] } else { &servers });
+            self.judge.on_service_servers(ServiceIx::new(at), if all { &[] } else { &servers });
         }
         let listings = self.roster.relist(posts, self.now);
-        self.judge.listed(true, &listings);
+        self.judge.on_endpoints(true, &listings);
         self.note(Note::List(self.roster.posts()));
     }
 
@@ -174,7 +180,7 @@
     pub fn remember(&mut self, now: Moment, kept: &[(Post, Said)]) {
         self.clock(now);
         let listings = self.roster.remember(kept);
-        self.judge.listed(true, &listings);
+        self.judge.on_endpoints(true, &listings);
         self.note(Note::List(self.roster.posts()));
     }
 
@@ -190,7 +196,7 @@
         for session in self.book.inviting_at(server) {
             // The server may have moved: what is out to its other address is under way.
             if self.held_by(session).is_some_and(|(_, address)| address == to) {
-                self.invite_over(session, Ending::ConnectFailed);
+                self.invite_over(session, InviteOutcome::ConnectFailed);
             }
         }
     }
@@ -214,7 +220,7 @@
         self.exchange.tick(self.now);
         self.hear();
         while let Some(session) = self.book.next_timed_out(self.now) {
-            self.invite_over(session, Ending::TimedOut);
+            self.invite_over(session, InviteOutcome::TimedOut);
         }
         if self.service.is_overdue(self.now) {
             for index in self.book.unanswered() {
@@ -224,12 +230,13 @@
         while let Some(release) = self.releases.due(self.now) {
             self.ask_release(release);
         }
-        while let Some(decision) = self.judge.decide() {
+        while let Some(decision) = self.judge.next_decision() {
             self.carry_out(decision);
         }
         // Where a decision met a table that is full, its session came back to the module.
         self.service.settle(self.now, self.owed(), self.commission.drain);
-        let alarms = [self.judge.wake(), self.exchange.wake(), self.book.wake(), self.releases.wake()];
+        let alarms =
+            [self.judge.poll_timeout(), self.exchange.wake(), self.book.wake(), self.releases.wake()];
         let alarms = alarms.into_iter().chain([self.service.wake(self.now, self.commission.drain)]);
         self.alarm = alarms.flatten().chain([self.now + self.pulse]).min();
         (self.turned, self.waited) = (self.now, Span::ZERO);
@@ -341,7 +348,7 @@
             Some(Pending::Invite(session)) => self.set_up_answered(session, response),
             Some(Pending::Release(session, server)) => {
                 self.releases.answered(self.now, response.transaction);
-                self.released(session, server, Ending::Released);
+                self.released(session, server, InviteOutcome::Released);
             }
             Some(Pending::Connect(session)) => {
                 // The caller's gateway no longer knows the call: it has hung up, and its NTFY got lost.
@@ -357,11 +364,11 @@
     fn unanswered(&mut self, transaction: TransactionId) {
         match self.pending.remove(&transaction) {
             Some(Pending::Invite(session)) if self.book.is(session) => {
-                self.invite_over(session.index, Ending::TimedOut);
+                self.invite_over(session.index, InviteOutcome::TimedOut);
             }
             Some(Pending::Release(session, server)) => {
                 self.releases.unanswered(self.now, transaction);
-                self.released(session, server, Ending::TimedOut);
+                self.released(session, server, InviteOutcome::TimedOut);
             }
             Some(Pending::TakeDown) => self.releases.unanswered(self.now, transaction),
             Some(Pending::Connect(session)) => self.caller_gone(session),
@@ -370,14 +377,16 @@
     }
 
     fn carry_out(&mut self, decision: Decision) {
-        let denial = match self.judge.why() {
-            Some(Reason::Denied(denial)) => Some(denial),
+        let denial = match self.judge.last_reason() {
+            Some(DecisionReason::Rejected(denial)) => Some(denial),
             _ => None,
         };
         match decision {
-            Decision::Invite { session, server, patience } => self.invite(session, server, patience),
-            Decision::Refuse { session, come_back } => self.refuse(session, come_back, denial),
-            Decision::Terminate { session } => self.fail(session, denial),
+            Decision::Invite { session, server, answer_timeout: patience } => {
+                self.invite(session, server, patience)
+            }
+            Decision::Reject { session, retry_after: come_back } => self.refuse(session, come_back, denial),
+            Decision::Fail { session } => self.fail(session, denial),
         }
     }
 
@@ -407,11 +416,11 @@
 
     /// The bound of a drain has passed: the session is failed and its set-up called off.
     fn give_up_at_last(&mut self, session: SessionIx) {
-        self.judge.hung_up(session);
+        self.judge.on_caller_gone(session);
         if let Some(Phase::Inviting(invite)) = self.book.get(session).map(|call| &call.phase) {
             let server = invite.server;
             self.call_off(session);
-            self.judge.ended(session, server, Ending::Cancelled, true);
+            self.judge.on_invite_ended(session, server, InviteOutcome::Cancelled, true);
         }
         self.fail(session, None);
     }
--- a/crates/ochrelead-front/src/engine/book.rs
+++ b/crates/ochrelead-front/src/engine/book.rs
@@ -107,11 +107,11 @@
     }
 
     pub fn get(&self, index: SessionIx) -> Option<&Call> {
-        self.calls.get(index.at())
+        self.calls.get(index.index())
     }
 
     pub fn session(&self, index: SessionIx) -> Session {
-        Session { index, serial: self.calls[index.at()].serial }
+        Session { index, serial: self.calls[index.index()].serial }
     }
 
     /// Whether the session is still held.
@@ -125,12 +125,12 @@
 
     /// An INVITE that was out has seen so many repeats at the most.
     pub fn count_repeats(&mut self, index: SessionIx, repeats: u32) {
-        let call = &mut self.calls[index.at()];
+        let call = &mut self.calls[index.index()];
         call.repeats = call.repeats.saturating_sub(repeats);
     }
 
     pub fn count_invite(&mut self, index: SessionIx) -> u32 {
-        let call = &mut self.calls[index.at()];
+        let call = &mut self.calls[index.index()];
         call.invites += 1;
         call.invites
     }
@@ -152,11 +152,11 @@
             }
             Phase::Releasing => {}
         }
-        std::mem::replace(&mut self.calls[index.at()].phase, phase)
+        std::mem::replace(&mut self.calls[index.index()].phase, phase)
     }
 
     fn leave_phase(&mut self, index: SessionIx) {
-        match &self.calls[index.at()].phase {
+        match &self.calls[index.index()].phase {
             Phase::Waiting => {
                 self.waiting.remove(&index);
             }
@@ -178,7 +178,7 @@
     pub fn leave(&mut self, index: SessionIx) -> Option<Call> {
         self.get(index)?;
         self.leave_phase(index);
-        let call = self.calls.remove(index.at());
+        let call = self.calls.remove(index.index());
         if self.tries.get(&call.tried) == Some(&index) {
             self.tries.remove(&call.tried);
         }
--- a/crates/ochrelead-front/src/engine/callers.rs
+++ b/crates/ochrelead-front/src/engine/callers.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 use ochrelead_config::numbering::Dialled;
-use ochrelead_core::call::Offer;
-use ochrelead_core::index::MemberIx;
+use ochrelead_core::index::TenantIx;
+use ochrelead_core::types::CallRequest;
 
 /// The longest id of a try: that of a call id (RFC 3435 section 3.2.2.2).
 const LONGEST_TRY: usize = 32;
@@ -57,7 +57,7 @@
         let meant = self.commission.numbering.read(digits);
         let patience =
             command.parameters.read::<u32>(name::PATIENCE).map(|ms| Span::from_millis(u64::from(ms)));
-        let limit = meant.map_or(Span::ZERO, |dialled| self.commission.timer_limits[dialled.service.at()]);
+        let limit = meant.map_or(Span::ZERO, |dialled| self.commission.timer_limits[dialled.service.index()]);
         // A front that stood still takes a try for as old as it may be: its caller has waited all the while.
         let limit = patience.map_or(limit, |own| own.min(limit)) - self.waited;
         let (line, called) = (command.endpoint.clone(), digits.to_owned());
@@ -72,7 +72,7 @@
         let member = self.commission.trunks.iter().position(|own| own == trunk);
         let redial = command.parameters.get(name::REDIAL).is_some_and(|value| value != "0");
         let taken = Step::Taken {
-            service: meant.map_or(0, |dialled| dialled.service.at()),
+            service: meant.map_or(0, |dialled| dialled.service.index()),
             member,
             destination: meant.map_or(-1, |dialled| dialled.destination),
             called: digits.to_owned(),
@@ -84,18 +84,18 @@
             return self.fail(session, None);
         };
         if !self.service.takes_sessions() || self.book.len() > self.commission.most_held {
-            let away = self.commission.provision.longest_away;
+            let away = self.commission.provision.max_retry_after;
             return self.refuse(session, (away > Span::ZERO).then_some(away), None);
         }
-        let offer = Offer {
+        let offer = CallRequest {
             service,
-            member: member.map(MemberIx::new),
-            number: Some(self.numbers.index(digits)),
+            tenant: member.map(TenantIx::new),
+            called_number: Some(self.numbers.index(digits)),
             destination,
-            timer_limit,
-            redial,
+            deadline: timer_limit,
+            is_redial: redial,
         };
-        self.judge.offered(session, offer);
+        self.judge.on_call_request(session, offer);
     }
 
     /// A caller has hung up. One that this front does not know may name the far end of its call: a front that
@@ -131,7 +131,7 @@
         let Some(call) = self.book.get(session) else { return };
         match call.phase.clone() {
             Phase::Waiting => {
-                self.judge.hung_up(session);
+                self.judge.on_caller_gone(session);
                 self.step(session, Step::HungUp { out: None });
                 self.book.leave(session);
             }
@@ -139,9 +139,9 @@
                 let server = self.roster.post(invite.server).name.clone();
                 let out = Some((server, self.now.since(invite.sent)));
                 self.step(session, Step::HungUp { out });
-                self.judge.hung_up(session);
+                self.judge.on_caller_gone(session);
                 self.call_off(session);
-                self.judge.ended(session, invite.server, Ending::Cancelled, true);
+                self.judge.on_invite_ended(session, invite.server, InviteOutcome::Cancelled, true);
                 self.book.leave(session);
             }
             Phase::Standing(circuit) => self.release(session, circuit),
@@ -167,14 +167,19 @@
     }
 
     /// The one final answer of a refused session: busy tone, and when to come back.
-    pub(super) fn refuse(&mut self, session: SessionIx, come_back: Option<Span>, denial: Option<Denial>) {
+    pub(super) fn refuse(
+        &mut self,
+        session: SessionIx,
+        come_back: Option<Span>,
+        denial: Option<RejectionCause>,
+    ) {
         let come_back_ms = come_back.map(|span| span.micros() / 1_000);
         self.step(session, Step::GivenUp { denial, refused: true, come_back_ms });
         self.tone(session, "L/bz", come_back_ms);
     }
 
     /// The one final answer of a failed session: reorder tone.
-    pub(super) fn fail(&mut self, session: SessionIx, denial: Option<Denial>) {
+    pub(super) fn fail(&mut self, session: SessionIx, denial: Option<RejectionCause>) {
         self.step(session, Step::GivenUp { denial, refused: false, come_back_ms: None });
         self.tone(session, "L/ro", None);
     }
--- a/crates/ochrelead-front/src/engine/servers.rs
+++ b/crates/ochrelead-front/src/engine/servers.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::endings;
 use book::Invite;
-use ochrelead_core::call::Report;
+use ochrelead_core::types::LoadReport;
 use ochrelead_discovery::roster::Restart;
 use ochrelead_mgcp::message::Parameters;
 
@@ -16,11 +16,11 @@
     /// What any message of a server says of its lines and its processor.
     pub(super) fn learn(&mut self, server: ServerIx, parameters: &Parameters) {
         if let Some(lines) = endings::lines(parameters) {
-            self.judge.lines_told(server, lines);
+            self.judge.on_line_capacity(server, lines);
         }
         let report = endings::report(parameters);
-        if report != Report::default() {
-            self.judge.reported(server, report);
+        if report != LoadReport::default() {
+            self.judge.on_load_report(server, report);
         }
     }
 
@@ -28,10 +28,10 @@
     /// is noted, so that the records of all can be set on one clock.
     pub(super) fn note_lines(&mut self, server: ServerIx, parameters: &Parameters) {
         let Some(lines) = endings::lines(parameters).filter(|lines| lines.free % NOTED == 0) else { return };
-        if self.noted.len() <= server.at() {
-            self.noted.resize(server.at() + 1, None);
+        if self.noted.len() <= server.index() {
+            self.noted.resize(server.index() + 1, None);
         }
-        if self.noted[server.at()].replace(lines) != Some(lines) {
+        if self.noted[server.index()].replace(lines) != Some(lines) {
             let name = self.roster.post(server).name.clone();
             self.note(Note::Lines { name, lines });
         }
@@ -56,10 +56,10 @@
             (self.roster.post(server).address, self.book.session(session), call.repeats);
         let nth = self.book.count_invite(session);
         let name = self.roster.post(server).name.clone();
-        let why = self.judge.why();
+        let why = self.judge.last_reason();
         self.step(session, Step::Invited { server: name, nth, why });
         let Some(transaction) = self.ask_at_most(to, command, Pending::Invite(held), repeats) else {
-            return self.judge.ended(session, server, Ending::Unsent, false);
+            return self.judge.on_invite_ended(session, server, InviteOutcome::Unsent, false);
         };
         let until = patience.map_or(timer_limit, |span| timer_limit.min(self.now + span));
         let sent = self.now;
@@ -81,9 +81,9 @@
         let Some(circuit) = circuit(invite.server, invite.to, response, self.now) else {
             // It says that the call stands but not where: it can be neither used nor taken down by name.
             self.take_down_call(invite, index);
-            return self.invite_ended(index, invite, Ending::Fault { lines_busy: false });
+            return self.invite_ended(index, invite, InviteOutcome::Failed { lines_busy: false });
         };
-        self.judge.stands(index);
+        self.judge.on_call_established(index);
         let name = self.roster.post(invite.server).name.clone();
         let taken = self.book.get(index).map_or(self.now, |call| call.taken);
         let (took, since_taken) = (self.now.since(invite.sent), self.now.since(taken));
@@ -93,7 +93,7 @@
     }
 
     /// An INVITE ended without an answer of its own: it is called off, so that what it may hold is released.
-    pub(super) fn invite_over(&mut self, session: SessionIx, ending: Ending) {
+    pub(super) fn invite_over(&mut self, session: SessionIx, ending: InviteOutcome) {
         let Some(Phase::Inviting(invite)) = self.book.get(session).map(|call| call.phase.clone()) else {
             return;
         };
@@ -101,14 +101,14 @@
         self.invite_ended(session, invite, ending);
     }
 
-    fn invite_ended(&mut self, session: SessionIx, invite: Invite, ending: Ending) {
+    fn invite_ended(&mut self, session: SessionIx, invite: Invite, ending: InviteOutcome) {
         let server = invite.server;
         let name = self.roster.post(server).name.clone();
         let took = self.now.since(invite.sent);
         self.book.count_repeats(session, self.commission.pace.repeats(took));
         self.step(session, Step::InviteEnded { server: name, ending, took });
         self.book.turn_to(session, Phase::Waiting);
-        self.judge.ended(session, server, ending, false);
+        self.judge.on_invite_ended(session, server, ending, false);
     }
 
     /// No further repeat of the INVITE; the server is told that the call is off (RFC 3435 section 2.3.9, all
@@ -187,16 +187,16 @@
         self.book.turn_to(session, Phase::Releasing);
         match self.ask(to, command, Pending::Release(held, circuit.server)) {
             Some(transaction) => self.releases.asked(transaction, release),
-            None => self.released(held, circuit.server, Ending::TimedOut),
+            None => self.released(held, circuit.server, InviteOutcome::TimedOut),
         }
     }
 
-    pub(super) fn released(&mut self, session: Session, server: ServerIx, ending: Ending) {
+    pub(super) fn released(&mut self, session: Session, server: ServerIx, ending: InviteOutcome) {
         if self.book.is(session) {
             let name = self.roster.post(server).name.clone();
-            let confirmed = ending == Ending::Released;
+            let confirmed = ending == InviteOutcome::Released;
             self.step(session.index, Step::Released { server: name, confirmed });
-            self.judge.ended(session.index, server, ending, true);
+            self.judge.on_invite_ended(session.index, server, ending, true);
             self.book.leave(session.index);
         }
     }
@@ -228,10 +228,10 @@
             Some(Phase::Inviting(invite)) => {
                 self.exchange.abandon(self.now, invite.transaction);
                 self.pending.remove(&invite.transaction);
-                self.invite_ended(session, invite, Ending::Reset);
+                self.invite_ended(session, invite, InviteOutcome::Reset);
             }
             Some(Phase::Standing(_)) => {
-                self.judge.ended(session, server, Ending::Reset, true);
+                self.judge.on_invite_ended(session, server, InviteOutcome::Reset, true);
                 self.cut(session, server);
             }
             _ => {}
@@ -282,7 +282,7 @@
                 }
             }
         }
-        self.judge.listed(false, &[news.listing]);
+        self.judge.on_endpoints(false, &[news.listing]);
         let what = match restart {
             Restart::Started => "started",
             Restart::Drains => "drains",
--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -11,7 +11,7 @@
 use clap::{Args, Parser, Subcommand};
 use futures_lite::future;
 use ochrelead_config::commission::{self, Commission};
-use ochrelead_core::rules::Controller;
+use ochrelead_core::controller::Controller;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_front::engine::Engine;
 use ochrelead_front::host::{self, Places};
--- a/crates/ochrelead-front/src/note.rs
+++ b/crates/ochrelead-front/src/note.rs
@@ -1,8 +1,8 @@
 //! What the engine tells the log and the records. The host writes it; nothing is decided by it.
 
 use ochrelead_config::commission::Post;
-use ochrelead_core::call::{Denial, Ending, Lines, Reason};
 use ochrelead_core::time::Span;
+use ochrelead_core::types::{DecisionReason, InviteOutcome, LineCapacity, RejectionCause};
 use ochrelead_discovery::roster::Said;
 
 /// One line for the log.
@@ -13,7 +13,7 @@
     /// A server said something of itself.
     Server { name: String, what: &'static str },
     /// A server told all fronts of its lines.
-    Lines { name: String, lines: Lines },
+    Lines { name: String, lines: LineCapacity },
     /// The list has changed: this is what a front that starts anew should know.
     List(Vec<(Post, Said)>),
     /// A message that was passed over, and why.
@@ -37,11 +37,11 @@
         server: String,
         nth: u32,
         /// Where the judge tells.
-        why: Option<Reason>,
+        why: Option<DecisionReason>,
     },
     InviteEnded {
         server: String,
-        ending: Ending,
+        ending: InviteOutcome,
         took: Span,
     },
     Stands {
@@ -52,7 +52,7 @@
     },
     GivenUp {
         /// None where the front itself gave it up, or the judge does not tell.
-        denial: Option<Denial>,
+        denial: Option<RejectionCause>,
         refused: bool,
         come_back_ms: Option<u64>,
     },
--- a/crates/ochrelead-front/src/recording.rs
+++ b/crates/ochrelead-front/src/recording.rs
@@ -1,7 +1,9 @@
 //! From notes to records.
 
-use ochrelead_core::call::{Choice, Denial, Ending, Outlook, Payment, Reason};
 use ochrelead_core::time::Span;
+use ochrelead_core::types::{
+    BudgetGrant, DecisionReason, InviteOutcome, RejectionCause, RoutingChoice, ServerSnapshot,
+};
 use ochrelead_event_log::LINES;
 use ochrelead_event_log::schema::{self, event::What};
 
@@ -16,7 +18,7 @@
         }
         Note::Lines { name, lines } => What::Told(schema::Told {
             server: name.clone(),
-            what: format!("{LINES}{}/{}", lines.free, lines.all),
+            what: format!("{LINES}{}/{}", lines.free, lines.total),
         }),
         Note::List(posts) => {
             let server = posts.iter().map(|(post, _)| post.name.clone()).collect();
@@ -68,61 +70,61 @@
     })
 }
 
-fn sent(why: Option<Reason>) -> (schema::Choice, schema::Payment) {
-    let Some(Reason::Sent { choice, payment }) = why else {
+fn sent(why: Option<DecisionReason>) -> (schema::Choice, schema::Payment) {
+    let Some(DecisionReason::Sent { choice, grant: payment }) = why else {
         return (schema::Choice::Destination, schema::Payment::Free);
     };
     let choice = match choice {
-        Choice::Destination => schema::Choice::Destination,
-        Choice::Drawn => schema::Choice::Drawn,
+        RoutingChoice::Destination => schema::Choice::Destination,
+        RoutingChoice::WeightedDraw => schema::Choice::Drawn,
     };
     let payment = match payment {
-        Payment::Free => schema::Payment::Free,
-        Payment::Token => schema::Payment::Token,
-        Payment::Floor => schema::Payment::Floor,
+        BudgetGrant::Free => schema::Payment::Free,
+        BudgetGrant::Token => schema::Payment::Token,
+        BudgetGrant::Floor => schema::Payment::Floor,
     };
     (choice, payment)
 }
 
-fn denied(denial: Option<Denial>) -> schema::Denial {
+fn denied(denial: Option<RejectionCause>) -> schema::Denial {
     match denial {
         None => schema::Denial::Front,
-        Some(Denial::NotAgain) => schema::Denial::NotAgain,
-        Some(Denial::TooLate) => schema::Denial::TooLate,
-        Some(Denial::NumberBusy) => schema::Denial::NumberBusy,
-        Some(Denial::InvitesSpent) => schema::Denial::InvitesSpent,
-        Some(Denial::NoRoom) => schema::Denial::NoRoom,
-        Some(Denial::NoToken) => schema::Denial::NoToken,
+        Some(RejectionCause::NotRetryable) => schema::Denial::NotAgain,
+        Some(RejectionCause::DeadlineTooClose) => schema::Denial::TooLate,
+        Some(RejectionCause::CalledNumberBusy) => schema::Denial::NumberBusy,
+        Some(RejectionCause::AttemptsExhausted) => schema::Denial::InvitesSpent,
+        Some(RejectionCause::NoCapacity) => schema::Denial::NoRoom,
+        Some(RejectionCause::NoRetryBudget) => schema::Denial::NoToken,
     }
 }
 
-fn ended(ending: Ending) -> schema::Ending {
+fn ended(ending: InviteOutcome) -> schema::Ending {
     match ending {
-        Ending::Released | Ending::Fault { lines_busy: false } => schema::Ending::Fault,
-        Ending::Fault { lines_busy: true } => schema::Ending::LinesBusy,
-        Ending::BusyReplied { no_line: false, .. } => schema::Ending::Full,
-        Ending::BusyReplied { no_line: true, .. } => schema::Ending::NoLine,
-        Ending::TimedOut => schema::Ending::TimedOut,
-        Ending::ConnectFailed => schema::Ending::ConnectFailed,
-        Ending::Reset => schema::Ending::Reset,
-        Ending::Cancelled => schema::Ending::Cancelled,
-        Ending::Unsent => schema::Ending::Unsent,
+        InviteOutcome::Released | InviteOutcome::Failed { lines_busy: false } => schema::Ending::Fault,
+        InviteOutcome::Failed { lines_busy: true } => schema::Ending::LinesBusy,
+        InviteOutcome::Rejected { no_line: false, .. } => schema::Ending::Full,
+        InviteOutcome::Rejected { no_line: true, .. } => schema::Ending::NoLine,
+        InviteOutcome::TimedOut => schema::Ending::TimedOut,
+        InviteOutcome::ConnectFailed => schema::Ending::ConnectFailed,
+        InviteOutcome::Reset => schema::Ending::Reset,
+        InviteOutcome::Cancelled => schema::Ending::Cancelled,
+        InviteOutcome::Unsent => schema::Ending::Unsent,
     }
 }
 
 /// What is held of a server, as a record.
-pub fn outlook(server: String, held: Outlook, unheard: Option<Span>) -> What {
+pub fn outlook(server: String, held: ServerSnapshot, unheard: Option<Span>) -> What {
     What::Outlook(schema::Outlook {
         server,
-        limit: held.limit,
-        waiting: held.waiting,
+        limit: held.in_flight_limit,
+        waiting: held.in_flight,
         answer_us: held.answer_time.micros(),
-        sick: held.sick,
-        fresh: held.fresh,
-        troubled: held.troubled,
-        flow: held.flow.unwrap_or(-1.0),
+        sick: held.ejected,
+        fresh: held.warming_up,
+        troubled: held.last_attempt_failed,
+        flow: held.setup_rate.unwrap_or(-1.0),
         free: held.lines.free,
-        lines: held.lines.all,
+        lines: held.lines.total,
         unheard_us: unheard.map_or(0, |span| span.micros().max(1)),
     })
 }
--- a/crates/ochrelead-front/tests/helper/mod.rs
+++ b/crates/ochrelead-front/tests/helper/mod.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use ochrelead_config::commission;
-use ochrelead_core::rules::Controller;
+use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_front::engine::Engine;
 use ochrelead_front::note::Note;
--- a/crates/ochrelead-front/tests/parts.rs
+++ b/crates/ochrelead-front/tests/parts.rs
@@ -1,26 +1,26 @@
 //! The parts that decide or remember by themselves.
 
-use ochrelead_core::call::Ending;
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_core::types::InviteOutcome;
 use ochrelead_front::drain::Service;
 use ochrelead_front::endings;
-use ochrelead_host::numbers::Numbers;
+use ochrelead_host::called_numbers::CalledNumberTable;
 use ochrelead_mgcp::message::Response;
 use test_case::test_case;
 
-const BUSY: Ending = Ending::BusyReplied { no_line: false, wait: None };
+const BUSY: InviteOutcome = InviteOutcome::Rejected { no_line: false, retry_after: None };
 
 #[test_case(Response::new(200, 1), None; "stands")]
 #[test_case(Response::new(409, 1), Some(BUSY); "full")]
 #[test_case(Response::new(409, 1).with("X-Wait", 700),
-    Some(Ending::BusyReplied { no_line: false, wait: Some(Span::from_millis(700)) }); "full, with a wait")]
+    Some(InviteOutcome::Rejected { no_line: false, retry_after: Some(Span::from_millis(700)) }); "full, with a wait")]
 #[test_case(Response::new(409, 1).with("X-Wait", "soon"), Some(BUSY); "a wait that is none")]
-#[test_case(Response::new(410, 1), Some(Ending::BusyReplied { no_line: true, wait: None }); "no circuit")]
-#[test_case(Response::new(401, 1), Some(Ending::Fault { lines_busy: true }); "line busy")]
-#[test_case(Response::new(406, 1), Some(Ending::TimedOut); "timed out there")]
-#[test_case(Response::new(520, 1), Some(Ending::Reset); "restarting")]
-#[test_case(Response::new(999, 1), Some(Ending::Fault { lines_busy: false }); "unknown")]
-fn ending(response: Response, expected: Option<Ending>) {
+#[test_case(Response::new(410, 1), Some(InviteOutcome::Rejected { no_line: true, retry_after: None }); "no circuit")]
+#[test_case(Response::new(401, 1), Some(InviteOutcome::Failed { lines_busy: true }); "line busy")]
+#[test_case(Response::new(406, 1), Some(InviteOutcome::TimedOut); "timed out there")]
+#[test_case(Response::new(520, 1), Some(InviteOutcome::Reset); "restarting")]
+#[test_case(Response::new(999, 1), Some(InviteOutcome::Failed { lines_busy: false }); "unknown")]
+fn ending(response: Response, expected: Option<InviteOutcome>) {
     assert_eq!(endings::of_set_up(&response), expected);
 }
 
@@ -30,7 +30,7 @@
 #[test_case("40", None; "one figure")]
 fn lines(text: &str, expected: Option<(u32, u32)>) {
     let response = Response::new(200, 1).with("X-Lines", text);
-    assert_eq!(endings::lines(&response.parameters).map(|lines| (lines.free, lines.all)), expected);
+    assert_eq!(endings::lines(&response.parameters).map(|lines| (lines.free, lines.total)), expected);
 }
 
 #[test_case("nan", "0.2", (None, Some(0.2)); "not a number")]
@@ -38,12 +38,12 @@
 fn report(can_take: &str, hold_back: &str, expected: (Option<f64>, Option<f64>)) {
     let response = Response::new(200, 1).with("X-Can-Take", can_take).with("X-Hold-Back", hold_back);
     let report = endings::report(&response.parameters);
-    assert_eq!((report.can_take, report.hold_back), expected);
+    assert_eq!((report.accepted_rate, report.hold_back_share), expected);
 }
 
 #[test]
 fn numbers_are_bounded_and_the_oldest_makes_room() {
-    let mut numbers = Numbers::new(2);
+    let mut numbers = CalledNumberTable::new(2);
     let (a, b) = (numbers.index("a"), numbers.index("b"));
     assert_eq!(numbers.index("a"), a);
     assert_eq!(numbers.index("c"), b, "b was called longest ago");
--- a/crates/ochrelead-host/src/gone.rs
+++ b/crates/ochrelead-host/src/recent_ids.rs
@@ -4,15 +4,15 @@
 
 /// A bounded set of names.
 #[derive(Clone, Debug)]
-pub struct Gone {
+pub struct RecentIds {
     most: usize,
     known: HashSet<String>,
     order: VecDeque<String>,
 }
 
-impl Gone {
-    pub fn new(most: usize) -> Gone {
-        Gone { most, known: HashSet::new(), order: VecDeque::new() }
+impl RecentIds {
+    pub fn new(most: usize) -> RecentIds {
+        RecentIds { most, known: HashSet::new(), order: VecDeque::new() }
     }
 
     pub fn insert(&mut self, name: &str) {
--- a/crates/ochrelead-node/src/book.rs
+++ b/crates/ochrelead-node/src/book.rs
@@ -72,7 +72,7 @@
     }
 
     pub fn get(&self, index: SessionIx) -> Option<&Call> {
-        self.calls.get(index.at())
+        self.calls.get(index.index())
     }
 
     pub fn find(&self, id: CallId) -> Option<SessionIx> {
@@ -98,7 +98,7 @@
 
     /// Moves a call on; what its new phase does not need is let go.
     pub fn advance(&mut self, index: SessionIx, phase: Phase) {
-        let Some(call) = self.calls.get_mut(index.at()) else { return };
+        let Some(call) = self.calls.get_mut(index.index()) else { return };
         let former = std::mem::replace(&mut call.phase, phase);
         match phase {
             Phase::Inviting(_) => call.invites += u32::from(!matches!(former, Phase::Inviting(_))),
@@ -130,7 +130,7 @@
     }
 
     pub fn leave(&mut self, index: SessionIx) -> Option<Call> {
-        let call = self.calls.try_remove(index.at())?;
+        let call = self.calls.try_remove(index.index())?;
         self.ids.remove(&call.id);
         self.described -= call.description.len();
         match call.phase {
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -13,12 +13,12 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use ochrelead_core::call::{Decision, Ending};
-use ochrelead_core::index::{MemberIx, ServerIx, ServiceIx, SessionIx};
+use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx, TenantIx};
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_host::gone::Gone;
-use ochrelead_host::judge::Judge;
-use ochrelead_host::numbers::Numbers;
+use ochrelead_core::types::{Decision, InviteOutcome};
+use ochrelead_host::call_policy::CallPolicy;
+use ochrelead_host::called_numbers::CalledNumberTable;
+use ochrelead_host::recent_ids::RecentIds;
 use ochrelead_lease::Number;
 use ochrelead_platform::callers::{self as lines, CallId, cause};
 use ochrelead_platform::configuration::Configuration;
@@ -89,7 +89,7 @@
 
 /// A node without I/O.
 pub struct Engine {
-    judge: Box<dyn Judge>,
+    judge: Box<dyn CallPolicy>,
     now: Moment,
     bounds: Bounds,
     /// The names of services and members, and the longest that a service's callers may wait.
@@ -104,12 +104,12 @@
     book: Book,
     callers: Callers,
     roster: Roster,
-    numbers: Numbers,
+    numbers: CalledNumberTable,
     watch: Watch,
     /// INVITEs that were called off: what still stands by them is released.
-    called_off: Gone,
+    called_off: RecentIds,
     /// Calls that their servers released while nothing was held of them: a life before this one's may have had them.
-    released: Gone,
+    released: RecentIds,
     /// INVITEs that leave once nothing says that their callers have left.
     checked: Vec<(CallerId, SessionIx)>,
     /// Callers' connections that are closed unless something has come on them.
@@ -136,7 +136,7 @@
 }
 
 impl Engine {
-    pub fn new(configuration: Configuration, judge: Box<dyn Judge>, now: Moment) -> Engine {
+    pub fn new(configuration: Configuration, judge: Box<dyn CallPolicy>, now: Moment) -> Engine {
         let facts = &configuration.facts;
         let bounds = Bounds::new(configuration.limits, facts.most_held());
         let connect = facts.connect_timeout().unwrap_or(platform::CONNECT);
@@ -152,7 +152,7 @@
             book: Book::default(),
             callers: Callers::default(),
             roster: Roster::new(bounds.servers),
-            numbers: Numbers::new(bounds.numbers),
+            numbers: CalledNumberTable::new(bounds.numbers),
             watch: Watch::new(
                 configuration.coordinator,
                 configuration.followed,
@@ -160,8 +160,8 @@
                 configuration.provision.seed,
                 now,
             ),
-            called_off: Gone::new(bounds.numbers),
-            released: Gone::new(bounds.numbers),
+            called_off: RecentIds::new(bounds.numbers),
+            released: RecentIds::new(bounds.numbers),
             checked: Vec::new(),
             retiring: Vec::new(),
             owed: VecDeque::new(),
@@ -186,7 +186,7 @@
 
     fn clock(&mut self, now: Moment) {
         self.now = self.now.max(now);
-        self.judge.clock(self.now);
+        self.judge.advance_to(self.now);
     }
 
     /// What came in is taken note of; nothing is decided yet.
@@ -228,7 +228,7 @@
     pub fn turn(&mut self, now: Moment) {
         self.clock(now);
         while let Some(session) = self.book.timed_out(self.now) {
-            self.invite_over(session, Ending::TimedOut);
+            self.invite_over(session, InviteOutcome::TimedOut);
         }
         while let Some(step) = self.watch.turn(self.now) {
             self.out.push_back(Output::Watch(step));
@@ -239,10 +239,10 @@
             self.tend_callers();
             self.tell();
         }
-        while let Some(decision) = self.judge.decide() {
+        while let Some(decision) = self.judge.next_decision() {
             self.carry_out(decision);
         }
-        let alarms = [self.judge.wake(), self.book.wake(), self.watch.wake(), Some(self.pulse_at)];
+        let alarms = [self.judge.poll_timeout(), self.book.wake(), self.watch.wake(), Some(self.pulse_at)];
         self.alarm = alarms.into_iter().flatten().min();
     }
 
@@ -253,7 +253,7 @@
         }
         self.tell_at = self.now + Span::from_secs(1);
         for server in self.roster.all().filter(|server| !self.roster.get(*server).is_gone()) {
-            let (id, outlook) = (&self.roster.get(server).id, self.judge.outlook(server));
+            let (id, outlook) = (&self.roster.get(server).id, self.judge.server_snapshot(server));
             debug!(id, ?outlook, stands = self.book.standing_at(server).len(), "held of a server");
         }
         debug!(load = ?self.load(), "held");
@@ -304,7 +304,7 @@
     fn listed(&mut self, change: &Change) {
         let book = &self.book;
         let (listings, turns) = self.roster.change(change, self.now, |server| !book.any_standing_at(server));
-        self.judge.listed(change.whole, &listings);
+        self.judge.on_endpoints(change.whole, &listings);
         for listing in &listings {
             self.ease_server(listing.server);
         }
@@ -315,15 +315,19 @@
     }
 
     fn carry_out(&mut self, decision: Decision) {
-        if let (Decision::Refuse { session, .. } | Decision::Terminate { session }, Some(why)) =
-            (decision, self.judge.why())
+        if let (Decision::Reject { session, .. } | Decision::Fail { session }, Some(why)) =
+            (decision, self.judge.last_reason())
         {
             debug!(call = ?self.book.get(session).map(|call| call.id), ?why, "given up");
         }
         match decision {
-            Decision::Invite { session, server, patience } => self.invite(session, server, patience),
-            Decision::Refuse { session, come_back } => self.give_up(session, cause::REFUSED, come_back),
-            Decision::Terminate { session } => self.give_up(session, cause::FAILED, None),
+            Decision::Invite { session, server, answer_timeout: patience } => {
+                self.invite(session, server, patience)
+            }
+            Decision::Reject { session, retry_after: come_back } => {
+                self.give_up(session, cause::REFUSED, come_back)
+            }
+            Decision::Fail { session } => self.give_up(session, cause::FAILED, None),
         }
     }
 
--- a/crates/ochrelead-node/src/engine/entry.rs
+++ b/crates/ochrelead-node/src/engine/entry.rs
@@ -1,6 +1,6 @@
 //! The side of the callers.
 
-use ochrelead_core::call::Offer;
+use ochrelead_core::types::CallRequest;
 use ochrelead_platform::LONGEST;
 use ochrelead_platform::callers::{Said, SetUp, Unusable};
 
@@ -173,13 +173,13 @@
             return Ok(());
         }
         let deadline = self.now + set_up.left;
-        let offer = Offer {
+        let offer = CallRequest {
             service: ServiceIx::new(class),
-            member: member.map(MemberIx::new),
-            number: Some(self.numbers.index(&set_up.number)),
+            tenant: member.map(TenantIx::new),
+            called_number: Some(self.numbers.index(&set_up.number)),
             destination: set_up.destination.unwrap_or(-1),
-            timer_limit: deadline,
-            redial: false,
+            deadline,
+            is_redial: false,
         };
         let session = self.book.enter(Call {
             id: set_up.call,
@@ -202,7 +202,7 @@
                 self.out.push_back(Output::ToCaller(id, lines::down(*call, *cause, None)));
             }
         }
-        self.judge.offered(session, offer);
+        self.judge.on_call_request(session, offer);
         Ok(())
     }
 
@@ -232,7 +232,7 @@
         if let Some(caller) = self.callers.get_mut(id) {
             caller.standing += 1;
         }
-        self.judge.stands(session);
+        self.judge.on_call_established(session);
     }
 
     /// A set-up is given up, on its own connection, or a call that stands is released, on any.
@@ -243,7 +243,7 @@
         match held.phase {
             Phase::Standing { server, link, .. } => {
                 self.say_bye(server, link, call, cause::NORMAL);
-                self.judge.ended(session, server, Ending::Released, true);
+                self.judge.on_invite_ended(session, server, InviteOutcome::Released, true);
                 self.forget_standing(session);
             }
             _ if held.caller == id => {
@@ -259,10 +259,10 @@
     /// Nobody waits for the answer any more.
     fn hang_up(&mut self, session: SessionIx) {
         let Some(phase) = self.book.get(session).map(|call| call.phase) else { return };
-        self.judge.hung_up(session);
+        self.judge.on_caller_gone(session);
         if let Phase::Inviting(invite) = phase {
             self.call_off(session);
-            self.judge.ended(session, invite.server, Ending::Cancelled, true);
+            self.judge.on_invite_ended(session, invite.server, InviteOutcome::Cancelled, true);
         }
         self.book.leave(session);
     }
--- a/crates/ochrelead-node/src/engine/exit.rs
+++ b/crates/ochrelead-node/src/engine/exit.rs
@@ -44,7 +44,7 @@
         let Phase::Inviting(invite @ Invite { link: None, .. }) = call.phase else { return };
         let server = invite.server;
         if !self.roster.get(server).is_ready() {
-            return self.invite_over(session, Ending::Unsent);
+            return self.invite_over(session, InviteOutcome::Unsent);
         }
         let Some(id) = self.roster.pick(server) else { return self.await_link(server, session) };
         let first = format!("INVITE sip:{}@net SIP/2.0", call.number);
@@ -64,15 +64,15 @@
     }
 
     /// An INVITE has ended without an answer that stands; the module goes on with the session.
-    pub(super) fn invite_over(&mut self, session: SessionIx, ending: Ending) {
+    pub(super) fn invite_over(&mut self, session: SessionIx, ending: InviteOutcome) {
         let Some(Phase::Inviting(invite)) = self.book.get(session).map(|call| call.phase) else { return };
         // One that was answered has been told of.
-        let ask = session.at() as u64;
+        let ask = session.index() as u64;
         self.see(match ending {
-            Ending::Reset | Ending::ConnectFailed => Observation::Failed(ask),
+            InviteOutcome::Reset | InviteOutcome::ConnectFailed => Observation::Failed(ask),
             _ => Observation::CalledOff(ask),
         });
-        if ending == Ending::TimedOut {
+        if ending == InviteOutcome::TimedOut {
             self.call_off(session);
         } else {
             self.unbind(session, invite);
@@ -80,12 +80,12 @@
         let (call, server) = (self.book.get(session).map(|call| call.id), &self.roster.get(invite.server).id);
         debug!(?call, server, ?ending, took = ?self.now.since(invite.asked), "an INVITE is over");
         self.book.advance(session, Phase::Waiting);
-        self.judge.ended(session, invite.server, ending, false);
+        self.judge.on_invite_ended(session, invite.server, ending, false);
     }
 
     /// An INVITE is given up: its server is told, where it had left.
     pub(super) fn call_off(&mut self, session: SessionIx) {
-        self.see(Observation::CalledOff(session.at() as u64));
+        self.see(Observation::CalledOff(session.index() as u64));
         let Some(call) = self.book.get(session) else { return };
         let Phase::Inviting(invite) = call.phase else { return };
         if let Some(link) = invite.link {
@@ -176,9 +176,9 @@
     /// Takes one message in; false where it can't be what a server says.
     fn heard(&mut self, id: LinkId, server: ServerIx, message: &Message) -> bool {
         if let Some(lines) = meaning::lines(message) {
-            self.judge.lines_told(server, lines);
+            self.judge.on_line_capacity(server, lines);
         }
-        self.judge.reported(server, meaning::report(message));
+        self.judge.on_load_report(server, meaning::report(message));
         let call = message.get(header::CALL_ID).and_then(CallId::read);
         if message.sequence().is_none_or(|(_, method)| method != "OPTIONS") {
             self.roster.get_mut(server).spoke = self.now;
@@ -246,7 +246,7 @@
             return false;
         }
         self.out.push_back(Output::ToLink(id, request("ACK", "call", call, number)));
-        self.see(Observation::Answered(session.at() as u64));
+        self.see(Observation::Answered(session.index() as u64));
         let Some(caller) = self.book.get(session).map(|call| call.caller) else { return true };
         if let Some(link) = self.roster.link_mut(id) {
             link.open.retain(|open| *open != session);
@@ -254,7 +254,7 @@
         }
         self.book.advance(session, Phase::Standing { server, link: Some(id), since: self.now });
         debug!(?call, server = self.roster.get(server).id, "stands");
-        self.judge.stands(session);
+        self.judge.on_call_established(session);
         self.out.push_back(Output::ToCaller(caller, lines::up(call, description)));
         self.prove(caller, session);
         true
@@ -275,9 +275,9 @@
         }
     }
 
-    fn refused(&mut self, id: LinkId, call: CallId, number: u32, ending: Ending) {
+    fn refused(&mut self, id: LinkId, call: CallId, number: u32, ending: InviteOutcome) {
         if let Some(session) = self.out_on(id, call, number) {
-            self.see(Observation::Answered(session.at() as u64));
+            self.see(Observation::Answered(session.index() as u64));
             if let Some(link) = self.roster.link_mut(id) {
                 link.used = self.now;
             }
@@ -295,12 +295,12 @@
         match phase {
             Some(Phase::Standing { server: own, .. }) if own == server => {
                 let ending = meaning::of_release(message.cause());
-                self.judge.ended(session, server, ending, true);
+                self.judge.on_invite_ended(session, server, ending, true);
                 self.release(session, message.cause().unwrap_or(cause::FAILED));
             }
             Some(Phase::Inviting(invite)) if invite.server == server => {
-                self.see(Observation::Answered(session.at() as u64));
-                self.invite_over(session, Ending::Reset)
+                self.see(Observation::Answered(session.index() as u64));
+                self.invite_over(session, InviteOutcome::Reset)
             }
             _ => {}
         }
--- a/crates/ochrelead-node/src/engine/links.rs
+++ b/crates/ochrelead-node/src/engine/links.rs
@@ -34,7 +34,7 @@
             return;
         }
         for session in link.open {
-            self.invite_over(session, Ending::Reset);
+            self.invite_over(session, InviteOutcome::Reset);
         }
         let (up, now, connect) = (self.roster.is_up(server), self.now, self.connect);
         let at = self.roster.get_mut(server);
@@ -74,7 +74,7 @@
             }
         }
         for session in mem::take(&mut self.roster.get_mut(server).waiting) {
-            self.invite_over(session, Ending::ConnectFailed);
+            self.invite_over(session, InviteOutcome::ConnectFailed);
         }
         self.cut(server, self.now);
     }
@@ -86,7 +86,7 @@
             if matches!(phase, Some(Phase::Standing { since, .. }) if since <= before) {
                 let call = self.book.get(session).map(|call| call.id);
                 debug!(target: ENDS, ?call, server = self.roster.get(server).id, "its server has ended");
-                self.judge.ended(session, server, Ending::Reset, true);
+                self.judge.on_invite_ended(session, server, InviteOutcome::Reset, true);
                 self.release(session, cause::FAILED);
             }
         }
@@ -96,7 +96,7 @@
         match *turn {
             Turn::Closed(server) => {
                 for session in mem::take(&mut self.roster.get_mut(server).waiting) {
-                    self.invite_over(session, Ending::Unsent);
+                    self.invite_over(session, InviteOutcome::Unsent);
                 }
             }
             Turn::Replaced(server, started) => self.cut(server, started),
@@ -137,7 +137,7 @@
             .filter(|session| self.is_late(*session))
             .collect();
         for session in late {
-            self.invite_over(session, Ending::ConnectFailed);
+            self.invite_over(session, InviteOutcome::ConnectFailed);
         }
         let stands = self.book.any_standing_at(server);
         let at = self.roster.get(server);
--- a/crates/ochrelead-node/src/engine/observed.rs
+++ b/crates/ochrelead-node/src/engine/observed.rs
@@ -41,7 +41,7 @@
 
     pub(super) fn observe_asked(&mut self, server: ServerIx, session: SessionIx) {
         if self.observes {
-            self.see(Observation::Asked(self.key(server), session.at() as u64));
+            self.see(Observation::Asked(self.key(server), session.index() as u64));
         }
     }
 
@@ -76,7 +76,7 @@
     pub(super) fn ease_server(&mut self, server: ServerIx) {
         let district = self.district(server);
         let eased = self.eased.iter().find(|(of, _)| Some(*of) == district);
-        self.judge.eased(server, eased.map_or(1.0, |(_, share)| *share));
+        self.judge.on_zone_share(server, eased.map_or(1.0, |(_, share)| *share));
     }
 
     /// Another front heard a server so lately.
--- a/crates/ochrelead-node/src/meaning.rs
+++ b/crates/ochrelead-node/src/meaning.rs
@@ -1,6 +1,6 @@
 //! What a signalling server's word means to the module.
 
-use ochrelead_core::call::{Ending, Lines, Report};
+use ochrelead_core::types::{InviteOutcome, LineCapacity, LoadReport};
 use ochrelead_lease::{Number, Who};
 use ochrelead_sip::message::Message;
 
@@ -25,20 +25,20 @@
 }
 
 /// How an INVITE ended by this refusal.
-pub fn of_refusal(code: u16, message: &Message) -> Ending {
+pub fn of_refusal(code: u16, message: &Message) -> InviteOutcome {
     let diagnosis = message.get(DIAGNOSIS);
     match code {
-        503 => Ending::BusyReplied { no_line: diagnosis == Some("group_full"), wait: None },
-        480 => Ending::Unsent,
-        504 => Ending::Reset,
-        487 => Ending::Cancelled,
-        _ => Ending::Fault { lines_busy: diagnosis == Some("user_busy") },
+        503 => InviteOutcome::Rejected { no_line: diagnosis == Some("group_full"), retry_after: None },
+        480 => InviteOutcome::Unsent,
+        504 => InviteOutcome::Reset,
+        487 => InviteOutcome::Cancelled,
+        _ => InviteOutcome::Failed { lines_busy: diagnosis == Some("user_busy") },
     }
 }
 
 /// How a call ended that stood, by its server's release.
-pub fn of_release(cause: Option<u32>) -> Ending {
-    if cause == Some(16) { Ending::Released } else { Ending::Reset }
+pub fn of_release(cause: Option<u32>) -> InviteOutcome {
+    if cause == Some(16) { InviteOutcome::Released } else { InviteOutcome::Reset }
 }
 
 /// A server's figures, by their names; what is no figure is passed over.
@@ -52,19 +52,22 @@
 }
 
 /// The lines that a server tells. More free than there are is no news.
-pub fn lines(message: &Message) -> Option<Lines> {
+pub fn lines(message: &Message) -> Option<LineCapacity> {
     let count = |wanted: &str| {
         let (_, figure) = figures(message).find(|(name, _)| *name == wanted)?;
         (0.0..=f64::from(u32::MAX)).contains(&figure).then_some(figure as u32)
     };
-    let lines = Lines { free: count("free")?, all: count("size")? };
-    (lines.free <= lines.all).then_some(lines)
+    let lines = LineCapacity { free: count("free")?, total: count("size")? };
+    (lines.free <= lines.total).then_some(lines)
 }
 
 /// What a server says of its processor; a figure out of its range says nothing.
-pub fn report(message: &Message) -> Report {
+pub fn report(message: &Message) -> LoadReport {
     let figure = |wanted: &str| {
         figures(message).find(|(name, figure)| *name == wanted && *figure >= 0.0).map(|at| at.1)
     };
-    Report { can_take: figure("can_take"), hold_back: figure("hold_back").filter(|share| *share <= 1.0) }
+    LoadReport {
+        accepted_rate: figure("can_take"),
+        hold_back_share: figure("hold_back").filter(|share| *share <= 1.0),
+    }
 }
--- a/crates/ochrelead-node/src/roster.rs
+++ b/crates/ochrelead-node/src/roster.rs
@@ -4,9 +4,9 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use ochrelead_core::call::{ListState, Listing};
 use ochrelead_core::index::{ServerIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_core::types::{EndpointState, EndpointUpdate};
 use ochrelead_platform::callers::CallId;
 use ochrelead_platform::events::{Change, Post};
 use ochrelead_sip::framing::Framer;
@@ -47,7 +47,7 @@
     pub id: String,
     pub address: SocketAddr,
     pub number: i64,
-    pub state: ListState,
+    pub state: EndpointState,
     /// The district that it is in, as the list says it.
     pub district: Option<String>,
     pub links: Vec<LinkId>,
@@ -69,11 +69,11 @@
 
 impl Server {
     pub fn is_gone(&self) -> bool {
-        self.state == ListState::Gone
+        self.state == EndpointState::Gone
     }
 
     pub fn is_ready(&self) -> bool {
-        matches!(self.state, ListState::Ready { .. })
+        matches!(self.state, EndpointState::Ready { .. })
     }
 
     /// Silent for so long that it is to be looked after: a quarter of what is allowed for noticing its end.
@@ -116,11 +116,11 @@
     }
 
     pub fn get(&self, server: ServerIx) -> &Server {
-        &self.servers[server.at()]
+        &self.servers[server.index()]
     }
 
     pub fn get_mut(&mut self, server: ServerIx) -> &mut Server {
-        &mut self.servers[server.at()]
+        &mut self.servers[server.index()]
     }
 
     pub fn named(&self, id: &str) -> Option<ServerIx> {
@@ -143,7 +143,7 @@
         change: &Change,
         now: Moment,
         idle: impl Fn(ServerIx) -> bool,
-    ) -> (Vec<Listing>, Vec<Turn>) {
+    ) -> (Vec<EndpointUpdate>, Vec<Turn>) {
         let mut turns = Vec::new();
         let mut listings = Vec::new();
         if change.whole {
@@ -164,36 +164,36 @@
                 for old in displaced {
                     // Whatever the list still says of it: what is sent there would reach the new one.
                     if !self.get(old).is_gone() {
-                        let (number, state) = (self.get(old).number, ListState::Gone);
-                        listings.push(Listing { server: old, number, state, weight: 1.0 });
+                        let (number, state) = (self.get(old).number, EndpointState::Gone);
+                        listings.push(EndpointUpdate { server: old, number, state, weight: 1.0 });
                         self.set_gone(old);
                     }
                     turns.push(Turn::Displaced(old));
                 }
             }
-            let at = &mut self.servers[server.at()];
+            let at = &mut self.servers[server.index()];
             let former = at.state;
             (at.address, at.number, at.state) = (post.address, post.number, post.state);
             at.district.clone_from(&post.district);
-            if let ListState::Ready { started: Some(started) } = post.state
-                && !matches!(former, ListState::Ready { started: Some(known) } if known >= started)
+            if let EndpointState::Ready { started: Some(started) } = post.state
+                && !matches!(former, EndpointState::Ready { started: Some(known) } if known >= started)
             {
                 turns.push(Turn::Replaced(server, started));
             }
-            if post.state == ListState::Gone {
+            if post.state == EndpointState::Gone {
                 self.set_gone(server);
             }
-            if !matches!(post.state, ListState::Ready { .. }) {
+            if !matches!(post.state, EndpointState::Ready { .. }) {
                 turns.push(Turn::Closed(server));
             }
             let (number, weight) = (post.number, post.weight);
-            listings.push(Listing { server, number, state: post.state, weight });
+            listings.push(EndpointUpdate { server, number, state: post.state, weight });
         }
         (listings, turns)
     }
 
     fn set_gone(&mut self, server: ServerIx) {
-        self.servers[server.at()].state = ListState::Gone;
+        self.servers[server.index()].state = EndpointState::Gone;
         if !self.gone.contains(&server) {
             self.gone.push_back(server);
         }
@@ -205,14 +205,14 @@
             self.gone.retain(|gone| gone != server);
             return Some(*server);
         }
-        if post.state == ListState::Gone {
+        if post.state == EndpointState::Gone {
             return None;
         }
         let fresh = Server {
             id: post.id.clone(),
             address: post.address,
             number: post.number,
-            state: ListState::Draining,
+            state: EndpointState::Draining,
             district: post.district.clone(),
             links: Vec::new(),
             waiting: Vec::new(),
@@ -232,7 +232,7 @@
             let same = |at: &&ServerIx| self.get(**at).number == post.number;
             let server = *self.gone.iter().filter(free).find(same).or_else(|| self.gone.iter().find(free))?;
             self.gone.retain(|gone| *gone != server);
-            let former = std::mem::replace(&mut self.servers[server.at()], fresh);
+            let former = std::mem::replace(&mut self.servers[server.index()], fresh);
             self.by_id.remove(&former.id);
             server
         };
@@ -255,7 +255,7 @@
             used: now,
         };
         self.links.insert(id, link);
-        self.servers[server.at()].links.push(id);
+        self.servers[server.index()].links.push(id);
         id
     }
 
@@ -269,7 +269,7 @@
 
     pub fn close(&mut self, id: LinkId) -> Option<Link> {
         let link = self.links.remove(&id)?;
-        self.servers[link.server.at()].links.retain(|own| *own != id);
+        self.servers[link.server.index()].links.retain(|own| *own != id);
         Some(link)
     }
 
@@ -278,7 +278,7 @@
     }
 
     fn own(&self, server: ServerIx) -> impl Iterator<Item = (LinkId, &Link)> {
-        self.servers[server.at()].links.iter().filter_map(|id| Some((*id, self.links.get(id)?)))
+        self.servers[server.index()].links.iter().filter_map(|id| Some((*id, self.links.get(id)?)))
     }
 
     fn up(&self, server: ServerIx) -> impl Iterator<Item = (LinkId, &Link)> {
--- a/crates/ochrelead-node/tests/helper/mod.rs
+++ b/crates/ochrelead-node/tests/helper/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use ochrelead_core::rules::Controller;
+use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_node::callers::CallerId;
 use ochrelead_node::engine::{Engine, Input, Output};
--- a/crates/ochrelead-platform/src/configuration.rs
+++ b/crates/ochrelead-platform/src/configuration.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use ochrelead_core::provision::Provision;
+use ochrelead_core::config::ControllerConfig;
 
 use crate::events::{Change, Followed};
 use crate::facts::Facts;
@@ -24,7 +24,7 @@
     pub followed: Followed,
     /// The list at the start, as the changes that led to it.
     pub known: Vec<Change>,
-    pub provision: Provision,
+    pub provision: ControllerConfig,
     pub facts: Facts,
 }
 
--- a/crates/ochrelead-platform/src/events.rs
+++ b/crates/ochrelead-platform/src/events.rs
@@ -5,8 +5,8 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use ochrelead_core::call::ListState;
 use ochrelead_core::time::Moment;
+use ochrelead_core::types::EndpointState;
 
 /// One signalling server as an event names it.
 #[derive(Clone, Debug, PartialEq)]
@@ -15,7 +15,7 @@
     pub address: SocketAddr,
     /// Its number, as sessions name the server of first choice.
     pub number: i64,
-    pub state: ListState,
+    pub state: EndpointState,
     pub weight: f64,
     /// The district that it is in, by name or number, where that is said.
     pub district: Option<String>,
@@ -133,9 +133,9 @@
         let started = self.started_at_ms.filter(|ms| ms.is_finite() && *ms > 0.0);
         let started = started.map(|ms| Moment::from_micros((ms * 1_000.0) as u64));
         let state = match self.lifecycle.as_str() {
-            "up" => ListState::Ready { started },
-            "draining" => ListState::Draining,
-            "removed" => ListState::Gone,
+            "up" => EndpointState::Ready { started },
+            "draining" => EndpointState::Draining,
+            "removed" => EndpointState::Gone,
             other => return Err(serde::de::Error::custom(format!("unknown lifecycle {other}"))),
         };
         let weight = self.weight.filter(|weight| weight.is_finite() && *weight > 0.0).unwrap_or(1.0);
--- a/crates/ochrelead-platform/src/facts.rs
+++ b/crates/ochrelead-platform/src/facts.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use ochrelead_core::provision::{Member, Provision, Service};
+use ochrelead_core::config::{ControllerConfig, Service, Tenant};
 use ochrelead_core::time::Span;
 
 #[derive(Deserialize, Default)]
@@ -132,30 +132,30 @@
         self.limits.peers
     }
 
-    pub fn provision(&self, seed: u64) -> Provision {
+    pub fn provision(&self, seed: u64) -> ControllerConfig {
         let services = self.request_classes.iter().enumerate().map(|(at, class)| Service {
             value: class.worth,
             post_dial_target: span(if class.target_ms > 0.0 { class.target_ms } else { class.deadline_ms }),
-            late_share: class.late_share,
-            usual_hold: span(self.family_info.class_hold_ms.get(at).copied().unwrap_or(0.0)),
+            late_value_share: class.late_share,
+            mean_hold_time: span(self.family_info.class_hold_ms.get(at).copied().unwrap_or(0.0)),
             servers: self.family_info.class_cells.get(at).cloned().unwrap_or_default(),
-            repeatable: matches!(class.semantics.as_str(), "" | "free"),
+            retryable: matches!(class.semantics.as_str(), "" | "free"),
         });
         let limits = &self.limits;
-        Provision {
+        ControllerConfig {
             seed,
             fronts: self.balancers.max(1),
             services: services.collect(),
-            members: self.orgs.iter().map(|org| Member { quota_per_s: org.quota_per_s }).collect(),
-            over_share_worth: self.over_share_worth,
-            most_invites: limits.max_attempts,
-            longest_away: span(if limits.retry_after { limits.max_retry_after_ms } else { 0.0 }),
-            release_wait: span(self.family_info.guard_ms),
-            cold_share: self.rules.cold_from,
-            warm_after: span(self.rules.cold_ms),
-            fall_multiple: self.rules.overload_factor,
-            fall_after: span(self.rules.tip_after_ms),
-            turn: span(self.tick_ms),
+            tenants: self.orgs.iter().map(|org| Tenant { quota_per_s: org.quota_per_s }).collect(),
+            over_quota_value_share: self.over_share_worth,
+            max_invites: limits.max_attempts,
+            max_retry_after: span(if limits.retry_after { limits.max_retry_after_ms } else { 0.0 }),
+            resend_delay: span(self.family_info.guard_ms),
+            cold_capacity_share: self.rules.cold_from,
+            warm_up_time: span(self.rules.cold_ms),
+            overload_multiple: self.rules.overload_factor,
+            overload_duration: span(self.rules.tip_after_ms),
+            min_turn_interval: span(self.tick_ms),
         }
     }
 }
--- a/crates/ochrelead-platform/tests/lines.rs
+++ b/crates/ochrelead-platform/tests/lines.rs
@@ -1,7 +1,7 @@
 //! What callers, coordinator and configuration say.
 
-use ochrelead_core::call::ListState;
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_core::types::EndpointState;
 use ochrelead_platform::LONGEST;
 use ochrelead_platform::callers::{CallId, Said, down, read, up};
 use ochrelead_platform::configuration;
@@ -117,7 +117,7 @@
         Ok(Heard::Change(change)) => {
             let started = Some(Moment::from_micros(1_500_000));
             assert_eq!((change.whole, change.posts[0].number), (false, 2));
-            assert_eq!(change.posts[0].state, ListState::Ready { started });
+            assert_eq!(change.posts[0].state, EndpointState::Ready { started });
             "change"
         }
         Ok(Heard::Nothing) => "nothing",
--- a/crates/ochrelead-scenario/src/audit/cold.rs
+++ b/crates/ochrelead-scenario/src/audit/cold.rs
@@ -98,13 +98,13 @@
             self.open.insert(invite, at);
         }
         self.work.push_back((at, set_ups, self.told.contains(&invite.0)));
-        while self.work.front().is_some_and(|(then, ..)| at.since(*then) > rules.fall_after) {
+        while self.work.front().is_some_and(|(then, ..)| at.since(*then) > rules.overload_duration) {
             self.work.pop_front();
         }
         let warmth = at.since(began).ratio(figures.warm);
         let slower = state(day, server, at).0.unwrap_or(1.0);
         let speed = (figures.cold_share + (1.0 - figures.cold_share) * warmth) / slower;
-        let able = rules.fall_after.ratio(figures.set_up()) * speed * rules.fall_multiple + SLACK;
+        let able = rules.overload_duration.ratio(figures.set_up()) * speed * rules.overload_multiple + SLACK;
         let sent: f64 = self.work.iter().map(|(_, set_ups, _)| set_ups).sum();
         let known: f64 = self.work.iter().filter(|(.., told)| *told).map(|(_, set_ups, _)| set_ups).sum();
         verdict.tested[3].case();
--- a/crates/ochrelead-scenario/src/audit/rules.rs
+++ b/crates/ochrelead-scenario/src/audit/rules.rs
@@ -277,7 +277,7 @@
             }
         }
         if let Some(from) = release_from {
-            let (since, wait) = (at.since(from), self.day.front.provision.release_wait);
+            let (since, wait) = (at.since(from), self.day.front.provision.resend_delay);
             self.verdict.tested[4].case();
             if since + wait.scaled(CLOCKS) < wait {
                 let how =
--- a/crates/ochrelead-scenario/src/audit/service.rs
+++ b/crates/ochrelead-scenario/src/audit/service.rs
@@ -110,9 +110,9 @@
     if let Some(member) = member {
         let recent = &mut asked[member];
         recent.retain(|then| at.since(*then) < QUOTA_SPAN);
-        let most = provision.members[member].quota_per_s * QUOTA_SPAN.ratio(Span::from_secs(1));
+        let most = provision.tenants[member].quota_per_s * QUOTA_SPAN.ratio(Span::from_secs(1));
         if recent.len() as f64 >= most.max(1.0) {
-            value *= provision.over_share_worth;
+            value *= provision.over_quota_value_share;
         } else {
             recent.push(at);
         }
@@ -127,7 +127,7 @@
     if took <= service.post_dial_target {
         caller.value
     } else if took <= day.front.timer_limits[caller.service] {
-        caller.value * service.late_share
+        caller.value * service.late_value_share
     } else {
         0.0
     }
--- a/crates/ochrelead-scenario/src/baseline.rs
+++ b/crates/ochrelead-scenario/src/baseline.rs
@@ -3,10 +3,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ochrelead_core::call::{Decision, Ending, Lines, ListState, Listing, Offer, Report};
 use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_host::judge::Judge;
+use ochrelead_core::types::{
+    CallRequest, Decision, EndpointState, EndpointUpdate, InviteOutcome, LineCapacity, LoadReport,
+};
+use ochrelead_host::call_policy::CallPolicy;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -21,7 +23,7 @@
 }
 
 struct Held {
-    offer: Offer,
+    offer: CallRequest,
     invites: u32,
     out: bool,
     last: Option<ServerIx>,
@@ -78,40 +80,41 @@
                 open.iter().find(destined).or(open.first()).copied()
             }
         };
-        let in_time = self.now + Span::from_millis(20) < held.offer.timer_limit;
+        let in_time = self.now + Span::from_millis(20) < held.offer.deadline;
         let Some(server) = server.filter(|_| held.invites < most && in_time) else {
             self.held.remove(&session);
-            return Some(Decision::Refuse { session, come_back: None });
+            return Some(Decision::Reject { session, retry_after: None });
         };
         let held = self.held.get_mut(&session)?;
         held.invites += 1;
         (held.out, held.last) = (true, Some(server));
-        Some(Decision::Invite { session, server, patience: Some(self.patience) })
+        Some(Decision::Invite { session, server, answer_timeout: Some(self.patience) })
     }
 }
 
-impl Judge for Baseline {
-    fn clock(&mut self, now: Moment) {
+impl CallPolicy for Baseline {
+    fn advance_to(&mut self, now: Moment) {
         self.now = self.now.max(now);
     }
 
-    fn offered(&mut self, session: SessionIx, offer: Offer) {
+    fn on_call_request(&mut self, session: SessionIx, offer: CallRequest) {
         let held = Held { offer, invites: 0, out: false, last: None, not_before: self.now };
         self.held.insert(session, held);
         self.due.insert((self.now, session));
     }
 
-    fn stands(&mut self, session: SessionIx) {
+    fn on_call_established(&mut self, session: SessionIx) {
         self.held.remove(&session);
     }
 
-    fn ended(&mut self, session: SessionIx, _server: ServerIx, ending: Ending, over: bool) {
+    fn on_invite_ended(&mut self, session: SessionIx, _server: ServerIx, ending: InviteOutcome, over: bool) {
         if over {
             self.held.remove(&session);
         }
         if let Some(held) = self.held.get_mut(&session) {
             held.out = false;
-            let waits = matches!(ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled);
+            let waits =
+                matches!(ending, InviteOutcome::TimedOut | InviteOutcome::Reset | InviteOutcome::Cancelled);
             // A breath between two refusals by one server: none would be a loop without time.
             let pause = Span::from_millis(if waits { 0 } else { 10 } + self.chance.random_range(0..5));
             held.not_before = self.now + if waits { self.release_wait + pause } else { pause };
@@ -119,27 +122,27 @@
         }
     }
 
-    fn hung_up(&mut self, session: SessionIx) {
+    fn on_caller_gone(&mut self, session: SessionIx) {
         self.held.remove(&session);
     }
 
-    fn listed(&mut self, whole: bool, listings: &[Listing]) {
+    fn on_endpoints(&mut self, whole: bool, listings: &[EndpointUpdate]) {
         if whole {
             self.servers.clear();
         }
         for listing in listings {
-            let open = matches!(listing.state, ListState::Ready { .. });
+            let open = matches!(listing.state, EndpointState::Ready { .. });
             self.servers.insert(listing.server, (listing.number, open));
         }
     }
 
-    fn served(&mut self, _service: ServiceIx, _servers: &[i64]) {}
+    fn on_service_servers(&mut self, _service: ServiceIx, _servers: &[i64]) {}
 
-    fn lines_told(&mut self, _server: ServerIx, _lines: Lines) {}
+    fn on_line_capacity(&mut self, _server: ServerIx, _lines: LineCapacity) {}
 
-    fn reported(&mut self, _server: ServerIx, _report: Report) {}
+    fn on_load_report(&mut self, _server: ServerIx, _report: LoadReport) {}
 
-    fn decide(&mut self) -> Option<Decision> {
+    fn next_decision(&mut self) -> Option<Decision> {
         while let Some(&(moment, session)) = self.due.first() {
             if moment > self.now {
                 return None;
@@ -152,7 +155,7 @@
         None
     }
 
-    fn wake(&mut self) -> Option<Moment> {
+    fn poll_timeout(&mut self) -> Option<Moment> {
         self.due.first().map(|(moment, _)| *moment)
     }
 }
--- a/crates/ochrelead-scenario/src/part.rs
+++ b/crates/ochrelead-scenario/src/part.rs
@@ -11,7 +11,7 @@
 use ochrelead_config::commission::{self, Commission};
 use ochrelead_config::day::Day;
 use ochrelead_config::text::Complaint;
-use ochrelead_core::rules::Controller;
+use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_emulator::Peer;
 use ochrelead_emulator::callers::Callers;
@@ -56,7 +56,7 @@
     let engine = |commission: Commission| {
         let target =
             commission.provision.services.iter().map(|s| s.post_dial_target).max().unwrap_or_default();
-        let judge = Baseline::new(policy, commission.provision.release_wait, target, seed);
+        let judge = Baseline::new(policy, commission.provision.resend_delay, target, seed);
         Engine::new(commission, Box::new(judge), first, clock.now())
     };
     Ok(future::block_on(host::serve(commission, engine, socket, clock, places))?)
--- a/crates/ochrelead-sim/src/front.rs
+++ b/crates/ochrelead-sim/src/front.rs
@@ -11,7 +11,7 @@
 use ochrelead_front::engine::Engine;
 use ochrelead_front::note::Note;
 use ochrelead_front::recording;
-use ochrelead_host::judge::Judge;
+use ochrelead_host::call_policy::CallPolicy;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
@@ -86,7 +86,7 @@
     pub fn start(
         &mut self,
         now: Moment,
-        judge: impl FnOnce(&Commission, Moment) -> Box<dyn Judge + Send>,
+        judge: impl FnOnce(&Commission, Moment) -> Box<dyn CallPolicy + Send>,
         recall: impl FnOnce(Option<Kept>) -> Option<Kept>,
         chance: &mut Pcg64Mcg,
     ) {
@@ -150,7 +150,7 @@
             process.engine.take(shows, from, &bytes);
         }
         process.engine.turn(shows);
-        let most_invites = match self.commission.provision.most_invites {
+        let most_invites = match self.commission.provision.max_invites {
             0 => USUAL_INVITES,
             most => most.min(USUAL_INVITES),
         };
@@ -184,7 +184,7 @@
         if process.turned.1 > SPIN {
             return Err((own(), format!("{SPIN} turns at one moment")));
         }
-        let most = self.commission.provision.release_wait * 2 + WAITS;
+        let most = self.commission.provision.resend_delay * 2 + WAITS;
         if let Some(tried) = process.books.forgotten(shows, most) {
             return Err((
                 tried.to_owned(),
--- a/crates/ochrelead-sim/src/world.rs
+++ b/crates/ochrelead-sim/src/world.rs
@@ -7,14 +7,14 @@
 use ochrelead_config::commission::{self, Commission};
 use ochrelead_config::day::{Day, Kind};
 use ochrelead_config::{schema, text};
-use ochrelead_core::rules::Controller;
+use ochrelead_core::controller::Controller;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_discovery::store::Kept;
 use ochrelead_emulator::Peer;
 use ochrelead_emulator::callers::Callers;
 use ochrelead_emulator::network::{Network, faults};
 use ochrelead_emulator::server::Server;
-use ochrelead_host::judge::Judge;
+use ochrelead_host::call_policy::CallPolicy;
 use ochrelead_mgcp::exchange::Pace;
 use ochrelead_scenario::baseline::{Baseline, Policy};
 use ochrelead_scenario::capture::Sight;
@@ -37,7 +37,7 @@
 /// Something that is changed on purpose, to see that it is found. The product is none of these.
 pub trait Meddler: Send {
     /// Whoever decides at a front.
-    fn judge(&self, judge: Box<dyn Judge + Send>) -> Box<dyn Judge + Send> {
+    fn judge(&self, judge: Box<dyn CallPolicy + Send>) -> Box<dyn CallPolicy + Send> {
         judge
     }
 
@@ -424,10 +424,10 @@
     Party::Server(nth as u16)
 }
 
-fn judge(deciding: Deciding, commission: &Commission, now: Moment) -> Box<dyn Judge + Send> {
+fn judge(deciding: Deciding, commission: &Commission, now: Moment) -> Box<dyn CallPolicy + Send> {
     let provision = &commission.provision;
     let target = provision.services.iter().map(|own| own.post_dial_target).max().unwrap_or_default();
-    let baseline = |policy| Box::new(Baseline::new(policy, provision.release_wait, target, provision.seed));
+    let baseline = |policy| Box::new(Baseline::new(policy, provision.resend_delay, target, provision.seed));
     match deciding {
         Deciding::Module => Box::new(Controller::new(provision, now)),
         Deciding::Random => baseline(Policy::Random),
--- a/crates/ochrelead-sim/tests/sabotage.rs
+++ b/crates/ochrelead-sim/tests/sabotage.rs
@@ -6,7 +6,7 @@
 use ochrelead_core::time::Span;
 use ochrelead_discovery::roster::Said;
 use ochrelead_discovery::store::Kept;
-use ochrelead_host::judge::Judge;
+use ochrelead_host::call_policy::CallPolicy;
 use ochrelead_scenario::world::Deciding;
 use ochrelead_sim::play::meddled;
 use ochrelead_sim::schedule::{Sheet, drawn, read};
@@ -18,7 +18,7 @@
 struct Misjudged(Fault);
 
 impl Meddler for Misjudged {
-    fn judge(&self, judge: Box<dyn Judge + Send>) -> Box<dyn Judge + Send> {
+    fn judge(&self, judge: Box<dyn CallPolicy + Send>) -> Box<dyn CallPolicy + Send> {
         Box::new(Wrong::new(self.0, judge))
     }
 }
--- a/crates/ochrelead-sim/tests/tiny/mod.rs
+++ b/crates/ochrelead-sim/tests/tiny/mod.rs
@@ -7,12 +7,12 @@
 use std::net::SocketAddr;
 
 use ochrelead_config::commission::{self, Commission, Post};
-use ochrelead_core::rules::Controller;
+use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_discovery::roster::Said;
 use ochrelead_front::engine::Engine;
 use ochrelead_front::note::Note;
-use ochrelead_host::judge::Judge;
+use ochrelead_host::call_policy::CallPolicy;
 use ochrelead_mgcp::message::{Command, Message, Response, Verb, name};
 use ochrelead_mgcp::{parse, write};
 use oracle::Oracle;
@@ -174,7 +174,7 @@
         let now = at(self.now);
         let (fault, seat) = (self.fault, &mut self.seats[nth]);
         seat.lives += 1;
-        let judge: Box<dyn Judge + Send> = Box::new(Controller::new(&seat.commission.provision, now));
+        let judge: Box<dyn CallPolicy + Send> = Box::new(Controller::new(&seat.commission.provision, now));
         let judge = match fault {
             Some(fault) => Box::new(Wrong::new(fault, judge)),
             None => judge,
--- a/crates/ochrelead-verify/src/districts/load.rs
+++ b/crates/ochrelead-verify/src/districts/load.rs
@@ -3,9 +3,9 @@
 
 use std::collections::VecDeque;
 
-use ochrelead_core::call::Lines;
-use ochrelead_core::provision::{Provision, Service};
+use ochrelead_core::config::{ControllerConfig, Service};
 use ochrelead_core::time::Span;
+use ochrelead_core::types::LineCapacity;
 
 pub const MS: u64 = 1_000;
 pub const TARGET: u64 = 1_500 * MS;
@@ -25,29 +25,29 @@
 pub const VALUES: [f64; 2] = [1.0, 3.0];
 pub const LATE_SHARE: f64 = 0.25;
 
-pub fn provision(fronts: u32, seed: u64) -> Provision {
+pub fn provision(fronts: u32, seed: u64) -> ControllerConfig {
     let service = |value: f64| Service {
         value,
         post_dial_target: Span::from_micros(TARGET),
-        late_share: LATE_SHARE,
-        usual_hold: Span::from_micros(HOLD),
+        late_value_share: LATE_SHARE,
+        mean_hold_time: Span::from_micros(HOLD),
         servers: Vec::new(),
-        repeatable: true,
+        retryable: true,
     };
-    Provision {
+    ControllerConfig {
         seed,
         fronts,
         services: VALUES.into_iter().map(service).collect(),
-        members: Vec::new(),
-        over_share_worth: 0.1,
-        most_invites: 4,
-        longest_away: Span::from_secs(2),
-        release_wait: Span::from_millis(200),
-        cold_share: COLD_SHARE,
-        warm_after: Span::from_micros(WARM),
-        fall_multiple: FALL_MULTIPLE,
-        fall_after: Span::from_micros(FALL_TIME),
-        turn: Span::from_millis(5),
+        tenants: Vec::new(),
+        over_quota_value_share: 0.1,
+        max_invites: 4,
+        max_retry_after: Span::from_secs(2),
+        resend_delay: Span::from_millis(200),
+        cold_capacity_share: COLD_SHARE,
+        warm_up_time: Span::from_micros(WARM),
+        overload_multiple: FALL_MULTIPLE,
+        overload_duration: Span::from_micros(FALL_TIME),
+        min_turn_interval: Span::from_millis(5),
     }
 }
 
@@ -103,8 +103,8 @@
         COLD_SHARE + (1.0 - COLD_SHARE) * since as f64 / WARM as f64
     }
 
-    pub fn lines(&self) -> Lines {
-        Lines { free: LINES.saturating_sub(self.in_use), all: LINES }
+    pub fn lines(&self) -> LineCapacity {
+        LineCapacity { free: LINES.saturating_sub(self.in_use), total: LINES }
     }
 
     pub fn end(&mut self) {
--- a/crates/ochrelead-verify/src/districts/world.rs
+++ b/crates/ochrelead-verify/src/districts/world.rs
@@ -9,10 +9,10 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use ochrelead_core::call::{Decision, Ending, ListState, Listing, Offer};
-use ochrelead_core::index::{NumberIx, ServerIx, ServiceIx, SessionIx};
-use ochrelead_core::rules::Controller;
+use ochrelead_core::controller::Controller;
+use ochrelead_core::index::{CalledNumberIx, ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::Moment;
+use ochrelead_core::types::{CallRequest, Decision, EndpointState, EndpointUpdate, InviteOutcome};
 use ochrelead_lease::electorate::{Electorate, USUAL};
 use ochrelead_node::engine::Observation;
 use ochrelead_node::together::Together;
@@ -183,17 +183,17 @@
             together
         });
         let mut judge = Controller::new(&provision, now);
-        let listing = |(nth, server): (usize, &Server)| Listing {
+        let listing = |(nth, server): (usize, &Server)| EndpointUpdate {
             server: ServerIx::new(nth),
             number: nth as i64,
-            state: ListState::Ready { started: server.started.map(moment) },
+            state: EndpointState::Ready { started: server.started.map(moment) },
             weight: 1.0,
         };
-        let listings: Vec<Listing> = self.servers.iter().enumerate().map(listing).collect();
-        judge.clock(now);
-        judge.listed(true, &listings);
+        let listings: Vec<EndpointUpdate> = self.servers.iter().enumerate().map(listing).collect();
+        judge.advance_to(now);
+        judge.on_endpoints(true, &listings);
         for (nth, server) in self.servers.iter().enumerate() {
-            judge.lines_told(ServerIx::new(nth), server.lines());
+            judge.on_line_capacity(ServerIx::new(nth), server.lines());
         }
         Front {
             district,
@@ -280,15 +280,15 @@
     // ---- Troubles ----
 
     fn listed(&mut self, front: u32, server: u32) {
-        let listing = Listing {
+        let listing = EndpointUpdate {
             server: ServerIx::new(server as usize),
             number: i64::from(server),
-            state: ListState::Ready { started: self.servers[server as usize].started.map(moment) },
+            state: EndpointState::Ready { started: self.servers[server as usize].started.map(moment) },
             weight: 1.0,
         };
         let state = &mut self.fronts[front as usize];
-        state.judge.clock(moment(self.now));
-        state.judge.listed(false, &[listing]);
+        state.judge.advance_to(moment(self.now));
+        state.judge.on_endpoints(false, &[listing]);
     }
 
     /// Each server tells all fronts that it reaches of its lines.
@@ -305,8 +305,8 @@
                 }
                 if alive {
                     let state = &mut self.fronts[front as usize];
-                    state.judge.clock(moment(self.now));
-                    state.judge.lines_told(ServerIx::new(server as usize), lines);
+                    state.judge.advance_to(moment(self.now));
+                    state.judge.on_line_capacity(ServerIx::new(server as usize), lines);
                 }
             }
         }
--- a/crates/ochrelead-verify/src/districts/world/session.rs
+++ b/crates/ochrelead-verify/src/districts/world/session.rs
@@ -9,7 +9,7 @@
         if state.halted {
             return;
         }
-        state.judge.clock(now);
+        state.judge.advance_to(now);
         let mut sent = Vec::new();
         let mut wake = None;
         if let Some(together) = &mut state.together {
@@ -33,13 +33,13 @@
             wake = together.wake();
         }
         self.ease(front);
-        while let Some(decision) = self.fronts[front as usize].judge.decide() {
+        while let Some(decision) = self.fronts[front as usize].judge.next_decision() {
             self.carry_out(front, decision);
         }
         for (to, bytes) in sent {
             self.send(front, to, &bytes);
         }
-        let judge_wake = self.fronts[front as usize].judge.wake();
+        let judge_wake = self.fronts[front as usize].judge.poll_timeout();
         if let Some(wake) = [wake, judge_wake].into_iter().flatten().min() {
             let when = (self.now + wake.since(now).micros()).max(self.now + MS);
             let state = &mut self.fronts[front as usize];
@@ -86,7 +86,7 @@
         state.eased.clone_from(&eased);
         for (nth, server) in self.servers.iter().enumerate() {
             if slip != Some(Slip::ShareForSome) || nth as u32 / self.day.districts % 2 == 0 {
-                state.judge.eased(ServerIx::new(nth), former(District(server.district), &eased));
+                state.judge.on_zone_share(ServerIx::new(nth), former(District(server.district), &eased));
             }
         }
     }
@@ -94,9 +94,9 @@
     pub(super) fn carry_out(&mut self, front: u32, decision: Decision) {
         let state = &mut self.fronts[front as usize];
         match decision {
-            Decision::Invite { session, server, patience } => {
+            Decision::Invite { session, server, answer_timeout: patience } => {
                 self.asks += 1;
-                let (ask, index, to) = (self.asks, session.at(), server.at() as u32);
+                let (ask, index, to) = (self.asks, session.index(), server.index() as u32);
                 let Some(held) = state.held.get_mut(&index) else { return };
                 (held.ask, held.server) = (ask, Some(to));
                 let until = patience.map_or(held.limit, |span| held.limit.min(self.now + span.micros()));
@@ -114,14 +114,14 @@
                 let way = self.way(front, to);
                 self.at(now + way, What::Arrives { server: to, front, session: index, ask });
             }
-            Decision::Refuse { session, come_back } => {
-                let Some(held) = state.held.remove(&session.at()) else { return };
-                state.free.push(session.at());
+            Decision::Reject { session, retry_after: come_back } => {
+                let Some(held) = state.held.remove(&session.index()) else { return };
+                state.free.push(session.index());
                 self.redial(held.wish, come_back.map_or(0, |span| span.micros()));
             }
-            Decision::Terminate { session } => {
-                let Some(held) = state.held.remove(&session.at()) else { return };
-                state.free.push(session.at());
+            Decision::Fail { session } => {
+                let Some(held) = state.held.remove(&session.index()) else { return };
+                state.free.push(session.index());
                 self.redial(held.wish, 0);
             }
         }
@@ -148,16 +148,16 @@
         });
         let limit = now + load::TIMER_LIMIT;
         state.held.insert(index, Held { wish, ask: 0, server: None, stands: false, limit });
-        let offer = Offer {
+        let offer = CallRequest {
             service: ServiceIx::new(service),
-            member: None,
-            number: Some(NumberIx::new(number as usize)),
+            tenant: None,
+            called_number: Some(CalledNumberIx::new(number as usize)),
             destination: i64::from(destination),
-            timer_limit: moment(limit),
-            redial: false,
+            deadline: moment(limit),
+            is_redial: false,
         };
-        state.judge.clock(moment(now));
-        state.judge.offered(SessionIx::new(index), offer);
+        state.judge.advance_to(moment(now));
+        state.judge.on_call_request(SessionIx::new(index), offer);
         self.turn(front);
     }
 
@@ -200,7 +200,7 @@
         }
         self.met(front, Observation::Answered(ask));
         let state = &mut self.fronts[front as usize];
-        state.judge.clock(now);
+        state.judge.advance_to(now);
         let waits = state.held.get_mut(&session).filter(|held| held.ask == ask && !held.stands);
         let index = SessionIx::new(session);
         match (waits, stands) {
@@ -211,14 +211,14 @@
                 let wish = &mut self.wishes[held.wish];
                 let late = self.now - wish.came > load::TARGET;
                 wish.worth = load::VALUES[wish.service] * if late { load::LATE_SHARE } else { 1.0 };
-                state.judge.stands(index);
+                state.judge.on_call_established(index);
                 let hold = Exp::new(1e6 / load::HOLD as f64).expect("a rate").sample(&mut self.chance);
                 let ends = self.now + (hold * 1e6) as u64;
                 self.at(ends, What::Released { server, life, front, session, ask });
             }
             (Some(_), full) => {
-                let ending = Ending::BusyReplied { no_line: full.is_some(), wait: None };
-                state.judge.ended(index, ServerIx::new(server as usize), ending, false);
+                let ending = InviteOutcome::Rejected { no_line: full.is_some(), retry_after: None };
+                state.judge.on_invite_ended(index, ServerIx::new(server as usize), ending, false);
             }
         }
         self.turn(front);
@@ -228,8 +228,13 @@
         let state = &mut self.fronts[front as usize];
         let waits = state.held.get(&session).filter(|held| held.ask == ask && !held.stands);
         let Some(server) = waits.and_then(|held| held.server) else { return };
-        state.judge.clock(moment(self.now));
-        state.judge.ended(SessionIx::new(session), ServerIx::new(server as usize), Ending::TimedOut, false);
+        state.judge.advance_to(moment(self.now));
+        state.judge.on_invite_ended(
+            SessionIx::new(session),
+            ServerIx::new(server as usize),
+            InviteOutcome::TimedOut,
+            false,
+        );
         self.met(front, Observation::CalledOff(ask));
         self.turn(front);
     }
@@ -242,11 +247,11 @@
         if state.held.get(&session).is_some_and(|held| held.ask == ask) {
             state.held.remove(&session);
             state.free.push(session);
-            state.judge.clock(moment(self.now));
-            state.judge.ended(
+            state.judge.advance_to(moment(self.now));
+            state.judge.on_invite_ended(
                 SessionIx::new(session),
                 ServerIx::new(server as usize),
-                Ending::Released,
+                InviteOutcome::Released,
                 true,
             );
         }
--- a/crates/ochrelead-zone/src/lib.rs
+++ b/crates/ochrelead-zone/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod verdict;
 pub mod word;
 
-use ochrelead_core::provision::Provision;
+use ochrelead_core::config::ControllerConfig;
 use ochrelead_core::time::Span;
 
 /// The schema's own types.
@@ -71,10 +71,11 @@
 const USUAL_MULTIPLE: f64 = 2.0;
 
 impl Terms {
-    pub fn of(provision: &Provision) -> Terms {
+    pub fn of(provision: &ControllerConfig) -> Terms {
         let target = provision.services.iter().map(|service| service.post_dial_target).min();
         let target = target.filter(|target| *target > Span::ZERO).unwrap_or(Span::from_secs(1));
-        let multiple = if provision.fall_multiple > 1.0 { provision.fall_multiple } else { USUAL_MULTIPLE };
+        let multiple =
+            if provision.overload_multiple > 1.0 { provision.overload_multiple } else { USUAL_MULTIPLE };
         Terms { overdue: target / 8, growth: (multiple * 0.8).clamp(1.25, 2.0) }
     }
 
--- a/crates/ochrelead-zone/src/pool.rs
+++ b/crates/ochrelead-zone/src/pool.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use ochrelead_core::ring::Ring;
+use ochrelead_core::sliding_window::SlidingWindow;
 use ochrelead_core::time::{Moment, Span};
 
 use crate::evidence::Met;
@@ -30,11 +30,11 @@
     first_at: Option<Moment>,
     answered_at: Option<Moment>,
     alive_at: Option<Moment>,
-    in_time: Ring<4>,
-    late: Ring<4>,
-    lost: Ring<4>,
+    in_time: SlidingWindow<4>,
+    late: SlidingWindow<4>,
+    lost: SlidingWindow<4>,
     /// Its answers over a longer while.
-    answers: Ring<8>,
+    answers: SlidingWindow<8>,
 }
 
 /// How it stands with one front that reports.
@@ -70,10 +70,10 @@
                 first_at: None,
                 answered_at: None,
                 alive_at: None,
-                in_time: Ring::new(width),
-                late: Ring::new(width),
-                lost: Ring::new(width),
-                answers: Ring::new(width * 4),
+                in_time: SlidingWindow::new(width),
+                late: SlidingWindow::new(width),
+                lost: SlidingWindow::new(width),
+                answers: SlidingWindow::new(width * 4),
             };
             let kept = former.remove(&place.server).filter(|seen| seen.district == place.district);
             self.servers.insert(place.server, kept.unwrap_or_else(fresh));
@@ -103,9 +103,9 @@
             for (count, ring) in
                 [(met.in_time, &mut seen.in_time), (met.late, &mut seen.late), (met.lost, &mut seen.lost)]
             {
-                (0..count.min(MOST_OF_ONE)).for_each(|_| ring.add(now, Span::ZERO));
+                (0..count.min(MOST_OF_ONE)).for_each(|_| ring.record(now, Span::ZERO));
             }
-            (0..(met.in_time + met.late).min(MOST_OF_ONE)).for_each(|_| seen.answers.add(now, Span::ZERO));
+            (0..(met.in_time + met.late).min(MOST_OF_ONE)).for_each(|_| seen.answers.record(now, Span::ZERO));
             if answered {
                 (seen.run, seen.answered_at) = (0, Some(now));
                 seen.first_at.get_or_insert(now);
@@ -171,9 +171,9 @@
                 by.extend(seen.by.iter().filter(|front| !by.contains(front)).copied().collect::<Vec<_>>());
             }
             count.alive += u32::from(recent(seen.alive_at, self.terms.step()));
-            count.recent_in_time += seen.in_time.tally(now).count;
-            count.recent_late += seen.late.tally(now).count;
-            count.recent_lost += seen.lost.tally(now).count;
+            count.recent_in_time += seen.in_time.stats(now).count;
+            count.recent_late += seen.late.stats(now).count;
+            count.recent_lost += seen.lost.stats(now).count;
         }
         count.by = by.len() as u32;
         count.missed = verdict::missed(&missed);
