--- a/crates/ochrelead-benchlink/src/front.rs
+++ b/crates/ochrelead-benchlink/src/front.rs
@@ -10,7 +10,7 @@
 use ochrelead_core::types::{
     CallRequest, Decision, EndpointState, EndpointUpdate, InviteOutcome, LineCapacity, LoadReport,
 };
-use ochrelead_platform::facts::Facts;
+use ochrelead_platform::settings::Settings;
 
 /// One line of a numbered list.
 pub struct Entry {
@@ -46,8 +46,8 @@
 
 impl Front {
     pub fn start(body: &Value, now: Moment) -> Result<Front, String> {
-        let facts = Facts::read(body.get("facts")).map_err(|error| format!("Hello: facts: {error}"))?;
-        let provision = facts.provision(whole(body, "initSeed").unwrap_or(0));
+        let facts = Settings::parse(body.get("facts")).map_err(|error| format!("Hello: facts: {error}"))?;
+        let provision = facts.controller_config(whole(body, "initSeed").unwrap_or(0));
         let asks = facts.discovery == "on_request";
         let services = provision.services.len();
         let rules = Controller::new(&provision, now);
--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -185,7 +185,8 @@
         }
     };
     let text = fs::read_to_string(config).map_err(|error| error.to_string());
-    let configuration = match text.and_then(|text| platform::read(&text).map_err(|error| error.to_string())) {
+    let configuration = match text.and_then(|text| platform::parse(&text).map_err(|error| error.to_string()))
+    {
         Ok(configuration) => configuration,
         Err(error) => {
             eprintln!("ochrelead-front: {}: {error}", config.display());
@@ -193,7 +194,7 @@
         }
     };
     let (clock, listen) = (Clock::start(), configuration.listen);
-    let judge = Controller::new(&configuration.provision, clock.now());
+    let judge = Controller::new(&configuration.controller_config, clock.now());
     let peers = match together(&configuration, options, clock.now()) {
         Ok(peers) => peers,
         Err(error) => {
@@ -219,10 +220,10 @@
 /// What a node does with its peers, where their datagrams arrive, and where it keeps its promises; none where the
 /// settings do not allow it.
 fn together(configuration: &Platform, options: &PeerOptions, now: Moment) -> anyhow::Result<Option<Peers>> {
-    let allowed = (options.peers || options.districts) && configuration.facts.may_speak_to_peers();
+    let allowed = (options.peers || options.districts) && configuration.settings.allows_peer_messages();
     let Some(listen) = configuration.peer_listen.filter(|_| allowed) else { return Ok(None) };
-    let (number, peers) = (configuration.facts.peer_number(), configuration.peers.clone());
-    let (fronts, seed) = (peers.len() as u32, configuration.provision.seed);
+    let (number, peers) = (configuration.settings.peer_number(), configuration.peers.clone());
+    let (fronts, seed) = (peers.len() as u32, configuration.controller_config.seed);
     let electorate = if options.voters.is_empty() {
         Electorate::spread(options.generation, fronts, USUAL)
     } else {
@@ -233,9 +234,10 @@
         return Ok(None);
     };
     if options.districts {
-        match configuration.facts.district() {
+        match configuration.settings.local_zone() {
             Some(own) => {
-                let (names, pace) = (configuration.facts.districts(), Terms::of(&configuration.provision));
+                let (names, pace) =
+                    (configuration.settings.zones(), Terms::of(&configuration.controller_config));
                 together.act_on_districts(District(own), names, pace, configuration.peers_all, seed, now);
             }
             None => warn!("--districts has nothing to do: the settings name no district of this front"),
--- a/crates/ochrelead-node/src/book.rs
+++ b/crates/ochrelead-node/src/book.rs
@@ -4,7 +4,7 @@
 
 use ochrelead_core::index::{ServerIx, SessionIx};
 use ochrelead_core::time::Moment;
-use ochrelead_platform::callers::CallId;
+use ochrelead_platform::caller_messages::CallId;
 use slab::Slab;
 
 use crate::callers::CallerId;
--- a/crates/ochrelead-node/src/bounds.rs
+++ b/crates/ochrelead-node/src/bounds.rs
@@ -1,7 +1,7 @@
 //! What each table may hold: ratios of the limits that the node is told.
 
 use ochrelead_core::time::Span;
-use ochrelead_platform::LONGEST;
+use ochrelead_platform::MAX_MESSAGE_LENGTH;
 use ochrelead_platform::configuration::Limits;
 
 /// Descriptors that are open whatever comes: the standard three, the listener, the coordinator's connection and its
@@ -39,7 +39,7 @@
     pub fn new(limits: Limits, most_held: Option<usize>) -> Bounds {
         let calls = (limits.memory / 2_048).min(most_held.unwrap_or(usize::MAX));
         let sockets = limits.sockets - OWN.min(limits.sockets / 2);
-        let waiting = (limits.memory / 8 / limits.sockets).max(2 * LONGEST);
+        let waiting = (limits.memory / 8 / limits.sockets).max(2 * MAX_MESSAGE_LENGTH);
         Bounds {
             callers: sockets / 2,
             closing: sockets / 16,
--- a/crates/ochrelead-node/src/callers.rs
+++ b/crates/ochrelead-node/src/callers.rs
@@ -4,8 +4,8 @@
 
 use ochrelead_core::index::SessionIx;
 use ochrelead_core::time::Moment;
-use ochrelead_platform::callers::CallId;
-use ochrelead_platform::lines::Lines;
+use ochrelead_platform::caller_messages::CallId;
+use ochrelead_platform::line_splitter::LineSplitter;
 
 use crate::bounds::platform;
 
@@ -16,7 +16,7 @@
 /// One connection.
 #[derive(Debug)]
 pub struct Caller {
-    pub lines: Lines,
+    pub lines: LineSplitter,
     pub opened: Moment,
     /// When it last brought or was sent anything.
     pub used: Moment,
@@ -37,7 +37,7 @@
 impl Callers {
     pub fn open(&mut self, id: CallerId, now: Moment) {
         let caller = Caller {
-            lines: Lines::default(),
+            lines: LineSplitter::default(),
             opened: now,
             used: now,
             proven: false,
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -20,9 +20,9 @@
 use ochrelead_host::called_numbers::CalledNumberTable;
 use ochrelead_host::recent_ids::RecentIds;
 use ochrelead_lease::Number;
-use ochrelead_platform::callers::{self as lines, CallId, cause};
+use ochrelead_platform::caller_messages::{self, CallId, cause};
 use ochrelead_platform::configuration::Configuration;
-use ochrelead_platform::events::Change;
+use ochrelead_platform::events::EndpointChange;
 use ochrelead_zone::{District, ServerKey};
 use tracing::{Level, debug};
 
@@ -137,27 +137,32 @@
 
 impl Engine {
     pub fn new(configuration: Configuration, judge: Box<dyn CallPolicy>, now: Moment) -> Engine {
-        let facts = &configuration.facts;
-        let bounds = Bounds::new(configuration.limits, facts.most_held());
+        let facts = &configuration.settings;
+        let bounds = Bounds::new(configuration.limits, facts.max_sessions());
         let connect = facts.connect_timeout().unwrap_or(platform::CONNECT);
         let mut engine = Engine {
             judge,
             now,
             bounds,
             services: facts.services().map(|(name, longest)| (name.to_owned(), longest)).collect(),
-            members: facts.members().map(str::to_owned).collect(),
-            places: configuration.provision.services.iter().map(|service| service.servers.clone()).collect(),
+            members: facts.tenants().map(str::to_owned).collect(),
+            places: configuration
+                .controller_config
+                .services
+                .iter()
+                .map(|service| service.servers.clone())
+                .collect(),
             connect,
-            longest_idle: facts.idle_limit().map(|idle| idle - connect.min(idle / 4)),
+            longest_idle: facts.connection_idle_timeout().map(|idle| idle - connect.min(idle / 4)),
             book: Book::default(),
             callers: Callers::default(),
             roster: Roster::new(bounds.servers),
             numbers: CalledNumberTable::new(bounds.numbers),
             watch: Watch::new(
                 configuration.coordinator,
-                configuration.followed,
+                configuration.event_cursor,
                 connect,
-                configuration.provision.seed,
+                configuration.controller_config.seed,
                 now,
             ),
             called_off: RecentIds::new(bounds.numbers),
@@ -167,7 +172,7 @@
             owed: VecDeque::new(),
             said: 0,
             outrun: VecDeque::new(),
-            districts: facts.districts().to_vec(),
+            districts: facts.zones().to_vec(),
             eased: Vec::new(),
             observes: false,
             observations: VecDeque::new(),
@@ -178,7 +183,7 @@
             alarm: None,
         };
         engine.clock(now);
-        for change in &configuration.known {
+        for change in &configuration.initial_changes {
             engine.listed(change);
         }
         engine
@@ -301,10 +306,10 @@
         [self.book.len(), self.callers.len(), self.roster.links(), self.book.unanswered()]
     }
 
-    fn listed(&mut self, change: &Change) {
+    fn listed(&mut self, change: &EndpointChange) {
         let book = &self.book;
         let (listings, turns) = self.roster.change(change, self.now, |server| !book.any_standing_at(server));
-        self.judge.on_endpoints(change.whole, &listings);
+        self.judge.on_endpoints(change.is_full, &listings);
         for listing in &listings {
             self.ease_server(listing.server);
         }
@@ -337,7 +342,10 @@
         if let Some(caller) = self.callers.get_mut(call.caller) {
             caller.open.retain(|open| *open != session);
             caller.used = self.now;
-            self.out.push_back(Output::ToCaller(call.caller, lines::down(call.id, cause, come_back)));
+            self.out.push_back(Output::ToCaller(
+                call.caller,
+                caller_messages::encode_down(call.id, cause, come_back),
+            ));
         }
     }
 }
--- a/crates/ochrelead-node/src/engine/entry.rs
+++ b/crates/ochrelead-node/src/engine/entry.rs
@@ -1,13 +1,13 @@
 //! The side of the callers.
 
 use ochrelead_core::types::CallRequest;
-use ochrelead_platform::LONGEST;
-use ochrelead_platform::callers::{Said, SetUp, Unusable};
+use ochrelead_platform::MAX_MESSAGE_LENGTH;
+use ochrelead_platform::caller_messages::{CallerMessage, InvalidMessage, MessageError, SetUpRequest};
 
 use super::*;
 
 /// What a SIP head around a description may take.
-const HEAD: usize = LONGEST / 16;
+const HEAD: usize = MAX_MESSAGE_LENGTH / 16;
 
 impl Engine {
     pub(super) fn caller_opened(&mut self, caller: CallerId) {
@@ -53,7 +53,7 @@
         for session in self.callers.get(id).map(|caller| caller.open.clone()).unwrap_or_default() {
             if let Some(call) = self.book.get(session) {
                 let cause = if call.invites > 0 { cause::FAILED } else { cause::REFUSED };
-                self.out.push_back(Output::ToCaller(id, lines::down(call.id, cause, None)));
+                self.out.push_back(Output::ToCaller(id, caller_messages::encode_down(call.id, cause, None)));
             }
         }
         self.drop_caller(id);
@@ -84,9 +84,9 @@
     pub(super) fn caller_said(&mut self, id: CallerId, bytes: &[u8]) {
         let Some(caller) = self.callers.get_mut(id) else { return };
         caller.used = self.now;
-        let (lines, sound) = caller.lines.cut(bytes);
+        let (lines, sound) = caller.lines.push(bytes);
         for line in lines {
-            match lines::read(&line) {
+            match caller_messages::parse(&line) {
                 Ok(said) => self.said(id, said),
                 Err(unusable) => self.turn_away(id, &unusable),
             }
@@ -95,42 +95,43 @@
             }
         }
         if sound.is_err() {
-            self.turn_away(id, &Unusable { call: None, why: "an endless line".to_owned() });
+            self.turn_away(id, &InvalidMessage { call: None, error: MessageError::LineTooLong });
         }
     }
 
-    fn said(&mut self, id: CallerId, said: Said) {
+    fn said(&mut self, id: CallerId, said: CallerMessage) {
         match said {
-            Said::SetUp(set_up) => {
+            CallerMessage::SetUp(set_up) => {
                 let call = set_up.call;
-                if let Err(why) = self.set_up(id, set_up) {
-                    self.turn_away(id, &Unusable { call: Some(call), why: why.to_owned() });
+                if let Err(error) = self.set_up(id, set_up) {
+                    self.turn_away(id, &InvalidMessage { call: Some(call), error });
                 }
             }
-            Said::StandsAt { call, server } => self.stands_at(id, call, &server),
-            Said::Down { call } => self.down(id, call),
-            Said::Test { id: test } => {
+            CallerMessage::Established { call, server } => self.stands_at(id, call, &server),
+            CallerMessage::Release { call } => self.down(id, call),
+            CallerMessage::Heartbeat { id: test } => {
                 let passed = self.leaving.is_none();
-                self.out.push_back(Output::ToCaller(id, lines::tested(&test, passed)));
+                self.out
+                    .push_back(Output::ToCaller(id, caller_messages::encode_heartbeat_reply(&test, passed)));
             }
-            Said::Heard { call } => {
+            CallerMessage::Acknowledged { call } => {
                 if let Some(caller) = self.callers.get_mut(id) {
                     caller.unheard.retain(|(own, _)| *own != call);
                 }
                 self.owed.retain(|(own, _)| *own != call);
             }
-            Said::Nothing => {}
+            CallerMessage::Ignored => {}
         }
     }
 
     /// A line that can't be used gets an error. A connection that was of no use yet is closed besides.
-    fn turn_away(&mut self, id: CallerId, unusable: &Unusable) {
+    fn turn_away(&mut self, id: CallerId, unusable: &InvalidMessage) {
         // The id may be that of a call that is open on this connection: an error would be taken for its answer.
         let open = unusable.call.and_then(|call| self.book.find(call));
         let own = open.and_then(|session| self.book.get(session)).is_some_and(|call| call.caller == id);
         let line = match unusable.call {
-            Some(call) => lines::down(call, cause::INVALID, None),
-            None => lines::unreadable(),
+            Some(call) => caller_messages::encode_down(call, cause::INVALID, None),
+            None => caller_messages::encode_invalid(),
         };
         let Some(caller) = self.callers.get(id) else { return };
         let useful = caller.proven || !caller.open.is_empty();
@@ -142,41 +143,47 @@
         }
     }
 
-    fn set_up(&mut self, id: CallerId, set_up: SetUp) -> Result<(), &'static str> {
+    fn set_up(&mut self, id: CallerId, set_up: SetUpRequest) -> Result<(), MessageError> {
         if self.book.find(set_up.call).is_some() {
-            return Err("the id of a call that is held");
+            return Err(MessageError::DuplicateCall);
         }
-        let class =
-            self.services.iter().position(|(name, _)| *name == set_up.class).ok_or("no such class")?;
+        let class = self
+            .services
+            .iter()
+            .position(|(name, _)| *name == set_up.class)
+            .ok_or(MessageError::UnknownClass)?;
         let member = match &set_up.tenant {
             Some(tenant) => {
-                Some(self.members.iter().position(|name| name == tenant).ok_or("no such tenant")?)
+                Some(self.members.iter().position(|name| name == tenant).ok_or(MessageError::UnknownTenant)?)
             }
             None if self.members.is_empty() => None,
-            None => return Err("no tenant"),
+            None => return Err(MessageError::MissingTenant),
         };
         let longest = self.services[class].1;
-        if longest > Span::ZERO && set_up.left > longest {
-            return Err("more time left than the class has");
+        if longest > Span::ZERO && set_up.time_left > longest {
+            return Err(MessageError::TimeLeftTooLong);
         }
         let known = |number: i64| self.roster.knows_number(number) || self.places[class].contains(&number);
         if set_up.destination.is_some_and(|number| number >= 0 && !known(number)) {
-            return Err("no such destination");
+            return Err(MessageError::UnknownDestination);
         }
-        if set_up.description.len() + HEAD > LONGEST {
-            return Err("too long to be passed on");
+        if set_up.description.len() + HEAD > MAX_MESSAGE_LENGTH {
+            return Err(MessageError::DescriptionTooLong);
         }
         let full = self.book.len() >= self.bounds.calls
             || self.book.described() + set_up.description.len() > self.bounds.descriptions;
         if full {
-            self.out.push_back(Output::ToCaller(id, lines::down(set_up.call, cause::REFUSED, None)));
+            self.out.push_back(Output::ToCaller(
+                id,
+                caller_messages::encode_down(set_up.call, cause::REFUSED, None),
+            ));
             return Ok(());
         }
-        let deadline = self.now + set_up.left;
+        let deadline = self.now + set_up.time_left;
         let offer = CallRequest {
             service: ServiceIx::new(class),
             tenant: member.map(TenantIx::new),
-            called_number: Some(self.numbers.index(&set_up.number)),
+            called_number: Some(self.numbers.index(&set_up.called_number)),
             destination: set_up.destination.unwrap_or(-1),
             deadline,
             is_redial: false,
@@ -185,7 +192,7 @@
             id: set_up.call,
             caller: id,
             class,
-            number: set_up.number,
+            number: set_up.called_number,
             description: set_up.description,
             deadline,
             invites: 0,
@@ -199,7 +206,7 @@
             // It may be a usual caller's, and no other is there: what is owed is said now, and stays owed until one
             // is known for certain or has confirmed it.
             for (call, cause) in self.owed.iter().take(self.bounds.told) {
-                self.out.push_back(Output::ToCaller(id, lines::down(*call, *cause, None)));
+                self.out.push_back(Output::ToCaller(id, caller_messages::encode_down(*call, *cause, None)));
             }
         }
         self.judge.on_call_request(session, offer);
@@ -216,7 +223,7 @@
         // Its server said its end before its caller could name it, and does not say it again.
         let server = server.filter(|_| !self.released.contains(call.as_str()));
         let Some(server) = server.filter(|_| self.book.len() < self.bounds.calls) else {
-            self.out.push_back(Output::ToCaller(id, lines::down(call, cause::FAILED, None)));
+            self.out.push_back(Output::ToCaller(id, caller_messages::encode_down(call, cause::FAILED, None)));
             return;
         };
         let session = self.book.enter(Call {
@@ -237,7 +244,7 @@
 
     /// A set-up is given up, on its own connection, or a call that stands is released, on any.
     fn down(&mut self, id: CallerId, call: CallId) {
-        self.out.push_back(Output::ToCaller(id, lines::heard(call)));
+        self.out.push_back(Output::ToCaller(id, caller_messages::encode_acknowledgement(call)));
         let Some(session) = self.book.find(call) else { return };
         let Some(held) = self.book.get(session) else { return };
         match held.phase {
@@ -307,7 +314,7 @@
     }
 
     fn say_release(&mut self, id: CallerId, call: CallId, cause: u32) {
-        self.out.push_back(Output::ToCaller(id, lines::down(call, cause, None)));
+        self.out.push_back(Output::ToCaller(id, caller_messages::encode_down(call, cause, None)));
         let most = self.bounds.unheard;
         if let Some(caller) = self.callers.get_mut(id) {
             // Of a caller that confirms nothing the oldest are taken for heard.
--- a/crates/ochrelead-node/src/engine/exit.rs
+++ b/crates/ochrelead-node/src/engine/exit.rs
@@ -1,6 +1,6 @@
 //! The side of the signalling servers.
 
-use ochrelead_sip::message::{Message, Start, header, write};
+use ochrelead_sip::message::{Message, StartLine, encode, header};
 
 use super::*;
 use crate::book::Invite;
@@ -139,7 +139,7 @@
             return;
         };
         let number = meaning::write_number(number);
-        let call = CallId::read("0000000000000000").expect("16 digits");
+        let call = CallId::parse("0000000000000000").expect("16 digits");
         let more = [(meaning::NUMBER, number.as_str())];
         let bytes = message("OPTIONS sip:load@net SIP/2.0", call.as_str(), "1 OPTIONS", &more, &[]);
         self.out.push_back(Output::ToLink(id, bytes));
@@ -154,7 +154,7 @@
         let server = link.server;
         loop {
             let Some(link) = self.roster.link_mut(id) else { return };
-            match link.framer.next() {
+            match link.framer.next_message() {
                 Some(Ok(message)) => {
                     let at = self.roster.get_mut(server);
                     (at.heard, at.failed) = (now, 0);
@@ -165,7 +165,7 @@
                 }
                 Some(Err(_)) => return self.abort(id),
                 None => {
-                    let midway = link.framer.is_midway();
+                    let midway = link.framer.has_partial_message();
                     link.midway = if midway { link.midway.or(Some(now)) } else { None };
                     return;
                 }
@@ -179,16 +179,16 @@
             self.judge.on_line_capacity(server, lines);
         }
         self.judge.on_load_report(server, meaning::report(message));
-        let call = message.get(header::CALL_ID).and_then(CallId::read);
+        let call = message.header(header::CALL_ID).and_then(CallId::parse);
         if message.sequence().is_none_or(|(_, method)| method != "OPTIONS") {
             self.roster.get_mut(server).spoke = self.now;
-        } else if let Some(highest) = message.get(meaning::NUMBER).and_then(meaning::read_number)
+        } else if let Some(highest) = message.header(meaning::NUMBER).and_then(meaning::read_number)
             && self.outrun.len() < self.bounds.servers
         {
             self.outrun.push_back((self.roster.get(server).id.clone(), highest));
         }
         match &message.start {
-            Start::Request { method, .. } => {
+            StartLine::Request { method, .. } => {
                 match (method.as_str(), call) {
                     ("NOTIFY" | "ACK", _) => return true,
                     ("BYE", Some(call)) => self.released(server, call, message),
@@ -201,7 +201,7 @@
                 }
                 true
             }
-            Start::Response { code } => {
+            StartLine::Response { code } => {
                 let Some((number, "INVITE")) = message.sequence() else { return true };
                 let Some(call) = call else { return true };
                 match code {
@@ -255,7 +255,7 @@
         self.book.advance(session, Phase::Standing { server, link: Some(id), since: self.now });
         debug!(?call, server = self.roster.get(server).id, "stands");
         self.judge.on_call_established(session);
-        self.out.push_back(Output::ToCaller(caller, lines::up(call, description)));
+        self.out.push_back(Output::ToCaller(caller, caller_messages::encode_established(call, description)));
         self.prove(caller, session);
         true
     }
@@ -320,7 +320,7 @@
 
 /// 200 to a request of a server.
 fn accepted(message: &Message, method: &str) -> Vec<u8> {
-    let call = message.get(header::CALL_ID).unwrap_or_default();
+    let call = message.header(header::CALL_ID).unwrap_or_default();
     let number = message.sequence().map_or(1, |(number, _)| number);
     self::message("SIP/2.0 200 OK", call, &format!("{number} {method}"), &[], &[])
 }
@@ -328,5 +328,5 @@
 /// A message of ours: what each carries, and more.
 fn message(first: &str, call: &str, sequence: &str, more: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let usual = [("Via", "SIP/2.0/TCP front"), (header::CALL_ID, call), (header::CSEQ, sequence)];
-    write(first, &[&usual, more].concat(), body)
+    encode(first, &[&usual, more].concat(), body)
 }
--- a/crates/ochrelead-node/src/host/connections.rs
+++ b/crates/ochrelead-node/src/host/connections.rs
@@ -11,7 +11,7 @@
 use async_io::Async;
 use ochrelead_core::time::Moment;
 use ochrelead_host::clock::Clock;
-use ochrelead_platform::LONGEST;
+use ochrelead_platform::MAX_MESSAGE_LENGTH;
 use tracing::{debug, trace};
 
 use super::peers::PeerHost;
@@ -112,7 +112,7 @@
             callers: 0,
             unread: Vec::new(),
             lingering: Vec::new(),
-            scratch: vec![0; LONGEST],
+            scratch: vec![0; MAX_MESSAGE_LENGTH],
             news,
         }
     }
@@ -218,7 +218,7 @@
     fn pass_over(&mut self, peer: Peer, length: usize) -> Came {
         let Some(connection) = self.connections.get_mut(&peer) else { return Came::End };
         connection.passed_over += length;
-        if connection.passed_over > LONGEST {
+        if connection.passed_over > MAX_MESSAGE_LENGTH {
             self.remove(peer);
             return Came::End;
         }
--- a/crates/ochrelead-node/src/host/signals.rs
+++ b/crates/ochrelead-node/src/host/signals.rs
@@ -60,7 +60,7 @@
     /// The configuration was replaced: the coordinator may be elsewhere now. One that can't be read changes nothing.
     fn has_read(&self, file: &Path) -> bool {
         let read = fs::read_to_string(file).map_err(|error| error.to_string());
-        match read.and_then(|text| configuration::read(&text).map_err(|error| error.to_string())) {
+        match read.and_then(|text| configuration::parse(&text).map_err(|error| error.to_string())) {
             Ok(configuration) => {
                 if let Some(coordinator) = configuration.coordinator {
                     info!(%coordinator, "the configuration was read again");
--- a/crates/ochrelead-node/src/meaning.rs
+++ b/crates/ochrelead-node/src/meaning.rs
@@ -26,7 +26,7 @@
 
 /// How an INVITE ended by this refusal.
 pub fn of_refusal(code: u16, message: &Message) -> InviteOutcome {
-    let diagnosis = message.get(DIAGNOSIS);
+    let diagnosis = message.header(DIAGNOSIS);
     match code {
         503 => InviteOutcome::Rejected { no_line: diagnosis == Some("group_full"), retry_after: None },
         480 => InviteOutcome::Unsent,
@@ -43,7 +43,7 @@
 
 /// A server's figures, by their names; what is no figure is passed over.
 fn figures(message: &Message) -> impl Iterator<Item = (&str, f64)> {
-    let pairs = message.get(OCCUPANCY).unwrap_or_default().split([',', ';', ' ']);
+    let pairs = message.header(OCCUPANCY).unwrap_or_default().split([',', ';', ' ']);
     pairs.filter_map(|pair| {
         let (name, value) = pair.split_once(['=', ':'])?;
         let figure = value.trim().parse::<f64>().ok().filter(|figure| figure.is_finite())?;
--- a/crates/ochrelead-node/src/roster.rs
+++ b/crates/ochrelead-node/src/roster.rs
@@ -7,8 +7,8 @@
 use ochrelead_core::index::{ServerIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_core::types::{EndpointState, EndpointUpdate};
-use ochrelead_platform::callers::CallId;
-use ochrelead_platform::events::{Change, Post};
+use ochrelead_platform::caller_messages::CallId;
+use ochrelead_platform::events::{Endpoint, EndpointChange};
 use ochrelead_sip::framing::Framer;
 
 use crate::bounds::platform;
@@ -140,14 +140,14 @@
     /// held of a server any more.
     pub fn change(
         &mut self,
-        change: &Change,
+        change: &EndpointChange,
         now: Moment,
         idle: impl Fn(ServerIx) -> bool,
     ) -> (Vec<EndpointUpdate>, Vec<Turn>) {
         let mut turns = Vec::new();
         let mut listings = Vec::new();
-        if change.whole {
-            let named = |server: &Server| change.posts.iter().any(|post| post.id == server.id);
+        if change.is_full {
+            let named = |server: &Server| change.endpoints.iter().any(|post| post.id == server.id);
             let missing: Vec<ServerIx> =
                 self.all().filter(|at| !named(self.get(*at)) && !self.get(*at).is_gone()).collect();
             for server in missing {
@@ -155,7 +155,7 @@
                 turns.push(Turn::Closed(server));
             }
         }
-        for post in &change.posts {
+        for post in &change.endpoints {
             let new = !self.by_id.contains_key(&post.id);
             let Some(server) = self.place(post, now, &idle) else { continue };
             if new {
@@ -174,7 +174,7 @@
             let at = &mut self.servers[server.index()];
             let former = at.state;
             (at.address, at.number, at.state) = (post.address, post.number, post.state);
-            at.district.clone_from(&post.district);
+            at.district.clone_from(&post.zone);
             if let EndpointState::Ready { started: Some(started) } = post.state
                 && !matches!(former, EndpointState::Ready { started: Some(known) } if known >= started)
             {
@@ -200,7 +200,7 @@
     }
 
     /// The index of a post's server; none where it is new and has gone already, or the table is full of live ones.
-    fn place(&mut self, post: &Post, now: Moment, idle: impl Fn(ServerIx) -> bool) -> Option<ServerIx> {
+    fn place(&mut self, post: &Endpoint, now: Moment, idle: impl Fn(ServerIx) -> bool) -> Option<ServerIx> {
         if let Some(server) = self.by_id.get(&post.id) {
             self.gone.retain(|gone| gone != server);
             return Some(*server);
@@ -213,7 +213,7 @@
             address: post.address,
             number: post.number,
             state: EndpointState::Draining,
-            district: post.district.clone(),
+            district: post.zone.clone(),
             links: Vec::new(),
             waiting: Vec::new(),
             owed: Vec::new(),
--- a/crates/ochrelead-node/src/watch.rs
+++ b/crates/ochrelead-node/src/watch.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_platform::events::{Change, Followed, Heard};
-use ochrelead_platform::lines::Lines;
+use ochrelead_platform::events::{EndpointChange, EventCursor, EventOutcome};
+use ochrelead_platform::line_splitter::LineSplitter;
 
 use crate::bounds::platform;
 
@@ -35,8 +35,8 @@
 
 pub struct Watch {
     to: Option<SocketAddr>,
-    followed: Followed,
-    lines: Lines,
+    followed: EventCursor,
+    lines: LineSplitter,
     watch: WatchId,
     way: Way,
     connect: Span,
@@ -47,9 +47,15 @@
 }
 
 impl Watch {
-    pub fn new(to: Option<SocketAddr>, followed: Followed, connect: Span, seed: u64, now: Moment) -> Watch {
+    pub fn new(
+        to: Option<SocketAddr>,
+        followed: EventCursor,
+        connect: Span,
+        seed: u64,
+        now: Moment,
+    ) -> Watch {
         let share = 0.5 + (seed % SHARES) as f64 / SHARES as f64;
-        let (lines, watch, way) = (Lines::default(), WatchId(0), Way::Down(now));
+        let (lines, watch, way) = (LineSplitter::default(), WatchId(0), Way::Down(now));
         Watch { to, followed, lines, watch, way, connect, share, useless: 0 }
     }
 
@@ -68,7 +74,7 @@
     }
 
     fn end(&mut self, now: Moment) -> Option<Step> {
-        self.lines = Lines::default();
+        self.lines = LineSplitter::default();
         let open = !matches!(self.way, Way::Down(_));
         self.way = Way::Down(now);
         open.then_some(Step::Close { watch: self.watch })
@@ -86,31 +92,36 @@
     pub fn closed(&mut self, watch: WatchId, now: Moment) {
         if watch == self.watch {
             let failed = !matches!(self.way, Way::Up(_, true));
-            self.lines = Lines::default();
+            self.lines = LineSplitter::default();
             self.way = Way::Down(if failed { now + self.pause() } else { now });
         }
     }
 
     /// What came; a line that is not whole or not readable ends the connection.
-    pub fn heard(&mut self, watch: WatchId, bytes: &[u8], now: Moment) -> (Vec<Change>, Option<Step>) {
+    pub fn heard(
+        &mut self,
+        watch: WatchId,
+        bytes: &[u8],
+        now: Moment,
+    ) -> (Vec<EndpointChange>, Option<Step>) {
         let mut changes = Vec::new();
         if watch != self.watch || !matches!(self.way, Way::Up(..)) {
             return (changes, None);
         }
-        let (lines, result) = self.lines.cut(bytes);
+        let (lines, result) = self.lines.push(bytes);
         if !lines.is_empty() {
             // A line that trickles in and never ends is silence.
             self.way = Way::Up(now, true);
         }
         let mut sound = result.is_ok();
         for line in lines {
-            match self.followed.hear(&line) {
-                Ok(Heard::Change(change)) => {
+            match self.followed.handle_line(&line) {
+                Ok(EventOutcome::Changed(change)) => {
                     self.useless = 0;
                     changes.push(change);
                 }
-                Ok(Heard::Nothing) => {}
-                Ok(Heard::Gap) | Err(_) => {
+                Ok(EventOutcome::Unchanged) => {}
+                Ok(EventOutcome::Gap) | Err(_) => {
                     sound = false;
                     break;
                 }
--- a/crates/ochrelead-node/tests/helper/mod.rs
+++ b/crates/ochrelead-node/tests/helper/mod.rs
@@ -78,8 +78,8 @@
                 "orgs": [{"name": "acme", "quotaPerS": 100}], "familyInfo": {"guardMs": RELEASE_MS},
                 "limits": limits,
                 "rules": {"coldFrom": 0.3, "coldMs": 5000, "overloadFactor": 2.5, "tipAfterMs": 1000}}});
-        let configuration = configuration::read(&text.to_string()).unwrap();
-        let judge = Controller::new(&configuration.provision, at(0));
+        let configuration = configuration::parse(&text.to_string()).unwrap();
+        let judge = Controller::new(&configuration.controller_config, at(0));
         let engine = Engine::new(configuration, Box::new(judge), at(0));
         let mut rig = Rig {
             engine,
--- a/crates/ochrelead-platform/src/configuration.rs
+++ b/crates/ochrelead-platform/src/configuration.rs
@@ -1,4 +1,5 @@
-//! The configuration of a node: who it is, its limits, whom it follows, what it knows, and the settings.
+//! The configuration file of a node: its name, addresses and limits, the coordinator, what is known of the servers, and
+//! the settings.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
@@ -7,36 +8,50 @@
 
 use ochrelead_core::config::ControllerConfig;
 
-use crate::events::{Change, Followed};
-use crate::facts::Facts;
+use crate::events::{EndpointChange, EventCursor};
+use crate::settings::Settings;
 
-/// What a node is told at its start.
+/// The configuration of a node.
 pub struct Configuration {
+    /// The name of the node.
     pub name: String,
+    /// Where callers connect.
     pub listen: SocketAddr,
+    /// What the node may use of its machine.
     pub limits: Limits,
+    /// The coordinator, where there is one.
     pub coordinator: Option<SocketAddr>,
-    /// Where datagrams of other fronts arrive, and where each front of the tier is reached, this one among them.
+    /// Where the datagrams of other fronts arrive.
     pub peer_listen: Option<SocketAddr>,
+    /// Where each front of the tier is reached, this one among them, by their numbers.
     pub peers: Vec<SocketAddr>,
-    /// What is sent there reaches all fronts of the tier.
+    /// An address whose datagrams reach all fronts of the tier.
     pub peers_all: Option<SocketAddr>,
-    pub followed: Followed,
-    /// The list at the start, as the changes that led to it.
-    pub known: Vec<Change>,
-    pub provision: ControllerConfig,
-    pub facts: Facts,
+    /// From where to follow the coordinator's events.
+    pub event_cursor: EventCursor,
+    /// The list of servers at the start, as the changes that led to it.
+    pub initial_changes: Vec<EndpointChange>,
+    /// The configuration of the decisions, derived from the settings.
+    pub controller_config: ControllerConfig,
+    /// The settings object.
+    pub settings: Settings,
 }
 
-/// What a node may use.
+/// What a node may use of its machine.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
+    /// Memory, in bytes.
     pub memory: usize,
+    /// Open sockets.
     pub sockets: usize,
 }
 
+const BYTES_PER_MEGABYTE: f64 = (1 << 20) as f64;
+const MIN_MEMORY_MEGABYTES: f64 = 1.0;
+const MIN_SOCKETS: f64 = 16.0;
+
 #[derive(Deserialize)]
-struct File {
+struct ConfigurationFile {
     #[serde(default)]
     name: String,
     listen: SocketAddr,
@@ -72,51 +87,52 @@
     }
 }
 
-/// Reads the configuration.
+/// Parses the text of a configuration file.
 ///
 /// # Errors
 ///
 /// Where it is no JSON, or a part of it has another form.
-pub fn read(text: &str) -> Result<Configuration, serde_json::Error> {
-    let file: File = serde_json::from_str(text)?;
-    let facts = Facts::read(Some(&file.settings))?;
-    let (followed, known) = Followed::start(&file.known);
+pub fn parse(text: &str) -> Result<Configuration, serde_json::Error> {
+    let file: ConfigurationFile = serde_json::from_str(text)?;
+    let settings = Settings::parse(Some(&file.settings))?;
+    let (event_cursor, initial_changes) = EventCursor::from_known_events(&file.known);
     let limits = Limits {
-        memory: (file.limits.memory_mb.max(1.0) * f64::from(1 << 20)) as usize,
-        sockets: file.limits.sockets.max(16.0) as usize,
+        memory: (file.limits.memory_mb.max(MIN_MEMORY_MEGABYTES) * BYTES_PER_MEGABYTE) as usize,
+        sockets: file.limits.sockets.max(MIN_SOCKETS) as usize,
     };
     Ok(Configuration {
         name: file.name,
         listen: file.listen,
         limits,
         coordinator: file.coordinator,
-        peer_listen: address(&file.peer_listen),
-        // One that can't be read keeps its place: fronts are told by their places.
+        peer_listen: parse_address(&file.peer_listen),
         peers: file.peers.as_array().map_or_else(Vec::new, |peers| {
-            peers.iter().map(|peer| address(peer).unwrap_or(NOWHERE)).collect()
+            // An address that can't be parsed keeps its place: fronts are numbered by their places.
+            peers.iter().map(|peer| parse_address(peer).unwrap_or(UNREACHABLE)).collect()
         }),
-        peers_all: address(&file.peers_all),
-        followed,
-        known,
-        provision: facts.provision(seed(&file.seed)),
-        facts,
+        peers_all: parse_address(&file.peers_all),
+        event_cursor,
+        initial_changes,
+        controller_config: settings.controller_config(parse_seed(&file.seed)),
+        settings,
     })
 }
 
-/// Where nobody is.
-const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+/// An address at which nobody is.
+const UNREACHABLE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
-/// An address; what is none is no reason not to start.
-fn address(value: &Value) -> Option<SocketAddr> {
+/// An address; none where it can't be parsed, which is no reason not to start.
+fn parse_address(value: &Value) -> Option<SocketAddr> {
     value.as_str()?.parse().ok()
 }
 
-/// Hex digits as a rule; whatever else is there still makes a number.
-fn seed(value: &Value) -> u64 {
+/// A seed in hex digits; any other text still makes a number.
+fn parse_seed(value: &Value) -> u64 {
+    let hash = |text: &str| {
+        text.bytes().fold(0, |seed: u64, byte| seed.wrapping_mul(31).wrapping_add(u64::from(byte)))
+    };
     match value {
-        Value::String(text) => u64::from_str_radix(text, 16).unwrap_or_else(|_| {
-            text.bytes().fold(0, |seed: u64, byte| seed.wrapping_mul(31).wrapping_add(u64::from(byte)))
-        }),
+        Value::String(text) => u64::from_str_radix(text, 16).unwrap_or_else(|_| hash(text)),
         other => other.as_u64().unwrap_or(0),
     }
 }
--- a/crates/ochrelead-platform/src/events.rs
+++ b/crates/ochrelead-platform/src/events.rs
@@ -1,4 +1,4 @@
-//! The coordinator's numbered events: the list of signalling servers, and where to resume it.
+//! The coordinator's numbered events: the list of signalling servers, and from where to resume it.
 
 use std::net::SocketAddr;
 
@@ -10,51 +10,58 @@
 
 /// One signalling server as an event names it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Post {
+pub struct Endpoint {
+    /// Its id, the same for as long as the server is listed.
     pub id: String,
+    /// Where it takes connections.
     pub address: SocketAddr,
-    /// Its number, as sessions name the server of first choice.
+    /// Its number, by which sessions name the server of first choice; -1 where the event has none.
     pub number: i64,
+    /// Whether it is in service.
     pub state: EndpointState,
+    /// Its part of weighted draws; above zero, 1 by default.
     pub weight: f64,
-    /// The district that it is in, by name or number, where that is said.
-    pub district: Option<String>,
+    /// The zone that it is in, by name or number, where the event has one.
+    pub zone: Option<String>,
 }
 
-/// A change of the list; `whole` where it names all servers there are.
+/// A change of the list of servers.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Change {
-    pub whole: bool,
-    pub posts: Vec<Post>,
+pub struct EndpointChange {
+    /// Whether it replaces the whole list; otherwise it changes the servers that it names.
+    pub is_full: bool,
+    /// The servers that it names.
+    pub endpoints: Vec<Endpoint>,
 }
 
-/// What a line of the coordinator did.
+/// The effect of one line of the coordinator.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Heard {
-    Change(Change),
-    /// The last number only, or an event that is known.
-    Nothing,
-    /// Events are missing: to be asked for again from the last one known.
+pub enum EventOutcome {
+    /// The list of servers changes.
+    Changed(EndpointChange),
+    /// Nothing changes: only the last number, or an event that is known already.
+    Unchanged,
+    /// Events are missing: they have to be requested again from the last one known.
     Gap,
 }
 
 #[derive(Deserialize)]
 struct Event {
     index: u64,
-    endpoints: Option<Endpoints>,
+    endpoints: Option<EventEndpoints>,
 }
 
 #[derive(Deserialize)]
-struct Endpoints {
+struct EventEndpoints {
     #[serde(default)]
     reset: bool,
     #[serde(default)]
-    instances: Vec<Instance>,
+    instances: Vec<EventInstance>,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct Instance {
+struct EventInstance {
     instance_id: String,
     host_port: SocketAddr,
     #[serde(default)]
@@ -68,83 +75,89 @@
     started_at_ms: Option<f64>,
 }
 
-/// The last event that is known.
+/// The position in the coordinator's events: the last one that is known.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Followed {
-    last: u64,
+pub struct EventCursor {
+    last_index: u64,
 }
 
-impl Followed {
-    /// The events of the start; one that can't be read is passed over, with all after it: the coordinator is asked
-    /// for those again.
-    pub fn start(known: &Value) -> (Followed, Vec<Change>) {
-        let mut followed = Followed::default();
+impl EventCursor {
+    /// The cursor after the events of the configuration, and their changes. An event that can't be parsed is skipped with
+    /// all after it: the coordinator is asked for those again.
+    pub fn from_known_events(known: &Value) -> (EventCursor, Vec<EndpointChange>) {
+        let mut cursor = EventCursor::default();
         let mut changes = Vec::new();
-        let last = known.get("index").and_then(Value::as_u64).unwrap_or(0);
+        let last_index = known.get("index").and_then(Value::as_u64).unwrap_or(0);
         for update in known.get("updates").and_then(Value::as_array).into_iter().flatten() {
-            let Ok(event) = Event::deserialize(update) else { return (followed, changes) };
+            let Ok(event) = Event::deserialize(update) else { return (cursor, changes) };
             let index = event.index;
-            match event.change() {
+            match event.into_change() {
                 Ok(change) => changes.extend(change),
-                Err(_) => return (followed, changes),
+                Err(_) => return (cursor, changes),
             }
-            followed.last = followed.last.max(index);
+            cursor.last_index = cursor.last_index.max(index);
         }
-        followed.last = followed.last.max(last);
-        (followed, changes)
+        cursor.last_index = cursor.last_index.max(last_index);
+        (cursor, changes)
     }
 
-    /// What to ask the coordinator for.
+    /// The request for the events after the cursor, as a line to the coordinator.
     pub fn request(&self) -> String {
-        format!("follow {}\n", self.last)
+        format!("follow {}\n", self.last_index)
     }
 
-    /// Reads a whole line of the coordinator.
+    /// Parses a whole line of the coordinator and advances over its event.
     ///
     /// # Errors
     ///
-    /// Where it is neither a number nor an event.
-    pub fn hear(&mut self, line: &[u8]) -> Result<Heard, serde_json::Error> {
+    /// Where the line is neither a number nor an event; the cursor stays.
+    pub fn handle_line(&mut self, line: &[u8]) -> Result<EventOutcome, serde_json::Error> {
         let event: Event = serde_json::from_slice(line)?;
-        if event.index <= self.last {
-            return Ok(Heard::Nothing);
+        if event.index <= self.last_index {
+            return Ok(EventOutcome::Unchanged);
         }
         // A number alone that is beyond the last event known: that event did not come.
-        if event.index > self.last + 1 || event.endpoints.is_none() {
-            return Ok(Heard::Gap);
+        if event.index > self.last_index + 1 || event.endpoints.is_none() {
+            return Ok(EventOutcome::Gap);
         }
         let index = event.index;
-        let change = event.change()?;
-        self.last = index;
-        Ok(change.map_or(Heard::Nothing, Heard::Change))
+        let change = event.into_change()?;
+        self.last_index = index;
+        Ok(change.map_or(EventOutcome::Unchanged, EventOutcome::Changed))
     }
 }
 
 impl Event {
-    fn change(self) -> Result<Option<Change>, serde_json::Error> {
-        let Some(endpoints) = self.endpoints else { return Ok(None) };
-        let posts = endpoints.instances.into_iter().map(Instance::post).collect::<Result<_, _>>()?;
-        Ok(Some(Change { whole: endpoints.reset, posts }))
+    fn into_change(self) -> Result<Option<EndpointChange>, serde_json::Error> {
+        let Some(listed) = self.endpoints else { return Ok(None) };
+        let endpoints =
+            listed.instances.into_iter().map(EventInstance::into_endpoint).collect::<Result<_, _>>()?;
+        Ok(Some(EndpointChange { is_full: listed.reset, endpoints }))
     }
 }
 
-impl Instance {
-    fn post(self) -> Result<Post, serde_json::Error> {
-        let started = self.started_at_ms.filter(|ms| ms.is_finite() && *ms > 0.0);
-        let started = started.map(|ms| Moment::from_micros((ms * 1_000.0) as u64));
+impl EventInstance {
+    fn into_endpoint(self) -> Result<Endpoint, serde_json::Error> {
+        let started_at_ms = self.started_at_ms.filter(|ms| ms.is_finite() && *ms > 0.0);
+        let started = started_at_ms.map(|ms| Moment::from_micros((ms * 1_000.0) as u64));
         let state = match self.lifecycle.as_str() {
             "up" => EndpointState::Ready { started },
             "draining" => EndpointState::Draining,
             "removed" => EndpointState::Gone,
             other => return Err(serde::de::Error::custom(format!("unknown lifecycle {other}"))),
         };
-        let weight = self.weight.filter(|weight| weight.is_finite() && *weight > 0.0).unwrap_or(1.0);
-        let number = self.cell.unwrap_or(-1);
-        let district = match self.zone {
+        let zone = match self.zone {
             Value::String(name) => Some(name),
             Value::Number(number) => Some(number.to_string()),
             _ => None,
         };
-        Ok(Post { id: self.instance_id, address: self.host_port, number, state, weight, district })
+        Ok(Endpoint {
+            id: self.instance_id,
+            address: self.host_port,
+            number: self.cell.unwrap_or(-1),
+            state,
+            weight: self.weight.filter(|weight| weight.is_finite() && *weight > 0.0).unwrap_or(1.0),
+            zone,
+        })
     }
 }
--- a/crates/ochrelead-platform/src/lib.rs
+++ b/crates/ochrelead-platform/src/lib.rs
@@ -1,17 +1,28 @@
-//! The operators' platform in its own words, without I/O: what its callers, its coordinator and its configuration
-//! say, read into what a front acts on, and what a front says to callers, written.
+//! The operators' platform as seen by a front, without I/O: the messages of callers, the coordinator's events and the
+//! node's configuration are parsed, and the messages to callers are encoded.
 //!
-//! - [`facts`]: the settings object, the same that the simulator hands out; one reader for adapter and node.
-//! - [`configuration`]: the configuration of a node.
-//! - [`events`]: the numbered events of the coordinator, and where to resume them.
-//! - [`lines`]: a stream cut into lines of bounded length.
-//! - [`callers`]: what a caller's line says, and the lines that answer it.
+//! - [`settings`]: the settings object, the same that the simulator hands out; one parser for adapter and node.
+//! - [`configuration`]: the configuration file of a node.
+//! - [`events`]: the numbered events of the coordinator, and from where to resume them.
+//! - [`line_splitter`]: a byte stream split into lines of bounded length.
+//! - [`caller_messages`]: what a caller's line says, and the lines that answer it.
+//!
+//! ```
+//! use ochrelead_platform::caller_messages::{CallerMessage, parse};
+//! use ochrelead_platform::line_splitter::LineSplitter;
+//!
+//! let mut splitter = LineSplitter::default();
+//! let (lines, _) = splitter.push(b"{\"t\":\"hb\",\"ref\":\"7\",\"f\":{},\"c\":0}\n{\"t\":");
+//! assert_eq!(parse(&lines[0]).unwrap(), CallerMessage::Heartbeat { id: "7".to_owned() });
+//! assert!(splitter.has_partial_line());
+//! ```
+#![warn(missing_docs)]
 
-pub mod callers;
+pub mod caller_messages;
 pub mod configuration;
 pub mod events;
-pub mod facts;
-pub mod lines;
+pub mod line_splitter;
+pub mod settings;
 
-/// No message holds more than this.
-pub const LONGEST: usize = 16 * 1024;
+/// The longest message, in bytes.
+pub const MAX_MESSAGE_LENGTH: usize = 16 * 1024;
--- /dev/null
+++ b/crates/ochrelead-platform/tests/events.rs
@@ -0,0 +1,38 @@
+//! The coordinator's events are applied once and in order.
+#![allow(clippy::needless_pass_by_value, reason = "test cases own their values")]
+
+mod event;
+
+use event::event;
+use ochrelead_core::time::Moment;
+use ochrelead_core::types::EndpointState;
+use ochrelead_platform::events::{EventCursor, EventOutcome};
+use serde_json::{Value, json};
+use test_case::test_case;
+
+#[test_case(json!({"index": 5}), "nothing"; "the last number again")]
+#[test_case(json!({"index": 6}), "gap"; "a number whose event did not come")]
+#[test_case(event(5, "s-1", "up"), "nothing"; "an event twice")]
+#[test_case(event(6, "s-1", "up"), "change"; "the next event")]
+#[test_case(event(8, "s-1", "up"), "gap"; "one event is missing")]
+#[test_case(event(6, "s-1", "resting"), "broken"; "an unknown state")]
+#[test_case(json!({"endpoints": {}}), "broken"; "no number")]
+fn events_are_applied_once_and_in_order(line: Value, heard: &str) {
+    let (mut followed, changes) =
+        EventCursor::from_known_events(&json!({"index": 5, "updates": [event(1, "s-1", "up")]}));
+    assert_eq!((followed.request().as_str(), changes.len()), ("follow 5\n", 1));
+    let got = match followed.handle_line(line.to_string().as_bytes()) {
+        Ok(EventOutcome::Changed(change)) => {
+            let started = Some(Moment::from_micros(1_500_000));
+            assert_eq!((change.is_full, change.endpoints[0].number), (false, 2));
+            assert_eq!(change.endpoints[0].state, EndpointState::Ready { started });
+            "change"
+        }
+        Ok(EventOutcome::Unchanged) => "nothing",
+        Ok(EventOutcome::Gap) => "gap",
+        Err(_) => "broken",
+    };
+    assert_eq!(got, heard);
+    let next = if heard == "change" { "follow 6\n" } else { "follow 5\n" };
+    assert_eq!(followed.request(), next, "only what was taken is known");
+}
--- a/crates/ochrelead-sip/src/message.rs
+++ b/crates/ochrelead-sip/src/message.rs
@@ -2,106 +2,147 @@
 
 use std::fmt::Write;
 
-use crate::framing::Broken;
+use crate::framing::FramingError;
+
+const SIP_VERSION: &str = "SIP/2.0";
 
 /// The first line.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Start {
-    Request { method: String, uri: String },
-    Response { code: u16 },
+pub enum StartLine {
+    /// The first line of a request.
+    Request {
+        /// Its method, in capitals.
+        method: String,
+        /// Its request URI.
+        uri: String,
+    },
+    /// The first line of a response.
+    Response {
+        /// Its status code, 100 to 699.
+        code: u16,
+    },
 }
 
-/// A message that was read whole.
+/// A whole message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Message {
-    pub start: Start,
-    headers: Vec<(String, String)>,
+    /// The first line.
+    pub start: StartLine,
+    headers: Vec<Header>,
+    /// The body, of the length that the head states.
     pub body: Vec<u8>,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Header {
+    name: String,
+    value: String,
+}
+
 /// The headers that a front reads or writes.
 pub mod header {
+    /// Identifies the call.
     pub const CALL_ID: &str = "Call-ID";
+    /// The sequence number and the method.
     pub const CSEQ: &str = "CSeq";
+    /// The length of the body, in bytes.
     pub const CONTENT_LENGTH: &str = "Content-Length";
+    /// The short form of [`CONTENT_LENGTH`].
+    pub(crate) const CONTENT_LENGTH_SHORT: &str = "l";
+    /// Why a call is released.
     pub const REASON: &str = "Reason";
 }
 
 impl Message {
-    /// The head of a message, without the empty line at its end; the body is still to come.
-    pub(crate) fn head(head: &[u8]) -> Result<Message, Broken> {
-        let head = std::str::from_utf8(head).map_err(|_| Broken::Head)?;
+    /// Parses the head of a message, without the empty line at its end; the body is still to come.
+    pub(crate) fn parse_head(head: &[u8]) -> Result<Message, FramingError> {
+        let head = std::str::from_utf8(head).map_err(|_| FramingError::InvalidHead)?;
         let mut lines = head.split("\r\n");
-        let start = Start::read(lines.next().unwrap_or_default())?;
-        let headers = lines.map(|line| {
-            let (name, value) = line.split_once(':').ok_or(Broken::Head)?;
-            let plain = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
-            if name.is_empty() || !name.bytes().all(plain) || value.bytes().any(|byte| byte < b' ') {
-                return Err(Broken::Head);
-            }
-            Ok((name.to_owned(), value.trim().to_owned()))
-        });
-        Ok(Message { start, headers: headers.collect::<Result<_, _>>()?, body: Vec::new() })
+        let start = StartLine::parse(lines.next().unwrap_or_default())?;
+        let headers = lines.map(Header::parse).collect::<Result<_, _>>()?;
+        Ok(Message { start, headers, body: Vec::new() })
     }
 
-    /// Whether this can be a first line.
-    pub(crate) fn first(line: &[u8]) -> Result<(), Broken> {
-        Start::read(std::str::from_utf8(line).map_err(|_| Broken::Head)?).map(|_| ())
+    /// The value of a header; the case of its name does not matter.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let header = self.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name))?;
+        Some(&header.value)
     }
 
-    /// A header's value; names are alike in any case.
-    pub fn get(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(own, _)| own.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
-    }
-
-    /// The length of the body as the head states it; a message without one, or with two that differ, is broken.
-    pub(crate) fn length(&self) -> Result<usize, Broken> {
-        let own =
-            |name: &str| name.eq_ignore_ascii_case(header::CONTENT_LENGTH) || name.eq_ignore_ascii_case("l");
-        let mut lengths = self.headers.iter().filter(|(name, _)| own(name)).map(|(_, value)| value);
-        let first = lengths.next().ok_or(Broken::Length)?;
-        if lengths.any(|other| other != first) || !first.bytes().all(|byte| byte.is_ascii_digit()) {
-            return Err(Broken::Length);
+    /// The length of the body as the head states it. A head without one, or with two that differ, is invalid.
+    pub(crate) fn content_length(&self) -> Result<usize, FramingError> {
+        let mut lengths = self.headers.iter().filter(|header| header.is_content_length());
+        let first = &lengths.next().ok_or(FramingError::InvalidLength)?.value;
+        if lengths.any(|other| other.value != *first) || !first.bytes().all(|byte| byte.is_ascii_digit()) {
+            return Err(FramingError::InvalidLength);
         }
-        first.parse().map_err(|_| Broken::Length)
+        first.parse().map_err(|_| FramingError::InvalidLength)
     }
 
     /// The number and the method of `CSeq`.
     pub fn sequence(&self) -> Option<(u32, &str)> {
-        let (number, method) = self.get(header::CSEQ)?.split_once(' ')?;
+        let (number, method) = self.header(header::CSEQ)?.split_once(' ')?;
         Some((number.trim().parse().ok()?, method.trim()))
     }
 
     /// The Q.850 cause of a release.
     pub fn cause(&self) -> Option<u32> {
-        let reason = self.get(header::REASON)?;
-        let figure = |part: &str| part.trim().strip_prefix("cause=")?.trim().parse().ok();
-        reason.split(';').find_map(figure)
+        let reason = self.header(header::REASON)?;
+        let parse_cause = |part: &str| part.trim().strip_prefix("cause=")?.trim().parse().ok();
+        reason.split(';').find_map(parse_cause)
+    }
+}
+
+impl Header {
+    fn parse(line: &str) -> Result<Header, FramingError> {
+        let (name, value) = line.split_once(':').ok_or(FramingError::InvalidHead)?;
+        let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+        if name.is_empty() || !name.bytes().all(is_plain) || value.bytes().any(|byte| byte < b' ') {
+            return Err(FramingError::InvalidHead);
+        }
+        Ok(Header { name: name.to_owned(), value: value.trim().to_owned() })
+    }
+
+    fn is_content_length(&self) -> bool {
+        self.name.eq_ignore_ascii_case(header::CONTENT_LENGTH)
+            || self.name.eq_ignore_ascii_case(header::CONTENT_LENGTH_SHORT)
     }
 }
 
-impl Start {
-    fn read(line: &str) -> Result<Start, Broken> {
+impl StartLine {
+    pub(crate) fn parse_bytes(line: &[u8]) -> Result<StartLine, FramingError> {
+        StartLine::parse(std::str::from_utf8(line).map_err(|_| FramingError::InvalidHead)?)
+    }
+
+    fn parse(line: &str) -> Result<StartLine, FramingError> {
         let mut words = line.split(' ');
-        let (first, second) = (words.next().unwrap_or_default(), words.next().ok_or(Broken::Head)?);
-        if first == "SIP/2.0" {
-            let code = second.parse().ok().filter(|code| (100..700).contains(code) && second.len() == 3);
-            return Ok(Start::Response { code: code.ok_or(Broken::Head)? });
+        let first = words.next().unwrap_or_default();
+        let second = words.next().ok_or(FramingError::InvalidHead)?;
+        if first == SIP_VERSION {
+            return StartLine::parse_response(second);
         }
         let is_method = !first.is_empty() && first.bytes().all(|byte| byte.is_ascii_uppercase());
-        if !is_method || second.is_empty() || words.next() != Some("SIP/2.0") || words.next().is_some() {
-            return Err(Broken::Head);
+        let ends_with_version = words.next() == Some(SIP_VERSION) && words.next().is_none();
+        if !is_method || second.is_empty() || !ends_with_version {
+            return Err(FramingError::InvalidHead);
         }
-        Ok(Start::Request { method: first.to_owned(), uri: second.to_owned() })
+        Ok(StartLine::Request { method: first.to_owned(), uri: second.to_owned() })
+    }
+
+    fn parse_response(code: &str) -> Result<StartLine, FramingError> {
+        let parsed = code.parse().ok().filter(|number| (100..700).contains(number) && code.len() == 3);
+        Ok(StartLine::Response { code: parsed.ok_or(FramingError::InvalidHead)? })
     }
 }
 
-/// Writes a message: the first line, the headers, the length and the body.
-pub fn write(first: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
-    let mut head = String::with_capacity(256);
-    head.push_str(first);
+/// Encodes a message: the first line, the headers, the length of the body, and the body.
+pub fn encode(first_line: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    const USUAL_HEAD_LENGTH: usize = 256;
+    let mut head = String::with_capacity(USUAL_HEAD_LENGTH);
+    head.push_str(first_line);
     head.push_str("\r\n");
     for (name, value) in headers {
+        // Writing to a string does not fail.
         let _ = write!(head, "{name}: {value}\r\n");
     }
     let _ = write!(head, "{}: {}\r\n\r\n", header::CONTENT_LENGTH, body.len());
