--- a/crates/ochrelead-front/benches/turn.rs
+++ b/crates/ochrelead-front/benches/turn.rs
@@ -39,13 +39,13 @@
     fn take(&mut self, from: &str, bytes: &[u8]) {
         self.now += 20;
         let from: SocketAddr = from.parse().expect("an address");
-        self.engine.take(Moment::from_micros(self.now), from, bytes);
-        self.engine.turn(Moment::from_micros(self.now));
+        self.engine.handle_datagram(Moment::from_micros(self.now), from, bytes);
+        self.engine.process(Moment::from_micros(self.now));
     }
 
     /// Answers all that the front asks, as server and gateway would.
     fn answer_all(&mut self) {
-        while let Some((to, bytes)) = self.engine.next_datagram() {
+        while let Some((to, bytes)) = self.engine.poll_datagram() {
             for message in parse::datagram(&bytes).into_iter().flatten().flatten() {
                 let Message::Command(command) = message else { continue };
                 let mut response = Response::new(200, command.transaction);
@@ -60,7 +60,7 @@
                 self.take(&to.to_string(), &bytes);
             }
         }
-        while self.engine.next_note().is_some() {}
+        while self.engine.poll_event().is_some() {}
     }
 
     fn call(&mut self) -> u32 {
--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -5,9 +5,9 @@
 //! to the module; the module's refusal or failure becomes the caller's busy or reorder tone. What the host hands
 //! in only updates what is known; [`Engine::turn`] then pulls decisions until there is none.
 
-mod book;
-mod callers;
-mod servers;
+mod call_table;
+mod caller_side;
+mod server_side;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -22,10 +22,10 @@
 use ochrelead_mgcp::exchange::{Claim, Exchange, News};
 use ochrelead_mgcp::message::{Command, Endpoint, Response, TransactionId, Verb, code, name};
 
-use crate::drain::Service;
-use crate::note::{Note, Step};
-use crate::releases::{Release, Releases};
-use book::{Book, Call, Circuit, Phase, Session};
+use crate::drain::DrainState;
+use crate::events::{EngineEvent, SessionStep};
+use crate::releases::{PendingReleases, Release};
+use call_table::{Call, CallTable, Circuit, Phase, SessionKey};
 use ochrelead_host::call_policy::CallPolicy;
 use ochrelead_host::called_numbers::CalledNumberTable;
 use ochrelead_host::recent_ids::RecentIds;
@@ -45,11 +45,11 @@
 
 /// What a command of ours is about, until its response comes.
 enum Pending {
-    Invite(Session),
+    Invite(SessionKey),
     /// The release of a call that stood.
-    Release(Session, ServerIx),
+    Release(SessionKey, ServerIx),
     /// The caller was told that its call stands.
-    Connect(Session),
+    Connect(SessionKey),
     /// A call taken down at a server.
     TakeDown,
     /// A tone, or a caller's half taken down: nothing hangs on the response.
@@ -62,17 +62,17 @@
     judge: Box<dyn CallPolicy + Send>,
     now: Moment,
     exchange: Exchange,
-    book: Book,
+    book: CallTable,
     roster: Roster,
     numbers: CalledNumberTable,
     pending: HashMap<TransactionId, Pending>,
     /// Tries that are over, though this front does not hold them: nothing is set up for what still comes of them.
     hung_up: RecentIds,
-    releases: Releases,
-    service: Service,
+    releases: PendingReleases,
+    service: DrainState,
     /// How often it looks at the clock at the least.
     pulse: Span,
-    notes: VecDeque<Note>,
+    notes: VecDeque<EngineEvent>,
     alarm: Option<Moment>,
     /// The last turn, and the most that what is read now may have waited to be read.
     turned: Moment,
@@ -91,16 +91,16 @@
         let pulse = targets.min().unwrap_or(Span::from_secs(1)) / PULSES;
         let mut engine = Engine {
             exchange: Exchange::new(commission.pace, first),
-            releases: Releases::new(&commission.pace),
+            releases: PendingReleases::new(&commission.pace),
             commission,
             judge,
             now,
-            book: Book::default(),
+            book: CallTable::default(),
             roster: Roster::default(),
             numbers: CalledNumberTable::new(MOST_NUMBERS),
             pending: HashMap::new(),
             hung_up: RecentIds::new(MOST_HUNG_UP),
-            service: Service::Open,
+            service: DrainState::InService,
             pulse,
             notes: VecDeque::new(),
             alarm: None,
@@ -109,11 +109,11 @@
             heard: Vec::new(),
             noted: Vec::new(),
         };
-        engine.relist(now, &roster);
+        engine.update_endpoints(now, &roster);
         engine
     }
 
-    fn clock(&mut self, now: Moment) {
+    fn advance_to(&mut self, now: Moment) {
         let late = self.alarm.map_or(Span::ZERO, |alarm| now.since(alarm));
         let usual = self
             .commission
@@ -126,7 +126,7 @@
         }
         if late > self.pulse {
             self.alarm = None;
-            self.note(Note::Paused(late));
+            self.note(EngineEvent::Stalled(late));
         }
         self.now = self.now.max(now);
         self.judge.advance_to(self.now);
@@ -140,7 +140,7 @@
     }
 
     /// What is held of each listed server, and how long nothing was heard of it (none where nothing ever was).
-    pub fn outlooks(&self) -> Vec<(String, ServerSnapshot, Option<Span>)> {
+    pub fn server_snapshots(&self) -> Vec<(String, ServerSnapshot, Option<Span>)> {
         let of = |name: String| {
             let server = self.roster.named(&name)?;
             let heard = self.heard.get(server.index()).copied().flatten();
@@ -152,15 +152,15 @@
     // ---- What comes in ----
 
     /// A datagram has come.
-    pub fn take(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]) {
-        self.clock(now);
+    pub fn handle_datagram(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]) {
+        self.advance_to(now);
         self.exchange.take(self.now, from, bytes);
         self.hear();
     }
 
     /// The server list is given anew, whole.
-    pub fn relist(&mut self, now: Moment, posts: &[Post]) {
-        self.clock(now);
+    pub fn update_endpoints(&mut self, now: Moment, posts: &[Post]) {
+        self.advance_to(now);
         self.commission.numbering.serve(posts);
         for (at, name) in self.commission.service_names.iter().enumerate() {
             let takes = |post: &&Post| post.services.is_empty() || post.services.contains(name);
@@ -173,15 +173,15 @@
         }
         let listings = self.roster.relist(posts, self.now);
         self.judge.on_endpoints(true, &listings);
-        self.note(Note::List(self.roster.posts()));
+        self.note(EngineEvent::EndpointsChanged(self.roster.posts()));
     }
 
     /// What the servers had said of themselves in a former life of this front.
-    pub fn remember(&mut self, now: Moment, kept: &[(Post, Said)]) {
-        self.clock(now);
+    pub fn restore_self_reports(&mut self, now: Moment, kept: &[(Post, Said)]) {
+        self.advance_to(now);
         let listings = self.roster.remember(kept);
         self.judge.on_endpoints(true, &listings);
-        self.note(Note::List(self.roster.posts()));
+        self.note(EngineEvent::EndpointsChanged(self.roster.posts()));
     }
 
     /// One line a server: its state and the reason for it.
@@ -190,8 +190,8 @@
     }
 
     /// A datagram could not leave. A set-up to that address has failed to connect; all else is repeated.
-    pub fn undeliverable(&mut self, now: Moment, to: SocketAddr) {
-        self.clock(now);
+    pub fn on_send_failed(&mut self, now: Moment, to: SocketAddr) {
+        self.advance_to(now);
         let Some(server) = self.roster.at(to) else { return };
         for session in self.book.inviting_at(server) {
             // The server may have moved: what is out to its other address is under way.
@@ -202,21 +202,21 @@
     }
 
     /// To leave service: no new sessions, each held one gets its answer, within the bound of the settings.
-    pub fn leave(&mut self, now: Moment) {
-        self.clock(now);
-        self.service.leave(self.now, self.commission.drain);
+    pub fn drain(&mut self, now: Moment) {
+        self.advance_to(now);
+        self.service.start(self.now, self.commission.drain);
     }
 
     /// Whether a front that leaves owes nothing any more.
-    pub fn is_closed(&self) -> bool {
-        self.service == Service::Closed
+    pub fn is_drained(&self) -> bool {
+        self.service == DrainState::Closed
     }
 
     // ---- What goes out ----
 
     /// All that is due now: repeats, time-outs, and the module's decisions.
-    pub fn turn(&mut self, now: Moment) {
-        self.clock(now);
+    pub fn process(&mut self, now: Moment) {
+        self.advance_to(now);
         self.exchange.tick(self.now);
         self.hear();
         while let Some(session) = self.book.next_timed_out(self.now) {
@@ -227,46 +227,50 @@
                 self.give_up_at_last(index);
             }
         }
-        while let Some(release) = self.releases.due(self.now) {
+        while let Some(release) = self.releases.next_due(self.now) {
             self.ask_release(release);
         }
         while let Some(decision) = self.judge.next_decision() {
             self.carry_out(decision);
         }
         // Where a decision met a table that is full, its session came back to the module.
-        self.service.settle(self.now, self.owed(), self.commission.drain);
-        let alarms =
-            [self.judge.poll_timeout(), self.exchange.wake(), self.book.wake(), self.releases.wake()];
-        let alarms = alarms.into_iter().chain([self.service.wake(self.now, self.commission.drain)]);
+        self.service.update(self.now, self.owed(), self.commission.drain);
+        let alarms = [
+            self.judge.poll_timeout(),
+            self.exchange.wake(),
+            self.book.poll_timeout(),
+            self.releases.poll_timeout(),
+        ];
+        let alarms = alarms.into_iter().chain([self.service.poll_timeout(self.now, self.commission.drain)]);
         self.alarm = alarms.flatten().chain([self.now + self.pulse]).min();
         (self.turned, self.waited) = (self.now, Span::ZERO);
     }
 
     fn owed(&self) -> usize {
-        self.book.unanswered().len() + self.exchange.load().0 + self.releases.put_off()
+        self.book.unanswered().len() + self.exchange.load().0 + self.releases.scheduled()
     }
 
     /// When the host is to call [`Engine::turn`] although nothing came.
-    pub fn wake(&self) -> Option<Moment> {
+    pub fn poll_timeout(&self) -> Option<Moment> {
         self.alarm
     }
 
-    pub fn next_datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+    pub fn poll_datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
         self.exchange.next_datagram()
     }
 
-    pub fn next_note(&mut self) -> Option<Note> {
+    pub fn poll_event(&mut self) -> Option<EngineEvent> {
         self.notes.pop_front()
     }
 
     /// Releases that servers have not confirmed.
-    pub fn owed_releases(&self) -> usize {
-        self.releases.owed()
+    pub fn unconfirmed_releases(&self) -> usize {
+        self.releases.unconfirmed()
     }
 
     /// Whether the session of that try is held.
-    pub fn holds(&self, tried: &str) -> bool {
-        self.book.tried(tried).is_some()
+    pub fn has_session(&self, tried: &str) -> bool {
+        self.book.find(tried).is_some()
     }
 
     /// Sessions held (with a final answer or not) and commands that wait for a response.
@@ -276,21 +280,21 @@
 
     // ---- Between ----
 
-    fn note(&mut self, note: Note) {
+    fn note(&mut self, note: EngineEvent) {
         if self.notes.len() < MOST_NOTES {
             self.notes.push_back(note);
         }
     }
 
-    fn step(&mut self, session: SessionIx, what: Step) {
+    fn step(&mut self, session: SessionIx, what: SessionStep) {
         if let Some(call) = self.book.get(session) {
-            let tried = call.tried.clone();
-            self.note(Note::Session { tried, what });
+            let tried = call.attempt.clone();
+            self.note(EngineEvent::Session { attempt: tried, step: what });
         }
     }
 
     fn pass_over(&mut self, from: SocketAddr, why: impl Into<String>) {
-        self.note(Note::PassedOver { from: from.to_string(), why: why.into() });
+        self.note(EngineEvent::MessageIgnored { from: from.to_string(), reason: why.into() });
     }
 
     fn hear(&mut self) {
@@ -340,14 +344,14 @@
             // Given up, or asked by the process that ran here before: what was set up is taken down again. The id may
             // be that of a command that waits for another peer's answer: nothing is taken from that one.
             if claim == Claim::Late {
-                self.releases.heard(response.transaction);
+                self.releases.on_invite_answered(response.transaction);
             }
             return self.set_up_unclaimed(from, response);
         }
         match self.pending.remove(&response.transaction) {
             Some(Pending::Invite(session)) => self.set_up_answered(session, response),
             Some(Pending::Release(session, server)) => {
-                self.releases.answered(self.now, response.transaction);
+                self.releases.on_confirmed(self.now, response.transaction);
                 self.released(session, server, InviteOutcome::Released);
             }
             Some(Pending::Connect(session)) => {
@@ -356,21 +360,21 @@
                     self.caller_gone(session);
                 }
             }
-            Some(Pending::TakeDown) => self.releases.answered(self.now, response.transaction),
+            Some(Pending::TakeDown) => self.releases.on_confirmed(self.now, response.transaction),
             Some(Pending::Courtesy) | None => {}
         }
     }
 
     fn unanswered(&mut self, transaction: TransactionId) {
         match self.pending.remove(&transaction) {
-            Some(Pending::Invite(session)) if self.book.is(session) => {
+            Some(Pending::Invite(session)) if self.book.is_current(session) => {
                 self.invite_over(session.index, InviteOutcome::TimedOut);
             }
             Some(Pending::Release(session, server)) => {
-                self.releases.unanswered(self.now, transaction);
+                self.releases.on_unanswered(self.now, transaction);
                 self.released(session, server, InviteOutcome::TimedOut);
             }
-            Some(Pending::TakeDown) => self.releases.unanswered(self.now, transaction),
+            Some(Pending::TakeDown) => self.releases.on_unanswered(self.now, transaction),
             Some(Pending::Connect(session)) => self.caller_gone(session),
             _ => {}
         }
--- a/crates/ochrelead-front/src/engine/book.rs
+++ b/crates/ochrelead-front/src/engine/call_table.rs
@@ -10,7 +10,7 @@
 
 /// A session as long as it is held; its index alone may be another's later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Session {
+pub struct SessionKey {
     pub index: SessionIx,
     serial: u64,
 }
@@ -20,10 +20,10 @@
 pub struct Invite {
     pub server: ServerIx,
     /// Where it was sent; the server may have moved since.
-    pub to: SocketAddr,
+    pub address: SocketAddr,
     pub transaction: TransactionId,
     pub sent: Moment,
-    pub until: Moment,
+    pub times_out_at: Moment,
 }
 
 /// The far end of a call that stands.
@@ -31,19 +31,19 @@
 pub struct Circuit {
     pub server: ServerIx,
     /// Where the process is that has it.
-    pub to: SocketAddr,
+    pub address: SocketAddr,
     pub endpoint: Endpoint,
     pub connection: String,
     /// When the server's word on it came.
-    pub since: Moment,
+    pub established_at: Moment,
 }
 
 #[derive(Clone, Debug)]
 pub enum Phase {
     /// The module has it; no INVITE is out.
-    Waiting,
+    Pending,
     Inviting(Invite),
-    Standing(Circuit),
+    Established(Circuit),
     /// The caller has gone; the server's word on the release is still to come.
     Releasing,
 }
@@ -55,13 +55,13 @@
     pub line: Endpoint,
     /// The caller's half of the call, as its gateway named it.
     pub connection: Option<String>,
-    pub tried: String,
-    pub called: String,
-    pub taken: Moment,
-    pub timer_limit: Moment,
+    pub attempt: String,
+    pub called_number: String,
+    pub requested_at: Moment,
+    pub deadline: Moment,
     pub invites: u32,
     /// How many repeats all its INVITEs together may still see.
-    pub repeats: u32,
+    pub remaining_repeats: u32,
     pub phase: Phase,
     serial: u64,
 }
@@ -72,20 +72,20 @@
             gateway,
             line,
             connection: None,
-            tried,
-            called,
-            taken,
-            timer_limit: taken,
+            attempt: tried,
+            called_number: called,
+            requested_at: taken,
+            deadline: taken,
             invites: 0,
-            repeats: 0,
-            phase: Phase::Waiting,
+            remaining_repeats: 0,
+            phase: Phase::Pending,
             serial: 0,
         }
     }
 }
 
 #[derive(Default)]
-pub struct Book {
+pub struct CallTable {
     calls: Slab<Call>,
     tries: HashMap<String, SessionIx>,
     limits: BTreeSet<(Moment, SessionIx)>,
@@ -96,10 +96,10 @@
     serial: u64,
 }
 
-impl Book {
-    pub fn enter(&mut self, call: Call) -> SessionIx {
+impl CallTable {
+    pub fn insert(&mut self, call: Call) -> SessionIx {
         self.serial += 1;
-        let tried = call.tried.clone();
+        let tried = call.attempt.clone();
         let index = SessionIx::new(self.calls.insert(Call { serial: self.serial, ..call }));
         self.tries.insert(tried, index);
         self.waiting.insert(index);
@@ -110,23 +110,23 @@
         self.calls.get(index.index())
     }
 
-    pub fn session(&self, index: SessionIx) -> Session {
-        Session { index, serial: self.calls[index.index()].serial }
+    pub fn key(&self, index: SessionIx) -> SessionKey {
+        SessionKey { index, serial: self.calls[index.index()].serial }
     }
 
     /// Whether the session is still held.
-    pub fn is(&self, session: Session) -> bool {
+    pub fn is_current(&self, session: SessionKey) -> bool {
         self.get(session.index).is_some_and(|call| call.serial == session.serial)
     }
 
-    pub fn tried(&self, tried: &str) -> Option<SessionIx> {
+    pub fn find(&self, tried: &str) -> Option<SessionIx> {
         self.tries.get(tried).copied()
     }
 
     /// An INVITE that was out has seen so many repeats at the most.
     pub fn count_repeats(&mut self, index: SessionIx, repeats: u32) {
         let call = &mut self.calls[index.index()];
-        call.repeats = call.repeats.saturating_sub(repeats);
+        call.remaining_repeats = call.remaining_repeats.saturating_sub(repeats);
     }
 
     pub fn count_invite(&mut self, index: SessionIx) -> u32 {
@@ -136,17 +136,17 @@
     }
 
     /// Puts a session into its next phase and keeps all tables in step.
-    pub fn turn_to(&mut self, index: SessionIx, phase: Phase) -> Phase {
+    pub fn set_phase(&mut self, index: SessionIx, phase: Phase) -> Phase {
         self.leave_phase(index);
         match &phase {
-            Phase::Waiting => {
+            Phase::Pending => {
                 self.waiting.insert(index);
             }
             Phase::Inviting(invite) => {
-                self.limits.insert((invite.until, index));
+                self.limits.insert((invite.times_out_at, index));
                 self.inviting.insert((invite.server, index));
             }
-            Phase::Standing(circuit) => {
+            Phase::Established(circuit) => {
                 self.standing.insert((circuit.server, index));
                 self.circuits.insert(circuit.endpoint.clone(), index);
             }
@@ -157,14 +157,14 @@
 
     fn leave_phase(&mut self, index: SessionIx) {
         match &self.calls[index.index()].phase {
-            Phase::Waiting => {
+            Phase::Pending => {
                 self.waiting.remove(&index);
             }
             Phase::Inviting(invite) => {
-                self.limits.remove(&(invite.until, index));
+                self.limits.remove(&(invite.times_out_at, index));
                 self.inviting.remove(&(invite.server, index));
             }
-            Phase::Standing(circuit) => {
+            Phase::Established(circuit) => {
                 self.standing.remove(&(circuit.server, index));
                 // The circuit may be another session's by now.
                 if self.circuits.get(&circuit.endpoint) == Some(&index) {
@@ -175,12 +175,12 @@
         }
     }
 
-    pub fn leave(&mut self, index: SessionIx) -> Option<Call> {
+    pub fn remove(&mut self, index: SessionIx) -> Option<Call> {
         self.get(index)?;
         self.leave_phase(index);
         let call = self.calls.remove(index.index());
-        if self.tries.get(&call.tried) == Some(&index) {
-            self.tries.remove(&call.tried);
+        if self.tries.get(&call.attempt) == Some(&index) {
+            self.tries.remove(&call.attempt);
         }
         Some(call)
     }
@@ -190,7 +190,7 @@
         self.limits.first().filter(|(until, _)| *until <= now).map(|(_, index)| *index)
     }
 
-    pub fn wake(&self) -> Option<Moment> {
+    pub fn poll_timeout(&self) -> Option<Moment> {
         self.limits.first().map(|(until, _)| *until)
     }
 
@@ -198,12 +198,12 @@
         at(&self.inviting, server)
     }
 
-    pub fn standing_at(&self, server: ServerIx) -> Vec<SessionIx> {
+    pub fn established_at(&self, server: ServerIx) -> Vec<SessionIx> {
         at(&self.standing, server)
     }
 
     /// Whether a call stands on this circuit.
-    pub fn is_in_use(&self, circuit: &Endpoint) -> bool {
+    pub fn is_circuit_in_use(&self, circuit: &Endpoint) -> bool {
         self.circuits.contains_key(circuit)
     }
 
--- a/crates/ochrelead-front/src/engine/callers.rs
+++ b/crates/ochrelead-front/src/engine/caller_side.rs
@@ -43,7 +43,7 @@
         self.exchange.answer(from, Response::new(code::DONE, command.transaction));
         if observed.hung_up {
             self.hung_up(from, command, tried);
-        } else if observed.off_hook && self.book.tried(tried).is_none() {
+        } else if observed.off_hook && self.book.find(tried).is_none() {
             self.tried(from, command, tried, &observed.digits);
         }
     }
@@ -62,28 +62,28 @@
         let limit = patience.map_or(limit, |own| own.min(limit)) - self.waited;
         let (line, called) = (command.endpoint.clone(), digits.to_owned());
         let mut call = Call::new(from, line, tried.to_owned(), called, self.now);
-        call.timer_limit = self.now + (limit - self.commission.answer_margin);
+        call.deadline = self.now + (limit - self.commission.answer_margin);
         // One INVITE that waits all the while sees so many; several share them.
-        call.repeats = self.commission.pace.repeats(call.timer_limit.since(self.now));
+        call.remaining_repeats = self.commission.pace.repeats(call.deadline.since(self.now));
         call.connection = command.parameters.get(name::CONNECTION).map(str::to_owned);
-        let timer_limit = call.timer_limit;
-        let session = self.book.enter(call);
+        let timer_limit = call.deadline;
+        let session = self.book.insert(call);
         let trunk = command.endpoint.local().split('/').next().unwrap_or("");
         let member = self.commission.trunks.iter().position(|own| own == trunk);
         let redial = command.parameters.get(name::REDIAL).is_some_and(|value| value != "0");
-        let taken = Step::Taken {
+        let taken = SessionStep::Accepted {
             service: meant.map_or(0, |dialled| dialled.service.index()),
-            member,
+            tenant: member,
             destination: meant.map_or(-1, |dialled| dialled.destination),
-            called: digits.to_owned(),
-            redial,
+            called_number: digits.to_owned(),
+            is_redial: redial,
         };
         self.step(session, taken);
         let Some(Dialled { service, destination }) = meant else {
             // A number that means nothing: nothing can be set up.
             return self.fail(session, None);
         };
-        if !self.service.takes_sessions() || self.book.len() > self.commission.most_held {
+        if !self.service.accepts_sessions() || self.book.len() > self.commission.most_held {
             let away = self.commission.provision.max_retry_after;
             return self.refuse(session, (away > Span::ZERO).then_some(away), None);
         }
@@ -101,7 +101,7 @@
     /// A caller has hung up. One that this front does not know may name the far end of its call: a front that
     /// was started anew takes it down.
     fn hung_up(&mut self, from: SocketAddr, command: &Command, tried: &str) {
-        if let Some(session) = self.book.tried(tried) {
+        if let Some(session) = self.book.find(tried) {
             return self.caller_left(session);
         }
         // Its try may still come: overtaken, or repeated to a front that was started anew and whose answer to
@@ -121,8 +121,8 @@
         }
     }
 
-    pub(super) fn caller_gone(&mut self, session: Session) {
-        if self.book.is(session) {
+    pub(super) fn caller_gone(&mut self, session: SessionKey) {
+        if self.book.is_current(session) {
             self.caller_left(session.index);
         }
     }
@@ -130,21 +130,21 @@
     fn caller_left(&mut self, session: SessionIx) {
         let Some(call) = self.book.get(session) else { return };
         match call.phase.clone() {
-            Phase::Waiting => {
+            Phase::Pending => {
                 self.judge.on_caller_gone(session);
-                self.step(session, Step::HungUp { out: None });
-                self.book.leave(session);
+                self.step(session, SessionStep::CallerGone { invite: None });
+                self.book.remove(session);
             }
             Phase::Inviting(invite) => {
                 let server = self.roster.post(invite.server).name.clone();
                 let out = Some((server, self.now.since(invite.sent)));
-                self.step(session, Step::HungUp { out });
+                self.step(session, SessionStep::CallerGone { invite: out });
                 self.judge.on_caller_gone(session);
                 self.call_off(session);
                 self.judge.on_invite_ended(session, invite.server, InviteOutcome::Cancelled, true);
-                self.book.leave(session);
+                self.book.remove(session);
             }
-            Phase::Standing(circuit) => self.release(session, circuit),
+            Phase::Established(circuit) => self.release(session, circuit),
             Phase::Releasing => {}
         }
     }
@@ -153,8 +153,8 @@
     pub(super) fn connect(&mut self, session: SessionIx, circuit: &Circuit, description: Option<Vec<u8>>) {
         let Some(call) = self.book.get(session) else { return };
         let mut command = Command::new(Verb::ModifyConnection, 0, call.line.clone())
-            .with(name::CALL, &call.tried)
-            .with(name::TRY, &call.tried)
+            .with(name::CALL, &call.attempt)
+            .with(name::TRY, &call.attempt)
             .with(name::MODE, "sendrecv")
             .with(name::REQUESTED, "L/hu(N)")
             .with(name::FAR, format!("{} {}", circuit.connection, circuit.endpoint));
@@ -162,7 +162,7 @@
             command.parameters.add(name::CONNECTION, connection);
         }
         command.description = description;
-        let (gateway, held) = (call.gateway, self.book.session(session));
+        let (gateway, held) = (call.gateway, self.book.key(session));
         self.ask(gateway, command, Pending::Connect(held));
     }
 
@@ -174,21 +174,24 @@
         denial: Option<RejectionCause>,
     ) {
         let come_back_ms = come_back.map(|span| span.micros() / 1_000);
-        self.step(session, Step::GivenUp { denial, refused: true, come_back_ms });
+        self.step(
+            session,
+            SessionStep::Rejected { cause: denial, refused: true, retry_after_ms: come_back_ms },
+        );
         self.tone(session, "L/bz", come_back_ms);
     }
 
     /// The one final answer of a failed session: reorder tone.
     pub(super) fn fail(&mut self, session: SessionIx, denial: Option<RejectionCause>) {
-        self.step(session, Step::GivenUp { denial, refused: false, come_back_ms: None });
+        self.step(session, SessionStep::Rejected { cause: denial, refused: false, retry_after_ms: None });
         self.tone(session, "L/ro", None);
     }
 
     fn tone(&mut self, session: SessionIx, signal: &str, come_back_ms: Option<u64>) {
-        let Some(call) = self.book.leave(session) else { return };
+        let Some(call) = self.book.remove(session) else { return };
         let mut command = Command::new(Verb::NotificationRequest, 0, call.line)
-            .with(name::REQUEST, &call.tried)
-            .with(name::TRY, &call.tried)
+            .with(name::REQUEST, &call.attempt)
+            .with(name::TRY, &call.attempt)
             .with(name::REQUESTED, "L/hu(N)")
             .with(name::SIGNALS, signal);
         if let Some(ms) = come_back_ms {
@@ -200,11 +203,11 @@
     /// A call that stood was cut: the caller's half is taken down too. Its final answer was given before.
     pub(super) fn cut(&mut self, session: SessionIx, server: ServerIx) {
         let server = self.roster.post(server).name.clone();
-        self.step(session, Step::Cut { server });
-        let Some(call) = self.book.leave(session) else { return };
+        self.step(session, SessionStep::CutByServer { server });
+        let Some(call) = self.book.remove(session) else { return };
         let mut command = Command::new(Verb::DeleteConnection, 0, call.line)
-            .with(name::CALL, &call.tried)
-            .with(name::TRY, &call.tried);
+            .with(name::CALL, &call.attempt)
+            .with(name::TRY, &call.attempt);
         if let Some(connection) = &call.connection {
             command.parameters.add(name::CONNECTION, connection);
         }
--- a/crates/ochrelead-front/src/engine/servers.rs
+++ b/crates/ochrelead-front/src/engine/server_side.rs
@@ -1,8 +1,8 @@
 //! The servers' side: CRCX and DLCX out; responses, DLCX and RSIP in (RFC 3435 sections 2.3.5 to 2.3.12).
 
 use super::*;
-use crate::endings;
-use book::Invite;
+use crate::outcomes;
+use call_table::Invite;
 use ochrelead_core::types::LoadReport;
 use ochrelead_discovery::roster::Restart;
 use ochrelead_mgcp::message::Parameters;
@@ -15,10 +15,10 @@
 impl Engine {
     /// What any message of a server says of its lines and its processor.
     pub(super) fn learn(&mut self, server: ServerIx, parameters: &Parameters) {
-        if let Some(lines) = endings::lines(parameters) {
+        if let Some(lines) = outcomes::parse_lines(parameters) {
             self.judge.on_line_capacity(server, lines);
         }
-        let report = endings::report(parameters);
+        let report = outcomes::parse_load_report(parameters);
         if report != LoadReport::default() {
             self.judge.on_load_report(server, report);
         }
@@ -27,13 +27,15 @@
     /// A server tells all fronts of its lines at one moment: a figure here and there, the same ones at each front,
     /// is noted, so that the records of all can be set on one clock.
     pub(super) fn note_lines(&mut self, server: ServerIx, parameters: &Parameters) {
-        let Some(lines) = endings::lines(parameters).filter(|lines| lines.free % NOTED == 0) else { return };
+        let Some(lines) = outcomes::parse_lines(parameters).filter(|lines| lines.free % NOTED == 0) else {
+            return;
+        };
         if self.noted.len() <= server.index() {
             self.noted.resize(server.index() + 1, None);
         }
         if self.noted[server.index()].replace(lines) != Some(lines) {
             let name = self.roster.post(server).name.clone();
-            self.note(Note::Lines { name, lines });
+            self.note(EngineEvent::Lines { name, lines });
         }
     }
 
@@ -45,50 +47,56 @@
     /// One INVITE: one CRCX transaction on the server's trunk group.
     pub(super) fn invite(&mut self, session: SessionIx, server: ServerIx, patience: Option<Span>) {
         let Some(call) = self.book.get(session) else { return };
-        let timer_limit = call.timer_limit;
+        let timer_limit = call.deadline;
         let command = Command::new(Verb::CreateConnection, 0, self.trunk(server, "$"))
-            .with(name::CALL, &call.tried)
+            .with(name::CALL, &call.attempt)
             .with(name::MODE, "sendrecv")
             .with(name::OPTIONS, "p:20, a:PCMU")
-            .with(name::TRY, &call.tried)
-            .with(name::CALLED, &call.called);
+            .with(name::TRY, &call.attempt)
+            .with(name::CALLED, &call.called_number);
         let (to, held, repeats) =
-            (self.roster.post(server).address, self.book.session(session), call.repeats);
+            (self.roster.post(server).address, self.book.key(session), call.remaining_repeats);
         let nth = self.book.count_invite(session);
         let name = self.roster.post(server).name.clone();
         let why = self.judge.last_reason();
-        self.step(session, Step::Invited { server: name, nth, why });
+        self.step(session, SessionStep::Invited { server: name, attempt: nth, reason: why });
         let Some(transaction) = self.ask_at_most(to, command, Pending::Invite(held), repeats) else {
             return self.judge.on_invite_ended(session, server, InviteOutcome::Unsent, false);
         };
         let until = patience.map_or(timer_limit, |span| timer_limit.min(self.now + span));
         let sent = self.now;
-        self.book.turn_to(session, Phase::Inviting(Invite { server, to, transaction, sent, until }));
+        self.book.set_phase(
+            session,
+            Phase::Inviting(Invite { server, address: to, transaction, sent, times_out_at: until }),
+        );
     }
 
     /// The answer to the INVITE that is out.
-    pub(super) fn set_up_answered(&mut self, session: Session, response: &Response) {
-        if !self.book.is(session) {
+    pub(super) fn set_up_answered(&mut self, session: SessionKey, response: &Response) {
+        if !self.book.is_current(session) {
             return;
         }
         let index = session.index;
         let Some(Phase::Inviting(invite)) = self.book.get(index).map(|call| call.phase.clone()) else {
             return;
         };
-        if let Some(ending) = endings::of_set_up(response) {
+        if let Some(ending) = outcomes::from_response(response) {
             return self.invite_ended(index, invite, ending);
         }
-        let Some(circuit) = circuit(invite.server, invite.to, response, self.now) else {
+        let Some(circuit) = circuit(invite.server, invite.address, response, self.now) else {
             // It says that the call stands but not where: it can be neither used nor taken down by name.
             self.take_down_call(invite, index);
             return self.invite_ended(index, invite, InviteOutcome::Failed { lines_busy: false });
         };
         self.judge.on_call_established(index);
         let name = self.roster.post(invite.server).name.clone();
-        let taken = self.book.get(index).map_or(self.now, |call| call.taken);
+        let taken = self.book.get(index).map_or(self.now, |call| call.requested_at);
         let (took, since_taken) = (self.now.since(invite.sent), self.now.since(taken));
-        self.step(index, Step::Stands { server: name, took, since_taken });
-        self.book.turn_to(index, Phase::Standing(circuit.clone()));
+        self.step(
+            index,
+            SessionStep::Established { server: name, set_up_time: took, since_request: since_taken },
+        );
+        self.book.set_phase(index, Phase::Established(circuit.clone()));
         self.connect(index, &circuit, response.description.clone());
     }
 
@@ -106,8 +114,8 @@
         let name = self.roster.post(server).name.clone();
         let took = self.now.since(invite.sent);
         self.book.count_repeats(session, self.commission.pace.repeats(took));
-        self.step(session, Step::InviteEnded { server: name, ending, took });
-        self.book.turn_to(session, Phase::Waiting);
+        self.step(session, SessionStep::InviteEnded { server: name, outcome: ending, duration: took });
+        self.book.set_phase(session, Phase::Pending);
         self.judge.on_invite_ended(session, server, ending, false);
     }
 
@@ -123,9 +131,9 @@
     }
 
     fn take_down_call(&mut self, invite: Invite, session: SessionIx) {
-        let Some(tried) = self.book.get(session).map(|call| call.tried.clone()) else { return };
+        let Some(tried) = self.book.get(session).map(|call| call.attempt.clone()) else { return };
         let endpoint = self.trunk(invite.server, "*");
-        let release = Release::new(invite.to, endpoint, Some(&tried), None);
+        let release = Release::new(invite.address, endpoint, Some(&tried), None);
         self.ask_release(release.of_invite(invite.transaction));
     }
 
@@ -149,7 +157,7 @@
             command.parameters.add(name::CONNECTION, connection);
         }
         if let Some(transaction) = self.ask(release.to, command, Pending::TakeDown) {
-            self.releases.asked(transaction, release);
+            self.releases.on_sent(transaction, release);
         }
     }
 
@@ -161,13 +169,16 @@
             return;
         }
         let Some(circuit) = circuit(server, from, response, self.now)
-            .filter(|circuit| !self.book.is_in_use(&circuit.endpoint))
+            .filter(|circuit| !self.book.is_circuit_in_use(&circuit.endpoint))
         else {
             return;
         };
         let name = self.roster.post(server).name.clone();
         let tried = response.parameters.get(name::TRY).unwrap_or("").to_owned();
-        self.note(Note::Session { tried, what: Step::TakenDown { server: name } });
+        self.note(EngineEvent::Session {
+            attempt: tried,
+            step: SessionStep::UnclaimedCallReleased { server: name },
+        });
         self.take_down(from, circuit.endpoint, None, Some(&circuit.connection));
     }
 
@@ -175,35 +186,35 @@
     pub(super) fn release(&mut self, session: SessionIx, circuit: Circuit) {
         let Some(call) = self.book.get(session) else { return };
         let command = Command::new(Verb::DeleteConnection, 0, circuit.endpoint)
-            .with(name::CALL, &call.tried)
+            .with(name::CALL, &call.attempt)
             .with(name::CONNECTION, &circuit.connection);
-        let (to, held) = (circuit.to, self.book.session(session));
+        let (to, held) = (circuit.address, self.book.key(session));
         let release = Release::new(
             to,
             command.endpoint.clone(),
             command.parameters.get(name::CALL),
             Some(&circuit.connection),
         );
-        self.book.turn_to(session, Phase::Releasing);
+        self.book.set_phase(session, Phase::Releasing);
         match self.ask(to, command, Pending::Release(held, circuit.server)) {
-            Some(transaction) => self.releases.asked(transaction, release),
+            Some(transaction) => self.releases.on_sent(transaction, release),
             None => self.released(held, circuit.server, InviteOutcome::TimedOut),
         }
     }
 
-    pub(super) fn released(&mut self, session: Session, server: ServerIx, ending: InviteOutcome) {
-        if self.book.is(session) {
+    pub(super) fn released(&mut self, session: SessionKey, server: ServerIx, ending: InviteOutcome) {
+        if self.book.is_current(session) {
             let name = self.roster.post(server).name.clone();
             let confirmed = ending == InviteOutcome::Released;
-            self.step(session.index, Step::Released { server: name, confirmed });
+            self.step(session.index, SessionStep::Released { server: name, confirmed });
             self.judge.on_invite_ended(session.index, server, ending, true);
-            self.book.leave(session.index);
+            self.book.remove(session.index);
         }
     }
 
     /// A server takes a call down by itself (RFC 3435 section 2.3.10).
     pub(super) fn cut_by_server(&mut self, from: SocketAddr, command: &Command) {
-        let call = command.parameters.get(name::CALL).and_then(|call| self.book.tried(call));
+        let call = command.parameters.get(name::CALL).and_then(|call| self.book.find(call));
         let at = call.and_then(|session| Some((session, self.held_by(session)?)));
         let Some((session, (server, _))) = at.filter(|(_, (_, address))| *address == from) else {
             self.exchange.answer(from, Response::new(code::UNKNOWN_CALL, command.transaction));
@@ -216,9 +227,9 @@
     /// The server that has the session, and the address of its process.
     pub(super) fn held_by(&self, session: SessionIx) -> Option<(ServerIx, SocketAddr)> {
         match &self.book.get(session)?.phase {
-            Phase::Inviting(invite) => Some((invite.server, invite.to)),
-            Phase::Standing(circuit) => Some((circuit.server, circuit.to)),
-            Phase::Waiting | Phase::Releasing => None,
+            Phase::Inviting(invite) => Some((invite.server, invite.address)),
+            Phase::Established(circuit) => Some((circuit.server, circuit.address)),
+            Phase::Pending | Phase::Releasing => None,
         }
     }
 
@@ -230,7 +241,7 @@
                 self.pending.remove(&invite.transaction);
                 self.invite_ended(session, invite, InviteOutcome::Reset);
             }
-            Some(Phase::Standing(_)) => {
+            Some(Phase::Established(_)) => {
                 self.judge.on_invite_ended(session, server, InviteOutcome::Reset, true);
                 self.cut(session, server);
             }
@@ -242,14 +253,14 @@
     /// repeated, may be the new process's, and would stand there for ever.
     fn release_if_new(&mut self, session: SessionIx) {
         let Some(call) = self.book.get(session) else { return };
-        let (tried, late) = (call.tried.clone(), self.commission.pace.first_gap * LATE_NEWS);
+        let (tried, late) = (call.attempt.clone(), self.commission.pace.first_gap * LATE_NEWS);
         match call.phase.clone() {
             Phase::Inviting(invite) if self.now.since(invite.sent) < late => {
                 self.take_down_call(invite, session)
             }
-            Phase::Standing(Circuit { to, endpoint, connection, since, .. })
-                if self.now.since(since) < late =>
-            {
+            Phase::Established(Circuit {
+                address: to, endpoint, connection, established_at: since, ..
+            }) if self.now.since(since) < late => {
                 self.take_down(to, endpoint, Some(&tried), Some(&connection));
             }
             _ => {}
@@ -273,7 +284,7 @@
         let Some(news) = self.roster.told(server, restart, self.now) else { return };
         if news.cut {
             // What the old process held is gone; its answers are no use any more.
-            let held = [self.book.inviting_at(server), self.book.standing_at(server)].concat();
+            let held = [self.book.inviting_at(server), self.book.established_at(server)].concat();
             for session in held {
                 // Calls at an address that the server has left are another process's.
                 if self.held_by(session).is_some_and(|(_, address)| address == from) {
@@ -290,8 +301,8 @@
             Restart::Back | Restart::Disconnected => "back",
         };
         let name = self.roster.post(server).name.clone();
-        self.note(Note::Server { name, what });
-        self.note(Note::List(self.roster.posts()));
+        self.note(EngineEvent::ServerRestart { name, state: what });
+        self.note(EngineEvent::EndpointsChanged(self.roster.posts()));
     }
 }
 
@@ -299,5 +310,5 @@
 fn circuit(server: ServerIx, to: SocketAddr, response: &Response, since: Moment) -> Option<Circuit> {
     let endpoint = response.parameters.get(name::SPECIFIC)?.parse().ok()?;
     let connection = response.parameters.get(name::CONNECTION)?.to_owned();
-    Some(Circuit { server, to, endpoint, connection, since })
+    Some(Circuit { server, address: to, endpoint, connection, established_at: since })
 }
--- a/crates/ochrelead-front/src/recording.rs
+++ b/crates/ochrelead-front/src/event_recording.rs
@@ -7,31 +7,37 @@
 use ochrelead_event_log::LINES;
 use ochrelead_event_log::schema::{self, event::What};
 
-use crate::note::{Note, Step};
+use crate::events::{EngineEvent, SessionStep};
 
 /// The record of a note; none where it is for the log alone. `generation`: of the fleet in force.
-pub fn record(note: &Note, generation: u64) -> Option<What> {
+pub fn record(note: &EngineEvent, generation: u64) -> Option<What> {
     Some(match note {
-        Note::Session { tried, what } => step(tried.clone(), what)?,
-        Note::Server { name, what } => {
+        EngineEvent::Session { attempt: tried, step: what } => step(tried.clone(), what)?,
+        EngineEvent::ServerRestart { name, state: what } => {
             What::Told(schema::Told { server: name.clone(), what: (*what).to_owned() })
         }
-        Note::Lines { name, lines } => What::Told(schema::Told {
+        EngineEvent::Lines { name, lines } => What::Told(schema::Told {
             server: name.clone(),
             what: format!("{LINES}{}/{}", lines.free, lines.total),
         }),
-        Note::List(posts) => {
+        EngineEvent::EndpointsChanged(posts) => {
             let server = posts.iter().map(|(post, _)| post.name.clone()).collect();
             What::Fleet(schema::Fleet { generation, server })
         }
-        Note::Paused(span) => What::PausedUs(span.micros()),
-        Note::PassedOver { .. } => return None,
+        EngineEvent::Stalled(span) => What::PausedUs(span.micros()),
+        EngineEvent::MessageIgnored { .. } => return None,
     })
 }
 
-fn step(tried: String, what: &Step) -> Option<What> {
+fn step(tried: String, what: &SessionStep) -> Option<What> {
     Some(match what.clone() {
-        Step::Taken { service, member, destination, called, redial } => What::Taken(schema::Taken {
+        SessionStep::Accepted {
+            service,
+            tenant: member,
+            destination,
+            called_number: called,
+            is_redial: redial,
+        } => What::Taken(schema::Taken {
             tried,
             service: service as u32,
             member: member.map_or(0, |member| member as u32 + 1),
@@ -39,34 +45,40 @@
             called,
             redial,
         }),
-        Step::Invited { server, nth, why } => {
+        SessionStep::Invited { server, attempt: nth, reason: why } => {
             let (choice, payment) = sent(why);
             let (choice, payment) = (choice.into(), payment.into());
             What::Invite(schema::Invite { tried, server, nth, choice, payment })
         }
-        Step::InviteEnded { server, ending, took } => {
+        SessionStep::InviteEnded { server, outcome: ending, duration: took } => {
             let (ending, took_us) = (ended(ending).into(), took.micros());
             What::Ended(schema::Ended { tried, server, ending, took_us })
         }
-        Step::Stands { server, took, since_taken } => What::Stands(schema::Stands {
-            tried,
-            server,
-            took_us: took.micros(),
-            since_taken_us: since_taken.micros(),
-        }),
-        Step::GivenUp { denial, refused, come_back_ms } => What::GivenUp(schema::GivenUp {
-            tried,
-            denial: denied(denial).into(),
-            refused,
-            come_back_ms: come_back_ms.unwrap_or(0) as u32,
-        }),
-        Step::HungUp { out } => {
+        SessionStep::Established { server, set_up_time: took, since_request: since_taken } => {
+            What::Stands(schema::Stands {
+                tried,
+                server,
+                took_us: took.micros(),
+                since_taken_us: since_taken.micros(),
+            })
+        }
+        SessionStep::Rejected { cause: denial, refused, retry_after_ms: come_back_ms } => {
+            What::GivenUp(schema::GivenUp {
+                tried,
+                denial: denied(denial).into(),
+                refused,
+                come_back_ms: come_back_ms.unwrap_or(0) as u32,
+            })
+        }
+        SessionStep::CallerGone { invite: out } => {
             let (server, waited) = out.unwrap_or_default();
             What::HungUp(schema::HungUp { tried, server, waited_us: waited.micros() })
         }
-        Step::Cut { server } => What::Cut(schema::Cut { tried, server }),
-        Step::Released { server, confirmed } => What::Released(schema::Released { tried, server, confirmed }),
-        Step::TakenDown { .. } => return None,
+        SessionStep::CutByServer { server } => What::Cut(schema::Cut { tried, server }),
+        SessionStep::Released { server, confirmed } => {
+            What::Released(schema::Released { tried, server, confirmed })
+        }
+        SessionStep::UnclaimedCallReleased { .. } => return None,
     })
 }
 
--- a/crates/ochrelead-front/src/note.rs
+++ b/crates/ochrelead-front/src/events.rs
@@ -7,60 +7,60 @@
 
 /// One line for the log.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Note {
+pub enum EngineEvent {
     /// Of one session, known by the id of its caller's try.
-    Session { tried: String, what: Step },
+    Session { attempt: String, step: SessionStep },
     /// A server said something of itself.
-    Server { name: String, what: &'static str },
+    ServerRestart { name: String, state: &'static str },
     /// A server told all fronts of its lines.
     Lines { name: String, lines: LineCapacity },
     /// The list has changed: this is what a front that starts anew should know.
-    List(Vec<(Post, Said)>),
+    EndpointsChanged(Vec<(Post, Said)>),
     /// A message that was passed over, and why.
-    PassedOver { from: String, why: String },
+    MessageIgnored { from: String, reason: String },
     /// This front was called so much later than it had asked for.
-    Paused(Span),
+    Stalled(Span),
 }
 
 /// A step of a session.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Step {
-    Taken {
+pub enum SessionStep {
+    Accepted {
         /// As in the settings, by their places.
         service: usize,
-        member: Option<usize>,
+        tenant: Option<usize>,
         destination: i64,
-        called: String,
-        redial: bool,
+        called_number: String,
+        is_redial: bool,
     },
     Invited {
         server: String,
-        nth: u32,
+        attempt: u32,
         /// Where the judge tells.
-        why: Option<DecisionReason>,
+        reason: Option<DecisionReason>,
     },
     InviteEnded {
         server: String,
-        ending: InviteOutcome,
-        took: Span,
+        outcome: InviteOutcome,
+        duration: Span,
     },
-    Stands {
+    Established {
         server: String,
         /// From the INVITE, and from the caller's try.
-        took: Span,
-        since_taken: Span,
+        set_up_time: Span,
+        since_request: Span,
     },
-    GivenUp {
+    Rejected {
         /// None where the front itself gave it up, or the judge does not tell.
-        denial: Option<RejectionCause>,
+        cause: Option<RejectionCause>,
         refused: bool,
-        come_back_ms: Option<u64>,
+        retry_after_ms: Option<u64>,
     },
-    HungUp {
+    CallerGone {
         /// The INVITE that was out, and since when.
-        out: Option<(String, Span)>,
+        invite: Option<(String, Span)>,
     },
-    Cut {
+    CutByServer {
         server: String,
     },
     Released {
@@ -69,7 +69,7 @@
         confirmed: bool,
     },
     /// A call that nobody claims is taken down.
-    TakenDown {
+    UnclaimedCallReleased {
         server: String,
     },
 }
--- a/crates/ochrelead-front/src/host.rs
+++ b/crates/ochrelead-front/src/host.rs
@@ -22,9 +22,9 @@
 use tracing::{info, warn};
 
 use crate::engine::Engine;
-use crate::keeping::{self, Writing};
-use crate::note::{Note, Step};
-use crate::recording;
+use crate::event_recording;
+use crate::events::{EngineEvent, SessionStep};
+use crate::state_writer::{self, StateWrite};
 
 /// So many datagrams are taken before the next turn.
 const MOST_AT_ONCE: usize = 512;
@@ -37,12 +37,12 @@
 
 /// Where a front has its fleet from, and where it keeps what it must not forget.
 #[derive(Clone, Debug, Default)]
-pub struct Places {
+pub struct FrontPaths {
     /// A fleet file or a folder of them; without, the settings' servers are the list.
     pub fleet: Option<PathBuf>,
     pub state: Option<PathBuf>,
     /// The folder of the event log.
-    pub records: Option<PathBuf>,
+    pub event_log: Option<PathBuf>,
 }
 
 enum Event {
@@ -54,7 +54,7 @@
 
 /// What goes to disk, and when.
 struct Books {
-    out: Option<(Sender<Writing>, JoinHandle<()>)>,
+    out: Option<(Sender<StateWrite>, JoinHandle<()>)>,
     records: Option<Recorder>,
     clock: Clock,
     next_status: Moment,
@@ -73,7 +73,7 @@
     engine: impl FnOnce(Commission) -> Engine,
     socket: Async<UdpSocket>,
     clock: Clock,
-    places: Places,
+    places: FrontPaths,
 ) -> io::Result<()> {
     let kept = recall(&places)?;
     let (services, name) = (commission.service_names.clone(), commission.name.clone());
@@ -84,7 +84,7 @@
             let fleet = kept.as_ref().and_then(Kept::fleet);
             if let Some(fleet) = &fleet {
                 info!(generation = fleet.generation(), "the fleet that was kept is in force");
-                engine.relist(clock.now(), &fleet.servers);
+                engine.update_endpoints(clock.now(), &fleet.servers);
             }
             keeper = Some(Keeper::new(services, fleet));
             (watch::start(path.clone())?, true)
@@ -92,10 +92,10 @@
         None => (async_channel::unbounded().1, false),
     };
     if let Some(kept) = &kept {
-        engine.remember(clock.now(), &kept.servers);
+        engine.restore_self_reports(clock.now(), &kept.servers);
     }
-    let out = places.state.as_deref().map(keeping::start).transpose()?;
-    let records = places.records.as_deref().map(|folder| {
+    let out = places.state.as_deref().map(state_writer::start).transpose()?;
+    let records = places.event_log.as_deref().map(|folder| {
         let complain = |error| warn!(%error, "the records can't be written");
         Recorder::start(folder, &name, clock.now().micros(), Bounds::default(), complain)
     });
@@ -117,20 +117,20 @@
     let events = stream::or(leave, stream::or(fleets, readable));
     futures_lite::pin!(events);
     let mut datagram = vec![0; 65_536];
-    while !engine.is_closed() {
+    while !engine.is_drained() {
         take_all(&mut engine, &socket, &clock, &mut datagram);
-        engine.turn(clock.now());
-        while let Some((to, bytes)) = engine.next_datagram() {
+        engine.process(clock.now());
+        while let Some((to, bytes)) = engine.poll_datagram() {
             if let Err(error) = send(&socket, &bytes, to).await {
                 warn!(%to, %error, "a datagram could not leave");
-                engine.undeliverable(clock.now(), to);
+                engine.on_send_failed(clock.now(), to);
             }
         }
-        while let Some(note) = engine.next_note() {
+        while let Some(note) = engine.poll_event() {
             books.write_down(note, keeper.as_ref());
         }
         books.status(clock.now(), &engine, keeper.as_ref());
-        let alarms = [engine.wake(), keeper.as_ref().and_then(Keeper::wake), books.wake()];
+        let alarms = [engine.poll_timeout(), keeper.as_ref().and_then(Keeper::wake), books.wake()];
         let alarm = clock.timer(alarms.into_iter().flatten().min());
         let tick = async {
             alarm.await;
@@ -141,7 +141,7 @@
             (Some(Event::Leave), _) => {
                 info!("leaving service");
                 books.record(What::Life("drain".to_owned()));
-                engine.leave(clock.now());
+                engine.drain(clock.now());
                 None
             }
             (Some(Event::Fleet(pages)), Some(keeper)) => keeper.read(clock.now(), pages),
@@ -150,7 +150,7 @@
         };
         match outcome {
             Some(Outcome::Adopt { servers, generation, changes }) => {
-                engine.relist(clock.now(), &servers);
+                engine.update_endpoints(clock.now(), &servers);
                 let changes: Vec<String> =
                     changes.iter().map(|(name, change)| format!("{name} {}", change.name())).collect();
                 info!(generation, changes = changes.join(", "), "fleet adopted");
@@ -180,7 +180,7 @@
     })
 }
 
-fn recall(places: &Places) -> io::Result<Option<Kept>> {
+fn recall(places: &FrontPaths) -> io::Result<Option<Kept>> {
     let Some(path) = &places.state else { return Ok(None) };
     let (kept, passed_over) = store::load(&Folder::open(path)?)?;
     for why in passed_over {
@@ -192,7 +192,7 @@
 fn take_all(engine: &mut Engine, socket: &Async<UdpSocket>, clock: &Clock, buffer: &mut [u8]) {
     for _ in 0..MOST_AT_ONCE {
         match socket.get_ref().recv_from(buffer) {
-            Ok((length, from)) => engine.take(clock.now(), from, &buffer[..length]),
+            Ok((length, from)) => engine.handle_datagram(clock.now(), from, &buffer[..length]),
             Err(error) if error.kind() == ErrorKind::WouldBlock => return,
             // Some systems tell here that an earlier datagram met a closed port; repeats deal with that.
             Err(_) => {}
@@ -208,7 +208,7 @@
 }
 
 impl Books {
-    fn write(&self, writing: Writing) {
+    fn write(&self, writing: StateWrite) {
         if let Some((out, _)) = &self.out {
             // The thread lives as long as its sender.
             let _ = out.send(writing);
@@ -233,8 +233,8 @@
         self.paused = false;
         self.next_status = now + STATUS_GAP;
         if self.records.is_some() {
-            for (server, held, unheard) in engine.outlooks() {
-                self.record(recording::outlook(server, held, unheard));
+            for (server, held, unheard) in engine.server_snapshots() {
+                self.record(event_recording::outlook(server, held, unheard));
             }
         }
         if let Some(records) = &mut self.records {
@@ -260,7 +260,7 @@
         let counters = keeper.map_or(String::new(), |keeper| {
             keeper.tallies().text(keeper.in_force().generation(), keeper.age(now))
         });
-        self.write(Writing::Status { status, counters });
+        self.write(StateWrite::Status { status, counters });
     }
 
     fn wake(&self) -> Option<Moment> {
@@ -273,39 +273,45 @@
         }
     }
 
-    fn write_down(&mut self, note: Note, keeper: Option<&Keeper>) {
+    fn write_down(&mut self, note: EngineEvent, keeper: Option<&Keeper>) {
         if self.records.is_some() {
             let generation = keeper.map_or(0, |keeper| keeper.in_force().generation());
-            if let Some(what) = recording::record(&note, generation) {
+            if let Some(what) = event_recording::record(&note, generation) {
                 self.record(what);
             }
         }
         match note {
-            Note::Session { tried, what } => match what {
-                Step::Taken { called, .. } => info!(tried, called, "taken"),
-                Step::Invited { server, nth, why } => info!(tried, server, nth, ?why, "INVITE"),
-                Step::InviteEnded { server, ending, .. } => info!(tried, server, ?ending, "INVITE ended"),
-                Step::Stands { server, .. } => info!(tried, server, "stands"),
-                Step::GivenUp { denial, refused, come_back_ms } => {
+            EngineEvent::Session { attempt: tried, step: what } => match what {
+                SessionStep::Accepted { called_number: called, .. } => info!(tried, called, "taken"),
+                SessionStep::Invited { server, attempt: nth, reason: why } => {
+                    info!(tried, server, nth, ?why, "INVITE")
+                }
+                SessionStep::InviteEnded { server, outcome: ending, .. } => {
+                    info!(tried, server, ?ending, "INVITE ended")
+                }
+                SessionStep::Established { server, .. } => info!(tried, server, "stands"),
+                SessionStep::Rejected { cause: denial, refused, retry_after_ms: come_back_ms } => {
                     info!(tried, ?denial, refused, come_back_ms, "given up");
                 }
-                Step::HungUp { .. } => info!(tried, "caller hung up"),
-                Step::Cut { server } => info!(tried, server, "cut"),
-                Step::Released { server, confirmed } => info!(tried, server, confirmed, "released"),
-                Step::TakenDown { server } => info!(tried, server, "taken down: nobody claims it"),
+                SessionStep::CallerGone { .. } => info!(tried, "caller hung up"),
+                SessionStep::CutByServer { server } => info!(tried, server, "cut"),
+                SessionStep::Released { server, confirmed } => info!(tried, server, confirmed, "released"),
+                SessionStep::UnclaimedCallReleased { server } => {
+                    info!(tried, server, "taken down: nobody claims it")
+                }
             },
-            Note::Server { name, what } => info!(server = name, what, "server"),
-            Note::Lines { .. } => {}
-            Note::Paused(span) => {
+            EngineEvent::ServerRestart { name, state: what } => info!(server = name, what, "server"),
+            EngineEvent::Lines { .. } => {}
+            EngineEvent::Stalled(span) => {
                 self.paused = true;
                 warn!(ms = span.micros() / 1_000, "this front stood still");
             }
-            Note::PassedOver { from, why } => warn!(from, why, "passed over"),
-            Note::List(servers) if servers.is_empty() => {}
-            Note::List(servers) => {
+            EngineEvent::MessageIgnored { from, reason: why } => warn!(from, why, "passed over"),
+            EngineEvent::EndpointsChanged(servers) if servers.is_empty() => {}
+            EngineEvent::EndpointsChanged(servers) => {
                 let files = keeper.map(|keeper| &keeper.in_force().files).into_iter().flatten();
                 let files = files.map(|(name, (generation, _))| (name.clone(), *generation)).collect();
-                self.write(Writing::Kept(Kept { files, servers }));
+                self.write(StateWrite::Kept(Kept { files, servers }));
             }
         }
     }
--- a/crates/ochrelead-front/src/lib.rs
+++ b/crates/ochrelead-front/src/lib.rs
@@ -10,10 +10,10 @@
 //! - [`host`]: sockets, clock, signals; [`keeping`]: what is written to disk. They decide nothing.
 
 pub mod drain;
-pub mod endings;
 pub mod engine;
+pub mod event_recording;
+pub mod events;
 pub mod host;
-pub mod keeping;
-pub mod note;
-pub mod recording;
+pub mod outcomes;
 pub mod releases;
+pub mod state_writer;
--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -14,7 +14,7 @@
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_front::engine::Engine;
-use ochrelead_front::host::{self, Places};
+use ochrelead_front::host::{self, FrontPaths};
 use ochrelead_host::STATUS;
 use ochrelead_host::clock::Clock;
 use ochrelead_lease::electorate::{Electorate, USUAL};
@@ -284,7 +284,7 @@
     commission.provision.seed = line.seed.unwrap_or(clock.now().micros());
     let socket =
         UdpSocket::bind(commission.listen).with_context(|| format!("listen on {}", commission.listen))?;
-    let places = Places { fleet: line.fleet, state: line.state, records: line.records };
+    let places = FrontPaths { fleet: line.fleet, state: line.state, event_log: line.records };
     let engine = |commission: Commission| {
         let judge = Controller::new(&commission.provision, clock.now());
         Engine::new(commission, Box::new(judge), first, clock.now())
--- a/crates/ochrelead-front/src/endings.rs
+++ b/crates/ochrelead-front/src/outcomes.rs
@@ -5,7 +5,7 @@
 use ochrelead_mgcp::message::{Parameters, Response, code, name};
 
 /// How a set-up ended by this response; none where it stands.
-pub fn of_set_up(response: &Response) -> Option<InviteOutcome> {
+pub fn from_response(response: &Response) -> Option<InviteOutcome> {
     match response.code {
         200..=299 => None,
         code::OVERLOAD => {
@@ -28,14 +28,14 @@
 }
 
 /// A server's lines, `free/all`, where it tells them. More free than there are is no news.
-pub fn lines(parameters: &Parameters) -> Option<LineCapacity> {
+pub fn parse_lines(parameters: &Parameters) -> Option<LineCapacity> {
     let (free, all) = parameters.get(name::LINES)?.split_once('/')?;
     let lines = LineCapacity { free: free.trim().parse().ok()?, total: all.trim().parse().ok()? };
     (lines.free <= lines.total).then_some(lines)
 }
 
 /// What a server says of its processor; a figure out of its range says nothing.
-pub fn report(parameters: &Parameters) -> LoadReport {
+pub fn parse_load_report(parameters: &Parameters) -> LoadReport {
     let figure =
         |name: &str| parameters.read::<f64>(name).filter(|figure| figure.is_finite() && *figure >= 0.0);
     LoadReport {
--- a/crates/ochrelead-front/src/releases.rs
+++ b/crates/ochrelead-front/src/releases.rs
@@ -1,4 +1,4 @@
-//! Releases that servers owe an answer to. What is not released stands at a server for ever: a release that nobody
+//! PendingReleases that servers owe an answer to. What is not released stands at a server for ever: a release that nobody
 //! answers is asked for again, and an INVITE that was called off and never answered may still be on its way, so it
 //! is called off once more. State only; the engine asks, and says what came of it.
 
@@ -40,7 +40,7 @@
 
 /// All of them.
 #[derive(Debug)]
-pub struct Releases {
+pub struct PendingReleases {
     first_gap: Span,
     longest_gap: Span,
     asked: HashMap<TransactionId, Release>,
@@ -50,9 +50,9 @@
     count: u64,
 }
 
-impl Releases {
-    pub fn new(pace: &Pace) -> Releases {
-        Releases {
+impl PendingReleases {
+    pub fn new(pace: &Pace) -> PendingReleases {
+        PendingReleases {
             first_gap: pace.first_gap,
             longest_gap: pace.longest_gap,
             asked: HashMap::new(),
@@ -63,7 +63,7 @@
     }
 
     /// A release was asked for.
-    pub fn asked(&mut self, transaction: TransactionId, release: Release) {
+    pub fn on_sent(&mut self, transaction: TransactionId, release: Release) {
         if self.asked.len() + self.later.len() < MOST {
             self.unheard.extend(release.invite);
             self.asked.insert(transaction, release);
@@ -71,7 +71,7 @@
     }
 
     /// The server has confirmed it.
-    pub fn answered(&mut self, now: Moment, transaction: TransactionId) {
+    pub fn on_confirmed(&mut self, now: Moment, transaction: TransactionId) {
         let Some(release) = self.asked.remove(&transaction) else { return };
         if let Some(invite) = release.invite
             && self.unheard.remove(&invite)
@@ -82,7 +82,7 @@
     }
 
     /// The server has not.
-    pub fn unanswered(&mut self, now: Moment, transaction: TransactionId) {
+    pub fn on_unanswered(&mut self, now: Moment, transaction: TransactionId) {
         let Some(release) = self.asked.remove(&transaction) else { return };
         if let Some(invite) = release.invite {
             self.unheard.remove(&invite);
@@ -94,7 +94,7 @@
     }
 
     /// An INVITE that was called off was answered after all.
-    pub fn heard(&mut self, invite: TransactionId) {
+    pub fn on_invite_answered(&mut self, invite: TransactionId) {
         self.unheard.remove(&invite);
     }
 
@@ -104,22 +104,22 @@
     }
 
     /// The next that is to be asked for again.
-    pub fn due(&mut self, now: Moment) -> Option<Release> {
+    pub fn next_due(&mut self, now: Moment) -> Option<Release> {
         let entry = self.later.first_entry().filter(|entry| entry.key().0 <= now)?;
         Some(entry.remove())
     }
 
-    pub fn wake(&self) -> Option<Moment> {
+    pub fn poll_timeout(&self) -> Option<Moment> {
         self.later.first_key_value().map(|((at, _), _)| *at)
     }
 
-    /// Releases that will be asked for again.
-    pub fn put_off(&self) -> usize {
+    /// PendingReleases that will be asked for again.
+    pub fn scheduled(&self) -> usize {
         self.later.len()
     }
 
-    /// Releases that are not confirmed.
-    pub fn owed(&self) -> usize {
+    /// PendingReleases that are not confirmed.
+    pub fn unconfirmed(&self) -> usize {
         self.asked.len() + self.later.len()
     }
 }
--- a/crates/ochrelead-front/src/keeping.rs
+++ b/crates/ochrelead-front/src/state_writer.rs
@@ -10,7 +10,7 @@
 use tracing::warn;
 
 /// What is to be written.
-pub enum Writing {
+pub enum StateWrite {
     Kept(Kept),
     Status { status: String, counters: String },
 }
@@ -20,7 +20,7 @@
 /// # Errors
 ///
 /// Where the folder can't be made or the thread can't be started.
-pub fn start(path: &Path) -> io::Result<(Sender<Writing>, thread::JoinHandle<()>)> {
+pub fn start(path: &Path) -> io::Result<(Sender<StateWrite>, thread::JoinHandle<()>)> {
     let mut folder = Folder::open(path)?;
     let (out, writings) = mpsc::channel();
     let thread = thread::Builder::new().name("keeping".to_owned()).spawn(move || {
@@ -28,8 +28,8 @@
             let (mut kept, mut told) = (None, None);
             for writing in std::iter::once(first).chain(std::iter::from_fn(|| writings.try_recv().ok())) {
                 match writing {
-                    Writing::Kept(own) => kept = Some(own),
-                    Writing::Status { status, counters } => told = Some((status, counters)),
+                    StateWrite::Kept(own) => kept = Some(own),
+                    StateWrite::Status { status, counters } => told = Some((status, counters)),
                 }
             }
             let saved = kept.map_or(Ok(()), |kept| store::save(&mut folder, &kept));
--- a/crates/ochrelead-front/tests/front.rs
+++ b/crates/ochrelead-front/tests/front.rs
@@ -3,7 +3,7 @@
 mod helper;
 
 use helper::{Front, Sent, answers, at, count, gateway, invite, server};
-use ochrelead_front::note::Note;
+use ochrelead_front::events::EngineEvent;
 use ochrelead_mgcp::message::{Response, Verb};
 use test_case::test_case;
 
@@ -254,7 +254,7 @@
     let mut front = Front::start(100);
     front.notes();
     front.take(0, gateway(), bytes);
-    assert!(matches!(front.notes()[..], [Note::PassedOver { .. }]));
+    assert!(matches!(front.notes()[..], [EngineEvent::MessageIgnored { .. }]));
     front.invited(1, "a1");
 }
 
@@ -270,11 +270,11 @@
 fn a_drain_refuses_what_is_new_and_answers_what_it_holds() {
     let mut front = Front::start(100);
     let (transaction, to) = front.invited(0, "a1");
-    front.engine.leave(at(10));
+    front.engine.drain(at(10));
     front.dial(20, "a2", "1004711");
     let sent = front.sent(20);
     assert_eq!((answers(&sent), invite(&sent)), (vec!["busy"], None));
-    assert!(!front.engine.is_closed());
+    assert!(!front.engine.is_drained());
     front.stands(30, to, transaction, 5);
     let sent = front.sent(30);
     assert_eq!(answers(&sent), ["stands"]);
@@ -282,29 +282,29 @@
         front.respond(40, gateway(), Response::new(200, transaction));
     }
     front.sent(40);
-    assert!(front.engine.is_closed());
+    assert!(front.engine.is_drained());
 }
 
 #[test]
 fn a_drain_has_a_bound() {
     let mut front = Front::start(100);
     front.invited(0, "a1");
-    front.engine.leave(at(0));
+    front.engine.drain(at(0));
     let sent = front.run(0, 3_000);
     assert_eq!(answers(&sent), ["failed"]);
     front.run(3_001, 6_001);
-    assert!(front.engine.is_closed(), "though no peer has responded");
+    assert!(front.engine.is_drained(), "though no peer has responded");
 }
 
 #[test]
 fn a_second_request_to_leave_changes_nothing() {
     let mut front = Front::start(100);
     front.invited(0, "a1");
-    front.engine.leave(at(0));
+    front.engine.drain(at(0));
     front.run(0, 2_900);
-    front.engine.leave(at(2_900));
+    front.engine.drain(at(2_900));
     assert_eq!(answers(&front.run(2_900, 3_000)), ["failed"], "the bound holds from the first");
-    assert!(!front.engine.is_closed(), "its release is still owed");
+    assert!(!front.engine.is_drained(), "its release is still owed");
 }
 
 #[test]
@@ -336,13 +336,13 @@
     let lists: Vec<_> = front
         .notes()
         .into_iter()
-        .filter_map(|note| if let Note::List(posts) = note { Some(posts) } else { None })
+        .filter_map(|note| if let EngineEvent::EndpointsChanged(posts) = note { Some(posts) } else { None })
         .collect();
     assert_eq!(lists[0][1].0.started, Some(at(10)));
     front.ask(20, gateway(), "RSIP *@s1", "RM: forced");
     front.sent(20);
     assert!(
-        !front.notes().iter().any(|note| matches!(note, Note::List(_))),
+        !front.notes().iter().any(|note| matches!(note, EngineEvent::EndpointsChanged(_))),
         "only the server itself is believed"
     );
 }
@@ -355,7 +355,7 @@
     front.sent(20);
     let mut posts = ochrelead_config::commission::read("test", helper::SETTINGS).unwrap().roster;
     (posts[0].address, posts[1].address) = (posts[1].address, posts[0].address);
-    front.engine.relist(at(100), &posts);
+    front.engine.update_endpoints(at(100), &posts);
     front.hang_up(200, "a1");
     let sent = front.sent(200);
     let Sent::Command(Verb::DeleteConnection, to, release) = &sent[1] else { panic!("{sent:?}") };
@@ -368,7 +368,7 @@
 #[test]
 fn an_empty_list_refuses_every_session_at_once() {
     let mut front = Front::start(100);
-    front.engine.relist(at(0), &[]);
+    front.engine.update_endpoints(at(0), &[]);
     front.dial(10, "a1", "1004711");
     let sent = front.sent(10);
     assert_eq!((answers(&sent), invite(&sent)), (vec!["busy"], None));
@@ -392,7 +392,7 @@
     let mut asked = releases.clone();
     asked.dedup();
     assert_eq!(asked.len(), 3, "three transactions: {releases:?}");
-    assert_eq!(front.engine.owed_releases(), 0);
+    assert_eq!(front.engine.unconfirmed_releases(), 0);
 }
 
 #[test_case(true, 2; "called off once more")]
@@ -480,11 +480,11 @@
     let mut front = Front::start(100);
     let mut posts = ochrelead_config::commission::read("test", helper::SETTINGS).unwrap().roster;
     posts[0].address = server(7);
-    front.engine.relist(at(0), &posts);
+    front.engine.update_endpoints(at(0), &posts);
     front.dial(100, "a1", "1004711");
     let (transaction, to) = invite(&front.sent(100)).expect("set up at the new address");
     assert_eq!(to, server(7));
-    front.engine.undeliverable(at(110), server(0));
+    front.engine.on_send_failed(at(110), server(0));
     assert_eq!(answers(&front.sent(110)).len(), 0);
     front.stands(120, to, transaction, 5);
     assert_eq!(answers(&front.sent(120)), ["stands"]);
--- a/crates/ochrelead-front/tests/helper/mod.rs
+++ b/crates/ochrelead-front/tests/helper/mod.rs
@@ -6,7 +6,7 @@
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_front::engine::Engine;
-use ochrelead_front::note::Note;
+use ochrelead_front::events::EngineEvent;
 use ochrelead_mgcp::message::{Command, Message, Response, Verb, code};
 use ochrelead_mgcp::{parse, write};
 
@@ -60,7 +60,7 @@
     }
 
     pub fn take(&mut self, ms: u64, from: SocketAddr, bytes: &[u8]) {
-        self.engine.take(at(ms), from, bytes);
+        self.engine.handle_datagram(at(ms), from, bytes);
     }
 
     /// Runs the front up to a moment and returns what it has sent, repeats left out.
@@ -74,7 +74,7 @@
     pub fn run(&mut self, from: u64, to: u64) -> Vec<Sent> {
         let mut sent = Vec::new();
         for ms in from..=to {
-            if ms == from || ms == to || self.engine.wake().is_some_and(|wake| wake <= at(ms)) {
+            if ms == from || ms == to || self.engine.poll_timeout().is_some_and(|wake| wake <= at(ms)) {
                 self.turn(ms, &mut sent);
             }
         }
@@ -82,8 +82,8 @@
     }
 
     fn turn(&mut self, ms: u64, sent: &mut Vec<Sent>) {
-        self.engine.turn(at(ms));
-        while let Some((to, bytes)) = self.engine.next_datagram() {
+        self.engine.process(at(ms));
+        while let Some((to, bytes)) = self.engine.poll_datagram() {
             self.invites += u32::from(bytes.starts_with(b"CRCX "));
             match parse::datagram(&bytes).unwrap().remove(0).unwrap() {
                 Message::Command(command) if self.seen.contains(&command.transaction) => {}
@@ -96,8 +96,8 @@
         }
     }
 
-    pub fn notes(&mut self) -> Vec<Note> {
-        std::iter::from_fn(|| self.engine.next_note()).collect()
+    pub fn notes(&mut self) -> Vec<EngineEvent> {
+        std::iter::from_fn(|| self.engine.poll_event()).collect()
     }
 
     /// A command of a peer, with a transaction id of its own.
--- a/crates/ochrelead-front/tests/parts.rs
+++ b/crates/ochrelead-front/tests/parts.rs
@@ -2,8 +2,8 @@
 
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_core::types::InviteOutcome;
-use ochrelead_front::drain::Service;
-use ochrelead_front::endings;
+use ochrelead_front::drain::DrainState;
+use ochrelead_front::outcomes;
 use ochrelead_host::called_numbers::CalledNumberTable;
 use ochrelead_mgcp::message::Response;
 use test_case::test_case;
@@ -21,7 +21,7 @@
 #[test_case(Response::new(520, 1), Some(InviteOutcome::Reset); "restarting")]
 #[test_case(Response::new(999, 1), Some(InviteOutcome::Failed { lines_busy: false }); "unknown")]
 fn ending(response: Response, expected: Option<InviteOutcome>) {
-    assert_eq!(endings::of_set_up(&response), expected);
+    assert_eq!(outcomes::from_response(&response), expected);
 }
 
 #[test_case("3/40", Some((3, 40)); "sound")]
@@ -30,14 +30,14 @@
 #[test_case("40", None; "one figure")]
 fn lines(text: &str, expected: Option<(u32, u32)>) {
     let response = Response::new(200, 1).with("X-Lines", text);
-    assert_eq!(endings::lines(&response.parameters).map(|lines| (lines.free, lines.total)), expected);
+    assert_eq!(outcomes::parse_lines(&response.parameters).map(|lines| (lines.free, lines.total)), expected);
 }
 
 #[test_case("nan", "0.2", (None, Some(0.2)); "not a number")]
 #[test_case("12.5", "1.2", (Some(12.5), None); "a share above one")]
 fn report(can_take: &str, hold_back: &str, expected: (Option<f64>, Option<f64>)) {
     let response = Response::new(200, 1).with("X-Can-Take", can_take).with("X-Hold-Back", hold_back);
-    let report = endings::report(&response.parameters);
+    let report = outcomes::parse_load_report(&response.parameters);
     assert_eq!((report.accepted_rate, report.hold_back_share), expected);
 }
 
@@ -56,9 +56,9 @@
 fn closes(owed: usize, ms: u64, closed: bool) {
     let at = |ms: u64| Moment::from_micros(ms * 1_000);
     let bound = Span::from_millis(3_000);
-    let mut service = Service::Open;
-    service.leave(at(0), bound);
-    service.leave(at(2_000), bound);
-    service.settle(at(ms), owed, bound);
-    assert_eq!(service == Service::Closed, closed);
+    let mut service = DrainState::InService;
+    service.start(at(0), bound);
+    service.start(at(2_000), bound);
+    service.update(at(ms), owed, bound);
+    assert_eq!(service == DrainState::Closed, closed);
 }
--- a/crates/ochrelead-scenario/src/main.rs
+++ b/crates/ochrelead-scenario/src/main.rs
@@ -11,7 +11,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use ochrelead_config::day::{self, Day};
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_front::host::Places;
+use ochrelead_front::host::FrontPaths;
 use ochrelead_scenario::audit::{self, RULES, Service, Verdict};
 use ochrelead_scenario::found::{self, Found, Tally};
 use ochrelead_scenario::load::{self, Between};
@@ -172,7 +172,7 @@
         Part::Front { settings, fleet, state, records, deciding, seed } => {
             let known = Deciding::ALL.iter().find(|(name, _)| *name == deciding);
             let (_, deciding) = known.with_context(|| format!("--deciding {deciding}: no such policy"))?;
-            part::front(&settings, Places { fleet, state, records }, *deciding, seed)
+            part::front(&settings, FrontPaths { fleet, state, event_log: records }, *deciding, seed)
         }
         Part::Server { stand_in, nth, fresh } => {
             let day = read(&stand_in.day)?;
--- a/crates/ochrelead-scenario/src/part.rs
+++ b/crates/ochrelead-scenario/src/part.rs
@@ -17,7 +17,7 @@
 use ochrelead_emulator::callers::Callers;
 use ochrelead_emulator::server::Server;
 use ochrelead_front::engine::Engine;
-use ochrelead_front::host::{self, Places};
+use ochrelead_front::host::{self, FrontPaths};
 use ochrelead_host::clock::Clock;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -32,7 +32,7 @@
 }
 
 /// Runs a front as its program does, but for who decides.
-pub fn front(settings: &Path, places: Places, deciding: Deciding, seed: u64) -> anyhow::Result<()> {
+pub fn front(settings: &Path, places: FrontPaths, deciding: Deciding, seed: u64) -> anyhow::Result<()> {
     let clock = Clock::start();
     let mut commission = commission::open(settings).map_err(complained)?;
     let level = tracing_subscriber::filter::LevelFilter::ERROR;
--- a/crates/ochrelead-sim/src/books.rs
+++ b/crates/ochrelead-sim/src/books.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_front::note::Step;
+use ochrelead_front::events::SessionStep;
 
 /// Something that must never be.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,7 +49,13 @@
 
 impl Books {
     /// A note of a session. What it may not be is said.
-    pub fn note(&mut self, now: Moment, tried: &str, step: &Step, most_invites: u32) -> Result<(), String> {
+    pub fn note(
+        &mut self,
+        now: Moment,
+        tried: &str,
+        step: &SessionStep,
+        most_invites: u32,
+    ) -> Result<(), String> {
         let noted = self.step(tried, step, most_invites);
         match self.held.get(tried) {
             Some((Place::Waiting, _)) => drop(self.waiting.entry(tried.to_owned()).or_insert(now)),
@@ -63,16 +69,16 @@
         self.waiting.iter().find(|(_, since)| now.since(**since) > most).map(|(tried, _)| tried.as_str())
     }
 
-    fn step(&mut self, tried: &str, step: &Step, most_invites: u32) -> Result<(), String> {
+    fn step(&mut self, tried: &str, step: &SessionStep, most_invites: u32) -> Result<(), String> {
         let place = self.held.get(tried).map(|(place, _)| *place);
         let fault = |what: &str| Err(format!("{what} while {place:?}"));
         match step {
-            Step::Taken { .. } if place.is_some() => return fault("taken"),
-            Step::Taken { .. } => {
+            SessionStep::Accepted { .. } if place.is_some() => return fault("taken"),
+            SessionStep::Accepted { .. } => {
                 self.taken += 1;
                 self.held.insert(tried.to_owned(), (Place::Waiting, 0));
             }
-            Step::Invited { nth, .. } => {
+            SessionStep::Invited { attempt: nth, .. } => {
                 let Some((place, invites)) = self.held.get_mut(tried) else { return fault("INVITE") };
                 *invites += 1;
                 if *place != Place::Waiting || *invites != *nth {
@@ -85,37 +91,37 @@
                 self.resends += u64::from(*invites > 1);
                 *place = Place::Inviting;
             }
-            Step::InviteEnded { .. } => match self.held.get_mut(tried) {
+            SessionStep::InviteEnded { .. } => match self.held.get_mut(tried) {
                 Some((place @ Place::Inviting, _)) => *place = Place::Waiting,
                 _ => return fault("an INVITE ended"),
             },
-            Step::Stands { .. } => match self.held.get_mut(tried) {
+            SessionStep::Established { .. } => match self.held.get_mut(tried) {
                 Some((place @ Place::Inviting, _)) => {
                     *place = Place::Standing;
                     self.answered += 1;
                 }
                 _ => return fault("stands"),
             },
-            Step::GivenUp { .. } => {
+            SessionStep::Rejected { .. } => {
                 if !matches!(place, Some(Place::Waiting | Place::Inviting)) {
                     return fault("given up");
                 }
                 self.answered += 1;
                 self.held.remove(tried);
             }
-            Step::HungUp { .. } => {
+            SessionStep::CallerGone { .. } => {
                 if !matches!(place, Some(Place::Waiting | Place::Inviting)) {
                     return fault("hung up");
                 }
                 self.held.remove(tried);
             }
-            Step::Cut { .. } | Step::Released { .. } => {
+            SessionStep::CutByServer { .. } | SessionStep::Released { .. } => {
                 if place != Some(Place::Standing) {
                     return fault("ended");
                 }
                 self.held.remove(tried);
             }
-            Step::TakenDown { .. } => {}
+            SessionStep::UnclaimedCallReleased { .. } => {}
         }
         Ok(())
     }
--- a/crates/ochrelead-sim/src/front.rs
+++ b/crates/ochrelead-sim/src/front.rs
@@ -9,8 +9,8 @@
 use ochrelead_event_log::reader::{Life, Log, Record};
 use ochrelead_event_log::schema::{Event, event::What};
 use ochrelead_front::engine::Engine;
-use ochrelead_front::note::Note;
-use ochrelead_front::recording;
+use ochrelead_front::event_recording;
+use ochrelead_front::events::EngineEvent;
 use ochrelead_host::call_policy::CallPolicy;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -101,7 +101,7 @@
         let mut engine = Engine::new(self.commission.clone(), judge, chance.random(), shows);
         let kept = store::load(&self.disk).ok().and_then(|(kept, _)| kept);
         if let Some(kept) = recall(kept) {
-            engine.remember(shows, &kept.servers);
+            engine.restore_self_reports(shows, &kept.servers);
         }
         let life = Life { front: self.name.clone(), started_us: shows.micros() };
         if let Some(logs) = &mut self.logs {
@@ -147,23 +147,23 @@
         let Some(process) = self.process.as_mut().filter(|_| !self.halted) else { return Ok(()) };
         let shows = process.clock.shows(now);
         while let Some((from, bytes)) = self.socket.pop_front() {
-            process.engine.take(shows, from, &bytes);
+            process.engine.handle_datagram(shows, from, &bytes);
         }
-        process.engine.turn(shows);
+        process.engine.process(shows);
         let most_invites = match self.commission.provision.max_invites {
             0 => USUAL_INVITES,
             most => most.min(USUAL_INVITES),
         };
         let mut wrong = Ok(());
-        while let Some(note) = process.engine.next_note() {
-            if let Note::List(servers) = &note {
+        while let Some(note) = process.engine.poll_event() {
+            if let EngineEvent::EndpointsChanged(servers) = &note {
                 let kept = Kept { files: Vec::new(), servers: servers.clone() };
                 process.writing = Some((shows + WRITES_AFTER, kept));
             }
-            if let Some(what) = recording::record(&note, 0) {
+            if let Some(what) = event_recording::record(&note, 0) {
                 process.record(&mut self.logs, shows, what);
             }
-            if let Note::Session { tried, what } = &note {
+            if let EngineEvent::Session { attempt: tried, step: what } = &note {
                 let noted = process.books.note(shows, tried, what, most_invites);
                 wrong = wrong.and(noted.map_err(|how| (tried.clone(), how)));
             }
@@ -174,8 +174,8 @@
         if shows >= process.next_status {
             process.next_status = shows + STATUS_GAP;
             if self.logs.is_some() {
-                for (server, held, unheard) in process.engine.outlooks() {
-                    process.record(&mut self.logs, shows, recording::outlook(server, held, unheard));
+                for (server, held, unheard) in process.engine.server_snapshots() {
+                    process.record(&mut self.logs, shows, event_recording::outlook(server, held, unheard));
                 }
             }
         }
@@ -202,7 +202,7 @@
     pub fn wake(&self, now: Moment) -> Option<Moment> {
         let process = self.process.as_ref().filter(|_| !self.halted)?;
         let writes = process.writing.as_ref().map(|(at, _)| *at);
-        let alarms = [process.engine.wake(), writes, Some(process.next_status)];
+        let alarms = [process.engine.poll_timeout(), writes, Some(process.next_status)];
         alarms.into_iter().flatten().min().map(|at| process.clock.when(at, now))
     }
 
--- a/crates/ochrelead-sim/src/world.rs
+++ b/crates/ochrelead-sim/src/world.rs
@@ -292,7 +292,7 @@
                 done = self.fronts[nth].turn(now);
                 let halted = self.fronts[nth].halted;
                 if let Some(process) = self.fronts[nth].process.as_mut().filter(|_| !halted) {
-                    while let Some((to, bytes)) = process.engine.next_datagram() {
+                    while let Some((to, bytes)) = process.engine.poll_datagram() {
                         out.extend(self.meddler.sends(nth, bytes).into_iter().map(|bytes| (to, bytes)));
                     }
                 }
@@ -388,12 +388,14 @@
             let unclaimed = server.iter().flat_map(Server::calls).find(|(from, call)| {
                 // What a killed front had set up and not told is nobody's until its servers can be asked; what a
                 // front still asks to have released is in hand.
-                let owes =
-                    |own: &Machine| own.process.as_ref().is_some_and(|own| own.engine.owed_releases() > 0);
+                let owes = |own: &Machine| {
+                    own.process.as_ref().is_some_and(|own| own.engine.unconfirmed_releases() > 0)
+                };
                 let excused = |own: &Machine| own.lives > 1 || owes(own);
                 let excused = self.fronts.iter().any(|own| address_of(own) == *from && excused(own));
-                let held =
-                    |machine: &Machine| machine.process.as_ref().is_some_and(|own| own.engine.holds(call));
+                let held = |machine: &Machine| {
+                    machine.process.as_ref().is_some_and(|own| own.engine.has_session(call))
+                };
                 !excused && !self.callers.stands(call) && !self.fronts.iter().any(held)
             });
             if let Some((_, call)) = unclaimed {
--- a/crates/ochrelead-sim/tests/tiny/mod.rs
+++ b/crates/ochrelead-sim/tests/tiny/mod.rs
@@ -11,7 +11,7 @@
 use ochrelead_core::time::Moment;
 use ochrelead_discovery::roster::Said;
 use ochrelead_front::engine::Engine;
-use ochrelead_front::note::Note;
+use ochrelead_front::events::EngineEvent;
 use ochrelead_host::call_policy::CallPolicy;
 use ochrelead_mgcp::message::{Command, Message, Response, Verb, name};
 use ochrelead_mgcp::{parse, write};
@@ -180,7 +180,7 @@
             None => judge,
         };
         let mut engine = Engine::new(seat.commission.clone(), judge, 1_000 * seat.lives, now);
-        engine.remember(now, &seat.kept);
+        engine.restore_self_reports(now, &seat.kept);
         (seat.engine, seat.stalled_at, seat.stopped) = (Some(engine), None, false);
     }
 
@@ -285,7 +285,7 @@
             Event::Stop(nth) => {
                 self.seats[nth].stopped = true;
                 let now = at(self.now);
-                self.seats[nth].engine.iter_mut().for_each(|engine| engine.leave(now));
+                self.seats[nth].engine.iter_mut().for_each(|engine| engine.drain(now));
             }
             Event::Pass(ms) => self.pass(ms)?,
         }
@@ -344,7 +344,7 @@
             };
             let waits = own.answers.is_empty() && own.hung_up.is_none();
             let over = (!own.answers.is_empty() || own.hung_up.is_some()) && !own.stands;
-            let held = engine.holds(tried);
+            let held = engine.has_session(tried);
             if (waits && !held)
                 || (over && held)
                 || (own.stands && own.hung_up.is_none() && !own.cut && !held)
@@ -440,7 +440,7 @@
             _ => {}
         }
         if let Some(engine) = &mut self.seats[nth].engine {
-            engine.take(at(now), from, bytes);
+            engine.handle_datagram(at(now), from, bytes);
         }
     }
 
@@ -458,7 +458,7 @@
         let end = self.now + ms;
         loop {
             let live = self.seats.iter().filter(|own| own.stalled_at.is_none());
-            let wakes = live.filter_map(|own| own.engine.as_ref()?.wake());
+            let wakes = live.filter_map(|own| own.engine.as_ref()?.poll_timeout());
             let next = wakes.min().map_or(end, |wake| wake.since(at(0)).micros().div_ceil(1_000));
             self.now = next.clamp(self.now + 1, end.max(self.now + 1)).min(end);
             self.turn(None)?;
@@ -479,10 +479,10 @@
             loop {
                 let Seat { engine, kept, .. } = &mut self.seats[nth];
                 let Some(engine) = engine else { break };
-                engine.turn(now);
-                let sent: Vec<_> = std::iter::from_fn(|| engine.next_datagram()).collect();
-                while let Some(note) = engine.next_note() {
-                    if let Note::List(posts) = note {
+                engine.process(now);
+                let sent: Vec<_> = std::iter::from_fn(|| engine.poll_datagram()).collect();
+                while let Some(note) = engine.poll_event() {
+                    if let EngineEvent::EndpointsChanged(posts) = note {
                         *kept = posts;
                     }
                 }
