Name the zone engine's interface by the terms of the field

The zone package used words of the house for its public interface (District, Eased, Met, Told, Course, Word). Its types, methods, fields, modules and the names in its binary-only schema now carry standard names: ZoneId, ZoneShare, OutcomeSample, ActiveVerdicts, ZoneRamp, Message, OutcomeReporter, OutcomeAggregate, ZoneConfig, ZoneStats, handle_input/poll_output/poll_timeout/process and on_* events. Encoding moves from the message types into codec.rs. Field numbers, types, wire bytes and status text are unchanged.

--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -24,7 +24,7 @@
 use ochrelead_node::promises::Promises;
 use ochrelead_node::together::Together;
 use ochrelead_platform::configuration::{self as platform, Configuration as Platform};
-use ochrelead_zone::{District, Terms};
+use ochrelead_zone::{ZoneConfig, ZoneId};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tracing::warn;
@@ -236,9 +236,11 @@
     if options.districts {
         match configuration.settings.local_zone() {
             Some(own) => {
-                let (names, pace) =
-                    (configuration.settings.zones(), Terms::of(&configuration.controller_config));
-                together.act_on_districts(District(own), names, pace, configuration.peers_all, seed, now);
+                let (names, pace) = (
+                    configuration.settings.zones(),
+                    ZoneConfig::from_controller(&configuration.controller_config),
+                );
+                together.act_on_districts(ZoneId(own), names, pace, configuration.peers_all, seed, now);
             }
             None => warn!("--districts has nothing to do: the settings name no district of this front"),
         }
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -23,7 +23,7 @@
 use ochrelead_platform::caller_messages::{self, CallId, cause};
 use ochrelead_platform::configuration::Configuration;
 use ochrelead_platform::events::EndpointChange;
-use ochrelead_zone::{District, ServerKey};
+use ochrelead_zone::{ServerKey, ZoneId};
 use tracing::{Level, debug};
 
 use crate::book::{Book, Call, Phase};
@@ -122,7 +122,7 @@
     outrun: VecDeque<(String, Number)>,
     /// The names of the districts, and what share of sessions their servers take where that is not all.
     districts: Vec<String>,
-    eased: Vec<(District, f64)>,
+    eased: Vec<(ZoneId, f64)>,
     /// What was met is told, where anybody asks for it.
     observes: bool,
     observations: VecDeque<Observation>,
--- a/crates/ochrelead-node/src/engine/observed.rs
+++ b/crates/ochrelead-node/src/engine/observed.rs
@@ -1,6 +1,6 @@
 //! What was met at servers, for what fronts do together, and what that says of them.
 
-use ochrelead_zone::{MOST_DISTRICTS, Place};
+use ochrelead_zone::{MAX_ZONES, ServerLocation};
 
 use super::*;
 use crate::roster::Server;
@@ -46,27 +46,29 @@
     }
 
     /// The district of a server, by its number.
-    pub(super) fn district(&self, server: ServerIx) -> Option<District> {
+    pub(super) fn district(&self, server: ServerIx) -> Option<ZoneId> {
         let name = self.roster.get(server).district.as_ref()?;
         let at = self.districts.iter().position(|own| own == name);
         let at = at.map_or_else(|| name.parse().ok(), |at| u32::try_from(at).ok())?;
-        (at < MOST_DISTRICTS && (at as usize) < self.districts.len()).then_some(District(at))
+        (at < MAX_ZONES && (at as usize) < self.districts.len()).then_some(ZoneId(at))
     }
 
     pub(super) fn key(&self, server: ServerIx) -> ServerKey {
-        ServerKey::of(&self.roster.get(server).id)
+        ServerKey::from_name(&self.roster.get(server).id)
     }
 
     /// The servers in service that are in a district.
-    pub fn places(&self) -> Vec<Place> {
+    pub fn places(&self) -> Vec<ServerLocation> {
         let ready = self.roster.all().filter(|server| self.roster.get(*server).is_ready());
         ready
-            .filter_map(|server| Some(Place { server: self.key(server), district: self.district(server)? }))
+            .filter_map(|server| {
+                Some(ServerLocation { server: self.key(server), zone: self.district(server)? })
+            })
             .collect()
     }
 
     /// What share of the sessions the servers of some districts take from now on; all of them those of the others.
-    pub fn ease(&mut self, eased: Vec<(District, f64)>) {
+    pub fn ease(&mut self, eased: Vec<(ZoneId, f64)>) {
         self.eased = eased;
         for server in self.roster.all() {
             self.ease_server(server);
--- a/crates/ochrelead-node/src/together.rs
+++ b/crates/ochrelead-node/src/together.rs
@@ -11,9 +11,9 @@
 use ochrelead_lease::voter::Kept;
 use ochrelead_lease::word::Word;
 use ochrelead_lease::{Number, Task, Terms, Who, letter};
-use ochrelead_zone::engine::{Engine as Districts, To};
-use ochrelead_zone::word::Eased;
-use ochrelead_zone::{District, Place, Terms as Paces};
+use ochrelead_zone::engine::{Engine as Districts, Recipient};
+use ochrelead_zone::message::ZoneShare;
+use ochrelead_zone::{ServerLocation, ZoneConfig as Paces, ZoneId};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
@@ -52,7 +52,7 @@
     districts: Option<Districts>,
     /// Their names, and the shares that were last handed out.
     district_names: Vec<String>,
-    eased: Vec<(District, f64)>,
+    eased: Vec<(ZoneId, f64)>,
     /// Datagrams for all, that go to each by itself.
     copies: VecDeque<(SocketAddr, Vec<u8>)>,
     duties: VecDeque<Duty>,
@@ -119,7 +119,7 @@
     /// reaches all fronts.
     pub fn act_on_districts(
         &mut self,
-        own: District,
+        own: ZoneId,
         names: &[String],
         pace: Paces,
         all: Option<SocketAddr>,
@@ -151,20 +151,20 @@
     pub fn met(&mut self, now: Moment, observation: Observation) {
         let Some(districts) = &mut self.districts else { return };
         match observation {
-            Observation::Asked(server, ask) => districts.asked(now, server, ask),
-            Observation::Answered(ask) => districts.answered(now, ask),
-            Observation::Failed(ask) => districts.failed(ask),
-            Observation::CalledOff(ask) => districts.called_off(ask),
-            Observation::Alive(server) => districts.alive(now, server),
+            Observation::Asked(server, ask) => districts.on_invite_sent(now, server, ask),
+            Observation::Answered(ask) => districts.on_answer(now, ask),
+            Observation::Failed(ask) => districts.on_transport_failure(ask),
+            Observation::CalledOff(ask) => districts.on_invite_cancelled(ask),
+            Observation::Alive(server) => districts.on_server_alive(now, server),
         }
     }
 
     /// The shares in force, where they have changed since they were last asked for.
-    pub fn shares(&mut self, now: Moment) -> Option<Vec<(District, f64)>> {
+    pub fn shares(&mut self, now: Moment) -> Option<Vec<(ZoneId, f64)>> {
         let districts = self.districts.as_ref()?;
-        let share = |district: District| (district, districts.share(now, district));
-        let eased: Vec<(District, f64)> =
-            districts.districts().into_iter().map(share).filter(|(_, share)| *share < 1.0).collect();
+        let share = |district: ZoneId| (district, districts.zone_share(now, district));
+        let eased: Vec<(ZoneId, f64)> =
+            districts.zones().into_iter().map(share).filter(|(_, share)| *share < 1.0).collect();
         (eased != self.eased).then(|| {
             self.eased.clone_from(&eased);
             eased
@@ -249,7 +249,7 @@
     }
 
     /// Servers are to be looked at; what is handed in then is how they stand, and what districts they are in.
-    pub fn look(&mut self, now: Moment, quiet: impl FnOnce() -> (Vec<Quiet>, Vec<Place>)) {
+    pub fn look(&mut self, now: Moment, quiet: impl FnOnce() -> (Vec<Quiet>, Vec<ServerLocation>)) {
         if now < self.look_at {
             return;
         }
@@ -257,7 +257,7 @@
         let (quiet, places) = quiet();
         self.quiet = quiet;
         if let Some(districts) = &mut self.districts {
-            districts.listed(&places);
+            districts.on_server_locations(&places);
         }
         if self.only_districts {
             return;
@@ -288,7 +288,7 @@
         }
         while let Some((from, word)) = self.peers.district_word() {
             if let Some(districts) = &mut self.districts {
-                districts.take(now, from, &word);
+                districts.handle_input(now, from, &word);
             }
         }
         self.turn_districts(now);
@@ -302,11 +302,11 @@
 
     fn turn_districts(&mut self, now: Moment) {
         let Some(districts) = &mut self.districts else { return };
-        districts.turn(now);
-        while let Some((to, word)) = districts.next() {
+        districts.process(now);
+        while let Some((to, word)) = districts.poll_output() {
             let front = match to {
-                To::Front(front) => front,
-                To::All => ALL,
+                Recipient::Front(front) => front,
+                Recipient::All => ALL,
             };
             self.peers.district_to(front, word);
         }
@@ -315,22 +315,22 @@
     /// How it stands with the districts, a line each.
     fn district_lines(&self, now: Moment) -> Vec<String> {
         let Some(districts) = &self.districts else { return Vec::new() };
-        let name = |district: District| {
+        let name = |district: ZoneId| {
             let name = self.district_names.get(district.0 as usize);
             name.cloned().unwrap_or_else(|| district.0.to_string())
         };
-        let own = districts.own();
-        let mut lines = vec![match districts.row(now, own) {
-            _ if districts.observes() => format!("district {}: this front observes", name(own)),
-            Some(told) => format!("district {}: front {} observes", name(own), told.by),
+        let own = districts.local_zone();
+        let mut lines = vec![match districts.active_verdicts(now, own) {
+            _ if districts.is_observer() => format!("district {}: this front observes", name(own)),
+            Some(told) => format!("district {}: front {} observes", name(own), told.observer),
             None => format!("district {}: nobody observes, each front acts alone", name(own)),
         }];
-        for from in (0..self.district_names.len() as u32).map(District) {
-            for Eased { district, share, why } in
-                districts.row(now, from).map(|told| &told.eased).into_iter().flatten()
+        for from in (0..self.district_names.len() as u32).map(ZoneId) {
+            for ZoneShare { zone: district, share, reason: why } in
+                districts.active_verdicts(now, from).map(|told| &told.shares).into_iter().flatten()
             {
                 let (to, part) = (name(*district), share * 100.0);
-                lines.push(format!("from {} to {to}: {part:.0} in 100, {}", name(from), why.text()));
+                lines.push(format!("from {} to {to}: {part:.0} in 100, {}", name(from), why.description()));
             }
         }
         lines
@@ -471,7 +471,7 @@
 
     /// When [`Together::turn`] is due although nothing came.
     pub fn wake(&self) -> Option<Moment> {
-        let districts = self.districts.as_ref().and_then(Districts::wake);
+        let districts = self.districts.as_ref().and_then(Districts::poll_timeout);
         let leases = self.leases.wake().filter(|_| !self.only_districts);
         [self.peers.wake(), leases, districts, Some(self.look_at)].into_iter().flatten().min()
     }
--- a/crates/ochrelead-verify/src/districts/watch.rs
+++ b/crates/ochrelead-verify/src/districts/watch.rs
@@ -6,8 +6,9 @@
 use ochrelead_gossip::schema::part::What;
 use ochrelead_gossip::wire::{self, Sheet};
 use ochrelead_node::together::Together;
-use ochrelead_zone::word::{Word, read, write};
-use ochrelead_zone::{District, ServerKey};
+use ochrelead_zone::codec::{decode, encode};
+use ochrelead_zone::message::Message;
+use ochrelead_zone::{ServerKey, ZoneId};
 
 use super::load::{MS, Server};
 use super::world::{Front, World, moment};
@@ -21,7 +22,7 @@
 /// After that no INVITE goes to a district that ended.
 const LEFT: u64 = 4_000 * MS;
 
-type Shares = Vec<(District, f64)>;
+type Shares = Vec<(ZoneId, f64)>;
 
 pub(super) struct Watch {
     /// What observers of each district had in force, and when.
@@ -194,8 +195,9 @@
             let last = said.back();
             // What was said and changed again between two looks is not known here.
             let districts = state.together.as_ref().and_then(Together::districts);
-            let row = districts.and_then(|districts| districts.row(moment(now), District(state.district)));
-            if row.is_some_and(|told| told.at.micros() + LAG / 4 > moment(now).micros()) {
+            let row = districts
+                .and_then(|districts| districts.active_verdicts(moment(now), ZoneId(state.district)));
+            if row.is_some_and(|told| told.received_at.micros() + LAG / 4 > moment(now).micros()) {
                 return None;
             }
             return Some(format!("front {front} has {:?} in force, its observer {last:?}", state.eased));
@@ -240,11 +242,11 @@
 /// What an observer has in force.
 fn observed(front: &Front, now: u64) -> Option<Shares> {
     let districts = front.together.as_ref().and_then(Together::districts)?;
-    if !districts.observes() || front.halted {
+    if !districts.is_observer() || front.halted {
         return None;
     }
-    let share = |district: District| (district, districts.share(moment(now), district));
-    Some(districts.districts().into_iter().map(share).filter(|(_, share)| *share < 1.0).collect())
+    let share = |district: ZoneId| (district, districts.zone_share(moment(now), district));
+    Some(districts.zones().into_iter().map(share).filter(|(_, share)| *share < 1.0).collect())
 }
 
 /// A datagram on its way, with a word about districts in it changed where that is the day's mistake.
@@ -256,15 +258,15 @@
     from: u32,
     bytes: Vec<u8>,
 ) -> Vec<u8> {
-    let own = District(to % day.districts);
+    let own = ZoneId(to % day.districts);
     match day.slip {
         Some(Slip::LateNotTold) => rewrite(bytes, from, |word| {
-            if let Word::Report { met, .. } = word {
+            if let Message::Report { samples: met, .. } = word {
                 met.iter_mut().for_each(|(_, met)| met.late = 0);
             }
         }),
         Some(Slip::OneForAll) => rewrite(bytes, from, |word| {
-            let Word::Report { met, .. } = word else { return };
+            let Message::Report { samples: met, .. } = word else { return };
             let mut bad: BTreeMap<u32, u32> = BTreeMap::new();
             let of = |server: ServerKey| (0..servers.len() as u32).find(|nth| key(*nth) == server);
             for (server, met) in met.iter().filter(|(_, met)| met.lost > 0) {
@@ -276,13 +278,16 @@
                 let all = (0..servers.len() as u32).filter(|nth| servers[*nth as usize].district == district);
                 for server in all.map(&key) {
                     met.retain(|(own, _)| *own != server);
-                    met.push((server, ochrelead_zone::evidence::Met { lost, ..Default::default() }));
+                    met.push((
+                        server,
+                        ochrelead_zone::outcome_reporter::OutcomeSample { lost, ..Default::default() },
+                    ));
                 }
             }
             met.sort_unstable_by_key(|(server, _)| *server);
         }),
         Some(Slip::OthersWordsHeeded) => rewrite(bytes, from, |word| {
-            if let Word::Verdicts { from, .. } = word {
+            if let Message::Verdicts { zone: from, .. } = word {
                 *from = own;
             }
         }),
@@ -293,21 +298,21 @@
 /// An observer's word with a later place in its order.
 pub(super) fn renewed(bytes: Vec<u8>, from: u32) -> Vec<u8> {
     rewrite(bytes, from, |word| {
-        if let Word::Verdicts { nth, .. } = word {
+        if let Message::Verdicts { sequence: nth, .. } = word {
             *nth += 1_000_000;
         }
     })
 }
 
-fn rewrite(bytes: Vec<u8>, from: u32, change: impl Fn(&mut Word)) -> Vec<u8> {
+fn rewrite(bytes: Vec<u8>, from: u32, change: impl Fn(&mut Message)) -> Vec<u8> {
     let Ok(datagram) = wire::read(&bytes, from) else { return bytes };
     let mut sheet = Sheet::new(datagram.from);
     for part in datagram.parts {
         let part = match part {
-            What::District(word) => match read(&word) {
+            What::District(word) => match decode(&word) {
                 Some(mut word) => {
                     change(&mut word);
-                    What::District(write(&word).swap_remove(0))
+                    What::District(encode(&word).swap_remove(0))
                 }
                 None => What::District(word),
             },
--- a/crates/ochrelead-verify/src/districts/world.rs
+++ b/crates/ochrelead-verify/src/districts/world.rs
@@ -16,7 +16,7 @@
 use ochrelead_lease::electorate::{Electorate, USUAL};
 use ochrelead_node::engine::Observation;
 use ochrelead_node::together::Together;
-use ochrelead_zone::{District, Place, ServerKey, Terms};
+use ochrelead_zone::{ServerKey, ServerLocation, ZoneConfig, ZoneId};
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
 use rand_pcg::Pcg64Mcg;
@@ -86,7 +86,7 @@
     turn_at: u64,
     unread: Vec<(SocketAddr, Vec<u8>)>,
     /// The shares that the module was told.
-    pub eased: Vec<(District, f64)>,
+    pub eased: Vec<(ZoneId, f64)>,
     /// Whether it had a word of shares in this life.
     told: bool,
     /// Its last INVITE to each district.
@@ -128,7 +128,7 @@
 }
 
 fn key(server: u32) -> ServerKey {
-    ServerKey::of(&format!("s-{server:08x}"))
+    ServerKey::from_name(&format!("s-{server:08x}"))
 }
 
 impl World {
@@ -179,7 +179,14 @@
                 .expect("more than one");
             let all = Some(address(ALL));
             together.only_districts();
-            together.act_on_districts(District(district), &names, Terms::of(&provision), all, seed, now);
+            together.act_on_districts(
+                ZoneId(district),
+                &names,
+                ZoneConfig::from_controller(&provision),
+                all,
+                seed,
+                now,
+            );
             together
         });
         let mut judge = Controller::new(&provision, now);
--- a/crates/ochrelead-verify/src/districts/world/session.rs
+++ b/crates/ochrelead-verify/src/districts/world/session.rs
@@ -19,9 +19,9 @@
             together.turn(now);
             let servers = &self.servers;
             together.look(now, || {
-                let place = |(nth, server): (usize, &Server)| Place {
+                let place = |(nth, server): (usize, &Server)| ServerLocation {
                     server: key(nth as u32),
-                    district: District(server.district),
+                    zone: ZoneId(server.district),
                 };
                 let places = servers.iter().enumerate().map(place).collect();
                 (Vec::new(), places)
@@ -57,7 +57,7 @@
         let Some(mut eased) = state.together.as_mut().and_then(|together| together.shares(now)) else {
             return;
         };
-        let former = |district: District, eased: &[(District, f64)]| {
+        let former = |district: ZoneId, eased: &[(ZoneId, f64)]| {
             eased.iter().find(|(of, _)| *of == district).map_or(1.0, |(_, share)| *share)
         };
         match slip {
@@ -86,7 +86,7 @@
         state.eased.clone_from(&eased);
         for (nth, server) in self.servers.iter().enumerate() {
             if slip != Some(Slip::ShareForSome) || nth as u32 / self.day.districts % 2 == 0 {
-                state.judge.on_zone_share(ServerIx::new(nth), former(District(server.district), &eased));
+                state.judge.on_zone_share(ServerIx::new(nth), former(ZoneId(server.district), &eased));
             }
         }
     }
--- a/crates/ochrelead-verify/src/districts/world/trouble.rs
+++ b/crates/ochrelead-verify/src/districts/world/trouble.rs
@@ -10,7 +10,7 @@
         }
         let observes = |front: &Front| {
             let districts = front.together.as_ref().and_then(Together::districts);
-            districts.is_some_and(|districts| districts.observes())
+            districts.is_some_and(|districts| districts.is_observer())
         };
         (0..self.day.fronts).filter(|front| observes(&self.fronts[*front as usize])).collect()
     }
--- a/crates/ochrelead-verify/src/processes/relay.rs
+++ b/crates/ochrelead-verify/src/processes/relay.rs
@@ -11,8 +11,9 @@
 use ochrelead_gossip::schema::{Datagram, Part, part::What};
 use ochrelead_gossip::{VERSION, Who};
 use ochrelead_lease::letter;
-use ochrelead_zone::word::{self, Word};
-use prost::Message;
+use ochrelead_zone::codec;
+use ochrelead_zone::message::Message;
+use prost::Message as _;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -106,7 +107,7 @@
 /// Whether a part is a word of an observer.
 fn speaks(part: &Part) -> bool {
     let Some(What::District(bytes)) = &part.what else { return false };
-    matches!(word::read(bytes), Some(Word::Verdicts { .. }))
+    matches!(codec::decode(bytes), Some(Message::Verdicts { .. }))
 }
 
 /// What a mistake makes of a datagram: the datagrams that arrive, and from whom.
--- a/crates/ochrelead-zone/build.rs
+++ b/crates/ochrelead-zone/build.rs
@@ -4,7 +4,7 @@
 
 fn main() -> Result<(), Box<dyn Error>> {
     println!("cargo:rerun-if-changed=proto");
-    let descriptors = protox::compile(["district.proto"], ["proto"])?;
+    let descriptors = protox::compile(["zone.proto"], ["proto"])?;
     prost_build::Config::new().compile_fds(descriptors)?;
     Ok(())
 }
--- a/crates/ochrelead-zone/src/evidence.rs
+++ b/crates/ochrelead-zone/src/outcome_reporter.rs
@@ -10,73 +10,73 @@
 use crate::ServerKey;
 
 /// INVITEs that are watched at once; one that is sent beyond is not.
-const MOST_OUT: usize = 4_096;
+const MAX_OUT: usize = 4_096;
 /// An answer that took so many times longer than what is overdue is old.
 const OLD: u64 = 8;
 /// The most that one report says of one server and kind: a front that says more is not believed more.
-pub const MOST_SAID: u32 = 15;
+pub const MAX_REPORTED: u32 = 15;
 
 /// What was met at one server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Met {
+pub struct OutcomeSample {
     pub in_time: u32,
     pub late: u32,
     pub lost: u32,
     /// It gave a sign of life of any kind.
-    pub alive: bool,
+    pub is_alive: bool,
     /// It answered an INVITE of long ago: a cut that heals lets such answers through, and they say nothing of the present.
-    pub old: bool,
+    pub is_stale: bool,
 }
 
-impl Met {
-    pub fn is_nothing(&self) -> bool {
-        *self == Met::default()
+impl OutcomeSample {
+    pub fn is_empty(&self) -> bool {
+        *self == OutcomeSample::default()
     }
 
     /// Bounded to what may be said.
-    pub fn bounded(self) -> Met {
-        let most = |count: u32| count.min(MOST_SAID);
-        Met { in_time: most(self.in_time), late: most(self.late), lost: most(self.lost), ..self }
+    pub fn bounded(self) -> OutcomeSample {
+        let most = |count: u32| count.min(MAX_REPORTED);
+        OutcomeSample { in_time: most(self.in_time), late: most(self.late), lost: most(self.lost), ..self }
     }
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Out {
+struct PendingInvite {
     server: ServerKey,
     sent: Moment,
     lost: bool,
 }
 
 #[derive(Clone, Debug)]
-pub struct Evidence {
-    overdue: Span,
-    out: BTreeMap<u64, Out>,
+pub struct OutcomeReporter {
+    loss_timeout: Span,
+    out: BTreeMap<u64, PendingInvite>,
     /// INVITEs by when they were sent; those that have ended are still in it.
     queue: VecDeque<(Moment, u64)>,
-    met: BTreeMap<ServerKey, Met>,
+    met: BTreeMap<ServerKey, OutcomeSample>,
 }
 
-impl Evidence {
-    pub fn new(overdue: Span) -> Evidence {
-        Evidence { overdue, out: BTreeMap::new(), queue: VecDeque::new(), met: BTreeMap::new() }
+impl OutcomeReporter {
+    pub fn new(loss_timeout: Span) -> OutcomeReporter {
+        OutcomeReporter { loss_timeout, out: BTreeMap::new(), queue: VecDeque::new(), met: BTreeMap::new() }
     }
 
     /// An INVITE has been decided on; `ask` names it until it ends.
-    pub fn asked(&mut self, now: Moment, server: ServerKey, ask: u64) {
-        if self.out.len() < MOST_OUT {
-            self.out.insert(ask, Out { server, sent: now, lost: false });
+    pub fn on_invite_sent(&mut self, now: Moment, server: ServerKey, ask: u64) {
+        if self.out.len() < MAX_OUT {
+            self.out.insert(ask, PendingInvite { server, sent: now, lost: false });
             self.queue.push_back((now, ask));
         }
     }
 
     /// Its server answered, whatever it said.
-    pub fn answered(&mut self, now: Moment, ask: u64) {
+    pub fn on_answer(&mut self, now: Moment, ask: u64) {
         let Some(out) = self.out.remove(&ask) else { return };
         let met = self.met.entry(out.server).or_default();
-        met.alive = true;
-        if now.since(out.sent) > self.overdue * OLD {
-            met.old = true;
-        } else if now.since(out.sent) > self.overdue {
+        met.is_alive = true;
+        if now.since(out.sent) > self.loss_timeout * OLD {
+            met.is_stale = true;
+        } else if now.since(out.sent) > self.loss_timeout {
             met.late += 1;
         } else {
             met.in_time += 1;
@@ -84,27 +84,27 @@
     }
 
     /// It failed without a word of the server: no connection, a reset.
-    pub fn failed(&mut self, ask: u64) {
+    pub fn on_transport_failure(&mut self, ask: u64) {
         if let Some(out) = self.out.remove(&ask).filter(|out| !out.lost) {
             self.met.entry(out.server).or_default().lost += 1;
         }
     }
 
     /// It was called off by this side: that says nothing beyond what its age has said.
-    pub fn called_off(&mut self, ask: u64) {
+    pub fn on_invite_cancelled(&mut self, ask: u64) {
         self.out.remove(&ask);
     }
 
     /// The server said anything at all, or took a connection.
-    pub fn alive(&mut self, server: ServerKey) {
-        self.met.entry(server).or_default().alive = true;
+    pub fn on_server_alive(&mut self, server: ServerKey) {
+        self.met.entry(server).or_default().is_alive = true;
     }
 
     /// Counts what is overdue. `stood_still`: this front was not called for a while, and what is overdue may lie unread.
-    pub fn turn(&mut self, now: Moment, stood_still: bool) {
+    pub fn process(&mut self, now: Moment, stood_still: bool) {
         while let Some((sent, ask)) = self.queue.front().copied() {
             let over = self.out.get(&ask).is_none_or(|out| out.sent != sent);
-            if !over && now.since(sent) <= self.overdue {
+            if !over && now.since(sent) <= self.loss_timeout {
                 break;
             }
             self.queue.pop_front();
@@ -123,12 +123,12 @@
     }
 
     /// What was met since this was last asked for.
-    pub fn take(&mut self) -> Vec<(ServerKey, Met)> {
-        std::mem::take(&mut self.met).into_iter().filter(|(_, met)| !met.is_nothing()).collect()
+    pub fn take_samples(&mut self) -> Vec<(ServerKey, OutcomeSample)> {
+        std::mem::take(&mut self.met).into_iter().filter(|(_, met)| !met.is_empty()).collect()
     }
 
     /// When the next INVITE is overdue.
-    pub fn wake(&self) -> Option<Moment> {
-        self.queue.front().map(|(sent, _)| *sent + self.overdue + Span::from_micros(1))
+    pub fn poll_timeout(&self) -> Option<Moment> {
+        self.queue.front().map(|(sent, _)| *sent + self.loss_timeout + Span::from_micros(1))
     }
 }
--- a/crates/ochrelead-zone/src/verdict.rs
+++ b/crates/ochrelead-zone/src/verdict.rs
@@ -29,16 +29,16 @@
 
 /// What fronts met at one district.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Count {
+pub struct ZoneStats {
     /// Its servers in service, those that were asked of late, and those of these that answer nobody.
     pub servers: u32,
-    pub asked: u32,
+    pub contacted: u32,
     pub silent: u32,
     /// INVITEs lost at silent servers since their last answers, and by how many fronts.
     pub lost: u32,
-    pub by: u32,
+    pub reporting_fronts: u32,
     /// Answers that its silent servers would have given meanwhile, at their rate of late.
-    pub missed: f64,
+    pub missed_answers: f64,
     /// Servers that gave a sign of life of any kind just now.
     pub alive: u32,
     /// INVITEs of the last while.
@@ -47,7 +47,7 @@
     pub recent_lost: u32,
 }
 
-impl Count {
+impl ZoneStats {
     /// INVITEs of the last while that were answered or are overdue. One that is late was lost before: it counts once.
     pub fn recent(&self) -> u32 {
         self.recent_in_time + self.recent_lost.max(self.recent_late)
@@ -67,34 +67,34 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// Nothing that would change anything.
-    Stays,
+    Unchanged,
     /// Nobody who says anything is answered there.
-    Gone,
+    Unreachable,
 }
 
 /// What the counts say, district by district. Never all of them: where none does well, it is not the districts, or
 /// nobody is left to go to, and nothing is left.
-pub fn judge(counts: &[Count], reporters: u32) -> Vec<Verdict> {
+pub fn evaluate(counts: &[ZoneStats], reporters: u32) -> Vec<Verdict> {
     let well = counts.iter().filter(|count| count.is_well()).count();
-    let verdict = |count: &Count| {
-        if well > 0 && is_gone(count, reporters) { Verdict::Gone } else { Verdict::Stays }
+    let verdict = |count: &ZoneStats| {
+        if well > 0 && is_gone(count, reporters) { Verdict::Unreachable } else { Verdict::Unchanged }
     };
     counts.iter().map(verdict).collect()
 }
 
 /// The answers missed at silent servers together, from what was missed at each.
-pub fn missed(each: &[f64]) -> f64 {
+pub fn total_missed_answers(each: &[f64]) -> f64 {
     let needed = -WRONG.ln() / LEFT;
     let most = needed * OF_ONE / each.len().max(1) as f64;
     each.iter().map(|missed| missed.min(most)).sum()
 }
 
-fn is_gone(count: &Count, reporters: u32) -> bool {
+fn is_gone(count: &ZoneStats, reporters: u32) -> bool {
     // One server is no district: the module deals with it.
     count.servers >= 2
-        && f64::from(count.asked) >= f64::from(count.servers) * ASKED_SHARE
-        && f64::from(count.silent) >= (f64::from(count.asked) * SILENT_SHARE).max(2.0)
-        && count.by >= FRONTS.min(reporters)
+        && f64::from(count.contacted) >= f64::from(count.servers) * ASKED_SHARE
+        && f64::from(count.silent) >= (f64::from(count.contacted) * SILENT_SHARE).max(2.0)
+        && count.reporting_fronts >= FRONTS.min(reporters)
         && count.lost >= LOST
-        && (-count.missed * LEFT).exp() <= WRONG
+        && (-count.missed_answers * LEFT).exp() <= WRONG
 }
--- a/crates/ochrelead-zone/tests/engine.rs
+++ b/crates/ochrelead-zone/tests/engine.rs
@@ -4,15 +4,16 @@
 
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_gossip::Who;
-use ochrelead_zone::course::Why;
-use ochrelead_zone::engine::{Engine, To};
-use ochrelead_zone::word::{Eased, Word, write};
-use ochrelead_zone::{District, Place, ServerKey, Terms};
+use ochrelead_zone::codec::encode;
+use ochrelead_zone::engine::{Engine, Recipient};
+use ochrelead_zone::message::{Message, ZoneShare};
+use ochrelead_zone::ramp::ShareReason;
+use ochrelead_zone::{ServerKey, ServerLocation, ZoneConfig, ZoneId};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use test_case::test_case;
 
-const TERMS: Terms = Terms { overdue: Span::from_millis(375), growth: 2.0 };
+const TERMS: ZoneConfig = ZoneConfig { loss_timeout: Span::from_millis(375), growth_factor: 2.0 };
 const DISTRICTS: u32 = 3;
 const SERVERS: u32 = 4;
 /// INVITEs of a front in a turn of 20 ms, by chance.
@@ -23,7 +24,7 @@
 }
 
 fn key(district: u32, nth: u32) -> ServerKey {
-    ServerKey::of(&format!("s-{district}-{nth}"))
+    ServerKey::from_name(&format!("s-{district}-{nth}"))
 }
 
 struct Fleet {
@@ -64,13 +65,13 @@
 
     fn start(&mut self, front: u32) {
         let life = *self.lives.entry(front).and_modify(|life| *life += 1).or_insert(1);
-        let own = District(front % DISTRICTS);
+        let own = ZoneId(front % DISTRICTS);
         let mut engine =
             Engine::new(Who { front, life }, own, TERMS, u64::from(front * 7 + life), at(self.ms));
-        let place = |district, nth| Place { server: key(district, nth), district: District(district) };
-        let places: Vec<Place> =
+        let place = |district, nth| ServerLocation { server: key(district, nth), zone: ZoneId(district) };
+        let places: Vec<ServerLocation> =
             (0..DISTRICTS).flat_map(|district| (0..SERVERS).map(move |nth| place(district, nth))).collect();
-        engine.listed(&places);
+        engine.on_server_locations(&places);
         self.fronts.insert(front, engine);
     }
 
@@ -84,14 +85,14 @@
                 if when > ms || self.halted.contains(&to) {
                     self.flying.push((when, from, to, bytes));
                 } else if let Some(engine) = self.fronts.get_mut(&to) {
-                    engine.take(now, from, &bytes);
+                    engine.handle_input(now, from, &bytes);
                 }
             }
             for (when, front, ask) in std::mem::take(&mut self.answers) {
                 if when > ms || self.halted.contains(&front) {
                     self.answers.push((when, front, ask));
                 } else if let Some(engine) = self.fronts.get_mut(&front) {
-                    engine.answered(now, ask);
+                    engine.on_answer(now, ask);
                 }
             }
             for (front, engine) in &mut self.fronts {
@@ -102,9 +103,9 @@
                     let (district, nth) =
                         (self.chance.random_range(0..DISTRICTS), self.chance.random_range(0..SERVERS));
                     let reaches = (self.reaches)(ms, *front, district, nth);
-                    if self.chance.random_bool(engine.share(now, District(district))) {
+                    if self.chance.random_bool(engine.zone_share(now, ZoneId(district))) {
                         self.asks += 1;
-                        engine.asked(now, key(district, nth), self.asks);
+                        engine.on_invite_sent(now, key(district, nth), self.asks);
                         if reaches {
                             self.answers.push((ms + 30, *front, self.asks));
                         }
@@ -114,17 +115,17 @@
                 for district in 0..DISTRICTS {
                     for nth in 0..SERVERS {
                         if ms % 1_000 < 20 && (self.reaches)(ms, *front, district, nth) {
-                            engine.alive(now, key(district, nth));
+                            engine.on_server_alive(now, key(district, nth));
                         }
                     }
                 }
-                engine.turn(now);
+                engine.process(now);
                 let life = self.lives[front];
-                while let Some((to, bytes)) = engine.next() {
+                while let Some((to, bytes)) = engine.poll_output() {
                     assert!(bytes.len() <= 232);
                     let all: Vec<u32> = match to {
-                        To::Front(to) => vec![to],
-                        To::All => (0..self.size).filter(|other| other != front).collect(),
+                        Recipient::Front(to) => vec![to],
+                        Recipient::All => (0..self.size).filter(|other| other != front).collect(),
                     };
                     for to in all {
                         if (self.hears)(ms, *front, to) && !self.chance.random_bool(self.loss) {
@@ -138,15 +139,15 @@
 
     fn observers(&self, district: u32) -> Vec<u32> {
         let observes = |(front, engine): (&u32, &Engine)| {
-            (engine.observes() && engine.own() == District(district)).then_some(*front)
+            (engine.is_observer() && engine.local_zone() == ZoneId(district)).then_some(*front)
         };
         self.fronts.iter().filter_map(observes).collect()
     }
 
     /// The shares in force at fronts of a district, for another.
     fn shares(&self, of: u32, to: u32) -> Vec<f64> {
-        let own = self.fronts.values().filter(|engine| engine.own() == District(of));
-        own.map(|engine| engine.share(at(self.ms), District(to))).collect()
+        let own = self.fronts.values().filter(|engine| engine.local_zone() == ZoneId(of));
+        own.map(|engine| engine.zone_share(at(self.ms), ZoneId(to))).collect()
     }
 
     fn all_at(&self, to: u32, share: f64) -> bool {
@@ -264,23 +265,23 @@
     let mut fleet = Fleet::new(3);
     // One front a district: nobody follows it.
     fleet.size = 3;
-    let word = |nth| Word::Verdicts {
-        from: District(0),
-        nth,
-        lasts: Span::from_secs(3_600),
-        eased: vec![Eased { district: District(1), share: 0.0, why: Why::Gone }],
+    let word = |nth| Message::Verdicts {
+        zone: ZoneId(0),
+        sequence: nth,
+        ttl: Span::from_secs(3_600),
+        shares: vec![ZoneShare { zone: ZoneId(1), share: 0.0, reason: ShareReason::Drained }],
     };
     let now = at(fleet.ms);
     let front = fleet.fronts.get_mut(&0).unwrap();
-    front.take(now, Who { front: 2, life: 1 }, &write(&word(1))[0]);
-    assert_eq!(front.share(now, District(1)), 0.0);
-    let later = now + TERMS.lasts() * 3;
-    assert_eq!(front.share(later, District(1)), 1.0, "an hour is not believed");
+    front.handle_input(now, Who { front: 2, life: 1 }, &encode(&word(1))[0]);
+    assert_eq!(front.zone_share(now, ZoneId(1)), 0.0);
+    let later = now + TERMS.verdict_ttl() * 3;
+    assert_eq!(front.zone_share(later, ZoneId(1)), 1.0, "an hour is not believed");
     // The same word once more, late: it was heard.
-    front.take(later, Who { front: 2, life: 1 }, &write(&word(1))[0]);
-    assert_eq!(front.share(later, District(1)), 1.0);
-    front.take(later, Who { front: 2, life: 1 }, &write(&word(2))[0]);
-    assert_eq!(front.share(later, District(1)), 0.0);
+    front.handle_input(later, Who { front: 2, life: 1 }, &encode(&word(1))[0]);
+    assert_eq!(front.zone_share(later, ZoneId(1)), 1.0);
+    front.handle_input(later, Who { front: 2, life: 1 }, &encode(&word(2))[0]);
+    assert_eq!(front.zone_share(later, ZoneId(1)), 0.0);
 }
 
 /// Whoever lies costs a bounded time: a district that a front hears is not left for longer, and never all of them.
@@ -291,15 +292,24 @@
     let mut left = 0;
     for nth in 1..1_000 {
         let eased = |districts: &[u32]| {
-            let eased = |district: &u32| Eased { district: District(*district), share: 0.0, why: Why::Gone };
+            let eased = |district: &u32| ZoneShare {
+                zone: ZoneId(*district),
+                share: 0.0,
+                reason: ShareReason::Drained,
+            };
             let eased = districts.iter().map(eased).collect();
-            write(&Word::Verdicts { from: District(0), nth, lasts: Span::from_secs(2), eased })
+            encode(&Message::Verdicts {
+                zone: ZoneId(0),
+                sequence: nth,
+                ttl: Span::from_secs(2),
+                shares: eased,
+            })
         };
         let now = at(fleet.ms);
         // It says to be a front of the lowest number.
         let lie = if nth < 900 { eased(&[1]) } else { eased(&[0, 1, 2]) };
-        for front in fleet.fronts.values_mut().filter(|front| front.own() == District(0)) {
-            front.take(now, Who { front: 0, life: 9 }, &lie[0]);
+        for front in fleet.fronts.values_mut().filter(|front| front.local_zone() == ZoneId(0)) {
+            front.handle_input(now, Who { front: 0, life: 9 }, &lie[0]);
         }
         fleet.pass(60);
         let shares = fleet.shares(0, 1);
--- a/crates/ochrelead-zone/tests/word.rs
+++ b/crates/ochrelead-zone/tests/message.rs
@@ -1,17 +1,18 @@
 //! Words as bytes: read as written, bounded, and nothing foreign harms.
 
 use ochrelead_core::time::Span;
-use ochrelead_zone::course::Why;
-use ochrelead_zone::evidence::Met;
-use ochrelead_zone::schema::{self, word::What};
-use ochrelead_zone::word::{Eased, LONGEST, Word, read, write};
-use ochrelead_zone::{District, ServerKey};
+use ochrelead_zone::codec::{MAX_MESSAGE_BYTES, decode, encode};
+use ochrelead_zone::message::{Message, ZoneShare};
+use ochrelead_zone::outcome_reporter::OutcomeSample;
+use ochrelead_zone::ramp::ShareReason;
+use ochrelead_zone::schema::{self, message::Body};
+use ochrelead_zone::{ServerKey, ZoneId};
 use proptest::prelude::*;
-use prost::Message;
+use prost::Message as _;
 use test_case::test_case;
 
-fn why() -> impl Strategy<Value = Why> {
-    prop_oneof![Just(Why::Gone), Just(Why::Returns)]
+fn why() -> impl Strategy<Value = ShareReason> {
+    prop_oneof![Just(ShareReason::Drained), Just(ShareReason::Recovering)]
 }
 
 proptest! {
@@ -21,14 +22,14 @@
         shares in prop::collection::vec((0..16_u32, 0..=10_000_u32, why()), 0..16),
     ) {
         let eased = shares.into_iter().map(|(district, share, why)| {
-            Eased { district: District(district), share: f64::from(share) / 10_000.0, why }
+            ZoneShare { zone: ZoneId(district), share: f64::from(share) / 10_000.0, reason: why }
         });
         let lasts = Span::from_millis(lasts);
-        let word = Word::Verdicts { from: District(from), nth, lasts, eased: eased.collect() };
-        let bytes = write(&word);
+        let word = Message::Verdicts { zone: ZoneId(from), sequence: nth, ttl: lasts, shares: eased.collect() };
+        let bytes = encode(&word);
         prop_assert_eq!(bytes.len(), 1);
-        prop_assert!(bytes[0].len() <= LONGEST);
-        prop_assert_eq!(read(&bytes[0]), Some(word));
+        prop_assert!(bytes[0].len() <= MAX_MESSAGE_BYTES);
+        prop_assert_eq!(decode(&bytes[0]), Some(word));
     }
 
     #[test]
@@ -36,14 +37,14 @@
         from in 0..16_u32,
         met in prop::collection::btree_map(any::<u16>(), (0..16_u32, 0..16_u32, 0..16_u32, any::<bool>(), any::<bool>()), 0..200),
     ) {
-        let met: Vec<(ServerKey, Met)> = met.into_iter()
-            .map(|(key, (in_time, late, lost, alive, old))| (ServerKey(key), Met { in_time, late, lost, alive, old }))
+        let met: Vec<(ServerKey, OutcomeSample)> = met.into_iter()
+            .map(|(key, (in_time, late, lost, alive, old))| (ServerKey(key), OutcomeSample { in_time, late, lost, is_alive: alive, is_stale: old }))
             .collect();
         let mut back = Vec::new();
-        for bytes in write(&Word::Report { from: District(from), met: met.clone() }) {
-            prop_assert!(bytes.len() <= LONGEST, "{}", bytes.len());
-            let Some(Word::Report { from: of, met }) = read(&bytes) else { panic!("no report") };
-            prop_assert_eq!(of, District(from));
+        for bytes in encode(&Message::Report { zone: ZoneId(from), samples: met.clone() }) {
+            prop_assert!(bytes.len() <= MAX_MESSAGE_BYTES, "{}", bytes.len());
+            let Some(Message::Report { zone: of, samples: met }) = decode(&bytes) else { panic!("no report") };
+            prop_assert_eq!(of, ZoneId(from));
             back.extend(met);
         }
         prop_assert_eq!(back, met);
@@ -51,14 +52,14 @@
 
     #[test]
     fn whatever_comes_is_read_or_not(bytes in prop::collection::vec(any::<u8>(), 0..256)) {
-        if let Some(Word::Verdicts { eased, .. }) = read(&bytes) {
+        if let Some(Message::Verdicts { shares: eased, .. }) = decode(&bytes) {
             prop_assert!(eased.iter().all(|eased| (0.0..=1.0).contains(&eased.share)));
         }
     }
 }
 
 fn share(district: u32, share: u32, why: u32) -> schema::Share {
-    schema::Share { district, share, why }
+    schema::Share { zone: district, share, reason: why }
 }
 
 #[test_case(0, &[], false; "from no district")]
@@ -69,10 +70,10 @@
 #[test_case(1, &[(1, 0, 1); 17], false; "more districts than there can be")]
 fn what_is_out_of_range(from: u32, shares: &[(u32, u32, u32)], is_read: bool) {
     let share = shares.iter().map(|(district, of, why)| share(*district, *of, *why)).collect();
-    let what = What::Verdicts(schema::Verdicts { from, nth: 1, lasts_ms: 1_000, share });
-    let word = read(&schema::Word { what: Some(what) }.encode_to_vec());
+    let body = Body::Verdicts(schema::Verdicts { zone: from, sequence: 1, ttl_ms: 1_000, shares: share });
+    let word = decode(&schema::Message { body: Some(body) }.encode_to_vec());
     assert_eq!(word.is_some(), is_read);
-    if let Some(Word::Verdicts { eased, .. }) = word {
+    if let Some(Message::Verdicts { shares: eased, .. }) = word {
         assert!(eased.iter().all(|eased| (0.0..=1.0).contains(&eased.share)));
     }
 }
--- a/crates/ochrelead-zone/tests/evidence.rs
+++ b/crates/ochrelead-zone/tests/outcome_reporter.rs
@@ -2,7 +2,7 @@
 
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_zone::ServerKey;
-use ochrelead_zone::evidence::{Evidence, Met};
+use ochrelead_zone::outcome_reporter::{OutcomeReporter, OutcomeSample};
 use test_case::test_case;
 
 const OVERDUE: Span = Span::from_millis(400);
@@ -23,8 +23,8 @@
 }
 use Act::*;
 
-fn met(in_time: u32, late: u32, lost: u32, alive: bool) -> Met {
-    Met { in_time, late, lost, alive, old: false }
+fn met(in_time: u32, late: u32, lost: u32, alive: bool) -> OutcomeSample {
+    OutcomeSample { in_time, late, lost, is_alive: alive, is_stale: false }
 }
 
 #[test_case(&[(0, Ask(1)), (50, Answer(1)), (900, Turn(false))], met(1, 0, 0, true); "in time")]
@@ -36,23 +36,23 @@
 #[test_case(&[(0, Ask(1)), (10, Answer(1)), (20, Ask(1)), (500, Turn(false))], met(1, 0, 1, true); "a name that is used again")]
 #[test_case(&[(0, Ask(1)), (2000, Turn(true)), (2001, Answer(1))], met(0, 0, 0, false); "this front stood still")]
 #[test_case(&[(0, Answer(7)), (0, Fail(8))], met(0, 0, 0, false); "of INVITEs that nobody knows")]
-#[test_case(&[(0, Ask(1)), (500, Turn(false)), (6000, Answer(1))], Met { old: true, ..met(0, 0, 1, true) }; "an answer of long ago")]
+#[test_case(&[(0, Ask(1)), (500, Turn(false)), (6000, Answer(1))], OutcomeSample { is_stale: true, ..met(0, 0, 1, true) }; "an answer of long ago")]
 #[test_case(&[(0, Alive)], met(0, 0, 0, true); "a word of the server")]
-fn what_is_counted(acts: &[(u64, Act)], expected: Met) {
-    let server = ServerKey::of("s-1");
-    let mut evidence = Evidence::new(OVERDUE);
+fn what_is_counted(acts: &[(u64, Act)], expected: OutcomeSample) {
+    let server = ServerKey::from_name("s-1");
+    let mut evidence = OutcomeReporter::new(OVERDUE);
     for (ms, act) in acts {
         match *act {
-            Ask(ask) => evidence.asked(at(*ms), server, ask),
-            Answer(ask) => evidence.answered(at(*ms), ask),
-            Fail(ask) => evidence.failed(ask),
-            CallOff(ask) => evidence.called_off(ask),
-            Alive => evidence.alive(server),
-            Turn(stood_still) => evidence.turn(at(*ms), stood_still),
+            Ask(ask) => evidence.on_invite_sent(at(*ms), server, ask),
+            Answer(ask) => evidence.on_answer(at(*ms), ask),
+            Fail(ask) => evidence.on_transport_failure(ask),
+            CallOff(ask) => evidence.on_invite_cancelled(ask),
+            Alive => evidence.on_server_alive(server),
+            Turn(stood_still) => evidence.process(at(*ms), stood_still),
         }
     }
-    let said: Vec<(ServerKey, Met)> =
-        if expected.is_nothing() { Vec::new() } else { vec![(server, expected)] };
-    assert_eq!(evidence.take(), said);
-    assert_eq!(evidence.take(), Vec::new());
+    let said: Vec<(ServerKey, OutcomeSample)> =
+        if expected.is_empty() { Vec::new() } else { vec![(server, expected)] };
+    assert_eq!(evidence.take_samples(), said);
+    assert_eq!(evidence.take_samples(), Vec::new());
 }
