--- a/crates/ochrelead-node/src/bounds.rs
+++ b/crates/ochrelead-node/src/bounds.rs
@@ -1,77 +1,90 @@
-//! What each table may hold: ratios of the limits that the node is told.
+//! Capacity of each table, derived from the limits that the node is configured with, and the timing constants of the
+//! platform's protocol.
 
 use ochrelead_core::time::Span;
 use ochrelead_platform::MAX_MESSAGE_LENGTH;
 use ochrelead_platform::configuration::Limits;
 
-/// Descriptors that are open whatever comes: the standard three, the listener, the coordinator's connection and its
-/// next, the datagrams' socket, the system's queues of events, timers and signals, a file that is read.
-const OWN: usize = 16;
+/// File descriptors in use whatever the load: the standard three, the listener, the coordinator's connection and its
+/// successor, the datagram socket, the system's queues of events, timers and signals, a file being read.
+const RESERVED_DESCRIPTORS: usize = 16;
+/// Memory that one call may take.
+const BYTES_PER_CALL: usize = 2_048;
+/// Memory that the entry of one called number may take, with all that is learned of it.
+const BYTES_PER_CALLED_NUMBER: usize = 16_384;
+/// Memory that the entry of one signalling server may take.
+const BYTES_PER_SERVER: usize = 65_536;
+/// An upper estimate of the length of one release line.
+const RELEASE_BYTES: usize = 100;
 
+/// Capacity of each table of the engine and of each connection's queues.
 #[derive(Clone, Copy, Debug)]
-pub struct Bounds {
-    /// Connections of callers: half the descriptors that the node does not need itself. Usual callers keep to a third.
-    pub callers: usize,
-    /// Those of callers that are being closed, besides: a sixteenth.
-    pub closing: usize,
-    /// Connections to signalling servers, all together: a third.
-    pub links: usize,
-    /// Calls that are held, standing or not: two thousand bytes of memory for each.
-    pub calls: usize,
-    /// Bytes of descriptions that are held for set-ups: an eighth of the memory.
-    pub descriptions: usize,
-    /// Bytes that wait for one slow reader: its even part of an eighth of the memory, one message at the least.
-    pub waiting: usize,
-    /// Called numbers that are remembered.
-    pub numbers: usize,
-    /// Releases that found no connection of a caller yet.
-    pub owed: usize,
-    /// Releases that one connection of a caller has not confirmed: a sixteenth of the calls.
-    pub unheard: usize,
-    /// Releases of others' calls that are said to usual callers between two rounds: half of what may wait for one
-    /// slow reader, at a hundred bytes each.
-    pub told: usize,
-    /// Signalling servers that are remembered at once, those that have gone included.
-    pub servers: usize,
+pub(crate) struct Bounds {
+    /// Callers' connections: half of the descriptors that are not reserved. Regular callers keep to a third.
+    pub(crate) callers: usize,
+    /// Callers' connections that are being closed, in addition: a sixteenth.
+    pub(crate) closing_callers: usize,
+    /// Connections to all signalling servers together: a third.
+    pub(crate) server_connections: usize,
+    /// Calls in the table, established or not.
+    pub(crate) calls: usize,
+    /// Bytes of session descriptions kept for set-ups: an eighth of the memory.
+    pub(crate) description_bytes: usize,
+    /// Bytes queued for one slow reader: an even share of an eighth of the memory, at least one message.
+    pub(crate) unwritten_bytes: usize,
+    /// Called numbers in the table.
+    pub(crate) called_numbers: usize,
+    /// Releases that wait for a caller's or a server's connection.
+    pub(crate) pending_releases: usize,
+    /// Releases that one caller's connection has not confirmed: a sixteenth of the calls.
+    pub(crate) unconfirmed_releases: usize,
+    /// Pending releases sent on other callers' connections between two maintenance rounds: half of what may be queued
+    /// for one slow reader.
+    pub(crate) releases_per_round: usize,
+    /// Signalling servers in the table, removed ones included.
+    pub(crate) servers: usize,
 }
 
 impl Bounds {
-    pub fn new(limits: Limits, most_held: Option<usize>) -> Bounds {
-        let calls = (limits.memory / 2_048).min(most_held.unwrap_or(usize::MAX));
-        let sockets = limits.sockets - OWN.min(limits.sockets / 2);
-        let waiting = (limits.memory / 8 / limits.sockets).max(2 * MAX_MESSAGE_LENGTH);
+    /// Capacity under the limits on memory and descriptors, and on calls where the settings name one.
+    pub(crate) fn new(limits: Limits, max_calls: Option<usize>) -> Bounds {
+        let calls = (limits.memory / BYTES_PER_CALL).min(max_calls.unwrap_or(usize::MAX));
+        let sockets = limits.sockets - RESERVED_DESCRIPTORS.min(limits.sockets / 2);
+        let unwritten_bytes = (limits.memory / 8 / limits.sockets).max(2 * MAX_MESSAGE_LENGTH);
         Bounds {
             callers: sockets / 2,
-            closing: sockets / 16,
-            links: sockets / 3,
+            closing_callers: sockets / 16,
+            server_connections: sockets / 3,
             calls,
-            descriptions: limits.memory / 8,
-            waiting,
-            numbers: limits.memory / 16_384,
-            owed: calls,
-            unheard: (calls / 16).max(16),
-            told: waiting / 200,
-            servers: (limits.memory / 65_536).max(16),
+            description_bytes: limits.memory / 8,
+            unwritten_bytes,
+            called_numbers: limits.memory / BYTES_PER_CALLED_NUMBER,
+            pending_releases: calls,
+            unconfirmed_releases: (calls / 16).max(16),
+            releases_per_round: unwritten_bytes / 2 / RELEASE_BYTES,
+            servers: (limits.memory / BYTES_PER_SERVER).max(16),
         }
     }
 }
 
-/// Spans of the platform's protocol, which the settings do not name.
-pub mod platform {
+/// Timing constants of the platform's protocol that its settings do not name.
+pub(crate) mod protocol {
     use super::Span;
 
-    /// A caller that sent nothing of use is owed a refusal, an error or a close within this.
-    pub const BAD_CALLER: Span = Span::from_secs(3);
-    /// Callers close a connection without a call after this.
-    pub const CALLER_IDLE: Span = Span::from_secs(4);
-    /// After SIGTERM set-ups keep coming for this long at the most.
-    pub const STILL_COMING: Span = Span::from_millis(700);
-    /// A set-up that crosses the close of its connection by so much is sent once more.
-    pub const CROSSING: Span = Span::from_millis(50);
-    /// The coordinator says its last number this often.
-    pub const WATCH_PULSE: Span = Span::from_secs(1);
-    /// What has stood is to be released towards its caller within this, where its server could not say so.
-    pub const SILENT_END: Span = Span::from_secs(8);
-    /// A connection attempt that is not up by then has failed, where the settings name no time.
-    pub const CONNECT: Span = Span::from_millis(500);
+    /// A caller that sent nothing valid is owed a refusal, an error or a close within this time.
+    pub(crate) const INVALID_CALLER_DEADLINE: Span = Span::from_secs(3);
+    /// Callers close a connection without a call after this time.
+    pub(crate) const CALLER_IDLE_TIMEOUT: Span = Span::from_secs(4);
+    /// Set-ups may keep arriving for this long after SIGTERM.
+    pub(crate) const SHUTDOWN_GRACE: Span = Span::from_millis(700);
+    /// A set-up that crosses the close of its connection within this time is sent once more by its caller.
+    pub(crate) const CLOSE_RACE_WINDOW: Span = Span::from_millis(50);
+    /// The coordinator repeats its last index this often.
+    pub(crate) const WATCH_HEARTBEAT: Span = Span::from_secs(1);
+    /// An established call whose server died silently is to be released towards its caller within this time.
+    pub(crate) const SILENT_FAILURE_DEADLINE: Span = Span::from_secs(8);
+    /// A silent server is probed after this time: a quarter of the time allowed for noticing its failure.
+    pub(crate) const SILENCE_THRESHOLD: Span = Span::from_secs(2);
+    /// The time-out of a connection attempt where the settings name none.
+    pub(crate) const DEFAULT_CONNECT_TIMEOUT: Span = Span::from_millis(500);
 }
--- /dev/null
+++ b/crates/ochrelead-node/src/call_table.rs
@@ -0,0 +1,173 @@
+//! The calls of a node, indexed by session, id, INVITE deadline and server. State only: the engine acts on it.
+
+use std::collections::{BTreeSet, HashMap};
+
+use ochrelead_core::index::{ServerIx, SessionIx};
+use ochrelead_core::time::Moment;
+use ochrelead_platform::caller_messages::CallId;
+use slab::Slab;
+
+use crate::io::{CallerId, ServerConnectionId};
+
+/// An INVITE that was sent, or waits for a connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Invite {
+    pub(crate) server: ServerIx,
+    /// The connection it was sent on; `None` while it waits for one.
+    pub(crate) connection: Option<ServerConnectionId>,
+    /// When the controller decided on it.
+    pub(crate) requested_at: Moment,
+    /// When it times out.
+    pub(crate) expires_at: Moment,
+}
+
+/// How far the set-up of a call has got.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Phase {
+    /// The controller has yet to decide; no INVITE is in flight.
+    Waiting,
+    /// An INVITE is in flight, or waits for a connection.
+    Inviting(Invite),
+    /// The server accepted the call.
+    Established {
+        server: ServerIx,
+        /// The connection of the set-up; `None` where another front set the call up.
+        connection: Option<ServerConnectionId>,
+        since: Moment,
+    },
+}
+
+/// One call.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) id: CallId,
+    pub(crate) caller: CallerId,
+    /// The index of its service class.
+    pub(crate) class: usize,
+    /// What a further INVITE needs; empty once the call is established.
+    pub(crate) called_number: String,
+    pub(crate) description: String,
+    pub(crate) deadline: Moment,
+    /// How many INVITEs were made; the last one's sequence number.
+    pub(crate) invite_count: u32,
+    pub(crate) phase: Phase,
+}
+
+/// All calls.
+#[derive(Default)]
+pub(crate) struct CallTable {
+    calls: Slab<Call>,
+    sessions: HashMap<CallId, SessionIx>,
+    invite_deadlines: BTreeSet<(Moment, SessionIx)>,
+    established: BTreeSet<(ServerIx, SessionIx)>,
+    description_bytes: usize,
+    unanswered: usize,
+}
+
+impl CallTable {
+    pub(crate) fn insert(&mut self, call: Call) -> SessionIx {
+        let (id, phase) = (call.id, call.phase);
+        self.description_bytes += call.description.len();
+        let session = SessionIx::new(self.calls.insert(call));
+        self.sessions.insert(id, session);
+        self.unanswered += 1;
+        self.index_phase(session, Phase::Waiting, phase);
+        session
+    }
+
+    pub(crate) fn get(&self, session: SessionIx) -> Option<&Call> {
+        self.calls.get(session.index())
+    }
+
+    pub(crate) fn phase(&self, session: SessionIx) -> Option<Phase> {
+        self.get(session).map(|call| call.phase)
+    }
+
+    pub(crate) fn find(&self, id: CallId) -> Option<SessionIx> {
+        self.sessions.get(&id).copied()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// The number of calls whose callers wait for an answer.
+    pub(crate) fn unanswered(&self) -> usize {
+        self.unanswered
+    }
+
+    /// The total length of the session descriptions.
+    pub(crate) fn description_bytes(&self) -> usize {
+        self.description_bytes
+    }
+
+    /// Moves a call to a phase and frees what that phase does not need.
+    pub(crate) fn set_phase(&mut self, session: SessionIx, phase: Phase) {
+        let Some(call) = self.calls.get_mut(session.index()) else { return };
+        let former = std::mem::replace(&mut call.phase, phase);
+        match phase {
+            Phase::Inviting(_) => call.invite_count += u32::from(!matches!(former, Phase::Inviting(_))),
+            Phase::Established { .. } => {
+                self.description_bytes -= call.description.len();
+                call.called_number = String::new();
+                call.description = String::new();
+            }
+            Phase::Waiting => {}
+        }
+        self.index_phase(session, former, phase);
+    }
+
+    fn index_phase(&mut self, session: SessionIx, former: Phase, phase: Phase) {
+        self.unindex_phase(session, former);
+        match phase {
+            Phase::Inviting(invite) => _ = self.invite_deadlines.insert((invite.expires_at, session)),
+            Phase::Established { server, .. } => {
+                self.established.insert((server, session));
+                if !matches!(former, Phase::Established { .. }) {
+                    self.unanswered -= 1;
+                }
+            }
+            Phase::Waiting => {}
+        }
+    }
+
+    fn unindex_phase(&mut self, session: SessionIx, phase: Phase) {
+        match phase {
+            Phase::Inviting(invite) => _ = self.invite_deadlines.remove(&(invite.expires_at, session)),
+            Phase::Established { server, .. } => _ = self.established.remove(&(server, session)),
+            Phase::Waiting => {}
+        }
+    }
+
+    pub(crate) fn remove(&mut self, session: SessionIx) -> Option<Call> {
+        let call = self.calls.try_remove(session.index())?;
+        self.sessions.remove(&call.id);
+        self.description_bytes -= call.description.len();
+        self.unindex_phase(session, call.phase);
+        if !matches!(call.phase, Phase::Established { .. }) {
+            self.unanswered -= 1;
+        }
+        Some(call)
+    }
+
+    /// The next call whose INVITE has timed out.
+    pub(crate) fn next_expired(&self, now: Moment) -> Option<SessionIx> {
+        let (expires_at, session) = self.invite_deadlines.first()?;
+        (*expires_at <= now).then_some(*session)
+    }
+
+    /// When the next INVITE times out.
+    pub(crate) fn poll_timeout(&self) -> Option<Moment> {
+        self.invite_deadlines.first().map(|(expires_at, _)| *expires_at)
+    }
+
+    /// The established calls of a server.
+    pub(crate) fn established_at(&self, server: ServerIx) -> impl Iterator<Item = SessionIx> + '_ {
+        let range = (server, SessionIx::new(0))..=(server, SessionIx::new(u32::MAX as usize));
+        self.established.range(range).map(|(_, session)| *session)
+    }
+
+    pub(crate) fn has_established_at(&self, server: ServerIx) -> bool {
+        self.established_at(server).next().is_some()
+    }
+}
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -1,350 +1,319 @@
-//! The node from what sockets bring to what goes out on them.
+//! The node from the bytes that arrive on sockets to the bytes that are sent on them.
 //!
-//! A call's way: a caller's line is read (`entry`) and offered to the module; the module's INVITE leaves on a
-//! connection to its server (`exit`); the server's answer makes the caller's, its refusal goes back to the module;
-//! the module's refusal or failure becomes the caller's at once. What the host hands in only updates what is known;
-//! [`Engine::turn`] then pulls decisions until there is none.
+//! The path of a call: a caller's line is read (`caller_side`) and its set-up checked and passed to the controller
+//! (`call_setup`); the controller's INVITE is sent on a connection to its server (`server_side`); the server's answer
+//! becomes the caller's, its refusal goes back to the controller (`server_messages`); a rejection or failure by the
+//! controller becomes the caller's answer at once. Inputs only update state; [`Engine::process`] then asks the
+//! controller for decisions until there are none.
 
-mod entry;
-mod exit;
-mod links;
-mod observed;
+mod call_setup;
+mod caller_side;
+mod observations;
+mod releases;
+mod requests;
+mod server_connections;
+mod server_messages;
+mod server_side;
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 
-use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx, TenantIx};
+use ochrelead_core::index::{ServerIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_core::types::{Decision, InviteOutcome};
 use ochrelead_host::call_policy::CallPolicy;
 use ochrelead_host::called_numbers::CalledNumberTable;
 use ochrelead_host::recent_ids::RecentIds;
-use ochrelead_lease::Number;
-use ochrelead_platform::caller_messages::{self, CallId, cause};
+use ochrelead_platform::caller_messages::{self, cause};
 use ochrelead_platform::configuration::Configuration;
 use ochrelead_platform::events::EndpointChange;
-use ochrelead_zone::{ServerKey, ZoneId};
 use tracing::{Level, debug};
 
-use crate::book::{Book, Call, Phase};
-use crate::bounds::{Bounds, platform};
-use crate::callers::{CallerId, Callers};
-use crate::roster::{LinkId, Roster};
-use crate::watch::{Step, Watch, WatchId};
+use crate::bounds::{Bounds, protocol};
+use crate::call_table::CallTable;
+use crate::caller_table::CallerTable;
+use crate::coordinator_watch::{CoordinatorWatch, WatchConfig};
+use crate::io::{CallerId, Input, Output, WatchAction};
+use crate::server_table::ServerTable;
+use call_setup::ServiceCatalog;
+use observations::FleetObservations;
+use releases::PendingReleases;
 
-/// The log's target for how calls that stood came to their ends, where that was not on their usual way.
-const ENDS: &str = "ochrelead_node::ends";
+pub use observations::{Observation, SupersededToken, TrafficShare};
 
-/// What came in.
-#[derive(Debug)]
-pub enum Input<'a> {
-    CallerOpened(CallerId),
-    CallerSaid(CallerId, &'a [u8]),
-    /// It says nothing more; what it is told may still be read.
-    CallerEnded(CallerId),
-    CallerClosed(CallerId),
-    /// All that had come from it has been told.
-    HeardOut(CallerId),
-    LinkUp(LinkId),
-    LinkSaid(LinkId, &'a [u8]),
-    /// A connection has ended, or could not be made; `refused` where nobody listened there.
-    LinkClosed {
-        link: LinkId,
-        refused: bool,
-    },
-    WatchUp(WatchId),
-    WatchSaid(WatchId, &'a [u8]),
-    WatchClosed(WatchId),
-    /// The coordinator has moved.
-    Redirect(SocketAddr),
-    /// To leave service.
-    Leave,
-}
+/// The log target for established calls that did not end in the usual way; operators select it by `--log`.
+const CALL_END_LOG: &str = "ochrelead_node::ends";
+/// The tables' figures are logged this often.
+const LOG_INTERVAL: Span = Span::from_secs(1);
 
-/// What the host is to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Output {
-    ToCaller(CallerId, Vec<u8>),
-    /// All that has come from it by now is to be told, then that this was all.
-    HearOut(CallerId),
-    /// After what was written to it has left.
-    CloseCaller(CallerId),
-    Dial(LinkId, SocketAddr),
-    ToLink(LinkId, Vec<u8>),
-    CloseLink(LinkId),
-    /// After what was written to it has left, nothing more is; it is read until its server ends it.
-    HalfCloseLink(LinkId),
-    Watch(Step),
+/// An INVITE that is sent once nothing that has arrived says that its caller has left.
+#[derive(Clone, Copy, Debug)]
+struct UncheckedInvite {
+    caller: CallerId,
+    session: SessionIx,
 }
 
-/// What came of an INVITE, or a sign of life, for what fronts do together. An INVITE is named by its session.
+/// The sizes of the engine's tables.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Observation {
-    Asked(ServerKey, u64),
-    Answered(u64),
-    Failed(u64),
-    CalledOff(u64),
-    Alive(ServerKey),
+pub struct EngineLoad {
+    /// Calls, established or not.
+    pub calls: usize,
+    /// Connections of callers.
+    pub callers: usize,
+    /// Connections to signalling servers.
+    pub server_connections: usize,
+    /// Calls whose callers wait for an answer.
+    pub unanswered_calls: usize,
 }
 
 /// A node without I/O.
 pub struct Engine {
-    judge: Box<dyn CallPolicy>,
+    policy: Box<dyn CallPolicy>,
     now: Moment,
     bounds: Bounds,
-    /// The names of services and members, and the longest that a service's callers may wait.
-    services: Vec<(String, Span)>,
-    members: Vec<String>,
-    /// The numbers of the servers that may take each service.
-    places: Vec<Vec<i64>>,
-    connect: Span,
-    /// A connection to a server is kept idle for so long: its server closes it a connect time-out later, or a quarter
-    /// of its time where that is short.
-    longest_idle: Option<Span>,
-    book: Book,
-    callers: Callers,
-    roster: Roster,
-    numbers: CalledNumberTable,
-    watch: Watch,
-    /// INVITEs that were called off: what still stands by them is released.
-    called_off: RecentIds,
-    /// Calls that their servers released while nothing was held of them: a life before this one's may have had them.
+    catalog: ServiceCatalog,
+    connect_timeout: Span,
+    /// A connection to a server idle for so long is closed: its server would close it a connect time-out later, or a
+    /// quarter of its own limit where that is short.
+    max_idle: Option<Span>,
+    calls: CallTable,
+    callers: CallerTable,
+    servers: ServerTable,
+    called_numbers: CalledNumberTable,
+    watch: CoordinatorWatch,
+    /// Calls with a cancelled INVITE: what a server still establishes by it is released.
+    cancelled: RecentIds,
+    /// Calls that their servers released while unknown here: a former incarnation may have set them up.
     released: RecentIds,
-    /// INVITEs that leave once nothing says that their callers have left.
-    checked: Vec<(CallerId, SessionIx)>,
-    /// Callers' connections that are closed unless something has come on them.
+    unchecked_invites: Vec<UncheckedInvite>,
+    /// Callers' connections that are closed unless something has arrived on them.
     retiring: Vec<CallerId>,
-    /// Releases that no connection of a caller was there for.
-    owed: VecDeque<(CallId, u32)>,
-    /// How many of them were said since the last round.
-    said: usize,
-    /// Refusals of tests, by servers that have seen a higher number.
-    outrun: VecDeque<(String, Number)>,
-    /// The names of the districts, and what share of sessions their servers take where that is not all.
-    districts: Vec<String>,
-    eased: Vec<(ZoneId, f64)>,
-    /// What was met is told, where anybody asks for it.
-    observes: bool,
-    observations: VecDeque<Observation>,
-    leaving: Option<Moment>,
-    /// The tables are looked through no later than this.
-    pulse_at: Moment,
-    /// When the log is next told of the servers.
-    tell_at: Moment,
-    out: VecDeque<Output>,
-    alarm: Option<Moment>,
+    pending_releases: PendingReleases,
+    fleet: FleetObservations,
+    shutdown_since: Option<Moment>,
+    /// The tables are maintained no later than this.
+    maintenance_at: Moment,
+    log_at: Moment,
+    outputs: VecDeque<Output>,
+    timeout: Option<Moment>,
 }
 
 impl Engine {
-    pub fn new(configuration: Configuration, judge: Box<dyn CallPolicy>, now: Moment) -> Engine {
-        let facts = &configuration.settings;
-        let bounds = Bounds::new(configuration.limits, facts.max_sessions());
-        let connect = facts.connect_timeout().unwrap_or(platform::CONNECT);
+    /// A node that knows the endpoints of its configuration and whose sessions the policy decides on.
+    pub fn new(configuration: Configuration, policy: Box<dyn CallPolicy>, now: Moment) -> Engine {
+        let settings = &configuration.settings;
+        let bounds = Bounds::new(configuration.limits, settings.max_sessions());
+        let connect_timeout = settings.connect_timeout().unwrap_or(protocol::DEFAULT_CONNECT_TIMEOUT);
+        let watch = WatchConfig {
+            coordinator: configuration.coordinator,
+            event_cursor: configuration.event_cursor,
+            connect_timeout,
+            seed: configuration.controller_config.seed,
+        };
         let mut engine = Engine {
-            judge,
+            policy,
             now,
             bounds,
-            services: facts.services().map(|(name, longest)| (name.to_owned(), longest)).collect(),
-            members: facts.tenants().map(str::to_owned).collect(),
-            places: configuration
-                .controller_config
-                .services
-                .iter()
-                .map(|service| service.servers.clone())
-                .collect(),
-            connect,
-            longest_idle: facts.connection_idle_timeout().map(|idle| idle - connect.min(idle / 4)),
-            book: Book::default(),
-            callers: Callers::default(),
-            roster: Roster::new(bounds.servers),
-            numbers: CalledNumberTable::new(bounds.numbers),
-            watch: Watch::new(
-                configuration.coordinator,
-                configuration.event_cursor,
-                connect,
-                configuration.controller_config.seed,
-                now,
-            ),
-            called_off: RecentIds::new(bounds.numbers),
-            released: RecentIds::new(bounds.numbers),
-            checked: Vec::new(),
+            catalog: ServiceCatalog::new(settings, &configuration.controller_config),
+            connect_timeout,
+            max_idle: settings.connection_idle_timeout().map(|limit| limit - connect_timeout.min(limit / 4)),
+            calls: CallTable::default(),
+            callers: CallerTable::default(),
+            servers: ServerTable::new(bounds.servers),
+            called_numbers: CalledNumberTable::new(bounds.called_numbers),
+            watch: CoordinatorWatch::new(watch, now),
+            cancelled: RecentIds::new(bounds.called_numbers),
+            released: RecentIds::new(bounds.called_numbers),
+            unchecked_invites: Vec::new(),
             retiring: Vec::new(),
-            owed: VecDeque::new(),
-            said: 0,
-            outrun: VecDeque::new(),
-            districts: facts.zones().to_vec(),
-            eased: Vec::new(),
-            observes: false,
-            observations: VecDeque::new(),
-            leaving: None,
-            pulse_at: now,
-            tell_at: now,
-            out: VecDeque::new(),
-            alarm: None,
+            pending_releases: PendingReleases::default(),
+            fleet: FleetObservations::new(settings.zones().to_vec()),
+            shutdown_since: None,
+            maintenance_at: now,
+            log_at: now,
+            outputs: VecDeque::new(),
+            timeout: None,
         };
-        engine.clock(now);
+        engine.advance_to(now);
         for change in &configuration.initial_changes {
-            engine.listed(change);
+            engine.apply_endpoints(change);
         }
         engine
     }
 
-    fn clock(&mut self, now: Moment) {
+    fn advance_to(&mut self, now: Moment) {
         self.now = self.now.max(now);
-        self.judge.advance_to(self.now);
+        self.policy.advance_to(self.now);
     }
 
-    /// What came in is taken note of; nothing is decided yet.
-    pub fn take(&mut self, now: Moment, input: Input<'_>) {
-        self.clock(now);
+    /// Updates state by what the host reports; nothing is decided yet.
+    pub fn handle_input(&mut self, now: Moment, input: Input<'_>) {
+        self.advance_to(now);
         match input {
-            Input::CallerOpened(caller) => self.caller_opened(caller),
-            Input::CallerSaid(caller, bytes) => self.caller_said(caller, bytes),
-            Input::CallerEnded(caller) => self.caller_ended(caller),
-            Input::CallerClosed(caller) => self.caller_closed(caller),
-            Input::HeardOut(caller) => self.heard_out(caller),
-            Input::LinkUp(link) => self.link_up(link),
-            Input::LinkSaid(link, bytes) => self.link_said(link, bytes),
-            Input::LinkClosed { link, refused } => self.link_closed(link, refused),
-            Input::WatchUp(watch) => {
-                let step = self.watch.connected(watch, self.now);
-                self.out.extend(step.map(Output::Watch));
+            Input::CallerConnected(caller) => self.on_caller_connected(caller),
+            Input::CallerData(caller, bytes) => self.on_caller_data(caller, bytes),
+            Input::CallerHalfClosed(caller) => self.on_caller_half_closed(caller),
+            Input::CallerDisconnected(caller) => self.on_caller_disconnected(caller),
+            Input::InputDrained(caller) => self.on_input_drained(caller),
+            Input::ServerConnected(connection) => self.on_server_connected(connection),
+            Input::ServerData(connection, bytes) => self.on_server_data(connection, bytes),
+            Input::ServerDisconnected { connection, refused } => {
+                self.on_server_disconnected(connection, refused);
+            }
+            Input::WatchConnected(watch) => {
+                let action = self.watch.on_connected(watch, self.now);
+                self.push_watch_action(action);
             }
-            Input::WatchSaid(watch, bytes) => {
-                let (changes, step) = self.watch.heard(watch, bytes, self.now);
-                self.out.extend(step.map(Output::Watch));
+            Input::WatchData(watch, bytes) => {
+                let (changes, action) = self.watch.on_data(watch, bytes, self.now);
+                self.push_watch_action(action);
                 for change in &changes {
-                    self.listed(change);
+                    self.apply_endpoints(change);
                 }
             }
-            Input::WatchClosed(watch) => self.watch.closed(watch, self.now),
-            Input::Redirect(to) => {
-                let step = self.watch.redirect(to, self.now);
-                self.out.extend(step.map(Output::Watch));
+            Input::WatchDisconnected(watch) => self.watch.on_disconnected(watch, self.now),
+            Input::CoordinatorMoved(address) => {
+                let action = self.watch.redirect(address, self.now);
+                self.push_watch_action(action);
             }
-            Input::Leave => {
-                self.leaving = self.leaving.or(Some(self.now));
-                self.say_owed();
+            Input::Shutdown => {
+                self.shutdown_since = self.shutdown_since.or(Some(self.now));
+                self.send_pending_releases();
             }
         }
     }
 
-    /// All that is due now, and the module's decisions.
-    pub fn turn(&mut self, now: Moment) {
-        self.clock(now);
-        while let Some(session) = self.book.timed_out(self.now) {
-            self.invite_over(session, InviteOutcome::TimedOut);
+    fn push_watch_action(&mut self, action: Option<WatchAction>) {
+        self.outputs.extend(action.map(Output::Watch));
+    }
+
+    /// Does everything that is due, and carries the controller's decisions out.
+    pub fn process(&mut self, now: Moment) {
+        self.advance_to(now);
+        while let Some(session) = self.calls.next_expired(self.now) {
+            self.end_invite(session, InviteOutcome::TimedOut);
         }
-        while let Some(step) = self.watch.turn(self.now) {
-            self.out.push_back(Output::Watch(step));
+        while let Some(action) = self.watch.process(self.now) {
+            self.outputs.push_back(Output::Watch(action));
         }
-        if self.pulse_at <= self.now {
-            self.pulse_at = self.now + self.connect / 8;
-            self.tend_servers();
-            self.tend_callers();
-            self.tell();
+        if self.maintenance_at <= self.now {
+            self.maintenance_at = self.now + self.connect_timeout / 8;
+            self.maintain_servers();
+            self.maintain_callers();
+            self.log_tables();
         }
-        while let Some(decision) = self.judge.next_decision() {
+        while let Some(decision) = self.policy.next_decision() {
             self.carry_out(decision);
         }
-        let alarms = [self.judge.poll_timeout(), self.book.wake(), self.watch.wake(), Some(self.pulse_at)];
-        self.alarm = alarms.into_iter().flatten().min();
+        let timeouts = [
+            self.policy.poll_timeout(),
+            self.calls.poll_timeout(),
+            self.watch.poll_timeout(),
+            Some(self.maintenance_at),
+        ];
+        self.timeout = timeouts.into_iter().flatten().min();
     }
 
-    /// What is held of each server, a line each second, for the log.
-    fn tell(&mut self) {
-        if !tracing::enabled!(Level::DEBUG) || self.now < self.tell_at {
+    fn log_tables(&mut self) {
+        if !tracing::enabled!(Level::DEBUG) || self.now < self.log_at {
             return;
         }
-        self.tell_at = self.now + Span::from_secs(1);
-        for server in self.roster.all().filter(|server| !self.roster.get(*server).is_gone()) {
-            let (id, outlook) = (&self.roster.get(server).id, self.judge.server_snapshot(server));
-            debug!(id, ?outlook, stands = self.book.standing_at(server).len(), "held of a server");
+        self.log_at = self.now + LOG_INTERVAL;
+        for server in self.servers.indices().filter(|server| !self.servers.get(*server).is_gone()) {
+            let id = &self.servers.get(server).id;
+            let snapshot = self.policy.server_snapshot(server);
+            let established = self.calls.established_at(server).count();
+            debug!(server = id, ?snapshot, established, "server state");
         }
-        debug!(load = ?self.load(), "held");
+        debug!(load = ?self.load(), "engine load");
     }
 
-    /// What the host is to do next.
-    #[allow(clippy::should_implement_trait)]
-    pub fn next(&mut self) -> Option<Output> {
-        self.out.pop_front()
+    /// The host's next action.
+    pub fn poll_output(&mut self) -> Option<Output> {
+        self.outputs.pop_front()
     }
 
-    /// When [`Engine::turn`] is due although nothing came.
-    pub fn wake(&self) -> Option<Moment> {
-        self.alarm
+    /// When [`Engine::process`] is due even if no input arrives.
+    pub fn poll_timeout(&self) -> Option<Moment> {
+        self.timeout
     }
 
-    /// Whether a node that leaves owes nothing any more and nothing can still come. For an end that nobody was there
-    /// to hear of it stays as long as it is let.
+    /// Whether a node that leaves service owes nothing any more and no set-up can still arrive. A release without any
+    /// caller to send it to delays this up to the deadline of an invalid caller.
     pub fn is_closed(&self) -> bool {
-        let still = platform::STILL_COMING;
-        self.leaving.is_some_and(|since| {
-            let left = self.now.since(since);
-            let owes = self.book.unanswered() > 0 || !self.owed.is_empty() && left < platform::BAD_CALLER;
-            left >= still && !owes
-        })
+        let Some(elapsed) = self.time_since_shutdown() else { return false };
+        let owes_release = !self.pending_releases.is_empty() && elapsed < protocol::INVALID_CALLER_DEADLINE;
+        let owes_answer = self.calls.unanswered() > 0;
+        elapsed >= protocol::SHUTDOWN_GRACE && !owes_answer && !owes_release
     }
 
-    /// Whether lines that are owed nothing still keep one that leaves: what follows them may be.
-    pub fn may_still_come(&self) -> bool {
-        self.leaving.is_none_or(|since| self.now.since(since) < platform::STILL_COMING * 2)
+    /// Whether a node that leaves service still reads on while lines arrive that are owed nothing: set-ups may follow.
+    pub fn may_receive_set_ups(&self) -> bool {
+        self.time_since_shutdown().is_none_or(|elapsed| elapsed < protocol::SHUTDOWN_GRACE * 2)
     }
 
-    /// The most connections of callers that may be open, those that are being closed among them.
-    pub fn most_callers(&self) -> usize {
-        self.bounds.callers + self.bounds.closing
+    fn time_since_shutdown(&self) -> Option<Span> {
+        self.shutdown_since.map(|since| self.now.since(since))
     }
 
-    /// The most bytes that may wait for one connection's reader.
-    pub fn most_waiting(&self) -> usize {
-        self.bounds.waiting
+    /// The most callers' connections that may be open, those being closed included.
+    pub fn max_callers(&self) -> usize {
+        self.bounds.callers + self.bounds.closing_callers
     }
 
-    /// Calls that are held, callers' connections, connections to servers, and callers without an answer.
-    pub fn load(&self) -> [usize; 4] {
-        [self.book.len(), self.callers.len(), self.roster.links(), self.book.unanswered()]
+    /// The most bytes that may be queued for one connection's reader.
+    pub fn max_unwritten_bytes(&self) -> usize {
+        self.bounds.unwritten_bytes
     }
 
-    fn listed(&mut self, change: &EndpointChange) {
-        let book = &self.book;
-        let (listings, turns) = self.roster.change(change, self.now, |server| !book.any_standing_at(server));
-        self.judge.on_endpoints(change.is_full, &listings);
-        for listing in &listings {
-            self.ease_server(listing.server);
+    /// The sizes of the tables.
+    pub fn load(&self) -> EngineLoad {
+        EngineLoad {
+            calls: self.calls.len(),
+            callers: self.callers.len(),
+            server_connections: self.servers.connection_count(),
+            unanswered_calls: self.calls.unanswered(),
         }
-        for turn in turns {
-            self.follow(&turn);
+    }
+
+    fn apply_endpoints(&mut self, change: &EndpointChange) {
+        let calls = &self.calls;
+        let is_unused = |server: ServerIx| !calls.has_established_at(server);
+        let changes = self.servers.apply(change, self.now, is_unused);
+        self.policy.on_endpoints(change.is_full, &changes.updates);
+        for update in &changes.updates {
+            self.apply_zone_share(update.server);
         }
-        self.pulse_at = self.now;
+        for transition in changes.transitions {
+            self.apply_transition(&transition);
+        }
+        self.maintenance_at = self.now;
     }
 
     fn carry_out(&mut self, decision: Decision) {
-        if let (Decision::Reject { session, .. } | Decision::Fail { session }, Some(why)) =
-            (decision, self.judge.last_reason())
+        if let (Decision::Reject { session, .. } | Decision::Fail { session }, Some(reason)) =
+            (decision, self.policy.last_reason())
         {
-            debug!(call = ?self.book.get(session).map(|call| call.id), ?why, "given up");
+            let call = self.calls.get(session).map(|call| call.id);
+            debug!(?call, ?reason, "call rejected");
         }
         match decision {
-            Decision::Invite { session, server, answer_timeout: patience } => {
-                self.invite(session, server, patience)
-            }
-            Decision::Reject { session, retry_after: come_back } => {
-                self.give_up(session, cause::REFUSED, come_back)
+            Decision::Invite { session, server, answer_timeout } => {
+                self.start_invite(session, server, answer_timeout);
             }
-            Decision::Fail { session } => self.give_up(session, cause::FAILED, None),
+            Decision::Reject { session, retry_after } => self.reject(session, cause::REFUSED, retry_after),
+            Decision::Fail { session } => self.reject(session, cause::FAILED, None),
         }
     }
 
-    /// The module has given a session up: its caller learns it at once.
-    fn give_up(&mut self, session: SessionIx, cause: u32, come_back: Option<Span>) {
-        let Some(call) = self.book.leave(session) else { return };
+    /// Notifies the caller of the controller's rejection.
+    fn reject(&mut self, session: SessionIx, cause: u32, retry_after: Option<Span>) {
+        let Some(call) = self.calls.remove(session) else { return };
         if let Some(caller) = self.callers.get_mut(call.caller) {
-            caller.open.retain(|open| *open != session);
-            caller.used = self.now;
-            self.out.push_back(Output::ToCaller(
+            caller.pending_sessions.retain(|pending| *pending != session);
+            caller.last_used = self.now;
+            self.outputs.push_back(Output::SendToCaller(
                 call.caller,
-                caller_messages::encode_down(call.id, cause, come_back),
+                caller_messages::encode_down(call.id, cause, retry_after),
             ));
         }
     }
--- /dev/null
+++ b/crates/ochrelead-node/src/engine/call_setup.rs
@@ -0,0 +1,167 @@
+//! Set-ups: checked against the settings and the bounds, then passed to the controller.
+
+use ochrelead_core::config::ControllerConfig;
+use ochrelead_core::index::{ServiceIx, TenantIx};
+use ochrelead_core::time::Span;
+use ochrelead_core::types::CallRequest;
+use ochrelead_platform::MAX_MESSAGE_LENGTH;
+use ochrelead_platform::caller_messages::{self, CallId, MessageError, SetUpRequest, cause};
+use ochrelead_platform::settings::Settings;
+use tracing::debug;
+
+use super::{CALL_END_LOG, Engine};
+use crate::call_table::{Call, Phase};
+use crate::io::{CallerId, Output};
+
+/// The room that a SIP head takes beside a description.
+const MAX_HEAD_BYTES: usize = MAX_MESSAGE_LENGTH / 16;
+/// The destination of a set-up that may go to any server.
+const ANY_DESTINATION: i64 = -1;
+
+/// A service class of the settings.
+struct Service {
+    name: String,
+    /// The longest that its callers may wait; zero for no limit.
+    max_wait: Span,
+}
+
+/// What set-ups may name: service classes, tenants and servers.
+pub(super) struct ServiceCatalog {
+    services: Vec<Service>,
+    tenants: Vec<String>,
+    /// By service class, the numbers of the servers that may take its calls.
+    server_numbers: Vec<Vec<i64>>,
+}
+
+/// The service class and tenant that a valid set-up names.
+struct SetUpParties {
+    class: usize,
+    tenant: Option<TenantIx>,
+}
+
+impl ServiceCatalog {
+    pub(super) fn new(settings: &Settings, config: &ControllerConfig) -> ServiceCatalog {
+        let service = |(name, max_wait): (&str, Span)| Service { name: name.to_owned(), max_wait };
+        ServiceCatalog {
+            services: settings.services().map(service).collect(),
+            tenants: settings.tenants().map(str::to_owned).collect(),
+            server_numbers: config.services.iter().map(|service| service.servers.clone()).collect(),
+        }
+    }
+
+    /// The name of a service class.
+    pub(super) fn service_name(&self, class: usize) -> &str {
+        &self.services[class].name
+    }
+
+    fn tenant(&self, name: Option<&str>) -> Result<Option<TenantIx>, MessageError> {
+        match name {
+            Some(name) => {
+                let index = self.tenants.iter().position(|tenant| tenant == name);
+                Ok(Some(TenantIx::new(index.ok_or(MessageError::UnknownTenant)?)))
+            }
+            None if self.tenants.is_empty() => Ok(None),
+            None => Err(MessageError::MissingTenant),
+        }
+    }
+}
+
+impl Engine {
+    /// Passes a valid set-up to the controller; refuses it where the tables are full.
+    pub(super) fn on_set_up(&mut self, id: CallerId, set_up: SetUpRequest) -> Result<(), MessageError> {
+        let SetUpParties { class, tenant } = self.check_set_up(&set_up)?;
+        if self.is_full_for(&set_up) {
+            let line = caller_messages::encode_down(set_up.call, cause::REFUSED, None);
+            self.outputs.push_back(Output::SendToCaller(id, line));
+            return Ok(());
+        }
+        let deadline = self.now + set_up.time_left;
+        let request = CallRequest {
+            service: ServiceIx::new(class),
+            tenant,
+            called_number: Some(self.called_numbers.index(&set_up.called_number)),
+            destination: set_up.destination.unwrap_or(ANY_DESTINATION),
+            deadline,
+            is_redial: false,
+        };
+        let session = self.calls.insert(Call {
+            id: set_up.call,
+            caller: id,
+            class,
+            called_number: set_up.called_number,
+            description: set_up.description,
+            deadline,
+            invite_count: 0,
+            phase: Phase::Waiting,
+        });
+        let may_be_regular = self.callers.get_mut(id).is_some_and(|caller| {
+            caller.pending_sessions.push(session);
+            !caller.is_verified && caller.pending_sessions.len() == 1
+        });
+        if may_be_regular && self.callers.release_recipient(false).is_none() {
+            self.offer_pending_releases(id);
+        }
+        self.policy.on_call_request(session, request);
+        Ok(())
+    }
+
+    fn check_set_up(&self, set_up: &SetUpRequest) -> Result<SetUpParties, MessageError> {
+        if self.calls.find(set_up.call).is_some() {
+            return Err(MessageError::DuplicateCall);
+        }
+        let services = &self.catalog.services;
+        let class = services.iter().position(|service| service.name == set_up.class);
+        let class = class.ok_or(MessageError::UnknownClass)?;
+        let tenant = self.catalog.tenant(set_up.tenant.as_deref())?;
+        let max_wait = services[class].max_wait;
+        if max_wait > Span::ZERO && set_up.time_left > max_wait {
+            return Err(MessageError::TimeLeftTooLong);
+        }
+        let is_known = |number: i64| {
+            self.servers.knows_number(number) || self.catalog.server_numbers[class].contains(&number)
+        };
+        if set_up.destination.is_some_and(|number| number >= 0 && !is_known(number)) {
+            return Err(MessageError::UnknownDestination);
+        }
+        if set_up.description.len() + MAX_HEAD_BYTES > MAX_MESSAGE_LENGTH {
+            return Err(MessageError::DescriptionTooLong);
+        }
+        Ok(SetUpParties { class, tenant })
+    }
+
+    fn is_full_for(&self, set_up: &SetUpRequest) -> bool {
+        let description_bytes = self.calls.description_bytes() + set_up.description.len();
+        self.calls.len() >= self.bounds.calls || description_bytes > self.bounds.description_bytes
+    }
+
+    /// Takes over a call that a former incarnation of this node, or another node, has established, so that its release
+    /// reaches the caller.
+    pub(super) fn on_established_elsewhere(&mut self, id: CallerId, call: CallId, server: &str) {
+        debug!(target: CALL_END_LOG, ?call, server, caller = id.0, "call reported as established");
+        if self.calls.find(call).is_some() {
+            return;
+        }
+        let server = self.servers.find(server).filter(|server| !self.servers.get(*server).is_gone());
+        // A server that released the call before the caller named it does not release it again.
+        let server = server.filter(|_| !self.released.contains(call.as_str()));
+        let Some(server) = server.filter(|_| self.calls.len() < self.bounds.calls) else {
+            self.outputs
+                .push_back(Output::SendToCaller(id, caller_messages::encode_down(call, cause::FAILED, None)));
+            return;
+        };
+        let session = self.calls.insert(Call {
+            id: call,
+            caller: id,
+            class: 0,
+            called_number: String::new(),
+            description: String::new(),
+            deadline: self.now,
+            invite_count: 0,
+            phase: Phase::Established { server, connection: None, since: self.now },
+        });
+        if let Some(caller) = self.callers.get_mut(id) {
+            caller.established_calls += 1;
+        }
+        self.policy.on_call_established(session);
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-node/src/engine/releases.rs
@@ -0,0 +1,106 @@
+//! Releases of established calls towards their callers: on the call's own connection, else on that of another verified
+//! caller, else once there is one.
+
+use std::collections::VecDeque;
+
+use ochrelead_core::index::SessionIx;
+use ochrelead_platform::caller_messages::{self, CallId};
+use tracing::debug;
+
+use super::{CALL_END_LOG, Engine};
+use crate::call_table::Call;
+use crate::caller_table::Release;
+use crate::io::{CallerId, Output};
+
+/// Releases whose own connection has closed.
+#[derive(Default)]
+pub(super) struct PendingReleases {
+    queue: VecDeque<Release>,
+    /// How many were sent since the last maintenance round.
+    sent_this_round: usize,
+}
+
+impl PendingReleases {
+    pub(super) fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
+    /// The caller has confirmed the release of a call.
+    pub(super) fn confirm(&mut self, call: CallId) {
+        self.queue.retain(|release| release.call != call);
+    }
+
+    pub(super) fn start_round(&mut self) {
+        self.sent_this_round = 0;
+    }
+}
+
+impl Engine {
+    /// Removes an established call.
+    pub(super) fn remove_established(&mut self, session: SessionIx) -> Option<Call> {
+        let call = self.calls.remove(session)?;
+        if let Some(caller) = self.callers.get_mut(call.caller) {
+            caller.established_calls = caller.established_calls.saturating_sub(1);
+        }
+        Some(call)
+    }
+
+    /// Removes an established call that has ended and notifies its caller.
+    pub(super) fn release(&mut self, session: SessionIx, cause: u32) {
+        let Some(call) = self.remove_established(session) else { return };
+        let release = Release { call: call.id, cause };
+        if self.callers.get(call.caller).is_some() {
+            self.send_release(call.caller, release);
+        } else {
+            self.queue_release(release);
+        }
+    }
+
+    /// Queues a release whose own connection has closed.
+    pub(super) fn queue_release(&mut self, release: Release) {
+        if self.pending_releases.queue.len() < self.bounds.pending_releases {
+            self.pending_releases.queue.push_back(release);
+        }
+        self.send_pending_releases();
+    }
+
+    /// Sends pending releases on a verified caller's connection; between two rounds no more than one reader can take.
+    pub(super) fn send_pending_releases(&mut self) {
+        while self.pending_releases.sent_this_round < self.bounds.releases_per_round
+            && let Some(caller) = self.callers.release_recipient(self.shutdown_since.is_some())
+            && let Some(release) = self.pending_releases.queue.pop_front()
+        {
+            self.pending_releases.sent_this_round += 1;
+            debug!(
+                target: CALL_END_LOG,
+                call = ?release.call,
+                cause = release.cause,
+                caller = caller.0,
+                "release sent on another caller's connection"
+            );
+            self.send_release(caller, release);
+        }
+    }
+
+    /// Sends the pending releases to a caller that may be a regular one where no verified one is there. They stay
+    /// pending until a caller is verified or has confirmed them.
+    pub(super) fn offer_pending_releases(&mut self, caller: CallerId) {
+        for release in self.pending_releases.queue.iter().take(self.bounds.releases_per_round) {
+            let line = caller_messages::encode_down(release.call, release.cause, None);
+            self.outputs.push_back(Output::SendToCaller(caller, line));
+        }
+    }
+
+    fn send_release(&mut self, id: CallerId, release: Release) {
+        let line = caller_messages::encode_down(release.call, release.cause, None);
+        self.outputs.push_back(Output::SendToCaller(id, line));
+        let capacity = self.bounds.unconfirmed_releases;
+        if let Some(caller) = self.callers.get_mut(id) {
+            // Of a caller that confirms nothing the oldest are taken as confirmed.
+            if caller.unconfirmed_releases.len() >= capacity {
+                caller.unconfirmed_releases.pop_front();
+            }
+            caller.unconfirmed_releases.push_back(release);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-node/src/engine/server_connections.rs
@@ -0,0 +1,287 @@
+//! The connections to the signalling servers: opened, kept ready, closed, and what their ends mean for calls.
+
+use std::collections::BTreeSet;
+use std::mem;
+
+use ochrelead_core::index::{ServerIx, SessionIx};
+use ochrelead_core::time::{Moment, Span};
+use ochrelead_core::types::InviteOutcome;
+use ochrelead_platform::caller_messages::cause;
+use tracing::debug;
+
+use super::{CALL_END_LOG, Engine};
+use crate::bounds::protocol;
+use crate::call_table::Phase;
+use crate::io::{Output, ServerConnectionId};
+use crate::server_table::{ConnectionState, ServerTransition};
+
+/// Idle connections that a server in service has ready: as many broken ones cost no time.
+const SPARE_CONNECTIONS: usize = 2;
+/// A server with so many failed connection attempts, and silent, is presumed dead.
+const MAX_FAILED_CONNECTS: u32 = 2;
+
+/// How many connections a server needs.
+struct ConnectionDemand {
+    /// How many idle ones it lacks.
+    missing: usize,
+    /// An INVITE or a release can't be sent without one.
+    is_urgent: bool,
+    /// Whether it needs a probe.
+    is_silent: bool,
+}
+
+impl Engine {
+    pub(super) fn on_server_connected(&mut self, id: ServerConnectionId) {
+        let Some(connection) = self.servers.connection_mut(id) else { return };
+        connection.state = ConnectionState::Open;
+        connection.since = self.now;
+        connection.last_used = self.now;
+        let server_ix = connection.server;
+        self.note_heard(server_ix);
+        let server = self.servers.get_mut(server_ix);
+        let waiting_invites = mem::take(&mut server.waiting_invites);
+        let pending_releases = mem::take(&mut server.pending_releases);
+        for call in pending_releases {
+            self.send_bye(server_ix, None, call, cause::NORMAL);
+        }
+        for session in waiting_invites {
+            self.check_and_send_invite(session);
+        }
+    }
+
+    pub(super) fn on_server_disconnected(&mut self, id: ServerConnectionId, refused: bool) {
+        let Some(connection) = self.servers.remove_connection(id) else { return };
+        let server_ix = connection.server;
+        if connection.state == ConnectionState::HalfClosed {
+            return;
+        }
+        for session in connection.sessions {
+            self.end_invite(session, InviteOutcome::Reset);
+        }
+        let has_others = self.servers.has_open_connection(server_ix);
+        let retry_delay = self.connect_timeout / 8;
+        let ended_early = match connection.state {
+            ConnectionState::Connecting => true,
+            _ => self.now.since(connection.since) < retry_delay,
+        };
+        if refused || ended_early {
+            // A server that refuses one while others are open takes no more of them for now.
+            let delay = if refused && has_others { self.connect_timeout * 2 } else { retry_delay };
+            self.servers.get_mut(server_ix).reconnect_at = self.now + delay;
+        }
+        if refused && !has_others {
+            // Nobody listens there: the process has ended, and its calls with it.
+            self.presume_dead(server_ix);
+        }
+        self.maintenance_at = self.now;
+    }
+
+    /// Closes an idle connection. The release of a call may be in flight on it, and its server would not send it again:
+    /// what arrives until the server closes it too is still read.
+    fn half_close(&mut self, id: ServerConnectionId) {
+        if let Some(connection) = self.servers.connection_mut(id) {
+            connection.state = ConnectionState::HalfClosed;
+            connection.since = self.now;
+            self.outputs.push_back(Output::HalfCloseServerConnection(id));
+        }
+    }
+
+    /// Closes a connection that can't be read on, or whose message never ends: the INVITEs in flight on it have failed.
+    pub(super) fn abort_connection(&mut self, id: ServerConnectionId) {
+        self.outputs.push_back(Output::CloseServerConnection(id));
+        self.on_server_disconnected(id, false);
+    }
+
+    /// A server has ended without saying so.
+    fn presume_dead(&mut self, server: ServerIx) {
+        for id in self.servers.get(server).connections.clone() {
+            let is_established = self
+                .servers
+                .connection(id)
+                .is_some_and(|connection| connection.state != ConnectionState::Connecting);
+            if is_established {
+                self.abort_connection(id);
+            }
+        }
+        for session in mem::take(&mut self.servers.get_mut(server).waiting_invites) {
+            self.end_invite(session, InviteOutcome::ConnectFailed);
+        }
+        self.end_calls(server, self.now);
+    }
+
+    /// Ends the calls that a server established before a moment.
+    fn end_calls(&mut self, server: ServerIx, established_until: Moment) {
+        let sessions: Vec<SessionIx> = self.calls.established_at(server).collect();
+        for session in sessions {
+            let phase = self.calls.phase(session);
+            if matches!(phase, Some(Phase::Established { since, .. }) if since <= established_until) {
+                let call = self.calls.get(session).map(|call| call.id);
+                let server_id = &self.servers.get(server).id;
+                debug!(target: CALL_END_LOG, ?call, server = server_id, "server of a call ended");
+                self.policy.on_invite_ended(session, server, InviteOutcome::Reset, true);
+                self.release(session, cause::FAILED);
+            }
+        }
+    }
+
+    pub(super) fn apply_transition(&mut self, transition: &ServerTransition) {
+        match *transition {
+            ServerTransition::Closed(server) => {
+                for session in mem::take(&mut self.servers.get_mut(server).waiting_invites) {
+                    self.end_invite(session, InviteOutcome::Unsent);
+                }
+            }
+            ServerTransition::Restarted(server, started) => self.end_calls(server, started),
+            ServerTransition::Displaced(server) => self.presume_dead(server),
+        }
+    }
+
+    /// Gives stalled connections up, opens missing ones and closes surplus ones.
+    pub(super) fn maintain_servers(&mut self) {
+        for id in self.servers.stalled_connections(self.now, self.connect_timeout) {
+            self.give_up_connection(id);
+        }
+        for server in self.servers.indices() {
+            self.maintain_server(server);
+        }
+    }
+
+    fn give_up_connection(&mut self, id: ServerConnectionId) {
+        let Some(connection) = self.servers.connection(id) else { return };
+        let (server_ix, state) = (connection.server, connection.state);
+        self.abort_connection(id);
+        if state == ConnectionState::Connecting {
+            let now = self.now;
+            let server = self.servers.get_mut(server_ix);
+            server.failed_connects += 1;
+            // Connections that are never established and no message: the machine has vanished.
+            if server.failed_connects >= MAX_FAILED_CONNECTS && server.is_silent(now) {
+                self.presume_dead(server_ix);
+            }
+        }
+    }
+
+    fn maintain_server(&mut self, server: ServerIx) {
+        self.fail_overdue_invites(server);
+        if self.servers.get(server).is_gone() {
+            return self.maintain_gone_server(server);
+        }
+        let idle = self.servers.idle_connections(server);
+        let demand = self.connection_demand(server, idle.len());
+        let active = self.servers.active_count(server);
+        let is_at_limit = active >= self.connection_limit();
+        if demand.is_silent && demand.missing > 0 && is_at_limit {
+            // A silent server has all the connections that it may have: one makes room for a probe.
+            if let Some(oldest) = idle.first() {
+                self.half_close(*oldest);
+            }
+            return;
+        }
+        self.open_missing_connections(server, &demand);
+        self.close_unneeded_connections(&idle);
+    }
+
+    /// A removed server is not connected to again, for another may listen at its address by now. Once it falls silent
+    /// or closes its connections, it has ended.
+    fn maintain_gone_server(&mut self, index: ServerIx) {
+        let server = self.servers.get(index);
+        let has_ended = server.is_silent(self.now) || !self.servers.has_open_connection(index);
+        let is_in_use = self.calls.has_established_at(index) || !server.connections.is_empty();
+        if has_ended && is_in_use {
+            self.presume_dead(index);
+        }
+    }
+
+    /// Ends the INVITEs that have waited for a connection for too long.
+    fn fail_overdue_invites(&mut self, server: ServerIx) {
+        let overdue: Vec<SessionIx> = self
+            .servers
+            .get(server)
+            .waiting_invites
+            .iter()
+            .copied()
+            .filter(|session| self.is_overdue(*session))
+            .collect();
+        for session in overdue {
+            self.end_invite(session, InviteOutcome::ConnectFailed);
+        }
+    }
+
+    fn is_overdue(&self, session: SessionIx) -> bool {
+        let Some(Phase::Inviting(invite)) = self.calls.phase(session) else { return false };
+        self.now.since(invite.requested_at) >= self.connect_timeout
+    }
+
+    fn connection_demand(&self, index: ServerIx, idle: usize) -> ConnectionDemand {
+        let server = self.servers.get(index);
+        let is_silent = server.is_silent(self.now);
+        let has_calls = self.calls.has_established_at(index);
+        let has_waiting = !server.waiting_invites.is_empty();
+        let lacks_release_path = has_calls && !self.servers.has_open_connection(index);
+        let mut wanted =
+            if server.is_ready() { self.spare_connections() } else { usize::from(lacks_release_path) };
+        if is_silent && (server.is_ready() || has_calls) {
+            wanted = wanted.max(idle + 1);
+        }
+        wanted = wanted.max(usize::from(has_waiting));
+        ConnectionDemand {
+            missing: wanted.saturating_sub(idle + self.servers.connecting_count(index)),
+            is_urgent: has_waiting || lacks_release_path,
+            is_silent,
+        }
+    }
+
+    /// Opens the missing connections, as many as the server's share and the bound on all allow.
+    fn open_missing_connections(&mut self, index: ServerIx, demand: &ConnectionDemand) {
+        let server = self.servers.get(index);
+        if server.reconnect_at > self.now {
+            return;
+        }
+        let address = server.address;
+        let connecting = self.servers.connecting_count(index);
+        let allowed = self
+            .connection_limit()
+            .saturating_sub(self.servers.active_count(index))
+            .min(self.spare_connections().saturating_sub(connecting));
+        let bound = self.bounds.server_connections;
+        let hard_bound = bound + if demand.is_urgent { self.bounds.closing_callers } else { 0 };
+        for _ in 0..demand.missing.min(allowed) {
+            if self.servers.connection_count() >= hard_bound {
+                break;
+            }
+            if self.servers.connection_count() >= bound {
+                // More servers than connections: the least recently used one makes room for what is needed.
+                let Some(oldest) = self.servers.least_recently_used() else { break };
+                self.half_close(oldest);
+            }
+            let connection = self.servers.add_connection(index, self.now);
+            self.outputs.push_back(Output::ConnectServer(connection, address));
+        }
+    }
+
+    /// Closes idle connections beyond need, and those that their server is about to close: an INVITE that crossed that
+    /// would be lost.
+    fn close_unneeded_connections(&mut self, idle: &[ServerConnectionId]) {
+        let idle_time = |id: &ServerConnectionId| {
+            self.servers.connection(*id).map_or(Span::ZERO, |connection| self.now.since(connection.last_used))
+        };
+        let surplus_count = idle.len().saturating_sub(SPARE_CONNECTIONS * 2);
+        let surplus =
+            idle.iter().take(surplus_count).filter(|id| idle_time(id) >= protocol::CALLER_IDLE_TIMEOUT);
+        let aged = idle.iter().filter(|id| self.max_idle.is_some_and(|limit| idle_time(id) >= limit));
+        let unneeded: BTreeSet<ServerConnectionId> = surplus.chain(aged).copied().collect();
+        for id in unneeded {
+            self.half_close(id);
+        }
+    }
+
+    /// How many connections one server may have.
+    fn connection_limit(&self) -> usize {
+        self.servers.share_per_server(self.bounds.server_connections)
+    }
+
+    /// How many idle connections a server in service has ready.
+    pub(super) fn spare_connections(&self) -> usize {
+        SPARE_CONNECTIONS.min(self.connection_limit())
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-node/src/engine/server_side.rs
@@ -0,0 +1,175 @@
+//! The side of the signalling servers: INVITEs, cancellations, releases and health checks that the node sends.
+
+use ochrelead_core::index::{ServerIx, SessionIx};
+use ochrelead_core::time::Span;
+use ochrelead_core::types::InviteOutcome;
+use ochrelead_lease::Number;
+use ochrelead_platform::caller_messages::CallId;
+use tracing::debug;
+
+use super::observations::Observation;
+use super::{Engine, UncheckedInvite, requests};
+use crate::call_table::{Invite, Phase};
+use crate::fencing;
+use crate::io::{Output, ServerConnectionId};
+
+/// The call id of requests outside of any call.
+const NO_CALL: &str = "0000000000000000";
+
+impl Engine {
+    /// Starts the INVITE that the controller decided on.
+    pub(super) fn start_invite(
+        &mut self,
+        session: SessionIx,
+        server: ServerIx,
+        answer_timeout: Option<Span>,
+    ) {
+        let Some(call) = self.calls.get(session) else { return };
+        let expires_at =
+            answer_timeout.map_or(call.deadline, |timeout| call.deadline.min(self.now + timeout));
+        let invite = Invite { server, connection: None, requested_at: self.now, expires_at };
+        self.calls.set_phase(session, Phase::Inviting(invite));
+        self.observe_invite(server, session);
+        self.check_and_send_invite(session);
+    }
+
+    /// Sends an INVITE once the caller's input has been drained: none is begun for a caller that has left, however long
+    /// what says so has waited to be read.
+    pub(super) fn check_and_send_invite(&mut self, session: SessionIx) {
+        let Some(call) = self.calls.get(session) else { return };
+        let Phase::Inviting(invite) = call.phase else { return };
+        let caller = call.caller;
+        if self.servers.select_connection(invite.server).is_none() {
+            return self.await_connection(invite.server, session);
+        }
+        if !self.unchecked_invites.iter().any(|invite| invite.caller == caller) {
+            self.outputs.push_back(Output::DrainInput(caller));
+        }
+        self.unchecked_invites.push(UncheckedInvite { caller, session });
+    }
+
+    fn await_connection(&mut self, server: ServerIx, session: SessionIx) {
+        self.servers.get_mut(server).waiting_invites.push(session);
+        self.maintenance_at = self.now;
+    }
+
+    /// Sends an INVITE on a connection to its server; where none is open it waits for one.
+    pub(super) fn send_invite(&mut self, session: SessionIx) {
+        let Some(call) = self.calls.get(session) else { return };
+        let Phase::Inviting(invite @ Invite { connection: None, .. }) = call.phase else { return };
+        let server = invite.server;
+        if !self.servers.get(server).is_ready() {
+            return self.end_invite(session, InviteOutcome::Unsent);
+        }
+        let Some(id) = self.servers.select_connection(server) else {
+            return self.await_connection(server, session);
+        };
+        let start_line = format!("INVITE sip:{}@net SIP/2.0", call.called_number);
+        let sequence = format!("{} INVITE", call.invite_count);
+        let timer_ms = (invite.expires_at.since(self.now).micros() / 1_000).max(1).to_string();
+        let headers = [("X-Cos", self.catalog.service_name(call.class)), ("X-Timer-Ms", &timer_ms)];
+        let bytes = requests::message(
+            &start_line,
+            call.id.as_str(),
+            &sequence,
+            &headers,
+            call.description.as_bytes(),
+        );
+        self.outputs.push_back(Output::SendToServer(id, bytes));
+        self.calls.set_phase(session, Phase::Inviting(Invite { connection: Some(id), ..invite }));
+        if let Some(connection) = self.servers.connection_mut(id) {
+            connection.sessions.push(session);
+            connection.last_used = self.now;
+        }
+        if self.servers.idle_connections(server).len() < self.spare_connections() {
+            self.maintenance_at = self.now;
+        }
+    }
+
+    /// An INVITE has ended without an established call; the controller decides how its session goes on.
+    pub(super) fn end_invite(&mut self, session: SessionIx, outcome: InviteOutcome) {
+        let Some(Phase::Inviting(invite)) = self.calls.phase(session) else { return };
+        // The answer to an INVITE has been observed already.
+        let ask = session.index() as u64;
+        self.observe(match outcome {
+            InviteOutcome::Reset | InviteOutcome::ConnectFailed => Observation::Failed(ask),
+            _ => Observation::CalledOff(ask),
+        });
+        if outcome == InviteOutcome::TimedOut {
+            self.cancel_invite(session);
+        } else {
+            self.detach_invite(session, invite);
+        }
+        let call = self.calls.get(session).map(|call| call.id);
+        let server = &self.servers.get(invite.server).id;
+        debug!(?call, server, ?outcome, duration = ?self.now.since(invite.requested_at), "INVITE ended");
+        self.calls.set_phase(session, Phase::Waiting);
+        self.policy.on_invite_ended(session, invite.server, outcome, false);
+    }
+
+    /// Cancels an INVITE: its server is notified where it had been sent.
+    pub(super) fn cancel_invite(&mut self, session: SessionIx) {
+        self.observe(Observation::CalledOff(session.index() as u64));
+        let Some(call) = self.calls.get(session) else { return };
+        let Phase::Inviting(invite) = call.phase else { return };
+        if let Some(connection) = invite.connection {
+            let bytes = requests::request("CANCEL", &call.called_number, call.id, call.invite_count);
+            self.cancelled.insert(call.id.as_str());
+            self.outputs.push_back(Output::SendToServer(connection, bytes));
+        }
+        self.detach_invite(session, invite);
+    }
+
+    /// Removes an INVITE from its connection, or from those that wait for one.
+    fn detach_invite(&mut self, session: SessionIx, invite: Invite) {
+        match invite.connection {
+            Some(connection) => {
+                if let Some(connection) = self.servers.connection_mut(connection) {
+                    connection.sessions.retain(|other| *other != session);
+                }
+            }
+            None => {
+                let server = self.servers.get_mut(invite.server);
+                server.waiting_invites.retain(|other| *other != session);
+                self.unchecked_invites.retain(|unchecked| unchecked.session != session);
+            }
+        }
+    }
+
+    /// Releases a call at its server: on the connection of its set-up, else on any, else once one is open.
+    pub(super) fn send_bye(
+        &mut self,
+        server: ServerIx,
+        connection: Option<ServerConnectionId>,
+        call: CallId,
+        cause: u32,
+    ) {
+        let own = connection.filter(|id| self.servers.is_open(*id));
+        match own.or_else(|| self.servers.select_connection(server)) {
+            Some(id) => self.outputs.push_back(Output::SendToServer(id, requests::bye(call, cause))),
+            None => {
+                let capacity = self.bounds.pending_releases;
+                let server = self.servers.get_mut(server);
+                if !server.is_gone() && server.pending_releases.len() < capacity {
+                    server.pending_releases.push(call);
+                }
+            }
+        }
+    }
+
+    /// Sends a health check on behalf of the fleet under a fencing token; where no connection is open, one is made.
+    pub fn send_health_check(&mut self, server: &str, token: Number) {
+        let Some(server) = self.servers.find(server) else { return };
+        if !self.servers.get(server).is_ready() {
+            return;
+        }
+        let Some(id) = self.servers.select_connection(server) else {
+            self.maintenance_at = self.now;
+            return;
+        };
+        let token = fencing::format_token(token);
+        let headers = [(fencing::TOKEN_HEADER, token.as_str())];
+        let bytes = requests::message("OPTIONS sip:load@net SIP/2.0", NO_CALL, "1 OPTIONS", &headers, &[]);
+        self.outputs.push_back(Output::SendToServer(id, bytes));
+    }
+}
--- a/crates/ochrelead-node/src/host.rs
+++ b/crates/ochrelead-node/src/host.rs
@@ -21,8 +21,8 @@
 use ochrelead_host::clock::Clock;
 use tracing::{debug, info, warn};
 
-use crate::engine::{Engine, Input, Output};
-use crate::watch::Step;
+use crate::engine::Engine;
+use crate::io::{Input, Output, WatchAction};
 use connections::{Connection, Finish, Peer, State};
 use peers::PeerHost;
 
@@ -57,7 +57,7 @@
     let (mut peer_host, mut written) = (None, None);
     if let Some(Peers { together, listen: at, promises }) = peers {
         if together.observes() {
-            engine.observe();
+            engine.enable_observations();
         }
         let socket = Async::<UdpSocket>::bind(at).map_err(|error| named("peers", at, &error))?;
         let (out, done) = promises.map(|promises| (promises.out, promises.written)).unzip();
@@ -98,19 +98,20 @@
             let alarm = {
                 let mut state = self.state.borrow_mut();
                 state.hear_out_the_rest();
-                state.engine.turn(clock.now());
+                state.engine.process(clock.now());
                 self.carry_all_out(&mut state);
                 if state.engine.is_closed() && state.all_written() {
                     let any = self.accept_all(&mut state, listener) | state.read_all();
-                    state.engine.turn(clock.now());
+                    state.engine.process(clock.now());
                     self.carry_all_out(&mut state);
                     // In the end only what is owed holds it: a flood of other lines would for ever.
-                    let over = !any || !state.engine.may_still_come();
+                    let over = !any || !state.engine.may_receive_set_ups();
                     if over && state.engine.is_closed() && state.all_written() {
                         return;
                     }
                 }
-                let wakes = [state.engine.wake(), state.work_together(clock.now()), state.tend(clock.now())];
+                let wakes =
+                    [state.engine.poll_timeout(), state.work_together(clock.now()), state.tend(clock.now())];
                 self.carry_all_out(&mut state);
                 wakes.into_iter().flatten().min()
             };
@@ -147,25 +148,27 @@
     }
 
     fn carry_all_out(&self, state: &mut State) {
-        while let Some(output) = state.engine.next() {
+        while let Some(output) = state.engine.poll_output() {
             self.carry_out(state, output);
         }
     }
 
     fn carry_out(&self, state: &mut State, output: Output) {
         match output {
-            Output::ToCaller(caller, bytes) => self.write(state, Peer::Caller(caller), &bytes),
-            Output::ToLink(link, bytes) => self.write(state, Peer::Link(link), &bytes),
-            Output::HearOut(caller) => state.hear_out(caller),
+            Output::SendToCaller(caller, bytes) => self.write(state, Peer::Caller(caller), &bytes),
+            Output::SendToServer(link, bytes) => self.write(state, Peer::Link(link), &bytes),
+            Output::DrainInput(caller) => state.hear_out(caller),
             Output::CloseCaller(caller) => state.end(Peer::Caller(caller), Finish::Closes),
-            Output::CloseLink(link) => state.end(Peer::Link(link), Finish::Closes),
-            Output::HalfCloseLink(link) => state.end(Peer::Link(link), Finish::HalfCloses),
-            Output::Dial(link, to) => self.dial(state, Peer::Link(link), to),
-            Output::Watch(Step::Connect { watch, to }) => self.dial(state, Peer::Watch(watch), to),
-            Output::Watch(Step::Ask { watch, line }) => {
+            Output::CloseServerConnection(link) => state.end(Peer::Link(link), Finish::Closes),
+            Output::HalfCloseServerConnection(link) => state.end(Peer::Link(link), Finish::HalfCloses),
+            Output::ConnectServer(link, to) => self.dial(state, Peer::Link(link), to),
+            Output::Watch(WatchAction::Connect { watch, address }) => {
+                self.dial(state, Peer::Watch(watch), address)
+            }
+            Output::Watch(WatchAction::Send { watch, line }) => {
                 self.write(state, Peer::Watch(watch), line.as_bytes())
             }
-            Output::Watch(Step::Close { watch }) => state.end(Peer::Watch(watch), Finish::Closes),
+            Output::Watch(WatchAction::Close { watch }) => state.end(Peer::Watch(watch), Finish::Closes),
         }
     }
 
@@ -202,9 +205,9 @@
             let Some(connection) = state.connections.get_mut(&peer) else { return };
             connection.stream = Some(stream.clone());
             state.take(match peer {
-                Peer::Link(link) => Input::LinkUp(link),
-                Peer::Watch(watch) => Input::WatchUp(watch),
-                Peer::Caller(caller) => Input::CallerOpened(caller),
+                Peer::Link(link) => Input::ServerConnected(link),
+                Peer::Watch(watch) => Input::WatchConnected(watch),
+                Peer::Caller(caller) => Input::CallerConnected(caller),
             });
         }
         self.listen_to(peer, stream, ended).await;
--- a/crates/ochrelead-node/src/host/connections.rs
+++ b/crates/ochrelead-node/src/host/connections.rs
@@ -15,11 +15,9 @@
 use tracing::{debug, trace};
 
 use super::peers::PeerHost;
-use crate::bounds::platform;
-use crate::callers::CallerId;
-use crate::engine::{Engine, Input};
-use crate::roster::LinkId;
-use crate::watch::WatchId;
+use crate::bounds::protocol;
+use crate::engine::Engine;
+use crate::io::{CallerId, Input, ServerConnectionId, WatchId};
 
 /// So many reads of one connection in a row: the others have their turn between.
 const READS: usize = 16;
@@ -28,7 +26,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Peer {
     Caller(CallerId),
-    Link(LinkId),
+    Link(ServerConnectionId),
     Watch(WatchId),
 }
 
@@ -118,7 +116,7 @@
     }
 
     pub fn take(&mut self, input: Input<'_>) {
-        self.engine.take(self.clock.now(), input);
+        self.engine.handle_input(self.clock.now(), input);
         let _ = self.news.try_send(());
     }
 
@@ -128,17 +126,17 @@
         self.callers += 1;
         let caller = CallerId(self.counted);
         self.connections.insert(Peer::Caller(caller), Connection::new(Some(stream), open));
-        self.take(Input::CallerOpened(caller));
+        self.take(Input::CallerConnected(caller));
         Peer::Caller(caller)
     }
 
     /// Whether another caller's connection may be held; the oldest that lingers makes room for it.
     pub fn has_room(&mut self) -> bool {
-        if self.callers >= self.engine.most_callers() && !self.lingering.is_empty() {
+        if self.callers >= self.engine.max_callers() && !self.lingering.is_empty() {
             let (_, oldest) = self.lingering.remove(0);
             self.remove(oldest);
         }
-        self.callers < self.engine.most_callers()
+        self.callers < self.engine.max_callers()
     }
 
     fn remove(&mut self, peer: Peer) -> bool {
@@ -154,9 +152,9 @@
     pub fn closed(&mut self, peer: Peer, refused: bool) {
         if self.remove(peer) {
             self.take(match peer {
-                Peer::Caller(caller) => Input::CallerClosed(caller),
-                Peer::Link(link) => Input::LinkClosed { link, refused },
-                Peer::Watch(watch) => Input::WatchClosed(watch),
+                Peer::Caller(caller) => Input::CallerDisconnected(caller),
+                Peer::Link(link) => Input::ServerDisconnected { connection: link, refused },
+                Peer::Watch(watch) => Input::WatchDisconnected(watch),
             });
         }
     }
@@ -183,9 +181,9 @@
                 let bytes = &scratch[..length];
                 trace!(?peer, came = %String::from_utf8_lossy(bytes));
                 self.take(match peer {
-                    Peer::Caller(caller) => Input::CallerSaid(caller, bytes),
-                    Peer::Link(link) => Input::LinkSaid(link, bytes),
-                    Peer::Watch(watch) => Input::WatchSaid(watch, bytes),
+                    Peer::Caller(caller) => Input::CallerData(caller, bytes),
+                    Peer::Link(link) => Input::ServerData(link, bytes),
+                    Peer::Watch(watch) => Input::WatchData(watch, bytes),
                 });
                 Came::Bytes
             }
@@ -206,7 +204,7 @@
         match (peer, self.connections.get_mut(&peer)) {
             (Peer::Caller(caller), Some(connection)) if !closes => {
                 connection.ended = true;
-                self.take(Input::CallerEnded(caller));
+                self.take(Input::CallerHalfClosed(caller));
             }
             _ if closes => _ = self.remove(peer),
             _ => self.closed(peer, false),
@@ -237,7 +235,7 @@
                 return;
             }
         }
-        self.take(Input::HeardOut(caller));
+        self.take(Input::InputDrained(caller));
     }
 
     /// Reads what has come on a connection; whether there may be more.
@@ -269,7 +267,7 @@
     /// Writes what the connection takes now and keeps the rest; whether a writer is needed for that. Nothing waits
     /// behind a server that does not read: it would begin when it is no longer wanted.
     pub fn write(&mut self, peer: Peer, bytes: &[u8]) -> bool {
-        let most = self.engine.most_waiting();
+        let most = self.engine.max_unwritten_bytes();
         let Some(connection) = self.connections.get_mut(&peer) else { return false };
         let Some(stream) = &connection.stream else { return false };
         if connection.finish != Finish::Stays {
@@ -320,7 +318,7 @@
                 if stream.get_ref().shutdown(Shutdown::Write).is_err() {
                     self.remove(peer);
                 } else if !mem::replace(&mut connection.lingers, true) {
-                    self.lingering.push((self.clock.now() + platform::CROSSING * 2, peer));
+                    self.lingering.push((self.clock.now() + protocol::CLOSE_RACE_WINDOW * 2, peer));
                 }
             }
             (Finish::Closes, _) | (Finish::HalfCloses, None) => _ = self.remove(peer),
@@ -354,6 +352,6 @@
 
     /// How long the writer of a slow reader waits.
     pub fn patience() -> Duration {
-        Duration::from_micros(platform::BAD_CALLER.micros())
+        Duration::from_micros(protocol::INVALID_CALLER_DEADLINE.micros())
     }
 }
--- a/crates/ochrelead-node/src/host/peers.rs
+++ b/crates/ochrelead-node/src/host/peers.rs
@@ -7,6 +7,7 @@
 use ochrelead_core::time::Moment;
 
 use super::connections::State;
+use crate::engine::TrafficShare;
 use crate::promises::{Job, Promises};
 use crate::together::{Duty, Together};
 
@@ -31,21 +32,22 @@
     /// A turn of what it does with its peers; when the next is due.
     pub fn work_together(&mut self, now: Moment) -> Option<Moment> {
         let PeerHost { together, socket, out } = self.peer_host.as_mut()?;
-        while let Some((server, highest)) = self.engine.outrun() {
-            together.outrun(now, &server, highest);
+        while let Some(token) = self.engine.poll_superseded_token() {
+            together.outrun(now, &token.server, token.highest);
         }
-        while let Some(observation) = self.engine.observation() {
+        while let Some(observation) = self.engine.poll_observation() {
             together.met(now, observation);
         }
         together.turn(now);
-        together.look(now, || (self.engine.quiet(), self.engine.places()));
+        together.look(now, || (self.engine.server_activity(), self.engine.server_locations()));
         if let Some(eased) = together.shares(now) {
-            self.engine.ease(eased);
+            let share = |(zone, share)| TrafficShare { zone, share };
+            self.engine.set_traffic_shares(eased.into_iter().map(share).collect());
         }
         while let Some(duty) = together.duty() {
             match duty {
-                Duty::Sound { server, number } => self.engine.sound(&server, number),
-                Duty::Vouched { server, at } => self.engine.vouched(&server, at),
+                Duty::Sound { server, number } => self.engine.send_health_check(&server, number),
+                Duty::Vouched { server, at } => self.engine.on_heard_by_peer(&server, at),
             }
         }
         if let Some(out) = out {
--- a/crates/ochrelead-node/src/host/signals.rs
+++ b/crates/ochrelead-node/src/host/signals.rs
@@ -12,7 +12,7 @@
 use tracing::{info, warn};
 
 use super::Host;
-use crate::engine::Input;
+use crate::io::Input;
 
 /// A configuration that can't be read is read so many times, so far apart.
 const TRIES: usize = 10;
@@ -40,7 +40,7 @@
                     if let Some(peer_host) = &mut state.peer_host {
                         peer_host.together.leave(now);
                     }
-                    state.take(Input::Leave);
+                    state.take(Input::Shutdown);
                 }
                 Err(error) => warn!(%error, "a signal could not be read"),
             }
@@ -64,7 +64,7 @@
             Ok(configuration) => {
                 if let Some(coordinator) = configuration.coordinator {
                     info!(%coordinator, "the configuration was read again");
-                    self.state.borrow_mut().take(Input::Redirect(coordinator));
+                    self.state.borrow_mut().take(Input::CoordinatorMoved(coordinator));
                 }
                 true
             }
--- a/crates/ochrelead-node/src/lib.rs
+++ b/crates/ochrelead-node/src/lib.rs
@@ -1,27 +1,28 @@
-//! A front on the operators' platform: an added entry and exit for the same decisions.
+//! A front on the operators' platform: callers speak JSON lines, signalling servers SIP, the coordinator numbered
+//! events, all over TCP. The controller of `ochrelead-core` decides on every session; nothing here does.
 //!
-//! Callers speak JSON lines, signalling servers SIP, the coordinator numbered events, all over TCP. The module of
-//! `ochrelead-core` decides on every session; nothing here does.
-//!
-//! - [`engine`]: the whole node without I/O. What came in is told by [`engine::Engine::take`]; [`engine::Engine::turn`]
-//!   pulls decisions; [`engine::Engine::next`] says what is to be done on the sockets, [`engine::Engine::wake`]
-//!   when to come again.
-//! - [`book`]: the calls that are held. [`roster`]: the signalling servers and the connections to each.
-//! - [`callers`]: the connections of callers. [`watch`]: the way to the coordinator.
-//! - [`bounds`]: what each table may hold, from the limits that the node is told.
-//! - [`meaning`]: what a signalling server's word means to the module.
-//! - [`together`]: what it does with its peers, where that is asked for; [`sounding`]: one front tests a silent server for
-//!   all.
-//! - [`host`]: sockets, clock, signals. [`promises`]: what it keeps as a voter, where it is given a folder.
+//! - [`engine`]: the node without I/O, and [`io`]: what passes between it and its host. The host reports what arrives
+//!   by [`engine::Engine::handle_input`], lets it decide by [`engine::Engine::process`], carries out what
+//!   [`engine::Engine::poll_output`] returns, and comes again at [`engine::Engine::poll_timeout`].
+//! - `call_table`, `caller_table`, `server_table`: its state. `bounds`: how much each may hold.
+//! - `coordinator_watch`: the subscription to the coordinator.
+//! - `outcomes`, `occupancy`, [`fencing`]: what the messages of signalling servers mean.
+//! - [`together`]: the coordination with other fronts, where it is asked for; [`sounding`]: one front probes a silent
+//!   server for all.
+//! - [`host`]: sockets, clock, signals. [`promises`]: what a voter persists, where it is given a folder.
 
-pub mod book;
-pub mod bounds;
-pub mod callers;
 pub mod engine;
+pub mod fencing;
 pub mod host;
-pub mod meaning;
+pub mod io;
 pub mod promises;
-pub mod roster;
 pub mod sounding;
 pub mod together;
-pub mod watch;
+
+mod bounds;
+mod call_table;
+mod caller_table;
+mod coordinator_watch;
+mod occupancy;
+mod outcomes;
+mod server_table;
--- a/crates/ochrelead-node/src/sounding.rs
+++ b/crates/ochrelead-node/src/sounding.rs
@@ -11,7 +11,7 @@
 use ochrelead_lease::Task;
 use ochrelead_lease::engine::Engine as Leases;
 
-use crate::bounds::platform;
+use crate::bounds::protocol;
 
 /// The topic of news about servers that were sounded.
 pub const TOPIC: u32 = 1;
@@ -76,7 +76,7 @@
     /// Which servers are silent for the fleet's sake: those without a word of their own for a quarter of what is allowed
     /// for noticing an end.
     pub fn turn(&mut self, now: Moment, quiet: &[Quiet], there: &[u32], leases: &mut Leases) -> Vec<Sound> {
-        let is_silent = |server: &&Quiet| now.since(server.spoke) >= platform::SILENT_END / 4;
+        let is_silent = |server: &&Quiet| now.since(server.spoke) >= protocol::SILENT_FAILURE_DEADLINE / 4;
         let silent: BTreeMap<Task, &Quiet> =
             quiet.iter().filter(is_silent).map(|server| (task(&server.id), server)).collect();
         for over in self.tests.keys().copied().filter(|task| !silent.contains_key(task)).collect::<Vec<_>>() {
@@ -128,6 +128,6 @@
 /// the front's own tests, is how old they may be. They put the own test off, and no longer than that after the last
 /// word here, whatever is said.
 pub fn counts_as_heard(heard: Moment, vouched: Option<Moment>) -> Moment {
-    let more = platform::SILENT_END / 8 * 3;
+    let more = protocol::SILENT_FAILURE_DEADLINE / 8 * 3;
     vouched.map_or(heard, |vouched| heard.max((vouched + more).min(heard + more)))
 }
--- a/crates/ochrelead-node/tests/crossings.rs
+++ b/crates/ochrelead-node/tests/crossings.rs
@@ -3,10 +3,7 @@
 mod helper;
 
 use helper::{DESCRIPTION, Rig, at, event, id, instance};
-use ochrelead_node::callers::CallerId;
-use ochrelead_node::engine::{Input, Output};
-use ochrelead_node::roster::LinkId;
-use ochrelead_node::watch::Step;
+use ochrelead_node::io::{CallerId, Input, Output, ServerConnectionId, WatchAction};
 use serde_json::json;
 use test_case::{test_case, test_matrix};
 
@@ -20,18 +17,18 @@
     rig.hears_out = false;
     rig.open(1);
     rig.offer(1, 7, 0);
-    assert!(rig.out.contains(&Output::HearOut(CallerId(1))), "it is heard out first");
+    assert!(rig.out.contains(&Output::DrainInput(CallerId(1))), "it is heard out first");
     assert_eq!(rig.sent("INVITE").len(), 0);
     match how {
-        "close" => rig.engine.take(at(0), Input::CallerClosed(CallerId(1))),
-        "end" => rig.engine.take(at(0), Input::CallerEnded(CallerId(1))),
+        "close" => rig.engine.handle_input(at(0), Input::CallerDisconnected(CallerId(1))),
+        "end" => rig.engine.handle_input(at(0), Input::CallerHalfClosed(CallerId(1))),
         _ => rig.line(1, &json!({"t": "down", "ref": id(7), "c": 16, "f": {}})),
     }
-    rig.engine.take(at(0), Input::HeardOut(CallerId(1)));
+    rig.engine.handle_input(at(0), Input::InputDrained(CallerId(1)));
     rig.turn();
     assert_eq!((rig.sent("INVITE").len(), rig.sent("CANCEL").len()), (0, 0));
     assert_eq!(rig.finals().len(), usize::from(how == "end"));
-    assert_eq!(rig.engine.load()[0], 0, "nothing is held");
+    assert_eq!(rig.engine.load().calls, 0, "nothing is held");
 }
 
 #[test]
@@ -42,7 +39,7 @@
     rig.offer(1, 7, 0);
     rig.list(2, json!([instance(0, 10, "draining", 0)]));
     rig.hears_out = true;
-    rig.engine.take(at(0), Input::HeardOut(CallerId(1)));
+    rig.engine.handle_input(at(0), Input::InputDrained(CallerId(1)));
     rig.turn();
     assert!(rig.sent("INVITE").iter().all(|(link, _)| rig.links[link] != "127.0.0.10"));
     rig.pass(2_000);
@@ -61,10 +58,10 @@
     rig.offer(1, 7, 0);
     let link = *rig.links.keys().next().expect("one is dialed");
     rig.hears_out = false;
-    rig.engine.take(at(rig.ms), Input::LinkUp(link));
+    rig.engine.handle_input(at(rig.ms), Input::ServerConnected(link));
     rig.turn();
-    rig.engine.take(at(rig.ms), Input::CallerClosed(CallerId(1)));
-    rig.engine.take(at(rig.ms), Input::HeardOut(CallerId(1)));
+    rig.engine.handle_input(at(rig.ms), Input::CallerDisconnected(CallerId(1)));
+    rig.engine.handle_input(at(rig.ms), Input::InputDrained(CallerId(1)));
     rig.turn();
     assert_eq!(rig.sent("INVITE").len(), 0);
 }
@@ -78,13 +75,13 @@
     rig.hears_out = false;
     rig.open(1);
     rig.pass(2_900);
-    assert!(rig.out.contains(&Output::HearOut(CallerId(1))));
+    assert!(rig.out.contains(&Output::DrainInput(CallerId(1))));
     assert!(!rig.closed(1));
     rig.hears_out = true;
     if asks {
         rig.offer(1, 7, 0);
     } else {
-        rig.engine.take(at(rig.ms), Input::HeardOut(CallerId(1)));
+        rig.engine.handle_input(at(rig.ms), Input::InputDrained(CallerId(1)));
         rig.turn();
     }
     assert_eq!((rig.closed(1), rig.sent("INVITE").len()), (!asks, usize::from(asks)));
@@ -94,8 +91,9 @@
 #[test_case(1_000, 750; "a quarter before, where that is short")]
 fn an_idle_connection_is_ended_before_its_server_closes_it(limit: u64, rested: u64) {
     let mut rig = Rig::limited(1, 64, json!({"connIdleMs": limit}));
-    let first: Vec<LinkId> = rig.links.keys().copied().collect();
-    let ended = |rig: &Rig, link: &LinkId| rig.out.contains(&Output::HalfCloseLink(*link));
+    let first: Vec<ServerConnectionId> = rig.links.keys().copied().collect();
+    let ended =
+        |rig: &Rig, link: &ServerConnectionId| rig.out.contains(&Output::HalfCloseServerConnection(*link));
     rig.pass(rested - 100);
     rig.hear_all();
     assert!(first.iter().all(|link| !ended(&rig, link)));
@@ -120,7 +118,7 @@
         // None is silent for so long that it is tested.
         rig.hear_all();
         rig.pass(100);
-        assert!(rig.engine.load()[2] as u64 <= sockets / 3, "{:?}", rig.engine.load());
+        assert!(rig.engine.load().server_connections as u64 <= sockets / 3, "{:?}", rig.engine.load());
         let (link, _) = rig.sent("INVITE").pop().expect("one is sent");
         rig.answer(link, nth, 1, 200, "", DESCRIPTION);
     }
@@ -128,7 +126,7 @@
     rig.out.clear();
     rig.hear_all();
     rig.pass(500);
-    let dialed = rig.out.iter().filter(|output| matches!(output, Output::Dial(..))).count();
+    let dialed = rig.out.iter().filter(|output| matches!(output, Output::ConnectServer(..))).count();
     assert!(dialed <= 4, "nothing is dialed over and over: {dialed}");
 }
 
@@ -138,13 +136,13 @@
 fn a_coordinator_that_trickles_a_line_is_silent() {
     let mut rig = Rig::with(1);
     let (watch, _) = rig.watch.clone().unwrap();
-    rig.engine.take(at(rig.ms), Input::WatchUp(watch));
+    rig.engine.handle_input(at(rig.ms), Input::WatchConnected(watch));
     rig.turn();
     for _ in 0..20 {
         rig.watch_says("x");
         rig.pass(100);
     }
-    assert!(rig.out.contains(&Output::Watch(Step::Close { watch })), "it is given up");
+    assert!(rig.out.contains(&Output::Watch(WatchAction::Close { watch })), "it is given up");
 }
 
 #[test]
@@ -154,9 +152,9 @@
     let mut seen = 0;
     while rig.ms < 10_000 {
         for output in rig.out.split_off(0) {
-            if let Output::Watch(Step::Connect { watch, .. }) = output {
+            if let Output::Watch(WatchAction::Connect { watch, .. }) = output {
                 asked += 1;
-                rig.engine.take(at(rig.ms), Input::WatchUp(watch));
+                rig.engine.handle_input(at(rig.ms), Input::WatchConnected(watch));
                 rig.turn();
                 rig.watch_says("{\"index\":7}\n");
             }
@@ -172,9 +170,9 @@
     let wait = |seed: &str| {
         let mut rig = Rig::seeded(seed);
         let (watch, _) = rig.watch.clone().unwrap();
-        rig.engine.take(at(rig.ms), Input::WatchClosed(watch));
+        rig.engine.handle_input(at(rig.ms), Input::WatchDisconnected(watch));
         rig.out.clear();
-        while !rig.out.iter().any(|output| matches!(output, Output::Watch(Step::Connect { .. }))) {
+        while !rig.out.iter().any(|output| matches!(output, Output::Watch(WatchAction::Connect { .. }))) {
             rig.pass(1);
         }
         rig.ms
@@ -188,10 +186,10 @@
 fn a_configuration_with_the_same_coordinator_costs_no_list() {
     let mut rig = Rig::with(1);
     let (watch, to) = rig.watch.clone().unwrap();
-    rig.engine.take(at(rig.ms), Input::WatchUp(watch));
+    rig.engine.handle_input(at(rig.ms), Input::WatchConnected(watch));
     rig.turn();
     rig.out.clear();
-    rig.engine.take(at(rig.ms), Input::Redirect(to.parse().unwrap()));
+    rig.engine.handle_input(at(rig.ms), Input::CoordinatorMoved(to.parse().unwrap()));
     rig.turn();
     assert!(rig.out.is_empty(), "{:?}", rig.out);
     rig.watch_says(&format!("{}\n", event(2, false, json!([instance(0, 10, "draining", 0)]))));
@@ -210,7 +208,7 @@
     rig.open(1);
     rig.line(1, &json!({"t": "new", "ref": id(7), "f": {"extras": "at:s-0"}}));
     assert_eq!(rig.finals().len(), 1, "{:?}", rig.finals());
-    assert_eq!(rig.engine.load()[0], 0, "nothing is held of it");
+    assert_eq!(rig.engine.load().calls, 0, "nothing is held of it");
 }
 
 #[test]
@@ -218,11 +216,11 @@
     let mut rig = Rig::with(1);
     rig.open(1);
     let link = rig.stood(1, 7, 0);
-    rig.engine.take(at(rig.ms), Input::CallerClosed(CallerId(1)));
+    rig.engine.handle_input(at(rig.ms), Input::CallerDisconnected(CallerId(1)));
     rig.open(2);
     rig.bye(link, 7, 16);
     assert_eq!(rig.finals(), [], "nobody is known to be a usual caller");
-    rig.engine.take(at(rig.ms), Input::Leave);
+    rig.engine.handle_input(at(rig.ms), Input::Shutdown);
     rig.turn();
     assert_eq!(rig.finals(), [(2, "down".to_owned(), Some(16))]);
 }
@@ -232,8 +230,8 @@
     let mut rig = Rig::with(1);
     rig.open(1);
     let link = rig.stood(1, 7, 0);
-    rig.engine.take(at(rig.ms), Input::CallerClosed(CallerId(1)));
-    rig.engine.take(at(rig.ms), Input::Leave);
+    rig.engine.handle_input(at(rig.ms), Input::CallerDisconnected(CallerId(1)));
+    rig.engine.handle_input(at(rig.ms), Input::Shutdown);
     rig.bye(link, 7, 16);
     rig.pass(1_000);
     assert!(!rig.engine.is_closed(), "it owes an end");
--- a/crates/ochrelead-node/tests/engine.rs
+++ b/crates/ochrelead-node/tests/engine.rs
@@ -3,10 +3,7 @@
 mod helper;
 
 use helper::{DESCRIPTION, RELEASE_MS, Rig, at, id, instance, response};
-use ochrelead_node::callers::CallerId;
-use ochrelead_node::engine::{Input, Output};
-use ochrelead_node::roster::LinkId;
-use ochrelead_node::watch::Step;
+use ochrelead_node::io::{CallerId, Input, Output, ServerConnectionId, WatchAction};
 use serde_json::{Value, json};
 use test_case::{test_case, test_matrix};
 
@@ -36,7 +33,7 @@
     rig.bye(link, 7, 16);
     assert_eq!(rig.finals(), [(1, "down".to_owned(), Some(16))]);
     assert_eq!(rig.sent("SIP/2.0 200").len(), 1);
-    assert_eq!(rig.engine.load()[0], 0, "nothing is held any more");
+    assert_eq!(rig.engine.load().calls, 0, "nothing is held any more");
 }
 
 #[test_case(500, "", 42; "a fault is given up")]
@@ -114,7 +111,7 @@
     rig.offer(1, 7, 0);
     let (link, _) = rig.sent("INVITE").pop().unwrap();
     rig.link_says(link, bytes.as_bytes());
-    assert!(rig.out.contains(&Output::CloseLink(link)));
+    assert!(rig.out.contains(&Output::CloseServerConnection(link)));
     rig.pass(RELEASE_MS + 1);
     assert!(rig.finals().iter().all(|(_, what, _)| what != "up"), "{:?}", rig.finals());
 }
@@ -128,7 +125,7 @@
     let (link, _) = rig.sent("INVITE").pop().unwrap();
     rig.link_says(link, bytes.as_bytes());
     rig.pass(700);
-    assert!(rig.out.contains(&Output::CloseLink(link)));
+    assert!(rig.out.contains(&Output::CloseServerConnection(link)));
 }
 
 #[test]
@@ -163,7 +160,7 @@
     let refused = rig.finals().iter().any(|(_, what, _)| what == "down");
     assert!(refused || rig.closed(1), "{:?}", rig.out);
     assert_eq!(rig.sent("INVITE").len(), 0);
-    assert_eq!(rig.engine.load()[0], 0);
+    assert_eq!(rig.engine.load().calls, 0);
 }
 
 #[test]
@@ -200,12 +197,12 @@
     lines
         .as_bytes()
         .chunks(16_384)
-        .for_each(|piece| rig.engine.take(at(0), Input::CallerSaid(CallerId(1), piece)));
-    assert!(rig.engine.load()[0] <= (32 << 20) / 2_048);
+        .for_each(|piece| rig.engine.handle_input(at(0), Input::CallerData(CallerId(1), piece)));
+    assert!(rig.engine.load().calls <= (32 << 20) / 2_048);
     rig.turn();
-    rig.engine.take(at(0), Input::CallerClosed(CallerId(1)));
+    rig.engine.handle_input(at(0), Input::CallerDisconnected(CallerId(1)));
     rig.turn();
-    assert_eq!(rig.engine.load()[0], 0);
+    assert_eq!(rig.engine.load().calls, 0);
 }
 
 #[test]
@@ -214,7 +211,7 @@
     rig.open(1);
     let down = |nth| json!({"t": "down", "ref": id(nth), "f": {}, "c": 16});
     (0..300).for_each(|nth| rig.say(1, format!("{}\n{}\n", Rig::set_up(nth, 0), down(nth)).as_bytes()));
-    assert_eq!((rig.engine.load()[0], rig.finals().len()), (0, 0));
+    assert_eq!((rig.engine.load().calls, rig.finals().len()), (0, 0));
     assert_eq!(rig.sent("CANCEL").len(), rig.sent("INVITE").len());
     rig.pass(2_900);
     assert!(rig.closed(1));
@@ -226,14 +223,14 @@
     rig.open(1);
     rig.stood(1, 7, 0);
     (2..500).for_each(|caller| rig.open(caller));
-    assert!(rig.engine.load()[1] <= 32);
+    assert!(rig.engine.load().callers <= 32);
     assert!(!rig.closed(1) && rig.closed(2));
 }
 
 /// The connections that the node has begun to end; its server has not yet.
-fn ending(rig: &Rig) -> Vec<LinkId> {
+fn ending(rig: &Rig) -> Vec<ServerConnectionId> {
     let ended = rig.out.iter().filter_map(|output| match output {
-        Output::HalfCloseLink(link) if rig.links.contains_key(link) => Some(*link),
+        Output::HalfCloseServerConnection(link) if rig.links.contains_key(link) => Some(*link),
         _ => None,
     });
     ended.collect()
@@ -241,7 +238,7 @@
 
 /// A rig whose call 7 stands for caller 1 at server 1, and 8 for caller 2 at server 0. A connection to server 1, idle
 /// beyond need, is being ended by the node.
-fn standing() -> (Rig, LinkId, LinkId) {
+fn standing() -> (Rig, ServerConnectionId, ServerConnectionId) {
     let mut rig = Rig::with(2);
     (1..=2).for_each(|caller| rig.open(caller));
     let link = rig.stood(1, 7, 1);
@@ -260,8 +257,8 @@
 }
 
 /// How the call 7 comes to its end; the time in ms by which its caller is to be told.
-fn end(rig: &mut Rig, link: LinkId, idle: LinkId, how: &str) -> u64 {
-    let to = |rig: &Rig| -> Vec<LinkId> {
+fn end(rig: &mut Rig, link: ServerConnectionId, idle: ServerConnectionId, how: &str) -> u64 {
+    let to = |rig: &Rig| -> Vec<ServerConnectionId> {
         rig.links.iter().filter(|(_, to)| *to == "127.0.0.11").map(|(link, _)| *link).collect()
     };
     let links = to(rig);
@@ -322,7 +319,7 @@
 fn a_call_that_is_over_is_told_to_its_caller(how: &str, caller: &str) {
     let (mut rig, link, idle) = standing();
     let close = |rig: &mut Rig, caller: u64| {
-        rig.engine.take(at(rig.ms), Input::CallerClosed(CallerId(caller)));
+        rig.engine.handle_input(at(rig.ms), Input::CallerDisconnected(CallerId(caller)));
         rig.turn();
     };
     match caller {
@@ -395,7 +392,7 @@
             assert!(!rig.closed(1), "not hung up on before it could confirm");
         }
     }
-    assert!(rig.engine.load()[0] <= 2, "the call is held no more: {:?}", rig.engine.load());
+    assert!(rig.engine.load().calls <= 2, "the call is held no more: {:?}", rig.engine.load());
 }
 
 /// Many servers leave few connections to each: one that has all of its own and falls silent is tested nevertheless.
@@ -415,7 +412,7 @@
 fn a_confirmed_release_is_not_said_again() {
     let (mut rig, link, _) = standing();
     for caller in 1..=2 {
-        rig.engine.take(at(rig.ms), Input::CallerClosed(CallerId(caller)));
+        rig.engine.handle_input(at(rig.ms), Input::CallerDisconnected(CallerId(caller)));
     }
     rig.bye(link, 7, 16);
     rig.out.clear();
@@ -440,7 +437,7 @@
         calls.push((rig.stood(1, nth, 0), nth));
     }
     rig.stood(2, 7, 0);
-    rig.engine.take(at(rig.ms), Input::CallerClosed(CallerId(1)));
+    rig.engine.handle_input(at(rig.ms), Input::CallerDisconnected(CallerId(1)));
     calls.iter().for_each(|(link, nth)| rig.bye(*link, *nth, 16));
     let told = |rig: &Rig, to: u64| {
         rig.told().iter().filter(|(caller, value)| *caller == to && value["t"] == "down").count()
@@ -449,7 +446,7 @@
     rig.pass(900);
     assert_eq!(told(&rig, 2), 700);
     rig.stood(3, 8, 0);
-    rig.engine.take(at(rig.ms), Input::CallerClosed(CallerId(2)));
+    rig.engine.handle_input(at(rig.ms), Input::CallerDisconnected(CallerId(2)));
     rig.turn();
     rig.pass(900);
     assert_eq!(told(&rig, 3), 700);
@@ -461,17 +458,17 @@
     let (mut rig, _, idle) = standing();
     rig.out.clear();
     rig.pass(1_500);
-    assert!(!rig.out.contains(&Output::CloseLink(idle)), "read on");
-    let links = rig.engine.load()[2];
+    assert!(!rig.out.contains(&Output::CloseServerConnection(idle)), "read on");
+    let links = rig.engine.load().server_connections;
     if ends {
         rig.close_link(idle, false);
-        assert_eq!(rig.engine.load()[2], links - 1);
+        assert_eq!(rig.engine.load().server_connections, links - 1);
     } else {
         rig.pass(600);
-        assert!(rig.out.contains(&Output::CloseLink(idle)), "not waited for any longer");
+        assert!(rig.out.contains(&Output::CloseServerConnection(idle)), "not waited for any longer");
     }
     rig.hear_all();
-    assert!(rig.out.iter().all(|output| !matches!(output, Output::ToLink(link, _) if *link == idle)));
+    assert!(rig.out.iter().all(|output| !matches!(output, Output::SendToServer(link, _) if *link == idle)));
 }
 
 #[test]
@@ -507,7 +504,7 @@
         rig.line(2, &json!({"t": "down", "ref": id(7), "f": {}, "c": 16}));
         assert_eq!(rig.sent("BYE").len(), 1);
     }
-    assert_eq!(rig.engine.load()[0], 0);
+    assert_eq!(rig.engine.load().calls, 0);
 }
 
 #[test_case(true, &[2]; "closed before: on another usual caller's")]
@@ -518,11 +515,11 @@
     let link = rig.stood(1, 7, 0);
     rig.stood(2, 8, 0);
     if before {
-        rig.engine.take(at(0), Input::CallerClosed(CallerId(1)));
+        rig.engine.handle_input(at(0), Input::CallerDisconnected(CallerId(1)));
         rig.bye(link, 7, 16);
     } else {
         rig.bye(link, 7, 16);
-        rig.engine.take(at(0), Input::CallerClosed(CallerId(1)));
+        rig.engine.handle_input(at(0), Input::CallerDisconnected(CallerId(1)));
         rig.turn();
     }
     assert_eq!(rig.finals().iter().map(|(caller, ..)| *caller).collect::<Vec<_>>(), told);
@@ -533,7 +530,7 @@
     let mut rig = Rig::with(1);
     rig.open(1);
     let link = rig.stood(1, 7, 0);
-    rig.engine.take(at(0), Input::CallerClosed(CallerId(1)));
+    rig.engine.handle_input(at(0), Input::CallerDisconnected(CallerId(1)));
     rig.bye(link, 7, 16);
     rig.open(2);
     rig.offer(2, 8, 0);
@@ -548,7 +545,7 @@
 fn a_node_that_leaves_takes_and_answers_to_the_end() {
     let mut rig = Rig::with(1);
     rig.open(1);
-    rig.engine.take(at(0), Input::Leave);
+    rig.engine.handle_input(at(0), Input::Shutdown);
     rig.line(1, &json!({"t": "hb", "ref": id(1), "f": {}, "c": 0}));
     assert_eq!(rig.finals(), [(1, "hb_ok".to_owned(), Some(0))], "it is not to be taken in again");
     rig.pass(500);
@@ -563,7 +560,7 @@
 #[test]
 fn a_node_that_leaves_waits_for_what_can_still_come() {
     let mut rig = Rig::with(1);
-    rig.engine.take(at(0), Input::Leave);
+    rig.engine.handle_input(at(0), Input::Shutdown);
     rig.pass(690);
     assert!(!rig.engine.is_closed());
     rig.pass(20);
@@ -578,16 +575,18 @@
     let (watch, _) = rig.watch.clone().unwrap();
     rig.watch_says("{\"index\":3,\"endpoints\":{\"reset\":false,\"instan");
     if breaks {
-        rig.engine.take(at(0), Input::WatchClosed(watch));
+        rig.engine.handle_input(at(0), Input::WatchDisconnected(watch));
         rig.turn();
     }
     rig.pass(1_700);
     let (again, _) = rig.watch.clone().unwrap();
     assert_ne!(watch, again);
     rig.out.clear();
-    rig.engine.take(at(rig.ms), Input::WatchUp(again));
+    rig.engine.handle_input(at(rig.ms), Input::WatchConnected(again));
     rig.turn();
-    assert!(rig.out.contains(&Output::Watch(Step::Ask { watch: again, line: "follow 2\n".to_owned() })));
+    assert!(
+        rig.out.contains(&Output::Watch(WatchAction::Send { watch: again, line: "follow 2\n".to_owned() }))
+    );
     rig.out.clear();
     rig.watch_says(&format!("{}\n", helper::event(3, false, json!([instance(1, 11, "draining", 0)]))));
     rig.open(1);
@@ -601,9 +600,9 @@
     let mut rig = Rig::with(1);
     rig.list(2, json!([instance(1, 11, "up", 0)]));
     let (watch, _) = rig.watch.clone().unwrap();
-    rig.engine.take(at(0), Input::Redirect("127.0.0.9:8501".parse().unwrap()));
+    rig.engine.handle_input(at(0), Input::CoordinatorMoved("127.0.0.9:8501".parse().unwrap()));
     rig.turn();
-    assert!(rig.out.contains(&Output::Watch(Step::Close { watch })));
+    assert!(rig.out.contains(&Output::Watch(WatchAction::Close { watch })));
     let (again, to) = rig.watch.clone().unwrap();
     assert_eq!((again != watch, to.as_str()), (true, "127.0.0.9:8501"));
 }
@@ -622,7 +621,7 @@
         rig.ms += 50;
     }
     rig.pass(6_000);
-    assert!(rig.engine.load()[2] < 32, "{:?}", rig.engine.load());
+    assert!(rig.engine.load().server_connections < 32, "{:?}", rig.engine.load());
     rig.open(1);
     rig.offer(1, 7, 1);
     let to: Vec<_> = rig.sent("INVITE").iter().map(|(link, _)| rig.links[link].clone()).collect();
--- a/crates/ochrelead-node/tests/helper/mod.rs
+++ b/crates/ochrelead-node/tests/helper/mod.rs
@@ -6,10 +6,8 @@
 
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
-use ochrelead_node::callers::CallerId;
-use ochrelead_node::engine::{Engine, Input, Output};
-use ochrelead_node::roster::LinkId;
-use ochrelead_node::watch::{Step, WatchId};
+use ochrelead_node::engine::Engine;
+use ochrelead_node::io::{CallerId, Input, Output, ServerConnectionId, WatchAction, WatchId};
 use ochrelead_platform::configuration;
 use serde_json::{Value, json};
 
@@ -40,7 +38,7 @@
     pub ms: u64,
     pub out: Vec<Output>,
     /// The connections that were dialed and not closed, by where they lead; whether they come up by themselves.
-    pub links: BTreeMap<LinkId, String>,
+    pub links: BTreeMap<ServerConnectionId, String>,
     pub come_up: bool,
     /// Whether nothing more had come from callers that are to be heard out.
     pub hears_out: bool,
@@ -99,26 +97,31 @@
     /// Turns until nothing more goes out; what did is kept.
     pub fn turn(&mut self) {
         loop {
-            self.engine.turn(at(self.ms));
+            self.engine.process(at(self.ms));
             let mut any = false;
-            while let Some(output) = self.engine.next() {
+            while let Some(output) = self.engine.poll_output() {
                 any = true;
                 match &output {
-                    Output::Dial(link, to) => {
+                    Output::ConnectServer(link, to) => {
                         self.links.insert(*link, to.ip().to_string());
                         if self.come_up {
-                            self.engine.take(at(self.ms), Input::LinkUp(*link));
+                            self.engine.handle_input(at(self.ms), Input::ServerConnected(*link));
                         }
                     }
-                    Output::CloseLink(link) => _ = self.links.remove(link),
-                    Output::HalfCloseLink(link) if self.ends_too => {
+                    Output::CloseServerConnection(link) => _ = self.links.remove(link),
+                    Output::HalfCloseServerConnection(link) if self.ends_too => {
                         self.links.remove(link);
-                        self.engine.take(at(self.ms), Input::LinkClosed { link: *link, refused: false });
+                        self.engine.handle_input(
+                            at(self.ms),
+                            Input::ServerDisconnected { connection: *link, refused: false },
+                        );
                     }
-                    Output::HearOut(caller) if self.hears_out => {
-                        self.engine.take(at(self.ms), Input::HeardOut(*caller));
+                    Output::DrainInput(caller) if self.hears_out => {
+                        self.engine.handle_input(at(self.ms), Input::InputDrained(*caller));
+                    }
+                    Output::Watch(WatchAction::Connect { watch, address: to }) => {
+                        self.watch = Some((*watch, to.to_string()))
                     }
-                    Output::Watch(Step::Connect { watch, to }) => self.watch = Some((*watch, to.to_string())),
                     _ => {}
                 }
                 self.out.push(output);
@@ -133,19 +136,20 @@
     pub fn pass(&mut self, ms: u64) {
         let until = self.ms + ms;
         while self.ms < until {
-            let wake = self.engine.wake().map_or(until, |wake| wake.since(at(0)).micros().div_ceil(1_000));
+            let wake =
+                self.engine.poll_timeout().map_or(until, |wake| wake.since(at(0)).micros().div_ceil(1_000));
             self.ms = wake.clamp(self.ms + 1, until);
             self.turn();
         }
     }
 
     pub fn open(&mut self, caller: u64) {
-        self.engine.take(at(self.ms), Input::CallerOpened(CallerId(caller)));
+        self.engine.handle_input(at(self.ms), Input::CallerConnected(CallerId(caller)));
         self.turn();
     }
 
     pub fn say(&mut self, caller: u64, bytes: &[u8]) {
-        self.engine.take(at(self.ms), Input::CallerSaid(CallerId(caller), bytes));
+        self.engine.handle_input(at(self.ms), Input::CallerData(CallerId(caller), bytes));
         self.turn();
     }
 
@@ -163,18 +167,26 @@
         self.line(caller, &Rig::set_up(nth, server));
     }
 
-    pub fn link_says(&mut self, link: LinkId, bytes: &[u8]) {
-        self.engine.take(at(self.ms), Input::LinkSaid(link, bytes));
+    pub fn link_says(&mut self, link: ServerConnectionId, bytes: &[u8]) {
+        self.engine.handle_input(at(self.ms), Input::ServerData(link, bytes));
         self.turn();
     }
 
     /// A server's answer to the call `nth`, its INVITE `sequence`.
-    pub fn answer(&mut self, link: LinkId, nth: u64, sequence: u32, code: u16, head: &str, body: &str) {
+    pub fn answer(
+        &mut self,
+        link: ServerConnectionId,
+        nth: u64,
+        sequence: u32,
+        code: u16,
+        head: &str,
+        body: &str,
+    ) {
         let bytes = response(nth, sequence, code, head, body);
         self.link_says(link, bytes.as_bytes());
     }
 
-    pub fn bye(&mut self, link: LinkId, nth: u64, cause: u32) {
+    pub fn bye(&mut self, link: ServerConnectionId, nth: u64, cause: u32) {
         let head = format!("BYE sip:x@net SIP/2.0\r\nCall-ID: {}\r\nCSeq: 2 BYE\r\n", id(nth));
         self.link_says(
             link,
@@ -189,14 +201,14 @@
         }
     }
 
-    pub fn close_link(&mut self, link: LinkId, refused: bool) {
+    pub fn close_link(&mut self, link: ServerConnectionId, refused: bool) {
         self.links.remove(&link);
-        self.engine.take(at(self.ms), Input::LinkClosed { link, refused });
+        self.engine.handle_input(at(self.ms), Input::ServerDisconnected { connection: link, refused });
         self.turn();
     }
 
     /// The call `nth` is set up for a caller at a server; the connection that it was set up on.
-    pub fn stood(&mut self, caller: u64, nth: u64, server: u64) -> LinkId {
+    pub fn stood(&mut self, caller: u64, nth: u64, server: u64) -> ServerConnectionId {
         self.offer(caller, nth, server);
         let (link, _) = self.sent("INVITE").pop().expect("an INVITE");
         self.answer(link, nth, 1, 200, "", DESCRIPTION);
@@ -205,9 +217,9 @@
     }
 
     /// What went out to servers with this first word, and where.
-    pub fn sent(&self, word: &str) -> Vec<(LinkId, String)> {
+    pub fn sent(&self, word: &str) -> Vec<(ServerConnectionId, String)> {
         let sent = self.out.iter().filter_map(|output| match output {
-            Output::ToLink(link, bytes) => Some((*link, String::from_utf8(bytes.clone()).unwrap())),
+            Output::SendToServer(link, bytes) => Some((*link, String::from_utf8(bytes.clone()).unwrap())),
             _ => None,
         });
         sent.filter(|(_, text)| text.starts_with(word)).collect()
@@ -216,7 +228,7 @@
     /// What was said to callers: to whom, the type, the call and the cause.
     pub fn told(&self) -> Vec<(u64, Value)> {
         let told = self.out.iter().filter_map(|output| match output {
-            Output::ToCaller(caller, bytes) => Some((caller.0, serde_json::from_slice(bytes).unwrap())),
+            Output::SendToCaller(caller, bytes) => Some((caller.0, serde_json::from_slice(bytes).unwrap())),
             _ => None,
         });
         told.collect()
@@ -235,14 +247,14 @@
 
     pub fn watch_says(&mut self, line: &str) {
         let (watch, _) = self.watch.clone().expect("a coordinator");
-        self.engine.take(at(self.ms), Input::WatchSaid(watch, line.as_bytes()));
+        self.engine.handle_input(at(self.ms), Input::WatchData(watch, line.as_bytes()));
         self.turn();
     }
 
     /// The coordinator is there and tells this.
     pub fn list(&mut self, index: u64, instances: Value) {
         let (watch, _) = self.watch.clone().expect("a coordinator");
-        self.engine.take(at(self.ms), Input::WatchUp(watch));
+        self.engine.handle_input(at(self.ms), Input::WatchConnected(watch));
         self.turn();
         self.watch_says(&format!("{}\n", event(index, false, instances)));
     }
--- a/crates/ochrelead-node/tests/orders.rs
+++ b/crates/ochrelead-node/tests/orders.rs
@@ -3,9 +3,7 @@
 mod helper;
 
 use helper::{DESCRIPTION, Rig, at, id, instance};
-use ochrelead_node::callers::CallerId;
-use ochrelead_node::engine::{Input, Output};
-use ochrelead_node::roster::LinkId;
+use ochrelead_node::io::{CallerId, Input, Output, ServerConnectionId};
 use serde_json::json;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,8 +35,8 @@
 struct Course {
     rig: Rig,
     /// Where the last INVITE left and its number, while its server has not ended it.
-    out: Option<(LinkId, u32)>,
-    last: Option<(LinkId, u32)>,
+    out: Option<(ServerConnectionId, u32)>,
+    last: Option<(ServerConnectionId, u32)>,
     judged: usize,
     gone: bool,
     finals: usize,
@@ -83,7 +81,7 @@
             }
             Happens::Close => {
                 self.gone = true;
-                self.rig.engine.take(at(self.rig.ms), Input::CallerClosed(CallerId(1)));
+                self.rig.engine.handle_input(at(self.rig.ms), Input::CallerDisconnected(CallerId(1)));
                 self.rig.turn();
             }
             Happens::LinkClose => {
@@ -93,7 +91,10 @@
                 }
             }
             Happens::Drain => {
-                self.rig.engine.take(at(self.rig.ms), Input::WatchClosed(self.rig.watch.clone().unwrap().0));
+                self.rig.engine.handle_input(
+                    at(self.rig.ms),
+                    Input::WatchDisconnected(self.rig.watch.clone().unwrap().0),
+                );
                 self.rig.turn();
                 self.rig.list(2, json!([instance(0, 10, "draining", 0)]));
             }
@@ -106,7 +107,7 @@
     fn judge(&mut self) {
         for output in &self.rig.out[self.judged..] {
             match output {
-                Output::ToLink(link, bytes) => {
+                Output::SendToServer(link, bytes) => {
                     let text = String::from_utf8(bytes.clone()).unwrap();
                     if text.starts_with("INVITE") {
                         assert!(!self.gone, "an INVITE for a caller that left");
@@ -119,7 +120,7 @@
                         self.out = None;
                     }
                 }
-                Output::ToCaller(_, bytes) => {
+                Output::SendToCaller(_, bytes) => {
                     let line: serde_json::Value = serde_json::from_slice(bytes).unwrap();
                     match line["t"].as_str().unwrap() {
                         "up" => {
@@ -145,7 +146,7 @@
         self.judge();
         assert_eq!(self.out, None, "an INVITE is out for ever");
         assert!(self.gone || self.finals > 0, "no final answer");
-        assert_eq!(self.rig.engine.load()[3], 0, "an answer is owed");
+        assert_eq!(self.rig.engine.load().unanswered_calls, 0, "an answer is owed");
     }
 }
 
--- a/crates/ochrelead-node/tests/sounding.rs
+++ b/crates/ochrelead-node/tests/sounding.rs
@@ -7,8 +7,9 @@
 use ochrelead_lease::electorate::Electorate;
 use ochrelead_lease::engine::Engine as Leases;
 use ochrelead_lease::{Number, Terms, Who};
-use ochrelead_node::engine::Output;
-use ochrelead_node::meaning::{read_number, write_number};
+use ochrelead_node::engine::SupersededToken;
+use ochrelead_node::fencing::{format_token, parse_token};
+use ochrelead_node::io::Output;
 use ochrelead_node::sounding::{Quiet, Sounding, counts_as_heard, rank, task};
 use test_case::test_case;
 
@@ -16,7 +17,7 @@
 
 #[test]
 fn a_number_reads_as_it_was_written() {
-    assert_eq!(read_number(&write_number(NUMBER)), Some(NUMBER));
+    assert_eq!(parse_token(&format_token(NUMBER)), Some(NUMBER));
 }
 
 #[test_case(""; "nothing")]
@@ -25,7 +26,7 @@
 #[test_case("99999999999999999999999.1.1"; "too large")]
 #[test_case("18446744073709551615.1.1"; "at the end of its range")]
 fn what_is_no_number_is_none(text: &str) {
-    assert_eq!(read_number(text), None);
+    assert_eq!(parse_token(text), None);
 }
 
 /// Milliseconds: heard here, vouched for, and until when it counts as heard.
@@ -128,10 +129,10 @@
     for _ in 0..90 {
         rig.pass(100);
         if vouched {
-            rig.engine.vouched("s-0", at(rig.ms));
+            rig.engine.on_heard_by_peer("s-0", at(rig.ms));
         }
     }
-    let dials = rig.out.iter().filter(|output| matches!(output, Output::Dial(..))).count();
+    let dials = rig.out.iter().filter(|output| matches!(output, Output::ConnectServer(..))).count();
     assert!((1..=most).contains(&dials) && (vouched || dials == most), "{dials}");
 }
 
@@ -139,15 +140,18 @@
 fn a_server_that_has_seen_a_higher_number_is_heard() {
     let mut rig = Rig::with(1);
     let link = *rig.links.keys().next().unwrap();
-    rig.engine.sound("s-0", NUMBER);
+    rig.engine.send_health_check("s-0", NUMBER);
     rig.turn();
     let (own, sent) = rig.sent("OPTIONS").pop().unwrap();
     assert!(sent.contains("X-Number: 7.3.4294967295\r\n") && rig.links.contains_key(&own), "{sent}");
     let answer = "SIP/2.0 403 x\r\nCall-ID: 0000000000000000\r\nCSeq: 1 OPTIONS\r\nX-Number: 9.1.5\r\nContent-Length: 0\r\n\r\n";
     rig.link_says(link, answer.as_bytes());
     let highest = Number { count: 9, of: Who { front: 1, life: 5 } };
-    assert_eq!(rig.engine.outrun(), Some(("s-0".to_owned(), highest)));
-    assert_eq!(rig.engine.outrun(), None);
+    assert_eq!(
+        rig.engine.poll_superseded_token(),
+        Some(SupersededToken { server: "s-0".to_owned(), highest })
+    );
+    assert_eq!(rig.engine.poll_superseded_token(), None);
 }
 
 /// A peer that vouches for what is long dead delays its end, but not beyond what is allowed.
@@ -159,7 +163,7 @@
     rig.come_up = false;
     for _ in 0..80 {
         rig.pass(100);
-        rig.engine.vouched("s-1", at(rig.ms));
+        rig.engine.on_heard_by_peer("s-1", at(rig.ms));
     }
     assert_eq!(rig.finals(), [(1, "down".to_owned(), Some(41))]);
 }
--- a/crates/ochrelead-verify/src/processes/server.rs
+++ b/crates/ochrelead-verify/src/processes/server.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use ochrelead_lease::Number;
-use ochrelead_node::meaning::{self, read_number, write_number};
+use ochrelead_node::fencing::{self, format_token, parse_token};
 
 /// An act that reached the server.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,7 +55,7 @@
         self.acts.push(Taken { at: Instant::now(), left, number, connection, refused: refused.is_some() });
         self.highest = self.highest.max(Some(number));
         if let Some(highest) = refused {
-            let number = format!("{}: {}\r\n", meaning::NUMBER, write_number(highest));
+            let number = format!("{}: {}\r\n", fencing::TOKEN_HEADER, format_token(highest));
             let answer = format!("SIP/2.0 403 x\r\n{}{number}Content-Length: 0\r\n\r\n", act.ids);
             // One that has closed its connection reads nothing.
             let _ = act.out.write_all(answer.as_bytes());
@@ -78,7 +78,7 @@
         let mut body = vec![0; of("Content-Length:").parse().unwrap_or(0)];
         lines.read_exact(&mut body)?;
         if let Some(number) =
-            read_number(of(&format!("{}:", meaning::NUMBER))).filter(|_| head.starts_with("OPTIONS"))
+            parse_token(of(&format!("{}:", fencing::TOKEN_HEADER))).filter(|_| head.starts_with("OPTIONS"))
         {
             let ids = format!("Call-ID: {}\r\nCSeq: {}\r\n", of("Call-ID:"), of("CSeq:"));
             let act = Act { left: Instant::now(), number, connection, out: out.try_clone()?, ids };
