Document and test the host package, and name its tables' parts

The methods of CallPolicy, the clock and the bounded tables had no documentation and no tests of their own.

--- a/crates/ochrelead-host/src/call_policy.rs
+++ b/crates/ochrelead-host/src/call_policy.rs
@@ -1,4 +1,4 @@
-//! What the engine asks of whoever decides on sessions.
+//! What a host asks of whoever decides on sessions.
 
 use ochrelead_core::controller::Controller;
 use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
@@ -8,26 +8,43 @@
     ServerSnapshot,
 };
 
-/// Decides on sessions; chosen at start. The methods are those of the module, [`Controller`], and mean the same.
+/// Decides on sessions; chosen when a host starts. The methods mean the same as those of [`Controller`].
 pub trait CallPolicy {
+    /// Sets the clock; called before anything else of a turn.
     fn advance_to(&mut self, now: Moment);
-    fn on_call_request(&mut self, session: SessionIx, offer: CallRequest);
+    /// A caller asks for a session.
+    fn on_call_request(&mut self, session: SessionIx, request: CallRequest);
+    /// The session's INVITE was answered.
     fn on_call_established(&mut self, session: SessionIx);
-    fn on_invite_ended(&mut self, session: SessionIx, server: ServerIx, ending: InviteOutcome, over: bool);
+    /// An INVITE, or the call that it set up, has ended. `is_final`: the session has its answer.
+    fn on_invite_ended(
+        &mut self,
+        session: SessionIx,
+        server: ServerIx,
+        outcome: InviteOutcome,
+        is_final: bool,
+    );
+    /// The caller has gone, or the session was answered elsewhere.
     fn on_caller_gone(&mut self, session: SessionIx);
-    fn on_endpoints(&mut self, whole: bool, listings: &[EndpointUpdate]);
+    /// An update of the endpoints; `is_complete` where it names all servers there are.
+    fn on_endpoints(&mut self, is_complete: bool, updates: &[EndpointUpdate]);
+    /// The numbers of the servers that serve a service from now on; any where none is named.
     fn on_service_servers(&mut self, service: ServiceIx, servers: &[i64]);
+    /// A server reports its lines.
     fn on_line_capacity(&mut self, server: ServerIx, lines: LineCapacity);
+    /// A server reports the load of its processor.
     fn on_load_report(&mut self, server: ServerIx, report: LoadReport);
-    /// What share of the sessions a server takes from now on, where the judge heeds that.
+    /// The share of the sessions that a server admits from now on; a policy may ignore it.
     fn on_zone_share(&mut self, _server: ServerIx, _share: f64) {}
+    /// The next decision, until there is none left for this turn.
     fn next_decision(&mut self) -> Option<Decision>;
+    /// When the host is to come again although nothing happens.
     fn poll_timeout(&mut self) -> Option<Moment>;
-    /// Why the decision last pulled is what it is, where the judge tells.
+    /// Why the last decision was made, where the policy says.
     fn last_reason(&self) -> Option<DecisionReason> {
         None
     }
-    /// What is held of a server now, where the judge tells.
+    /// The present state of a server, where the policy says.
     fn server_snapshot(&self, _server: ServerIx) -> Option<ServerSnapshot> {
         None
     }
@@ -38,24 +55,30 @@
         Controller::advance_to(self, now);
     }
 
-    fn on_call_request(&mut self, session: SessionIx, offer: CallRequest) {
-        Controller::on_call_request(self, session, offer);
+    fn on_call_request(&mut self, session: SessionIx, request: CallRequest) {
+        Controller::on_call_request(self, session, request);
     }
 
     fn on_call_established(&mut self, session: SessionIx) {
         Controller::on_call_established(self, session);
     }
 
-    fn on_invite_ended(&mut self, session: SessionIx, server: ServerIx, ending: InviteOutcome, over: bool) {
-        Controller::on_invite_ended(self, session, server, ending, over);
+    fn on_invite_ended(
+        &mut self,
+        session: SessionIx,
+        server: ServerIx,
+        outcome: InviteOutcome,
+        is_final: bool,
+    ) {
+        Controller::on_invite_ended(self, session, server, outcome, is_final);
     }
 
     fn on_caller_gone(&mut self, session: SessionIx) {
         Controller::on_caller_gone(self, session);
     }
 
-    fn on_endpoints(&mut self, whole: bool, listings: &[EndpointUpdate]) {
-        Controller::on_endpoints(self, whole, listings);
+    fn on_endpoints(&mut self, is_complete: bool, updates: &[EndpointUpdate]) {
+        Controller::on_endpoints(self, is_complete, updates);
     }
 
     fn on_service_servers(&mut self, service: ServiceIx, servers: &[i64]) {
--- a/crates/ochrelead-host/src/lib.rs
+++ b/crates/ochrelead-host/src/lib.rs
@@ -1,16 +1,34 @@
 //! What every host of the decisions needs, whatever its wire.
 //!
-//! - [`call_policy`]: what an engine asks of whoever decides, so that a rig can put a baseline in the module's place.
+//! A host is the program part between a wire and the decisions of [`ochrelead_core`]: it passes events to a
+//! [`CallPolicy`](call_policy::CallPolicy) and carries out what that decides.
+//!
+//! - [`call_policy`]: what a host asks of whoever decides, so that a test can put another policy in place.
 //! - [`clock`]: the machine's clock as moments, and timers on it.
 //! - [`called_numbers`]: called numbers by index, bounded.
-//! - [`recent_ids`]: names that are over, bounded.
+//! - [`recent_ids`]: identifiers that are no longer in use, bounded.
+//!
+//! ```
+//! use ochrelead_core::config::ControllerConfig;
+//! use ochrelead_core::controller::Controller;
+//! use ochrelead_host::call_policy::CallPolicy;
+//! use ochrelead_host::clock::Clock;
+//!
+//! let clock = Clock::start();
+//! let controller = Controller::new(&ControllerConfig::default(), clock.now());
+//! let mut policy: Box<dyn CallPolicy> = Box::new(controller);
+//! policy.advance_to(clock.now());
+//! assert_eq!(policy.next_decision(), None);
+//! ```
+
+#![warn(missing_docs)]
 
 pub mod call_policy;
 pub mod called_numbers;
 pub mod clock;
 pub mod recent_ids;
 
-/// The status in a state's folder, as `ochrelead-front status` prints it; its first line says when it was written.
+/// The status file in a state folder, as `ochrelead-front status` prints it. Its first line says when it was written.
 pub const STATUS: &str = "status";
-/// The counters there, in the prometheus text form.
+/// The file of the counters in a state folder, in the text format of Prometheus.
 pub const COUNTERS: &str = "counters.prom";
--- a/crates/ochrelead-host/src/recent_ids.rs
+++ b/crates/ochrelead-host/src/recent_ids.rs
@@ -1,33 +1,37 @@
-//! Names that are over, the oldest forgotten first.
+//! Identifiers that are no longer in use, the oldest forgotten first.
 
 use std::collections::{HashSet, VecDeque};
 
-/// A bounded set of names.
+/// A bounded set of identifiers.
 #[derive(Clone, Debug)]
 pub struct RecentIds {
-    most: usize,
-    known: HashSet<String>,
-    order: VecDeque<String>,
+    capacity: usize,
+    ids: HashSet<String>,
+    /// The same, in the order in which they were added.
+    by_age: VecDeque<String>,
 }
 
 impl RecentIds {
-    pub fn new(most: usize) -> RecentIds {
-        RecentIds { most, known: HashSet::new(), order: VecDeque::new() }
+    /// An empty set that remembers the last `capacity` identifiers.
+    pub fn new(capacity: usize) -> RecentIds {
+        RecentIds { capacity, ids: HashSet::new(), by_age: VecDeque::new() }
     }
 
-    pub fn insert(&mut self, name: &str) {
-        if !self.known.insert(name.to_owned()) {
+    /// Adds an identifier, and forgets the oldest where there are too many. One that is there keeps its age.
+    pub fn insert(&mut self, id: &str) {
+        if !self.ids.insert(id.to_owned()) {
             return;
         }
-        self.order.push_back(name.to_owned());
-        if self.order.len() > self.most
-            && let Some(oldest) = self.order.pop_front()
+        self.by_age.push_back(id.to_owned());
+        if self.by_age.len() > self.capacity
+            && let Some(oldest) = self.by_age.pop_front()
         {
-            self.known.remove(&oldest);
+            self.ids.remove(&oldest);
         }
     }
 
-    pub fn contains(&self, name: &str) -> bool {
-        self.known.contains(name)
+    /// Whether the identifier is still remembered.
+    pub fn contains(&self, id: &str) -> bool {
+        self.ids.contains(id)
     }
 }
