Type the bench adapter's errors and name its parts by what they do

Errors were texts; they are BatchError, EventError and Diagnostic now, with the same wording. Door becomes IdTable, Entry Endpoint; reading fields of JSON is in one module, the bits of a rejection's reason are named.

--- a/crates/ochrelead-benchlink/src/front.rs
+++ b/crates/ochrelead-benchlink/src/front.rs
@@ -1,9 +1,5 @@
-//! One instance: its events become calls of the rules, the rules' decisions its actions.
+//! One instance: its events become calls of the controller, the controller's decisions its actions.
 
-use serde_json::{Value, json};
-
-use crate::door::Door;
-use crate::{millis, moment, whole};
 use ochrelead_core::controller::Controller;
 use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx, TenantIx};
 use ochrelead_core::time::{Moment, Span};
@@ -11,237 +7,265 @@
     CallRequest, Decision, EndpointState, EndpointUpdate, InviteOutcome, LineCapacity, LoadReport,
 };
 use ochrelead_platform::settings::Settings;
+use serde_json::{Value, json};
+
+use crate::error::EventError;
+use crate::fields::{flag, integer, millis, moment, required, text, whole_number};
+use crate::id_table::IdTable;
+
+/// The low bits of a rejection's `why` are its reason; above them is the retry-after in milliseconds.
+const REASON_BITS: u32 = 4;
+const REASON_MASK: u64 = (1 << REASON_BITS) - 1;
+const REASON_NO_LINE: u64 = 1;
+const REASON_LINES_BUSY: u64 = 4;
 
-/// One line of a numbered list.
-pub struct Entry {
+/// One entry of a numbered list.
+pub(crate) struct Endpoint {
     server: u64,
     number: i64,
     state: EndpointState,
 }
 
-impl Entry {
-    pub fn read(line: &Value) -> Result<Entry, String> {
-        let started = line.get("startTimeMs").and_then(moment).filter(|at| *at > Moment::START);
-        let state = match line.get("availability").and_then(Value::as_str) {
+impl Endpoint {
+    /// Reads an entry.
+    pub(crate) fn read(entry: &Value) -> Result<Endpoint, EventError> {
+        let started = moment(entry, "startTimeMs").filter(|started| *started > Moment::START);
+        let state = match text(entry, "availability") {
             None | Some("ready") => EndpointState::Ready { started },
             Some("draining") => EndpointState::Draining,
             Some("gone") => EndpointState::Gone,
-            Some(other) => return Err(format!("Page: unknown availability {other}")),
+            Some(other) => return Err(unknown_value("Page", "availability", &other)),
         };
-        let server = whole(line, "server").ok_or("Page: an entry without server")?;
-        Ok(Entry { server, number: integer(line, "number").unwrap_or(0), state })
+        let server = whole_number(entry, "server").ok_or(EventError::EntryWithoutServer)?;
+        Ok(Endpoint { server, number: integer(entry, "number").unwrap_or(0), state })
     }
 }
 
-pub struct Front {
-    rules: Controller,
-    door: Door,
+/// One instance.
+pub(crate) struct Front {
+    controller: Controller,
+    ids: IdTable,
     services: usize,
-    /// Whether the list comes only after it was asked for, and is to be asked for now.
-    asks: bool,
-    ask: bool,
+    /// Whether lists come only after they were asked for.
+    lists_on_request: bool,
+    /// Whether the list is to be asked for in the next reply.
+    request_list: bool,
     /// The earliest timer that is pending.
-    armed: Option<Moment>,
+    timer_at: Option<Moment>,
 }
 
 impl Front {
-    pub fn start(body: &Value, now: Moment) -> Result<Front, String> {
-        let facts = Settings::parse(body.get("facts")).map_err(|error| format!("Hello: facts: {error}"))?;
-        let provision = facts.controller_config(whole(body, "initSeed").unwrap_or(0));
-        let asks = facts.discovery == "on_request";
-        let services = provision.services.len();
-        let rules = Controller::new(&provision, now);
-        Ok(Front { rules, door: Door::default(), services, asks, ask: asks, armed: None })
+    /// Starts an instance by its `Hello`.
+    pub(crate) fn start(body: &Value, now: Moment) -> Result<Front, EventError> {
+        let settings = Settings::parse(body.get("facts")).map_err(EventError::Settings)?;
+        let config = settings.controller_config(whole_number(body, "initSeed").unwrap_or(0));
+        let lists_on_request = settings.discovery == "on_request";
+        Ok(Front {
+            controller: Controller::new(&config, now),
+            ids: IdTable::default(),
+            services: config.services.len(),
+            lists_on_request,
+            request_list: lists_on_request,
+            timer_at: None,
+        })
     }
 
-    pub fn list(&mut self, scope: &str, list: Option<&[Entry]>, now: Moment) -> Result<(), String> {
-        let entire = match scope {
+    /// Handles `Endpoints`; `list` is the list that it refers to, where that was sent.
+    pub(crate) fn update_endpoints(
+        &mut self,
+        scope: &str,
+        list: Option<&[Endpoint]>,
+        now: Moment,
+    ) -> Result<(), EventError> {
+        let is_complete = match scope {
             "replace" | "restored" => true,
             "update" => false,
             "unavailable" => {
-                self.ask = self.asks;
+                self.request_list = self.lists_on_request;
                 return Ok(());
             }
-            other => return Err(format!("Endpoints: unknown scope {other}")),
+            other => return Err(unknown_value("Endpoints", "scope", &other)),
         };
-        let entries = list.ok_or("Endpoints: no such list")?;
-        let listings: Vec<EndpointUpdate> = entries
-            .iter()
-            .map(|entry| EndpointUpdate {
-                server: self.door.server(entry.server),
-                number: entry.number,
-                state: entry.state,
-                weight: 1.0,
-            })
-            .collect();
-        self.rules.advance_to(now);
-        self.rules.on_endpoints(entire, &listings);
+        let endpoints = list.ok_or(EventError::UnknownList)?;
+        let ids = &mut self.ids;
+        let update = |endpoint: &Endpoint| EndpointUpdate {
+            server: ids.add_server(endpoint.server),
+            number: endpoint.number,
+            state: endpoint.state,
+            weight: 1.0,
+        };
+        let updates: Vec<EndpointUpdate> = endpoints.iter().map(update).collect();
+        self.controller.advance_to(now);
+        self.controller.on_endpoints(is_complete, &updates);
         Ok(())
     }
 
-    pub fn take(&mut self, name: &str, body: &Value, now: Moment) -> Result<(), String> {
-        self.rules.advance_to(now);
+    /// Handles any other event of a started instance. One of an unknown name is ignored, as the wire may grow.
+    pub(crate) fn handle_event(&mut self, name: &str, body: &Value, now: Moment) -> Result<(), EventError> {
+        self.controller.advance_to(now);
         match name {
-            "Wake" => {
-                self.armed = self.armed.filter(|at| *at > now);
-                Ok(())
-            }
-            "Inbound" => self.inbound(body),
+            "Wake" => self.timer_at = self.timer_at.filter(|timer_at| *timer_at > now),
+            "Inbound" => self.handle_call_request(body)?,
             "UnderWay" => {
                 if let Some(session) = self.session(body)? {
-                    self.rules.on_call_established(session);
+                    self.controller.on_call_established(session);
                 }
-                Ok(())
             }
-            "Settled" => self.settled(body),
+            "Settled" => self.handle_invite_ended(body)?,
             "CancelledByClient" => {
                 if let Some(session) = self.session(body)? {
-                    self.door.caller(session).answered = true;
-                    self.rules.on_caller_gone(session);
-                    self.door.leave(session);
+                    self.ids.session_mut(session).is_answered = true;
+                    self.controller.on_caller_gone(session);
+                    self.ids.remove_if_over(session);
                 }
-                Ok(())
             }
-            "Health" => self.tell_state(body).map(|_| ()),
-            // Fronts have nothing to say to each other yet, and what is new on the wire is passed over.
-            _ => Ok(()),
+            "Health" => {
+                self.report_server(body)?;
+            }
+            _ => {}
         }
+        Ok(())
     }
 
-    fn inbound(&mut self, body: &Value) -> Result<(), String> {
-        let id = body.get("req").and_then(Value::as_str).ok_or("Inbound: no req")?;
-        let service = whole(body, "lane").unwrap_or(0) as usize;
-        if service >= self.services {
-            return Err(format!("Inbound: unknown lane {service}"));
-        }
-        let timer_limit = body.get("dropDeadMs").and_then(moment).ok_or("Inbound: no dropDeadMs")?;
-        let session = self.door.admit(id).ok_or_else(|| format!("Inbound: {id} came before"))?;
-        let number = body.get("affinity").and_then(Value::as_str).map(|key| self.door.number(key));
-        let offer = CallRequest {
+    fn handle_call_request(&mut self, body: &Value) -> Result<(), EventError> {
+        let id = required(text(body, "req"), "Inbound", "req")?;
+        let lane = whole_number(body, "lane").unwrap_or(0);
+        let service = usize::try_from(lane).ok().filter(|service| *service < self.services);
+        let service = service.ok_or_else(|| unknown_value("Inbound", "lane", &lane))?;
+        let deadline = required(moment(body, "dropDeadMs"), "Inbound", "dropDeadMs")?;
+        let session = self.ids.add_session(id);
+        let session = session.ok_or_else(|| EventError::DuplicateSession { id: id.to_owned() })?;
+        let request = CallRequest {
             service: ServiceIx::new(service),
-            tenant: Some(TenantIx::new(whole(body, "clientGroup").unwrap_or(0) as usize)),
-            called_number: number,
+            tenant: Some(tenant(body)),
+            called_number: text(body, "affinity").map(|key| self.ids.add_called_number(key)),
             destination: integer(body, "calledNode").unwrap_or(-1),
-            deadline: timer_limit,
-            is_redial: body.get("againByClient").and_then(Value::as_bool).unwrap_or(false),
+            deadline,
+            is_redial: flag(body, "againByClient"),
         };
-        self.rules.on_call_request(session, offer);
+        self.controller.on_call_request(session, request);
         Ok(())
     }
 
-    fn settled(&mut self, body: &Value) -> Result<(), String> {
-        let why = whole(body, "why").unwrap_or(0);
-        let wait = Span::from_millis(why >> 4);
-        let ending = match whole(body, "result").ok_or("Settled: no result")? {
-            0 => InviteOutcome::Failed { lines_busy: why & 15 == 4 },
-            1 => InviteOutcome::Released,
-            // A wait stands above the four bits of the reason.
-            2 => InviteOutcome::Rejected {
-                no_line: why & 15 == 1,
-                retry_after: (wait > Span::ZERO).then_some(wait),
-            },
-            3 => InviteOutcome::TimedOut,
-            4 => InviteOutcome::ConnectFailed,
-            5 => InviteOutcome::Reset,
-            6 => InviteOutcome::Cancelled,
-            7 => InviteOutcome::Unsent,
-            other => return Err(format!("Settled: unknown result {other}")),
-        };
-        let server = self.tell_state(body)?.ok_or("Settled: unknown server")?;
+    fn handle_invite_ended(&mut self, body: &Value) -> Result<(), EventError> {
+        let outcome = invite_outcome(body)?;
+        let server = self.report_server(body)?.ok_or(EventError::UnknownServer)?;
         let Some(session) = self.session(body)? else { return Ok(()) };
-        let over = body.get("final").and_then(Value::as_bool).unwrap_or(false);
-        let caller = self.door.caller(session);
-        caller.open = caller.open.saturating_sub(1);
-        caller.answered |= over;
-        self.rules.on_invite_ended(session, server, ending, over);
-        self.door.leave(session);
+        let is_final = flag(body, "final");
+        let state = self.ids.session_mut(session);
+        state.open_invites = state.open_invites.saturating_sub(1);
+        state.is_answered |= is_final;
+        self.controller.on_invite_ended(session, server, outcome, is_final);
+        self.ids.remove_if_over(session);
         Ok(())
     }
 
-    /// The server that an event names, once the rules know of its lines and its load.
-    fn tell_state(&mut self, body: &Value) -> Result<Option<ServerIx>, String> {
-        let server = self.server(body)?;
-        if let (Some(server), Some(lines)) = (server, lines(body)) {
-            self.rules.on_line_capacity(server, lines);
-        }
-        if let Some(server) = server {
-            self.rules.on_load_report(server, report(body));
+    /// Passes on what an event says of its server's lines and load; the server, where it is known.
+    fn report_server(&mut self, body: &Value) -> Result<Option<ServerIx>, EventError> {
+        let id = whole_number(body, "server").ok_or(EventError::MissingCommonField("server"))?;
+        let Some(server) = self.ids.server_index(id) else { return Ok(None) };
+        if let Some(lines) = line_capacity(body) {
+            self.controller.on_line_capacity(server, lines);
         }
-        Ok(server)
-    }
-
-    /// The session that an event names; none where it is finished and forgotten.
-    fn session(&self, body: &Value) -> Result<Option<SessionIx>, String> {
-        let id = body.get("req").and_then(Value::as_str).ok_or("no req")?;
-        Ok(self.door.session(id))
+        self.controller.on_load_report(server, load_report(body));
+        Ok(Some(server))
     }
 
-    fn server(&self, body: &Value) -> Result<Option<ServerIx>, String> {
-        Ok(self.door.known_server(whole(body, "server").ok_or("no server")?))
+    /// The session that an event names; none where it is over.
+    fn session(&self, body: &Value) -> Result<Option<SessionIx>, EventError> {
+        let id = text(body, "req").ok_or(EventError::MissingCommonField("req"))?;
+        Ok(self.ids.session_index(id))
     }
 
-    /// Pulls the decisions of this turn and writes them as actions.
-    pub fn decisions(&mut self, now: Moment) -> Vec<Value> {
-        self.rules.advance_to(now);
+    /// The decisions of this turn as actions on the wire.
+    pub(crate) fn actions(&mut self, now: Moment) -> Vec<Value> {
+        self.controller.advance_to(now);
         let mut actions = Vec::new();
-        if std::mem::take(&mut self.ask) {
+        if std::mem::take(&mut self.request_list) {
             actions.push(json!({"Tail": {"want": true}}));
         }
-        while let Some(decision) = self.rules.next_decision() {
+        while let Some(decision) = self.controller.next_decision() {
             actions.push(self.action(decision));
         }
-        if let Some(wake) = self.rules.poll_timeout()
-            && self.armed.is_none_or(|armed| wake < armed)
+        if let Some(timeout_at) = self.controller.poll_timeout()
+            && self.timer_at.is_none_or(|timer_at| timeout_at < timer_at)
         {
-            self.armed = Some(wake);
-            actions.push(json!({"Timer": {"offsetMs": millis(wake.since(now)), "label": 0}}));
+            self.timer_at = Some(timeout_at);
+            actions.push(json!({"Timer": {"offsetMs": millis(timeout_at.since(now)), "label": 0}}));
         }
         actions
     }
 
     fn action(&mut self, decision: Decision) -> Value {
         match decision {
-            Decision::Invite { session, server, answer_timeout: patience } => {
-                let server = self.door.server_id(server);
-                let caller = self.door.caller(session);
-                caller.open += 1;
-                let mut fields = json!({"req": caller.id, "server": server});
-                if let Some(patience) = patience {
-                    fields["tryForMs"] = json!(millis(patience));
+            Decision::Invite { session, server, answer_timeout } => {
+                let server = self.ids.server_id(server);
+                let state = self.ids.session_mut(session);
+                state.open_invites += 1;
+                let mut fields = json!({"req": state.id, "server": server});
+                if let Some(answer_timeout) = answer_timeout {
+                    fields["tryForMs"] = json!(millis(answer_timeout));
                 }
                 json!({"Deliver": fields})
             }
-            Decision::Reject { session, retry_after: come_back } => {
-                let mut fields = json!({"req": self.answered(session)});
-                if let Some(away) = come_back {
-                    fields["comeBackMs"] = json!(millis(away));
+            Decision::Reject { session, retry_after } => {
+                let mut fields = json!({"req": self.answer(session)});
+                if let Some(retry_after) = retry_after {
+                    fields["comeBackMs"] = json!(millis(retry_after));
                 }
                 json!({"SayNo": fields})
             }
-            Decision::Fail { session } => json!({"Fail": {"req": self.answered(session)}}),
+            Decision::Fail { session } => json!({"Fail": {"req": self.answer(session)}}),
         }
     }
 
-    fn answered(&mut self, session: SessionIx) -> String {
-        let caller = self.door.caller(session);
-        caller.answered = true;
-        let id = caller.id.clone();
-        self.door.leave(session);
+    /// The session has its final answer; its id.
+    fn answer(&mut self, session: SessionIx) -> String {
+        let state = self.ids.session_mut(session);
+        state.is_answered = true;
+        let id = state.id.clone();
+        self.ids.remove_if_over(session);
         id
     }
 }
 
-fn integer(body: &Value, key: &str) -> Option<i64> {
-    body.get(key).and_then(Value::as_i64)
+fn unknown_value(event: &'static str, field: &'static str, value: &impl ToString) -> EventError {
+    EventError::UnknownValue { event, field, value: value.to_string() }
+}
+
+/// The tenant of a request, by the low 32 bits of its number.
+fn tenant(body: &Value) -> TenantIx {
+    let number = whole_number(body, "clientGroup").unwrap_or(0) & u64::from(u32::MAX);
+    TenantIx::new(number as usize)
+}
+
+fn invite_outcome(body: &Value) -> Result<InviteOutcome, EventError> {
+    let why = whole_number(body, "why").unwrap_or(0);
+    let (reason, retry_after) = (why & REASON_MASK, Span::from_millis(why >> REASON_BITS));
+    Ok(match required(whole_number(body, "result"), "Settled", "result")? {
+        0 => InviteOutcome::Failed { lines_busy: reason == REASON_LINES_BUSY },
+        1 => InviteOutcome::Released,
+        2 => InviteOutcome::Rejected {
+            no_line: reason == REASON_NO_LINE,
+            retry_after: (retry_after > Span::ZERO).then_some(retry_after),
+        },
+        3 => InviteOutcome::TimedOut,
+        4 => InviteOutcome::ConnectFailed,
+        5 => InviteOutcome::Reset,
+        6 => InviteOutcome::Cancelled,
+        7 => InviteOutcome::Unsent,
+        other => return Err(unknown_value("Settled", "result", &other)),
+    })
 }
 
-fn lines(body: &Value) -> Option<LineCapacity> {
-    let figure = |name: &str| body.get("telemetry")?.get(name)?.as_u64();
-    Some(LineCapacity { free: figure("free")? as u32, total: figure("size")? as u32 })
+/// The lines that an event reports of its server; none where it does not. They count in 32 bits.
+fn line_capacity(body: &Value) -> Option<LineCapacity> {
+    let lines = |name: &str| body.get("telemetry")?.get(name)?.as_u64().map(|lines| lines as u32);
+    Some(LineCapacity { free: lines("free")?, total: lines("size")? })
 }
 
-/// What a report says of the processor; a negative figure says nothing.
-fn report(body: &Value) -> LoadReport {
-    let figure = |name: &str| body.get("telemetry")?.get(name)?.as_f64().filter(|figure| *figure >= 0.0);
-    LoadReport { accepted_rate: figure("can_take"), hold_back_share: figure("hold_back") }
+/// What an event reports of its server's processor; a negative number counts as none.
+fn load_report(body: &Value) -> LoadReport {
+    let number = |name: &str| body.get("telemetry")?.get(name)?.as_f64().filter(|number| *number >= 0.0);
+    LoadReport { accepted_rate: number("can_take"), hold_back_share: number("hold_back") }
 }
--- a/crates/ochrelead-benchlink/src/main.rs
+++ b/crates/ochrelead-benchlink/src/main.rs
@@ -4,21 +4,35 @@
 use std::process::ExitCode;
 
 use ochrelead_benchlink::Host;
+use ochrelead_benchlink::error::BatchError;
+use thiserror::Error;
+
+/// Why a batch was not answered.
+#[derive(Debug, Error)]
+enum Error {
+    #[error(transparent)]
+    Batch(#[from] BatchError),
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
 
 fn main() -> ExitCode {
     let mut host = Host::default();
-    let mut out = io::stdout().lock();
-    for (at, line) in io::stdin().lock().lines().enumerate() {
-        let reply = line.map_err(|error| error.to_string()).and_then(|line| host.turn(&line));
-        for complaint in host.complaints.drain(..) {
-            eprintln!("ochrelead-benchlink: batch {}: {complaint}", at + 1);
+    let mut output = io::stdout().lock();
+    for (number, line) in (1..).zip(io::stdin().lock().lines()) {
+        let reply = line.map_err(Error::from).and_then(|line| Ok(host.process(&line)?));
+        for diagnostic in host.diagnostics.drain(..) {
+            eprintln!("ochrelead-benchlink: batch {number}: {diagnostic}");
         }
-        let sent = reply
-            .and_then(|reply| writeln!(out, "{reply}").and_then(|()| out.flush()).map_err(|e| e.to_string()));
-        if let Err(error) = sent {
-            eprintln!("ochrelead-benchlink: batch {}: {error}", at + 1);
+        if let Err(error) = reply.and_then(|reply| Ok(write_line(&mut output, &reply)?)) {
+            eprintln!("ochrelead-benchlink: batch {number}: {error}");
             return ExitCode::FAILURE;
         }
     }
     ExitCode::SUCCESS
 }
+
+fn write_line(output: &mut impl Write, line: &str) -> io::Result<()> {
+    writeln!(output, "{line}")?;
+    output.flush()
+}
