--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -17,8 +17,8 @@
 use ochrelead_front::host::{self, FrontPaths};
 use ochrelead_host::STATUS;
 use ochrelead_host::clock::Clock;
-use ochrelead_lease::electorate::{Electorate, USUAL};
-use ochrelead_lease::voter::Kept;
+use ochrelead_lease::electorate::{DEFAULT_SIZE, Electorate};
+use ochrelead_lease::persistence::PersistedState;
 use ochrelead_node::engine::Engine as Node;
 use ochrelead_node::host::{Peers, take_signals};
 use ochrelead_node::promises::Promises;
@@ -225,9 +225,9 @@
     let (number, peers) = (configuration.settings.peer_number(), configuration.peers.clone());
     let (fronts, seed) = (peers.len() as u32, configuration.controller_config.seed);
     let electorate = if options.voters.is_empty() {
-        Electorate::spread(options.generation, fronts, USUAL)
+        Electorate::evenly_spaced(options.generation, fronts, DEFAULT_SIZE)
     } else {
-        Electorate::named(options.generation, &options.voters, &options.former_voters, fronts)
+        Electorate::from_config(options.generation, &options.voters, &options.former_voters, fronts)
             .map_err(|why| anyhow::anyhow!("--voters: {why}"))?
     };
     let Some(mut together) = Together::new(listen, peers, number, electorate, seed, now) else {
@@ -255,7 +255,7 @@
     if let Some(folder) = &options.state {
         let opened = Promises::open(folder).with_context(|| format!("--state {}", folder.display()));
         let (own, kept) = opened?;
-        let kept = kept.and_then(|bytes| match Kept::read(&bytes, together.front()) {
+        let kept = kept.and_then(|bytes| match PersistedState::decode(&bytes, together.front()) {
             Ok(kept) => Some(kept),
             Err(why) => {
                 warn!(%why, "what was promised before can't be used: this front abstains for a while");
--- a/crates/ochrelead-front/tests/together.rs
+++ b/crates/ochrelead-front/tests/together.rs
@@ -29,7 +29,7 @@
 
 /// Waits until another than the holder of that number acts, under a higher one.
 fn another(rig: &Rig, than: &Taken) -> Taken {
-    rig.until_act(LONG, |act| act.number > than.number && act.number.of != than.number.of).unwrap()
+    rig.until_act(LONG, |act| act.number > than.number && act.number.holder != than.number.holder).unwrap()
 }
 
 fn ways(of: u32, hears: bool, is_heard: bool) -> Vec<(u32, u32)> {
@@ -50,7 +50,7 @@
 #[test]
 fn a_holder_that_is_killed_is_followed() {
     let (mut rig, first) = rig("killed", 61);
-    rig.kill(first.number.of.front);
+    rig.kill(first.number.holder.front);
     another(&rig, &first);
     holds(rig);
 }
@@ -58,7 +58,7 @@
 #[test]
 fn a_holder_that_leaves_hands_back() {
     let (mut rig, first) = rig("leaves-lease", 62);
-    rig.leave(first.number.of.front).unwrap();
+    rig.leave(first.number.holder.front).unwrap();
     another(&rig, &first);
     holds(rig);
 }
@@ -68,9 +68,9 @@
 fn a_holder_that_stands_still_and_wakes_does_no_harm() {
     let (rig, mut last) = rig("halted", 63);
     for _ in 0..2 {
-        rig.halt(last.number.of.front);
+        rig.halt(last.number.holder.front);
         let next = another(&rig, &last);
-        rig.go_on(last.number.of.front);
+        rig.go_on(last.number.holder.front);
         last = rig.until_act(LONG, |act| act.number >= next.number).unwrap();
     }
     holds(rig);
@@ -80,7 +80,7 @@
 #[test]
 fn an_act_that_was_on_its_way_when_its_lease_ended_is_refused() {
     let (rig, first) = rig("late", 77);
-    let holder = first.number.of.front;
+    let holder = first.number.holder.front;
     rig.server.late(Some(holder));
     let until = Instant::now() + LONG;
     while rig.server.waiting() == 0 {
@@ -106,7 +106,7 @@
         [("cut", 64, false, false), ("deaf", 65, false, true), ("mute", 66, true, false)]
     {
         let (rig, first) = rig(name, net);
-        rig.relay.set(Faults { cut: ways(first.number.of.front, hears, is_heard), ..Faults::default() });
+        rig.relay.set(Faults { cut: ways(first.number.holder.front, hears, is_heard), ..Faults::default() });
         let next = another(&rig, &first);
         rig.relay.set(Faults::default());
         rig.until_act(LONG, |act| act.number >= next.number).unwrap();
@@ -143,7 +143,7 @@
 #[test]
 fn seven_in_ten_killed_at_once() {
     let (mut rig, first) = rig("herd", 69);
-    let holder = first.number.of.front;
+    let holder = first.number.holder.front;
     let killed: Vec<u32> =
         [holder].into_iter().chain((0..FRONTS).filter(|front| *front != holder)).take(5).collect();
     killed.iter().for_each(|front| rig.kill(*front));
@@ -156,7 +156,7 @@
 fn two_halves_of_the_fleet() {
     let (rig, first) = rig("halves", 70);
     // The holder with two others; the majority of the voters is elsewhere.
-    let holder = first.number.of.front;
+    let holder = first.number.holder.front;
     let side: Vec<u32> =
         [holder].into_iter().chain((0..FRONTS).filter(|front| *front != holder)).take(3).collect();
     let across = |from: &u32, to: &u32| side.contains(from) != side.contains(to);
@@ -180,12 +180,12 @@
     let mut shown = 0;
     for _ in 0..12 {
         // The holder hears one voter, and is heard by that one alone.
-        let holder = last.number.of.front;
+        let holder = last.number.holder.front;
         let near = rig.voters().into_iter().find(|voter| *voter != holder).unwrap();
         let mut cut = ways(holder, false, false);
         cut.retain(|way| ![(holder, near), (near, holder)].contains(way));
         rig.relay.set(Faults { cut, mistake, ..Faults::default() });
-        let other = rig.until_act(Duration::from_secs(20), |act| act.number.of != last.number.of);
+        let other = rig.until_act(Duration::from_secs(20), |act| act.number.holder != last.number.holder);
         last = other.or_else(|_| rig.until_act(LONG, |_| true)).unwrap();
         rig.until_act(LONG, |_| true).unwrap();
         rig.relay.set(Faults { mistake, ..Faults::default() });
@@ -265,7 +265,7 @@
         ..Faults::default()
     });
     rig.until_act(LONG, |act| act.number >= first.number).unwrap();
-    rig.kill(first.number.of.front);
+    rig.kill(first.number.holder.front);
     another(&rig, &first);
     holds(rig);
 }
--- a/crates/ochrelead-gossip/build.rs
+++ b/crates/ochrelead-gossip/build.rs
@@ -1,10 +1,10 @@
-//! Compiles the schema of the datagrams. No protoc is needed.
+//! Compiles the schema of the datagrams; no `protoc` is needed.
 
 use std::error::Error;
 
 fn main() -> Result<(), Box<dyn Error>> {
     println!("cargo:rerun-if-changed=proto");
-    let descriptors = protox::compile(["peers.proto"], ["proto"])?;
+    let descriptors = protox::compile(["gossip.proto"], ["proto"])?;
     prost_build::Config::new().compile_fds(descriptors)?;
     Ok(())
 }
--- a/crates/ochrelead-gossip/src/members.rs
+++ b/crates/ochrelead-gossip/src/members.rs
@@ -1,220 +1,275 @@
-//! Who is there. After SWIM, with Lifeguard's care: suspicion before death, a suspicion that its front can deny, and a
-//! front that stood still, or that misses many answers, doubts itself before others.
+//! The fronts of the fleet and their states: SWIM's suspicion before death, which the suspected front can refute.
 
 use std::collections::BTreeMap;
 
 use ochrelead_core::time::{Moment, Span};
 
-use crate::schema::Member;
-use crate::{VERSION, Who};
+use crate::schema::MemberUpdate;
+use crate::wire::VERSION;
 
+/// A front in one of its incarnations: after each start it is another member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MemberId {
+    /// The front's number.
+    pub front: u32,
+    /// Differs after each start of the front; 0 is none.
+    pub incarnation: u32,
+}
+
+/// What is believed of a front. A later state overrides an earlier one of the same incarnation and refutation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum State {
-    There,
-    Suspected,
-    Gone,
+pub enum MemberState {
+    /// It was heard, or somebody heard it.
+    Alive,
+    /// It did not answer.
+    Suspect,
+    /// It did not refute a suspicion in time.
+    Dead,
+}
+
+impl MemberState {
+    fn from_wire(state: u32) -> Option<MemberState> {
+        match state {
+            0 => Some(MemberState::Alive),
+            1 => Some(MemberState::Suspect),
+            2 => Some(MemberState::Dead),
+            _ => None,
+        }
+    }
+
+    fn to_wire(self) -> u32 {
+        match self {
+            MemberState::Alive => 0,
+            MemberState::Suspect => 1,
+            MemberState::Dead => 2,
+        }
+    }
 }
 
+/// What this front knows of another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct View {
-    pub life: u32,
-    pub state: State,
-    pub denial: u32,
+pub struct MemberView {
+    /// Its latest incarnation.
+    pub incarnation: u32,
+    /// What is believed of that.
+    pub state: MemberState,
+    /// How many suspicions it refuted.
+    pub refutations: u32,
+    /// The version of the schema that it speaks.
     pub version: u32,
-    pub district: Option<u32>,
-    /// Since when it is in this state.
+    /// Its zone, where that is known.
+    pub zone: Option<u32>,
+    /// Since when it is in this state, by this front's clock.
     pub since: Moment,
 }
 
-/// The fronts that were ever heard of, this one not among them.
+/// All fronts that were heard of, except this one.
 #[derive(Clone, Debug)]
 pub struct Members {
-    me: Who,
-    fronts: u32,
-    views: BTreeMap<u32, View>,
-    /// How often this front denied a suspicion.
-    denial: u32,
-    district: Option<u32>,
+    local: MemberId,
+    fleet_size: u32,
+    views: BTreeMap<u32, MemberView>,
+    /// How many suspicions this front refuted.
+    refutations: u32,
+    zone: Option<u32>,
 }
 
-/// The life of a front that was never heard of: any is later.
-const NO_LIFE: u32 = 0;
+/// The incarnation of a front that was never heard of: any other is later.
+const NO_INCARNATION: u32 = 0;
 
-/// Whether a life came after another: they count up, and wrap.
-fn is_later(life: u32, than: u32) -> bool {
-    life != than && (than == NO_LIFE || life.wrapping_sub(than) < u32::MAX / 2)
+/// Whether an incarnation came after another. They count up, and wrap.
+fn is_later(incarnation: u32, than: u32) -> bool {
+    let is_ahead = incarnation.wrapping_sub(than) < u32::MAX / 2;
+    incarnation != than && (than == NO_INCARNATION || is_ahead)
 }
 
 impl Members {
-    pub fn new(me: Who, fronts: u32, district: Option<u32>) -> Members {
-        Members { me, fronts, views: BTreeMap::new(), denial: 0, district }
+    /// What a front knows at its start; `fleet_size` counts all listed fronts, this one among them.
+    pub fn new(local: MemberId, fleet_size: u32, zone: Option<u32>) -> Members {
+        Members { local, fleet_size, views: BTreeMap::new(), refutations: 0, zone }
     }
 
-    pub fn get(&self, front: u32) -> Option<&View> {
+    /// What is known of a front; `None` for this one, and for one that was never heard of.
+    pub fn get(&self, front: u32) -> Option<&MemberView> {
         self.views.get(&front)
     }
 
-    /// Those that are there, this front among them; suspected ones are until they are gone.
-    pub fn there(&self) -> Vec<u32> {
-        let there = self.views.iter().filter(|(_, view)| view.state != State::Gone).map(|(front, _)| *front);
-        let mut there: Vec<u32> = there.chain([self.me.front]).collect();
-        there.sort_unstable();
-        there
+    /// The fronts that were heard of and are not dead, this one among them, in order.
+    pub fn live(&self) -> Vec<u32> {
+        let live = self.views.iter().filter(|(_, view)| view.state != MemberState::Dead);
+        let mut live: Vec<u32> = live.map(|(front, _)| *front).chain([self.local.front]).collect();
+        live.sort_unstable();
+        live
     }
 
-    /// All listed fronts but those that are known to be gone: one that was never heard of counts as there until it
-    /// does not answer. At a start all come to the same by this, and not each to its own.
-    pub fn not_gone(&self) -> Vec<u32> {
-        let gone = |front: &u32| self.views.get(front).is_some_and(|view| view.state == State::Gone);
-        (0..self.fronts).filter(|front| !gone(front)).collect()
+    /// All listed fronts except those known to be dead. A front that was never heard of counts until it does not
+    /// answer, so that at a start all fronts come to the same list.
+    pub fn not_dead(&self) -> Vec<u32> {
+        let is_dead = |front: &u32| self.get(*front).is_some_and(|view| view.state == MemberState::Dead);
+        (0..self.fleet_size).filter(|front| !is_dead(front)).collect()
     }
 
-    pub fn all(&self) -> impl Iterator<Item = (u32, &View)> {
+    /// All fronts that were heard of, except this one.
+    pub fn iter(&self) -> impl Iterator<Item = (u32, &MemberView)> {
         self.views.iter().map(|(front, view)| (*front, view))
     }
 
-    pub fn fronts(&self) -> u32 {
-        self.fronts
+    /// How many fronts are listed.
+    pub fn fleet_size(&self) -> u32 {
+        self.fleet_size
     }
 
-    /// This front as it says of itself.
-    pub fn own(&self) -> Member {
-        Member {
-            front: self.me.front,
-            life: self.me.life,
-            state: 0,
-            denial: self.denial,
+    /// What this front says of itself.
+    fn local_update(&self) -> MemberUpdate {
+        MemberUpdate {
+            front: self.local.front,
+            incarnation: self.local.incarnation,
+            state: MemberState::Alive.to_wire(),
+            refutations: self.refutations,
             version: VERSION,
-            district: self.district.map_or(0, |district| district + 1),
+            zone: zone_to_wire(self.zone),
         }
     }
 
-    pub fn said(&self, front: u32) -> Option<Member> {
-        if front == self.me.front {
-            return Some(self.own());
+    /// What this front says of a front, itself included; `None` where it knows nothing.
+    pub fn update_for(&self, front: u32) -> Option<MemberUpdate> {
+        if front == self.local.front {
+            return Some(self.local_update());
         }
         let view = self.views.get(&front)?;
-        Some(Member {
+        Some(MemberUpdate {
             front,
-            life: view.life,
-            state: match view.state {
-                State::There => 0,
-                State::Suspected => 1,
-                State::Gone => 2,
-            },
-            denial: view.denial,
+            incarnation: view.incarnation,
+            state: view.state.to_wire(),
+            refutations: view.refutations,
             version: view.version,
-            district: view.district.map_or(0, |district| district + 1),
+            zone: zone_to_wire(view.zone),
         })
     }
 
-    /// A front was heard itself: whatever is said of it, in this life it is there. Whether that is news.
-    pub fn heard(&mut self, who: Who, version: u32, now: Moment) -> bool {
-        if who.front >= self.fronts || who.front == self.me.front {
+    /// A datagram came from a member: whatever is said of it, this incarnation is alive. Returns whether that is new.
+    pub fn on_contact(&mut self, member: MemberId, version: u32, now: Moment) -> bool {
+        let MemberId { front, incarnation } = member;
+        if front >= self.fleet_size || front == self.local.front {
             return false;
         }
-        let fresh =
-            View { life: who.life, state: State::There, denial: 0, version, district: None, since: now };
-        match self.views.get_mut(&who.front) {
-            Some(view) if view.life == who.life => {
+        let state = MemberState::Alive;
+        let alive = MemberView { incarnation, state, refutations: 0, version, zone: None, since: now };
+        match self.views.get_mut(&front) {
+            Some(view) if view.incarnation == incarnation => {
                 view.version = version;
-                // It has to deny a suspicion itself, so that those hear it to whom it was told.
-                let back = view.state == State::Gone;
-                if back {
-                    (view.state, view.since) = (State::Suspected, now);
+                // It has to refute a suspicion itself, so that those hear the refutation who heard the suspicion.
+                let was_dead = view.state == MemberState::Dead;
+                if was_dead {
+                    (view.state, view.since) = (MemberState::Suspect, now);
                 }
-                back
+                was_dead
             }
-            Some(view) if is_later(who.life, view.life) || view.state == State::Gone => {
-                *view = fresh;
+            Some(view) if is_later(incarnation, view.incarnation) || view.state == MemberState::Dead => {
+                *view = alive;
                 true
             }
-            // A word of a former life that was long on its way.
+            // A delayed datagram of an earlier incarnation.
             Some(_) => false,
             None => {
-                self.views.insert(who.front, fresh);
+                self.views.insert(front, alive);
                 true
             }
         }
     }
 
-    /// What another says of a front. Whether it is news; of this front itself, whether it has to be denied.
-    pub fn told(&mut self, member: &Member, now: Moment) -> bool {
-        let state = match member.state {
-            0 => State::There,
-            1 => State::Suspected,
-            2 => State::Gone,
-            _ => return false,
-        };
-        if member.front >= self.fronts {
+    /// Another front says something of a front. Returns whether it has to be sent on: it is new, or of this front
+    /// itself, which has to refute it.
+    pub fn on_update(&mut self, update: &MemberUpdate, now: Moment) -> bool {
+        let Some(state) = MemberState::from_wire(update.state) else { return false };
+        if update.front >= self.fleet_size {
             return false;
         }
-        if member.front == self.me.front {
-            let denies = member.life == self.me.life && state != State::There && member.denial >= self.denial;
-            if denies {
-                self.denial = member.denial + 1;
-            }
-            return denies;
+        if update.front == self.local.front {
+            return self.refute(update, state);
         }
-        let district = member.district.checked_sub(1);
-        let view = View {
-            life: member.life,
+        let view = MemberView {
+            incarnation: update.incarnation,
             state,
-            denial: member.denial,
-            version: member.version,
-            district,
+            refutations: update.refutations,
+            version: update.version,
+            zone: update.zone.checked_sub(1),
             since: now,
         };
-        let newer = match self.views.get(&member.front) {
+        let is_newer = match self.views.get(&update.front) {
             None => true,
-            Some(known) if known.life != member.life => is_later(member.life, known.life),
-            Some(known) => (member.denial, state) > (known.denial, known.state),
+            Some(known) if known.incarnation != view.incarnation => {
+                is_later(view.incarnation, known.incarnation)
+            }
+            Some(known) => (view.refutations, view.state) > (known.refutations, known.state),
         };
-        if newer {
-            self.views.insert(member.front, view);
-        } else if let Some(known) = self.views.get_mut(&member.front)
-            && known.life == member.life
+        if is_newer {
+            self.views.insert(update.front, view);
+        } else if let Some(known) = self.views.get_mut(&update.front)
+            && known.incarnation == view.incarnation
         {
-            known.district = known.district.or(district);
+            known.zone = known.zone.or(view.zone);
         }
-        newer
+        is_newer
     }
 
-    /// No answer came from a front. Whether that is news.
+    /// Refutes what is said of this front, where it is a suspicion that was not refuted yet.
+    fn refute(&mut self, update: &MemberUpdate, state: MemberState) -> bool {
+        let is_refuted = update.incarnation == self.local.incarnation
+            && state != MemberState::Alive
+            && update.refutations >= self.refutations;
+        if is_refuted {
+            self.refutations = update.refutations + 1;
+        }
+        is_refuted
+    }
+
+    /// A front did not answer. Returns whether it was not suspected yet.
     pub fn suspect(&mut self, front: u32, now: Moment) -> bool {
         match self.views.get_mut(&front) {
-            Some(view) if view.state == State::There => {
-                (view.state, view.since) = (State::Suspected, now);
+            Some(view) if view.state == MemberState::Alive => {
+                (view.state, view.since) = (MemberState::Suspect, now);
                 true
             }
             Some(_) => false,
             None => {
-                let (state, since) = (State::Suspected, now);
-                let view = View { life: NO_LIFE, state, denial: 0, version: 0, district: None, since };
+                let view = MemberView {
+                    incarnation: NO_INCARNATION,
+                    state: MemberState::Suspect,
+                    refutations: 0,
+                    version: 0,
+                    zone: None,
+                    since: now,
+                };
                 self.views.insert(front, view);
                 true
             }
         }
     }
 
-    /// Those whose suspicion nobody denied in time are gone.
-    pub fn overdue(&mut self, after: Span, now: Moment) -> Vec<u32> {
-        let mut gone = Vec::new();
+    /// Declares those fronts dead that did not refute a suspicion in time, and returns them.
+    pub fn expire_suspicions(&mut self, timeout: Span, now: Moment) -> Vec<u32> {
+        let mut dead = Vec::new();
         for (front, view) in &mut self.views {
-            if view.state == State::Suspected && now.since(view.since) >= after {
-                (view.state, view.since) = (State::Gone, now);
-                gone.push(*front);
+            if view.state == MemberState::Suspect && now.since(view.since) >= timeout {
+                (view.state, view.since) = (MemberState::Dead, now);
+                dead.push(*front);
             }
         }
-        gone
+        dead
     }
 
-    /// This front stood still: what it suspects of others dates from then, and they are given their time anew.
-    pub fn forgive(&mut self, now: Moment) {
+    /// This front stalled: suspected fronts are given their whole time again.
+    pub fn restart_suspicions(&mut self, now: Moment) {
         for view in self.views.values_mut() {
-            if view.state == State::Suspected {
+            if view.state == MemberState::Suspect {
                 view.since = now;
             }
         }
     }
 }
+
+/// A zone as sent: its number plus one, 0 for none.
+fn zone_to_wire(zone: Option<u32>) -> u32 {
+    zone.map_or(0, |zone| zone + 1)
+}
--- a/crates/ochrelead-gossip/src/wire.rs
+++ b/crates/ochrelead-gossip/src/wire.rs
@@ -1,90 +1,114 @@
-//! Datagrams, read and written.
+//! Encoding and decoding of datagrams.
 
-use prost::Message;
+use prost::Message as _;
+use thiserror::Error;
 
-use crate::schema::{Datagram, Part, part::What};
-use crate::{VERSION, Who};
+use crate::members::MemberId;
+use crate::schema::{Datagram, Part, part::Kind};
 
-/// The longest datagram.
-pub const LONGEST: usize = 256;
+/// The version of the schema that this program speaks.
+pub const VERSION: u32 = 2;
 
-/// Why a datagram is not read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Unread {
-    /// Longer than any of ours.
-    TooLong,
-    /// No datagram of ours.
-    Unreadable,
-    /// Said to be of another front than the one that is listed at its address.
-    Mistaken,
+/// The longest datagram, in bytes.
+pub const MAX_DATAGRAM_SIZE: usize = 256;
+
+/// Why a datagram is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Error)]
+#[non_exhaustive]
+pub enum DecodeError {
+    /// Longer than allowed.
+    #[error("{0} bytes, and {MAX_DATAGRAM_SIZE} are allowed")]
+    TooLong(usize),
+    /// Not a datagram of this schema.
+    #[error("malformed")]
+    Malformed,
+    /// It claims to be from another front than the one listed at its address.
+    #[error("claims to be from front {claimed}, and came from the address of front {listed}")]
+    WrongSender {
+        /// The front that the datagram names.
+        claimed: u32,
+        /// The front at whose address it came.
+        listed: u32,
+    },
 }
 
-/// A datagram that was read.
+/// A decoded datagram.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Read {
-    pub from: Who,
+pub struct ReceivedDatagram {
+    /// Who sent it.
+    pub sender: MemberId,
+    /// The version of the schema that the sender speaks.
     pub version: u32,
-    pub parts: Vec<What>,
-    /// Parts of kinds that are not known here.
-    pub unknown: u32,
+    /// Its parts, of known kinds.
+    pub parts: Vec<Kind>,
+    /// How many more parts it had, of kinds that this program does not know.
+    pub unknown_parts: u32,
 }
 
-/// Reads a datagram that came from the address at which `front` is listed.
+/// Decodes a datagram that came from the address at which `front` is listed.
 ///
 /// # Errors
 ///
-/// Where it is none of ours, or another's.
-pub fn read(bytes: &[u8], front: u32) -> Result<Read, Unread> {
-    if bytes.len() > LONGEST {
-        return Err(Unread::TooLong);
+/// Where it is too long, malformed, or another front's.
+pub fn decode(bytes: &[u8], front: u32) -> Result<ReceivedDatagram, DecodeError> {
+    if bytes.len() > MAX_DATAGRAM_SIZE {
+        return Err(DecodeError::TooLong(bytes.len()));
     }
-    let datagram = Datagram::decode(bytes).map_err(|_| Unread::Unreadable)?;
+    let datagram = Datagram::decode(bytes).map_err(|_| DecodeError::Malformed)?;
     if datagram.version == 0 {
-        return Err(Unread::Unreadable);
+        return Err(DecodeError::Malformed);
     }
     if datagram.front != front {
-        return Err(Unread::Mistaken);
+        return Err(DecodeError::WrongSender { claimed: datagram.front, listed: front });
+    }
+    let (mut parts, mut unknown_parts) = (Vec::new(), 0);
+    for part in datagram.parts {
+        match part.kind {
+            Some(kind) => parts.push(kind),
+            None => unknown_parts += 1,
+        }
     }
-    let all = datagram.parts.len();
-    let parts: Vec<What> = datagram.parts.into_iter().filter_map(|part| part.what).collect();
-    let unknown = (all - parts.len()) as u32;
-    let from = Who { front, life: datagram.life };
-    Ok(Read { from, version: datagram.version, parts, unknown })
+    let sender = MemberId { front, incarnation: datagram.incarnation };
+    Ok(ReceivedDatagram { sender, version: datagram.version, parts, unknown_parts })
 }
 
-/// A datagram that is being written.
+/// A datagram under construction, which never grows beyond [`MAX_DATAGRAM_SIZE`].
 #[derive(Clone, Debug)]
-pub struct Sheet {
+pub struct DatagramBuilder {
     datagram: Datagram,
-    length: usize,
+    encoded_size: usize,
 }
 
-impl Sheet {
-    pub fn new(me: Who) -> Sheet {
-        let datagram = Datagram { version: VERSION, front: me.front, life: me.life, parts: Vec::new() };
-        let length = datagram.encoded_len();
-        Sheet { datagram, length }
+impl DatagramBuilder {
+    /// An empty datagram.
+    pub fn new(sender: MemberId) -> DatagramBuilder {
+        let MemberId { front, incarnation } = sender;
+        let datagram = Datagram { version: VERSION, front, incarnation, parts: Vec::new() };
+        let encoded_size = datagram.encoded_len();
+        DatagramBuilder { datagram, encoded_size }
     }
 
-    /// Adds a part; false where there is no room for it.
-    pub fn add(&mut self, what: What) -> bool {
-        let part = Part { what: Some(what) };
-        let own = part.encoded_len();
-        // The field's key and a length of one or two bytes.
-        let more = own + 1 + if own < 128 { 1 } else { 2 };
-        if self.length + more > LONGEST {
+    /// Adds a part, where there is room for it. Returns whether it was added.
+    pub fn try_push(&mut self, kind: Kind) -> bool {
+        let part = Part { kind: Some(kind) };
+        let part_size = part.encoded_len();
+        // The field's key, and a length of one or two bytes.
+        let framing = if part_size < 128 { 2 } else { 3 };
+        if self.encoded_size + framing + part_size > MAX_DATAGRAM_SIZE {
             return false;
         }
-        self.length += more;
+        self.encoded_size += framing + part_size;
         self.datagram.parts.push(part);
         true
     }
 
+    /// Whether it has no parts yet.
     pub fn is_empty(&self) -> bool {
         self.datagram.parts.is_empty()
     }
 
-    pub fn bytes(&self) -> Vec<u8> {
+    /// The datagram as bytes.
+    pub fn encode(&self) -> Vec<u8> {
         self.datagram.encode_to_vec()
     }
 }
--- a/crates/ochrelead-lease/src/candidate.rs
+++ b/crates/ochrelead-lease/src/candidate.rs
@@ -1,240 +1,282 @@
-//! One front's way to one task: resting, asking, holding and renewing, giving up.
+//! One front's way to one lease: backing off, requesting votes, holding and renewing, releasing.
 
 use std::collections::BTreeSet;
 
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_gossip::MemberId;
 
+use crate::config::LeaseConfig;
 use crate::electorate::Electorate;
-use crate::word::Why;
-use crate::{Number, Terms, Who};
+use crate::lease::{Lease, Permit};
+use crate::message::{Refusal, RefusalReason};
+use crate::token::FencingToken;
 
-/// Votes that are asked for.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Asking {
-    pub ask: u64,
-    pub at: Moment,
-    granted: BTreeSet<u32>,
-    refused: BTreeSet<u32>,
-    /// The longest that a voter's promise to another, or its abstention, still runs.
-    left: Span,
-}
+/// A candidate that hears nobody backs off exponentially, up to this power of two durations: what voters promise to it
+/// is of no use.
+const MAX_BACKOFF_EXPONENT: u32 = 3;
 
-/// A lease.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Lease {
-    pub number: Number,
-    /// The last moment at which it may be acted, by the holder's clock.
-    pub until: Moment,
-    pub since: Moment,
+/// What a candidate decides by.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Context<'a> {
+    pub(crate) now: Moment,
+    pub(crate) electorate: &'a Electorate,
+    pub(crate) config: &'a LeaseConfig,
 }
 
-/// What a holder may act on, right now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Permit {
-    pub number: Number,
-    /// An act that has not begun by then is not to begin.
-    pub until: Moment,
+/// Votes that are being collected.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct VoteRound {
+    number: u64,
+    started_at: Moment,
+    granted_by: BTreeSet<u32>,
+    refused_by: BTreeSet<u32>,
+    /// The longest that a refusal said to wait.
+    max_remaining: Span,
 }
 
-/// What is to be said to all voters.
+/// A message for all voters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Say {
-    Ask { ask: u64, number: Number, renews: bool },
-    Withdrawn { ask: u64 },
+pub(crate) enum Broadcast {
+    VoteRequest { round: u64, token: FencingToken, is_renewal: bool },
+    VoteWithdrawn { round: u64 },
 }
 
+/// A front's candidacy for one task.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Candidate {
-    /// Who asks.
-    me: Who,
-    /// How many others are to ask before this front; none where it does not want the task.
-    pub rank: Option<u32>,
-    asking: Option<Asking>,
+pub(crate) struct Candidate {
+    local: MemberId,
+    /// How many others should ask before this front; `None` where it does not want the task.
+    rank: Option<u32>,
+    vote_round: Option<VoteRound>,
     lease: Option<Lease>,
-    /// Nothing is asked before.
-    rests: Moment,
-    /// The highest number heard of.
-    pub known: Number,
-    /// Why it was last refused.
-    pub why: Option<Why>,
-    /// The number of the ask that is out.
-    number: Number,
-    /// The last ask.
-    last: u64,
-    /// When an ask last failed.
-    failed: Moment,
-    /// Asks in a row that no other front answered.
-    unheard: u32,
+    /// No votes are requested before.
+    backoff_until: Moment,
+    /// The highest token known.
+    highest_token: FencingToken,
+    /// Why a vote was refused last.
+    last_refusal: Option<RefusalReason>,
+    /// The token of the round that is open, or was last.
+    token: FencingToken,
+    last_round: u64,
+    /// When a round last failed.
+    failed_at: Moment,
+    /// How many rounds in a row no other front answered.
+    unanswered_rounds: u32,
 }
 
-/// Who hears nobody asks less and less often, up to so many spans apart: what voters promise it is of no use.
-const MOST_UNHEARD: u32 = 3;
-
 impl Candidate {
-    pub fn new(me: Who, now: Moment) -> Candidate {
+    pub(crate) fn new(local: MemberId, highest_token: FencingToken, now: Moment) -> Candidate {
         Candidate {
-            me,
+            local,
             rank: None,
-            asking: None,
+            vote_round: None,
             lease: None,
-            rests: now,
-            known: Number::NONE,
-            why: None,
-            number: Number::NONE,
-            last: 0,
-            failed: Moment::START,
-            unheard: 0,
+            backoff_until: now,
+            highest_token,
+            last_refusal: None,
+            token: FencingToken::NONE,
+            last_round: 0,
+            failed_at: Moment::START,
+            unanswered_rounds: 0,
         }
     }
 
-    /// Wants the task, after so many others; or no more.
-    pub fn wants(&mut self, rank: Option<u32>, terms: &Terms, now: Moment) -> Option<Say> {
+    /// Whether this front wants the task.
+    pub(crate) fn is_active(&self) -> bool {
+        self.rank.is_some()
+    }
+
+    pub(crate) fn highest_token(&self) -> FencingToken {
+        self.highest_token
+    }
+
+    pub(crate) fn last_refusal(&self) -> Option<RefusalReason> {
+        self.last_refusal
+    }
+
+    /// Remembers a token, from whatever source.
+    pub(crate) fn observe_token(&mut self, token: FencingToken) {
+        self.highest_token = self.highest_token.max(token);
+    }
+
+    /// Wants the task, behind `rank` other candidates; `None` ends the candidacy.
+    pub(crate) fn set_rank(
+        &mut self,
+        rank: Option<u32>,
+        config: &LeaseConfig,
+        now: Moment,
+    ) -> Option<Broadcast> {
         if let Some(rank) = rank
             && self.rank.is_none()
         {
-            self.rests = self.rests.max(now + terms.patience * u64::from(rank));
+            self.backoff_until = self.backoff_until.max(now + config.vote_timeout * u64::from(rank));
         }
         self.rank = rank;
-        if rank.is_none() { self.give_up(now) } else { None }
+        if rank.is_none() { self.release(now) } else { None }
     }
 
-    /// What is held, if its time is not over.
-    pub fn lease(&self, now: Moment) -> Option<&Lease> {
-        self.lease.as_ref().filter(|lease| now < lease.until)
+    /// The lease, where it has not expired.
+    pub(crate) fn lease(&self, now: Moment) -> Option<&Lease> {
+        self.lease.as_ref().filter(|lease| now < lease.expires_at)
     }
 
-    pub fn permit(&self, now: Moment) -> Option<Permit> {
+    pub(crate) fn permit(&self, now: Moment) -> Option<Permit> {
         let lease = self.lease(now)?;
-        Some(Permit { number: lease.number, until: lease.until })
+        Some(Permit { token: lease.token, expires_at: lease.expires_at })
+    }
+
+    /// Holds nothing from this moment on, so that voters need not keep their promises.
+    fn release(&mut self, now: Moment) -> Option<Broadcast> {
+        let was_held = self.lease.take().is_some_and(|lease| now < lease.expires_at);
+        let was_requested = self.vote_round.take().is_some();
+        (was_held || was_requested).then_some(Broadcast::VoteWithdrawn { round: self.last_round })
     }
 
-    /// Nothing is held any more from this moment on; voters need not keep their promises.
-    pub fn give_up(&mut self, now: Moment) -> Option<Say> {
-        let had = self.lease.take().is_some_and(|lease| now < lease.until) | self.asking.take().is_some();
-        had.then_some(Say::Withdrawn { ask: self.last })
+    /// An act was refused because of a higher token: a lease with a lower one is void.
+    pub(crate) fn on_fenced(&mut self, highest: FencingToken, now: Moment) -> Option<Broadcast> {
+        self.observe_token(highest);
+        let is_stale = self.lease.as_ref().is_some_and(|lease| lease.token < highest);
+        if is_stale { self.release(now) } else { None }
     }
 
-    /// Whoever is acted upon has seen a higher number: what is held is worth nothing.
-    pub fn outrun(&mut self, highest: Number, now: Moment) -> Option<Say> {
-        self.known = self.known.max(highest);
-        let stale = self.lease.as_ref().is_some_and(|lease| lease.number < highest);
-        if stale { self.give_up(now) } else { None }
+    fn open_round(&mut self, number: u64) -> Option<&mut VoteRound> {
+        self.vote_round.as_mut().filter(|round| round.number == number)
     }
 
-    pub fn granted(&mut self, by: u32, ask: u64, electorate: &Electorate, terms: &Terms, now: Moment) {
-        let Some(asking) = self.asking.as_mut().filter(|asking| asking.ask == ask) else { return };
-        asking.granted.insert(by);
-        if !electorate.is_majority(&asking.granted) {
+    pub(crate) fn on_vote_granted(&mut self, voter: u32, round: u64, context: Context<'_>) {
+        let Some(round) = self.open_round(round) else { return };
+        round.granted_by.insert(voter);
+        if !context.electorate.is_majority(&round.granted_by) {
             return;
         }
-        // Counted from when it was asked: every promise began later.
-        let (until, number) = (asking.at + terms.held(), self.number);
-        self.asking = None;
-        if now < until {
-            let since =
-                self.lease.as_ref().filter(|lease| lease.number == number).map_or(now, |lease| lease.since);
-            self.lease = Some(Lease { number, until, since });
-            self.known = self.known.max(number);
-            self.why = None;
+        // Counted from when votes were requested: every promise began later.
+        let expires_at = round.started_at + context.config.holder_duration();
+        self.vote_round = None;
+        if context.now < expires_at {
+            let token = self.token;
+            let renewed = self.lease.as_ref().filter(|lease| lease.token == token);
+            let acquired_at = renewed.map_or(context.now, |lease| lease.acquired_at);
+            self.lease = Some(Lease { token, expires_at, acquired_at });
+            self.observe_token(token);
+            self.last_refusal = None;
         }
     }
 
-    pub fn refused(&mut self, by: u32, ask: u64, why: Why, known: Number, left: Span) {
-        self.known = self.known.max(known);
-        if let Some(asking) = self.asking.as_mut().filter(|asking| asking.ask == ask) {
-            asking.refused.insert(by);
-            asking.left = asking.left.max(left);
-            self.why = Some(why);
+    pub(crate) fn on_vote_refused(&mut self, voter: u32, round: u64, refusal: Refusal) {
+        self.observe_token(refusal.highest_token);
+        if let Some(round) = self.open_round(round) {
+            round.refused_by.insert(voter);
+            round.max_remaining = round.max_remaining.max(refusal.remaining);
+            self.last_refusal = Some(refusal.reason);
         }
     }
 
-    /// A voter's promise to another has ended before its time: who waits asks soon, the first at once. Nobody asks more
-    /// often for it than it would.
-    pub fn freed(&mut self, now: Moment, terms: &Terms) {
-        let idle = self.asking.is_none() && self.lease(now).is_none();
-        if let Some(rank) = self.rank.filter(|_| idle && now.since(self.failed) >= terms.patience / 4) {
-            self.rests = self.rests.min(now + terms.patience / 4 * u64::from(rank.saturating_sub(1)));
+    /// A voter's promise to another has ended early: candidates that wait ask soon, the first at once. This never makes
+    /// a candidate ask more often than it would by itself.
+    pub(crate) fn on_released(&mut self, now: Moment, config: &LeaseConfig) {
+        let step = config.vote_timeout / 4;
+        let is_idle = self.vote_round.is_none() && self.lease(now).is_none();
+        if let Some(rank) = self.rank.filter(|_| is_idle && now.since(self.failed_at) >= step) {
+            let delay = step * u64::from(rank.saturating_sub(1));
+            self.backoff_until = self.backoff_until.min(now + delay);
         }
     }
 
-    /// What is due. `chance` adds to a wait; `next` counts the front's asks.
-    pub fn turn(
+    /// Does what is due. `last_round` counts this front's vote rounds; `draw_jitter` draws an addition to a wait.
+    pub(crate) fn process(
         &mut self,
-        now: Moment,
-        electorate: &Electorate,
-        terms: &Terms,
-        next: &mut u64,
-        chance: impl FnOnce(Span) -> Span,
-    ) -> Option<Say> {
-        if self.lease.as_ref().is_some_and(|lease| lease.until <= now) {
-            // Its time is over: what comes is another lease, with another number.
+        context: Context<'_>,
+        last_round: &mut u64,
+        draw_jitter: impl FnOnce(Span) -> Span,
+    ) -> Option<Broadcast> {
+        if self.lease.as_ref().is_some_and(|lease| lease.expires_at <= context.now) {
+            // What comes next is another lease, with another token.
             self.lease = None;
-            if self.asking.is_some() {
-                return self.fail(now, terms, chance);
+            if self.vote_round.is_some() {
+                return self.fail_round(context, draw_jitter);
             }
         }
-        if let Some(asking) = &self.asking {
-            let hopeless = !electorate.is_open(&asking.refused);
-            if !hopeless && now.since(asking.at) < terms.patience {
+        if let Some(round) = &self.vote_round {
+            let is_open = context.electorate.can_reach_majority(&round.refused_by);
+            if is_open && context.now.since(round.started_at) < context.config.vote_timeout {
                 return None;
             }
-            return self.fail(now, terms, chance);
+            return self.fail_round(context, draw_jitter);
         }
         self.rank?;
-        let due = match &self.lease {
-            Some(lease) => self.renews(lease, terms),
-            None => self.rests,
-        };
-        if now < due.max(self.rests) {
+        if context.now < self.next_round_at(context.config) {
             return None;
         }
-        *next += 1;
-        self.number = match &self.lease {
-            Some(lease) => lease.number,
-            None => self.known.next(self.me),
+        *last_round += 1;
+        Some(self.start_round(*last_round, context.now))
+    }
+
+    fn start_round(&mut self, number: u64, now: Moment) -> Broadcast {
+        self.token = match &self.lease {
+            Some(lease) => lease.token,
+            None => self.highest_token.successor(self.local),
         };
-        self.last = *next;
-        let (granted, refused) = (BTreeSet::new(), BTreeSet::new());
-        self.asking = Some(Asking { ask: *next, at: now, granted, refused, left: Span::ZERO });
-        Some(Say::Ask { ask: *next, number: self.number, renews: self.lease.is_some() })
+        self.last_round = number;
+        self.vote_round = Some(VoteRound {
+            number,
+            started_at: now,
+            granted_by: BTreeSet::new(),
+            refused_by: BTreeSet::new(),
+            max_remaining: Span::ZERO,
+        });
+        Broadcast::VoteRequest { round: number, token: self.token, is_renewal: self.lease.is_some() }
     }
 
-    /// A lease is renewed from the middle of its time.
-    fn renews(&self, lease: &Lease, terms: &Terms) -> Moment {
-        Moment::from_micros(lease.until.micros().saturating_sub(terms.held().micros() / 2))
+    /// When the next round may start: a lease is renewed from half of its time on.
+    fn next_round_at(&self, config: &LeaseConfig) -> Moment {
+        let renewal_at = self.lease.as_ref().map(|lease| {
+            let half = config.holder_duration().micros() / 2;
+            Moment::from_micros(lease.expires_at.micros().saturating_sub(half))
+        });
+        renewal_at.map_or(self.backoff_until, |renewal_at| renewal_at.max(self.backoff_until))
     }
 
-    /// No majority: what was promised is let go, where nothing is held by it, and a while passes.
-    fn fail(&mut self, now: Moment, terms: &Terms, chance: impl FnOnce(Span) -> Span) -> Option<Say> {
-        let asking = self.asking.take()?;
-        self.failed = now;
-        let heard = asking.granted.iter().chain(&asking.refused).any(|front| *front != self.me.front);
-        self.unheard = if heard { 0 } else { (self.unheard + 1).min(MOST_UNHEARD) };
-        let pause = chance(terms.jitter);
+    /// There was no majority: promises are withdrawn where no lease depends on them, and the candidate backs off.
+    fn fail_round(
+        &mut self,
+        context: Context<'_>,
+        draw_jitter: impl FnOnce(Span) -> Span,
+    ) -> Option<Broadcast> {
+        let Context { now, config, .. } = context;
+        let round = self.vote_round.take()?;
+        self.failed_at = now;
+        let local = self.local.front;
+        let was_answered = round.granted_by.iter().chain(&round.refused_by).any(|front| *front != local);
+        self.unanswered_rounds =
+            if was_answered { 0 } else { (self.unanswered_rounds + 1).min(MAX_BACKOFF_EXPONENT) };
+        let jitter = draw_jitter(config.jitter);
         if self.lease.is_some() {
-            self.rests = now + pause / 4;
+            self.backoff_until = now + jitter / 4;
             return None;
         }
-        // A promise to another is waited for; beyond the first who waits, a span longer for each: a task that is held
-        // costs the asks of few. Where only a number was too low, it is asked again at once.
-        let (behind, waits) =
-            (u64::from(self.rank.unwrap_or(0).saturating_sub(1)), asking.left.min(terms.span));
-        let behind = if waits > Span::ZERO { terms.span * behind } else { Span::ZERO };
-        let alone = terms.span * ((1 << self.unheard) - 1);
-        self.rests = now + waits + behind + alone + pause;
-        Some(Say::Withdrawn { ask: asking.ask })
-    }
-
-    /// When [`Candidate::turn`] is due.
-    pub fn wake(&self, electorate: &Electorate, terms: &Terms) -> Option<Moment> {
-        let over = self.lease.as_ref().map(|lease| lease.until);
-        let next = match (&self.asking, &self.lease, self.rank) {
-            (Some(asking), ..) if !electorate.is_open(&asking.refused) => Some(asking.at),
-            (Some(asking), ..) => Some(asking.at + terms.patience),
-            (None, Some(lease), Some(_)) => Some(self.renews(lease, terms).max(self.rests)),
-            (None, None, Some(_)) => Some(self.rests),
-            (None, _, None) => None,
+        self.backoff_until = now + self.backoff(&round, config) + jitter;
+        Some(Broadcast::VoteWithdrawn { round: round.number })
+    }
+
+    /// A promise to another is waited for, and every candidate but the first waits a duration longer for each candidate
+    /// before it, so that a held task costs few requests. Where only the token was too low, votes are requested again
+    /// at once.
+    fn backoff(&self, failed: &VoteRound, config: &LeaseConfig) -> Span {
+        let remaining = failed.max_remaining.min(config.duration);
+        let candidates_before = u64::from(self.rank.unwrap_or(0).saturating_sub(1));
+        let turn = if remaining > Span::ZERO { config.duration * candidates_before } else { Span::ZERO };
+        let unanswered = config.duration * ((1 << self.unanswered_rounds) - 1);
+        remaining + turn + unanswered
+    }
+
+    /// When [`Candidate::process`] is due.
+    pub(crate) fn poll_timeout(&self, electorate: &Electorate, config: &LeaseConfig) -> Option<Moment> {
+        let expires_at = self.lease.as_ref().map(|lease| lease.expires_at);
+        let next = match &self.vote_round {
+            Some(round) if !electorate.can_reach_majority(&round.refused_by) => Some(round.started_at),
+            Some(round) => Some(round.started_at + config.vote_timeout),
+            None => self.rank.map(|_| self.next_round_at(config)),
         };
-        [over, next].into_iter().flatten().min()
+        [expires_at, next].into_iter().flatten().min()
     }
 }
--- a/crates/ochrelead-lease/src/voter.rs
+++ b/crates/ochrelead-lease/src/voter.rs
@@ -1,182 +1,271 @@
-//! A voter's promises. A task is promised to one front at a time, for a span on the voter's own clock.
+//! A voter and its promises. A task is promised to one candidate at a time, for a duration on the voter's own clock.
 
 use std::collections::BTreeMap;
 
 use ochrelead_core::time::{Moment, Span};
+use ochrelead_gossip::MemberId;
 
-use crate::word::{Why, Word};
-use crate::{Number, Task, Terms, Who};
+use crate::config::LeaseConfig;
+use crate::message::{Message, Refusal, RefusalReason, VoteRequest};
+use crate::persistence::{PersistedPromise, PersistedState, PersistedVote};
+use crate::token::{FencingToken, TaskId};
 
-/// Tasks of which a voter remembers the highest number.
-const MOST_TASKS: usize = 256;
+/// How many tasks a voter remembers the highest token of.
+const MAX_TASKS: usize = 256;
 
+/// A voter's promise not to grant the task to another candidate before it expires.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Promise {
-    pub to: Who,
-    pub ask: u64,
-    pub until: Moment,
+    /// The candidate that the task is promised to.
+    pub candidate: MemberId,
+    /// The vote round in which it was promised.
+    pub round: u64,
+    /// When the promise ends, by the voter's clock.
+    pub expires_at: Moment,
 }
 
-/// What a voter holds of a task.
+/// The last rounds of a candidate that it withdrew. Requests of these rounds may still be in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Withdrawal {
+    candidate: MemberId,
+    round: u64,
+}
+
+/// What a voter remembers of one task.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Vote {
-    pub promise: Option<Promise>,
-    /// The highest number that was promised here or heard of.
-    pub known: Number,
-    /// The last ask that was withdrawn, and whose: an ask of before may still be on its way.
-    withdrawn: Option<(Who, u64)>,
-    /// Who was refused first since the promise was made: it is told when that ends before its time.
-    waits: Option<Who>,
+struct Vote {
+    promise: Option<Promise>,
+    /// The highest token that was promised here or heard of.
+    highest_token: FencingToken,
+    withdrawn: Option<Withdrawal>,
+    /// The first candidate that was refused because of the promise. It is told when the promise ends early.
+    first_refused: Option<MemberId>,
 }
 
-/// What is kept of a voter where there is a disk: written before the promise leaves.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Kept {
-    pub generation: u32,
-    pub votes: Vec<KeptVote>,
+impl Vote {
+    fn new(promise: Option<Promise>, highest_token: FencingToken) -> Vote {
+        Vote { promise, highest_token, withdrawn: None, first_refused: None }
+    }
+
+    /// Whether no promise of this vote still runs.
+    fn is_free(&self, now: Moment) -> bool {
+        self.promise.is_none_or(|promise| promise.expires_at <= now)
+    }
+
+    /// A refusal that lasts as long as a promise.
+    fn refuse_for(&self, promise: Promise, now: Moment) -> Refusal {
+        Refusal {
+            reason: RefusalReason::PromisedTo(promise.candidate),
+            highest_token: self.highest_token,
+            remaining: promise.expires_at.since(now),
+        }
+    }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct KeptVote {
-    pub task: Task,
-    /// To whom it was promised last, and by which ask.
-    pub promise: Option<(Who, u64)>,
-    pub known: Number,
+/// What becomes of a vote request.
+enum Verdict {
+    Granted,
+    /// Granted before: the request is a duplicate.
+    AlreadyGranted,
+    Refused(Refusal),
+    /// The request is outdated; nobody waits for an answer.
+    Ignored,
 }
 
+/// A front's part as a voter.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Voter {
-    votes: BTreeMap<Task, Vote>,
+    votes: BTreeMap<TaskId, Vote>,
     /// No promise is made before.
-    abstains: Moment,
-    /// The highest generation of the electorate that was promised to, and the one that this front has.
+    abstains_until: Moment,
+    /// The highest generation of an electorate in which a promise was made.
+    promised_generation: u32,
+    /// The generation of this front's own electorate.
     generation: u32,
-    own: u32,
 }
 
 impl Voter {
-    /// A voter that remembers nothing.
-    pub fn new(terms: &Terms, generation: u32, now: Moment) -> Voter {
-        Voter { votes: BTreeMap::new(), abstains: now + terms.abstention(), generation, own: generation }
-    }
-
-    /// A voter that kept what it had promised: it may vote at once. How long it was away it can't know, so all runs
-    /// for a whole span from now.
-    pub fn restored(kept: &Kept, terms: &Terms, generation: u32, now: Moment) -> Voter {
-        let vote = |promise: Option<(Who, u64)>, known| Vote {
-            promise: promise.map(|(to, ask)| Promise { to, ask, until: now + terms.span }),
-            known,
-            withdrawn: None,
-            waits: None,
+    /// A voter without persisted state: it abstains until no promise that it may have made can still run.
+    pub fn new(config: &LeaseConfig, generation: u32, now: Moment) -> Voter {
+        Voter {
+            votes: BTreeMap::new(),
+            abstains_until: now + config.abstention(),
+            promised_generation: generation,
+            generation,
+        }
+    }
+
+    /// A voter that has persisted its promises and votes at once. It cannot know for how long it was down, so all
+    /// promises run for a whole duration from now.
+    pub fn restored(state: &PersistedState, config: &LeaseConfig, generation: u32, now: Moment) -> Voter {
+        let expires_at = now + config.duration;
+        let restore = |vote: &PersistedVote| {
+            let promise = vote.promise.map(|PersistedPromise { candidate, round }| Promise {
+                candidate,
+                round,
+                expires_at,
+            });
+            (vote.task, Vote::new(promise, vote.highest_token))
         };
-        let votes = kept.votes.iter().map(|kept| (kept.task, vote(kept.promise, kept.known))).collect();
-        let highest = generation.max(kept.generation);
-        Voter { votes, abstains: now, generation: highest, own: generation }
+        Voter {
+            votes: state.votes.iter().map(restore).collect(),
+            abstains_until: now,
+            promised_generation: generation.max(state.generation),
+            generation,
+        }
     }
 
-    pub fn kept(&self) -> Kept {
-        let kept = |(task, vote): (&Task, &Vote)| {
-            let promise = vote.promise.map(|promise| (promise.to, promise.ask));
-            KeptVote { task: *task, promise, known: vote.known }
+    /// What has to be on disk before a promise is sent.
+    pub fn persisted_state(&self) -> PersistedState {
+        let persist = |(task, vote): (&TaskId, &Vote)| PersistedVote {
+            task: *task,
+            promise: vote
+                .promise
+                .map(|Promise { candidate, round, .. }| PersistedPromise { candidate, round }),
+            highest_token: vote.highest_token,
         };
-        let votes = self.votes.iter().map(kept).collect();
-        Kept { generation: self.generation, votes }
+        PersistedState {
+            generation: self.promised_generation,
+            votes: self.votes.iter().map(persist).collect(),
+        }
     }
 
-    /// Until when it promises nothing; none where it votes.
-    pub fn abstains(&self, now: Moment) -> Option<Moment> {
-        (now < self.abstains).then_some(self.abstains)
+    /// Until when this voter makes no promises; `None` where it votes.
+    pub fn abstaining_until(&self, now: Moment) -> Option<Moment> {
+        (now < self.abstains_until).then_some(self.abstains_until)
     }
 
-    /// To whom a task is promised now.
-    pub fn promised(&self, task: Task, now: Moment) -> Option<Promise> {
-        self.votes.get(&task)?.promise.filter(|promise| now < promise.until)
+    /// The promise on a task that is in force.
+    pub fn promise(&self, task: TaskId, now: Moment) -> Option<Promise> {
+        self.votes.get(&task)?.promise.filter(|promise| now < promise.expires_at)
     }
 
-    /// The highest numbers known.
-    pub fn numbers(&self) -> impl Iterator<Item = (Task, Number)> {
-        self.votes.iter().map(|(task, vote)| (*task, vote.known)).filter(|(_, known)| *known > Number::NONE)
+    /// The highest token known of each task.
+    pub fn tokens(&self) -> impl Iterator<Item = (TaskId, FencingToken)> {
+        let tokens = self.votes.iter().map(|(task, vote)| (*task, vote.highest_token));
+        tokens.filter(|(_, token)| *token > FencingToken::NONE)
     }
 
-    pub fn learn(&mut self, task: Task, number: Number, now: Moment) {
-        if let Some(vote) = self.vote(task, now) {
-            vote.known = vote.known.max(number);
-        }
+    /// The highest token known of a task.
+    pub fn highest_token(&self, task: TaskId) -> FencingToken {
+        self.votes.get(&task).map_or(FencingToken::NONE, |vote| vote.highest_token)
     }
 
-    /// The vote on a task; a new one where there is room, made by one whose promise is over and whose number is the
-    /// least. None where all of them run.
-    fn vote(&mut self, task: Task, now: Moment) -> Option<&mut Vote> {
-        if !self.votes.contains_key(&task) && self.votes.len() >= MOST_TASKS {
-            let over = self.votes.iter().filter(|(_, vote)| vote.promise.is_none_or(|at| at.until <= now));
-            let least = *over.min_by_key(|(_, vote)| vote.known)?.0;
-            self.votes.remove(&least);
+    /// Remembers a token, from whatever source.
+    pub fn observe_token(&mut self, task: TaskId, token: FencingToken, now: Moment) {
+        if let Some(vote) = self.vote_mut(task, now) {
+            vote.highest_token = vote.highest_token.max(token);
         }
-        Some(self.votes.entry(task).or_insert(Vote {
-            promise: None,
-            known: Number::NONE,
-            withdrawn: None,
-            waits: None,
-        }))
-    }
-
-    /// Answers an ask; none where it is an old one.
-    pub fn asked(&mut self, now: Moment, terms: &Terms, by: Who, word: &Word) -> Option<Word> {
-        let Word::Ask { task, ask, number, span, generation, renews } = *word else { return None };
-        let refused = |why, known, left| Some(Word::Refused { task, ask, why, known, left });
-        // Only generations next to each other share a voter in all majorities.
-        if generation < self.generation || generation > self.own.saturating_add(1) {
-            return refused(Why::Generation, Number::NONE, terms.span);
+    }
+
+    /// The vote on a task. Where the table is full, a new one replaces the vote without a running promise that has the
+    /// lowest token; `None` where all promises still run.
+    fn vote_mut(&mut self, task: TaskId, now: Moment) -> Option<&mut Vote> {
+        if !self.votes.contains_key(&task) && self.votes.len() >= MAX_TASKS {
+            let free = self.votes.iter().filter(|(_, vote)| vote.is_free(now));
+            let lowest = *free.min_by_key(|(_, vote)| vote.highest_token)?.0;
+            self.votes.remove(&lowest);
         }
-        if span > terms.span {
-            return refused(Why::Span, Number::NONE, terms.span);
+        Some(self.votes.entry(task).or_insert_with(|| Vote::new(None, FencingToken::NONE)))
+    }
+
+    /// Answers a vote request; `None` where it is outdated.
+    pub fn on_vote_request(
+        &mut self,
+        now: Moment,
+        config: &LeaseConfig,
+        candidate: MemberId,
+        request: &VoteRequest,
+    ) -> Option<Message> {
+        let VoteRequest { task, round, .. } = *request;
+        match self.decide(now, config, candidate, request) {
+            Verdict::Granted | Verdict::AlreadyGranted => Some(Message::VoteGranted { task, round }),
+            Verdict::Refused(refusal) => Some(Message::VoteRefused { task, round, refusal }),
+            Verdict::Ignored => None,
         }
-        let abstains = self.abstains(now);
-        let Some(vote) = self.vote(task, now) else {
-            return refused(Why::Abstains, Number::NONE, terms.span);
+    }
+
+    fn decide(
+        &mut self,
+        now: Moment,
+        config: &LeaseConfig,
+        candidate: MemberId,
+        request: &VoteRequest,
+    ) -> Verdict {
+        let refused = |reason| {
+            let (highest_token, remaining) = (FencingToken::NONE, config.duration);
+            Verdict::Refused(Refusal { reason, highest_token, remaining })
         };
-        if let Some(until) = abstains {
-            return refused(Why::Abstains, vote.known, until.since(now));
+        // Only neighbouring generations share a voter in all majorities.
+        let max_generation = self.generation.saturating_add(1);
+        if request.generation < self.promised_generation || request.generation > max_generation {
+            return refused(RefusalReason::GenerationMismatch);
         }
-        if vote.withdrawn.is_some_and(|(who, last)| who == by && ask <= last) {
-            return None;
+        if request.duration > config.duration {
+            return refused(RefusalReason::DurationTooLong);
         }
-        if let Some(promise) = vote.promise.filter(|promise| now < promise.until) {
-            if promise.to != by {
-                vote.waits = vote.waits.or(Some(by));
-                return refused(Why::Promised(promise.to), vote.known, promise.until.since(now));
-            }
-            if ask < promise.ask {
-                return None;
-            }
-            if ask == promise.ask {
-                // Said twice: the answer may have been lost, and the promise runs from the first.
-                return Some(Word::Granted { task, ask });
-            }
-            if !renews {
-                // It does not hold what was promised: it may hear nobody. Another has its turn when this is over.
-                return refused(Why::Promised(by), vote.known, promise.until.since(now));
-            }
+        let abstaining_until = self.abstaining_until(now);
+        let Some(vote) = self.vote_mut(request.task, now) else {
+            return refused(RefusalReason::Abstaining);
+        };
+        if let Some(until) = abstaining_until {
+            let (reason, remaining) = (RefusalReason::Abstaining, until.since(now));
+            return Verdict::Refused(Refusal { reason, highest_token: vote.highest_token, remaining });
         }
-        // Equal only for the one who held it.
-        if number < vote.known {
-            return refused(Why::Number, vote.known, Span::ZERO);
+        let verdict = vote.decide(now, candidate, request);
+        if matches!(verdict, Verdict::Granted) {
+            self.promised_generation = request.generation;
         }
-        vote.known = number;
-        vote.waits = vote.waits.filter(|waits| *waits != by);
-        vote.promise = Some(Promise { to: by, ask, until: now + span });
-        self.generation = generation;
-        Some(Word::Granted { task, ask })
+        verdict
     }
 
-    /// What was promised to a front up to that ask is needed no more. Who waits for it, where that ended a promise.
-    pub fn withdrawn(&mut self, by: Who, task: Task, ask: u64) -> Option<Who> {
+    /// A candidate needs no promise of this round and of earlier ones. Returns who waits for the task, where that has
+    /// ended a promise.
+    pub fn on_vote_withdrawn(&mut self, candidate: MemberId, task: TaskId, round: u64) -> Option<MemberId> {
         let vote = self.votes.get_mut(&task)?;
-        vote.withdrawn = Some((by, ask));
-        if vote.promise.is_some_and(|promise| promise.to == by && promise.ask <= ask) {
+        vote.withdrawn = Some(Withdrawal { candidate, round });
+        if vote.promise.is_some_and(|promise| promise.candidate == candidate && promise.round <= round) {
             vote.promise = None;
-            return vote.waits.take();
+            return vote.first_refused.take();
         }
         None
     }
 }
+
+impl Vote {
+    fn decide(&mut self, now: Moment, candidate: MemberId, request: &VoteRequest) -> Verdict {
+        let VoteRequest { round, token, .. } = *request;
+        let is_withdrawn =
+            |withdrawn: Withdrawal| withdrawn.candidate == candidate && round <= withdrawn.round;
+        if self.withdrawn.is_some_and(is_withdrawn) {
+            return Verdict::Ignored;
+        }
+        if let Some(promise) = self.promise.filter(|promise| now < promise.expires_at) {
+            if promise.candidate != candidate {
+                self.first_refused = self.first_refused.or(Some(candidate));
+                return Verdict::Refused(self.refuse_for(promise, now));
+            }
+            if round < promise.round {
+                return Verdict::Ignored;
+            }
+            if round == promise.round {
+                // The answer may have been lost. The promise runs from the first request.
+                return Verdict::AlreadyGranted;
+            }
+            if !request.is_renewal {
+                // The candidate does not hold what it was promised, perhaps because it hears nobody. When the promise
+                // is over, others have their chance.
+                return Verdict::Refused(self.refuse_for(promise, now));
+            }
+        }
+        // Only the holder itself may ask with the same token again.
+        if token < self.highest_token {
+            let (reason, highest_token) = (RefusalReason::StaleToken, self.highest_token);
+            return Verdict::Refused(Refusal { reason, highest_token, remaining: Span::ZERO });
+        }
+        self.highest_token = token;
+        self.first_refused = self.first_refused.filter(|first| *first != candidate);
+        self.promise = Some(Promise { candidate, round, expires_at: now + request.duration });
+        Verdict::Granted
+    }
+}
--- a/crates/ochrelead-node/src/engine/observations.rs
+++ b/crates/ochrelead-node/src/engine/observations.rs
@@ -4,7 +4,7 @@
 
 use ochrelead_core::index::{ServerIx, SessionIx};
 use ochrelead_core::time::Moment;
-use ochrelead_lease::Number;
+use ochrelead_lease::FencingToken;
 use ochrelead_zone::{MAX_ZONES, ServerKey, ServerLocation, ZoneId};
 
 use super::Engine;
@@ -32,7 +32,7 @@
     /// The server's id.
     pub server: String,
     /// The highest token that it has seen.
-    pub highest: Number,
+    pub highest: FencingToken,
 }
 
 /// The share of sessions that the servers of a zone take.
--- a/crates/ochrelead-node/src/engine/server_side.rs
+++ b/crates/ochrelead-node/src/engine/server_side.rs
@@ -3,7 +3,7 @@
 use ochrelead_core::index::{ServerIx, SessionIx};
 use ochrelead_core::time::Span;
 use ochrelead_core::types::InviteOutcome;
-use ochrelead_lease::Number;
+use ochrelead_lease::FencingToken;
 use ochrelead_platform::caller_messages::CallId;
 use tracing::debug;
 
@@ -158,7 +158,7 @@
     }
 
     /// Sends a health check on behalf of the fleet under a fencing token; where no connection is open, one is made.
-    pub fn send_health_check(&mut self, server: &str, token: Number) {
+    pub fn send_health_check(&mut self, server: &str, token: FencingToken) {
         let Some(server) = self.servers.find(server) else { return };
         if !self.servers.get(server).is_ready() {
             return;
--- a/crates/ochrelead-node/src/sounding.rs
+++ b/crates/ochrelead-node/src/sounding.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_lease::Task;
+use ochrelead_lease::TaskId;
 use ochrelead_lease::engine::Engine as Leases;
 
 use crate::bounds::protocol;
@@ -33,20 +33,20 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Sound {
     pub server: String,
-    pub task: Task,
+    pub task: TaskId,
 }
 
 /// The task of sounding a server: the same number at all fronts, by its id (FNV-1a).
-pub fn task(server: &str) -> Task {
+pub fn task(server: &str) -> TaskId {
     let hash = server.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
     });
-    Task(hash)
+    TaskId(hash)
 }
 
 /// Who stands ready for a task, in order, of the fronts that are not known to be gone: by a mix of both, so that tasks
 /// spread over the fronts and all fronts that see the same come to the same.
-pub fn rank(task: Task, front: u32, there: &[u32]) -> Option<u32> {
+pub fn rank(task: TaskId, front: u32, there: &[u32]) -> Option<u32> {
     let mix = |front: u32| {
         let mut mixed = task.0 ^ (u64::from(front) + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -69,7 +69,7 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Sounding {
-    tests: BTreeMap<Task, Test>,
+    tests: BTreeMap<TaskId, Test>,
 }
 
 impl Sounding {
@@ -77,17 +77,17 @@
     /// for noticing an end.
     pub fn turn(&mut self, now: Moment, quiet: &[Quiet], there: &[u32], leases: &mut Leases) -> Vec<Sound> {
         let is_silent = |server: &&Quiet| now.since(server.spoke) >= protocol::SILENT_FAILURE_DEADLINE / 4;
-        let silent: BTreeMap<Task, &Quiet> =
+        let silent: BTreeMap<TaskId, &Quiet> =
             quiet.iter().filter(is_silent).map(|server| (task(&server.id), server)).collect();
         for over in self.tests.keys().copied().filter(|task| !silent.contains_key(task)).collect::<Vec<_>>() {
             self.tests.remove(&over);
-            leases.wants(now, over, None);
+            leases.set_candidacy(now, over, None);
         }
-        let front = leases.me().front;
+        let front = leases.local().front;
         let mut due = Vec::new();
         for (task, server) in silent {
             let rank = rank(task, front, there);
-            leases.wants(now, task, rank);
+            leases.set_candidacy(now, task, rank);
             if rank.is_none() {
                 self.tests.remove(&task);
                 continue;
@@ -107,7 +107,7 @@
     }
 
     /// Which of the servers that this front tests have answered since: news for the others, once for each test.
-    pub fn answered(&mut self, quiet: &[Quiet]) -> Vec<Task> {
+    pub fn answered(&mut self, quiet: &[Quiet]) -> Vec<TaskId> {
         let mut news = Vec::new();
         for server in quiet {
             let task = task(&server.id);
--- a/crates/ochrelead-node/src/together.rs
+++ b/crates/ochrelead-node/src/together.rs
@@ -5,13 +5,14 @@
 use std::net::SocketAddr;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_gossip::engine::{ALL, Counts, Engine as Peers, Pace};
+use ochrelead_gossip::engine::{Engine as Peers, EngineConfig as PeersConfig, Recipient, Transmit};
+use ochrelead_gossip::{GossipConfig, GossipStats, RumorId};
 use ochrelead_lease::electorate::Electorate;
-use ochrelead_lease::engine::Engine as Leases;
-use ochrelead_lease::voter::Kept;
-use ochrelead_lease::word::Word;
-use ochrelead_lease::{Number, Task, Terms, Who, letter};
-use ochrelead_zone::engine::{Engine as Districts, Recipient};
+use ochrelead_lease::engine::{Engine as Leases, EngineConfig as LeasesConfig};
+use ochrelead_lease::message::Message;
+use ochrelead_lease::persistence::PersistedState;
+use ochrelead_lease::{FencingToken, LeaseConfig, MemberId, TaskId, codec};
+use ochrelead_zone::engine::{Engine as Districts, Recipient as ZoneRecipient};
 use ochrelead_zone::message::ZoneShare;
 use ochrelead_zone::{ServerLocation, ZoneConfig as Paces, ZoneId};
 use prometheus_client::encoding::text::encode;
@@ -34,7 +35,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Duty {
     /// Test a server now, naming the number.
-    Sound { server: String, number: Number },
+    Sound { server: String, number: FencingToken },
     /// Another front heard the server so lately.
     Vouched { server: String, at: Moment },
 }
@@ -67,11 +68,11 @@
 /// Words about leases that wait until what was promised is on the disk.
 struct Keeping {
     /// What was handed out to be saved last, as the so-manieth, and whether it still has to be.
-    kept: Kept,
+    kept: PersistedState,
     nth: u64,
     is_new: bool,
     saved: u64,
-    waiting: VecDeque<(u64, u32, Word)>,
+    waiting: VecDeque<(u64, u32, Message)>,
 }
 
 impl Together {
@@ -92,14 +93,18 @@
             return None;
         }
         // A thousandth of a second of the start, which wraps after weeks: no two lives of a front are alike. 0 is no life.
-        let me = Who { front, life: ((now.micros() / 1_000) as u32).max(1) };
+        let local = MemberId { front, incarnation: ((now.micros() / 1_000) as u32).max(1) };
+        let peers =
+            PeersConfig { local, fleet_size: fronts, zone: None, gossip: GossipConfig::DEFAULT, seed };
+        let leases =
+            LeasesConfig { local, electorate, lease: LeaseConfig::with_duration(SPAN), seed: seed ^ 1 };
         let numbers = addresses.iter().enumerate().map(|(at, address)| (*address, at as u32)).collect();
         Some(Together {
             addresses,
             all: None,
             numbers,
-            peers: Peers::new(me, fronts, None, Pace::USUAL, seed, now),
-            leases: Leases::new(me, electorate, Terms::of(SPAN), None, seed ^ 1, now),
+            peers: Peers::new(peers, now),
+            leases: Leases::new(leases, None, now),
             sounding: Sounding::default(),
             only_districts: false,
             districts: None,
@@ -128,13 +133,13 @@
     ) {
         self.all = all;
         self.district_names = names.to_vec();
-        self.districts = Some(Districts::new(self.leases.me(), own, pace, seed ^ 2, now));
+        self.districts = Some(Districts::new(self.leases.local(), own, pace, seed ^ 2, now));
     }
 
     /// It takes no part in tasks of the fleet, and does not ask who is there: nobody has to know that for districts.
     pub fn only_districts(&mut self) {
         self.only_districts = true;
-        self.peers.hush();
+        self.peers.set_passive();
     }
 
     /// Whether it wants to be told what came of INVITEs.
@@ -173,23 +178,28 @@
 
     /// The number of this front among its peers.
     pub fn front(&self) -> u32 {
-        self.leases.me().front
+        self.leases.local().front
     }
 
     /// From its start on this front keeps what it promises; `kept` is what it had kept before, where that can be used.
-    pub fn keep(&mut self, kept: Option<&Kept>, seed: u64, now: Moment) {
-        let (me, electorate) = (self.leases.me(), self.leases.electorate().clone());
-        self.leases = Leases::new(me, electorate, Terms::of(SPAN), kept, seed ^ 1, now);
-        let kept = Kept::default();
+    pub fn keep(&mut self, kept: Option<&PersistedState>, seed: u64, now: Moment) {
+        let config = LeasesConfig {
+            local: self.leases.local(),
+            electorate: self.leases.electorate().clone(),
+            lease: LeaseConfig::with_duration(SPAN),
+            seed: seed ^ 1,
+        };
+        self.leases = Leases::new(config, kept, now);
+        let kept = PersistedState::default();
         self.keeping = Some(Keeping { kept, nth: 0, is_new: false, saved: 0, waiting: VecDeque::new() });
     }
 
     /// What is to be saved now, and its place in order; words wait until [`Together::saved`] has told of it.
     pub fn to_save(&mut self) -> Option<(u64, Vec<u8>)> {
-        let front = self.leases.me().front;
+        let front = self.leases.local().front;
         let keeping = self.keeping.as_mut().filter(|keeping| keeping.is_new)?;
         keeping.is_new = false;
-        Some((keeping.nth, keeping.kept.bytes(front)))
+        Some((keeping.nth, keeping.kept.encode(front)))
     }
 
     /// What was handed out as the so-manieth is on the disk.
@@ -202,42 +212,42 @@
     /// Words about leases on their way; where promises are kept, not before they are.
     fn say_words(&mut self) {
         let Some(keeping) = &mut self.keeping else {
-            while let Some((to, word)) = self.leases.next() {
-                self.peers.lease_to(to, letter::write(&word));
+            while let Some(transmit) = self.leases.poll_output() {
+                self.peers.send_lease_message(transmit.recipient, codec::encode(&transmit.message));
             }
             return;
         };
         if let Some(voter) = self.leases.voter() {
-            let kept = voter.kept();
+            let kept = voter.persisted_state();
             if kept != keeping.kept {
                 (keeping.kept, keeping.is_new) = (kept, true);
                 keeping.nth += 1;
             }
         }
-        while let Some((to, word)) = self.leases.next() {
+        while let Some(transmit) = self.leases.poll_output() {
             // A disk that fails for long: what waits is old by then, and the oldest of no use.
             if keeping.waiting.len() >= MOST_WAITING {
                 keeping.waiting.pop_front();
             }
-            keeping.waiting.push_back((keeping.nth, to, word));
+            keeping.waiting.push_back((keeping.nth, transmit.recipient, transmit.message));
         }
         while keeping.waiting.front().is_some_and(|(nth, ..)| *nth <= keeping.saved)
             && let Some((_, to, word)) = keeping.waiting.pop_front()
         {
-            self.peers.lease_to(to, letter::write(&word));
+            self.peers.send_lease_message(to, codec::encode(&word));
         }
     }
 
     /// A datagram, from whichever address; only listed ones are heard.
     pub fn take(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]) {
         if let Some(front) = self.numbers.get(&from) {
-            self.peers.take(now, *front, bytes);
+            self.peers.handle_input(now, *front, bytes);
         }
     }
 
     /// Whoever was acted upon has seen a higher number.
-    pub fn outrun(&mut self, now: Moment, server: &str, highest: Number) {
-        self.leases.outrun(now, sounding::task(server), highest);
+    pub fn outrun(&mut self, now: Moment, server: &str, highest: FencingToken) {
+        self.leases.on_fenced(now, sounding::task(server), highest);
     }
 
     /// It leaves service: what it holds is handed back.
@@ -263,40 +273,41 @@
             return;
         }
         for task in self.sounding.answered(&self.quiet) {
-            self.peers.tell(now, sounding::TOPIC, task.0, Vec::new());
+            let id = RumorId { topic: sounding::TOPIC, key: task.0 };
+            self.peers.publish_rumor(now, id, Vec::new());
         }
-        let there = self.peers.members().not_gone();
+        let there = self.peers.members().not_dead();
         for sound in self.sounding.turn(now, &self.quiet, &there, &mut self.leases) {
             // Asked for right before the act.
             if let Some(permit) = self.leases.permit(now, sound.task) {
-                self.duties.push_back(Duty::Sound { server: sound.server, number: permit.number });
+                self.duties.push_back(Duty::Sound { server: sound.server, number: permit.token });
             }
         }
     }
 
     /// All that is due.
     pub fn turn(&mut self, now: Moment) {
-        while let Some((from, word)) = self.peers.lease_word() {
-            if let Some(word) = letter::read(&word) {
-                self.leases.take(now, from, &word);
+        while let Some(received) = self.peers.poll_lease_message() {
+            if let Some(message) = codec::decode(&received.payload) {
+                self.leases.handle_input(now, received.sender, &message);
             }
         }
-        while let Some((topic, key)) = self.peers.news() {
-            if topic == sounding::TOPIC {
-                self.vouched(now, Task(key));
+        while let Some(id) = self.peers.poll_rumor() {
+            if id.topic == sounding::TOPIC {
+                self.vouched(now, TaskId(id.key));
             }
         }
-        while let Some((from, word)) = self.peers.district_word() {
+        while let Some(received) = self.peers.poll_zone_message() {
             if let Some(districts) = &mut self.districts {
-                districts.handle_input(now, from, &word);
+                districts.handle_input(now, received.sender, &received.payload);
             }
         }
         self.turn_districts(now);
         if !self.only_districts {
-            self.leases.turn(now);
+            self.leases.process(now);
             self.say_words();
         }
-        self.peers.turn(now);
+        self.peers.process(now);
         self.tell(now);
     }
 
@@ -304,11 +315,11 @@
         let Some(districts) = &mut self.districts else { return };
         districts.process(now);
         while let Some((to, word)) = districts.poll_output() {
-            let front = match to {
-                Recipient::Front(front) => front,
-                Recipient::All => ALL,
+            let recipient = match to {
+                ZoneRecipient::Front(front) => Recipient::Front(front),
+                ZoneRecipient::All => Recipient::All,
             };
-            self.peers.district_to(front, word);
+            self.peers.send_zone_message(recipient, word);
         }
     }
 
@@ -336,9 +347,10 @@
         lines
     }
 
-    fn vouched(&mut self, now: Moment, task: Task) {
-        let Some((_, age)) = self.peers.known(now, sounding::TOPIC, task.0) else { return };
-        let at = Moment::from_micros(now.micros().saturating_sub(age.micros()));
+    fn vouched(&mut self, now: Moment, task: TaskId) {
+        let id = RumorId { topic: sounding::TOPIC, key: task.0 };
+        let Some(rumor) = self.peers.rumor(now, id) else { return };
+        let at = Moment::from_micros(now.micros().saturating_sub(rumor.age.micros()));
         if let Some(server) = self.quiet.iter().find(|server| sounding::task(&server.id) == task) {
             self.duties.push_back(Duty::Vouched { server: server.id.clone(), at });
         }
@@ -361,39 +373,41 @@
         if self.only_districts {
             return self.district_lines(now);
         }
-        let (members, me) = (self.peers.members(), self.leases.me());
+        let (members, me) = (self.peers.members(), self.leases.local());
         let votes = match self.leases.voter() {
             None => "does not vote".to_owned(),
-            Some(voter) => voter.abstains(now).map_or("votes".to_owned(), |until| {
+            Some(voter) => voter.abstaining_until(now).map_or("votes".to_owned(), |until| {
                 format!("abstains for {} more", seconds(until.since(now)))
             }),
         };
         let (there, fronts, generation) =
-            (members.there().len(), members.fronts(), self.leases.electorate().generation);
+            (members.live().len(), members.fleet_size(), self.leases.electorate().generation);
         let voters: Vec<String> =
-            self.leases.electorate().all().iter().map(|front| front.to_string()).collect();
+            self.leases.electorate().voters().iter().map(|front| front.to_string()).collect();
         let mut lines = vec![format!(
             "front {} of {fronts}, {there} seen; {votes}; voters {}, generation {generation}",
             me.front,
             voters.join(",")
         )];
         lines.extend(self.district_lines(now));
-        for standing in self.leases.standing(now) {
-            let server = self.quiet.iter().find(|server| sounding::task(&server.id) == standing.task);
+        for status in self.leases.status(now) {
+            let server = self.quiet.iter().find(|server| sounding::task(&server.id) == status.task);
             let name = server
-                .map_or(format!("task {:016x}", standing.task.0), |server| format!("sounding {}", server.id));
-            let mut line = format!("{name}: number {}", standing.known.count);
-            if let Some(lease) = &standing.held {
-                let (since, left) = (seconds(now.since(lease.since)), seconds(lease.until.since(now)));
+                .map_or(format!("task {:016x}", status.task.0), |server| format!("sounding {}", server.id));
+            let mut line = format!("{name}: number {}", status.highest_token.counter);
+            if let Some(lease) = &status.lease {
+                let (since, left) =
+                    (seconds(now.since(lease.acquired_at)), seconds(lease.expires_at.since(now)));
                 line.push_str(&format!(", held here since {since}, {left} left"));
-            } else if standing.wanted {
+            } else if status.is_candidate {
                 line.push_str(", wanted here");
-                if let Some(why) = standing.why {
-                    line.push_str(&format!(", refused: {}", why.text()));
+                if let Some(reason) = status.last_refusal {
+                    line.push_str(&format!(", refused: {reason}"));
                 }
             }
-            if let Some((to, left)) = standing.promised {
-                line.push_str(&format!(", promised to front {}, {} left", to.front, seconds(left)));
+            if let Some(promise) = status.promise {
+                let (to, left) = (promise.candidate.front, seconds(promise.remaining));
+                line.push_str(&format!(", promised to front {to}, {left} left"));
             }
             lines.push(line);
         }
@@ -408,19 +422,19 @@
         self.status_at = now + Span::from_secs(1);
         let written = format!("written_us: {}\n", now.micros());
         let status = self.lines(now).iter().fold(written, |text, line| text + line + "\n");
-        let counts = self.peers.counts();
-        let held = self.leases.standing(now).iter().filter(|standing| standing.held.is_some()).count() as u64;
+        let stats = self.peers.stats();
+        let held = self.leases.status(now).iter().filter(|status| status.lease.is_some()).count() as u64;
         let mut registry = Registry::default();
         for (name, help, count) in [
-            ("datagrams_sent", "Datagrams sent to other fronts", counts.sent),
-            ("datagram_bytes_sent", "Their bytes", counts.bytes),
-            ("datagrams_read", "Datagrams of other fronts that were read", counts.read),
-            ("datagrams_newer", "Of these, of a newer version", counts.newer),
-            ("parts_unknown", "Parts of kinds that are not known here", counts.unknown_parts),
-            ("datagrams_too_long", "Datagrams that were passed over for their length", counts.too_long),
-            ("datagrams_unreadable", "Datagrams that were passed over as none of ours", counts.unreadable),
-            ("datagrams_mistaken", "Datagrams that said to be another front's", counts.mistaken),
-            ("words_dropped", "Words that the budget had no room for", counts.dropped),
+            ("datagrams_sent", "Datagrams sent to other fronts", stats.datagrams_sent),
+            ("datagram_bytes_sent", "Their bytes", stats.bytes_sent),
+            ("datagrams_read", "Datagrams of other fronts that were read", stats.datagrams_received),
+            ("datagrams_newer", "Of these, of a newer version", stats.newer_version),
+            ("parts_unknown", "Parts of kinds that are not known here", stats.unknown_parts),
+            ("datagrams_too_long", "Datagrams that were passed over for their length", stats.too_long),
+            ("datagrams_unreadable", "Datagrams that were passed over as none of ours", stats.malformed),
+            ("datagrams_mistaken", "Datagrams that said to be another front's", stats.wrong_sender),
+            ("words_dropped", "Words that the budget had no room for", stats.messages_dropped),
         ] {
             let counter: Counter = Counter::default();
             counter.inc_by(count);
@@ -436,13 +450,13 @@
     }
 
     /// What was sent and passed over.
-    pub fn counts(&self) -> Counts {
-        self.peers.counts()
+    pub fn counts(&self) -> GossipStats {
+        self.peers.stats()
     }
 
     /// The number under which it may act on a server, if it may.
-    pub fn holds(&self, now: Moment, server: &str) -> Option<Number> {
-        self.leases.permit(now, sounding::task(server)).map(|permit| permit.number)
+    pub fn holds(&self, now: Moment, server: &str) -> Option<FencingToken> {
+        self.leases.permit(now, sounding::task(server)).map(|permit| permit.token)
     }
 
     /// The next thing to do for the fleet.
@@ -456,14 +470,14 @@
         if let Some(copy) = self.copies.pop_front() {
             return Some(copy);
         }
-        let (to, bytes) = self.peers.next()?;
-        if to != ALL {
-            return Some((*self.addresses.get(to as usize)?, bytes));
+        let Transmit { recipient, datagram: bytes } = self.peers.poll_output()?;
+        if let Recipient::Front(front) = recipient {
+            return Some((*self.addresses.get(front as usize)?, bytes));
         }
         if let Some(all) = self.all {
             return Some((all, bytes));
         }
-        let own = self.leases.me().front as usize;
+        let own = self.leases.local().front as usize;
         let others = self.addresses.iter().enumerate().filter(|(front, _)| *front != own);
         self.copies.extend(others.map(|(_, address)| (*address, bytes.clone())));
         self.copies.pop_front()
@@ -472,7 +486,7 @@
     /// When [`Together::turn`] is due although nothing came.
     pub fn wake(&self) -> Option<Moment> {
         let districts = self.districts.as_ref().and_then(Districts::poll_timeout);
-        let leases = self.leases.wake().filter(|_| !self.only_districts);
-        [self.peers.wake(), leases, districts, Some(self.look_at)].into_iter().flatten().min()
+        let leases = self.leases.poll_timeout().filter(|_| !self.only_districts);
+        [self.peers.poll_timeout(), leases, districts, Some(self.look_at)].into_iter().flatten().min()
     }
 }
--- a/crates/ochrelead-node/tests/sounding.rs
+++ b/crates/ochrelead-node/tests/sounding.rs
@@ -5,15 +5,16 @@
 use helper::{Rig, at};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_lease::electorate::Electorate;
-use ochrelead_lease::engine::Engine as Leases;
-use ochrelead_lease::{Number, Terms, Who};
+use ochrelead_lease::engine::{Engine as Leases, EngineConfig};
+use ochrelead_lease::{FencingToken, LeaseConfig, MemberId};
 use ochrelead_node::engine::SupersededToken;
 use ochrelead_node::fencing::{format_token, parse_token};
 use ochrelead_node::io::Output;
 use ochrelead_node::sounding::{Quiet, Sounding, counts_as_heard, rank, task};
 use test_case::test_case;
 
-const NUMBER: Number = Number { count: 7, of: Who { front: 3, life: u32::MAX } };
+const NUMBER: FencingToken =
+    FencingToken { counter: 7, holder: MemberId { front: 3, incarnation: u32::MAX } };
 
 #[test]
 fn a_number_reads_as_it_was_written() {
@@ -54,17 +55,20 @@
     assert!(first.len() >= 18, "24 servers at {} fronts", first.len());
 }
 
+fn leases(voters: &[u32]) -> Leases {
+    let config = EngineConfig {
+        local: MemberId { front: 0, incarnation: 1 },
+        electorate: Electorate::new(1, voters),
+        lease: LeaseConfig::with_duration(Span::from_secs(4)),
+        seed: 1,
+    };
+    Leases::new(config, None, at(0))
+}
+
 fn lone() -> Leases {
     // The only voter is the front itself.
-    let mut leases = Leases::new(
-        Who { front: 0, life: 1 },
-        Electorate::of(1, &[0]),
-        Terms::of(Span::from_secs(4)),
-        None,
-        1,
-        at(0),
-    );
-    leases.turn(at(5_000));
+    let mut leases = leases(&[0]);
+    leases.process(at(5_000));
     leases
 }
 
@@ -79,7 +83,7 @@
     for ms in (5_000..12_000).step_by(100) {
         let now = at(ms);
         let due = sounding.turn(now, &quiet(at(5_000), at(5_000)), &[0], &mut leases);
-        leases.turn(now);
+        leases.process(now);
         tested.extend(due.iter().map(|_| ms));
     }
     assert!(tested.len() >= 4 && tested[0] >= 7_000, "{tested:?}");
@@ -94,7 +98,7 @@
     let (mut leases, mut sounding) = (lone(), Sounding::default());
     for ms in [7_000, 7_100] {
         sounding.turn(at(ms), &quiet(at(5_000), at(5_000)), &[0], &mut leases);
-        leases.turn(at(ms));
+        leases.process(at(ms));
     }
     assert_eq!(sounding.turn(at(7_200), &quiet(at(5_000), at(5_000)), &[0], &mut leases).len(), 0);
     assert!(sounding.answered(&quiet(at(5_000), at(5_000))).is_empty(), "no answer yet");
@@ -106,18 +110,11 @@
 /// Without a lease nothing is tested for others.
 #[test]
 fn without_a_majority_nothing_is_tested() {
-    let mut leases = Leases::new(
-        Who { front: 0, life: 1 },
-        Electorate::of(1, &[0, 1, 2]),
-        Terms::of(Span::from_secs(4)),
-        None,
-        1,
-        at(0),
-    );
+    let mut leases = leases(&[0, 1, 2]);
     let mut sounding = Sounding::default();
     for ms in (5_000..30_000).step_by(100) {
         assert!(sounding.turn(at(ms), &quiet(at(0), at(0)), &[0], &mut leases).is_empty());
-        leases.turn(at(ms));
+        leases.process(at(ms));
     }
 }
 
@@ -146,7 +143,7 @@
     assert!(sent.contains("X-Number: 7.3.4294967295\r\n") && rig.links.contains_key(&own), "{sent}");
     let answer = "SIP/2.0 403 x\r\nCall-ID: 0000000000000000\r\nCSeq: 1 OPTIONS\r\nX-Number: 9.1.5\r\nContent-Length: 0\r\n\r\n";
     rig.link_says(link, answer.as_bytes());
-    let highest = Number { count: 9, of: Who { front: 1, life: 5 } };
+    let highest = FencingToken { counter: 9, holder: MemberId { front: 1, incarnation: 5 } };
     assert_eq!(
         rig.engine.poll_superseded_token(),
         Some(SupersededToken { server: "s-0".to_owned(), highest })
--- a/crates/ochrelead-node/tests/stored_bytes.rs
+++ b/crates/ochrelead-node/tests/stored_bytes.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use ochrelead_core::time::Moment;
-use ochrelead_lease::Task;
+use ochrelead_lease::TaskId;
 use ochrelead_lease::electorate::Electorate;
 use ochrelead_node::promises::{Job, Promises};
 use ochrelead_node::sounding::{self, Quiet};
@@ -58,7 +58,7 @@
 fn fronts_are_ranked_as_they_were() {
     let fronts: Vec<u32> = (0..40).collect();
     let ranks = |task: u64| -> Vec<(u32, u32)> {
-        let ranked = |front: &u32| Some((*front, sounding::rank(Task(task), *front, &fronts)?));
+        let ranked = |front: &u32| Some((*front, sounding::rank(TaskId(task), *front, &fronts)?));
         fronts.iter().filter_map(ranked).collect()
     };
     let written: String = [0, 1, u64::MAX, 0x0123_4567_89ab_cdef]
@@ -81,7 +81,7 @@
 fn status_and_counters_are_the_stored_text() {
     let addresses: Vec<SocketAddr> = (0..3).map(address).collect();
     let front = |number: u32| {
-        let electorate = Electorate::of(1, &[0, 1, 2]);
+        let electorate = Electorate::new(1, &[0, 1, 2]);
         Together::new(address(number), addresses.clone(), Some(number), electorate, 7, at(0)).unwrap()
     };
     let mut fronts: Vec<Together> = (0..3).map(front).collect();
--- a/crates/ochrelead-node/tests/together.rs
+++ b/crates/ochrelead-node/tests/together.rs
@@ -28,7 +28,7 @@
     fn with(voters: &[u32], keeps: bool) -> Fleet {
         let addresses: Vec<SocketAddr> = (0..3).map(address).collect();
         let front = |number: u32| {
-            let electorate = Electorate::of(1, voters);
+            let electorate = Electorate::new(1, voters);
             let mut front =
                 Together::new(address(number), addresses.clone(), Some(number), electorate, 7, at(0))
                     .unwrap();
@@ -54,7 +54,7 @@
                 });
                 while let Some(duty) = front.duty() {
                     if let Duty::Sound { number: under, .. } = duty {
-                        self.sounded.push((number as u32, under.count));
+                        self.sounded.push((number as u32, under.counter));
                     }
                 }
                 if let Some((nth, bytes)) = front.to_save().filter(|_| !self.is_stuck) {
--- a/crates/ochrelead-verify/src/districts/watch.rs
+++ b/crates/ochrelead-verify/src/districts/watch.rs
@@ -3,8 +3,8 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use ochrelead_gossip::schema::part::What;
-use ochrelead_gossip::wire::{self, Sheet};
+use ochrelead_gossip::schema::part::Kind as PartKind;
+use ochrelead_gossip::wire::{self, DatagramBuilder};
 use ochrelead_node::together::Together;
 use ochrelead_zone::codec::{decode, encode};
 use ochrelead_zone::message::Message;
@@ -305,20 +305,20 @@
 }
 
 fn rewrite(bytes: Vec<u8>, from: u32, change: impl Fn(&mut Message)) -> Vec<u8> {
-    let Ok(datagram) = wire::read(&bytes, from) else { return bytes };
-    let mut sheet = Sheet::new(datagram.from);
+    let Ok(datagram) = wire::decode(&bytes, from) else { return bytes };
+    let mut sheet = DatagramBuilder::new(datagram.sender);
     for part in datagram.parts {
         let part = match part {
-            What::District(word) => match decode(&word) {
+            PartKind::Zone(word) => match decode(&word) {
                 Some(mut word) => {
                     change(&mut word);
-                    What::District(encode(&word).swap_remove(0))
+                    PartKind::Zone(encode(&word).swap_remove(0))
                 }
-                None => What::District(word),
+                None => PartKind::Zone(word),
             },
             other => other,
         };
-        sheet.add(part);
+        sheet.try_push(part);
     }
-    sheet.bytes()
+    sheet.encode()
 }
--- a/crates/ochrelead-verify/src/districts/world.rs
+++ b/crates/ochrelead-verify/src/districts/world.rs
@@ -13,7 +13,7 @@
 use ochrelead_core::index::{CalledNumberIx, ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::Moment;
 use ochrelead_core::types::{CallRequest, Decision, EndpointState, EndpointUpdate, InviteOutcome};
-use ochrelead_lease::electorate::{Electorate, USUAL};
+use ochrelead_lease::electorate::{DEFAULT_SIZE, Electorate};
 use ochrelead_node::engine::Observation;
 use ochrelead_node::together::Together;
 use ochrelead_zone::{ServerKey, ServerLocation, ZoneConfig, ZoneId};
@@ -174,7 +174,7 @@
         let names: Vec<String> = (0..day.districts).map(|nth| format!("d{nth}")).collect();
         let together = day.together.then(|| {
             let addresses = (0..day.fronts).map(address).collect();
-            let electorate = Electorate::spread(1, day.fronts, USUAL.min(day.fronts as usize));
+            let electorate = Electorate::evenly_spaced(1, day.fronts, DEFAULT_SIZE.min(day.fronts as usize));
             let mut together = Together::new(address(front), addresses, Some(front), electorate, seed, now)
                 .expect("more than one");
             let all = Some(address(ALL));
--- a/crates/ochrelead-verify/src/emulate.rs
+++ b/crates/ochrelead-verify/src/emulate.rs
@@ -8,12 +8,13 @@
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_lease::candidate::Permit;
-use ochrelead_lease::electorate::{Electorate, USUAL};
-use ochrelead_lease::engine::Engine;
-use ochrelead_lease::voter::Kept;
-use ochrelead_lease::word::Word;
-use ochrelead_lease::{RATE_PPM, Task, Terms, Who};
+use ochrelead_lease::config::DEFAULT_CLOCK_DRIFT_PPM;
+use ochrelead_lease::electorate::{DEFAULT_SIZE, Electorate};
+use ochrelead_lease::engine::{Engine, EngineConfig, Transmit};
+use ochrelead_lease::lease::Permit;
+use ochrelead_lease::message::Message;
+use ochrelead_lease::persistence::PersistedState;
+use ochrelead_lease::{LeaseConfig, MemberId, TaskId};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -57,7 +58,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum What {
     Turn(u32, u64),
-    Arrives(u32, Who, Word),
+    Arrives(u32, MemberId, Message),
     Acts(u32, u32, u64),
     Lands(Act, u64),
     Kill(u32),
@@ -87,18 +88,18 @@
     back: u64,
     halted: bool,
     /// What came while it stood still.
-    unread: VecDeque<(Who, Word)>,
+    unread: VecDeque<(MemberId, Message)>,
     turn_at: u64,
     asked: u64,
     /// What it kept as a voter, where fronts have disks, and when.
-    disk: Option<(u64, Kept)>,
+    disk: Option<(u64, PersistedState)>,
     /// Per task: the lease that it holds, in the order in which they began.
     holds: BTreeMap<u64, u64>,
 }
 
 struct World {
     day: Day,
-    terms: Terms,
+    terms: LeaseConfig,
     meddler: Meddler,
     electorate: Electorate,
     chance: Pcg64Mcg,
@@ -121,7 +122,7 @@
     held_us: u64,
 }
 
-/// Who stands ready for a task, in order: by a hash of both, so that tasks spread over the fronts.
+/// MemberId stands ready for a task, in order: by a hash of both, so that tasks spread over the fronts.
 fn ready(task: u64, fronts: u32) -> Vec<u32> {
     let mixed = |front: &u32| {
         let mut rng = Pcg64Mcg::seed_from_u64(task << 32 | u64::from(*front));
@@ -137,10 +138,11 @@
     fn new(day: Day) -> World {
         let mut chance = Pcg64Mcg::seed_from_u64(day.seed);
         // Half of the days have clocks that are far off, with terms that allow for it.
-        let rate_ppm = if chance.random_bool(0.5) { RATE_PPM } else { 200_000 };
+        let rate_ppm = if chance.random_bool(0.5) { DEFAULT_CLOCK_DRIFT_PPM } else { 200_000 };
         let meddler = Meddler(day.mistake);
-        let terms = Terms { rate_ppm, ..Terms::of(Span::from_secs(4)) };
-        let electorate = Electorate::spread(1, day.fronts, USUAL.min(day.fronts as usize));
+        let terms =
+            LeaseConfig { clock_drift_ppm: rate_ppm, ..LeaseConfig::with_duration(Span::from_secs(4)) };
+        let electorate = Electorate::evenly_spaced(1, day.fronts, DEFAULT_SIZE.min(day.fronts as usize));
         let loud = !day.calm;
         let (loss, delay) = if loud {
             (chance.random_range(0.0..0.4), chance.random_range(1..300) * MS)
@@ -199,7 +201,7 @@
         }
         // At first nobody has promised anything.
         for front in 0..world.day.fronts {
-            world.start(front, Some(Kept::default()));
+            world.start(front, Some(PersistedState::default()));
         }
         if loud {
             world.draw_faults();
@@ -212,9 +214,9 @@
         self.queue.push(Reverse((when, self.nth, what)));
     }
 
-    /// Who is worth a fault: voters and those who stand ready, mostly.
+    /// MemberId is worth a fault: voters and those who stand ready, mostly.
     fn some_front(&mut self) -> u32 {
-        let mut likely: Vec<u32> = self.electorate.all().into_iter().collect();
+        let mut likely: Vec<u32> = self.electorate.voters().into_iter().collect();
         (0..self.day.tasks).for_each(|task| likely.extend(ready(task, self.day.fronts)));
         likely[self.chance.random_range(0..likely.len())]
     }
@@ -244,7 +246,7 @@
                 }
                 4 => {
                     // Voters start anew one after the other, faster than any of them abstains.
-                    let voters = self.electorate.all();
+                    let voters = self.electorate.voters();
                     for (nth, voter) in voters.into_iter().enumerate() {
                         let when = when + nth as u64 * lasts / 10;
                         self.at(when, What::Kill(voter));
@@ -293,7 +295,7 @@
         Moment::from_micros((3_600_000 * MS + ran as u64).saturating_sub(front.back))
     }
 
-    fn start(&mut self, front: u32, kept: Option<Kept>) {
+    fn start(&mut self, front: u32, kept: Option<PersistedState>) {
         let now = self.clock(front);
         let (meddler, day) = (self.meddler, &self.day);
         let electorate = meddler.electorate(front, day.fronts, &self.electorate);
@@ -302,14 +304,15 @@
             return;
         }
         self.fronts[at].life += 1;
-        let who = Who { front, life: meddler.life(self.fronts[at].life) };
+        let local = MemberId { front, incarnation: meddler.life(self.fronts[at].life) };
         let seed = day.seed ^ u64::from(front) << 20 ^ u64::from(self.fronts[at].life);
-        let mut engine = Engine::new(who, electorate, self.terms, kept.as_ref(), seed, now);
+        let config = EngineConfig { local, electorate, lease: self.terms, seed };
+        let mut engine = Engine::new(config, kept.as_ref(), now);
         let tasks = day.tasks;
         for task in 0..tasks {
             let rank = ready(task, day.fronts).iter().position(|ready| *ready == front);
             if let Some(rank) = rank {
-                engine.wants(now, Task(task), Some(rank as u32));
+                engine.set_candidacy(now, TaskId(task), Some(rank as u32));
             }
         }
         let state = &mut self.fronts[at];
@@ -342,7 +345,7 @@
     }
 
     /// A front's turn, after a word where one came; what it says is sent.
-    fn serve(&mut self, front: u32, word: Option<(Who, Word)>) {
+    fn serve(&mut self, front: u32, word: Option<(MemberId, Message)>) {
         let (now, at) = (self.clock(front), front as usize);
         let late = self.meddler.late(&self.terms);
         let state = &mut self.fronts[at];
@@ -356,19 +359,19 @@
         }
         if let Some((from, word)) = word {
             for (from, word) in self.meddler.arrives(from, &word, state.asked) {
-                engine.take(now, from, &word);
+                engine.handle_input(now, from, &word);
             }
         }
-        engine.turn(now + late);
-        let me = engine.me();
+        engine.process(now + late);
+        let me = engine.local();
         let mut said = Vec::new();
-        while let Some((to, word)) = engine.next() {
-            if let Word::Ask { ask, .. } = word {
-                state.asked = ask;
+        while let Some(Transmit { recipient: to, message: word }) = engine.poll_output() {
+            if let Message::VoteRequest(request) = word {
+                state.asked = request.round;
             }
             said.push((to, word));
         }
-        let wake = engine.wake();
+        let wake = engine.poll_timeout();
         if self.disks
             && let Some(voter) = engine.voter()
         {
@@ -376,7 +379,7 @@
             let slow = self.day.mistake == Some(Mistake::SaidBeforeKept);
             let since = state.disk.as_ref().map(|(at, _)| *at);
             if !slow || since.is_none_or(|at| self.now - at > 5_000 * MS) {
-                state.disk = Some((self.now, voter.kept()));
+                state.disk = Some((self.now, voter.persisted_state()));
             }
         }
         for (to, word) in said {
@@ -395,7 +398,7 @@
         self.look(front);
     }
 
-    fn send(&mut self, from: Who, to: u32, word: Word) {
+    fn send(&mut self, from: MemberId, to: u32, word: Message) {
         self.shown.words += 1;
         let copies = 1 + u32::from(self.chance.random_bool(self.doubles));
         for _ in 0..copies {
@@ -413,7 +416,7 @@
 
     fn permit(&self, front: u32, task: u64) -> Option<Permit> {
         let engine = self.fronts[front as usize].engine.as_ref()?;
-        engine.permit(self.clock(front), Task(task))
+        engine.permit(self.clock(front), TaskId(task))
     }
 
     /// What a front holds after an event, and whether another may act too.
@@ -457,8 +460,8 @@
         if !state.halted
             && let Some(permit) = self.permit(front, task)
         {
-            let by = Who { front, life };
-            let act = Act { by, number: self.meddler.number(permit.number), since: lease };
+            let by = MemberId { front, incarnation: life };
+            let act = Act { by, number: self.meddler.number(permit.token), since: lease };
             let mut takes = self.chance.random_range(0..=self.delay);
             if !self.day.calm && self.chance.random_bool(0.05) {
                 takes += self.chance.random_range(0..8_000) * MS;
@@ -471,7 +474,7 @@
                     engine.leave(now);
                 }
                 // It acts until its permit is over, whatever it has handed back.
-                let until = permit.until.since(now).micros();
+                let until = permit.expires_at.since(now).micros();
                 self.at(self.now + until, What::Lands(act, task));
             }
         }
@@ -489,11 +492,11 @@
                 self.shown.refused += 1;
                 let (front, now) = (act.by.front, self.clock(act.by.front));
                 let state = &mut self.fronts[front as usize];
-                if state.life == act.by.life
+                if state.life == act.by.incarnation
                     && !state.halted
                     && let Some(engine) = &mut state.engine
                 {
-                    engine.outrun(now, Task(task), highest);
+                    engine.on_fenced(now, TaskId(task), highest);
                     self.serve(front, None);
                 }
             }
--- a/crates/ochrelead-verify/src/explore.rs
+++ b/crates/ochrelead-verify/src/explore.rs
@@ -10,17 +10,17 @@
 use std::thread;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_lease::candidate::Permit;
 use ochrelead_lease::electorate::Electorate;
-use ochrelead_lease::engine::Engine;
-use ochrelead_lease::voter::Kept;
-use ochrelead_lease::word::Word;
-use ochrelead_lease::{Task, Terms, Who};
+use ochrelead_lease::engine::{Engine, EngineConfig, Transmit};
+use ochrelead_lease::lease::Permit;
+use ochrelead_lease::message::Message;
+use ochrelead_lease::persistence::PersistedState;
+use ochrelead_lease::{LeaseConfig, MemberId, TaskId};
 
 use crate::mistake::{Meddler, Mistake};
 use crate::resource::{Act, Resource};
 
-const TASK: Task = Task(1);
+const TASK: TaskId = TaskId(1);
 /// One step of real time; a span has four.
 const TICK: u64 = 1_000;
 /// Clocks are off by up to a fifth here, so that a few steps of time show it.
@@ -73,7 +73,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Hand {
     permit: Permit,
-    by: Who,
+    by: MemberId,
     since: u64,
 }
 
@@ -81,7 +81,7 @@
 struct World {
     engines: Vec<Engine>,
     lives: Vec<u32>,
-    net: BTreeMap<(Who, u32, Word), u8>,
+    net: BTreeMap<(MemberId, u32, Message), u8>,
     real: u64,
     /// How far each clock was set back.
     back: Vec<u64>,
@@ -95,26 +95,32 @@
 }
 
 impl Scene {
-    fn terms(&self) -> Terms {
-        let (span, patience) = (Span::from_micros(4 * TICK), Span::from_micros(2 * TICK));
-        Meddler(self.mistake).terms(Terms { span, patience, rate_ppm: RATE_PPM, jitter: Span::ZERO })
+    fn terms(&self) -> LeaseConfig {
+        let config = LeaseConfig {
+            duration: Span::from_micros(4 * TICK),
+            vote_timeout: Span::from_micros(2 * TICK),
+            clock_drift_ppm: RATE_PPM,
+            jitter: Span::ZERO,
+        };
+        Meddler(self.mistake).terms(config)
     }
 
-    fn engine(&self, front: u32, life: u32, kept: Option<&Kept>, now: Moment) -> Engine {
+    fn engine(&self, front: u32, life: u32, kept: Option<&PersistedState>, now: Moment) -> Engine {
         let meddler = Meddler(self.mistake);
         let voters: Vec<u32> = (0..self.voters).collect();
-        let electorate = meddler.electorate(front, self.fronts, &Electorate::of(1, &voters));
-        let who = Who { front, life: meddler.life(life) };
-        let mut engine = Engine::new(who, electorate, self.terms(), kept, 1, now);
+        let electorate = meddler.electorate(front, self.fronts, &Electorate::new(1, &voters));
+        let local = MemberId { front, incarnation: meddler.life(life) };
+        let config = EngineConfig { local, electorate, lease: self.terms(), seed: 1 };
+        let mut engine = Engine::new(config, kept, now);
         if front < self.candidates {
-            engine.wants(now, TASK, Some(0));
+            engine.set_candidacy(now, TASK, Some(0));
         }
         engine
     }
 
     fn start(&self) -> World {
         let fronts = self.fronts as usize;
-        let kept = Kept::default();
+        let kept = PersistedState::default();
         let mut world = World {
             engines: Vec::new(),
             lives: vec![1; fronts],
@@ -152,7 +158,7 @@
         }
         for front in 0..scene.fronts {
             let at = front as usize;
-            if self.engines[at].wake().is_some_and(|wake| wake <= self.clock(front)) {
+            if self.engines[at].poll_timeout().is_some_and(|wake| wake <= self.clock(front)) {
                 steps.push(Step::Turn(front));
             }
             if self.left[1] > 0 {
@@ -186,10 +192,11 @@
     }
 
     fn flush(&mut self, front: u32) {
-        let me = self.engines[front as usize].me();
-        while let Some((to, word)) = self.engines[front as usize].next() {
-            if let Word::Ask { ask, .. } = word {
-                self.asked[front as usize] = ask;
+        let me = self.engines[front as usize].local();
+        while let Some(transmit) = self.engines[front as usize].poll_output() {
+            let Transmit { recipient: to, message: word } = transmit;
+            if let Message::VoteRequest(request) = word {
+                self.asked[front as usize] = request.round;
             }
             *self.net.entry((me, to, word)).or_insert(0) += 1;
         }
@@ -205,7 +212,7 @@
             }
             Step::Turn(front) => {
                 let now = self.clock(front) + meddler.late(&scene.terms());
-                self.engines[front as usize].turn(now);
+                self.engines[front as usize].process(now);
                 self.flush(front);
             }
             Step::Deliver(nth) | Step::Double(nth) => {
@@ -220,7 +227,7 @@
                 }
                 let now = self.clock(to);
                 for (from, word) in meddler.arrives(from, &word, self.asked[to as usize]) {
-                    self.engines[to as usize].take(now, from, &word);
+                    self.engines[to as usize].handle_input(now, from, &word);
                 }
                 self.flush(to);
             }
@@ -243,16 +250,16 @@
             Step::Permit(front) => {
                 let at = front as usize;
                 let permit = self.engines[at].permit(self.clock(front), TASK);
-                let (by, since) = (self.engines[at].me(), self.since[at].unwrap_or(0));
+                let (by, since) = (self.engines[at].local(), self.since[at].unwrap_or(0));
                 self.hands[at] = permit.map(|permit| Hand { permit, by, since });
             }
             Step::Act(front) => {
                 let Some(hand) = self.hands[front as usize].take() else { return Ok(()) };
-                let number = meddler.number(hand.permit.number);
+                let number = meddler.number(hand.permit.token);
                 let act = Act { by: hand.by, number, since: hand.since };
                 if let Some(highest) = self.resource.act(act, meddler.number_checked())? {
                     let now = self.clock(front);
-                    self.engines[front as usize].outrun(now, TASK, highest);
+                    self.engines[front as usize].on_fenced(now, TASK, highest);
                     self.flush(front);
                 }
             }
@@ -268,7 +275,7 @@
             let now = self.clock(front);
             let permit = self.engines[at].permit(now, TASK);
             let goes_on = scene.mistake == Some(Mistake::ActsAfterHandBack)
-                && self.hands[at].is_some_and(|hand| now < hand.permit.until);
+                && self.hands[at].is_some_and(|hand| now < hand.permit.expires_at);
             match (permit.is_some(), self.since[at]) {
                 (true, None) => {
                     self.leases += 1;
@@ -292,7 +299,7 @@
         (&self.lives, &self.net, self.real, &self.back, &self.since, &self.asked).hash(&mut hasher);
         (self.resource, self.left, self.leases).hash(&mut hasher);
         for hand in self.hands.iter().flatten() {
-            (hand.by, hand.permit.number, hand.permit.until, hand.since).hash(&mut hasher);
+            (hand.by, hand.permit.token, hand.permit.expires_at, hand.since).hash(&mut hasher);
         }
         hasher.finish()
     }
--- a/crates/ochrelead-verify/src/fleet.rs
+++ b/crates/ochrelead-verify/src/fleet.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use ochrelead_core::time::Moment;
-use ochrelead_lease::electorate::{Electorate, USUAL};
+use ochrelead_lease::electorate::{DEFAULT_SIZE, Electorate};
 use ochrelead_node::sounding::{Quiet, counts_as_heard};
 use ochrelead_node::together::{Duty, Together};
 use rand::{RngExt, SeedableRng};
@@ -104,7 +104,7 @@
     fn start(&mut self, front: u32) {
         let addresses = (0..self.course.fronts).map(address).collect();
         let seed = self.course.seed << 32 ^ u64::from(front) << 8 ^ self.now;
-        let electorate = Electorate::spread(1, self.course.fronts, USUAL);
+        let electorate = Electorate::evenly_spaced(1, self.course.fronts, DEFAULT_SIZE);
         let together =
             Together::new(address(front), addresses, Some(front), electorate, seed, moment(self.now));
         let state = &mut self.fronts[front as usize];
@@ -250,7 +250,7 @@
         }
         self.run(self.now + 60_000 * MS, |world| world.holder().is_some());
         let holder = self.holder()?;
-        let voters = Electorate::spread(1, self.course.fronts, USUAL).all();
+        let voters = Electorate::evenly_spaced(1, self.course.fronts, DEFAULT_SIZE).voters();
         let away: Vec<u32> =
             voters.into_iter().filter(|voter| *voter != holder).take(3).chain([holder]).collect();
         let mut begun = self.now;
@@ -266,7 +266,7 @@
                 self.turn(holder);
             }
             Blow::VotersAnew => {
-                let all = Electorate::spread(1, self.course.fronts, USUAL).all();
+                let all = Electorate::evenly_spaced(1, self.course.fronts, DEFAULT_SIZE).voters();
                 all.into_iter().chain([holder]).for_each(|front| self.start(front));
             }
             Blow::MajorityBack => {
--- a/crates/ochrelead-verify/src/mistake.rs
+++ b/crates/ochrelead-verify/src/mistake.rs
@@ -2,9 +2,9 @@
 
 use ochrelead_core::time::Span;
 use ochrelead_lease::electorate::Electorate;
-use ochrelead_lease::voter::Kept;
-use ochrelead_lease::word::Word;
-use ochrelead_lease::{Number, Terms, Who};
+use ochrelead_lease::message::{Message, VoteRequest};
+use ochrelead_lease::persistence::PersistedState;
+use ochrelead_lease::{FencingToken, LeaseConfig, MemberId};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Mistake {
@@ -49,17 +49,17 @@
         self.0 == Some(mistake)
     }
 
-    pub fn terms(&self, terms: Terms) -> Terms {
-        if self.is(Mistake::RateLeftOut) { Terms { rate_ppm: 0, ..terms } } else { terms }
+    pub fn terms(&self, terms: LeaseConfig) -> LeaseConfig {
+        if self.is(Mistake::RateLeftOut) { LeaseConfig { clock_drift_ppm: 0, ..terms } } else { terms }
     }
 
     /// The electorate as a front has it; `late` marks those that have the next one.
     pub fn electorate(&self, front: u32, fronts: u32, electorate: &Electorate) -> Electorate {
         match self.0 {
-            Some(Mistake::MinorityGrants) => Electorate::of(electorate.generation, &[front]),
+            Some(Mistake::MinorityGrants) => Electorate::new(electorate.generation, &[front]),
             Some(Mistake::SwitchedAtOnce) if front % 2 == 1 => {
                 let others: Vec<u32> = (0..fronts).filter(|front| !electorate.is_voter(*front)).collect();
-                Electorate::of(electorate.generation, &others)
+                Electorate::new(electorate.generation, &others)
             }
             _ => electorate.clone(),
         }
@@ -71,28 +71,30 @@
     }
 
     /// What a voter that starts anew is told to have kept.
-    pub fn kept(&self) -> Option<Kept> {
-        self.is(Mistake::AbstentionSkipped).then(Kept::default)
+    pub fn kept(&self) -> Option<PersistedState> {
+        self.is(Mistake::AbstentionSkipped).then(PersistedState::default)
     }
 
     /// How much later than its clock says a holder takes its ask to have been.
-    pub fn late(&self, terms: &Terms) -> Span {
-        if self.is(Mistake::CountedFromAnswer) { terms.patience } else { Span::ZERO }
+    pub fn late(&self, terms: &LeaseConfig) -> Span {
+        if self.is(Mistake::CountedFromAnswer) { terms.vote_timeout } else { Span::ZERO }
     }
 
     /// What arrives, and from whom. `asked` is the last ask of the one who hears it.
-    pub fn arrives(&self, from: Who, word: &Word, asked: u64) -> Vec<(Who, Word)> {
+    pub fn arrives(&self, from: MemberId, word: &Message, asked: u64) -> Vec<(MemberId, Message)> {
         let mut word = word.clone();
         match (self.0, &mut word) {
-            (Some(Mistake::WithdrawnOutOfOrder), Word::Withdrawn { ask, .. }) => *ask = u64::MAX,
-            (Some(Mistake::LateGrantCounted), Word::Granted { ask, .. }) => *ask = asked,
-            (Some(Mistake::PromiseCutShort), Word::Ask { span, .. }) => *span = *span / 2,
-            (Some(Mistake::NumberNotRaised), Word::Ask { number, .. }) => {
-                *number = Number { count: 1, of: Who { front: 0, life: 0 } };
+            (Some(Mistake::WithdrawnOutOfOrder), Message::VoteWithdrawn { round, .. }) => *round = u64::MAX,
+            (Some(Mistake::LateGrantCounted), Message::VoteGranted { round, .. }) => *round = asked,
+            (Some(Mistake::PromiseCutShort), Message::VoteRequest(VoteRequest { duration, .. })) => {
+                *duration = *duration / 2;
             }
-            (Some(Mistake::VoteCountedTwice), Word::Granted { .. }) => {
+            (Some(Mistake::NumberNotRaised), Message::VoteRequest(VoteRequest { token, .. })) => {
+                *token = FencingToken::NONE.successor(FencingToken::NONE.holder);
+            }
+            (Some(Mistake::VoteCountedTwice), Message::VoteGranted { .. }) => {
                 let more = (0..3).filter(|front| *front != from.front);
-                let doubled = more.map(|front| (Who { front, ..from }, word.clone()));
+                let doubled = more.map(|front| (MemberId { front, ..from }, word.clone()));
                 return doubled.chain([(from, word.clone())]).collect();
             }
             _ => {}
@@ -105,9 +107,9 @@
     }
 
     /// The number that an act names.
-    pub fn number(&self, number: Number) -> Number {
+    pub fn number(&self, number: FencingToken) -> FencingToken {
         if self.is(Mistake::NumberNotRaised) {
-            Number { count: 1, of: Who { front: 0, life: 0 } }
+            FencingToken::NONE.successor(FencingToken::NONE.holder)
         } else {
             number
         }
--- a/crates/ochrelead-verify/src/processes.rs
+++ b/crates/ochrelead-verify/src/processes.rs
@@ -51,7 +51,7 @@
     let (mut halted, mut gaps) = (Vec::new(), Vec::new());
     for nth in 0..faults {
         let last = rig.until_act(long, |_| true)?;
-        let (holder, begun) = (last.number.of.front, Instant::now());
+        let (holder, begun) = (last.number.holder.front, Instant::now());
         let some = chance.random_range(0..fronts);
         let bad = Faults { loss: chance.random_range(0.0..0.4), doubled: 0.2, ..Faults::default() };
         rig.relay.set(Faults { delay: Duration::from_millis(chance.random_range(0..300)), ..bad });
@@ -79,8 +79,8 @@
             _ => rig.voters().into_iter().for_each(|voter| rig.kill(voter)),
         }
         if kind < 4 {
-            let next =
-                rig.until_act(long, |act| act.number > last.number && act.number.of != last.number.of)?;
+            let next = rig
+                .until_act(long, |act| act.number > last.number && act.number.holder != last.number.holder)?;
             gaps.push((what, next.at.saturating_duration_since(begun).as_millis()));
         }
         rig.go_on(holder);
@@ -223,12 +223,12 @@
 
     /// Fronts that vote, as the fronts themselves derive it.
     pub fn voters(&self) -> Vec<u32> {
-        let electorate = ochrelead_lease::electorate::Electorate::spread(
+        let electorate = ochrelead_lease::electorate::Electorate::evenly_spaced(
             1,
             self.fronts(),
-            ochrelead_lease::electorate::USUAL,
+            ochrelead_lease::electorate::DEFAULT_SIZE,
         );
-        electorate.all().into_iter().collect()
+        electorate.voters().into_iter().collect()
     }
 
     fn signal(&self, front: u32, signal: Signal) {
--- a/crates/ochrelead-verify/src/processes/relay.rs
+++ b/crates/ochrelead-verify/src/processes/relay.rs
@@ -8,10 +8,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use ochrelead_gossip::schema::{Datagram, Part, part::What};
-use ochrelead_gossip::{VERSION, Who};
-use ochrelead_lease::letter;
-use ochrelead_zone::codec;
+use ochrelead_gossip::schema::{Datagram, Part, part::Kind};
+use ochrelead_gossip::{MemberId, VERSION};
+use ochrelead_lease::codec as lease_codec;
+use ochrelead_zone::codec as zone_codec;
 use ochrelead_zone::message::Message;
 use prost::Message as _;
 use rand::{RngExt, SeedableRng};
@@ -106,23 +106,23 @@
 
 /// Whether a part is a word of an observer.
 fn speaks(part: &Part) -> bool {
-    let Some(What::District(bytes)) = &part.what else { return false };
-    matches!(codec::decode(bytes), Some(Message::Verdicts { .. }))
+    let Some(Kind::Zone(bytes)) = &part.kind else { return false };
+    matches!(zone_codec::decode(bytes), Some(Message::Verdicts { .. }))
 }
 
 /// What a mistake makes of a datagram: the datagrams that arrive, and from whom.
 fn mistaken(mistake: Mistake, bytes: &[u8]) -> Vec<(u32, Vec<u8>)> {
     let Ok(datagram) = Datagram::decode(bytes) else { return Vec::new() };
-    let from = Who { front: datagram.front, life: datagram.life };
-    let mut said: Vec<(Who, Vec<Part>)> = vec![(from, Vec::new())];
+    let from = MemberId { front: datagram.front, incarnation: datagram.incarnation };
+    let mut said: Vec<(MemberId, Vec<Part>)> = vec![(from, Vec::new())];
     for part in datagram.parts {
-        let Some(What::Lease(word)) = &part.what else {
+        let Some(Kind::Lease(word)) = &part.kind else {
             said[0].1.push(part);
             continue;
         };
-        let Some(word) = letter::read(word) else { continue };
+        let Some(word) = lease_codec::decode(word) else { continue };
         for (of, word) in Meddler(Some(mistake)).arrives(from, &word, 0) {
-            let part = Part { what: Some(What::Lease(letter::write(&word))) };
+            let part = Part { kind: Some(Kind::Lease(lease_codec::encode(&word))) };
             match said.iter_mut().find(|(who, _)| *who == of) {
                 Some((_, parts)) => parts.push(part),
                 None => said.push((of, vec![part])),
@@ -130,7 +130,8 @@
         }
     }
     let sent = said.into_iter().map(|(who, parts)| {
-        let datagram = Datagram { version: datagram.version, front: who.front, life: who.life, parts };
+        let datagram =
+            Datagram { version: datagram.version, front: who.front, incarnation: who.incarnation, parts };
         (who.front, datagram.encode_to_vec())
     });
     sent.collect()
--- a/crates/ochrelead-verify/src/processes/server.rs
+++ b/crates/ochrelead-verify/src/processes/server.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Instant;
 
-use ochrelead_lease::Number;
+use ochrelead_lease::FencingToken;
 use ochrelead_node::fencing::{self, format_token, parse_token};
 
 /// An act that reached the server.
@@ -16,7 +16,7 @@
     /// When it was judged, and when it had left: earlier where it was late on its way.
     pub at: Instant,
     pub left: Instant,
-    pub number: Number,
+    pub number: FencingToken,
     /// The connection it came on, counted: one front's own.
     pub connection: u64,
     pub refused: bool,
@@ -30,13 +30,13 @@
     late: Option<u32>,
     waiting: Vec<Act>,
     acts: Vec<Taken>,
-    highest: Option<Number>,
+    highest: Option<FencingToken>,
 }
 
 /// An act on its way, and where its refusal would go.
 struct Act {
     left: Instant,
-    number: Number,
+    number: FencingToken,
     connection: u64,
     out: TcpStream,
     ids: String,
@@ -83,7 +83,7 @@
             let ids = format!("Call-ID: {}\r\nCSeq: {}\r\n", of("Call-ID:"), of("CSeq:"));
             let act = Act { left: Instant::now(), number, connection, out: out.try_clone()?, ids };
             let mut held = held.lock().expect("no panic under the lock");
-            if held.late == Some(number.of.front) {
+            if held.late == Some(number.holder.front) {
                 held.waiting.push(act);
             } else {
                 held.take(act);
@@ -160,7 +160,7 @@
 ///
 /// In the words of a finding.
 pub fn verdict(acts: &[Taken]) -> Result<(), String> {
-    let mut highest: Option<Number> = None;
+    let mut highest: Option<FencingToken> = None;
     for (nth, act) in acts.iter().enumerate() {
         if !act.refused {
             if highest.is_some_and(|highest| act.number < highest) {
@@ -171,11 +171,11 @@
         let before = &acts[..nth];
         let stranger = before
             .iter()
-            .find(|other| other.connection == act.connection && other.number.of != act.number.of);
+            .find(|other| other.connection == act.connection && other.number.holder != act.number.holder);
         if let Some(other) = stranger {
             return Err(format!("act {nth}: {:?} came where {:?} had", act.number, other.number));
         }
-        let of_this = || before.iter().filter(|other| other.number.of == act.number.of);
+        let of_this = || before.iter().filter(|other| other.number.holder == act.number.holder);
         // Such as left after a refusal: the first may have crossed it.
         let deaf = acts[..=nth].iter().filter(|own| {
             let refused = |other: &Taken| other.refused && other.number == act.number && other.at < own.left;
@@ -195,7 +195,7 @@
 /// the rig made stand still; in ms. A number that came first when a higher one had been seen is no former holder's: the
 /// voters had forgotten, and it is refused.
 pub fn overlap(acts: &[Taken], halted: &[u32]) -> u64 {
-    let mut first: Vec<(Number, Instant)> = Vec::new();
+    let mut first: Vec<(FencingToken, Instant)> = Vec::new();
     let mut longest = 0;
     for act in acts {
         if !first.iter().any(|(number, _)| *number == act.number) {
@@ -204,7 +204,7 @@
         let own = first.iter().find(|(number, _)| *number == act.number).map_or(act.at, |(_, at)| *at);
         let higher = first.iter().filter(|(number, at)| *number > act.number && *at > own);
         let next = higher.map(|(_, at)| *at).min();
-        if let Some(next) = next.filter(|_| !halted.contains(&act.number.of.front)) {
+        if let Some(next) = next.filter(|_| !halted.contains(&act.number.holder.front)) {
             longest = longest.max(act.at.saturating_duration_since(next).as_millis() as u64);
         }
     }
--- a/crates/ochrelead-verify/src/resource.rs
+++ b/crates/ochrelead-verify/src/resource.rs
@@ -1,19 +1,19 @@
 //! Whoever is acted upon. It remembers the highest number and refuses less, and keeps what is needed to judge.
 
-use ochrelead_lease::{Number, Who};
+use ochrelead_lease::{FencingToken, MemberId};
 
 /// An act as it reached the resource.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Act {
-    pub by: Who,
-    pub number: Number,
+    pub by: MemberId,
+    pub number: FencingToken,
     /// Which lease it was done under, in the order in which the judge saw them begin.
     pub since: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Resource {
-    highest: Option<Number>,
+    highest: Option<FencingToken>,
     last: Option<Act>,
 }
 
@@ -23,7 +23,7 @@
     /// # Errors
     ///
     /// Where what was taken shows two holders acting in turns, in the words of a finding.
-    pub fn act(&mut self, act: Act, checks: bool) -> Result<Option<Number>, String> {
+    pub fn act(&mut self, act: Act, checks: bool) -> Result<Option<FencingToken>, String> {
         if checks && let Some(highest) = self.highest.filter(|highest| act.number < *highest) {
             return Ok(Some(highest));
         }
--- a/crates/ochrelead-verify/tests/judge.rs
+++ b/crates/ochrelead-verify/tests/judge.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use ochrelead_lease::{Number, Who};
+use ochrelead_lease::{FencingToken, MemberId};
 use ochrelead_verify::processes::server::{Taken, overlap, verdict};
 use test_case::test_case;
 
@@ -14,7 +14,7 @@
     let act = |&(ms, count, front, life, connection, refused): &Row| Taken {
         at: begun + Duration::from_millis(ms),
         left: begun + Duration::from_millis(ms),
-        number: Number { count, of: Who { front, life } },
+        number: FencingToken { counter: count, holder: MemberId { front, incarnation: life } },
         connection,
         refused,
     };
--- a/crates/ochrelead-zone/src/engine.rs
+++ b/crates/ochrelead-zone/src/engine.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_gossip::Who;
+use ochrelead_gossip::MemberId;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -63,7 +63,7 @@
 
 #[derive(Clone, Debug)]
 pub struct Engine {
-    me: Who,
+    me: MemberId,
     own: ZoneId,
     terms: ZoneConfig,
     evidence: OutcomeReporter,
@@ -91,7 +91,7 @@
 
 impl Engine {
     /// The part of a front that is in the district `own`.
-    pub fn new(me: Who, own: ZoneId, terms: ZoneConfig, seed: u64, now: Moment) -> Engine {
+    pub fn new(me: MemberId, own: ZoneId, terms: ZoneConfig, seed: u64, now: Moment) -> Engine {
         let mut chance = Pcg64Mcg::seed_from_u64(seed);
         let phase = chance.random_range(0..terms.report_interval().micros().max(1));
         let mut engine = Engine {
@@ -182,7 +182,7 @@
     }
 
     /// A word of another front.
-    pub fn handle_input(&mut self, now: Moment, from: Who, bytes: &[u8]) {
+    pub fn handle_input(&mut self, now: Moment, from: MemberId, bytes: &[u8]) {
         match codec::decode(bytes) {
             Some(Message::Report { zone: district, samples: met }) if district == self.own => {
                 if let Some(observer) = &mut self.observer {
@@ -210,15 +210,19 @@
     }
 
     /// Whether a word of an observer comes after a later one of its own.
-    fn is_old(&mut self, from: Who, nth: u32) -> bool {
+    fn is_old(&mut self, from: MemberId, nth: u32) -> bool {
         if self.heard.len() >= MAX_HEARD && !self.heard.contains_key(&from.front) {
             return true;
         }
-        let last = self.heard.entry(from.front).or_insert((from.life, 0));
+        let last = self.heard.entry(from.front).or_insert((from.incarnation, 0));
         let (life, known) = *last;
-        let later = if life == from.life { nth > known } else { from.life.wrapping_sub(life) < u32::MAX / 2 };
+        let later = if life == from.incarnation {
+            nth > known
+        } else {
+            from.incarnation.wrapping_sub(life) < u32::MAX / 2
+        };
         if later {
-            *last = (from.life, nth);
+            *last = (from.incarnation, nth);
         }
         !later
     }
--- a/crates/ochrelead-zone/tests/engine.rs
+++ b/crates/ochrelead-zone/tests/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_gossip::Who;
+use ochrelead_gossip::MemberId;
 use ochrelead_zone::codec::encode;
 use ochrelead_zone::engine::{Engine, Recipient};
 use ochrelead_zone::message::{Message, ZoneShare};
@@ -32,7 +32,7 @@
     size: u32,
     ms: u64,
     chance: Pcg64Mcg,
-    flying: Vec<(u64, Who, u32, Vec<u8>)>,
+    flying: Vec<(u64, MemberId, u32, Vec<u8>)>,
     asks: u64,
     answers: Vec<(u64, u32, u64)>,
     /// Which servers a front reaches, by its number and the server's district and number.
@@ -66,8 +66,13 @@
     fn start(&mut self, front: u32) {
         let life = *self.lives.entry(front).and_modify(|life| *life += 1).or_insert(1);
         let own = ZoneId(front % DISTRICTS);
-        let mut engine =
-            Engine::new(Who { front, life }, own, TERMS, u64::from(front * 7 + life), at(self.ms));
+        let mut engine = Engine::new(
+            MemberId { front, incarnation: life },
+            own,
+            TERMS,
+            u64::from(front * 7 + life),
+            at(self.ms),
+        );
         let place = |district, nth| ServerLocation { server: key(district, nth), zone: ZoneId(district) };
         let places: Vec<ServerLocation> =
             (0..DISTRICTS).flat_map(|district| (0..SERVERS).map(move |nth| place(district, nth))).collect();
@@ -129,7 +134,12 @@
                     };
                     for to in all {
                         if (self.hears)(ms, *front, to) && !self.chance.random_bool(self.loss) {
-                            self.flying.push((ms + 10, Who { front: *front, life }, to, bytes.clone()));
+                            self.flying.push((
+                                ms + 10,
+                                MemberId { front: *front, incarnation: life },
+                                to,
+                                bytes.clone(),
+                            ));
                         }
                     }
                 }
@@ -273,14 +283,14 @@
     };
     let now = at(fleet.ms);
     let front = fleet.fronts.get_mut(&0).unwrap();
-    front.handle_input(now, Who { front: 2, life: 1 }, &encode(&word(1))[0]);
+    front.handle_input(now, MemberId { front: 2, incarnation: 1 }, &encode(&word(1))[0]);
     assert_eq!(front.zone_share(now, ZoneId(1)), 0.0);
     let later = now + TERMS.verdict_ttl() * 3;
     assert_eq!(front.zone_share(later, ZoneId(1)), 1.0, "an hour is not believed");
     // The same word once more, late: it was heard.
-    front.handle_input(later, Who { front: 2, life: 1 }, &encode(&word(1))[0]);
+    front.handle_input(later, MemberId { front: 2, incarnation: 1 }, &encode(&word(1))[0]);
     assert_eq!(front.zone_share(later, ZoneId(1)), 1.0);
-    front.handle_input(later, Who { front: 2, life: 1 }, &encode(&word(2))[0]);
+    front.handle_input(later, MemberId { front: 2, incarnation: 1 }, &encode(&word(2))[0]);
     assert_eq!(front.zone_share(later, ZoneId(1)), 0.0);
 }
 
@@ -309,7 +319,7 @@
         // It says to be a front of the lowest number.
         let lie = if nth < 900 { eased(&[1]) } else { eased(&[0, 1, 2]) };
         for front in fleet.fronts.values_mut().filter(|front| front.local_zone() == ZoneId(0)) {
-            front.handle_input(now, Who { front: 0, life: 9 }, &lie[0]);
+            front.handle_input(now, MemberId { front: 0, incarnation: 9 }, &lie[0]);
         }
         fleet.pass(60);
         let shares = fleet.shares(0, 1);
