--- a/crates/ochrelead-console/src/main.rs
+++ b/crates/ochrelead-console/src/main.rs
@@ -9,7 +9,7 @@
 use ochrelead_console::screen::{Shown, draw};
 use ochrelead_console::watch::Watch;
 use ochrelead_core::time::Span;
-use ochrelead_event_log::reader::Follower;
+use ochrelead_event_log::follower::Follower;
 use ratatui::crossterm::event::{self, Event, KeyCode};
 
 /// Shows the fleet now, from records that grow. It reads files alone and never slows a front.
@@ -45,7 +45,10 @@
             news = true;
             watch.take(record);
         };
-        while follower.follow(&mut take).map_err(|error| anyhow::anyhow!("{}: {error}", folder.display()))? {}
+        while follower
+            .read_new(&mut take)
+            .map_err(|error| anyhow::anyhow!("{}: {error}", folder.display()))?
+        {}
     }
     Ok(news)
 }
--- a/crates/ochrelead-console/src/watch.rs
+++ b/crates/ochrelead-console/src/watch.rs
@@ -6,7 +6,7 @@
 use ochrelead_diagnosis::clocks::{Clocks, Ties};
 use ochrelead_diagnosis::diagnosis::Diagnosis;
 use ochrelead_diagnosis::trouble::{Kind, Trouble};
-use ochrelead_event_log::reader::{Life, Record};
+use ochrelead_event_log::reader::{FrontIncarnation, Record};
 use ochrelead_event_log::schema::{Event, event::What};
 
 /// Records of several fronts come in any order; they are taken in the order of their moments once they are so
@@ -42,7 +42,7 @@
 /// The state of the console.
 #[derive(Default)]
 pub struct Watch {
-    waiting: BTreeMap<(u64, u64), (Life, Event)>,
+    waiting: BTreeMap<(u64, u64), (FrontIncarnation, Event)>,
     arrived: u64,
     newest: u64,
     ties: Ties,
@@ -67,12 +67,12 @@
     /// A record has come.
     pub fn take(&mut self, record: Record) {
         self.arrived += 1;
-        if self.ties.take(&record.life, &record.event) {
+        if self.ties.take(&record.incarnation, &record.event) {
             self.clocks = self.ties.clone().settle();
         }
-        let at = self.clocks.common(&record.life, &record.event);
+        let at = self.clocks.common(&record.incarnation, &record.event);
         self.newest = self.newest.max(at);
-        self.waiting.insert((at, self.arrived), (record.life, record.event));
+        self.waiting.insert((at, self.arrived), (record.incarnation, record.event));
     }
 
     /// Works off what is old enough. Where nothing new comes, `idle` is how long: time goes on with it.
@@ -115,7 +115,7 @@
         self.second = self.second.max(second);
     }
 
-    fn note(&mut self, at: Moment, life: &Life, event: &Event) {
+    fn note(&mut self, at: Moment, life: &FrontIncarnation, event: &Event) {
         self.fronts.insert(life.front.clone(), at);
         let count = |plot: &mut VecDeque<u64>| {
             if let Some(last) = plot.back_mut() {
--- a/crates/ochrelead-console/tests/watch.rs
+++ b/crates/ochrelead-console/tests/watch.rs
@@ -4,15 +4,19 @@
 use ochrelead_console::screen::{Shown, draw};
 use ochrelead_console::watch::Watch;
 use ochrelead_core::time::Span;
-use ochrelead_event_log::reader::{Life, Record};
+use ochrelead_event_log::reader::{FrontIncarnation, Record};
 use ochrelead_event_log::schema::event::What;
 use ochrelead_event_log::schema::{Event, Invite, Outlook, Stands, Taken};
 use ratatui::Terminal;
 use ratatui::backend::TestBackend;
 
 fn record(ms: u64, front: u64, what: What) -> Record {
-    let life = Life { front: format!("f{front}"), started_us: 1 };
-    Record { life, event: Event { at_us: 5_000_000_000 + ms * 1_000, nth: 0, what: Some(what) }, unknown: 0 }
+    let life = FrontIncarnation { front: format!("f{front}"), started_us: 1 };
+    Record {
+        incarnation: life,
+        event: Event { at_us: 5_000_000_000 + ms * 1_000, nth: 0, what: Some(what) },
+        unknown_fields: 0,
+    }
 }
 
 /// Two fronts, two servers; one is silent from a moment on.
@@ -73,7 +77,7 @@
 fn records_that_come_out_of_order_are_taken_in_order() {
     let mut apart = course(12_000, 6_000);
     // One front's come a second's worth at a time after the other's.
-    apart.sort_by_key(|own| (own.event.at_us / 400_000, own.life.front.clone(), own.event.at_us));
+    apart.sort_by_key(|own| (own.event.at_us / 400_000, own.incarnation.front.clone(), own.event.at_us));
     let (mut one, mut other) = (Watch::default(), Watch::default());
     course(12_000, 6_000).into_iter().for_each(|own| {
         one.take(own);
--- a/crates/ochrelead-diagnosis/src/clocks.rs
+++ b/crates/ochrelead-diagnosis/src/clocks.rs
@@ -12,7 +12,7 @@
 
 use ochrelead_core::time::Span;
 use ochrelead_event_log::LINES;
-use ochrelead_event_log::reader::{Life, Record};
+use ochrelead_event_log::reader::{FrontIncarnation, Record};
 use ochrelead_event_log::schema::{Event, event::What};
 
 /// The longest that one news needs from the first front to the last: two repeats of a datagram.
@@ -88,12 +88,12 @@
 /// themselves, not with the sessions.
 #[derive(Clone, Debug, Default)]
 pub struct Ties {
-    lives: BTreeMap<Life, Course>,
+    lives: BTreeMap<FrontIncarnation, Course>,
 }
 
 impl Ties {
     /// True where the offsets may be known better by it.
-    pub fn take(&mut self, life: &Life, event: &Event) -> bool {
+    pub fn take(&mut self, life: &FrontIncarnation, event: &Event) -> bool {
         let (at, nth) = (event.at_us, event.nth);
         let piece =
             |step| Piece { first_nth: nth, first_at: at, step, words: Vec::new(), coarse: 1, offset: None };
@@ -133,7 +133,7 @@
     /// The offsets, as far as what was gathered tells them. The reference is the life with the most ties; a life
     /// that shares none with it is tied through others where that is possible.
     pub fn settle(mut self) -> Clocks {
-        let mut open: Vec<(Life, usize)> = Vec::new();
+        let mut open: Vec<(FrontIncarnation, usize)> = Vec::new();
         for (life, course) in &self.lives {
             open.extend((0..course.pieces.len()).map(|nth| (life.clone(), nth)));
         }
@@ -158,7 +158,7 @@
         Clocks { lives: self.lives, loose }
     }
 
-    fn set(&mut self, life: &Life, nth: usize, offset: Offset, news: &mut News) {
+    fn set(&mut self, life: &FrontIncarnation, nth: usize, offset: Offset, news: &mut News) {
         let Some(piece) = self.lives.get_mut(life).and_then(|course| course.pieces.get_mut(nth)) else {
             return;
         };
@@ -169,7 +169,7 @@
     }
 
     /// Ties whatever shares a word with what is tied, until nothing more does.
-    fn tie_all(&mut self, open: &mut Vec<(Life, usize)>, news: &mut News) {
+    fn tie_all(&mut self, open: &mut Vec<(FrontIncarnation, usize)>, news: &mut News) {
         loop {
             let before = open.len();
             for (life, nth) in std::mem::take(open) {
@@ -185,7 +185,7 @@
     }
 
     /// What a piece's clock is off by: as its words say, or as the piece before it does.
-    fn offset_of(&self, life: &Life, nth: usize, news: &News) -> Option<Offset> {
+    fn offset_of(&self, life: &FrontIncarnation, nth: usize, news: &News) -> Option<Offset> {
         let pieces = &self.lives.get(life)?.pieces;
         let piece = pieces.get(nth)?;
         let voted = agreed(piece, news);
@@ -308,8 +308,8 @@
 /// The offsets of all lives.
 #[derive(Clone, Debug, Default)]
 pub struct Clocks {
-    lives: BTreeMap<Life, Course>,
-    loose: Vec<Life>,
+    lives: BTreeMap<FrontIncarnation, Course>,
+    loose: Vec<FrontIncarnation>,
 }
 
 impl Clocks {
@@ -317,23 +317,23 @@
     pub fn estimate<'a>(records: impl Iterator<Item = &'a Record>) -> Clocks {
         let mut ties = Ties::default();
         for record in records {
-            ties.take(&record.life, &record.event);
+            ties.take(&record.incarnation, &record.event);
         }
         ties.settle()
     }
 
     /// The offset at a life's start.
-    pub fn of(&self, life: &Life) -> Offset {
+    pub fn of(&self, life: &FrontIncarnation) -> Offset {
         self.lives.get(life).and_then(|course| course.pieces.first()?.offset).unwrap_or(UNTIED)
     }
 
     /// How often a life's clock was set.
-    pub fn steps(&self, life: &Life) -> usize {
+    pub fn steps(&self, life: &FrontIncarnation) -> usize {
         self.lives.get(life).map_or(0, |course| course.pieces.len() - 1)
     }
 
     /// An event's moment on the common clock, in microseconds.
-    pub fn common(&self, life: &Life, event: &Event) -> u64 {
+    pub fn common(&self, life: &FrontIncarnation, event: &Event) -> u64 {
         let piece = self.lives.get(life).and_then(|course| {
             let behind = course.pieces.partition_point(|piece| piece.first_nth <= event.nth);
             course.pieces.get(behind.saturating_sub(1))
@@ -344,7 +344,7 @@
     }
 
     /// Lives whose clock nothing ties to the others'.
-    pub fn loose(&self) -> &[Life] {
+    pub fn loose(&self) -> &[FrontIncarnation] {
         &self.loose
     }
 }
--- a/crates/ochrelead-diagnosis/src/diagnosis.rs
+++ b/crates/ochrelead-diagnosis/src/diagnosis.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_event_log::reader::Life;
+use ochrelead_event_log::reader::FrontIncarnation;
 use ochrelead_event_log::schema::{Denial, Ending, Event, event::What};
 
 use crate::course::{Front, Lately, Server, Usual, seconds};
@@ -96,7 +96,7 @@
 
 impl Diagnosis {
     /// An event at its moment on the common clock; events come in the order of that clock.
-    pub fn take(&mut self, at: Moment, life: &Life, event: &Event) {
+    pub fn take(&mut self, at: Moment, life: &FrontIncarnation, event: &Event) {
         self.until(at);
         self.front_seen(life, at);
         let Some(what) = &event.what else { return };
@@ -253,7 +253,7 @@
     }
 
     /// A front writes: it is alive, perhaps in a new life.
-    fn front_seen(&mut self, life: &Life, at: Moment) {
+    fn front_seen(&mut self, life: &FrontIncarnation, at: Moment) {
         let front = self.fronts.entry(life.front.clone()).or_default();
         let (before, last, stopped) = (front.life, front.last, front.stopped);
         if before != life.started_us {
--- a/crates/ochrelead-diagnosis/tests/clocks.rs
+++ b/crates/ochrelead-diagnosis/tests/clocks.rs
@@ -1,7 +1,7 @@
 //! Fronts whose clocks are off, run fast, are set in mid-run, and whose records have holes.
 
 use ochrelead_diagnosis::clocks::{Clocks, Ties};
-use ochrelead_event_log::reader::{Life, Record};
+use ochrelead_event_log::reader::{FrontIncarnation, Record};
 use ochrelead_event_log::schema::{Event, Told, event::What};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -21,8 +21,8 @@
     at
 }
 
-fn life(front: u64) -> Life {
-    Life { front: format!("f{front}"), started_us: 1 }
+fn life(front: u64) -> FrontIncarnation {
+    FrontIncarnation { front: format!("f{front}"), started_us: 1 }
 }
 
 /// True moments with the events that each front wrote; of the wrong front all after `silent_from` that would tie
@@ -61,7 +61,11 @@
             let at_us = START.saturating_add_signed((shown * 1e6) as i64);
             records.push((
                 at,
-                Record { life: life(front), event: Event { at_us, nth: nth as u64, what }, unknown: 0 },
+                Record {
+                    incarnation: life(front),
+                    event: Event { at_us, nth: nth as u64, what },
+                    unknown_fields: 0,
+                },
             ));
         }
     }
@@ -85,10 +89,10 @@
     let records = course(shows, silent_from, cut);
     let clocks = Clocks::estimate(records.iter().map(|(_, record)| record));
     let off = |(at, record): &(u64, Record)| {
-        clocks.common(&record.life, &record.event) as i64 - (START + at) as i64
+        clocks.common(&record.incarnation, &record.event) as i64 - (START + at) as i64
     };
     // Whose clock is the reference is free: all are measured against one that is right.
-    let reference = records.iter().find(|(_, own)| own.life == life(0)).map(off).unwrap();
+    let reference = records.iter().find(|(_, own)| own.incarnation == life(0)).map(off).unwrap();
     let furthest = records.iter().map(|own| (off(own) - reference).abs()).max().unwrap() as f64 / 1e6;
     assert!(furthest <= within_s, "{furthest} s off");
     assert!(clocks.loose().is_empty());
--- a/crates/ochrelead-diagnosis/tests/diagnosis.rs
+++ b/crates/ochrelead-diagnosis/tests/diagnosis.rs
@@ -4,7 +4,7 @@
 use ochrelead_diagnosis::clocks::Clocks;
 use ochrelead_diagnosis::diagnosis::Diagnosis;
 use ochrelead_diagnosis::trouble::Kind;
-use ochrelead_event_log::reader::{Life, Record};
+use ochrelead_event_log::reader::{FrontIncarnation, Record};
 use ochrelead_event_log::schema::event::What;
 use ochrelead_event_log::schema::{
     Denial, Ended, Ending, Event, GivenUp, HungUp, Invite, Outlook, Released, Stands, Taken, Told,
@@ -22,8 +22,8 @@
     Moment::from_micros((EPOCH + ms) * 1_000)
 }
 
-fn life(front: u64, started: u64) -> Life {
-    Life { front: format!("f{front}"), started_us: started }
+fn life(front: u64, started: u64) -> FrontIncarnation {
+    FrontIncarnation { front: format!("f{front}"), started_us: started }
 }
 
 /// What is wrong, and between which milliseconds.
@@ -49,10 +49,10 @@
 }
 
 impl Course {
-    fn put(&mut self, ms: u64, life: Life, what: What) {
+    fn put(&mut self, ms: u64, life: FrontIncarnation, what: What) {
         let event = Event { at_us: (EPOCH + ms) * 1_000, nth: 0, what: Some(what) };
         let order = self.records.len() as u64;
-        self.records.push((ms, order, Record { life, event, unknown: 0 }));
+        self.records.push((ms, order, Record { incarnation: life, event, unknown_fields: 0 }));
     }
 
     /// One caller's way through a front.
@@ -137,12 +137,12 @@
         match wrong {
             Wrong::Crash(server) => course.told(to, server, "started"),
             Wrong::Killed(front) => {
-                course
-                    .records
-                    .retain(|(ms, _, own)| own.life.front != format!("f{front}") || *ms < from || *ms >= to);
+                course.records.retain(|(ms, _, own)| {
+                    own.incarnation.front != format!("f{front}") || *ms < from || *ms >= to
+                });
                 for (ms, _, own) in &mut course.records {
-                    if own.life.front == format!("f{front}") && *ms >= to {
-                        own.life.started_us = 2;
+                    if own.incarnation.front == format!("f{front}") && *ms >= to {
+                        own.incarnation.started_us = 2;
                     }
                 }
             }
@@ -183,7 +183,7 @@
             if pauses && nth % 7 == 0 {
                 diagnosis.until(at(ms.saturating_sub(1)));
             }
-            diagnosis.take(at(*ms), &record.life, &record.event);
+            diagnosis.take(at(*ms), &record.incarnation, &record.event);
         }
         diagnosis.until(at(LENGTH + 3_000));
         let ms = |moment: Moment| moment.since(at(0)).micros() / 1_000;
@@ -232,7 +232,7 @@
 fn two_troubles_at_once_are_both_found() {
     let mut course = Course::of(Wrong::Silent(0), 10_000, 16_000);
     let other = Course::of(Wrong::Killed(3), 11_000, 14_000);
-    let killed = |own: &Record| own.life.front == "f3";
+    let killed = |own: &Record| own.incarnation.front == "f3";
     course.records.retain(|(.., own)| !killed(own));
     course.records.extend(other.records.into_iter().filter(|(.., own)| killed(own)));
     course.records.sort_by_key(|(ms, order, _)| (*ms, *order));
@@ -259,7 +259,7 @@
     let records: Vec<Record> = course
         .records
         .iter()
-        .map(|(.., own)| shifted(own, if own.life.front == "f2" { by } else { 0 }))
+        .map(|(.., own)| shifted(own, if own.incarnation.front == "f2" { by } else { 0 }))
         .collect();
     let clocks = Clocks::estimate(records.iter());
     let gap = clocks.of(&life_of("f2")).add - clocks.of(&life_of("f0")).add;
@@ -268,8 +268,8 @@
     assert!(clocks.loose().is_empty());
 }
 
-fn life_of(front: &str) -> Life {
-    Life { front: front.to_owned(), started_us: 1 }
+fn life_of(front: &str) -> FrontIncarnation {
+    FrontIncarnation { front: front.to_owned(), started_us: 1 }
 }
 
 #[test]
@@ -277,9 +277,9 @@
     let told = |front: &str, ms: u64, server: &str| {
         let what = What::Told(Told { server: server.to_owned(), what: "started".to_owned() });
         Record {
-            life: life_of(front),
+            incarnation: life_of(front),
             event: Event { at_us: ms * 1_000, nth: 0, what: Some(what) },
-            unknown: 0,
+            unknown_fields: 0,
         }
     };
     let records = [told("f0", 5, "s0"), told("f1", 9, "s0"), told("f2", 700, "s9"), told("f3", 800, "s9")];
--- a/crates/ochrelead-event-log/src/frame.rs
+++ b/crates/ochrelead-event-log/src/frame.rs
@@ -1,35 +1,36 @@
-//! Frames: a length and a CRC-32, four bytes each, least first, and that many bytes.
+//! Frames: a length and a CRC-32, four bytes each, least significant first, and that many bytes.
 
-/// The longest message; a length above it is a sign of damage.
-pub const LONGEST: usize = 1 << 20;
-const HEAD: usize = 8;
+/// The longest message; a length above it is a sign of corruption.
+pub const MAX_MESSAGE_LENGTH: usize = 1 << 20;
+const HEADER_LENGTH: usize = 8;
 
-/// Adds a frame.
-pub fn put(bytes: &mut Vec<u8>, message: &[u8]) {
+/// Appends a message as a frame.
+pub fn append(bytes: &mut Vec<u8>, message: &[u8]) {
     bytes.extend_from_slice(&(message.len() as u32).to_le_bytes());
     bytes.extend_from_slice(&crc32fast::hash(message).to_le_bytes());
     bytes.extend_from_slice(message);
 }
 
-/// The whole frames at the head of some bytes. It ends at the first that is not whole.
+/// The whole frames at the begin of some bytes. It ends at the first frame that is not whole.
 pub struct Frames<'a> {
     bytes: &'a [u8],
-    at: usize,
+    position: usize,
 }
 
 impl<'a> Frames<'a> {
+    /// The frames of these bytes.
     pub fn new(bytes: &'a [u8]) -> Frames<'a> {
-        Frames { bytes, at: 0 }
+        Frames { bytes, position: 0 }
     }
 
-    /// How many bytes were whole frames.
-    pub fn at(&self) -> usize {
-        self.at
+    /// How many bytes were whole frames so far.
+    pub fn position(&self) -> usize {
+        self.position
     }
 
     /// How many bytes are left behind them.
-    pub fn rest(&self) -> usize {
-        self.bytes.len() - self.at
+    pub fn remaining(&self) -> usize {
+        self.bytes.len() - self.position
     }
 }
 
@@ -37,15 +38,15 @@
     type Item = &'a [u8];
 
     fn next(&mut self) -> Option<&'a [u8]> {
-        let rest = &self.bytes[self.at..];
+        let rest = &self.bytes[self.position..];
         let (length, rest) = rest.split_first_chunk::<4>()?;
-        let (sum, rest) = rest.split_first_chunk::<4>()?;
+        let (checksum, rest) = rest.split_first_chunk::<4>()?;
         let length = u32::from_le_bytes(*length) as usize;
-        let message = rest.get(..length).filter(|_| length <= LONGEST)?;
-        if crc32fast::hash(message) != u32::from_le_bytes(*sum) {
+        let message = rest.get(..length).filter(|_| length <= MAX_MESSAGE_LENGTH)?;
+        if crc32fast::hash(message) != u32::from_le_bytes(*checksum) {
             return None;
         }
-        self.at += HEAD + length;
+        self.position += HEADER_LENGTH + length;
         Some(message)
     }
 }
--- a/crates/ochrelead-event-log/src/writer.rs
+++ b/crates/ochrelead-event-log/src/writer.rs
@@ -1,4 +1,4 @@
-//! Writing: off the sessions' path, with bounds on memory and disk.
+//! Writing a log, off the sessions' path, with bounds on memory and disk.
 
 use std::fs::{self, File};
 use std::io::{self, Write};
@@ -13,105 +13,116 @@
 use crate::schema::{Event, Head, event::What};
 use crate::{VERSION, frame};
 
-/// The ending of a segment's name.
-pub const ENDING: &str = "records";
+/// The extension of a segment's file name.
+pub const EXTENSION: &str = "records";
+
+/// How many events are handed to the writing thread at once: each hand-over wakes it.
+const BATCH_LENGTH: usize = 128;
 
 /// The bounds of a log.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     /// Events that wait for the disk, in all.
-    pub queue: usize,
-    /// Bytes of one segment, and of all segments of this front in the folder.
-    pub segment: u64,
-    pub all: u64,
+    pub max_queued_events: usize,
+    /// Bytes of one segment; a batch may pass it.
+    pub max_segment_bytes: u64,
+    /// Bytes of all segments of this front in the folder.
+    pub max_total_bytes: u64,
 }
 
 impl Default for Bounds {
     fn default() -> Bounds {
-        Bounds { queue: 65_536, segment: 8 << 20, all: 256 << 20 }
+        Bounds { max_queued_events: 65_536, max_segment_bytes: 8 << 20, max_total_bytes: 256 << 20 }
     }
 }
 
-/// So many events go to the writing thread at once: each hand-over wakes it.
-const BATCH: usize = 128;
-
-/// The log of one life of a front. Dropping it ends the thread after all is written.
+/// The log of one incarnation of a front. Dropping it waits until all is written, and ends the thread.
 pub struct Recorder {
-    out: Option<Sender<Vec<Event>>>,
+    /// None once the recorder is being dropped.
+    batches: Option<Sender<Vec<Event>>>,
     thread: Option<JoinHandle<()>>,
-    /// What has not been handed over yet, and how many events the thread still has.
+    /// Events that have not been handed over yet.
     pending: Vec<Event>,
-    handed: Arc<AtomicUsize>,
-    most: usize,
-    nth: u64,
+    /// How many events the thread still has to write.
+    unwritten: Arc<AtomicUsize>,
+    max_queued_events: usize,
+    next_sequence: u64,
     lost: u64,
 }
 
 impl Recorder {
-    /// Starts a log in a folder. `complain` is told, once, what goes wrong with the disk.
+    /// Starts a log in a folder. `on_error` is called, once, with what goes wrong with the disk.
     ///
     /// # Errors
     ///
-    /// Where the folder can't be made or the thread can't be started.
+    /// Where the folder can't be created or the thread can't be started.
     pub fn start(
         folder: &Path,
         front: &str,
         started_us: u64,
         bounds: Bounds,
-        complain: impl Fn(io::Error) + Send + 'static,
+        on_error: impl Fn(io::Error) + Send + 'static,
     ) -> io::Result<Recorder> {
         fs::create_dir_all(folder)?;
-        let (out, events) = mpsc::channel();
-        let handed = Arc::new(AtomicUsize::new(0));
+        let (batches, queue) = mpsc::channel();
+        let unwritten = Arc::new(AtomicUsize::new(0));
         let head = Head { version: VERSION, front: front.to_owned(), started_us, segment: 0 };
-        let mut segments = Segments { folder: folder.to_owned(), head, bounds, open: None, size: 0 };
-        let written = handed.clone();
+        let mut segments =
+            SegmentWriter { folder: folder.to_owned(), head, bounds, file: None, file_length: 0 };
+        let written = unwritten.clone();
         let thread = thread::Builder::new().name("records".to_owned()).spawn(move || {
-            if let Err(error) = segments.follow(&events, &written) {
-                complain(error);
+            if let Err(error) = segments.run(&queue, &written) {
+                on_error(error);
             }
         })?;
-        let (out, thread, most) = (Some(out), Some(thread), bounds.queue);
-        Ok(Recorder { out, thread, pending: Vec::new(), handed, most, nth: 0, lost: 0 })
+        Ok(Recorder {
+            batches: Some(batches),
+            thread: Some(thread),
+            pending: Vec::new(),
+            unwritten,
+            max_queued_events: bounds.max_queued_events,
+            next_sequence: 0,
+            lost: 0,
+        })
     }
 
-    /// Takes an event; it never waits. What finds no room is counted, and the count is recorded as soon as
-    /// there is room again. It goes to the disk with the next [`Recorder::flush`], or when many are together.
-    pub fn put(&mut self, at_us: u64, what: What) {
-        if self.lost > 0 && self.keep(at_us, What::Lost(self.lost)) {
+    /// Records an event; it never waits. Events that find no room are counted, and the count is recorded as soon as
+    /// there is room again. An event goes to the disk with the next [`Recorder::flush`], or when many are pending.
+    pub fn record(&mut self, at_us: u64, what: What) {
+        if self.lost > 0 && self.try_push(at_us, What::Lost(self.lost)) {
             self.lost = 0;
         }
-        if !self.keep(at_us, what) {
+        if !self.try_push(at_us, what) {
             self.lost += 1;
         }
-        if self.pending.len() >= BATCH.min(self.most / 2) {
+        if self.pending.len() >= BATCH_LENGTH.min(self.max_queued_events / 2) {
             self.flush();
         }
     }
 
-    fn keep(&mut self, at_us: u64, what: What) -> bool {
-        let event = Event { at_us, nth: self.nth, what: Some(what) };
-        self.nth += 1;
-        let room = self.pending.len() + self.handed.load(Ordering::Acquire) < self.most;
-        if room {
+    fn try_push(&mut self, at_us: u64, what: What) -> bool {
+        let event = Event { at_us, nth: self.next_sequence, what: Some(what) };
+        self.next_sequence += 1;
+        let queued = self.pending.len() + self.unwritten.load(Ordering::Acquire);
+        let has_room = queued < self.max_queued_events;
+        if has_room {
             self.pending.push(event);
         }
-        room
+        has_room
     }
 
-    /// Hands over what is pending.
+    /// Hands pending events to the thread.
     pub fn flush(&mut self) {
-        let Some(out) = self.out.as_ref().filter(|_| !self.pending.is_empty()) else { return };
+        let Some(batches) = self.batches.as_ref().filter(|_| !self.pending.is_empty()) else { return };
         let batch = std::mem::take(&mut self.pending);
-        let count = batch.len();
-        self.handed.fetch_add(count, Ordering::AcqRel);
-        // A log whose disk has failed takes nothing more; what is handed stays counted, so that room runs out
+        self.unwritten.fetch_add(batch.len(), Ordering::AcqRel);
+        // A log whose disk has failed takes nothing more; what is handed over stays counted, so that room runs out
         // and all else is counted as lost. The front goes on.
-        let _ = out.send(batch);
+        let _ = batches.send(batch);
     }
 
     /// Events that found no room and are not recorded as lost yet.
-    pub fn lost(&self) -> u64 {
+    pub fn unrecorded_losses(&self) -> u64 {
         self.lost
     }
 }
@@ -119,83 +130,83 @@
 impl Drop for Recorder {
     fn drop(&mut self) {
         self.flush();
-        drop(self.out.take());
+        drop(self.batches.take());
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
     }
 }
 
-struct Segments {
+struct SegmentWriter {
     folder: PathBuf,
     head: Head,
     bounds: Bounds,
-    open: Option<File>,
-    size: u64,
+    file: Option<File>,
+    file_length: u64,
 }
 
-impl Segments {
-    fn follow(&mut self, events: &Receiver<Vec<Event>>, handed: &AtomicUsize) -> io::Result<()> {
+impl SegmentWriter {
+    fn run(&mut self, queue: &Receiver<Vec<Event>>, unwritten: &AtomicUsize) -> io::Result<()> {
         let mut bytes = Vec::new();
-        while let Ok(batch) = events.recv() {
+        while let Ok(batch) = queue.recv() {
             let count = batch.len();
             for event in batch {
-                frame::put(&mut bytes, &event.encode_to_vec());
+                frame::append(&mut bytes, &event.encode_to_vec());
             }
-            self.write(&mut bytes)?;
-            handed.fetch_sub(count, Ordering::AcqRel);
+            self.write(&bytes)?;
+            bytes.clear();
+            unwritten.fetch_sub(count, Ordering::AcqRel);
         }
         Ok(())
     }
 
-    fn write(&mut self, bytes: &mut Vec<u8>) -> io::Result<()> {
-        if self.open.is_none() || self.size >= self.bounds.segment {
-            self.next_segment()?;
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if self.file.is_none() || self.file_length >= self.bounds.max_segment_bytes {
+            self.start_segment()?;
         }
-        if let Some(file) = &mut self.open {
+        if let Some(file) = &mut self.file {
             file.write_all(bytes)?;
-            self.size += bytes.len() as u64;
+            self.file_length += bytes.len() as u64;
         }
-        bytes.clear();
         Ok(())
     }
 
-    fn name(&self) -> String {
+    fn file_name(&self) -> String {
         let Head { front, started_us, segment, .. } = &self.head;
-        format!("{front}-{started_us:016}-{segment:06}.{ENDING}")
+        format!("{front}-{started_us:016}-{segment:06}.{EXTENSION}")
     }
 
-    fn next_segment(&mut self) -> io::Result<()> {
+    fn start_segment(&mut self) -> io::Result<()> {
         let mut bytes = Vec::new();
-        frame::put(&mut bytes, &self.head.encode_to_vec());
-        let mut file = File::create(self.folder.join(self.name()))?;
+        frame::append(&mut bytes, &self.head.encode_to_vec());
+        let mut file = File::create(self.folder.join(self.file_name()))?;
         file.write_all(&bytes)?;
-        self.open = Some(file);
-        self.size = bytes.len() as u64;
+        self.file = Some(file);
+        self.file_length = bytes.len() as u64;
         self.head.segment += 1;
         self.drop_oldest()
     }
 
-    /// Keeps this front's segments, of all its lives, within the bound. The one in use stays.
+    /// Keeps the segments of this front, of all its incarnations, within the bound. The one in use stays.
     fn drop_oldest(&self) -> io::Result<()> {
-        let own = format!("{}-", self.head.front);
+        let prefix = format!("{}-", self.head.front);
         let mut segments: Vec<(String, u64)> = Vec::new();
         for entry in fs::read_dir(&self.folder)? {
             let entry = entry?;
             let name = entry.file_name().to_string_lossy().into_owned();
-            if name.starts_with(&own) && name.ends_with(ENDING) {
+            if name.starts_with(&prefix) && name.ends_with(EXTENSION) {
                 segments.push((name, entry.metadata()?.len()));
             }
         }
         segments.sort();
-        let mut all: u64 = segments.iter().map(|(_, size)| size).sum();
+        let mut total: u64 = segments.iter().map(|(_, length)| length).sum();
         segments.pop();
-        for (name, size) in segments {
-            if all + self.bounds.segment <= self.bounds.all {
+        for (name, length) in segments {
+            if total + self.bounds.max_segment_bytes <= self.bounds.max_total_bytes {
                 break;
             }
             fs::remove_file(self.folder.join(name))?;
-            all -= size;
+            total -= length;
         }
         Ok(())
     }
--- a/crates/ochrelead-event-log/tests/records.rs
+++ b/crates/ochrelead-event-log/tests/records.rs
@@ -1,10 +1,11 @@
-//! What is written is read again, through tears, flipped bits, newer versions, and a disk that is too slow.
+//! What is written is read again, through truncation, flipped bits, newer versions, and a disk that is too slow.
 
 use std::fs;
 use std::path::{Path, PathBuf};
 
+use ochrelead_event_log::follower::Follower;
 use ochrelead_event_log::frame;
-use ochrelead_event_log::reader::{Follower, Record, read_all};
+use ochrelead_event_log::reader::{Record, read_all};
 use ochrelead_event_log::schema::{Event, Head, Told, event::What};
 use ochrelead_event_log::writer::{Bounds, Recorder};
 use prost::Message;
@@ -17,13 +18,13 @@
     folder
 }
 
-fn told(nth: u64) -> What {
-    What::Told(Told { server: format!("s{nth}"), what: "drains".to_owned() })
+fn told(sequence: u64) -> What {
+    What::Told(Told { server: format!("s{sequence}"), what: "drains".to_owned() })
 }
 
 fn write(folder: &Path, started: u64, events: u64, bounds: Bounds) {
     let mut recorder = Recorder::start(folder, "f1", started, bounds, |error| panic!("{error}")).unwrap();
-    (0..events).for_each(|nth| recorder.put(started + nth, told(nth)));
+    (0..events).for_each(|sequence| recorder.record(started + sequence, told(sequence)));
 }
 
 fn read(folder: &Path) -> Vec<Record> {
@@ -39,33 +40,33 @@
 }
 
 #[test]
-fn two_lives_are_read_in_order() {
+fn two_incarnations_are_read_in_order() {
     let folder = folder("lives");
     write(&folder, 1_000, 50, Bounds::default());
     write(&folder, 2_000, 50, Bounds::default());
     let records = read(&folder);
     assert_eq!(records.len(), 100);
     assert!(records.windows(2).all(|two| two[0].event.at_us < two[1].event.at_us));
-    assert_eq!(records[99].life.started_us, 2_000);
+    assert_eq!(records[99].incarnation.started_us, 2_000);
 }
 
 #[test]
-fn the_size_is_bounded_and_the_oldest_goes() {
+fn log_size_is_bounded_and_the_oldest_segment_dropped() {
     let folder = folder("bounded");
-    let bounds = Bounds { segment: 2_000, all: 10_000, ..Bounds::default() };
-    for life in 1..=20 {
-        write(&folder, life * 1_000, 200, bounds);
+    let bounds = Bounds { max_segment_bytes: 2_000, max_total_bytes: 10_000, ..Bounds::default() };
+    for start in 1..=20 {
+        write(&folder, start * 1_000, 200, bounds);
     }
     let size: u64 = segments(&folder).iter().map(|file| file.metadata().unwrap().len()).sum();
     // A batch is written whole: a segment may pass its bound by one.
     assert!(size < 10_000 + 2 * 6_000, "{size}");
     let records = read(&folder);
     assert_eq!(records.last().unwrap().event.at_us, 20_199, "the newest is there");
-    assert!(records[0].life.started_us > 10_000, "the oldest is not");
+    assert!(records[0].incarnation.started_us > 10_000, "the oldest is not");
 }
 
 #[test]
-fn a_tail_torn_at_any_byte_costs_the_tail_only() {
+fn truncation_at_any_byte_loses_the_tail_only() {
     let folder = folder("torn");
     write(&folder, 1_000, 5, Bounds::default());
     let file = segments(&folder).remove(0);
@@ -73,7 +74,7 @@
     let mut ends = Vec::new();
     let mut frames = frame::Frames::new(&whole);
     while frames.next().is_some() {
-        ends.push(frames.at());
+        ends.push(frames.position());
     }
     for cut in 0..whole.len() {
         fs::write(&file, &whole[..cut]).unwrap();
@@ -83,7 +84,7 @@
 }
 
 #[test]
-fn a_flipped_bit_is_found_and_what_is_before_it_read() {
+fn flipped_bit_is_detected_and_earlier_events_are_read() {
     let folder = folder("flipped");
     write(&folder, 1_000, 5, Bounds::default());
     let file = segments(&folder).remove(0);
@@ -94,37 +95,42 @@
         fs::write(&file, &bytes).unwrap();
         let records = read(&folder);
         assert!(records.len() < 5, "flipped at {at}");
-        assert!(records.iter().enumerate().all(|(nth, record)| record.event.what == Some(told(nth as u64))));
+        assert!(
+            records
+                .iter()
+                .enumerate()
+                .all(|(sequence, record)| record.event.what == Some(told(sequence as u64)))
+        );
     }
 }
 
 /// An event of a version that is to come: a known kind with a new field, and a kind that nobody knows.
 #[test]
-fn a_newer_versions_events_are_read_as_far_as_they_are_known() {
+fn events_of_a_newer_version_are_read_as_far_as_known() {
     let folder = folder("newer");
     let head = Head { version: 9, front: "f9".to_owned(), started_us: 5, segment: 0 };
     let mut bytes = Vec::new();
-    frame::put(&mut bytes, &head.encode_to_vec());
+    frame::append(&mut bytes, &head.encode_to_vec());
     let mut known = Event { at_us: 7, nth: 0, what: Some(told(0)) }.encode_to_vec();
     // Field 900, a number: 0xA0 0x38 is its key.
     known.extend([0xA0, 0x38, 0x05]);
-    frame::put(&mut bytes, &known);
+    frame::append(&mut bytes, &known);
     let mut unknown = Event { at_us: 8, nth: 1, what: None }.encode_to_vec();
     unknown.extend([0xAA, 0x38, 0x01, 0x00]);
-    frame::put(&mut bytes, &unknown);
+    frame::append(&mut bytes, &unknown);
     fs::write(folder.join("f9-0000000000000005-000000.records"), bytes).unwrap();
     let mut records = Vec::new();
     let damage = read_all(&[folder], |record| records.push(record)).unwrap();
     assert_eq!(records[0].event.what, Some(told(0)));
-    assert_eq!((records[0].unknown, records[1].unknown), (1, 1));
+    assert_eq!((records[0].unknown_fields, records[1].unknown_fields), (1, 1));
     assert_eq!((damage.newer.len(), damage.unknown_events), (1, 1));
 }
 
 #[test]
-fn a_file_that_is_no_segment_is_named() {
+fn foreign_file_is_reported() {
     let folder = folder("foreign");
     let mut bytes = Vec::new();
-    frame::put(&mut bytes, b"");
+    frame::append(&mut bytes, b"");
     fs::write(folder.join("x.records"), bytes).unwrap();
     let damage = read_all(&[folder], |_| panic!()).unwrap();
     assert_eq!(damage.foreign, ["x.records"]);
@@ -132,17 +138,17 @@
 
 #[test_case(4; "a short queue")]
 #[test_case(100_000; "a long one")]
-fn what_found_no_room_is_counted_and_recorded(queue: usize) {
+fn lost_events_are_counted_and_recorded(queue: usize) {
     let folder = folder(&format!("queue{queue}"));
-    let bounds = Bounds { queue, ..Bounds::default() };
+    let bounds = Bounds { max_queued_events: queue, ..Bounds::default() };
     let mut recorder = Recorder::start(&folder, "f1", 1, bounds, |error| panic!("{error}")).unwrap();
-    for nth in 0..50_000 {
-        recorder.put(nth, told(nth));
+    for sequence in 0..50_000 {
+        recorder.record(sequence, told(sequence));
     }
     // One more when there is room again.
     std::thread::sleep(std::time::Duration::from_millis(300));
-    recorder.put(60_000, told(1));
-    assert_eq!(recorder.lost(), 0);
+    recorder.record(60_000, told(1));
+    assert_eq!(recorder.unrecorded_losses(), 0);
     drop(recorder);
     let records = read(&folder);
     let lost: u64 =
@@ -153,18 +159,18 @@
 }
 
 #[test]
-fn a_growing_log_is_followed_through_a_new_life() {
+fn growing_log_is_followed_through_a_restart() {
     let folder = folder("growing");
     let mut follower = Follower::new(&folder);
     let mut seen = 0;
     let mut follow = |follower: &mut Follower| {
-        while follower.follow(|_| seen += 1).unwrap() {}
+        while follower.read_new(|_| seen += 1).unwrap() {}
         seen
     };
     assert_eq!(follow(&mut follower), 0);
     write(&folder, 1_000, 30, Bounds::default());
     assert_eq!(follow(&mut follower), 30);
-    write(&folder, 2_000, 40_000, Bounds { segment: 100_000, ..Bounds::default() });
+    write(&folder, 2_000, 40_000, Bounds { max_segment_bytes: 100_000, ..Bounds::default() });
     assert_eq!(follow(&mut follower), 40_030);
     assert_eq!(follow(&mut follower), 40_030);
 }
--- a/crates/ochrelead-event-log/tests/stored_bytes.rs
+++ b/crates/ochrelead-event-log/tests/stored_bytes.rs
@@ -18,7 +18,30 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(SEGMENT)
 }
 
-fn events() -> Vec<What> {
+const ENDINGS: [Ending; 9] = [
+    Ending::Fault,
+    Ending::LinesBusy,
+    Ending::Full,
+    Ending::NoLine,
+    Ending::TimedOut,
+    Ending::ConnectFailed,
+    Ending::Reset,
+    Ending::Cancelled,
+    Ending::Unsent,
+];
+
+const DENIALS: [Denial; 7] = [
+    Denial::Front,
+    Denial::NotAgain,
+    Denial::TooLate,
+    Denial::NumberBusy,
+    Denial::InvitesSpent,
+    Denial::NoRoom,
+    Denial::NoToken,
+];
+
+/// Events of a session up to its INVITEs.
+fn first_events() -> Vec<What> {
     let (tried, server) = (|| "5f-2a".to_owned(), || "s1".to_owned());
     let mut events = vec![
         What::Life("start".to_owned()),
@@ -45,17 +68,14 @@
             payment: payment.into(),
         }));
     }
-    for ending in [
-        Ending::Fault,
-        Ending::LinesBusy,
-        Ending::Full,
-        Ending::NoLine,
-        Ending::TimedOut,
-        Ending::ConnectFailed,
-        Ending::Reset,
-        Ending::Cancelled,
-        Ending::Unsent,
-    ] {
+    events
+}
+
+/// Outcomes, answers and what concerns no session.
+fn last_events() -> Vec<What> {
+    let (tried, server) = (|| "5f-2a".to_owned(), || "s1".to_owned());
+    let mut events = Vec::new();
+    for ending in ENDINGS {
         events.push(What::Ended(Ended {
             tried: tried(),
             server: server(),
@@ -69,15 +89,7 @@
         took_us: 50_000,
         since_taken_us: 51_000,
     }));
-    for denial in [
-        Denial::Front,
-        Denial::NotAgain,
-        Denial::TooLate,
-        Denial::NumberBusy,
-        Denial::InvitesSpent,
-        Denial::NoRoom,
-        Denial::NoToken,
-    ] {
+    for denial in DENIALS {
         events.push(What::GivenUp(GivenUp {
             tried: tried(),
             denial: denial.into(),
@@ -110,13 +122,19 @@
     events
 }
 
+fn events() -> Vec<What> {
+    [first_events(), last_events()].concat()
+}
+
 #[test]
 fn stored_segment_is_read_event_by_event() {
     let mut read = Vec::new();
     let folder = fixture().parent().unwrap().to_owned();
     let damage = read_all(&[folder], |record| read.push(record)).unwrap();
-    assert_eq!((damage.torn.len(), damage.newer.len(), damage.foreign.len()), (0, 0, 0));
-    assert!(read.iter().all(|record| record.life.front == "f1" && record.life.started_us == 1_000));
+    assert_eq!((damage.truncated.len(), damage.newer.len(), damage.foreign.len()), (0, 0, 0));
+    assert!(
+        read.iter().all(|record| record.incarnation.front == "f1" && record.incarnation.started_us == 1_000)
+    );
     let moments: Vec<(u64, u64)> = read.iter().map(|record| (record.event.at_us, record.event.nth)).collect();
     assert_eq!(moments, (0..read.len() as u64).map(|nth| (2_000 + nth, nth)).collect::<Vec<_>>());
     let read: Vec<What> = read.into_iter().map(|record| record.event.what.unwrap()).collect();
@@ -130,7 +148,7 @@
     let mut recorder =
         Recorder::start(&folder, "f1", 1_000, Bounds::default(), |error| panic!("{error}")).unwrap();
     for (nth, event) in events().into_iter().enumerate() {
-        recorder.put(2_000 + nth as u64, event);
+        recorder.record(2_000 + nth as u64, event);
     }
     drop(recorder);
     let written = fs::read(folder.join(SEGMENT)).unwrap();
--- a/crates/ochrelead-front/src/host/output.rs
+++ b/crates/ochrelead-front/src/host/output.rs
@@ -66,7 +66,7 @@
 
     fn record(&mut self, what: What) {
         if let Some(event_log) = &mut self.event_log {
-            event_log.put(self.clock.now().micros(), what);
+            event_log.record(self.clock.now().micros(), what);
         }
     }
 
--- a/crates/ochrelead-report/src/export.rs
+++ b/crates/ochrelead-report/src/export.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use ochrelead_core::time::Moment;
-use ochrelead_event_log::reader::{Log, Record, logs};
+use ochrelead_event_log::reader::{Log, Record, open_logs};
 use ochrelead_event_log::schema::{Choice, Denial, Ending, Payment, event::What};
 use ochrelead_parquet::{Cell, Kind, Table};
 
@@ -51,7 +51,7 @@
 pub fn export(folders: &[PathBuf], path: &Path) -> anyhow::Result<usize> {
     let mut all: Vec<Log> = Vec::new();
     for folder in folders {
-        all.extend(logs(folder).with_context(|| folder.display().to_string())?.0);
+        all.extend(open_logs(folder).with_context(|| folder.display().to_string())?.0);
     }
     let (clocks, _) = survey(&all);
     let mut table = Table::create(path, &COLUMNS).with_context(|| path.display().to_string())?;
@@ -67,8 +67,8 @@
     let row = record.event.what.as_ref().map_or(Row { event: "unknown", ..Row::default() }, row);
     vec![
         Cell::Whole(at.micros() as i64),
-        Cell::Text(record.life.front.clone()),
-        Cell::Whole(record.life.started_us as i64),
+        Cell::Text(record.incarnation.front.clone()),
+        Cell::Whole(record.incarnation.started_us as i64),
         Cell::Whole(record.event.nth as i64),
         Cell::Text(row.event.to_owned()),
         text(row.tried),
--- a/crates/ochrelead-report/src/incident.rs
+++ b/crates/ochrelead-report/src/incident.rs
@@ -9,7 +9,7 @@
 use ochrelead_diagnosis::clocks::{Clocks, Ties};
 use ochrelead_diagnosis::diagnosis::Diagnosis;
 use ochrelead_diagnosis::trouble::Trouble;
-use ochrelead_event_log::reader::{Damage, Life, Log, Record, logs};
+use ochrelead_event_log::reader::{Damage, FrontIncarnation, Log, Record, open_logs};
 use ochrelead_event_log::schema::event::What;
 
 use crate::merged::Merged;
@@ -19,7 +19,7 @@
 /// A front's life as its records have it, on the common clock.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Stretch {
-    pub life: Life,
+    pub life: FrontIncarnation,
     pub from: Moment,
     pub to: Moment,
     /// How far its clock was moved, in microseconds, and give or take how much; none where nothing ties it.
@@ -43,7 +43,7 @@
     pub series: Series,
     pub stories: Vec<Story>,
     pub damage: Damage,
-    pub loose: Vec<Life>,
+    pub loose: Vec<FrontIncarnation>,
 }
 
 impl Incident {
@@ -56,9 +56,9 @@
         let mut all = Vec::new();
         let mut damage = Damage::default();
         for folder in folders {
-            let (own, foreign) = logs(folder).with_context(|| folder.display().to_string())?;
+            let (own, foreign) = open_logs(folder).with_context(|| folder.display().to_string())?;
             all.extend(own);
-            damage.add(&foreign);
+            damage.merge(&foreign);
         }
         Ok(Incident::of(&all, damage))
     }
@@ -75,11 +75,11 @@
         let mut merged = Merged::new(logs.to_vec(), &clocks);
         for (at, record) in merged.by_ref() {
             events += 1;
-            diagnosis.take(at, &record.life, &record.event);
+            diagnosis.take(at, &record.incarnation, &record.event);
             series.take(at, &record);
             stories.weigh(&record);
         }
-        damage.add(merged.damage());
+        damage.merge(merged.damage());
         series.finish();
         if stories.are_any() {
             Merged::new(logs.to_vec(), &clocks).for_each(|(at, record)| stories.take(at, &record));
@@ -96,13 +96,13 @@
 }
 
 /// The clocks, and what there is of each life.
-pub fn survey(logs: &[Log]) -> (Clocks, BTreeMap<Life, Stretch>) {
+pub fn survey(logs: &[Log]) -> (Clocks, BTreeMap<FrontIncarnation, Stretch>) {
     let mut ties = Ties::default();
-    let mut ends: BTreeMap<Life, (Record, Record, u64, u64)> = BTreeMap::new();
+    let mut ends: BTreeMap<FrontIncarnation, (Record, Record, u64, u64)> = BTreeMap::new();
     for log in logs {
         for record in log.clone() {
-            ties.take(&record.life, &record.event);
-            let held = ends.entry(record.life.clone());
+            ties.take(&record.incarnation, &record.event);
+            let held = ends.entry(record.incarnation.clone());
             let (_, last, lost, missing) = held.or_insert_with(|| (record.clone(), record.clone(), 0, 0));
             *missing += record.event.nth.saturating_sub(last.event.nth + 1);
             if let Some(What::Lost(own)) = record.event.what {
@@ -113,7 +113,7 @@
         }
     }
     let clocks = ties.settle();
-    let at = |record: &Record| Moment::from_micros(clocks.common(&record.life, &record.event));
+    let at = |record: &Record| Moment::from_micros(clocks.common(&record.incarnation, &record.event));
     let mut stretches = BTreeMap::new();
     for (life, (first, last, lost, missing)) in ends {
         let offset = clocks.of(&life);
--- a/crates/ochrelead-report/src/json.rs
+++ b/crates/ochrelead-report/src/json.rs
@@ -32,6 +32,6 @@
     let (from, to) = incident.span();
     json!({
         "from_us": from.micros(), "to_us": to.micros(), "events": incident.events, "troubles": troubles, "lives": lives,
-        "torn": incident.damage.torn, "newer": incident.damage.newer, "foreign": incident.damage.foreign,
+        "torn": incident.damage.truncated, "newer": incident.damage.newer, "foreign": incident.damage.foreign,
     })
 }
--- a/crates/ochrelead-report/src/merged.rs
+++ b/crates/ochrelead-report/src/merged.rs
@@ -25,7 +25,7 @@
             if let Some(record) = log.next() {
                 return Some(record);
             }
-            damage.add(log.damage());
+            damage.merge(log.damage());
             self.lives.pop_front();
         }
     }
@@ -43,13 +43,14 @@
     pub fn new(logs: Vec<Log>, clocks: &'a Clocks) -> Merged<'a> {
         let mut fronts: BTreeMap<String, VecDeque<Log>> = BTreeMap::new();
         for log in logs {
-            fronts.entry(log.life.front.clone()).or_default().push_back(log);
+            fronts.entry(log.incarnation.front.clone()).or_default().push_back(log);
         }
         let mut merged =
             Merged { clocks, courses: Vec::new(), heap: BinaryHeap::new(), damage: Damage::default() };
         for mut lives in fronts.into_values() {
             // By the common clock: a front whose clock was set back between two lives names them the wrong way.
-            let started = |log: &Log| log.life.started_us.saturating_add_signed(clocks.of(&log.life).add);
+            let started =
+                |log: &Log| log.incarnation.started_us.saturating_add_signed(clocks.of(&log.incarnation).add);
             lives.make_contiguous().sort_by_key(started);
             merged.courses.push(Course { lives, reached: Moment::START, next: None });
             merged.refill(merged.courses.len() - 1);
@@ -61,7 +62,7 @@
         let course = &mut self.courses[at];
         course.next = course.pull(&mut self.damage);
         if let Some(record) = &course.next {
-            let own = Moment::from_micros(self.clocks.common(&record.life, &record.event));
+            let own = Moment::from_micros(self.clocks.common(&record.incarnation, &record.event));
             course.reached = course.reached.max(own);
             self.heap.push(Reverse((course.reached, at)));
         }
--- a/crates/ochrelead-report/src/page.rs
+++ b/crates/ochrelead-report/src/page.rs
@@ -284,7 +284,7 @@
         @if !incident.loose.is_empty() {
             p { "Nothing ties the clocks of " (incident.loose.len()) " lives to the others': their order against them is not known." }
         }
-        @for (name, bytes) in &damage.torn { p.sub { (name) ": " (bytes) " bytes at the end were torn." } }
+        @for (name, bytes) in &damage.truncated { p.sub { (name) ": " (bytes) " bytes at the end were torn." } }
         @for (name, version) in &damage.newer { p.sub { (name) " was written by a newer version (" (version) ")." } }
         @for name in &damage.foreign { p.sub { (name) " is no segment and was passed over." } }
     }
--- a/crates/ochrelead-report/src/story.rs
+++ b/crates/ochrelead-report/src/story.rs
@@ -53,7 +53,7 @@
         let Some(what) = &record.event.what else { return };
         for own in &mut self.longest {
             if let Some(text) = step(what, &own.tried).filter(|_| own.steps.len() < STEPS) {
-                own.steps.push((at, format!("{}: {text}", record.life.front)));
+                own.steps.push((at, format!("{}: {text}", record.incarnation.front)));
             }
         }
     }
--- a/crates/ochrelead-report/tests/report.rs
+++ b/crates/ochrelead-report/tests/report.rs
@@ -7,7 +7,7 @@
 
 use ochrelead_core::time::Moment;
 use ochrelead_diagnosis::trouble::{Kind, Trouble};
-use ochrelead_event_log::reader::{Damage, Life, Log, Record};
+use ochrelead_event_log::reader::{Damage, FrontIncarnation, Log, Record};
 use ochrelead_event_log::schema::event::What;
 use ochrelead_event_log::schema::{Event, Invite, Outlook, Stands, Taken, Told};
 use ochrelead_report::incident::Incident;
@@ -27,8 +27,12 @@
         }
         let off = if front == 1 { off_ms } else { 0 };
         let at_us = (1_000_000 + ms).saturating_add_signed(off) * 1_000;
-        let life = Life { front: format!("f{front}"), started_us: 1 };
-        records.push(Record { life, event: Event { at_us, nth: own, what: Some(what) }, unknown: 0 });
+        let life = FrontIncarnation { front: format!("f{front}"), started_us: 1 };
+        records.push(Record {
+            incarnation: life,
+            event: Event { at_us, nth: own, what: Some(what) },
+            unknown_fields: 0,
+        });
     };
     for nth in 0..600_u64 {
         let (ms, front, server) = (nth * 50, (nth % 2) as usize, nth / 2 % 2);
@@ -77,11 +81,11 @@
 }
 
 fn incident(records: Vec<Record>) -> Incident {
-    let mut lives: BTreeMap<Life, Vec<Record>> = BTreeMap::new();
+    let mut lives: BTreeMap<FrontIncarnation, Vec<Record>> = BTreeMap::new();
     for record in records {
-        lives.entry(record.life.clone()).or_default().push(record);
+        lives.entry(record.incarnation.clone()).or_default().push(record);
     }
-    let logs: Vec<Log> = lives.into_iter().map(|(life, own)| Log::of(life, own)).collect();
+    let logs: Vec<Log> = lives.into_iter().map(|(life, own)| Log::from_records(life, own)).collect();
     Incident::of(&logs, Damage::default())
 }
 
--- a/crates/ochrelead-scenario/src/found.rs
+++ b/crates/ochrelead-scenario/src/found.rs
@@ -7,7 +7,7 @@
 use ochrelead_config::day::{self, Day};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_diagnosis::trouble::{Kind, Trouble};
-use ochrelead_event_log::reader::{Damage, Log, Record, logs};
+use ochrelead_event_log::reader::{Damage, Log, Record, open_logs};
 use ochrelead_report::incident::Incident;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -89,7 +89,7 @@
         .find_map(|text| text.strip_prefix("start ").and_then(|us| us.parse().ok()))
         .map(Moment::from_micros)
         .context("the capture has no start")?;
-    Ok(of_logs(day, logs(records)?.0, start, mar))
+    Ok(of_logs(day, open_logs(records)?.0, start, mar))
 }
 
 /// Compares logs with the script of a day that began at `start`.
@@ -122,12 +122,12 @@
 /// The same records with clocks that are wrong and a tenth of them gone.
 fn marred(logs: Vec<Log>, seed: u64) -> Vec<Log> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let mut fronts: Vec<String> = logs.iter().map(|log| log.life.front.clone()).collect();
+    let mut fronts: Vec<String> = logs.iter().map(|log| log.incarnation.front.clone()).collect();
     fronts.dedup();
     let mut all = Vec::new();
     for log in logs {
-        let nth = fronts.iter().position(|front| *front == log.life.front).unwrap_or(0);
-        let life = log.life.clone();
+        let nth = fronts.iter().position(|front| *front == log.incarnation.front).unwrap_or(0);
+        let life = log.incarnation.clone();
         let records: Vec<Record> = log.collect();
         let first = records.first().map_or(0, |own| own.event.at_us);
         let last = records.last().map_or(first, |own| own.event.at_us);
@@ -148,7 +148,7 @@
                 own
             }));
         }
-        all.push(Log::of(life, kept));
+        all.push(Log::from_records(life, kept));
     }
     all
 }
--- a/crates/ochrelead-sim/src/front.rs
+++ b/crates/ochrelead-sim/src/front.rs
@@ -6,7 +6,7 @@
 use ochrelead_config::commission::Commission;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_discovery::store::{self, Kept};
-use ochrelead_event_log::reader::{Life, Log, Record};
+use ochrelead_event_log::reader::{FrontIncarnation, Log, Record};
 use ochrelead_event_log::schema::{Event, event::What};
 use ochrelead_front::engine::Engine;
 use ochrelead_front::event_recording;
@@ -41,7 +41,7 @@
     writing: Option<(Moment, Kept)>,
     next_status: Moment,
     turned: (Moment, u32),
-    life: Life,
+    life: FrontIncarnation,
     nth: u64,
 }
 
@@ -60,7 +60,7 @@
     pub halted: bool,
     socket: VecDeque<(SocketAddr, Vec<u8>)>,
     /// The records of all lives, where they are kept.
-    pub logs: Option<Vec<(Life, Vec<Record>)>>,
+    pub logs: Option<Vec<(FrontIncarnation, Vec<Record>)>>,
     /// Lists that could not be kept.
     pub unkept: u64,
 }
@@ -103,7 +103,7 @@
         if let Some(kept) = recall(kept) {
             engine.restore_self_reports(shows, &kept.servers);
         }
-        let life = Life { front: self.name.clone(), started_us: shows.micros() };
+        let life = FrontIncarnation { front: self.name.clone(), started_us: shows.micros() };
         if let Some(logs) = &mut self.logs {
             logs.push((life.clone(), Vec::new()));
         }
@@ -208,16 +208,16 @@
 
     /// The records as logs.
     pub fn into_logs(self) -> Vec<Log> {
-        self.logs.into_iter().flatten().map(|(life, records)| Log::of(life, records)).collect()
+        self.logs.into_iter().flatten().map(|(life, records)| Log::from_records(life, records)).collect()
     }
 }
 
 impl Process {
-    fn record(&mut self, logs: &mut Option<Vec<(Life, Vec<Record>)>>, shows: Moment, what: What) {
+    fn record(&mut self, logs: &mut Option<Vec<(FrontIncarnation, Vec<Record>)>>, shows: Moment, what: What) {
         let Some((life, records)) = logs.as_mut().and_then(|logs| logs.last_mut()) else { return };
         let event = Event { at_us: shows.micros(), nth: self.nth, what: Some(what) };
         self.nth += 1;
         debug_assert_eq!(*life, self.life);
-        records.push(Record { life: self.life.clone(), event, unknown: 0 });
+        records.push(Record { incarnation: self.life.clone(), event, unknown_fields: 0 });
     }
 }
--- a/crates/ochrelead-sim/src/main.rs
+++ b/crates/ochrelead-sim/src/main.rs
@@ -240,15 +240,15 @@
 
 /// Writes the records as the fronts themselves would have.
 fn write_logs(folder: &Path, logs: Vec<Log>) -> anyhow::Result<()> {
-    let bounds = Bounds { queue: usize::MAX, all: u64::MAX, ..Bounds::default() };
+    let bounds = Bounds { max_queued_events: usize::MAX, max_total_bytes: u64::MAX, ..Bounds::default() };
     for log in logs {
-        let (front, started) = (log.life.front.clone(), log.life.started_us);
+        let (front, started) = (log.incarnation.front.clone(), log.incarnation.started_us);
         let complain = |error| eprintln!("ochrelead-sim: {error}");
         let mut recorder = Recorder::start(folder, &front, started, bounds, complain)
             .with_context(|| folder.display().to_string())?;
         log.for_each(|record| {
             if let Some(what) = record.event.what {
-                recorder.put(record.event.at_us, what);
+                recorder.record(record.event.at_us, what);
             }
         });
     }
