--- a/crates/ochrelead-verify/src/districts/watch.rs
+++ b/crates/ochrelead-verify/src/districts/watch.rs
@@ -8,6 +8,7 @@
 use ochrelead_node::together::Together;
 use ochrelead_zone::codec::{decode, encode};
 use ochrelead_zone::message::Message;
+use ochrelead_zone::outcome_reporter::{OutcomeSample, ServerSample};
 use ochrelead_zone::{ServerKey, ZoneId};
 
 use super::load::{MS, Server};
@@ -262,29 +263,26 @@
     match day.slip {
         Some(Slip::LateNotTold) => rewrite(bytes, from, |word| {
             if let Message::Report { samples: met, .. } = word {
-                met.iter_mut().for_each(|(_, met)| met.late = 0);
+                met.iter_mut().for_each(|sample| sample.outcomes.late = 0);
             }
         }),
         Some(Slip::OneForAll) => rewrite(bytes, from, |word| {
             let Message::Report { samples: met, .. } = word else { return };
             let mut bad: BTreeMap<u32, u32> = BTreeMap::new();
             let of = |server: ServerKey| (0..servers.len() as u32).find(|nth| key(*nth) == server);
-            for (server, met) in met.iter().filter(|(_, met)| met.lost > 0) {
-                if let Some(nth) = of(*server) {
-                    *bad.entry(servers[nth as usize].district).or_default() += met.lost;
+            for sample in met.iter().filter(|sample| sample.outcomes.lost > 0) {
+                if let Some(nth) = of(sample.server) {
+                    *bad.entry(servers[nth as usize].district).or_default() += sample.outcomes.lost;
                 }
             }
             for (district, lost) in bad {
                 let all = (0..servers.len() as u32).filter(|nth| servers[*nth as usize].district == district);
                 for server in all.map(&key) {
-                    met.retain(|(own, _)| *own != server);
-                    met.push((
-                        server,
-                        ochrelead_zone::outcome_reporter::OutcomeSample { lost, ..Default::default() },
-                    ));
+                    met.retain(|sample| sample.server != server);
+                    met.push(ServerSample { server, outcomes: OutcomeSample { lost, ..Default::default() } });
                 }
             }
-            met.sort_unstable_by_key(|(server, _)| *server);
+            met.sort_unstable_by_key(|sample| sample.server);
         }),
         Some(Slip::OthersWordsHeeded) => rewrite(bytes, from, |word| {
             if let Message::Verdicts { zone: from, .. } = word {
--- a/crates/ochrelead-zone/src/codec.rs
+++ b/crates/ochrelead-zone/src/codec.rs
@@ -4,7 +4,7 @@
 use prost::Message as _;
 
 use crate::message::{Message, ZoneShare};
-use crate::outcome_reporter::OutcomeSample;
+use crate::outcome_reporter::{OutcomeSample, ServerSample};
 use crate::ramp::ShareReason;
 use crate::schema::{self, message::Body};
 use crate::{MAX_ZONES, ServerKey, ZoneId};
@@ -94,24 +94,25 @@
     })
 }
 
-fn encode_sample(server: ServerKey, sample: OutcomeSample) -> schema::OutcomeSample {
-    let OutcomeSample { in_time, late, lost, is_alive, is_stale } = sample.bounded();
-    schema::OutcomeSample { server: u32::from(server.0), in_time, late, lost, is_alive, is_stale }
+fn encode_sample(sample: &ServerSample) -> schema::OutcomeSample {
+    let OutcomeSample { in_time, late, lost, is_alive, is_stale } = sample.outcomes.bounded();
+    schema::OutcomeSample { server: u32::from(sample.server.0), in_time, late, lost, is_alive, is_stale }
 }
 
-fn decode_sample(encoded: &schema::OutcomeSample) -> Option<(ServerKey, OutcomeSample)> {
+fn decode_sample(encoded: &schema::OutcomeSample) -> Option<ServerSample> {
     let server = ServerKey(u16::try_from(encoded.server).ok()?);
     let schema::OutcomeSample { in_time, late, lost, is_alive, is_stale, .. } = *encoded;
-    Some((server, OutcomeSample { in_time, late, lost, is_alive, is_stale }.bounded()))
+    let outcomes = OutcomeSample { in_time, late, lost, is_alive, is_stale }.bounded();
+    Some(ServerSample { server, outcomes })
 }
 
 /// Spreads samples over as many reports as it takes for each to fit into a message.
-fn split_report(zone: ZoneId, samples: &[(ServerKey, OutcomeSample)]) -> Vec<schema::Report> {
+fn split_report(zone: ZoneId, samples: &[ServerSample]) -> Vec<schema::Report> {
     let empty = || schema::Report { zone: encode_zone(zone), samples: Vec::new() };
     let mut full = Vec::new();
     let mut report = empty();
-    for (server, sample) in samples {
-        let sample = encode_sample(*server, *sample);
+    for sample in samples {
+        let sample = encode_sample(sample);
         let length = report.encoded_len() + sample.encoded_len() + SAMPLE_HEADER_BYTES;
         if length > MAX_MESSAGE_BYTES - REPORT_HEADER_BYTES {
             full.push(std::mem::replace(&mut report, empty()));
--- a/crates/ochrelead-zone/src/engine.rs
+++ b/crates/ochrelead-zone/src/engine.rs
@@ -1,13 +1,16 @@
-//! One front's part, without I/O: it tells its district's observer what it met, heeds what the observer says, and is the
-//! observer itself where nobody else is.
+//! One front's part in zone failover, without I/O.
 //!
-//! Whoever hears no observer for its district for a while says, after a wait by chance, that it is the one; of two that
-//! hear each other the one with the lower number stays. No majority is asked and none is needed: what an observer says is
-//! advice, each front heeds one at a time, all that hear the same heed the same, and a part of the fleet that is cut off
-//! has one of its own.
+//! Each front reports outcomes to the observer of its zone and follows the verdicts of that observer; where there is none, it
+//! becomes the observer itself. A front that hears no observer for a while claims the role after a random delay; of two
+//! observers that hear each other, the one with the lower front number stays. There is no quorum and none is needed: verdicts
+//! are advice, each front follows one observer at a time, all that hear the same observer do the same, and a part of the
+//! fleet that is cut off has an observer of its own.
 //!
-//! Its host hands in what INVITEs came to, which servers are listed, and what other fronts say; it carries words to them,
-//! and takes the shares to the module.
+//! The host feeds in the outcomes of INVITEs, the servers in service and the messages of other fronts; it sends the messages
+//! of [`Engine::poll_output`] and hands the shares to the controller.
+
+mod observer;
+mod sequence_filter;
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -16,424 +19,375 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use self::observer::Observer;
+use self::sequence_filter::SequenceFilter;
 use crate::codec;
 use crate::message::{Message, ZoneShare};
-use crate::outcome_aggregate::OutcomeAggregate;
-use crate::outcome_reporter::OutcomeReporter;
-use crate::ramp::ZoneRamp;
-use crate::verdict::{ZoneStats, evaluate};
+use crate::outcome_reporter::{OutcomeReporter, ServerSample};
 use crate::{ServerKey, ServerLocation, ZoneConfig, ZoneId};
 
-/// With nothing in force the observer speaks once in so many steps: fronts learn by it whom to report to.
-const QUIET_STEPS: u64 = 2;
-/// The observer is taken for silent after so many of its words are missing.
-const MISSED: u64 = 2;
-/// A word lasts at most so many times the usual span, whatever it says.
-const MAX_LASTS: u64 = 2;
-/// A district that this front hears is not left, nor eased, for longer than so many steps, whatever is said.
-const MAX_BORNE: u64 = 32;
-/// Observers whose last words are remembered, so that an old one that comes late is known.
-const MAX_HEARD: usize = 1_024;
-
-/// To whom a word goes.
+/// With all zones in full use the observer announces itself once in this many steps, so that fronts know whom to report to.
+const IDLE_ANNOUNCE_STEPS: u64 = 2;
+/// Missing announcements after which the observer counts as silent.
+const MAX_MISSED_ANNOUNCEMENTS: u64 = 2;
+/// Verdicts last at most this multiple of the usual time to live, whatever their observer claims.
+const MAX_TTL_FACTOR: u64 = 2;
+/// A zone that this front hears is restricted for at most this many steps, whatever an observer claims.
+const MAX_RESTRICTED_STEPS: u64 = 32;
+/// A sign of life counts as recent for this many steps when verdicts are doubted.
+const RECENT_ALIVE_STEPS: u64 = 4;
+/// Losses are reported early, but at most this many times as often as usual.
+const URGENT_REPORT_RATE: u64 = 5;
+
+/// Where a message goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Recipient {
+    /// One front, by its number.
     Front(u32),
     /// All fronts.
     All,
 }
 
-/// What a front was last told by the observer of some district's fronts.
+/// The verdicts that a front follows, or has overheard from another zone.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ActiveVerdicts {
+    /// Number of the front that sent them.
     pub observer: u32,
+    /// When they were received.
     pub received_at: Moment,
+    /// Until when they are in force.
     pub expires_at: Moment,
+    /// The zones that are not in full use.
     pub shares: Vec<ZoneShare>,
 }
 
-/// What a front does while it observes.
-#[derive(Clone, Debug)]
-struct Observer {
-    pool: OutcomeAggregate,
-    courses: BTreeMap<ZoneId, ZoneRamp>,
-    /// What was said last, and when.
-    said: Option<(Moment, Vec<ZoneShare>)>,
-}
-
+/// The zone failover engine of one front.
 #[derive(Clone, Debug)]
 pub struct Engine {
-    me: MemberId,
-    own: ZoneId,
-    terms: ZoneConfig,
-    evidence: OutcomeReporter,
-    places: BTreeMap<ServerKey, ZoneId>,
-    alive: BTreeMap<ServerKey, Moment>,
-    /// By the district of the fronts that it was said to.
-    told: BTreeMap<ZoneId, ActiveVerdicts>,
-    /// Since when this front has been told that a district is not wholly in use.
-    eased: BTreeMap<ZoneId, Moment>,
-    /// The last word of each front that spoke as an observer: its life, and which word.
-    heard: BTreeMap<u32, (u32, u32)>,
+    local: MemberId,
+    local_zone: ZoneId,
+    config: ZoneConfig,
+    reporter: OutcomeReporter,
+    /// The servers in service and their zones.
+    server_zones: BTreeMap<ServerKey, ZoneId>,
+    last_alive: BTreeMap<ServerKey, Moment>,
+    /// The latest verdicts, by the zone of the fronts that they are for.
+    verdicts: BTreeMap<ZoneId, ActiveVerdicts>,
+    /// Since when verdicts have kept a zone from full use at this front.
+    restricted_since: BTreeMap<ZoneId, Moment>,
+    sequences: SequenceFilter,
+    /// Present while this front is the observer of its zone.
     observer: Option<Observer>,
-    /// Words said as an observer in this life.
-    nth: u32,
-    /// When this front takes the task, if no observer speaks until then.
-    claims_at: Moment,
-    /// It leaves service: it observes no more.
-    leaves: bool,
-    report_at: Moment,
-    reported: Moment,
-    turned: Moment,
-    chance: Pcg64Mcg,
-    out: VecDeque<(Recipient, Vec<u8>)>,
+    /// Sequence number of the last verdicts sent in this incarnation.
+    sequence: u32,
+    /// When this front claims the observer's role unless another one is heard before.
+    claim_at: Moment,
+    /// This front leaves service and no longer claims the role.
+    is_leaving: bool,
+    next_report_at: Moment,
+    last_report_at: Moment,
+    last_processed_at: Moment,
+    rng: Pcg64Mcg,
+    outputs: VecDeque<(Recipient, Vec<u8>)>,
 }
 
 impl Engine {
-    /// The part of a front that is in the district `own`.
-    pub fn new(me: MemberId, own: ZoneId, terms: ZoneConfig, seed: u64, now: Moment) -> Engine {
-        let mut chance = Pcg64Mcg::seed_from_u64(seed);
-        let phase = chance.random_range(0..terms.report_interval().micros().max(1));
+    /// The engine of the front `local` in the zone `local_zone`. `seed` determines its random delays.
+    pub fn new(local: MemberId, local_zone: ZoneId, config: ZoneConfig, seed: u64, now: Moment) -> Engine {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let report_phase = rng.random_range(0..config.report_interval().micros().max(1));
         let mut engine = Engine {
-            me,
-            own,
-            terms,
-            evidence: OutcomeReporter::new(terms.loss_timeout),
-            places: BTreeMap::new(),
-            alive: BTreeMap::new(),
-            told: BTreeMap::new(),
-            eased: BTreeMap::new(),
-            heard: BTreeMap::new(),
+            local,
+            local_zone,
+            config,
+            reporter: OutcomeReporter::new(config.loss_timeout),
+            server_zones: BTreeMap::new(),
+            last_alive: BTreeMap::new(),
+            verdicts: BTreeMap::new(),
+            restricted_since: BTreeMap::new(),
+            sequences: SequenceFilter::default(),
             observer: None,
-            nth: 0,
-            claims_at: now,
-            leaves: false,
-            report_at: now + Span::from_micros(phase),
-            reported: now,
-            turned: now,
-            chance,
-            out: VecDeque::new(),
+            sequence: 0,
+            claim_at: now,
+            is_leaving: false,
+            next_report_at: now + Span::from_micros(report_phase),
+            last_report_at: now,
+            last_processed_at: now,
+            rng,
+            outputs: VecDeque::new(),
         };
-        engine.claim_after(now, Span::ZERO);
+        engine.schedule_claim(now, Span::ZERO);
         engine
     }
 
+    /// The zone that this front is in.
     pub fn local_zone(&self) -> ZoneId {
-        self.own
+        self.local_zone
     }
 
-    /// Fronts that miss an observer do not all speak at once.
-    fn claim_after(&mut self, now: Moment, silence: Span) {
-        let by_chance = self.chance.random_range(0..self.terms.step_duration().micros().max(1));
-        self.claims_at = now + silence + Span::from_micros(by_chance);
+    /// Whether this front is the observer of its zone.
+    pub fn is_observer(&self) -> bool {
+        self.observer.is_some()
     }
 
-    // ---- What is seen ----
+    /// The zones of the servers in service, in ascending order.
+    pub fn zones(&self) -> Vec<ZoneId> {
+        distinct_zones(&self.server_zones)
+    }
 
-    /// The servers in service that are in a district.
-    pub fn on_server_locations(&mut self, places: &[ServerLocation]) {
-        let next: BTreeMap<ServerKey, ZoneId> =
-            places.iter().map(|place| (place.server, place.zone)).collect();
-        if next == self.places {
+    /// Replaces the list of servers in service that are in a zone.
+    pub fn on_server_locations(&mut self, locations: &[ServerLocation]) {
+        let server_zones: BTreeMap<ServerKey, ZoneId> =
+            locations.iter().map(|location| (location.server, location.zone)).collect();
+        if server_zones == self.server_zones {
             return;
         }
-        self.places = next;
-        self.alive.retain(|server, _| self.places.contains_key(server));
+        self.server_zones = server_zones;
+        self.last_alive.retain(|server, _| self.server_zones.contains_key(server));
         if let Some(observer) = &mut self.observer {
-            observer.pool.on_server_locations(places);
+            observer.on_server_locations(locations);
         }
     }
 
-    /// An INVITE has been decided on; `ask` names it until it ends.
-    pub fn on_invite_sent(&mut self, now: Moment, server: ServerKey, ask: u64) {
-        if self.places.contains_key(&server) {
-            self.evidence.on_invite_sent(now, server, ask);
+    /// An INVITE was sent. `invite` identifies it until it ends.
+    pub fn on_invite_sent(&mut self, now: Moment, server: ServerKey, invite: u64) {
+        if self.server_zones.contains_key(&server) {
+            self.reporter.on_invite_sent(now, server, invite);
         }
     }
 
-    pub fn on_answer(&mut self, now: Moment, ask: u64) {
-        self.evidence.on_answer(now, ask);
+    /// The server answered an INVITE, positively or negatively.
+    pub fn on_answer(&mut self, now: Moment, invite: u64) {
+        self.reporter.on_answer(now, invite);
     }
 
-    pub fn on_transport_failure(&mut self, ask: u64) {
-        self.evidence.on_transport_failure(ask);
+    /// An INVITE failed without an answer: no connection, or a reset.
+    pub fn on_transport_failure(&mut self, invite: u64) {
+        self.reporter.on_transport_failure(invite);
     }
 
-    pub fn on_invite_cancelled(&mut self, ask: u64) {
-        self.evidence.on_invite_cancelled(ask);
+    /// This side cancelled an INVITE.
+    pub fn on_invite_cancelled(&mut self, invite: u64) {
+        self.reporter.on_invite_cancelled(invite);
     }
 
-    /// A server said anything at all, or took a connection.
+    /// A server sent anything at all, or accepted a connection.
     pub fn on_server_alive(&mut self, now: Moment, server: ServerKey) {
-        if self.places.contains_key(&server) {
-            // Once a report is enough.
-            if self.alive.insert(server, now).is_none_or(|at| now.since(at) >= self.terms.report_interval()) {
-                self.evidence.on_server_alive(server);
-            }
+        if !self.server_zones.contains_key(&server) {
+            return;
+        }
+        let previous = self.last_alive.insert(server, now);
+        // Once per report is enough.
+        if previous.is_none_or(|previous| now.since(previous) >= self.config.report_interval()) {
+            self.reporter.on_server_alive(server);
         }
     }
 
-    /// It leaves service: an observer says that it is one no more.
+    /// This front leaves service: as an observer it resigns and informs the others.
     pub fn leave(&mut self, now: Moment) {
-        self.leaves = true;
+        self.is_leaving = true;
         if self.observer.take().is_some() {
-            self.say(now, Span::ZERO, Vec::new());
+            self.announce(now, Span::ZERO, Vec::new());
         }
     }
 
-    /// A word of another front.
+    /// Takes in a message of another front. Messages that cannot be decoded are dropped.
     pub fn handle_input(&mut self, now: Moment, from: MemberId, bytes: &[u8]) {
         match codec::decode(bytes) {
-            Some(Message::Report { zone: district, samples: met }) if district == self.own => {
+            Some(Message::Report { zone, samples }) if zone == self.local_zone => {
                 if let Some(observer) = &mut self.observer {
-                    observer.pool.on_report(now, from.front, &met);
+                    observer.on_report(now, from.front, &samples);
                 }
             }
-            Some(Message::Verdicts { zone: district, sequence: nth, ttl: lasts, shares: eased }) => {
-                if self.is_old(from, nth) {
+            Some(Message::Verdicts { zone, sequence, ttl, shares }) => {
+                if !self.sequences.accept(from, sequence) {
                     return;
                 }
-                let until = now + lasts.min(self.terms.verdict_ttl() * MAX_LASTS);
-                self.heed(
-                    now,
-                    district,
-                    ActiveVerdicts {
-                        observer: from.front,
-                        received_at: now,
-                        expires_at: until,
-                        shares: eased,
-                    },
-                );
+                let expires_at = now + ttl.min(self.config.verdict_ttl() * MAX_TTL_FACTOR);
+                let verdicts = ActiveVerdicts { observer: from.front, received_at: now, expires_at, shares };
+                self.apply_verdicts(now, zone, verdicts);
             }
             _ => {}
         }
     }
 
-    /// Whether a word of an observer comes after a later one of its own.
-    fn is_old(&mut self, from: MemberId, nth: u32) -> bool {
-        if self.heard.len() >= MAX_HEARD && !self.heard.contains_key(&from.front) {
-            return true;
+    /// Does everything that is due: counts losses, reports, claims the observer's role, decides as the observer.
+    pub fn process(&mut self, now: Moment) {
+        let was_stalled = now.since(self.last_processed_at) > self.config.loss_timeout;
+        self.last_processed_at = now;
+        self.reporter.process(now, was_stalled);
+        let min_interval = self.config.report_interval() / URGENT_REPORT_RATE;
+        let is_urgent = self.reporter.has_loss() && now.since(self.last_report_at) >= min_interval;
+        if now >= self.next_report_at || is_urgent {
+            self.last_report_at = now;
+            self.next_report_at = now + self.config.report_interval();
+            self.report(now);
         }
-        let last = self.heard.entry(from.front).or_insert((from.incarnation, 0));
-        let (life, known) = *last;
-        let later = if life == from.incarnation {
-            nth > known
-        } else {
-            from.incarnation.wrapping_sub(life) < u32::MAX / 2
-        };
-        if later {
-            *last = (from.incarnation, nth);
+        if self.may_claim() && now >= self.claim_at {
+            self.claim(now);
+        }
+        let config = self.config;
+        let Some(observer) = &mut self.observer else { return };
+        if let Some(shares) = observer.process(now, &distinct_zones(&self.server_zones)) {
+            self.announce(now, config.verdict_ttl(), shares);
         }
-        !later
     }
 
-    /// Takes a word on, where it is of the observer that is heeded, or of one that goes before it.
-    fn heed(&mut self, now: Moment, district: ZoneId, told: ActiveVerdicts) {
-        let goes_before = |other: &ActiveVerdicts| {
-            other.observer == told.observer || told.observer < other.observer || now >= other.expires_at
-        };
-        if self.told.get(&district).is_some_and(|other| !goes_before(other)) {
-            return;
-        }
-        if district == self.own {
-            if told.observer != self.me.front {
-                self.observer = None;
-            }
-            let gap = if told.shares.is_empty() {
-                self.terms.step_duration() * QUIET_STEPS
-            } else {
-                self.terms.step_duration()
-            };
-            let is_over = told.expires_at <= now;
-            self.claim_after(now, if is_over { Span::ZERO } else { gap * MISSED });
-            self.eased.retain(|district, _| told.shares.iter().any(|eased| eased.zone == *district));
-            for eased in &told.shares {
-                self.eased.entry(eased.zone).or_insert(told.received_at);
-            }
-        }
-        self.told.insert(district, told);
+    /// The next encoded message to send.
+    pub fn poll_output(&mut self) -> Option<(Recipient, Vec<u8>)> {
+        self.outputs.pop_front()
     }
 
-    /// Says to all what is in force, and heeds it.
-    fn say(&mut self, now: Moment, lasts: Span, eased: Vec<ZoneShare>) {
-        self.nth += 1;
-        let word =
-            Message::Verdicts { zone: self.own, sequence: self.nth, ttl: lasts, shares: eased.clone() };
-        self.out.extend(codec::encode(&word).into_iter().map(|bytes| (Recipient::All, bytes)));
-        self.heed(
-            now,
-            self.own,
-            ActiveVerdicts {
-                observer: self.me.front,
-                received_at: now,
-                expires_at: now + lasts,
-                shares: eased,
-            },
-        );
+    /// When [`Engine::process`] is due even if nothing happens before.
+    pub fn poll_timeout(&self) -> Option<Moment> {
+        let observer_at =
+            self.is_observer().then(|| self.last_processed_at + self.config.report_interval() / 2);
+        let claim_at = self.may_claim().then_some(self.claim_at);
+        let timeouts = [Some(self.next_report_at), self.reporter.poll_timeout(), observer_at, claim_at];
+        timeouts.into_iter().flatten().min()
     }
 
-    /// Takes the task of observing on. What a former observer had in force, and has not lapsed, goes on from there.
-    fn claim(&mut self, now: Moment) {
-        let mut pool = OutcomeAggregate::new(self.terms);
-        let places = self.places.iter();
-        let places: Vec<ServerLocation> =
-            places.map(|(server, district)| ServerLocation { server: *server, zone: *district }).collect();
-        pool.on_server_locations(&places);
-        let told = self.told.get(&self.own).filter(|told| now < told.expires_at);
-        let resumed = told.into_iter().flat_map(|told| &told.shares);
-        let courses =
-            resumed.map(|eased| (eased.zone, ZoneRamp::resumed(eased.share, eased.reason, now))).collect();
-        // Whoever was heeded is silent.
-        self.told.remove(&self.own);
-        self.observer = Some(Observer { pool, courses, said: None });
+    /// The share of its sessions that a zone takes at this front now, from 0 to 1.
+    pub fn zone_share(&self, now: Moment, zone: ZoneId) -> f64 {
+        let verdicts = self.active_verdicts(now, self.local_zone);
+        let Some(verdicts) = verdicts.filter(|verdicts| !self.restricts_all_zones(verdicts)) else {
+            return 1.0;
+        };
+        let share = verdicts.shares.iter().find(|share| share.zone == zone);
+        share.filter(|share| !self.is_doubted(now, share.zone)).map_or(1.0, |share| share.share)
     }
 
-    // ---- What is due ----
+    /// The verdicts in force for the fronts of a zone, if they have not expired.
+    pub fn active_verdicts(&self, now: Moment, zone: ZoneId) -> Option<&ActiveVerdicts> {
+        self.verdicts.get(&zone).filter(|verdicts| now < verdicts.expires_at)
+    }
 
-    pub fn process(&mut self, now: Moment) {
-        let stood_still = now.since(self.turned) > self.terms.loss_timeout;
-        self.turned = now;
-        self.evidence.process(now, stood_still);
-        // A loss is told at once, as long as that is not all the time.
-        let urgent = self.evidence.has_loss() && now.since(self.reported) >= self.terms.report_interval() / 5;
-        if now >= self.report_at || urgent {
-            self.reported = now;
-            self.report_at = now + self.terms.report_interval();
-            self.report(now);
-        }
-        if self.observer.is_none() && now >= self.claims_at && !self.leaves && !self.places.is_empty() {
-            self.claim(now);
-        }
-        self.observe(now);
+    fn may_claim(&self) -> bool {
+        self.observer.is_none() && !self.is_leaving && !self.server_zones.is_empty()
     }
 
-    fn report(&mut self, now: Moment) {
-        let to = self.told.get(&self.own).filter(|told| now < told.expires_at + self.terms.verdict_ttl());
-        let to = to.map(|told| told.observer);
-        // Where nobody is there to hear it, it is let go: it would be old for whoever comes.
-        let mut met = self.evidence.take_samples();
-        // A sign of life says nothing beside an answer, nor of a district that is in use.
-        let is_eased =
-            |server| self.places.get(server).is_some_and(|district| self.eased.contains_key(district));
-        for (server, met) in &mut met {
-            met.is_alive &= met.in_time + met.late == 0 && !met.is_stale && is_eased(server);
+    /// Schedules the next claim of the observer's role. The delay is random, so that not all fronts claim it at once.
+    fn schedule_claim(&mut self, now: Moment, silence: Span) {
+        let delay = self.rng.random_range(0..self.config.step_duration().micros().max(1));
+        self.claim_at = now + silence + Span::from_micros(delay);
+    }
+
+    /// Follows verdicts if they are from the present observer, or from one that takes precedence over it.
+    fn apply_verdicts(&mut self, now: Moment, zone: ZoneId, verdicts: ActiveVerdicts) {
+        let present = self.verdicts.get(&zone);
+        if present.is_some_and(|present| verdicts.observer > present.observer && now < present.expires_at) {
+            return;
         }
-        met.retain(|(_, met)| !met.is_empty());
-        match (&mut self.observer, to) {
-            (Some(observer), _) => observer.pool.on_report(now, self.me.front, &met),
-            (None, Some(to)) if !met.is_empty() && to != self.me.front => {
-                for bytes in codec::encode(&Message::Report { zone: self.own, samples: met }) {
-                    self.out.push_back((Recipient::Front(to), bytes));
-                }
-            }
-            _ => {}
+        if zone == self.local_zone {
+            self.follow(now, &verdicts);
         }
+        self.verdicts.insert(zone, verdicts);
     }
 
-    /// As the observer: looks at what was met, goes on with each district's course, and says what is in force.
-    fn observe(&mut self, now: Moment) {
-        let terms = self.terms;
-        let Some(observer) = &mut self.observer else { return };
-        observer.pool.process(now);
-        let mut districts: Vec<ZoneId> = self.places.values().copied().collect();
-        districts.sort_unstable();
-        districts.dedup();
-        let counts: Vec<ZoneStats> =
-            districts.iter().map(|district| observer.pool.zone_stats(now, *district)).collect();
-        let verdicts = evaluate(&counts, observer.pool.reporter_count());
-        observer.courses.retain(|district, _| districts.contains(district));
-        for ((district, count), verdict) in districts.iter().zip(&counts).zip(&verdicts) {
-            let course = observer.courses.entry(*district).or_default();
-            if course.process(now, *verdict, count, &terms) {
-                observer.pool.begin_step(*district);
-            }
+    /// Adjusts this front's role to verdicts for its own zone.
+    fn follow(&mut self, now: Moment, verdicts: &ActiveVerdicts) {
+        if verdicts.observer != self.local.front {
+            self.observer = None;
         }
-        let mut eased: Vec<ZoneShare> = observer
-            .courses
-            .iter()
-            .filter_map(|(district, course)| {
-                let (share, why) = course.share()?;
-                // As it is said: the same here and at all others.
-                let share = (share * codec::SHARE_SCALE).round() / codec::SHARE_SCALE;
-                Some(ZoneShare { zone: *district, share, reason: why })
-            })
-            .collect();
-        // Never all of them: the one that takes most is let go.
-        if eased.len() >= districts.len()
-            && let Some(most) = (0..eased.len()).max_by(|a, b| eased[*a].share.total_cmp(&eased[*b].share))
-        {
-            eased.remove(most);
-        }
-        let gap = if eased.is_empty() { terms.step_duration() * QUIET_STEPS } else { terms.step_duration() };
-        let due = match &observer.said {
-            None => true,
-            Some((at, said)) => *said != eased || now.since(*at) >= gap,
-        };
-        if due {
-            observer.said = Some((now, eased.clone()));
-            self.say(now, terms.verdict_ttl(), eased);
+        let has_expired = verdicts.expires_at <= now;
+        let interval = announce_interval(&self.config, &verdicts.shares);
+        let silence = if has_expired { Span::ZERO } else { interval * MAX_MISSED_ANNOUNCEMENTS };
+        self.schedule_claim(now, silence);
+        self.restricted_since.retain(|zone, _| verdicts.restricts(*zone));
+        for share in &verdicts.shares {
+            self.restricted_since.entry(share.zone).or_insert(verdicts.received_at);
         }
     }
 
-    /// The next word, and to whom it goes.
-    pub fn poll_output(&mut self) -> Option<(Recipient, Vec<u8>)> {
-        self.out.pop_front()
+    /// As the observer: sends verdicts to all fronts and follows them.
+    fn announce(&mut self, now: Moment, ttl: Span, shares: Vec<ZoneShare>) {
+        self.sequence += 1;
+        let message =
+            Message::Verdicts { zone: self.local_zone, sequence: self.sequence, ttl, shares: shares.clone() };
+        self.outputs.extend(codec::encode(&message).into_iter().map(|bytes| (Recipient::All, bytes)));
+        let observer = self.local.front;
+        let verdicts = ActiveVerdicts { observer, received_at: now, expires_at: now + ttl, shares };
+        self.apply_verdicts(now, self.local_zone, verdicts);
     }
 
-    /// When [`Engine::process`] is due although nothing came.
-    pub fn poll_timeout(&self) -> Option<Moment> {
-        let observes = self.observer.is_some().then(|| self.turned + self.terms.report_interval() / 2);
-        let may = self.observer.is_none() && !self.leaves && !self.places.is_empty();
-        let claims = may.then_some(self.claims_at);
-        [Some(self.report_at), self.evidence.poll_timeout(), observes, claims].into_iter().flatten().min()
+    /// Takes the observer's role. Verdicts of a former observer that have not expired are resumed.
+    fn claim(&mut self, now: Moment) {
+        let former = self.verdicts.remove(&self.local_zone).filter(|former| now < former.expires_at);
+        let shares = former.map_or_else(Vec::new, |former| former.shares);
+        let locations: Vec<ServerLocation> = self
+            .server_zones
+            .iter()
+            .map(|(server, zone)| ServerLocation { server: *server, zone: *zone })
+            .collect();
+        self.observer = Some(Observer::new(self.config, &locations, &shares, now));
     }
 
-    // ---- What is in force ----
-
-    /// What share of the sessions the servers of a district take, by what the observer said and as long as it is good.
-    pub fn zone_share(&self, now: Moment, district: ZoneId) -> f64 {
-        let told = self.told.get(&self.own).filter(|told| now < told.expires_at);
-        let Some(told) = told.filter(|told| self.leaves_some(told)) else { return 1.0 };
-        let eased = told.shares.iter().find(|eased| eased.zone == district);
-        eased.filter(|eased| !self.is_doubted(now, eased)).map_or(1.0, |eased| eased.share)
+    /// Hands the outcomes since the last report to the observer. Without an observer they are dropped: they would be outdated
+    /// for the next one.
+    fn report(&mut self, now: Moment) {
+        let grace = self.config.verdict_ttl();
+        let verdicts =
+            self.verdicts.get(&self.local_zone).filter(|verdicts| now < verdicts.expires_at + grace);
+        let observer_front = verdicts.map(|verdicts| verdicts.observer);
+        let mut samples = self.reporter.take_samples();
+        // A sign of life adds nothing to an answer, and is of no use for a zone in full use.
+        for ServerSample { server, outcomes } in &mut samples {
+            let zone = self.server_zones.get(server);
+            let is_restricted = zone.is_some_and(|zone| self.restricted_since.contains_key(zone));
+            outcomes.is_alive &= !outcomes.has_answer() && is_restricted;
+        }
+        samples.retain(|sample| !sample.outcomes.is_empty());
+        if let Some(observer) = &mut self.observer {
+            observer.on_report(now, self.local.front, &samples);
+        } else if let Some(front) = observer_front.filter(|front| *front != self.local.front)
+            && !samples.is_empty()
+        {
+            let report = codec::encode(&Message::Report { zone: self.local_zone, samples });
+            self.outputs.extend(report.into_iter().map(|bytes| (Recipient::Front(front), bytes)));
+        }
     }
 
-    /// Never all districts: a word that says so is wrong.
-    fn leaves_some(&self, told: &ActiveVerdicts) -> bool {
-        let named = |district: &ZoneId| told.shares.iter().any(|eased| eased.zone == *district);
-        self.places.values().any(|district| !named(district))
+    /// Verdicts that restrict all zones are wrong: there would be nowhere to go.
+    fn restricts_all_zones(&self, verdicts: &ActiveVerdicts) -> bool {
+        self.server_zones.values().all(|zone| verdicts.restricts(*zone))
     }
 
-    /// It was said for long, and this front hears most of the district's servers all the while: whoever says it is
-    /// wrong, and costs no more than that time.
-    fn is_doubted(&self, now: Moment, eased: &ZoneShare) -> bool {
-        let Some(since) = self.eased.get(&eased.zone) else { return false };
-        if now.since(*since) < self.terms.step_duration() * MAX_BORNE {
+    /// Whether a zone has been restricted for long although this front hears most of its servers. The observer is wrong then,
+    /// and must not cost more than that time.
+    fn is_doubted(&self, now: Moment, zone: ZoneId) -> bool {
+        let Some(since) = self.restricted_since.get(&zone) else { return false };
+        if now.since(*since) < self.config.step_duration() * MAX_RESTRICTED_STEPS {
             return false;
         }
-        let servers = || self.places.iter().filter(|(_, district)| **district == eased.zone);
-        let recent = self.terms.step_duration() * 4;
-        let hears = |(server, _): &(&ServerKey, &ZoneId)| {
-            self.alive.get(server).is_some_and(|at| now.since(*at) < recent)
+        let recent = self.config.step_duration() * RECENT_ALIVE_STEPS;
+        let is_heard = |server: &ServerKey| {
+            self.last_alive.get(server).is_some_and(|last_alive| now.since(*last_alive) < recent)
         };
-        servers().filter(hears).count() * 2 > servers().count()
+        let servers: Vec<&ServerKey> = self
+            .server_zones
+            .iter()
+            .filter_map(|(server, server_zone)| (*server_zone == zone).then_some(server))
+            .collect();
+        servers.iter().filter(|server| is_heard(server)).count() * 2 > servers.len()
     }
+}
 
-    /// What the observer of that district's fronts said last, as long as it is good.
-    pub fn active_verdicts(&self, now: Moment, of: ZoneId) -> Option<&ActiveVerdicts> {
-        self.told.get(&of).filter(|told| now < told.expires_at)
+impl ActiveVerdicts {
+    fn restricts(&self, zone: ZoneId) -> bool {
+        self.shares.iter().any(|share| share.zone == zone)
     }
+}
 
-    /// Whether this front observes.
-    pub fn is_observer(&self) -> bool {
-        self.observer.is_some()
-    }
+/// The zones of the servers, in ascending order.
+fn distinct_zones(server_zones: &BTreeMap<ServerKey, ZoneId>) -> Vec<ZoneId> {
+    let mut zones: Vec<ZoneId> = server_zones.values().copied().collect();
+    zones.sort_unstable();
+    zones.dedup();
+    zones
+}
 
-    /// The districts that servers are in.
-    pub fn zones(&self) -> Vec<ZoneId> {
-        let mut districts: Vec<ZoneId> = self.places.values().copied().collect();
-        districts.sort_unstable();
-        districts.dedup();
-        districts
-    }
+/// How often an observer announces verdicts that have not changed.
+fn announce_interval(config: &ZoneConfig, shares: &[ZoneShare]) -> Span {
+    let steps = if shares.is_empty() { IDLE_ANNOUNCE_STEPS } else { 1 };
+    config.step_duration() * steps
 }
--- /dev/null
+++ b/crates/ochrelead-zone/src/engine/sequence_filter.rs
@@ -0,0 +1,45 @@
+//! Drops verdicts that arrive after later ones of the same observer.
+
+use std::collections::BTreeMap;
+
+use ochrelead_gossip::MemberId;
+
+/// Observers that are remembered; messages of any beyond are dropped.
+const MAX_OBSERVERS: usize = 1_024;
+
+#[derive(Clone, Copy, Debug)]
+struct LastSequence {
+    incarnation: u32,
+    sequence: u32,
+}
+
+/// The latest sequence number of each observer, by front.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SequenceFilter {
+    last: BTreeMap<u32, LastSequence>,
+}
+
+impl SequenceFilter {
+    /// Whether a message is later than all before it of the same observer; if so, it becomes the latest.
+    pub(super) fn accept(&mut self, from: MemberId, sequence: u32) -> bool {
+        if self.last.len() >= MAX_OBSERVERS && !self.last.contains_key(&from.front) {
+            return false;
+        }
+        let initial = LastSequence { incarnation: from.incarnation, sequence: 0 };
+        let last = self.last.entry(from.front).or_insert(initial);
+        let is_later = if last.incarnation == from.incarnation {
+            sequence > last.sequence
+        } else {
+            is_later_incarnation(from.incarnation, last.incarnation)
+        };
+        if is_later {
+            *last = LastSequence { incarnation: from.incarnation, sequence };
+        }
+        is_later
+    }
+}
+
+/// Incarnation numbers wrap around.
+fn is_later_incarnation(incarnation: u32, other: u32) -> bool {
+    incarnation.wrapping_sub(other) < u32::MAX / 2
+}
--- a/crates/ochrelead-zone/src/message.rs
+++ b/crates/ochrelead-zone/src/message.rs
@@ -2,9 +2,9 @@
 
 use ochrelead_core::time::Span;
 
-use crate::outcome_reporter::OutcomeSample;
+use crate::ZoneId;
+use crate::outcome_reporter::ServerSample;
 use crate::ramp::ShareReason;
-use crate::{ServerKey, ZoneId};
 
 /// The share of sessions that a zone takes while it is drained or recovers.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -25,7 +25,7 @@
         /// The zone of the reporting front.
         zone: ZoneId,
         /// The outcomes by server; each server at most once.
-        samples: Vec<(ServerKey, OutcomeSample)>,
+        samples: Vec<ServerSample>,
     },
     /// What is in force for the fronts of one zone, from the observer of that zone.
     Verdicts {
--- a/crates/ochrelead-zone/src/outcome_aggregate.rs
+++ b/crates/ochrelead-zone/src/outcome_aggregate.rs
@@ -1,193 +1,224 @@
-//! What all fronts of a district met, at its observer.
+//! Adds up the reports of all fronts of a zone, at their observer.
 //!
-//! For each server a run is kept: how many INVITEs were lost there since the last answer that any front had. A server
-//! that lives ends its run with its next answer; how many answers may be missing by chance is what [`crate::verdict`] weighs.
-//! Besides, shares of answers in time over the last while, for a return and for a district that does less.
+//! For each server it counts a run of losses: INVITEs lost since the last answer that any front received. A server that is up
+//! ends its run with its next answer; [`crate::verdict`] allows for the answers that may be missing at random. Besides, sliding
+//! windows of answers and losses tell how a recovery goes, and whether a zone is healthy.
 
 use std::collections::BTreeMap;
 
 use ochrelead_core::sliding_window::SlidingWindow;
 use ochrelead_core::time::{Moment, Span};
 
-use crate::outcome_reporter::OutcomeSample;
+use crate::outcome_reporter::{OutcomeSample, ServerSample};
 use crate::verdict::{self, ZoneStats};
 use crate::{ServerKey, ServerLocation, ZoneConfig, ZoneId};
 
-/// The most of a server's run that one front's report adds.
-const MAX_OF_ONE: u32 = 3;
-/// Fronts that are told apart in a run; more make no difference.
-const FRONTS: usize = 8;
+/// How much one report adds at most to the run of a server.
+const MAX_PER_REPORT: u32 = 3;
+/// Fronts that are distinguished in a run; more make no difference to a verdict.
+const MAX_FRONTS_PER_RUN: usize = 8;
 /// Fronts that are remembered as reporting.
 const MAX_REPORTERS: usize = 4_096;
+/// Losses in a run from which on a server may count as silent.
+const MIN_SILENT_RUN: u32 = 2;
+/// Runs and reporters are forgotten after this multiple of the loss timeout without an update.
+const RETENTION_FACTOR: u64 = 8;
 
 #[derive(Clone, Debug)]
 struct ServerHistory {
-    district: ZoneId,
-    run: u32,
-    /// Fronts that added to it.
-    by: Vec<u32>,
-    lost_at: Option<Moment>,
-    first_at: Option<Moment>,
-    answered_at: Option<Moment>,
-    alive_at: Option<Moment>,
+    zone: ZoneId,
+    /// INVITEs lost since the last answer.
+    loss_run: u32,
+    /// The fronts that lost them.
+    losing_fronts: Vec<u32>,
+    last_loss_at: Option<Moment>,
+    first_answer_at: Option<Moment>,
+    last_answer_at: Option<Moment>,
+    last_alive_at: Option<Moment>,
     in_time: SlidingWindow<4>,
     late: SlidingWindow<4>,
     lost: SlidingWindow<4>,
-    /// Its answers over a longer while.
+    /// Answers over a longer window, for the server's usual rate.
     answers: SlidingWindow<8>,
 }
 
-/// How it stands with one front that reports.
+impl ServerHistory {
+    fn new(zone: ZoneId, bucket_width: Span) -> ServerHistory {
+        ServerHistory {
+            zone,
+            loss_run: 0,
+            losing_fronts: Vec::new(),
+            last_loss_at: None,
+            first_answer_at: None,
+            last_answer_at: None,
+            last_alive_at: None,
+            in_time: SlidingWindow::new(bucket_width),
+            late: SlidingWindow::new(bucket_width),
+            lost: SlidingWindow::new(bucket_width),
+            answers: SlidingWindow::new(bucket_width * 4),
+        }
+    }
+
+    fn reset_loss_run(&mut self) {
+        self.loss_run = 0;
+        self.losing_fronts.clear();
+    }
+
+    /// Adds one front's sample. `counts_losses` is false for a front that may itself be cut off.
+    fn record(&mut self, now: Moment, front: u32, sample: OutcomeSample, counts_losses: bool) {
+        let sample = sample.bounded();
+        if sample.is_alive || sample.has_answer() {
+            self.last_alive_at = Some(now);
+        }
+        record_times(&mut self.in_time, now, sample.in_time);
+        record_times(&mut self.late, now, sample.late);
+        record_times(&mut self.lost, now, sample.lost);
+        record_times(&mut self.answers, now, sample.in_time + sample.late);
+        if sample.has_answer() {
+            self.reset_loss_run();
+            self.last_answer_at = Some(now);
+            self.first_answer_at.get_or_insert(now);
+        } else if sample.lost > 0 && counts_losses {
+            self.loss_run += sample.lost.min(MAX_PER_REPORT);
+            self.last_loss_at = Some(now);
+            if self.losing_fronts.len() < MAX_FRONTS_PER_RUN && !self.losing_fronts.contains(&front) {
+                self.losing_fronts.push(front);
+            }
+        }
+    }
+
+    /// Answers that the server would have given since its last one, at the rate that it had then.
+    fn missed_answers(&self, now: Moment) -> f64 {
+        match self.first_answer_at.zip(self.last_answer_at) {
+            Some((first, last)) => self.answers.rate(last, first) * now.since(last).ratio(Span::from_secs(1)),
+            // This observer has never seen an answer: the INVITEs that were lost are all that it knows of.
+            None => f64::from(self.loss_run),
+        }
+    }
+}
+
+fn record_times<const BUCKETS: usize>(window: &mut SlidingWindow<BUCKETS>, now: Moment, count: u32) {
+    (0..count.min(MAX_PER_REPORT)).for_each(|_| window.record(now, Span::ZERO));
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Reporter {
-    at: Moment,
-    /// When it last had any answer, from any server.
-    answered_at: Option<Moment>,
+    last_report_at: Moment,
+    /// When it last had an answer from any server.
+    last_answer_at: Option<Moment>,
 }
 
+/// What all fronts of a zone have reported.
 #[derive(Clone, Debug)]
 pub struct OutcomeAggregate {
-    terms: ZoneConfig,
+    config: ZoneConfig,
     servers: BTreeMap<ServerKey, ServerHistory>,
     reporters: BTreeMap<u32, Reporter>,
 }
 
 impl OutcomeAggregate {
-    pub fn new(terms: ZoneConfig) -> OutcomeAggregate {
-        OutcomeAggregate { terms, servers: BTreeMap::new(), reporters: BTreeMap::new() }
+    /// An aggregate without servers and reports.
+    pub fn new(config: ZoneConfig) -> OutcomeAggregate {
+        OutcomeAggregate { config, servers: BTreeMap::new(), reporters: BTreeMap::new() }
     }
 
-    /// The servers in service, and where they are. What is known of one that stays is kept.
-    pub fn on_server_locations(&mut self, places: &[ServerLocation]) {
-        let width = self.terms.loss_timeout;
-        let mut former = std::mem::take(&mut self.servers);
-        for place in places {
-            let fresh = || ServerHistory {
-                district: place.zone,
-                run: 0,
-                by: Vec::new(),
-                lost_at: None,
-                first_at: None,
-                answered_at: None,
-                alive_at: None,
-                in_time: SlidingWindow::new(width),
-                late: SlidingWindow::new(width),
-                lost: SlidingWindow::new(width),
-                answers: SlidingWindow::new(width * 4),
-            };
-            let kept = former.remove(&place.server).filter(|seen| seen.district == place.zone);
-            self.servers.insert(place.server, kept.unwrap_or_else(fresh));
+    /// Replaces the list of servers in service. The history of a server that stays in its zone is kept.
+    pub fn on_server_locations(&mut self, locations: &[ServerLocation]) {
+        let mut previous = std::mem::take(&mut self.servers);
+        for &ServerLocation { server, zone } in locations {
+            let history = previous.remove(&server).filter(|history| history.zone == zone);
+            let history = history.unwrap_or_else(|| ServerHistory::new(zone, self.config.loss_timeout));
+            self.servers.insert(server, history);
         }
     }
 
-    /// A front's report.
-    pub fn on_report(&mut self, now: Moment, front: u32, met: &[(ServerKey, OutcomeSample)]) {
+    /// Adds a front's report.
+    pub fn on_report(&mut self, now: Moment, front: u32, samples: &[ServerSample]) {
         if self.reporters.len() >= MAX_REPORTERS && !self.reporters.contains_key(&front) {
             return;
         }
-        let answered = met.iter().any(|(_, met)| met.in_time + met.late > 0 || met.is_stale);
-        let reporter = self.reporters.entry(front).or_insert(Reporter { at: now, answered_at: None });
-        reporter.at = now;
-        if answered {
-            reporter.answered_at = Some(now);
+        let reporter =
+            self.reporters.entry(front).or_insert(Reporter { last_report_at: now, last_answer_at: None });
+        reporter.last_report_at = now;
+        if samples.iter().any(|sample| sample.outcomes.has_answer()) {
+            reporter.last_answer_at = Some(now);
         }
-        // A front that has had no answer from anybody of late, while others have, may itself be what is cut off.
-        let cut_off = !self.hears_anybody(now, front);
-        for (server, met) in met {
-            let Some(seen) = self.servers.get_mut(server) else { continue };
-            let met = met.bounded();
-            let answered = met.in_time + met.late > 0 || met.is_stale;
-            if met.is_alive || answered {
-                seen.alive_at = Some(now);
-            }
-            for (count, ring) in
-                [(met.in_time, &mut seen.in_time), (met.late, &mut seen.late), (met.lost, &mut seen.lost)]
-            {
-                (0..count.min(MAX_OF_ONE)).for_each(|_| ring.record(now, Span::ZERO));
-            }
-            (0..(met.in_time + met.late).min(MAX_OF_ONE)).for_each(|_| seen.answers.record(now, Span::ZERO));
-            if answered {
-                (seen.run, seen.answered_at) = (0, Some(now));
-                seen.first_at.get_or_insert(now);
-                seen.by.clear();
-            } else if met.lost > 0 && !cut_off {
-                seen.run += met.lost.min(MAX_OF_ONE);
-                seen.lost_at = Some(now);
-                if seen.by.len() < FRONTS && !seen.by.contains(&front) {
-                    seen.by.push(front);
-                }
+        // A front without a recent answer from any server may itself be cut off.
+        let counts_losses = self.has_recent_answer(now, front);
+        for ServerSample { server, outcomes } in samples {
+            if let Some(history) = self.servers.get_mut(server) {
+                history.record(now, front, *outcomes, counts_losses);
             }
         }
     }
 
-    /// Whether a front had an answer of late, from any server; none had where it has just begun to report.
-    fn hears_anybody(&self, now: Moment, front: u32) -> bool {
-        let recent = |at: Option<Moment>| at.is_some_and(|at| now.since(at) < self.memory());
-        self.reporters.get(&front).is_some_and(|own| recent(own.answered_at))
+    /// Whether a front recently had an answer from any server; false where it has just begun to report and had none.
+    fn has_recent_answer(&self, now: Moment, front: u32) -> bool {
+        let reporter = self.reporters.get(&front);
+        reporter.is_some_and(|reporter| is_recent(now, reporter.last_answer_at, self.retention()))
     }
 
-    /// A run that nobody added to for so long is over.
-    fn memory(&self) -> Span {
-        self.terms.loss_timeout * 8
+    fn retention(&self) -> Span {
+        self.config.loss_timeout * RETENTION_FACTOR
     }
 
-    /// Lets go of what is old.
-    pub fn process(&mut self, now: Moment) {
-        let memory = self.memory();
-        for seen in self.servers.values_mut() {
-            if seen.lost_at.is_some_and(|at| now.since(at) >= memory) {
-                (seen.run, seen.lost_at) = (0, None);
-                seen.by.clear();
+    /// Forgets runs that nobody has added to, and fronts that have stopped reporting.
+    pub fn expire(&mut self, now: Moment) {
+        let retention = self.retention();
+        for history in self.servers.values_mut() {
+            if history.last_loss_at.is_some_and(|at| now.since(at) >= retention) {
+                history.last_loss_at = None;
+                history.reset_loss_run();
             }
         }
-        self.reporters.retain(|_, reporter| now.since(reporter.at) < memory);
+        self.reporters.retain(|_, reporter| now.since(reporter.last_report_at) < retention);
     }
 
-    /// Fronts that report.
+    /// Number of fronts that report.
     pub fn reporter_count(&self) -> u32 {
-        self.reporters.len() as u32
+        u32::try_from(self.reporters.len()).unwrap_or(u32::MAX)
     }
 
-    /// What all met at a district.
-    pub fn zone_stats(&self, now: Moment, district: ZoneId) -> ZoneStats {
-        let recent = |at: Option<Moment>, span: Span| at.is_some_and(|at| now.since(at) < span);
-        let mut count = ZoneStats::default();
-        let (mut by, mut missed): (Vec<u32>, Vec<f64>) = (Vec::new(), Vec::new());
-        for seen in self.servers.values().filter(|seen| seen.district == district) {
-            count.servers += 1;
-            let asked = seen.run > 0 || recent(seen.answered_at, self.memory());
-            count.contacted += u32::from(asked);
-            if seen.run >= 2 && !recent(seen.answered_at, self.terms.loss_timeout) {
-                count.silent += 1;
-                count.lost += seen.run;
-                // At the rate that it had when it answered last.
-                missed.push(match seen.first_at.zip(seen.answered_at) {
-                    Some((first, last)) => {
-                        seen.answers.rate(last, first) * now.since(last).ratio(Span::from_secs(1))
-                    }
-                    // This observer has come since: what was asked is all that it knows of.
-                    None => f64::from(seen.run),
-                });
-                by.extend(seen.by.iter().filter(|front| !by.contains(front)).copied().collect::<Vec<_>>());
+    /// Statistics of one zone over all reports.
+    pub fn zone_stats(&self, now: Moment, zone: ZoneId) -> ZoneStats {
+        let mut stats = ZoneStats::default();
+        let mut losing_fronts: Vec<u32> = Vec::new();
+        let mut missed_by_server: Vec<f64> = Vec::new();
+        for history in self.servers.values().filter(|history| history.zone == zone) {
+            stats.servers += 1;
+            let was_contacted =
+                history.loss_run > 0 || is_recent(now, history.last_answer_at, self.retention());
+            stats.contacted += u32::from(was_contacted);
+            let answers_now = is_recent(now, history.last_answer_at, self.config.loss_timeout);
+            if history.loss_run >= MIN_SILENT_RUN && !answers_now {
+                stats.silent += 1;
+                stats.lost += history.loss_run;
+                missed_by_server.push(history.missed_answers(now));
+                losing_fronts.extend(&history.losing_fronts);
             }
-            count.alive += u32::from(recent(seen.alive_at, self.terms.step_duration()));
-            count.recent_in_time += seen.in_time.stats(now).count;
-            count.recent_late += seen.late.stats(now).count;
-            count.recent_lost += seen.lost.stats(now).count;
+            stats.alive += u32::from(is_recent(now, history.last_alive_at, self.config.step_duration()));
+            stats.recent_in_time += history.in_time.stats(now).count;
+            stats.recent_late += history.late.stats(now).count;
+            stats.recent_lost += history.lost.stats(now).count;
         }
-        count.reporting_fronts = by.len() as u32;
-        count.missed_answers = verdict::total_missed_answers(&missed);
-        count
+        losing_fronts.sort_unstable();
+        losing_fronts.dedup();
+        stats.reporting_fronts = u32::try_from(losing_fronts.len()).unwrap_or(u32::MAX);
+        stats.missed_answers = verdict::total_missed_answers(&missed_by_server);
+        stats
     }
 
-    /// A return has begun, or a step of it: what was met before says nothing of it.
-    pub fn begin_step(&mut self, district: ZoneId) {
-        for seen in self.servers.values_mut().filter(|seen| seen.district == district) {
-            seen.in_time.clear();
-            seen.late.clear();
-            seen.lost.clear();
-            seen.run = 0;
-            seen.by.clear();
+    /// A step of a recovery has begun in a zone: earlier reports do not describe it.
+    pub fn begin_step(&mut self, zone: ZoneId) {
+        for history in self.servers.values_mut().filter(|history| history.zone == zone) {
+            history.in_time.clear();
+            history.late.clear();
+            history.lost.clear();
+            history.reset_loss_run();
         }
     }
 }
+
+fn is_recent(now: Moment, at: Option<Moment>, span: Span) -> bool {
+    at.is_some_and(|at| now.since(at) < span)
+}
--- a/crates/ochrelead-zone/src/outcome_reporter.rs
+++ b/crates/ochrelead-zone/src/outcome_reporter.rs
@@ -1,7 +1,7 @@
-//! What one front met at each server since its last report.
+//! Counts what one front sees at each server between two reports.
 //!
-//! An INVITE is counted once as soon as it is overdue (lost), and once when its answer comes: in time, or late. So a
-//! server that answers everything late has as many late ones as lost ones, and one that answers nothing only lost ones.
+//! An INVITE counts once as lost when its loss timeout passes, and once more when its answer comes, as in time or late. So a
+//! server that answers everything late has as many late INVITEs as lost ones, and a silent server has only lost ones.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -9,126 +9,170 @@
 
 use crate::ServerKey;
 
-/// INVITEs that are watched at once; one that is sent beyond is not.
-const MAX_OUT: usize = 4_096;
-/// An answer that took so many times longer than what is overdue is old.
-const OLD: u64 = 8;
-/// The most that one report says of one server and kind: a front that says more is not believed more.
+/// INVITEs that are tracked at once; any beyond are not.
+const MAX_PENDING: usize = 4_096;
+/// An answer that took more than this multiple of the loss timeout is stale.
+const STALE_FACTOR: u64 = 8;
+/// Highest count of one kind that a report carries for a server; a front that claims more is not believed.
 pub const MAX_REPORTED: u32 = 15;
 
-/// What was met at one server.
+/// Outcomes of INVITEs to one server since the last report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OutcomeSample {
+    /// INVITEs answered within the loss timeout.
     pub in_time: u32,
+    /// INVITEs answered after it.
     pub late: u32,
+    /// INVITEs that were not answered within it, or whose connection failed.
     pub lost: u32,
-    /// It gave a sign of life of any kind.
+    /// The server gave some sign of life.
     pub is_alive: bool,
-    /// It answered an INVITE of long ago: a cut that heals lets such answers through, and they say nothing of the present.
+    /// The server answered an INVITE sent long ago. When a partition heals such answers come through; they do not
+    /// describe its present state.
     pub is_stale: bool,
 }
 
 impl OutcomeSample {
+    /// Whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
         *self == OutcomeSample::default()
     }
 
-    /// Bounded to what may be said.
+    /// Whether the server answered any INVITE, however late.
+    pub fn has_answer(&self) -> bool {
+        self.in_time + self.late > 0 || self.is_stale
+    }
+
+    /// The sample with each count limited to [`MAX_REPORTED`].
     pub fn bounded(self) -> OutcomeSample {
-        let most = |count: u32| count.min(MAX_REPORTED);
-        OutcomeSample { in_time: most(self.in_time), late: most(self.late), lost: most(self.lost), ..self }
+        OutcomeSample {
+            in_time: self.in_time.min(MAX_REPORTED),
+            late: self.late.min(MAX_REPORTED),
+            lost: self.lost.min(MAX_REPORTED),
+            ..self
+        }
     }
 }
 
+/// The outcomes at one server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerSample {
+    /// The server.
+    pub server: ServerKey,
+    /// What was seen there.
+    pub outcomes: OutcomeSample,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct PendingInvite {
     server: ServerKey,
-    sent: Moment,
-    lost: bool,
+    sent_at: Moment,
+    is_lost: bool,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct QueuedTimeout {
+    sent_at: Moment,
+    invite: u64,
+}
+
+/// Tracks the INVITEs of one front and collects their outcomes for the next report.
 #[derive(Clone, Debug)]
 pub struct OutcomeReporter {
     loss_timeout: Span,
-    out: BTreeMap<u64, PendingInvite>,
-    /// INVITEs by when they were sent; those that have ended are still in it.
-    queue: VecDeque<(Moment, u64)>,
-    met: BTreeMap<ServerKey, OutcomeSample>,
+    pending: BTreeMap<u64, PendingInvite>,
+    /// INVITEs in the order in which they were sent; may contain some that have ended.
+    timeouts: VecDeque<QueuedTimeout>,
+    samples: BTreeMap<ServerKey, OutcomeSample>,
 }
 
 impl OutcomeReporter {
+    /// A reporter that counts an INVITE as lost after `loss_timeout`.
     pub fn new(loss_timeout: Span) -> OutcomeReporter {
-        OutcomeReporter { loss_timeout, out: BTreeMap::new(), queue: VecDeque::new(), met: BTreeMap::new() }
+        OutcomeReporter {
+            loss_timeout,
+            pending: BTreeMap::new(),
+            timeouts: VecDeque::new(),
+            samples: BTreeMap::new(),
+        }
     }
 
-    /// An INVITE has been decided on; `ask` names it until it ends.
-    pub fn on_invite_sent(&mut self, now: Moment, server: ServerKey, ask: u64) {
-        if self.out.len() < MAX_OUT {
-            self.out.insert(ask, PendingInvite { server, sent: now, lost: false });
-            self.queue.push_back((now, ask));
+    /// An INVITE was sent. `invite` identifies it until it ends; the number may be used again after that.
+    pub fn on_invite_sent(&mut self, now: Moment, server: ServerKey, invite: u64) {
+        if self.pending.len() < MAX_PENDING {
+            self.pending.insert(invite, PendingInvite { server, sent_at: now, is_lost: false });
+            self.timeouts.push_back(QueuedTimeout { sent_at: now, invite });
         }
     }
 
-    /// Its server answered, whatever it said.
-    pub fn on_answer(&mut self, now: Moment, ask: u64) {
-        let Some(out) = self.out.remove(&ask) else { return };
-        let met = self.met.entry(out.server).or_default();
-        met.is_alive = true;
-        if now.since(out.sent) > self.loss_timeout * OLD {
-            met.is_stale = true;
-        } else if now.since(out.sent) > self.loss_timeout {
-            met.late += 1;
+    /// The server answered, positively or negatively.
+    pub fn on_answer(&mut self, now: Moment, invite: u64) {
+        let Some(pending) = self.pending.remove(&invite) else { return };
+        let sample = self.samples.entry(pending.server).or_default();
+        let elapsed = now.since(pending.sent_at);
+        sample.is_alive = true;
+        if elapsed > self.loss_timeout * STALE_FACTOR {
+            sample.is_stale = true;
+        } else if elapsed > self.loss_timeout {
+            sample.late += 1;
         } else {
-            met.in_time += 1;
+            sample.in_time += 1;
         }
     }
 
-    /// It failed without a word of the server: no connection, a reset.
-    pub fn on_transport_failure(&mut self, ask: u64) {
-        if let Some(out) = self.out.remove(&ask).filter(|out| !out.lost) {
-            self.met.entry(out.server).or_default().lost += 1;
+    /// The INVITE failed without an answer: no connection, or a reset.
+    pub fn on_transport_failure(&mut self, invite: u64) {
+        if let Some(pending) = self.pending.remove(&invite).filter(|pending| !pending.is_lost) {
+            self.samples.entry(pending.server).or_default().lost += 1;
         }
     }
 
-    /// It was called off by this side: that says nothing beyond what its age has said.
-    pub fn on_invite_cancelled(&mut self, ask: u64) {
-        self.out.remove(&ask);
+    /// This side cancelled the INVITE. That says nothing about the server beyond a loss that was already counted.
+    pub fn on_invite_cancelled(&mut self, invite: u64) {
+        self.pending.remove(&invite);
     }
 
-    /// The server said anything at all, or took a connection.
+    /// The server sent anything at all, or accepted a connection.
     pub fn on_server_alive(&mut self, server: ServerKey) {
-        self.met.entry(server).or_default().is_alive = true;
+        self.samples.entry(server).or_default().is_alive = true;
     }
 
-    /// Counts what is overdue. `stood_still`: this front was not called for a while, and what is overdue may lie unread.
-    pub fn process(&mut self, now: Moment, stood_still: bool) {
-        while let Some((sent, ask)) = self.queue.front().copied() {
-            let over = self.out.get(&ask).is_none_or(|out| out.sent != sent);
-            if !over && now.since(sent) <= self.loss_timeout {
+    /// Counts INVITEs whose loss timeout has passed. With `was_stalled` this front has not run for a while, so that answers
+    /// may lie unread: overdue INVITEs are forgotten and not counted.
+    pub fn process(&mut self, now: Moment, was_stalled: bool) {
+        while let Some(QueuedTimeout { sent_at, invite }) = self.timeouts.front().copied() {
+            let has_ended = self.pending.get(&invite).is_none_or(|pending| pending.sent_at != sent_at);
+            if !has_ended && now.since(sent_at) <= self.loss_timeout {
                 break;
             }
-            self.queue.pop_front();
-            if stood_still {
-                self.out.remove(&ask);
-            } else if let Some(out) = self.out.get_mut(&ask).filter(|out| out.sent == sent) {
-                out.lost = true;
-                self.met.entry(out.server).or_default().lost += 1;
+            self.timeouts.pop_front();
+            if was_stalled {
+                self.pending.remove(&invite);
+            } else if let Some(pending) =
+                self.pending.get_mut(&invite).filter(|pending| pending.sent_at == sent_at)
+            {
+                pending.is_lost = true;
+                self.samples.entry(pending.server).or_default().lost += 1;
             }
         }
     }
 
-    /// Whether any INVITE was lost since then.
+    /// Whether any INVITE was lost since the last report.
     pub fn has_loss(&self) -> bool {
-        self.met.values().any(|met| met.lost > 0)
+        self.samples.values().any(|sample| sample.lost > 0)
     }
 
-    /// What was met since this was last asked for.
-    pub fn take_samples(&mut self) -> Vec<(ServerKey, OutcomeSample)> {
-        std::mem::take(&mut self.met).into_iter().filter(|(_, met)| !met.is_empty()).collect()
+    /// Takes the outcomes since the last call, by server.
+    pub fn take_samples(&mut self) -> Vec<ServerSample> {
+        let samples = std::mem::take(&mut self.samples).into_iter();
+        samples
+            .filter(|(_, outcomes)| !outcomes.is_empty())
+            .map(|(server, outcomes)| ServerSample { server, outcomes })
+            .collect()
     }
 
-    /// When the next INVITE is overdue.
+    /// When the next INVITE counts as lost.
     pub fn poll_timeout(&self) -> Option<Moment> {
-        self.queue.front().map(|(sent, _)| *sent + self.loss_timeout + Span::from_micros(1))
+        self.timeouts.front().map(|timeout| timeout.sent_at + self.loss_timeout + Span::from_micros(1))
     }
 }
--- a/crates/ochrelead-zone/tests/message.rs
+++ b/crates/ochrelead-zone/tests/message.rs
@@ -1,9 +1,9 @@
-//! Words as bytes: read as written, bounded, and nothing foreign harms.
+//! The wire format: messages are decoded as they were encoded, within their bounds, and foreign bytes do no harm.
 
 use ochrelead_core::time::Span;
 use ochrelead_zone::codec::{MAX_MESSAGE_BYTES, decode, encode};
 use ochrelead_zone::message::{Message, ZoneShare};
-use ochrelead_zone::outcome_reporter::OutcomeSample;
+use ochrelead_zone::outcome_reporter::{OutcomeSample, ServerSample};
 use ochrelead_zone::ramp::ShareReason;
 use ochrelead_zone::schema::{self, message::Body};
 use ochrelead_zone::{ServerKey, ZoneId};
@@ -11,69 +11,73 @@
 use prost::Message as _;
 use test_case::test_case;
 
-fn why() -> impl Strategy<Value = ShareReason> {
+fn share_reason() -> impl Strategy<Value = ShareReason> {
     prop_oneof![Just(ShareReason::Drained), Just(ShareReason::Recovering)]
 }
 
+fn outcome_sample() -> impl Strategy<Value = OutcomeSample> {
+    (0..16_u32, 0..16_u32, 0..16_u32, any::<bool>(), any::<bool>()).prop_map(
+        |(in_time, late, lost, is_alive, is_stale)| OutcomeSample { in_time, late, lost, is_alive, is_stale },
+    )
+}
+
 proptest! {
     #[test]
-    fn verdicts_are_read_as_written(
-        from in 0..16_u32, nth: u32, lasts in 0..10_000_u64,
-        shares in prop::collection::vec((0..16_u32, 0..=10_000_u32, why()), 0..16),
+    fn verdicts_are_decoded_as_encoded(
+        zone in 0..16_u32, sequence: u32, ttl_ms in 0..10_000_u64,
+        shares in prop::collection::vec((0..16_u32, 0..=10_000_u32, share_reason()), 0..16),
     ) {
-        let eased = shares.into_iter().map(|(district, share, why)| {
-            ZoneShare { zone: ZoneId(district), share: f64::from(share) / 10_000.0, reason: why }
+        let shares = shares.into_iter().map(|(zone, share, reason)| {
+            ZoneShare { zone: ZoneId(zone), share: f64::from(share) / 10_000.0, reason }
         });
-        let lasts = Span::from_millis(lasts);
-        let word = Message::Verdicts { zone: ZoneId(from), sequence: nth, ttl: lasts, shares: eased.collect() };
-        let bytes = encode(&word);
-        prop_assert_eq!(bytes.len(), 1);
-        prop_assert!(bytes[0].len() <= MAX_MESSAGE_BYTES);
-        prop_assert_eq!(decode(&bytes[0]), Some(word));
+        let ttl = Span::from_millis(ttl_ms);
+        let message = Message::Verdicts { zone: ZoneId(zone), sequence, ttl, shares: shares.collect() };
+        let encoded = encode(&message);
+        prop_assert_eq!(encoded.len(), 1);
+        prop_assert!(encoded[0].len() <= MAX_MESSAGE_BYTES);
+        prop_assert_eq!(decode(&encoded[0]), Some(message));
     }
 
     #[test]
-    fn reports_are_read_as_written_in_as_many_words_as_it_takes(
-        from in 0..16_u32,
-        met in prop::collection::btree_map(any::<u16>(), (0..16_u32, 0..16_u32, 0..16_u32, any::<bool>(), any::<bool>()), 0..200),
+    fn reports_are_decoded_as_encoded_in_as_many_messages_as_it_takes(
+        reporter_zone in 0..16_u32,
+        samples in prop::collection::btree_map(any::<u16>(), outcome_sample(), 0..200),
     ) {
-        let met: Vec<(ServerKey, OutcomeSample)> = met.into_iter()
-            .map(|(key, (in_time, late, lost, alive, old))| (ServerKey(key), OutcomeSample { in_time, late, lost, is_alive: alive, is_stale: old }))
-            .collect();
-        let mut back = Vec::new();
-        for bytes in encode(&Message::Report { zone: ZoneId(from), samples: met.clone() }) {
+        let samples: Vec<ServerSample> =
+            samples.into_iter().map(|(key, outcomes)| ServerSample { server: ServerKey(key), outcomes }).collect();
+        let mut decoded = Vec::new();
+        for bytes in encode(&Message::Report { zone: ZoneId(reporter_zone), samples: samples.clone() }) {
             prop_assert!(bytes.len() <= MAX_MESSAGE_BYTES, "{}", bytes.len());
-            let Some(Message::Report { zone: of, samples: met }) = decode(&bytes) else { panic!("no report") };
-            prop_assert_eq!(of, ZoneId(from));
-            back.extend(met);
+            let Some(Message::Report { zone, samples }) = decode(&bytes) else { panic!("no report") };
+            prop_assert_eq!(zone, ZoneId(reporter_zone));
+            decoded.extend(samples);
         }
-        prop_assert_eq!(back, met);
+        prop_assert_eq!(decoded, samples);
     }
 
     #[test]
-    fn whatever_comes_is_read_or_not(bytes in prop::collection::vec(any::<u8>(), 0..256)) {
-        if let Some(Message::Verdicts { shares: eased, .. }) = decode(&bytes) {
-            prop_assert!(eased.iter().all(|eased| (0.0..=1.0).contains(&eased.share)));
+    fn arbitrary_bytes_decode_to_valid_shares_or_nothing(bytes in prop::collection::vec(any::<u8>(), 0..256)) {
+        if let Some(Message::Verdicts { shares, .. }) = decode(&bytes) {
+            prop_assert!(shares.iter().all(|share| (0.0..=1.0).contains(&share.share)));
         }
     }
 }
 
-fn share(district: u32, share: u32, why: u32) -> schema::Share {
-    schema::Share { zone: district, share, reason: why }
-}
+/// An encoded share: zone plus one, share, reason.
+type EncodedShare = (u32, u32, u32);
 
-#[test_case(0, &[], false; "from no district")]
-#[test_case(17, &[], false; "from a district beyond the most")]
-#[test_case(1, &[(17, 500, 1)], false; "of a district beyond the most")]
+#[test_case(0, &[], false; "from no zone")]
+#[test_case(17, &[], false; "from a zone beyond the maximum")]
+#[test_case(1, &[(17, 500, 1)], false; "of a zone beyond the maximum")]
 #[test_case(1, &[(1, 500, 9)], true; "a reason of a newer version")]
 #[test_case(1, &[(1, 90_000, 1)], true; "a share out of range")]
-#[test_case(1, &[(1, 0, 1); 17], false; "more districts than there can be")]
-fn what_is_out_of_range(from: u32, shares: &[(u32, u32, u32)], is_read: bool) {
-    let share = shares.iter().map(|(district, of, why)| share(*district, *of, *why)).collect();
-    let body = Body::Verdicts(schema::Verdicts { zone: from, sequence: 1, ttl_ms: 1_000, shares: share });
-    let word = decode(&schema::Message { body: Some(body) }.encode_to_vec());
-    assert_eq!(word.is_some(), is_read);
-    if let Some(Message::Verdicts { shares: eased, .. }) = word {
-        assert!(eased.iter().all(|eased| (0.0..=1.0).contains(&eased.share)));
+#[test_case(1, &[(1, 0, 1); 17], false; "more zones than there can be")]
+fn values_out_of_range_are_rejected_or_clamped(zone: u32, shares: &[EncodedShare], is_decoded: bool) {
+    let shares = shares.iter().map(|&(zone, share, reason)| schema::Share { zone, share, reason }).collect();
+    let body = Body::Verdicts(schema::Verdicts { zone, sequence: 1, ttl_ms: 1_000, shares });
+    let message = decode(&schema::Message { body: Some(body) }.encode_to_vec());
+    assert_eq!(message.is_some(), is_decoded);
+    if let Some(Message::Verdicts { shares, .. }) = message {
+        assert!(shares.iter().all(|share| (0.0..=1.0).contains(&share.share)));
     }
 }
--- a/crates/ochrelead-zone/tests/stored_bytes.rs
+++ b/crates/ochrelead-zone/tests/stored_bytes.rs
@@ -1,4 +1,5 @@
-//! One message of each kind and servers' keys, as written by an earlier program: read, and written again byte for byte.
+//! One message of each kind and the keys of servers, as an earlier program encoded them: they are decoded, and encoded again
+//! byte for byte.
 
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -6,7 +7,7 @@
 use ochrelead_core::time::Span;
 use ochrelead_zone::codec::{decode, encode};
 use ochrelead_zone::message::{Message, ZoneShare};
-use ochrelead_zone::outcome_reporter::OutcomeSample;
+use ochrelead_zone::outcome_reporter::{OutcomeSample, ServerSample};
 use ochrelead_zone::ramp::ShareReason;
 use ochrelead_zone::{ServerKey, ZoneId};
 
@@ -16,20 +17,14 @@
 }
 
 fn messages() -> Vec<Message> {
-    let met = |in_time, late, lost, alive, old| OutcomeSample {
-        in_time,
-        late,
-        lost,
-        is_alive: alive,
-        is_stale: old,
+    let sample = |key, [in_time, late, lost]: [u32; 3], is_alive, is_stale| ServerSample {
+        server: ServerKey(key),
+        outcomes: OutcomeSample { in_time, late, lost, is_alive, is_stale },
     };
     vec![
         Message::Report {
             zone: ZoneId(3),
-            samples: vec![
-                (ServerKey(7), met(15, 2, 3, true, false)),
-                (ServerKey(u16::MAX), met(0, 0, 1, false, true)),
-            ],
+            samples: vec![sample(7, [15, 2, 3], true, false), sample(u16::MAX, [0, 0, 1], false, true)],
         },
         Message::Verdicts {
             zone: ZoneId(3),
@@ -48,19 +43,19 @@
 }
 
 #[test]
-fn each_message_is_read_and_written_as_it_was_stored() {
+fn messages_of_an_earlier_program_are_decoded_and_encoded_alike() {
     let written: String = messages().iter().flat_map(encode).map(|bytes| hex(&bytes) + "\n").collect();
     let stored = stored("messages.hex");
     assert_eq!(written, stored);
     for (line, message) in stored.lines().zip(messages()) {
-        let byte = |at: usize| u8::from_str_radix(&line[at..at + 2], 16).unwrap();
+        let byte = |index: usize| u8::from_str_radix(&line[index..index + 2], 16).unwrap();
         let bytes: Vec<u8> = (0..line.len()).step_by(2).map(byte).collect();
         assert_eq!(decode(&bytes), Some(message), "{line}");
     }
 }
 
 #[test]
-fn servers_have_the_keys_that_go_over_the_wire() {
+fn server_keys_are_those_of_an_earlier_program() {
     let names = ["", "s", "s-0", "s-1", "norte-17", "a-much-longer-name-of-a-signalling-server.example"];
     let written: String =
         names.iter().map(|name| format!("{name} {}\n", ServerKey::from_name(name).0)).collect();
