--- a/crates/ochrelead-check/src/main.rs
+++ b/crates/ochrelead-check/src/main.rs
@@ -1,17 +1,20 @@
-//! The program `ochrelead-check`.
+//! The program `ochrelead-check`: checks settings, discovery files and scenarios with the code that reads them.
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::Parser;
-use ochrelead_config::text::Complaint;
-use ochrelead_config::{commission, day};
+use ochrelead_config::diagnostic::Diagnostic;
+use ochrelead_config::{front_config, scenario};
 use ochrelead_discovery::sheet;
 use ochrelead_discovery::watch;
 
-/// Says all that a front or a rig would refuse, with the code that reads it there, and warns of what is odd.
+/// The exit code where something would be rejected.
+const EXIT_REJECTED: u8 = 2;
+
+/// Reports all that a front or a rig would reject, with the code that reads it there, and warns of what is unusual.
 ///
-/// Exits with 0 where all is sound, 2 where something would be refused.
+/// Exits with 0 where nothing would be rejected, otherwise with 2.
 #[derive(Parser)]
 #[command(
     version,
@@ -20,60 +23,72 @@
   ochrelead-check --settings front.textproto --fleet fleet.d
   ochrelead-check --day scenarios/bad-day.textproto"
 )]
-struct Line {
+struct Arguments {
     /// Settings of a front; a fleet is checked against their services
     #[arg(long, value_name = "FILE")]
     settings: Vec<PathBuf>,
     /// A fleet file, or a folder of them
     #[arg(long, value_name = "PATH", requires = "settings")]
     fleet: Vec<PathBuf>,
+    /// A scenario
     #[arg(long, value_name = "FILE")]
     day: Vec<PathBuf>,
 }
 
-/// What was found: refusals and warnings.
+/// What was found, a line each.
 #[derive(Default)]
-struct Findings {
-    refused: Vec<String>,
-    odd: Vec<String>,
+struct Report {
+    errors: Vec<String>,
+    warnings: Vec<String>,
 }
 
-impl Findings {
-    fn take<T>(&mut self, read: Result<T, Vec<Complaint>>) -> Option<T> {
-        read.map_err(|complaints| self.refused.extend(complaints.iter().map(ToString::to_string))).ok()
+impl Report {
+    /// The checked value; what is wrong with it is added to the errors.
+    fn accept<T>(&mut self, checked: Result<T, Vec<Diagnostic>>) -> Option<T> {
+        match checked {
+            Ok(checked) => Some(checked),
+            Err(diagnostics) => {
+                self.errors.extend(diagnostics.iter().map(ToString::to_string));
+                None
+            }
+        }
     }
 
-    fn fleet(&mut self, path: &Path, services: &[String]) {
-        let pages = watch::pages(path);
-        if pages.is_empty() {
-            return self.refused.push(format!("{}: no fleet file is there", path.display()));
+    fn check_fleet(&mut self, path: &Path, services: &[String]) {
+        let files = watch::pages(path);
+        if files.is_empty() {
+            self.errors.push(format!("{}: no fleet file is there", path.display()));
+            return;
         }
-        if let Some(fleet) = self.take(sheet::join(&pages, services)) {
-            let odd = sheet::warnings(&fleet);
-            self.odd.extend(odd.into_iter().map(|what| format!("{}: {what}", path.display())));
+        if let Some(fleet) = self.accept(sheet::join(&files, services)) {
+            let warnings = sheet::warnings(&fleet);
+            self.warnings
+                .extend(warnings.into_iter().map(|warning| format!("{}: {warning}", path.display())));
         }
     }
 }
 
 fn main() -> ExitCode {
-    let line = Line::parse();
-    let mut findings = Findings::default();
-    if line.settings.is_empty() && line.day.is_empty() {
-        findings.refused.push("nothing to check: name --settings or --day".to_owned());
+    let arguments = Arguments::parse();
+    let mut report = Report::default();
+    if arguments.settings.is_empty() && arguments.day.is_empty() {
+        report.errors.push("nothing to check: name --settings or --day".to_owned());
     }
-    for path in &line.settings {
-        if let Some(front) = findings.take(commission::open(path)) {
-            line.fleet.iter().for_each(|fleet| findings.fleet(fleet, &front.service_names));
+    for path in &arguments.settings {
+        if let Some(front) = report.accept(front_config::open(path)) {
+            for fleet in &arguments.fleet {
+                report.check_fleet(fleet, &front.service_names);
+            }
         }
     }
-    for path in &line.day {
-        findings.take(day::open(path));
+    for path in &arguments.day {
+        report.accept(scenario::open(path));
     }
-    for what in &findings.odd {
-        println!("warning: {what}");
+    for warning in &report.warnings {
+        println!("warning: {warning}");
     }
-    for what in &findings.refused {
-        eprintln!("ochrelead-check: {what}");
+    for error in &report.errors {
+        eprintln!("ochrelead-check: {error}");
     }
-    if findings.refused.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(2) }
+    if report.errors.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(EXIT_REJECTED) }
 }
--- a/crates/ochrelead-check/tests/program.rs
+++ b/crates/ochrelead-check/tests/program.rs
@@ -1,4 +1,4 @@
-//! The program says what a front would.
+//! The program reports what a front would reject.
 
 use std::fs;
 use std::path::Path;
@@ -14,7 +14,7 @@
 #[test_case(SETTINGS, "generation: 1 server { name: \"s0\" address: \"127.0.0.1:2\" number: 0", 2, "a.textproto:1:"; "cut short")]
 #[test_case(SETTINGS, "", 2, "a.textproto:1:1: empty"; "empty")]
 #[test_case("fronts: 0", "", 2, "front.textproto:1:1: fronts is 0"; "settings")]
-fn checks(settings: &str, fleet: &str, code: i32, says: &str) {
+fn files_are_checked(settings: &str, fleet: &str, exit_code: i32, expected: &str) {
     let name = format!("{:08x}", settings.len() * 10_000 + fleet.len());
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     fs::create_dir_all(folder.join("fleet")).unwrap();
@@ -25,6 +25,6 @@
         .current_dir(&folder)
         .output()
         .unwrap();
-    let said = String::from_utf8([run.stdout, run.stderr].concat()).unwrap();
-    assert!(run.status.code() == Some(code) && said.contains(says), "{said}");
+    let output = String::from_utf8([run.stdout, run.stderr].concat()).unwrap();
+    assert!(run.status.code() == Some(exit_code) && output.contains(expected), "{output}");
 }
--- a/crates/ochrelead-config/tests/settings.rs
+++ b/crates/ochrelead-config/tests/settings.rs
@@ -1,7 +1,7 @@
-//! What is refused, where, and with which words.
+//! What is wrong with settings and scenarios: where, and in which words.
 
-use ochrelead_config::numbering::Dialled;
-use ochrelead_config::{commission, day};
+use ochrelead_config::numbering_plan::ResolvedNumber;
+use ochrelead_config::{front_config, scenario};
 use ochrelead_core::index::ServiceIx;
 use test_case::test_case;
 
@@ -23,10 +23,11 @@
 #[test_case("3004711", None; "no service")]
 #[test_case("1a", None; "no digits")]
 #[test_case("", None; "nothing")]
-fn numbers(digits: &str, meant: Option<(usize, i64)>) {
-    let front = commission::read("front", FRONT).unwrap();
-    let meant = meant.map(|(at, destination)| Dialled { service: ServiceIx::new(at), destination });
-    assert_eq!(front.numbering.read(digits), meant);
+fn called_numbers_are_resolved(digits: &str, expected: Option<(usize, i64)>) {
+    let front = front_config::parse("front", FRONT).unwrap();
+    let expected = expected
+        .map(|(service, destination)| ResolvedNumber { service: ServiceIx::new(service), destination });
+    assert_eq!(front.numbering_plan.resolve(digits), expected);
 }
 
 #[test_case("fronts: 7", "fronts: 0", 4, "fronts is 0; it must be from 1 to 100000"; "zero")]
@@ -42,21 +43,22 @@
 #[test_case("value: 3 post_dial_target_ms: 1500", "value: 3 post_dial_target_ms: 9001", 7, "must be from 1 to timer_limit_ms"; "target past the limit")]
 #[test_case("value: 3", "", 7, "value is missing"; "missing inside")]
 #[test_case("trunk: \"norte\"", "trunk: \"a/b\"", 8, "one term"; "trunk")]
-fn refused(right: &str, wrong: &str, line: usize, what: &str) {
-    let complaints = commission::read("front", &FRONT.replacen(right, wrong, 1)).unwrap_err();
-    assert_eq!(complaints[0].line, line, "{complaints:?}");
-    assert!(complaints[0].what.contains(what), "{complaints:?}");
+fn settings_are_rejected(valid: &str, invalid: &str, line: usize, message: &str) {
+    let diagnostics = front_config::parse("front", &FRONT.replacen(valid, invalid, 1)).unwrap_err();
+    assert_eq!(diagnostics[0].line, line, "{diagnostics:?}");
+    assert!(diagnostics[0].message.contains(message), "{diagnostics:?}");
 }
 
 #[test]
-fn all_that_is_wrong_is_said_at_once() {
+fn all_diagnostics_are_reported_at_once() {
     let text =
         FRONT.replace("fronts: 7", "fronts: 0").replace("value: 1", "value: -1").replace("number: 5", "");
-    let lines: Vec<usize> = commission::read("front", &text).unwrap_err().iter().map(|c| c.line).collect();
+    let lines: Vec<usize> =
+        front_config::parse("front", &text).unwrap_err().iter().map(|diagnostic| diagnostic.line).collect();
     assert_eq!(lines, [4, 6, 10]);
 }
 
-const DAY: &str = r#"seed: 1 length_ms: 5000 fronts: 2
+const SCENARIO: &str = r#"seed: 1 length_ms: 5000 fronts: 2
 front { release_wait_ms: 200
   service { name: "check" dialled: "1" value: 1 post_dial_target_ms: 1500 timer_limit_ms: 9000 }
 }
@@ -70,8 +72,8 @@
 #[test_case("service_share: 1", "service_share: [1, 2]", 6, "it must have 1"; "shares")]
 #[test_case("front {", "front { name: \"x\"", 2, "filled in by the rig"; "name")]
 #[test_case("value: 1", "value: 0", 3, "value is 0"; "inside the front")]
-fn day_refused(right: &str, wrong: &str, line: usize, what: &str) {
-    assert!(day::read("day", DAY).is_ok());
-    let complaints = day::read("day", &DAY.replacen(right, wrong, 1)).unwrap_err();
-    assert!(complaints[0].line == line && complaints[0].what.contains(what), "{complaints:?}");
+fn scenarios_are_rejected(valid: &str, invalid: &str, line: usize, message: &str) {
+    assert!(scenario::parse("day", SCENARIO).is_ok());
+    let diagnostics = scenario::parse("day", &SCENARIO.replacen(valid, invalid, 1)).unwrap_err();
+    assert!(diagnostics[0].line == line && diagnostics[0].message.contains(message), "{diagnostics:?}");
 }
--- a/crates/ochrelead-discovery/src/adopt.rs
+++ b/crates/ochrelead-discovery/src/adopt.rs
@@ -1,6 +1,6 @@
 //! Whether a candidate takes the place of the fleet in force.
 
-use ochrelead_config::commission::Post;
+use ochrelead_config::server_endpoint::ServerEndpoint;
 
 use crate::sheet::Fleet;
 
@@ -124,12 +124,14 @@
 /// servers. An empty fleet has nothing to lose.
 fn leaving(in_force: &Fleet, candidate: &Fleet) -> Option<Verdict> {
     let told = in_force.servers.iter().all(|post| post.lines > 0);
-    let size = |post: &Post| if told { f64::from(post.lines) } else { 1.0 };
-    let ready = |post: &&Post| !post.draining;
-    let stays = |post: &Post| candidate.servers.iter().any(|own| own.name == post.name && !own.draining);
+    let size = |post: &ServerEndpoint| if told { f64::from(post.lines) } else { 1.0 };
+    let ready = |post: &&ServerEndpoint| !post.draining;
+    let stays =
+        |post: &ServerEndpoint| candidate.servers.iter().any(|own| own.name == post.name && !own.draining);
     let all: f64 = in_force.servers.iter().filter(ready).map(size).sum();
-    let gone: Vec<&Post> = in_force.servers.iter().filter(ready).filter(|post| !stays(post)).collect();
-    let unconfirmed: Vec<&&Post> =
+    let gone: Vec<&ServerEndpoint> =
+        in_force.servers.iter().filter(ready).filter(|post| !stays(post)).collect();
+    let unconfirmed: Vec<&&ServerEndpoint> =
         gone.iter().filter(|post| !candidate.confirmed.contains(&post.name)).collect();
     let share = gone.iter().map(|post| size(post)).sum::<f64>() / all.max(f64::MIN_POSITIVE);
     (share > MOST_LEAVING && !unconfirmed.is_empty())
@@ -137,7 +139,7 @@
 }
 
 /// What changes for each server.
-pub fn changes(before: &[Post], now: &[Post]) -> Vec<(String, Change)> {
+pub fn changes(before: &[ServerEndpoint], now: &[ServerEndpoint]) -> Vec<(String, Change)> {
     let mut changes = Vec::new();
     for old in before {
         let Some(new) = now.iter().find(|post| post.name == old.name) else {
@@ -160,7 +162,7 @@
         if new.started > old.started {
             change(Change::Restarted);
         }
-        let rest = |post: &Post| {
+        let rest = |post: &ServerEndpoint| {
             (post.number, post.dialled.clone(), post.trunk.clone(), post.lines, post.services.clone())
         };
         if rest(new) != rest(old) {
--- a/crates/ochrelead-discovery/src/keeper.rs
+++ b/crates/ochrelead-discovery/src/keeper.rs
@@ -1,6 +1,6 @@
 //! From what was read to what is in force. Every reading is whole; a bad one changes nothing.
 
-use ochrelead_config::commission::Post;
+use ochrelead_config::server_endpoint::ServerEndpoint;
 use ochrelead_core::time::{Moment, Span};
 
 use crate::adopt::{self, Change, Verdict};
@@ -15,7 +15,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
     /// These servers are the list from now on.
-    Adopt { servers: Vec<Post>, generation: u64, changes: Vec<(String, Change)> },
+    Adopt { servers: Vec<ServerEndpoint>, generation: u64, changes: Vec<(String, Change)> },
     /// One line for the log.
     Complain(String),
 }
--- a/crates/ochrelead-discovery/src/roster.rs
+++ b/crates/ochrelead-discovery/src/roster.rs
@@ -14,7 +14,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use ochrelead_config::commission::Post;
+use ochrelead_config::server_endpoint::ServerEndpoint;
 use ochrelead_core::index::ServerIx;
 use ochrelead_core::time::Moment;
 use ochrelead_core::types::{EndpointState, EndpointUpdate};
@@ -66,7 +66,7 @@
 }
 
 struct Known {
-    post: Post,
+    post: ServerEndpoint,
     listed: bool,
     said: Said,
 }
@@ -95,7 +95,7 @@
 impl Roster {
     /// The list is given anew and whole: what it names is listed, all else is gone. A server that moves to
     /// another address keeps its index.
-    pub fn relist(&mut self, posts: &[Post], now: Moment) -> Vec<EndpointUpdate> {
+    pub fn relist(&mut self, posts: &[ServerEndpoint], now: Moment) -> Vec<EndpointUpdate> {
         let listed = self.servers.iter().filter(|known| known.listed);
         let processes: HashMap<SocketAddr, Option<Moment>> =
             listed.map(|known| (known.post.address, known.post.started)).collect();
@@ -128,7 +128,7 @@
     }
 
     /// What was kept from a former life: the servers' own words, for those that the list has.
-    pub fn remember(&mut self, kept: &[(Post, Said)]) -> Vec<EndpointUpdate> {
+    pub fn remember(&mut self, kept: &[(ServerEndpoint, Said)]) -> Vec<EndpointUpdate> {
         for (post, said) in kept {
             if let Some(index) = self.by_name.get(&post.name) {
                 let known = &mut self.servers[index.index()];
@@ -181,12 +181,12 @@
         self.by_name.get(&name.to_ascii_lowercase()).copied()
     }
 
-    pub fn post(&self, server: ServerIx) -> &Post {
+    pub fn post(&self, server: ServerIx) -> &ServerEndpoint {
         &self.servers[server.index()].post
     }
 
     /// The list as it stands, with what each server said of itself.
-    pub fn posts(&self) -> Vec<(Post, Said)> {
+    pub fn posts(&self) -> Vec<(ServerEndpoint, Said)> {
         let here = self.servers.iter().filter(|known| known.listed);
         here.map(|known| (known.post.clone(), known.said)).collect()
     }
@@ -201,7 +201,7 @@
                 (_, _, true) => ("draining", "the list says so"),
                 _ => ("ready", "listed"),
             };
-            let Post { name, address, number, weight, .. } = &known.post;
+            let ServerEndpoint { name, address, number, weight, .. } = &known.post;
             format!("{name} {address} number {number} weight {weight}: {state}, {why}")
         };
         self.servers.iter().map(line).collect()
@@ -210,14 +210,14 @@
 
 impl Known {
     /// Listed again. `started`: the start of the process that a moved server is now.
-    fn renew(&mut self, post: &Post, started: Option<Moment>) {
+    fn renew(&mut self, post: &ServerEndpoint, started: Option<Moment>) {
         let (moved, back) = (self.post.address != post.address, self.post.draining && !post.draining);
         let known = if moved { started } else { self.post.started };
         let started = known.max(post.started);
         if moved || back {
             self.said = Said::Nothing;
         }
-        self.post = Post { started, ..post.clone() };
+        self.post = ServerEndpoint { started, ..post.clone() };
         self.listed = true;
     }
 }
--- a/crates/ochrelead-discovery/src/store.rs
+++ b/crates/ochrelead-discovery/src/store.rs
@@ -7,9 +7,9 @@
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 
-use ochrelead_config::commission::{self, Post};
+use ochrelead_config::document::{Document, to_text};
 use ochrelead_config::schema;
-use ochrelead_config::text::{Sheet, written};
+use ochrelead_config::server_endpoint::{self, ServerEndpoint};
 use ochrelead_core::time::Moment;
 
 use crate::roster::Said;
@@ -23,7 +23,7 @@
 pub struct Kept {
     /// The files' generations; none for a list that was no fleet's.
     pub files: Vec<(String, u64)>,
-    pub servers: Vec<(Post, Said)>,
+    pub servers: Vec<(ServerEndpoint, Said)>,
 }
 
 impl Kept {
@@ -36,7 +36,7 @@
 
     /// The text of the file, checksum and all.
     pub fn text(&self) -> String {
-        let server = |(post, said): &(Post, Said)| schema::Server {
+        let server = |(post, said): &(ServerEndpoint, Said)| schema::Server {
             name: Some(post.name.clone()),
             address: Some(post.address.to_string()),
             number: Some(post.number as u32),
@@ -61,7 +61,7 @@
             file: self.files.iter().map(file).collect(),
             server: self.servers.iter().map(server).collect(),
         };
-        let body = written(&kept, "Kept");
+        let body = to_text(&kept, "Kept");
         format!("{HEAD} {:08x}\n{body}", crc32fast::hash(body.as_bytes()))
     }
 
@@ -79,8 +79,8 @@
         }
         let told =
             |complaints: Vec<_>| complaints.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ");
-        let (kept, mut sheet) = Sheet::read::<schema::Kept>(file, body, "Kept").map_err(told)?;
-        let posts = commission::roster(&kept.server, "", &mut sheet);
+        let (kept, mut sheet) = Document::parse::<schema::Kept>(file, body, "Kept").map_err(told)?;
+        let posts = server_endpoint::check_servers(&kept.server, "", &mut sheet);
         let said = kept.server.iter().map(|server| match server.told.as_deref() {
             Some("drains") => Said::Drains,
             Some("gone") => Said::Gone,
--- a/crates/ochrelead-discovery/tests/fleet.rs
+++ b/crates/ochrelead-discovery/tests/fleet.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use ochrelead_config::commission::Post;
+use ochrelead_config::server_endpoint::ServerEndpoint;
 use ochrelead_core::time::Moment;
 use ochrelead_core::types::EndpointState;
 use ochrelead_discovery::adopt::{self, Change, Refusal, Verdict};
@@ -91,8 +91,8 @@
     }
 }
 
-fn post(name: &str, port: u16) -> Post {
-    Post {
+fn post(name: &str, port: u16) -> ServerEndpoint {
+    ServerEndpoint {
         name: name.to_owned(),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], port)),
         number: i64::from(port),
@@ -106,12 +106,12 @@
     }
 }
 
-fn fleet(generation: u64, servers: &[Post]) -> Fleet {
+fn fleet(generation: u64, servers: &[ServerEndpoint]) -> Fleet {
     let files = BTreeMap::from([("a".to_owned(), (generation, None))]);
     Fleet { files, confirmed: Vec::new(), servers: servers.to_vec() }
 }
 
-fn four() -> Vec<Post> {
+fn four() -> Vec<ServerEndpoint> {
     (1..=4).map(|port| post(&format!("s{port}"), port)).collect()
 }
 
@@ -137,7 +137,7 @@
 #[test_case(13, |s| s.iter_mut().take(3).for_each(|p| p.draining = true), &["held"]; "three of four drain")]
 #[test_case(12, |s| s[0].weight = 2.0, &["same_generation"]; "changed under the same generation")]
 #[test_case(11, |s| s[0].weight = 2.0, &["older"]; "a generation that goes down by mistake")]
-fn adoption(generation: u64, change: fn(&mut Vec<Post>), expected: &[&str]) {
+fn adoption(generation: u64, change: fn(&mut Vec<ServerEndpoint>), expected: &[&str]) {
     let mut servers = four();
     change(&mut servers);
     let verdict = adopt::judge(&fleet(12, &four()), &fleet(generation, &servers));
@@ -212,9 +212,14 @@
 #[test_case(|_| (), Some(Restart::Gone), |p| p.address.set_port(99), ready(Some(50)); "moved: another process")]
 #[test_case(|_| (), Some(Restart::Started), |p| p.started = Some(at(1)), ready(Some(7)); "an older start is no news")]
 #[test_case(|_| (), None, |p| p.started = Some(at(40)), ready(Some(40)); "a later start")]
-fn who_wins(first: fn(&mut Post), said: Option<Restart>, then: fn(&mut Post), state: EndpointState) {
+fn who_wins(
+    first: fn(&mut ServerEndpoint),
+    said: Option<Restart>,
+    then: fn(&mut ServerEndpoint),
+    state: EndpointState,
+) {
     let mut roster = Roster::default();
-    let listed = |change: fn(&mut Post)| {
+    let listed = |change: fn(&mut ServerEndpoint)| {
         let mut post = post("s0", 1);
         change(&mut post);
         post
@@ -244,8 +249,8 @@
 #[test]
 fn servers_that_swap_addresses_are_processes_that_were_running() {
     let mut roster = Roster::default();
-    roster.relist(&[post("s0", 1), Post { started: Some(at(3)), ..post("s1", 2) }], at(9));
-    let moved = |name, port| Post { number: 1, ..post(name, port) };
+    roster.relist(&[post("s0", 1), ServerEndpoint { started: Some(at(3)), ..post("s1", 2) }], at(9));
+    let moved = |name, port| ServerEndpoint { number: 1, ..post(name, port) };
     let listings = roster.relist(&[moved("s0", 2), moved("s1", 1)], at(50));
     assert_eq!([listings[0].state, listings[1].state], [ready(Some(3)), ready(None)]);
 }
@@ -254,8 +259,9 @@
 fn a_drain_undone_and_done_again_within_a_tenth_of_a_second() {
     let mut roster = Roster::default();
     let course = [(0, false), (10, true), (50, false), (90, true)];
-    let states =
-        course.map(|(ms, draining)| roster.relist(&[Post { draining, ..post("s0", 1) }], at(ms))[0].state);
+    let states = course.map(|(ms, draining)| {
+        roster.relist(&[ServerEndpoint { draining, ..post("s0", 1) }], at(ms))[0].state
+    });
     assert_eq!(states, [ready(None), EndpointState::Draining, ready(None), EndpointState::Draining]);
 }
 
@@ -263,7 +269,7 @@
 fn what_was_kept_counts_for_the_same_process_only() {
     let mut roster = Roster::default();
     roster.relist(&[post("s0", 1), post("s1", 2)], at(0));
-    let kept = |name, port| Post { started: Some(at(3)), ..post(name, port) };
+    let kept = |name, port| ServerEndpoint { started: Some(at(3)), ..post(name, port) };
     let listings = roster.remember(&[(kept("s0", 1), Said::Drains), (kept("s1", 77), Said::Gone)]);
     assert_eq!([listings[0].state, listings[1].state], [EndpointState::Draining, ready(None)]);
 }
@@ -315,7 +321,12 @@
 fn kept(generation: u64) -> Kept {
     let servers = vec![
         (
-            Post { started: Some(at(3)), lines: 7, services: vec!["check".to_owned()], ..post("s0", 1) },
+            ServerEndpoint {
+                started: Some(at(3)),
+                lines: 7,
+                services: vec!["check".to_owned()],
+                ..post("s0", 1)
+            },
             Said::Drains,
         ),
         (post("s1", 2), Said::Nothing),
--- a/crates/ochrelead-discovery/tests/stored_bytes.rs
+++ b/crates/ochrelead-discovery/tests/stored_bytes.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use ochrelead_config::commission::Post;
+use ochrelead_config::server_endpoint::ServerEndpoint;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_discovery::counters::Tallies;
 use ochrelead_discovery::roster::{Roster, Said};
@@ -13,8 +13,8 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures")
 }
 
-fn post(number: u16) -> Post {
-    Post {
+fn post(number: u16) -> ServerEndpoint {
+    ServerEndpoint {
         name: format!("s{number}"),
         address: ([127, 0, 0, 1], 1_000 + number).into(),
         number: i64::from(number),
@@ -28,7 +28,7 @@
     }
 }
 
-fn servers() -> Vec<(Post, Said)> {
+fn servers() -> Vec<(ServerEndpoint, Said)> {
     let said = [Said::Nothing, Said::Drains, Said::Gone, Said::Nothing];
     said.into_iter().enumerate().map(|(number, said)| (post(number as u16), said)).collect()
 }
@@ -69,7 +69,7 @@
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("stored_text");
     fs::create_dir_all(&path).unwrap();
     let mut roster = Roster::default();
-    let posts: Vec<Post> = servers().into_iter().map(|(post, _)| post).collect();
+    let posts: Vec<ServerEndpoint> = servers().into_iter().map(|(post, _)| post).collect();
     roster.relist(&posts, Moment::from_micros(1_700_000_000_000_000));
     roster.remember(&servers());
     roster.relist(&posts[1..], Moment::from_micros(1_700_000_001_000_000));
--- a/crates/ochrelead-emulator/src/callers.rs
+++ b/crates/ochrelead-emulator/src/callers.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use ochrelead_config::day::{Day, Kind};
+use ochrelead_config::faults::{FaultKind, InjectedFault};
+use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_mgcp::exchange::{Exchange, News};
 use ochrelead_mgcp::message::{Command, Endpoint, Response, Verb, code, name};
@@ -53,7 +54,7 @@
 
 /// The engine of all callers.
 pub struct Callers {
-    day: Day,
+    day: Scenario,
     fronts: Vec<SocketAddr>,
     exchange: Exchange,
     start: Moment,
@@ -70,7 +71,7 @@
 
 impl Callers {
     /// The callers of a day that begins at `start`, at fronts that can be reached at these addresses.
-    pub fn new(day: Day, fronts: Vec<SocketAddr>, start: Moment, now: Moment) -> Callers {
+    pub fn new(day: Scenario, fronts: Vec<SocketAddr>, start: Moment, now: Moment) -> Callers {
         let shares = |shares: &[f64]| WeightedIndex::new(shares).ok();
         Callers {
             exchange: Exchange::new(day.front.pace, (now.micros() % 900_000_000) as u32),
@@ -82,7 +83,7 @@
             arrived: 0,
             chance: Pcg64Mcg::seed_from_u64(day.seed),
             services: shares(&day.callers.service_shares).expect("the shares were checked"),
-            members: shares(&day.callers.member_shares),
+            members: shares(&day.callers.tenant_shares),
             datagrams: VecDeque::new(),
             fronts,
             day,
@@ -90,32 +91,33 @@
     }
 
     /// The size of a trouble of that kind that is on at `moment`.
-    fn trouble(&self, kind: Kind, moment: Moment) -> Option<&ochrelead_config::day::Trouble> {
+    fn trouble(&self, kind: FaultKind, moment: Moment) -> Option<&InjectedFault> {
         let at = moment.since(self.start);
-        let on = |own: &&ochrelead_config::day::Trouble| own.at <= at && at < own.at + own.length;
-        self.day.troubles.iter().filter(|own| own.kind == kind).find(on)
+        let on = |own: &&InjectedFault| own.start <= at && at < own.start + own.duration;
+        self.day.faults.iter().filter(|own| own.kind == kind).find(on)
     }
 
     /// One caller comes; the next is drawn.
     fn arrive(&mut self, moment: Moment) {
-        let surge = self.trouble(Kind::Surge, moment).map_or(1.0, |trouble| trouble.size.max(0.01));
+        let surge = self.trouble(FaultKind::Surge, moment).map_or(1.0, |trouble| trouble.magnitude.max(0.01));
         let rate = self.day.callers.sessions_per_s * surge;
         let gap = Exp::new(rate).expect("a rate above zero").sample(&mut self.chance);
         let next = moment + Span::from_secs(1).scaled(gap);
-        self.arrives = Some(next).filter(|next| next.since(self.start) < self.day.length);
+        self.arrives = Some(next).filter(|next| next.since(self.start) < self.day.duration);
         let service = self.services.sample(&mut self.chance);
         let member = self.members.as_ref().map(|members| members.sample(&mut self.chance));
-        let server = self.chance.random_range(0..self.day.stand_ins.len());
+        let server = self.chance.random_range(0..self.day.servers.len());
         let front = self.chance.random_range(0..self.fronts.len());
         let subscriber = self.chance.random_range(0..HOT.parse::<u32>().expect("digits"));
         let luck = (self.chance.random::<f64>(), self.chance.random::<f64>());
-        let hot = self.trouble(Kind::HotNumber, moment).is_some_and(|trouble| luck.0 < trouble.size);
-        let impatient = self.trouble(Kind::Redials, moment).is_some_and(|trouble| {
-            member.map_or(trouble.which.is_empty(), |member| trouble.which.contains(&member))
+        let hot =
+            self.trouble(FaultKind::HotNumber, moment).is_some_and(|trouble| luck.0 < trouble.magnitude);
+        let impatient = self.trouble(FaultKind::Redials, moment).is_some_and(|trouble| {
+            member.map_or(trouble.targets.is_empty(), |member| trouble.targets.contains(&member))
         });
-        let desk = &self.day.front.provision.services[service];
+        let desk = &self.day.front.controller.services[service];
         let hold = desk.mean_hold_time.max(Span::from_millis(100)).scaled(-(1.0 - luck.1).ln());
-        let dialled = self.day.sheet.service[service].dialled.clone().unwrap_or_default();
+        let dialled = self.day.front_settings.service[service].dialled.clone().unwrap_or_default();
         let digits = match hot {
             true => format!("{dialled}00{HOT}"),
             false => format!("{dialled}{server:02}{subscriber:06}"),
@@ -125,7 +127,7 @@
         let trunk = member.map_or("line", |member| self.day.front.trunks[member].as_str());
         let limit = self.day.front.timer_limits[service];
         let patience = limit.scaled(self.day.callers.patience * if impatient { IMPATIENT } else { 1.0 });
-        let redials = if impatient || hot { IMPATIENT_REDIALS } else { self.day.callers.redials };
+        let redials = if impatient || hot { IMPATIENT_REDIALS } else { self.day.callers.max_redials };
         let held = Caller {
             front,
             line: format!("{trunk}/{caller}@callers").parse().expect("a sound name"),
@@ -209,13 +211,13 @@
 
     /// A try came to nothing: another one, while the caller still has patience for it.
     fn dial_again(&mut self, number: u32, come_back: Option<Span>) {
-        let honours = self.chance.random::<f64>() < self.day.callers.honour;
+        let honours = self.chance.random::<f64>() < self.day.callers.retry_after_compliance;
         let spread = 0.5 + self.chance.random::<f64>();
         let Some(caller) = self.callers.get_mut(&number) else { return };
         let wait = match come_back.filter(|_| honours) {
             Some(told) => told,
             None if caller.impatient => Span::from_millis(20),
-            None => self.day.callers.back_off.scaled(spread * f64::from(1 << (caller.tries - 1).min(6))),
+            None => self.day.callers.redial_delay.scaled(spread * f64::from(1 << (caller.tries - 1).min(6))),
         };
         let next = self.now + wait;
         if caller.tries > caller.redials || next >= caller.first_tried + caller.timer_limit {
--- a/crates/ochrelead-emulator/src/network.rs
+++ b/crates/ochrelead-emulator/src/network.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use ochrelead_config::day;
+use ochrelead_config::faults::FaultKind;
+use ochrelead_config::scenario;
 use ochrelead_core::time::{Moment, Span};
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Normal};
@@ -21,7 +22,7 @@
 
 /// The network between parties of type `P`.
 pub struct Network<P> {
-    figures: day::Network,
+    figures: scenario::EmulatedNetwork,
     faults: Vec<Fault<P>>,
     underway: BTreeMap<(Moment, u64), (P, P, Vec<u8>)>,
     sent: u64,
@@ -34,7 +35,7 @@
 const HELD_BACK: u64 = 3;
 
 impl<P: Copy + PartialEq> Network<P> {
-    pub fn new(figures: day::Network, faults: Vec<Fault<P>>, seed: u64) -> Network<P> {
+    pub fn new(figures: scenario::EmulatedNetwork, faults: Vec<Fault<P>>, seed: u64) -> Network<P> {
         let jitter = Normal::new(0.0, figures.jitter).expect("a share was checked to be a number");
         let chance = Pcg64Mcg::seed_from_u64(seed);
         Network { figures, faults, underway: BTreeMap::new(), sent: 0, chance, jitter }
@@ -50,7 +51,7 @@
         if self.chance.random::<f64>() < loss {
             return;
         }
-        let copies = if self.chance.random::<f64>() < self.figures.doubled { 2 } else { 1 };
+        let copies = if self.chance.random::<f64>() < self.figures.duplicated { 2 } else { 1 };
         for _ in 0..copies {
             let spread = (1.0 + self.jitter.sample(&mut self.chance)).clamp(0.2, 5.0);
             let mut delay = self.figures.delay.scaled(spread);
@@ -75,35 +76,36 @@
 
 /// The faults of a day's troubles, for parties named by `front` and `server`, and the `callers`.
 pub fn faults<P: Copy>(
-    day: &day::Day,
+    day: &scenario::Scenario,
     start: Moment,
     front: impl Fn(usize) -> P,
     server: impl Fn(usize) -> P,
     callers: P,
 ) -> Vec<Fault<P>> {
     let mut faults = Vec::new();
-    for trouble in &day.troubles {
-        let begins = start + trouble.at;
-        let ends: Moment = begins + trouble.length.max(Span::from_millis(1));
-        for which in &trouble.which {
+    for trouble in &day.faults {
+        let begins = start + trouble.start;
+        let ends: Moment = begins + trouble.duration.max(Span::from_millis(1));
+        for which in &trouble.targets {
             let fault = |from, to, loss| Fault { from, to, begins, ends, loss };
             match trouble.kind {
-                day::Kind::AnswersLost => {
-                    faults.push(fault(Some(server(*which)), None, trouble.size.min(1.0)))
+                FaultKind::AnswersLost => {
+                    faults.push(fault(Some(server(*which)), None, trouble.magnitude.min(1.0)))
                 }
-                day::Kind::LinkCut | day::Kind::FrontDeaf | day::Kind::FrontMute => {
-                    let loss = if trouble.kind == day::Kind::LinkCut { 1.0 } else { trouble.size.min(1.0) };
-                    for at in 0..day.stand_ins.len() {
-                        if trouble.kind != day::Kind::FrontDeaf {
+                FaultKind::LinkCut | FaultKind::FrontDeaf | FaultKind::FrontMute => {
+                    let loss =
+                        if trouble.kind == FaultKind::LinkCut { 1.0 } else { trouble.magnitude.min(1.0) };
+                    for at in 0..day.servers.len() {
+                        if trouble.kind != FaultKind::FrontDeaf {
                             faults.push(fault(Some(front(*which)), Some(server(at)), loss));
                         }
-                        if trouble.kind != day::Kind::FrontMute {
+                        if trouble.kind != FaultKind::FrontMute {
                             faults.push(fault(Some(server(at)), Some(front(*which)), loss));
                         }
                     }
                 }
-                day::Kind::CallersCut => {
-                    let loss = trouble.size.min(1.0);
+                FaultKind::CallersCut => {
+                    let loss = trouble.magnitude.min(1.0);
                     faults.push(fault(Some(front(*which)), Some(callers), loss));
                     faults.push(fault(Some(callers), Some(front(*which)), loss));
                 }
--- a/crates/ochrelead-emulator/src/server.rs
+++ b/crates/ochrelead-emulator/src/server.rs
@@ -4,7 +4,8 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use ochrelead_config::day::{Day, Kind, StandIn};
+use ochrelead_config::faults::FaultKind;
+use ochrelead_config::scenario::{EmulatedServer, Scenario};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_mgcp::exchange::{Exchange, News, Pace};
 use ochrelead_mgcp::message::{Command, Endpoint, Response, TransactionId, Verb, code, name};
@@ -73,7 +74,7 @@
 
 /// The engine of one server.
 pub struct Server {
-    figures: StandIn,
+    figures: EmulatedServer,
     name: String,
     fronts: Vec<SocketAddr>,
     exchange: Exchange,
@@ -100,7 +101,7 @@
 impl Server {
     /// The `nth` server of a day that began at `start`. `fresh`: its process has just been started anew.
     pub fn new(
-        day: &Day,
+        day: &Scenario,
         nth: usize,
         name: String,
         fronts: Vec<SocketAddr>,
@@ -108,7 +109,7 @@
         now: Moment,
         fresh: bool,
     ) -> Server {
-        let figures = day.stand_ins[nth];
+        let figures = day.servers[nth];
         let first = (now.micros() % 900_000_000) as u32 + nth as u32;
         let mut server = Server {
             figures,
@@ -119,8 +120,8 @@
             health: Health::Well,
             started: None,
             slower: 1.0,
-            fall_multiple: day.front.provision.overload_multiple,
-            fall_after: day.front.provision.overload_duration,
+            fall_multiple: day.front.controller.overload_multiple,
+            fall_after: day.front.controller.overload_duration,
             pressure: VecDeque::new(),
             first: VecDeque::new(),
             queue: VecDeque::new(),
@@ -135,7 +136,7 @@
         if fresh {
             server.start_cold();
         }
-        let offset = figures.told.scaled(nth as f64 / day.stand_ins.len() as f64);
+        let offset = figures.report_interval.scaled(nth as f64 / day.servers.len() as f64);
         server.script.insert((now + offset, usize::MAX), Act::Told);
         server
     }
@@ -149,12 +150,12 @@
     /// What it can do now, in shares of its warm speed.
     fn speed(&self) -> f64 {
         let Some(started) = self.started else { return 1.0 / self.slower };
-        let warmth = self.now.since(started).ratio(self.figures.warm).min(1.0);
+        let warmth = self.now.since(started).ratio(self.figures.warm_up_time).min(1.0);
         (self.figures.cold_share + (1.0 - self.figures.cold_share) * warmth) / self.slower
     }
 
     fn is_cold(&self) -> bool {
-        self.started.is_some_and(|started| self.now.since(started) < self.figures.warm)
+        self.started.is_some_and(|started| self.now.since(started) < self.figures.warm_up_time)
     }
 
     fn wait(&self) -> Span {
@@ -164,8 +165,8 @@
     }
 
     fn put(&mut self, shares: f64, kind: Work) {
-        let job = Job { work: self.figures.set_up().scaled(shares), kind };
-        let ahead = self.figures.finish_first && matches!(job.kind, Work::Answer(_) | Work::Release { .. });
+        let job = Job { work: self.figures.set_up_time().scaled(shares), kind };
+        let ahead = self.figures.finishes_first && matches!(job.kind, Work::Answer(_) | Work::Release { .. });
         if ahead {
             self.first.push_back(job);
         } else {
@@ -183,7 +184,7 @@
             self.pressure.pop_front();
         }
         let second = Span::from_secs(1);
-        let able = self.fall_after.ratio(second) * second.ratio(self.figures.set_up()) * self.speed();
+        let able = self.fall_after.ratio(second) * second.ratio(self.figures.set_up_time()) * self.speed();
         let sent: f64 = self.pressure.iter().map(|(_, set_ups)| set_ups).sum();
         if sent > able * self.fall_multiple + SLACK {
             self.go(Health::Fallen);
@@ -205,12 +206,12 @@
     fn telling(&self) -> Vec<(&'static str, String)> {
         let free = (self.figures.lines as usize).saturating_sub(self.circuits.len());
         let mut telling = vec![(name::LINES, format!("{free}/{}", self.figures.lines))];
-        let full = self.wait().ratio(self.figures.queue).min(1.0);
-        if self.figures.tells_can_take {
+        let full = self.wait().ratio(self.figures.max_queue).min(1.0);
+        if self.figures.reports_accepted_rate {
             let can_take = self.figures.sessions_per_s * self.speed() * (1.0 - full);
             telling.push((name::CAN_TAKE, format!("{can_take:.2}")));
         }
-        if self.figures.tells_hold_back {
+        if self.figures.reports_hold_back_share {
             telling.push((name::HOLD_BACK, format!("{:.3}", (full * 2.0).min(0.95))));
         }
         telling
@@ -258,7 +259,7 @@
             Verb::CreateConnection => self.set_up(from, command),
             Verb::DeleteConnection => self.release(from, command),
             Verb::AuditEndpoint => {
-                self.put(self.figures.look, Work::Waste);
+                self.put(self.figures.read_work, Work::Waste);
                 self.respond(from, Response::new(code::DONE, transaction));
             }
             _ => self.respond(from, Response::new(code::UNSUPPORTED, transaction)),
@@ -270,9 +271,9 @@
         let text = |name: &str| command.parameters.get(name).unwrap_or("").to_owned();
         let called = text(name::CALLED);
         let wait = self.wait();
-        let refusal = if wait > figures.queue {
+        let refusal = if wait > figures.max_queue {
             let busy = Response::new(code::OVERLOAD, transaction);
-            Some(if figures.names_wait { busy.with(name::WAIT, wait.micros() / 2_000) } else { busy })
+            Some(if figures.names_retry_after { busy.with(name::WAIT, wait.micros() / 2_000) } else { busy })
         } else if self.circuits.len() >= figures.lines as usize {
             Some(Response::new(code::NO_ENDPOINT, transaction))
         } else if self.numbers.get(&called).is_some_and(|used| *used >= LINES_OF_A_NUMBER) {
@@ -281,8 +282,8 @@
             None
         };
         if let Some(refusal) = refusal {
-            self.press(figures.look + figures.reject);
-            self.put(figures.look + figures.reject, Work::Waste);
+            self.press(figures.read_work + figures.reject_work);
+            self.put(figures.read_work + figures.reject_work, Work::Waste);
             return self.respond(from, refusal);
         }
         self.press(1.0);
@@ -306,14 +307,14 @@
         if let Some(call) = call {
             self.call_off(from, call);
         }
-        let work = if circuits.is_empty() { self.figures.look } else { self.figures.follow };
+        let work = if circuits.is_empty() { self.figures.read_work } else { self.figures.follow_up_work };
         self.put(work, Work::Release { from, transaction: command.transaction, circuits });
     }
 
     /// A set-up in the queue is not wanted any more; where the figures say so it needs no work either.
     fn call_off(&mut self, from: SocketAddr, call: &str) {
-        let drops = self.figures.cancel_drops;
-        let look = self.figures.set_up().scaled(self.figures.look);
+        let drops = self.figures.drops_cancelled;
+        let look = self.figures.set_up_time().scaled(self.figures.read_work);
         let in_hand = self.in_hand.iter_mut().map(|(_, job)| job);
         for job in self.first.iter_mut().chain(&mut self.queue).chain(in_hand) {
             if let Work::SetUp(asked) | Work::Answer(asked) = &mut job.kind
@@ -333,7 +334,7 @@
             Work::SetUp(asked) if asked.off => {
                 self.respond(asked.from, Response::new(code::ABORTED, asked.transaction));
             }
-            Work::SetUp(asked) => self.put(self.figures.follow, Work::Answer(asked)),
+            Work::SetUp(asked) => self.put(self.figures.follow_up_work, Work::Answer(asked)),
             Work::Answer(asked) if asked.off => {
                 self.respond(asked.from, Response::new(code::ABORTED, asked.transaction));
             }
@@ -389,7 +390,7 @@
                 if self.health == Health::Well {
                     self.tell_lines();
                 }
-                self.script.insert((self.now + self.figures.told, usize::MAX), Act::Told);
+                self.script.insert((self.now + self.figures.report_interval, usize::MAX), Act::Told);
             }
         }
     }
@@ -440,8 +441,8 @@
             match news {
                 News::Asked { from, command } => self.asked(from, &command),
                 News::Repeated { .. } => {
-                    self.press(self.figures.repeat);
-                    self.put(self.figures.repeat, Work::Waste);
+                    self.press(self.figures.repeat_work);
+                    self.put(self.figures.repeat_work, Work::Waste);
                 }
                 _ => {}
             }
@@ -482,18 +483,18 @@
 }
 
 /// What is still to come for the server. Kills and starts of its process are the rig's.
-fn script(day: &Day, nth: usize, start: Moment, now: Moment) -> BTreeMap<(Moment, usize), Act> {
+fn script(day: &Scenario, nth: usize, start: Moment, now: Moment) -> BTreeMap<(Moment, usize), Act> {
     let mut script = BTreeMap::new();
-    for (at, trouble) in day.troubles.iter().enumerate() {
-        let (begins, ends) = (start + trouble.at, start + trouble.at + trouble.length);
-        if ends <= now || (trouble.kind != Kind::AllSlow && !trouble.which.contains(&nth)) {
+    for (at, trouble) in day.faults.iter().enumerate() {
+        let (begins, ends) = (start + trouble.start, start + trouble.start + trouble.duration);
+        if ends <= now || (trouble.kind != FaultKind::AllSlow && !trouble.targets.contains(&nth)) {
             continue;
         }
         let acts = match trouble.kind {
-            Kind::Silent => (Act::Health(Health::Silent), Act::Health(Health::Well)),
-            Kind::Vanish => (Act::Health(Health::Away), Act::Health(Health::Well)),
-            Kind::Slow | Kind::AllSlow => (Act::Slower(trouble.size), Act::Slower(1.0)),
-            Kind::Replaced => (Act::Drain, Act::Replace),
+            FaultKind::Silent => (Act::Health(Health::Silent), Act::Health(Health::Well)),
+            FaultKind::Vanish => (Act::Health(Health::Away), Act::Health(Health::Well)),
+            FaultKind::Slow | FaultKind::AllSlow => (Act::Slower(trouble.magnitude), Act::Slower(1.0)),
+            FaultKind::Replaced => (Act::Drain, Act::Replace),
             _ => continue,
         };
         script.insert((begins, at * 2), acts.0);
--- a/crates/ochrelead-emulator/tests/standin.rs
+++ b/crates/ochrelead-emulator/tests/standin.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use ochrelead_config::day::{self, Day};
+use ochrelead_config::scenario::{self, Scenario};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_emulator::Peer;
 use ochrelead_emulator::callers::Callers;
@@ -28,8 +28,8 @@
     "127.0.0.1:1".parse().unwrap()
 }
 
-fn day(more: &str) -> Day {
-    day::read("day", &format!("{DAY}{more}")).unwrap()
+fn day(more: &str) -> Scenario {
+    scenario::parse("day", &format!("{DAY}{more}")).unwrap()
 }
 
 /// Runs a stand-in up to a moment; what it sent, with the moments.
@@ -114,7 +114,7 @@
 #[test_case("cancel_drops: true", 85; "dropped")]
 fn a_set_up_that_was_given_up(more: &str, done: u64) {
     let text = DAY.replace("queue_ms", &format!("{more} queue_ms"));
-    let day = day::read("day", &text).unwrap();
+    let day = scenario::parse("day", &text).unwrap();
     let mut server = Server::new(&day, 0, "s0".to_owned(), vec![front()], at(0), at(0), false);
     ask(&mut server, 0, Verb::CreateConnection, 1, "a");
     ask(&mut server, 0, Verb::CreateConnection, 2, "b");
@@ -221,8 +221,13 @@
 #[test_case(0.0, &[(Some(1), None)], 0; "a fault on the way from the sender")]
 #[test_case(0.0, &[(Some(2), Some(1))], 100; "a fault on the way back")]
 fn network(loss: f64, faults: &[(Option<u8>, Option<u8>)], arrive: usize) {
-    let figures =
-        day::Network { delay: Span::from_millis(5), jitter: 0.2, loss, doubled: 0.0, reordered: 0.2 };
+    let figures = scenario::EmulatedNetwork {
+        delay: Span::from_millis(5),
+        jitter: 0.2,
+        loss,
+        duplicated: 0.0,
+        reordered: 0.2,
+    };
     let fault = |(from, to): &(Option<u8>, Option<u8>)| Fault {
         from: *from,
         to: *to,
--- a/crates/ochrelead-front/benches/turn.rs
+++ b/crates/ochrelead-front/benches/turn.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use ochrelead_config::commission;
+use ochrelead_config::front_config;
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_front::engine::Engine;
@@ -25,9 +25,9 @@
 
 impl Rig {
     fn new() -> Rig {
-        let commission = commission::read("bench", SETTINGS).expect("sound settings");
+        let commission = front_config::parse("bench", SETTINGS).expect("sound settings");
         let now = Moment::from_micros(1_000_000);
-        let judge = Controller::new(&commission.provision, now);
+        let judge = Controller::new(&commission.controller, now);
         Rig {
             engine: Engine::new(commission, Box::new(judge), 1, now),
             now: 1_000_000,
--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -12,7 +12,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use ochrelead_config::commission::{Commission, Post};
+use ochrelead_config::front_config::FrontConfig;
+use ochrelead_config::server_endpoint::ServerEndpoint;
 use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_core::types::{
@@ -58,7 +59,7 @@
 
 /// A front without I/O.
 pub struct Engine {
-    commission: Commission,
+    commission: FrontConfig,
     judge: Box<dyn CallPolicy + Send>,
     now: Moment,
     exchange: Exchange,
@@ -85,9 +86,14 @@
 
 impl Engine {
     /// A front in service. `first`: where its transaction ids begin, other at each start.
-    pub fn new(commission: Commission, judge: Box<dyn CallPolicy + Send>, first: u32, now: Moment) -> Engine {
-        let roster = commission.roster.clone();
-        let targets = commission.provision.services.iter().map(|service| service.post_dial_target);
+    pub fn new(
+        commission: FrontConfig,
+        judge: Box<dyn CallPolicy + Send>,
+        first: u32,
+        now: Moment,
+    ) -> Engine {
+        let roster = commission.servers.clone();
+        let targets = commission.controller.services.iter().map(|service| service.post_dial_target);
         let pulse = targets.min().unwrap_or(Span::from_secs(1)) / PULSES;
         let mut engine = Engine {
             exchange: Exchange::new(commission.pace, first),
@@ -119,7 +125,7 @@
             .commission
             .answer_margin
             .scaled(LATE_SHARE)
-            .max(self.commission.provision.min_turn_interval * 4);
+            .max(self.commission.controller.min_turn_interval * 4);
         if late > usual {
             // What came since the last turn lay unread, nobody knows how long.
             self.waited = now.since(self.turned);
@@ -159,14 +165,14 @@
     }
 
     /// The server list is given anew, whole.
-    pub fn update_endpoints(&mut self, now: Moment, posts: &[Post]) {
+    pub fn update_endpoints(&mut self, now: Moment, posts: &[ServerEndpoint]) {
         self.advance_to(now);
-        self.commission.numbering.serve(posts);
+        self.commission.numbering_plan.set_servers(posts);
         for (at, name) in self.commission.service_names.iter().enumerate() {
-            let takes = |post: &&Post| post.services.is_empty() || post.services.contains(name);
+            let takes = |post: &&ServerEndpoint| post.services.is_empty() || post.services.contains(name);
             let mut servers: Vec<i64> = posts.iter().filter(takes).map(|post| post.number).collect();
             // What the settings say of a service holds where the list says nothing of it.
-            let own = &self.commission.provision.services[at].servers;
+            let own = &self.commission.controller.services[at].servers;
             servers.retain(|number| own.is_empty() || own.contains(number));
             let all = servers.len() == posts.len();
             self.judge.on_service_servers(ServiceIx::new(at), if all { &[] } else { &servers });
@@ -177,7 +183,7 @@
     }
 
     /// What the servers had said of themselves in a former life of this front.
-    pub fn restore_self_reports(&mut self, now: Moment, kept: &[(Post, Said)]) {
+    pub fn restore_self_reports(&mut self, now: Moment, kept: &[(ServerEndpoint, Said)]) {
         self.advance_to(now);
         let listings = self.roster.remember(kept);
         self.judge.on_endpoints(true, &listings);
@@ -204,7 +210,7 @@
     /// To leave service: no new sessions, each held one gets its answer, within the bound of the settings.
     pub fn drain(&mut self, now: Moment) {
         self.advance_to(now);
-        self.service.start(self.now, self.commission.drain);
+        self.service.start(self.now, self.commission.drain_time);
     }
 
     /// Whether a front that leaves owes nothing any more.
@@ -234,14 +240,15 @@
             self.carry_out(decision);
         }
         // Where a decision met a table that is full, its session came back to the module.
-        self.service.update(self.now, self.owed(), self.commission.drain);
+        self.service.update(self.now, self.owed(), self.commission.drain_time);
         let alarms = [
             self.judge.poll_timeout(),
             self.exchange.wake(),
             self.book.poll_timeout(),
             self.releases.poll_timeout(),
         ];
-        let alarms = alarms.into_iter().chain([self.service.poll_timeout(self.now, self.commission.drain)]);
+        let alarms =
+            alarms.into_iter().chain([self.service.poll_timeout(self.now, self.commission.drain_time)]);
         self.alarm = alarms.flatten().chain([self.now + self.pulse]).min();
         (self.turned, self.waited) = (self.now, Span::ZERO);
     }
--- a/crates/ochrelead-front/src/engine/caller_side.rs
+++ b/crates/ochrelead-front/src/engine/caller_side.rs
@@ -1,7 +1,7 @@
 //! The callers' side: NTFY in; MDCX, RQNT and DLCX out (RFC 3435 sections 2.3.3 to 2.3.8).
 
 use super::*;
-use ochrelead_config::numbering::Dialled;
+use ochrelead_config::numbering_plan::ResolvedNumber;
 use ochrelead_core::index::TenantIx;
 use ochrelead_core::types::CallRequest;
 
@@ -54,7 +54,7 @@
         if self.hung_up.contains(tried) {
             return self.pass_over(from, format!("try {tried} had hung up before it came"));
         }
-        let meant = self.commission.numbering.read(digits);
+        let meant = self.commission.numbering_plan.resolve(digits);
         let patience =
             command.parameters.read::<u32>(name::PATIENCE).map(|ms| Span::from_millis(u64::from(ms)));
         let limit = meant.map_or(Span::ZERO, |dialled| self.commission.timer_limits[dialled.service.index()]);
@@ -79,12 +79,12 @@
             is_redial: redial,
         };
         self.step(session, taken);
-        let Some(Dialled { service, destination }) = meant else {
+        let Some(ResolvedNumber { service, destination }) = meant else {
             // A number that means nothing: nothing can be set up.
             return self.fail(session, None);
         };
-        if !self.service.accepts_sessions() || self.book.len() > self.commission.most_held {
-            let away = self.commission.provision.max_retry_after;
+        if !self.service.accepts_sessions() || self.book.len() > self.commission.max_sessions {
+            let away = self.commission.controller.max_retry_after;
             return self.refuse(session, (away > Span::ZERO).then_some(away), None);
         }
         let offer = CallRequest {
--- a/crates/ochrelead-front/src/engine/server_side.rs
+++ b/crates/ochrelead-front/src/engine/server_side.rs
@@ -40,7 +40,7 @@
     }
 
     fn trunk(&self, server: ServerIx, which: &str) -> Endpoint {
-        let Post { name, trunk, .. } = self.roster.post(server);
+        let ServerEndpoint { name, trunk, .. } = self.roster.post(server);
         format!("{trunk}/{which}@{name}").parse().expect("the names of the list were checked")
     }
 
--- a/crates/ochrelead-front/src/events.rs
+++ b/crates/ochrelead-front/src/events.rs
@@ -1,6 +1,6 @@
 //! What the engine tells the log and the records. The host writes it; nothing is decided by it.
 
-use ochrelead_config::commission::Post;
+use ochrelead_config::server_endpoint::ServerEndpoint;
 use ochrelead_core::time::Span;
 use ochrelead_core::types::{DecisionReason, InviteOutcome, LineCapacity, RejectionCause};
 use ochrelead_discovery::roster::Said;
@@ -15,7 +15,7 @@
     /// A server told all fronts of its lines.
     Lines { name: String, lines: LineCapacity },
     /// The list has changed: this is what a front that starts anew should know.
-    EndpointsChanged(Vec<(Post, Said)>),
+    EndpointsChanged(Vec<(ServerEndpoint, Said)>),
     /// A message that was passed over, and why.
     MessageIgnored { from: String, reason: String },
     /// This front was called so much later than it had asked for.
--- a/crates/ochrelead-front/src/host.rs
+++ b/crates/ochrelead-front/src/host.rs
@@ -10,7 +10,7 @@
 use async_io::Async;
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future, stream};
-use ochrelead_config::commission::Commission;
+use ochrelead_config::front_config::FrontConfig;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_discovery::keeper::{Keeper, Outcome};
 use ochrelead_discovery::sheet::Page;
@@ -69,8 +69,8 @@
 ///
 /// Where signals, the socket or the folder of the state fail for good.
 pub async fn serve(
-    commission: Commission,
-    engine: impl FnOnce(Commission) -> Engine,
+    commission: FrontConfig,
+    engine: impl FnOnce(FrontConfig) -> Engine,
     socket: Async<UdpSocket>,
     clock: Clock,
     places: FrontPaths,
--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -10,7 +10,7 @@
 use async_io::Async;
 use clap::{Args, Parser, Subcommand};
 use futures_lite::future;
-use ochrelead_config::commission::{self, Commission};
+use ochrelead_config::front_config::{self, FrontConfig};
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_front::engine::Engine;
@@ -268,27 +268,27 @@
     Ok(Some(Peers { together, listen, promises }))
 }
 
-fn read(line: &Line) -> Result<Commission, Vec<String>> {
+fn read(line: &Line) -> Result<FrontConfig, Vec<String>> {
     let settings = line.settings.as_deref().unwrap_or(Path::new(""));
     let told = |complaints: Vec<_>| complaints.iter().map(ToString::to_string).collect::<Vec<_>>();
-    let commission = commission::open(settings).map_err(told)?;
-    if line.fleet.is_some() && !commission.roster.is_empty() {
+    let commission = front_config::open(settings).map_err(told)?;
+    if line.fleet.is_some() && !commission.servers.is_empty() {
         let what = "server: with --fleet the servers are said in its files alone";
         return Err(vec![format!("{}: {what}", settings.display())]);
     }
     Ok(commission)
 }
 
-fn run(mut commission: Commission, line: Line) -> anyhow::Result<()> {
+fn run(mut commission: FrontConfig, line: Line) -> anyhow::Result<()> {
     let clock = Clock::start();
     // Transaction ids begin elsewhere with each process, whatever the seed: servers keep their answers to the last.
     let first = Pcg64Mcg::seed_from_u64(clock.now().micros()).random();
-    commission.provision.seed = line.seed.unwrap_or(clock.now().micros());
+    commission.controller.seed = line.seed.unwrap_or(clock.now().micros());
     let socket =
         UdpSocket::bind(commission.listen).with_context(|| format!("listen on {}", commission.listen))?;
     let places = FrontPaths { fleet: line.fleet, state: line.state, event_log: line.records };
-    let engine = |commission: Commission| {
-        let judge = Controller::new(&commission.provision, clock.now());
+    let engine = |commission: FrontConfig| {
+        let judge = Controller::new(&commission.controller, clock.now());
         Engine::new(commission, Box::new(judge), first, clock.now())
     };
     let served = host::serve(commission, engine, Async::new(socket)?, clock, places);
--- a/crates/ochrelead-front/tests/front.rs
+++ b/crates/ochrelead-front/tests/front.rs
@@ -353,7 +353,7 @@
     let (transaction, to) = front.invited(0, "a1");
     front.stands(20, to, transaction, 5);
     front.sent(20);
-    let mut posts = ochrelead_config::commission::read("test", helper::SETTINGS).unwrap().roster;
+    let mut posts = ochrelead_config::front_config::parse("test", helper::SETTINGS).unwrap().servers;
     (posts[0].address, posts[1].address) = (posts[1].address, posts[0].address);
     front.engine.update_endpoints(at(100), &posts);
     front.hang_up(200, "a1");
@@ -478,7 +478,7 @@
 #[test]
 fn a_datagram_that_could_not_leave_to_a_servers_old_address_ends_nothing_at_its_new_one() {
     let mut front = Front::start(100);
-    let mut posts = ochrelead_config::commission::read("test", helper::SETTINGS).unwrap().roster;
+    let mut posts = ochrelead_config::front_config::parse("test", helper::SETTINGS).unwrap().servers;
     posts[0].address = server(7);
     front.engine.update_endpoints(at(0), &posts);
     front.dial(100, "a1", "1004711");
--- a/crates/ochrelead-front/tests/helper/mod.rs
+++ b/crates/ochrelead-front/tests/helper/mod.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use ochrelead_config::commission;
+use ochrelead_config::front_config;
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_front::engine::Engine;
@@ -49,8 +49,8 @@
 
 impl Front {
     pub fn start(first: u32) -> Front {
-        let commission = commission::read("test", SETTINGS).unwrap();
-        let judge = Controller::new(&commission.provision, at(0));
+        let commission = front_config::parse("test", SETTINGS).unwrap();
+        let judge = Controller::new(&commission.controller, at(0));
         Front {
             engine: Engine::new(commission, Box::new(judge), first, at(0)),
             seen: Vec::new(),
--- a/crates/ochrelead-scenario/src/audit/cold.rs
+++ b/crates/ochrelead-scenario/src/audit/cold.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
-use ochrelead_config::day::Day;
+use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_mgcp::message::{Message, TransactionId, Verb, code, name};
 
@@ -30,7 +30,7 @@
     broken: bool,
 }
 
-pub fn judge(day: &Day, seen: &[Seen], verdict: &mut Verdict) {
+pub fn judge(day: &Scenario, seen: &[Seen], verdict: &mut Verdict) {
     let mut servers: BTreeMap<u16, Cold> = BTreeMap::new();
     for one in seen {
         match (&one.what, one.from, one.to) {
@@ -54,9 +54,9 @@
             (What::Message(Message::Response(response)), Party::Server(server), Party::Front(front))
                 if response.code == code::OVERLOAD && !one.reached =>
             {
-                let figures = &day.stand_ins[usize::from(server)];
+                let figures = &day.servers[usize::from(server)];
                 let cold = servers.entry(server).or_default();
-                cold.refused((front, response.transaction), figures.look + figures.reject);
+                cold.refused((front, response.transaction), figures.read_work + figures.reject_work);
             }
             _ => {}
         }
@@ -82,18 +82,18 @@
 
     fn reached(
         &mut self,
-        day: &Day,
+        day: &Scenario,
         server: usize,
         at: Moment,
         invite: (u16, TransactionId),
         verdict: &mut Verdict,
     ) {
-        let (figures, rules) = (&day.stand_ins[server], &day.front.provision);
-        let Some(began) = self.began.filter(|began| at.since(*began) < figures.warm) else {
+        let (figures, rules) = (&day.servers[server], &day.front.controller);
+        let Some(began) = self.began.filter(|began| at.since(*began) < figures.warm_up_time) else {
             return self.work.clear();
         };
         let first = self.seen.insert(invite);
-        let set_ups = if first { 1.0 } else { figures.repeat };
+        let set_ups = if first { 1.0 } else { figures.repeat_work };
         if first {
             self.open.insert(invite, at);
         }
@@ -101,10 +101,11 @@
         while self.work.front().is_some_and(|(then, ..)| at.since(*then) > rules.overload_duration) {
             self.work.pop_front();
         }
-        let warmth = at.since(began).ratio(figures.warm);
+        let warmth = at.since(began).ratio(figures.warm_up_time);
         let slower = state(day, server, at).0.unwrap_or(1.0);
         let speed = (figures.cold_share + (1.0 - figures.cold_share) * warmth) / slower;
-        let able = rules.overload_duration.ratio(figures.set_up()) * speed * rules.overload_multiple + SLACK;
+        let able =
+            rules.overload_duration.ratio(figures.set_up_time()) * speed * rules.overload_multiple + SLACK;
         let sent: f64 = self.work.iter().map(|(_, set_ups, _)| set_ups).sum();
         let known: f64 = self.work.iter().filter(|(.., told)| *told).map(|(_, set_ups, _)| set_ups).sum();
         verdict.tested[3].case();
--- a/crates/ochrelead-scenario/src/audit/drawn.rs
+++ b/crates/ochrelead-scenario/src/audit/drawn.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashSet};
 
-use ochrelead_config::day::Day;
+use ochrelead_config::scenario::Scenario;
 use ochrelead_mgcp::message::{Message, Verb, name};
 use statrs::distribution::{ChiSquared, ContinuousCDF};
 
@@ -34,7 +34,7 @@
     }
 }
 
-pub fn measure(day: &Day, seen: &[Seen]) -> Drawn {
+pub fn measure(day: &Scenario, seen: &[Seen]) -> Drawn {
     let Some(churn) = &day.churn else { return Drawn::default() };
     let servers = churn.weights.len();
     let mut drawn = Drawn { seen: vec![0.0; servers], expected: vec![0.0; servers] };
--- a/crates/ochrelead-scenario/src/audit/mod.rs
+++ b/crates/ochrelead-scenario/src/audit/mod.rs
@@ -8,7 +8,7 @@
 
 use std::fmt;
 
-use ochrelead_config::day::Day;
+use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
 
 use crate::capture::Sight;
@@ -82,7 +82,7 @@
 }
 
 /// Judges a day by its capture.
-pub fn audit(day: &Day, sights: &[Sight]) -> Verdict {
+pub fn audit(day: &Scenario, sights: &[Sight]) -> Verdict {
     let seen = sightings::read(day, sights);
     let mut verdict = Verdict::default();
     rules::judge(day, &seen, &mut verdict);
--- a/crates/ochrelead-scenario/src/audit/rules.rs
+++ b/crates/ochrelead-scenario/src/audit/rules.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
-use ochrelead_config::day::Day;
+use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_mgcp::message::{Command, Message, Response, TransactionId, Verb, code, name};
 
@@ -58,12 +58,12 @@
 
 /// The judge of one capture.
 struct Judge<'a> {
-    day: &'a Day,
+    day: &'a Scenario,
     fronts: BTreeMap<u16, Front>,
     verdict: &'a mut Verdict,
 }
 
-pub fn judge(day: &Day, seen: &[Seen], verdict: &mut Verdict) {
+pub fn judge(day: &Scenario, seen: &[Seen], verdict: &mut Verdict) {
     let mut judge = Judge { day, fronts: BTreeMap::new(), verdict };
     for one in seen {
         match &one.what {
@@ -144,7 +144,7 @@
             let digits: String =
                 events.split(',').filter_map(|event| event.trim().strip_prefix("D/")).collect();
             let service =
-                self.day.sheet.service.iter().position(|own| {
+                self.day.front_settings.service.iter().position(|own| {
                     own.dialled.as_deref().is_some_and(|dialled| digits.starts_with(dialled))
                 });
             let usual = service.map_or(Span::ZERO, |service| self.day.front.timer_limits[service]);
@@ -277,7 +277,7 @@
             }
         }
         if let Some(from) = release_from {
-            let (since, wait) = (at.since(from), self.day.front.provision.resend_delay);
+            let (since, wait) = (at.since(from), self.day.front.controller.resend_delay);
             self.verdict.tested[4].case();
             if since + wait.scaled(CLOCKS) < wait {
                 let how =
--- a/crates/ochrelead-scenario/src/audit/service.rs
+++ b/crates/ochrelead-scenario/src/audit/service.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use ochrelead_config::day::Day;
+use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_emulator::callers::HOT;
 use ochrelead_mgcp::message::{Message, Verb, name};
@@ -54,7 +54,7 @@
 /// Members' shares are reckoned over this time.
 const QUOTA_SPAN: Span = Span::from_secs(5);
 
-pub fn measure(day: &Day, seen: &[Seen]) -> Service {
+pub fn measure(day: &Scenario, seen: &[Seen]) -> Service {
     let mut callers: BTreeMap<String, Caller> = BTreeMap::new();
     let mut asked: Vec<Vec<Moment>> = vec![Vec::new(); day.front.trunks.len()];
     for one in seen {
@@ -95,14 +95,14 @@
     summed(day, &callers)
 }
 
-fn offered(day: &Day, at: Moment, events: &str, trunk: &str, asked: &mut [Vec<Moment>]) -> Caller {
+fn offered(day: &Scenario, at: Moment, events: &str, trunk: &str, asked: &mut [Vec<Moment>]) -> Caller {
     let digits: String = events.split(',').filter_map(|event| event.trim().strip_prefix("D/")).collect();
     let dialled = |own: &ochrelead_config::schema::Service| {
         own.dialled.as_deref().is_some_and(|dialled| digits.starts_with(dialled))
     };
-    let service = day.sheet.service.iter().position(dialled).unwrap_or(0);
+    let service = day.front_settings.service.iter().position(dialled).unwrap_or(0);
     let member = day.front.trunks.iter().position(|own| own == trunk);
-    let provision = &day.front.provision;
+    let provision = &day.front.controller;
     let mut value = provision.services[service].value;
     if digits.ends_with(HOT) {
         value *= HOT_WORTH;
@@ -120,9 +120,9 @@
     Caller { came: at, service, member, value, tried: String::new(), waits: true, stood: None, cut: false }
 }
 
-fn earned(day: &Day, caller: &Caller) -> f64 {
+fn earned(day: &Scenario, caller: &Caller) -> f64 {
     let Some(stood) = caller.stood.filter(|_| !caller.cut) else { return 0.0 };
-    let service = &day.front.provision.services[caller.service];
+    let service = &day.front.controller.services[caller.service];
     let took = stood.since(caller.came);
     if took <= service.post_dial_target {
         caller.value
@@ -133,7 +133,7 @@
     }
 }
 
-fn share<'a>(day: &Day, callers: impl Iterator<Item = &'a Caller>) -> Option<f64> {
+fn share<'a>(day: &Scenario, callers: impl Iterator<Item = &'a Caller>) -> Option<f64> {
     let (mut got, mut all) = (0.0, 0.0);
     for caller in callers {
         got += earned(day, caller);
@@ -142,11 +142,11 @@
     (all > 0.0).then(|| got / all)
 }
 
-fn summed(day: &Day, callers: &[Caller]) -> Service {
+fn summed(day: &Scenario, callers: &[Caller]) -> Service {
     let of = |kept: &dyn Fn(&Caller) -> bool| {
         share(day, callers.iter().filter(|caller| kept(caller))).unwrap_or(1.0)
     };
-    let last = day.length.micros().saturating_sub(WINDOW.micros()) / 1_000_000;
+    let last = day.duration.micros().saturating_sub(WINDOW.micros()) / 1_000_000;
     let window = |second: u64| {
         let begins = Moment::from_micros(second * 1_000_000);
         of(&|caller| caller.came >= begins && caller.came.since(begins) < WINDOW)
@@ -154,7 +154,7 @@
     Service {
         whole: of(&|_| true),
         worst_window: (0..=last).map(window).fold(1.0, f64::min),
-        course: (0..day.length.micros().div_ceil(STRETCH.micros()))
+        course: (0..day.duration.micros().div_ceil(STRETCH.micros()))
             .map(|nth| {
                 let begins = Moment::START + STRETCH * nth;
                 of(&|caller| caller.came >= begins && caller.came.since(begins) < STRETCH)
@@ -172,7 +172,7 @@
 /// The share of the value that the servers' true capacity could have carried: per stretch of two seconds the
 /// worthiest first, as many as the script's servers could do then. Nobody who sees only his own traffic can
 /// know that; calls cut by a server's end are not taken off.
-pub fn ceiling(day: &Day, offered: &[(Moment, f64)]) -> f64 {
+pub fn ceiling(day: &Scenario, offered: &[(Moment, f64)]) -> f64 {
     const SPELL: u64 = 2_000_000;
     let mut stretches: BTreeMap<u64, Vec<f64>> = BTreeMap::new();
     for (came, value) in offered {
@@ -182,13 +182,13 @@
     for (stretch, mut values) in stretches {
         let at = Moment::from_micros(stretch * SPELL + SPELL / 2);
         let capacity: f64 = day
-            .stand_ins
+            .servers
             .iter()
             .enumerate()
             .map(|(nth, figures)| {
                 let (slower, cold) = state(day, nth, at);
                 let Some(slower) = slower else { return 0.0 };
-                let warmth = cold.map_or(1.0, |since| at.since(since).ratio(figures.warm).min(1.0));
+                let warmth = cold.map_or(1.0, |since| at.since(since).ratio(figures.warm_up_time).min(1.0));
                 figures.sessions_per_s * (figures.cold_share + (1.0 - figures.cold_share) * warmth) / slower
             })
             .sum();
--- a/crates/ochrelead-scenario/src/audit/sightings.rs
+++ b/crates/ochrelead-scenario/src/audit/sightings.rs
@@ -1,6 +1,7 @@
 //! A capture as a course of messages, and what the day's script says of the servers.
 
-use ochrelead_config::day::{Day, Kind};
+use ochrelead_config::faults::FaultKind;
+use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::Moment;
 use ochrelead_mgcp::message::Message;
 use ochrelead_mgcp::parse;
@@ -35,7 +36,7 @@
 }
 
 /// All messages in order; moments are counted from the day's start, what came before it counts as at it.
-pub fn read(_day: &Day, sights: &[Sight]) -> Vec<Seen> {
+pub fn read(_day: &Scenario, sights: &[Sight]) -> Vec<Seen> {
     let text = |sight: &Sight| String::from_utf8_lossy(&sight.bytes).into_owned();
     let starts = |sight: &Sight| text(sight).strip_prefix("start ").and_then(|us| us.trim().parse().ok());
     let marks = sights.iter().filter(|sight| sight.from == Party::Rig);
@@ -79,20 +80,21 @@
 
 /// How much slower the script has a server at `at`, none where it is not there or silent; and since when it
 /// has been a cold one.
-pub fn state(day: &Day, server: usize, at: Moment) -> (Option<f64>, Option<Moment>) {
+pub fn state(day: &Scenario, server: usize, at: Moment) -> (Option<f64>, Option<Moment>) {
     let (mut slower, mut here, mut cold) = (1.0, true, None);
-    for trouble in &day.troubles {
-        let struck = trouble.kind == Kind::AllSlow || trouble.which.contains(&server);
-        let (begins, ends) = (Moment::START + trouble.at, Moment::START + trouble.at + trouble.length);
+    for trouble in &day.faults {
+        let struck = trouble.kind == FaultKind::AllSlow || trouble.targets.contains(&server);
+        let (begins, ends) =
+            (Moment::START + trouble.start, Moment::START + trouble.start + trouble.duration);
         let on = at >= begins && at < ends;
         match trouble.kind {
-            Kind::Slow | Kind::AllSlow if struck && on => slower = trouble.size.max(0.01),
-            Kind::Silent if struck && on => here = false,
-            Kind::Vanish | Kind::Crash if struck => {
+            FaultKind::Slow | FaultKind::AllSlow if struck && on => slower = trouble.magnitude.max(0.01),
+            FaultKind::Silent if struck && on => here = false,
+            FaultKind::Vanish | FaultKind::Crash if struck => {
                 here &= !on;
                 cold = if at >= ends { cold.max(Some(ends)) } else { cold };
             }
-            Kind::Replaced if struck && at >= ends => cold = cold.max(Some(ends)),
+            FaultKind::Replaced if struck && at >= ends => cold = cold.max(Some(ends)),
             _ => {}
         }
     }
--- a/crates/ochrelead-scenario/src/found.rs
+++ b/crates/ochrelead-scenario/src/found.rs
@@ -4,7 +4,8 @@
 use std::path::Path;
 
 use anyhow::Context;
-use ochrelead_config::day::{self, Day};
+use ochrelead_config::faults::FaultKind;
+use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_diagnosis::trouble::{Kind, Trouble};
 use ochrelead_event_log::reader::{Damage, Log, Record, logs};
@@ -40,34 +41,34 @@
 
 /// What the script says, in the diagnosis's words. A surge is a trouble where more is offered than the
 /// script's servers can carry.
-fn scripted(day: &Day) -> Vec<Scripted> {
+fn scripted(day: &Scenario) -> Vec<Scripted> {
     let mut all = Vec::new();
-    for own in &day.troubles {
+    for own in &day.faults {
         let mut add = |kind, of: String| {
-            all.push(Scripted { kind, of, at: own.at, length: own.length, found: None });
+            all.push(Scripted { kind, of, at: own.start, length: own.duration, found: None });
         };
         match own.kind {
-            day::Kind::AllSlow => add(Kind::AllSlow, String::new()),
-            day::Kind::HotNumber => add(Kind::HotNumber, String::new()),
-            day::Kind::Surge => {
-                let capacity: f64 = day.stand_ins.iter().map(|own| own.sessions_per_s).sum();
-                if day.callers.sessions_per_s * own.size > capacity {
+            FaultKind::AllSlow => add(Kind::AllSlow, String::new()),
+            FaultKind::HotNumber => add(Kind::HotNumber, String::new()),
+            FaultKind::Surge => {
+                let capacity: f64 = day.servers.iter().map(|own| own.sessions_per_s).sum();
+                if day.callers.sessions_per_s * own.magnitude > capacity {
                     add(Kind::Overload, String::new());
                 }
             }
             kind => {
-                for which in &own.which {
+                for which in &own.targets {
                     let front = format!("f{which}.example");
                     match kind {
-                        day::Kind::Crash | day::Kind::Vanish => add(Kind::Crashed, server_name(*which)),
-                        day::Kind::Silent => add(Kind::Silent, server_name(*which)),
-                        day::Kind::Slow => add(Kind::Slow, server_name(*which)),
-                        day::Kind::Replaced => add(Kind::Replaced, server_name(*which)),
-                        day::Kind::AnswersLost => add(Kind::AnswersLost, server_name(*which)),
-                        day::Kind::FrontKilled => add(Kind::FrontKilled, front),
-                        day::Kind::FrontStall => add(Kind::FrontStalled, front),
-                        day::Kind::LinkCut => add(Kind::CutOff, front),
-                        day::Kind::Redials => add(Kind::Redials, format!("member {}", which + 1)),
+                        FaultKind::Crash | FaultKind::Vanish => add(Kind::Crashed, server_name(*which)),
+                        FaultKind::Silent => add(Kind::Silent, server_name(*which)),
+                        FaultKind::Slow => add(Kind::Slow, server_name(*which)),
+                        FaultKind::Replaced => add(Kind::Replaced, server_name(*which)),
+                        FaultKind::AnswersLost => add(Kind::AnswersLost, server_name(*which)),
+                        FaultKind::FrontKilled => add(Kind::FrontKilled, front),
+                        FaultKind::FrontStall => add(Kind::FrontStalled, front),
+                        FaultKind::LinkCut => add(Kind::CutOff, front),
+                        FaultKind::Redials => add(Kind::Redials, format!("member {}", which + 1)),
                         _ => {}
                     }
                 }
@@ -82,7 +83,7 @@
 /// # Errors
 ///
 /// Where records or capture can't be read.
-pub fn compare(day: &Day, sights: &[Sight], records: &Path, mar: Option<u64>) -> anyhow::Result<Found> {
+pub fn compare(day: &Scenario, sights: &[Sight], records: &Path, mar: Option<u64>) -> anyhow::Result<Found> {
     let marks = sights.iter().filter(|sight| sight.from == Party::Rig);
     let start = marks
         .map(|sight| String::from_utf8_lossy(&sight.bytes).into_owned())
@@ -93,7 +94,7 @@
 }
 
 /// Compares logs with the script of a day that began at `start`.
-pub fn of_logs(day: &Day, logs: Vec<Log>, start: Moment, mar: Option<u64>) -> Found {
+pub fn of_logs(day: &Scenario, logs: Vec<Log>, start: Moment, mar: Option<u64>) -> Found {
     let logs = mar.map_or(logs.clone(), |seed| marred(logs, seed));
     let incident = Incident::of(&logs, Damage::default());
     // The common clock is some front's: the script's is that of the last, which is never marred.
@@ -183,9 +184,9 @@
     a.since(b).max(b.since(a))
 }
 
-fn matched(day: &Day, mut troubles: Vec<Trouble>) -> Found {
+fn matched(day: &Scenario, mut troubles: Vec<Trouble>) -> Found {
     let mut found = Found { scripted: scripted(day), invented: Vec::new() };
-    let day_ends = Moment::START + day.length;
+    let day_ends = Moment::START + day.duration;
     for own in &mut found.scripted {
         let (begins, ends) = (Moment::START + own.at, Moment::START + own.at + own.length);
         let fits = |trouble: &Trouble| {
@@ -198,7 +199,7 @@
         }
     }
     // Where more is offered than all servers together could carry, saying so is never invented.
-    let capacity: f64 = day.stand_ins.iter().map(|own| own.sessions_per_s).sum();
+    let capacity: f64 = day.servers.iter().map(|own| own.sessions_per_s).sum();
     let over = day.callers.sessions_per_s > capacity;
     found.invented = troubles.into_iter().filter(|own| !(over && own.kind == Kind::Overload)).collect();
     found
--- a/crates/ochrelead-scenario/src/load.rs
+++ b/crates/ochrelead-scenario/src/load.rs
@@ -256,7 +256,7 @@
         }],
         ..schema::Front::default()
     };
-    ochrelead_config::text::written(&settings, "Front")
+    ochrelead_config::document::to_text(&settings, "Front")
 }
 
 /// A bare relay: what comes from one goes to the other.
--- a/crates/ochrelead-scenario/src/main.rs
+++ b/crates/ochrelead-scenario/src/main.rs
@@ -9,7 +9,7 @@
 use anyhow::Context;
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
-use ochrelead_config::day::{self, Day};
+use ochrelead_config::scenario::{self, Scenario};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_front::host::FrontPaths;
 use ochrelead_scenario::audit::{self, RULES, Service, Verdict};
@@ -163,8 +163,8 @@
     }
 }
 
-fn read(path: &Path) -> anyhow::Result<Day> {
-    day::open(path).map_err(part::complained)
+fn read(path: &Path) -> anyhow::Result<Scenario> {
+    scenario::open(path).map_err(part::complained)
 }
 
 fn play(part: Part) -> anyhow::Result<()> {
@@ -270,7 +270,7 @@
             deciding: *deciding,
         })
         .collect();
-    let bar = ProgressBar::new(day.length.micros() / 1_000);
+    let bar = ProgressBar::new(day.duration.micros() / 1_000);
     bar.set_style(ProgressStyle::with_template("{bar:40} {pos}/{len} ms of the day")?);
     thread::scope(|scope| {
         let playing: Vec<_> = worlds
--- a/crates/ochrelead-scenario/src/part.rs
+++ b/crates/ochrelead-scenario/src/part.rs
@@ -8,9 +8,9 @@
 use anyhow::{Context, bail};
 use async_io::{Async, Timer};
 use futures_lite::future;
-use ochrelead_config::commission::{self, Commission};
-use ochrelead_config::day::Day;
-use ochrelead_config::text::Complaint;
+use ochrelead_config::diagnostic::Diagnostic;
+use ochrelead_config::front_config::{self, FrontConfig};
+use ochrelead_config::scenario::Scenario;
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_emulator::Peer;
@@ -26,7 +26,7 @@
 use crate::world::Deciding;
 
 /// One line a complaint, so that an operator sees all of them.
-pub fn complained(complaints: Vec<Complaint>) -> anyhow::Error {
+pub fn complained(complaints: Vec<Diagnostic>) -> anyhow::Error {
     let lines: Vec<String> = complaints.iter().map(ToString::to_string).collect();
     anyhow::anyhow!("{}", lines.join("\n"))
 }
@@ -34,18 +34,18 @@
 /// Runs a front as its program does, but for who decides.
 pub fn front(settings: &Path, places: FrontPaths, deciding: Deciding, seed: u64) -> anyhow::Result<()> {
     let clock = Clock::start();
-    let mut commission = commission::open(settings).map_err(complained)?;
+    let mut commission = front_config::open(settings).map_err(complained)?;
     let level = tracing_subscriber::filter::LevelFilter::ERROR;
     tracing_subscriber::fmt().with_max_level(level).with_writer(io::stderr).init();
     let first = Pcg64Mcg::seed_from_u64(clock.now().micros() ^ seed).random();
-    commission.provision.seed = seed;
+    commission.controller.seed = seed;
     let socket =
         UdpSocket::bind(commission.listen).with_context(|| format!("listen on {}", commission.listen))?;
     let socket = Async::new(socket)?;
     let policy = match deciding {
         Deciding::Module => {
-            let engine = |commission: Commission| {
-                let judge = Controller::new(&commission.provision, clock.now());
+            let engine = |commission: FrontConfig| {
+                let judge = Controller::new(&commission.controller, clock.now());
                 Engine::new(commission, Box::new(judge), first, clock.now())
             };
             return Ok(future::block_on(host::serve(commission, engine, socket, clock, places))?);
@@ -53,10 +53,10 @@
         Deciding::Random => Policy::Random,
         Deciding::Unbounded => Policy::Unbounded,
     };
-    let engine = |commission: Commission| {
+    let engine = |commission: FrontConfig| {
         let target =
-            commission.provision.services.iter().map(|s| s.post_dial_target).max().unwrap_or_default();
-        let judge = Baseline::new(policy, commission.provision.resend_delay, target, seed);
+            commission.controller.services.iter().map(|s| s.post_dial_target).max().unwrap_or_default();
+        let judge = Baseline::new(policy, commission.controller.resend_delay, target, seed);
         Engine::new(commission, Box::new(judge), first, clock.now())
     };
     Ok(future::block_on(host::serve(commission, engine, socket, clock, places))?)
@@ -64,15 +64,15 @@
 
 /// Runs the `nth` stand-in server.
 pub fn server(
-    day: &Day,
+    day: &Scenario,
     nth: usize,
     listen: SocketAddrV4,
     fronts: &[SocketAddrV4],
     start_us: u64,
     fresh: bool,
 ) -> anyhow::Result<()> {
-    if nth >= day.stand_ins.len() {
-        bail!("there are only {} servers", day.stand_ins.len());
+    if nth >= day.servers.len() {
+        bail!("there are only {} servers", day.servers.len());
     }
     let clock = Clock::start();
     let start = Moment::from_micros(start_us);
@@ -82,7 +82,12 @@
 }
 
 /// Runs all callers.
-pub fn callers(day: Day, listen: SocketAddrV4, fronts: &[SocketAddrV4], start_us: u64) -> anyhow::Result<()> {
+pub fn callers(
+    day: Scenario,
+    listen: SocketAddrV4,
+    fronts: &[SocketAddrV4],
+    start_us: u64,
+) -> anyhow::Result<()> {
     let clock = Clock::start();
     let fronts = fronts.iter().map(|front| SocketAddr::V4(*front)).collect();
     run(Callers::new(day, fronts, Moment::from_micros(start_us), clock.now()), listen, clock)
--- a/crates/ochrelead-scenario/src/world.rs
+++ b/crates/ochrelead-scenario/src/world.rs
@@ -14,7 +14,8 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future;
-use ochrelead_config::day::{Day, Kind};
+use ochrelead_config::faults::FaultKind;
+use ochrelead_config::scenario::Scenario;
 use ochrelead_config::schema;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_emulator::network::{Network, faults};
@@ -67,7 +68,7 @@
 
 /// One world.
 pub struct World {
-    pub day: Day,
+    pub day: Scenario,
     pub day_file: PathBuf,
     /// Where capture, lists and settings go.
     pub out: PathBuf,
@@ -86,7 +87,7 @@
 impl World {
     fn parties(&self) -> (Vec<Party>, Vec<Party>) {
         let fronts = (0..self.day.fronts).map(|nth| Party::Front(nth as u16)).collect();
-        (fronts, (0..self.day.stand_ins.len()).map(|nth| Party::Server(nth as u16)).collect())
+        (fronts, (0..self.day.servers.len()).map(|nth| Party::Server(nth as u16)).collect())
     }
 
     /// Plays the day; `progress` is told how much of it has passed, in milliseconds.
@@ -94,7 +95,7 @@
         if self.day.fronts > MOST_FRONTS {
             bail!("real processes play days of up to {MOST_FRONTS} fronts; ochrelead-sim plays this one");
         }
-        if let Some(own) = self.day.troubles.iter().find(|own| own.kind.is_emulated_only()) {
+        if let Some(own) = self.day.faults.iter().find(|own| own.kind.is_emulated_only()) {
             bail!(
                 "no real process has such a clock or disk: {}; ochrelead-sim plays this day",
                 own.kind.name()
@@ -131,7 +132,7 @@
         if let Some(churn) = &self.day.churn {
             let fleets: anyhow::Result<Vec<Churning>> =
                 fronts.iter().map(|front| Churning::new(self, *front)).collect();
-            let span = (start, start + self.day.length);
+            let span = (start, start + self.day.duration);
             let churn = churn.clone();
             executor.spawn(rewrite(churn, fleets?, rig.clone(), clock, span, self.day.seed)).detach();
         }
@@ -179,7 +180,7 @@
     /// Writes a front's settings, with the servers as it sees them.
     fn settle(&self, front: Party) -> anyhow::Result<()> {
         let (_, servers) = self.parties();
-        let own = &self.day.sheet;
+        let own = &self.day.front_settings;
         let listed = servers.iter().enumerate().map(|(nth, server)| schema::Server {
             name: Some(server_name(nth)),
             address: Some(self.street.seen(*server, front).to_string()),
@@ -201,7 +202,7 @@
         if state.exists() {
             fs::remove_dir_all(&state)?;
         }
-        fs::write(&file, ochrelead_config::text::written(&settings, "Front"))
+        fs::write(&file, ochrelead_config::document::to_text(&settings, "Front"))
             .with_context(|| format!("{}", file.display()))
     }
 
@@ -245,18 +246,20 @@
     /// What the rig does to processes, in order.
     fn script(&self, start: Moment) -> Vec<(Moment, Act)> {
         let mut script = Vec::new();
-        for trouble in &self.day.troubles {
-            let (begins, ends) = (start + trouble.at, start + trouble.at + trouble.length);
-            for which in &trouble.which {
+        for trouble in &self.day.faults {
+            let (begins, ends) = (start + trouble.start, start + trouble.start + trouble.duration);
+            for which in &trouble.targets {
                 let (front, server) = (Party::Front(*which as u16), Party::Server(*which as u16));
                 match trouble.kind {
-                    Kind::FrontKilled => {
+                    FaultKind::FrontKilled => {
                         script.extend([(begins, Act::Kill(front)), (ends, Act::Start(front))])
                     }
-                    Kind::FrontStall => {
+                    FaultKind::FrontStall => {
                         script.extend([(begins, Act::Halt(front)), (ends, Act::Resume(front))])
                     }
-                    Kind::Crash => script.extend([(begins, Act::Kill(server)), (ends, Act::Start(server))]),
+                    FaultKind::Crash => {
+                        script.extend([(begins, Act::Kill(server)), (ends, Act::Start(server))])
+                    }
                     _ => {}
                 }
             }
@@ -279,7 +282,7 @@
             rig.tape.put(&Sight { at, from, to, reached: false, bytes: text.into_bytes() })
         };
         mark(format!("start {}", start.micros()))?;
-        let ends = start + self.day.length + TAIL;
+        let ends = start + self.day.duration + TAIL;
         let mut script = self.script(start).into_iter().peekable();
         while clock.now() < ends {
             let next =
@@ -366,7 +369,7 @@
         }
         let fleet =
             schema::Fleet { generation: Some(generation), server: servers, ..schema::Fleet::default() };
-        let mut text = ochrelead_config::text::written(&fleet, "Fleet");
+        let mut text = ochrelead_config::document::to_text(&fleet, "Fleet");
         text.push_str(&format!("\nend: {generation}\n"));
         if broken && luck % 3 == 1 {
             text.truncate(luck as usize % text.len());
@@ -386,7 +389,7 @@
 
 /// Rewrites all fleet files, and marks in the capture what each sound one says.
 async fn rewrite(
-    churn: ochrelead_config::day::Churn,
+    churn: ochrelead_config::scenario::EndpointChurn,
     fleets: Vec<Churning>,
     rig: Rc<RefCell<Rig>>,
     clock: Clock,
@@ -398,12 +401,12 @@
     let mut next = start;
     while next < ends {
         clock.timer(Some(next)).await;
-        next = next + churn.every;
+        next = next + churn.interval;
         generation += 1;
-        let turn = (clock.now().since(start).micros() / churn.drain.micros()) as usize;
+        let turn = (clock.now().since(start).micros() / churn.drain_time.micros()) as usize;
         let drains = (turn % 2 == 1).then_some(turn / 2 % churn.weights.len());
         for fleet in &fleets {
-            let broken = chance.random::<f64>() < churn.broken;
+            let broken = chance.random::<f64>() < churn.broken_share;
             let written = fleet.write(generation, drains, broken, chance.random::<u32>().into());
             let mut rig = rig.borrow_mut();
             if let Err(error) = written {
--- a/crates/ochrelead-scenario/tests/audit.rs
+++ b/crates/ochrelead-scenario/tests/audit.rs
@@ -1,6 +1,6 @@
 //! Each rule broken in a capture, and found: rule, try and moment. Beside each stands the same course kept.
 
-use ochrelead_config::day::{self, Day};
+use ochrelead_config::scenario::{self, Scenario};
 use ochrelead_core::time::Moment;
 use ochrelead_scenario::audit::{Verdict, audit, ceiling};
 use ochrelead_scenario::capture::{Sight, Tape, sights};
@@ -23,8 +23,8 @@
 const TRY: &str = "0000000101";
 const FRONT: Party = Party::Front(0);
 
-fn day() -> Day {
-    day::read("day", DAY).unwrap()
+fn day() -> Scenario {
+    scenario::parse("day", DAY).unwrap()
 }
 
 /// A capture, written line by line: `ms from to message`. A datagram arrives a millisecond after it left;
--- a/crates/ochrelead-sim/src/experiment.rs
+++ b/crates/ochrelead-sim/src/experiment.rs
@@ -5,9 +5,11 @@
 use std::path::Path;
 
 use anyhow::{Context, bail};
-use ochrelead_config::day::{self, Day, Kind};
+use ochrelead_config::diagnostic::Diagnostic;
+use ochrelead_config::document::Document;
+use ochrelead_config::faults::FaultKind;
+use ochrelead_config::scenario::{self, Scenario};
 use ochrelead_config::schema;
-use ochrelead_config::text::{Complaint, Sheet};
 use ochrelead_parquet::{Cell, Kind as Column, Table};
 use ochrelead_scenario::world::Deciding;
 use plotters::prelude::*;
@@ -23,7 +25,7 @@
 
 /// A grid.
 pub struct Experiment {
-    day: Day,
+    day: Scenario,
     rates: Vec<f64>,
     fronts: Vec<usize>,
     servers: Vec<usize>,
@@ -33,7 +35,7 @@
 
 /// One day of it.
 pub struct Case {
-    pub day: Day,
+    pub day: Scenario,
     pub policy: &'static str,
     deciding: Deciding,
 }
@@ -66,7 +68,7 @@
     pub kept: usize,
 }
 
-fn told(complaints: Vec<Complaint>) -> anyhow::Error {
+fn told(complaints: Vec<Diagnostic>) -> anyhow::Error {
     let lines: Vec<String> = complaints.iter().map(ToString::to_string).collect();
     anyhow::anyhow!("{}", lines.join("\n"))
 }
@@ -78,16 +80,16 @@
     ///
     /// All that is wrong with either.
     pub fn open(path: &Path) -> anyhow::Result<Experiment> {
-        let (grid, mut sheet) = Sheet::open::<schema::Experiment>(path, "Experiment").map_err(told)?;
-        let file = sheet.need("day", grid.day);
-        let repeats = sheet.between("repeats", f64::from(grid.repeats.unwrap_or(5)), 1.0, 10_000.0) as u64;
+        let (grid, mut sheet) = Document::open::<schema::Experiment>(path, "Experiment").map_err(told)?;
+        let file = sheet.required("day", grid.day);
+        let repeats = sheet.in_range("repeats", f64::from(grid.repeats.unwrap_or(5)), 1.0, 10_000.0) as u64;
         let mut policies = Vec::new();
         for (nth, name) in grid.policy.iter().enumerate() {
             match Deciding::ALL.iter().find(|(own, _)| own == name) {
                 Some(policy) => policies.push(*policy),
                 None => {
                     let names = Deciding::ALL.map(|(name, _)| name).join(", ");
-                    sheet.complain(
+                    sheet.report(
                         &format!("policy[{nth}]"),
                         format!("policy is {name:?}; it must be one of {names}"),
                     );
@@ -95,18 +97,18 @@
             }
         }
         for (nth, name) in grid.trouble.iter().enumerate() {
-            if name != "none" && !Kind::ALL.iter().any(|(own, _)| own == name) {
-                sheet.complain(&format!("trouble[{nth}]"), format!("trouble is {name:?}, which no day has"));
+            if name != "none" && !FaultKind::ALL.iter().any(|(own, _)| own == name) {
+                sheet.report(&format!("trouble[{nth}]"), format!("trouble is {name:?}, which no day has"));
             }
         }
         for (nth, rate) in grid.sessions_per_s.iter().enumerate() {
-            sheet.between(&format!("sessions_per_s[{nth}]"), *rate, 0.01, 1e6);
+            sheet.in_range(&format!("sessions_per_s[{nth}]"), *rate, 0.01, 1e6);
         }
         sheet.finish(()).map_err(told)?;
         let beside = path.parent().unwrap_or(Path::new(".")).join(file);
-        let mut day = day::open(&beside).map_err(told)?;
+        let mut day = scenario::open(&beside).map_err(told)?;
         if !grid.trouble.is_empty() {
-            day.troubles.retain(|own| grid.trouble.iter().any(|name| name == own.kind.name()));
+            day.faults.retain(|own| grid.trouble.iter().any(|name| name == own.kind.name()));
         }
         let or = |own: Vec<usize>, usual: usize| if own.is_empty() { vec![usual] } else { own };
         let whole = |own: &[u32]| own.iter().map(|own| *own as usize).collect::<Vec<_>>();
@@ -117,7 +119,7 @@
                 grid.sessions_per_s
             },
             fronts: or(whole(&grid.fronts), day.fronts),
-            servers: or(whole(&grid.servers), day.stand_ins.len()),
+            servers: or(whole(&grid.servers), day.servers.len()),
             policies: if policies.is_empty() { Deciding::ALL.to_vec() } else { policies },
             repeats,
             day,
@@ -127,7 +129,7 @@
     }
 
     fn check(&self) -> anyhow::Result<()> {
-        let listed = self.day.stand_ins.len();
+        let listed = self.day.servers.len();
         if let Some(servers) = self.servers.iter().find(|own| **own == 0 || **own > listed) {
             bail!("servers: {servers}; the day has 1 to {listed}");
         }
@@ -153,16 +155,16 @@
                         let mut day = self.day.clone();
                         (day.seed, day.fronts) = (self.day.seed + nth, fronts);
                         day.callers.sessions_per_s = *rate;
-                        day.stand_ins.truncate(servers);
+                        day.servers.truncate(servers);
                         // What strikes a party that is not there does not happen.
-                        for own in &mut day.troubles {
-                            let most = if own.kind.strikes_a_front() { fronts } else { servers };
-                            if own.kind != Kind::Redials {
-                                own.which.retain(|which| *which < most);
+                        for own in &mut day.faults {
+                            let most = if own.kind.is_at_fronts() { fronts } else { servers };
+                            if own.kind != FaultKind::Redials {
+                                own.targets.retain(|which| *which < most);
                             }
                         }
-                        day.front.provision.fronts = fronts as u32;
-                        day.sheet.fronts = Some(fronts as u32);
+                        day.front.controller.fronts = fronts as u32;
+                        day.front_settings.fronts = Some(fronts as u32);
                         cases.push(Case { day, policy, deciding: *deciding });
                     }
                 }
@@ -216,7 +218,7 @@
             Cell::Text(case.policy.to_owned()),
             Cell::Figure(case.day.callers.sessions_per_s),
             Cell::Whole(case.day.fronts as i64),
-            Cell::Whole(case.day.stand_ins.len() as i64),
+            Cell::Whole(case.day.servers.len() as i64),
             Cell::Whole(case.day.seed as i64),
             Cell::Figure(run.service),
             Cell::Figure(run.worst),
@@ -233,7 +235,7 @@
 pub fn points(cases: &[Case], runs: &[Run]) -> Vec<Point> {
     let key = |case: &Case| {
         let day = &case.day;
-        (case.policy, day.callers.sessions_per_s.to_bits(), day.fronts, day.stand_ins.len())
+        (case.policy, day.callers.sessions_per_s.to_bits(), day.fronts, day.servers.len())
     };
     let mut points: Vec<Point> = Vec::new();
     let mut from = 0;
@@ -247,7 +249,7 @@
             policy: case.policy,
             rate: case.day.callers.sessions_per_s,
             fronts: case.day.fronts,
-            servers: case.day.stand_ins.len(),
+            servers: case.day.servers.len(),
             repeats: same,
             mean,
             low: (mean - half).max(0.0),
--- a/crates/ochrelead-sim/src/front.rs
+++ b/crates/ochrelead-sim/src/front.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use ochrelead_config::commission::Commission;
+use ochrelead_config::front_config::FrontConfig;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_discovery::store::{self, Kept};
 use ochrelead_event_log::reader::{Life, Log, Record};
@@ -48,7 +48,7 @@
 /// One front's machine.
 pub struct Machine {
     pub name: String,
-    pub commission: Commission,
+    pub commission: FrontConfig,
     pub system: SystemClock,
     pub disk: MemoryDisk,
     /// A kill tears what is being written.
@@ -66,7 +66,7 @@
 }
 
 impl Machine {
-    pub fn new(commission: Commission, recorded: bool) -> Machine {
+    pub fn new(commission: FrontConfig, recorded: bool) -> Machine {
         Machine {
             name: commission.name.clone(),
             commission,
@@ -86,7 +86,7 @@
     pub fn start(
         &mut self,
         now: Moment,
-        judge: impl FnOnce(&Commission, Moment) -> Box<dyn CallPolicy + Send>,
+        judge: impl FnOnce(&FrontConfig, Moment) -> Box<dyn CallPolicy + Send>,
         recall: impl FnOnce(Option<Kept>) -> Option<Kept>,
         chance: &mut Pcg64Mcg,
     ) {
@@ -96,7 +96,7 @@
         self.halted = false;
         let clock = self.system.process(now);
         let shows = clock.shows(now);
-        self.commission.provision.seed = chance.random();
+        self.commission.controller.seed = chance.random();
         let judge = judge(&self.commission, shows);
         let mut engine = Engine::new(self.commission.clone(), judge, chance.random(), shows);
         let kept = store::load(&self.disk).ok().and_then(|(kept, _)| kept);
@@ -150,7 +150,7 @@
             process.engine.handle_datagram(shows, from, &bytes);
         }
         process.engine.process(shows);
-        let most_invites = match self.commission.provision.max_invites {
+        let most_invites = match self.commission.controller.max_invites {
             0 => USUAL_INVITES,
             most => most.min(USUAL_INVITES),
         };
@@ -184,7 +184,7 @@
         if process.turned.1 > SPIN {
             return Err((own(), format!("{SPIN} turns at one moment")));
         }
-        let most = self.commission.provision.resend_delay * 2 + WAITS;
+        let most = self.commission.controller.resend_delay * 2 + WAITS;
         if let Some(tried) = process.books.forgotten(shows, most) {
             return Err((
                 tried.to_owned(),
--- a/crates/ochrelead-sim/src/main.rs
+++ b/crates/ochrelead-sim/src/main.rs
@@ -13,8 +13,8 @@
 use anyhow::{Context, bail};
 use clap::{Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
-use ochrelead_config::day::{self, Day};
-use ochrelead_config::text::Sheet as Text;
+use ochrelead_config::document::Document;
+use ochrelead_config::scenario::{self, Scenario};
 use ochrelead_event_log::reader::Log;
 use ochrelead_event_log::writer::{Bounds, Recorder};
 use ochrelead_scenario::found::{self, Tally};
@@ -127,11 +127,11 @@
     if let Ok(seed) = of.parse() {
         return Ok(schedule::drawn(seed));
     }
-    let told = |complaints: Vec<ochrelead_config::text::Complaint>| {
+    let told = |complaints: Vec<ochrelead_config::diagnostic::Diagnostic>| {
         let lines: Vec<String> = complaints.iter().map(ToString::to_string).collect();
         anyhow::anyhow!("{}", lines.join("\n"))
     };
-    let (sheet, text) = Text::open::<Sheet>(Path::new(of), "Day").map_err(told)?;
+    let (sheet, text) = Document::open::<Sheet>(Path::new(of), "Day").map_err(told)?;
     text.finish(sheet).map_err(told)
 }
 
@@ -231,8 +231,8 @@
     Ok(true)
 }
 
-fn scripted(path: &Path) -> anyhow::Result<Day> {
-    day::open(path).map_err(|complaints| {
+fn scripted(path: &Path) -> anyhow::Result<Scenario> {
+    scenario::open(path).map_err(|complaints| {
         let lines: Vec<String> = complaints.iter().map(ToString::to_string).collect();
         anyhow::anyhow!("{}", lines.join("\n"))
     })
@@ -259,7 +259,7 @@
     let mut jobs = Vec::new();
     for path in days {
         let day = scripted(path)?;
-        jobs.extend(seeds.clone().map(|seed| Day { seed, ..day.clone() }));
+        jobs.extend(seeds.clone().map(|seed| Scenario { seed, ..day.clone() }));
     }
     let keep = Keep { records: true, ..Keep::default() };
     let made = over_all(&jobs, |day| {
--- a/crates/ochrelead-sim/src/play.rs
+++ b/crates/ochrelead-sim/src/play.rs
@@ -1,6 +1,6 @@
 //! A whole day, and what it came to.
 
-use ochrelead_config::day::Day;
+use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_event_log::reader::Log;
 use ochrelead_scenario::audit::{self, Service};
@@ -36,7 +36,7 @@
 /// # Errors
 ///
 /// Where the day gives no sound settings.
-pub fn play(day: &Day, deciding: Deciding, keep: Keep) -> Result<Outcome, String> {
+pub fn play(day: &Scenario, deciding: Deciding, keep: Keep) -> Result<Outcome, String> {
     meddled(day, deciding, keep, Box::new(Honest))
 }
 
@@ -46,7 +46,7 @@
 ///
 /// Where the day gives no sound settings.
 pub fn meddled(
-    day: &Day,
+    day: &Scenario,
     deciding: Deciding,
     keep: Keep,
     meddler: Box<dyn Meddler>,
@@ -66,7 +66,7 @@
         violation = world.settle().err();
     }
     // The tail, in which only what is owed goes on, is not counted.
-    let seconds = world.passed().min(day.length.ratio(Span::from_secs(1)));
+    let seconds = world.passed().min(day.duration.ratio(Span::from_secs(1)));
     let mut outcome = Outcome { steps: world.step, sum: world.sum(), seconds, ..Outcome::default() };
     if keep.sights && !world.sights.is_empty() {
         let verdict = audit::audit(day, &world.sights);
--- a/crates/ochrelead-sim/src/schedule.rs
+++ b/crates/ochrelead-sim/src/schedule.rs
@@ -1,8 +1,9 @@
 //! Days with faults drawn from a seed. Each seed turns most kinds of fault off and some up: what one kind would
 //! hide of another is seen on a day that has only the other.
 
-use ochrelead_config::day::{self, Day, Kind};
-use ochrelead_config::{schema, text};
+use ochrelead_config::faults::FaultKind;
+use ochrelead_config::scenario::{self, Scenario};
+use ochrelead_config::{document, schema};
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -41,16 +42,16 @@
 /// # Errors
 ///
 /// What is wrong with it.
-pub fn read(sheet: &Sheet) -> Result<Day, String> {
-    let told = |complaints: Vec<text::Complaint>| {
+pub fn read(sheet: &Sheet) -> Result<Scenario, String> {
+    let told = |complaints: Vec<ochrelead_config::diagnostic::Diagnostic>| {
         complaints.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
     };
-    day::read("schedule", &written(sheet)).map_err(told)
+    scenario::parse("schedule", &written(sheet)).map_err(told)
 }
 
 /// The text of its file.
 pub fn written(sheet: &Sheet) -> String {
-    text::written(sheet, "Day")
+    document::to_text(sheet, "Day")
 }
 
 fn front(chance: &mut impl Rng, members: usize) -> schema::Front {
@@ -141,27 +142,29 @@
     members: u32,
 ) -> Vec<schema::Trouble> {
     let mut all = Vec::new();
-    for (name, kind) in Kind::ALL {
+    for (name, kind) in FaultKind::ALL {
         if !chance.random_bool(ON) {
             continue;
         }
         for _ in 0..chance.random_range(1..=MOST_OF_A_KIND) {
             let among = match kind {
-                Kind::Surge | Kind::HotNumber | Kind::AllSlow => 0,
-                Kind::Redials => members,
-                Kind::FrontKilled | Kind::FrontStall | Kind::LinkCut => fronts,
-                Kind::FrontDeaf | Kind::FrontMute | Kind::CallersCut => fronts,
+                FaultKind::Surge | FaultKind::HotNumber | FaultKind::AllSlow => 0,
+                FaultKind::Redials => members,
+                FaultKind::FrontKilled | FaultKind::FrontStall | FaultKind::LinkCut => fronts,
+                FaultKind::FrontDeaf | FaultKind::FrontMute | FaultKind::CallersCut => fronts,
                 _ if kind.is_emulated_only() => fronts,
                 _ => servers,
             };
-            if kind == Kind::Redials && members == 0 {
+            if kind == FaultKind::Redials && members == 0 {
                 continue;
             }
             let size = match kind {
-                Kind::Surge => chance.random_range(1.5..4.0),
-                Kind::Slow | Kind::AllSlow => chance.random_range(1.5..20.0),
-                Kind::ClockAhead | Kind::ClockBack => *[0.3, 5.0, 40.0].choose(chance).unwrap_or(&5.0),
-                Kind::ClockFast => chance.random_range(0.0..500.0),
+                FaultKind::Surge => chance.random_range(1.5..4.0),
+                FaultKind::Slow | FaultKind::AllSlow => chance.random_range(1.5..20.0),
+                FaultKind::ClockAhead | FaultKind::ClockBack => {
+                    *[0.3, 5.0, 40.0].choose(chance).unwrap_or(&5.0)
+                }
+                FaultKind::ClockFast => chance.random_range(0.0..500.0),
                 _ => chance.random_range(0.1..1.0),
             };
             all.push(schema::Trouble {
--- a/crates/ochrelead-sim/src/world.rs
+++ b/crates/ochrelead-sim/src/world.rs
@@ -4,9 +4,10 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 
-use ochrelead_config::commission::{self, Commission};
-use ochrelead_config::day::{Day, Kind};
-use ochrelead_config::{schema, text};
+use ochrelead_config::faults::FaultKind;
+use ochrelead_config::front_config::{self, FrontConfig};
+use ochrelead_config::scenario::Scenario;
+use ochrelead_config::{document, schema};
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_discovery::store::Kept;
@@ -42,7 +43,7 @@
     }
 
     /// What a front is set to.
-    fn commission(&self, _commission: &mut Commission) {}
+    fn commission(&self, _commission: &mut FrontConfig) {}
 
     /// What leaves a front, and what reaches it.
     fn sends(&mut self, _front: usize, bytes: Vec<u8>) -> Vec<Vec<u8>> {
@@ -91,7 +92,7 @@
 
 /// One world.
 pub struct World {
-    pub day: Day,
+    pub day: Scenario,
     pub now: Moment,
     pub step: u64,
     deciding: Deciding,
@@ -128,7 +129,7 @@
     ///
     /// Where the day gives no sound settings for a front.
     pub fn new(
-        day: &Day,
+        day: &Scenario,
         deciding: Deciding,
         meddler: Box<dyn Meddler>,
         keep: Keep,
@@ -141,10 +142,10 @@
             fronts.push(Machine::new(commission, keep.records));
         }
         let seen: Vec<SocketAddr> = (0..day.fronts).map(|nth| address(front(nth))).collect();
-        let servers = (0..day.stand_ins.len())
+        let servers = (0..day.servers.len())
             .map(|nth| Some(Server::new(day, nth, server_name(nth), seen.clone(), start, START, false)))
             .collect();
-        let parties = (0..day.fronts).map(front).chain((0..day.stand_ins.len()).map(server));
+        let parties = (0..day.fronts).map(front).chain((0..day.servers.len()).map(server));
         let addresses = parties.chain([Party::Gateway]).map(|party| (address(party), party)).collect();
         let faults = faults(day, start, front, server, Party::Gateway);
         let mut world = World {
@@ -170,15 +171,18 @@
             day: day.clone(),
         };
         world.mark(format!("start {}", start.micros()));
-        for trouble in &day.troubles {
-            if trouble.kind == Kind::ClockFast {
-                trouble.which.iter().for_each(|nth| world.fronts[*nth].system.fast = trouble.size / 1e6);
+        for trouble in &day.faults {
+            if trouble.kind == FaultKind::ClockFast {
+                trouble
+                    .targets
+                    .iter()
+                    .for_each(|nth| world.fronts[*nth].system.fast = trouble.magnitude / 1e6);
             }
         }
         for nth in 0..day.fronts {
             world.start_front(nth);
         }
-        for party in (0..day.stand_ins.len()).map(server).chain([Party::Gateway]) {
+        for party in (0..day.servers.len()).map(server).chain([Party::Gateway]) {
             world.turn(party).map_err(|(of, how)| format!("{of}: {how}"))?;
         }
         Ok(world)
@@ -326,7 +330,7 @@
 
     fn start_front(&mut self, nth: usize) {
         let (deciding, meddler) = (self.deciding, &self.meddler);
-        let judge = |commission: &Commission, shows| meddler.judge(judge(deciding, commission, shows));
+        let judge = |commission: &FrontConfig, shows| meddler.judge(judge(deciding, commission, shows));
         let recall = |kept| meddler.recalls(kept);
         self.fronts[nth].start(self.now, judge, recall, &mut self.chance);
         let wake = self.fronts[nth].wake(self.now);
@@ -426,8 +430,8 @@
     Party::Server(nth as u16)
 }
 
-fn judge(deciding: Deciding, commission: &Commission, now: Moment) -> Box<dyn CallPolicy + Send> {
-    let provision = &commission.provision;
+fn judge(deciding: Deciding, commission: &FrontConfig, now: Moment) -> Box<dyn CallPolicy + Send> {
+    let provision = &commission.controller;
     let target = provision.services.iter().map(|own| own.post_dial_target).max().unwrap_or_default();
     let baseline = |policy| Box::new(Baseline::new(policy, provision.resend_delay, target, provision.seed));
     match deciding {
@@ -438,8 +442,8 @@
 }
 
 /// A front's settings, as its file would have them.
-fn settle(day: &Day, nth: usize) -> Result<Commission, String> {
-    let listed = (0..day.stand_ins.len()).map(|at| schema::Server {
+fn settle(day: &Scenario, nth: usize) -> Result<FrontConfig, String> {
+    let listed = (0..day.servers.len()).map(|at| schema::Server {
         name: Some(server_name(at)),
         address: Some(address(server(at)).to_string()),
         number: Some(at as u32),
@@ -450,11 +454,12 @@
         name: Some(format!("f{nth}.example")),
         listen: Some(address(front(nth)).to_string()),
         server: listed.collect(),
-        ..day.sheet.clone()
+        ..day.front_settings.clone()
     };
-    let told =
-        |complaints: Vec<text::Complaint>| complaints.iter().map(ToString::to_string).collect::<String>();
-    commission::read("front", &text::written(&settings, "Front")).map_err(told)
+    let told = |complaints: Vec<ochrelead_config::diagnostic::Diagnostic>| {
+        complaints.iter().map(ToString::to_string).collect::<String>()
+    };
+    front_config::parse("front", &document::to_text(&settings, "Front")).map_err(told)
 }
 
 /// After this nobody owes anybody anything: a release is asked for three times.
@@ -462,20 +467,20 @@
     pace.give_up * 3 + pace.longest_gap * 2 + Span::from_secs(1)
 }
 
-fn script(day: &Day, start: Moment) -> VecDeque<(Moment, Act)> {
-    let ends = start + day.length + TAIL;
+fn script(day: &Scenario, start: Moment) -> VecDeque<(Moment, Act)> {
+    let ends = start + day.duration + TAIL;
     let mut script = vec![(ends, Act::End), (ends + last_words(&day.front.pace), Act::Close)];
-    for trouble in &day.troubles {
-        let (begins, ends) = (start + trouble.at, start + trouble.at + trouble.length);
-        for &which in &trouble.which {
+    for trouble in &day.faults {
+        let (begins, ends) = (start + trouble.start, start + trouble.start + trouble.duration);
+        for &which in &trouble.targets {
             let acts: [Option<Act>; 2] = match trouble.kind {
-                Kind::FrontKilled => [Some(Act::Kill(front(which))), Some(Act::Start(front(which)))],
-                Kind::FrontStall => [Some(Act::Halt(which)), Some(Act::Resume(which))],
-                Kind::Crash => [Some(Act::Kill(server(which))), Some(Act::Start(server(which)))],
-                Kind::ClockAhead => [Some(Act::Set(which, trouble.size)), None],
-                Kind::ClockBack => [Some(Act::Set(which, -trouble.size)), None],
-                Kind::DiskFull => [Some(Act::Full(which, true)), Some(Act::Full(which, false))],
-                Kind::DiskTorn => [Some(Act::Tears(which, true)), Some(Act::Tears(which, false))],
+                FaultKind::FrontKilled => [Some(Act::Kill(front(which))), Some(Act::Start(front(which)))],
+                FaultKind::FrontStall => [Some(Act::Halt(which)), Some(Act::Resume(which))],
+                FaultKind::Crash => [Some(Act::Kill(server(which))), Some(Act::Start(server(which)))],
+                FaultKind::ClockAhead => [Some(Act::Set(which, trouble.magnitude)), None],
+                FaultKind::ClockBack => [Some(Act::Set(which, -trouble.magnitude)), None],
+                FaultKind::DiskFull => [Some(Act::Full(which, true)), Some(Act::Full(which, false))],
+                FaultKind::DiskTorn => [Some(Act::Tears(which, true)), Some(Act::Tears(which, false))],
                 _ => [None, None],
             };
             script.extend([begins, ends].into_iter().zip(acts).filter_map(|(at, act)| Some((at, act?))));
--- a/crates/ochrelead-sim/tests/console.rs
+++ b/crates/ochrelead-sim/tests/console.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
-use ochrelead_config::day::{self, Day, Kind};
+use ochrelead_config::faults::FaultKind;
+use ochrelead_config::scenario::{self, Scenario};
 use ochrelead_console::watch::Watch;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_event_log::reader::Record;
@@ -17,10 +18,10 @@
 const LOOK: Span = Span::from_millis(250);
 
 /// Seconds from the silence's beginning to the console's word on it; none where it came too late.
-fn shown_after(day: &Day) -> Option<f64> {
-    let trouble = day.troubles.iter().find(|own| own.kind == Kind::Silent).unwrap();
-    let begins = START + LEAD + trouble.at;
-    let name = ochrelead_scenario::world::server_name(trouble.which[0]);
+fn shown_after(day: &Scenario) -> Option<f64> {
+    let trouble = day.faults.iter().find(|own| own.kind == FaultKind::Silent).unwrap();
+    let begins = START + LEAD + trouble.start;
+    let name = ochrelead_scenario::world::server_name(trouble.targets[0]);
     let outcome = play(day, Deciding::Module, Keep { records: true, ..Keep::default() }).unwrap();
     // By when the disk has them.
     let mut arrive: BTreeMap<u64, Vec<Record>> = BTreeMap::new();
@@ -29,7 +30,7 @@
         arrive.entry(flushed).or_default().push(record);
     }
     let (mut watch, mut now, mut last) = (Watch::default(), START, START);
-    while now < begins + trouble.length {
+    while now < begins + trouble.duration {
         now = now + LOOK;
         let later = arrive.split_off(&(now.micros() + 1));
         for (at, records) in std::mem::replace(&mut arrive, later) {
@@ -49,9 +50,10 @@
 fn a_silent_server_is_shown_within_three_seconds(file: &str, seeds: u64) {
     let path =
         Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios").join(format!("{file}.textproto"));
-    let day = day::open(&path).unwrap();
-    let mut after: Vec<f64> =
-        (1..=seeds).map(|seed| shown_after(&Day { seed, ..day.clone() }).unwrap_or(f64::INFINITY)).collect();
+    let day = scenario::open(&path).unwrap();
+    let mut after: Vec<f64> = (1..=seeds)
+        .map(|seed| shown_after(&Scenario { seed, ..day.clone() }).unwrap_or(f64::INFINITY))
+        .collect();
     after.sort_by(f64::total_cmp);
     println!("{file}: middle {:.2} s, worst {:.2} s", after[after.len() / 2], after[after.len() - 1]);
     assert!(after[after.len() - 1] <= 3.0, "{after:?}");
--- a/crates/ochrelead-sim/tests/resent.rs
+++ b/crates/ochrelead-sim/tests/resent.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 
-use ochrelead_config::day;
+use ochrelead_config::scenario;
 use ochrelead_mgcp::message::{Message, Verb, name};
 use ochrelead_mgcp::parse;
 use ochrelead_scenario::party::Party;
@@ -32,7 +32,7 @@
 /// What was counted, and the most that one session may come to: its INVITEs, and the repeats of a single one.
 fn count(day: &str) -> (Layers, u32) {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
-    let day = day::open(&folder.join(day)).unwrap();
+    let day = scenario::open(&folder.join(day)).unwrap();
     let keep = Keep { sights: true, ..Keep::default() };
     let mut world = World::new(&day, Deciding::Module, Box::new(Honest), keep).unwrap();
     while let Some(step) = world.step() {
--- a/crates/ochrelead-sim/tests/sabotage.rs
+++ b/crates/ochrelead-sim/tests/sabotage.rs
@@ -2,7 +2,7 @@
 
 mod wrong;
 
-use ochrelead_config::commission::Commission;
+use ochrelead_config::front_config::FrontConfig;
 use ochrelead_core::time::Span;
 use ochrelead_discovery::roster::Said;
 use ochrelead_discovery::store::Kept;
@@ -43,7 +43,7 @@
 }
 
 impl Meddler for Slipped {
-    fn commission(&self, commission: &mut Commission) {
+    fn commission(&self, commission: &mut FrontConfig) {
         if self.0 == Slip::KeptTooShort {
             commission.pace.kept = Span::from_millis(1);
         }
--- a/crates/ochrelead-sim/tests/tiny/mod.rs
+++ b/crates/ochrelead-sim/tests/tiny/mod.rs
@@ -6,7 +6,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use ochrelead_config::commission::{self, Commission, Post};
+use ochrelead_config::front_config::{self, FrontConfig};
+use ochrelead_config::server_endpoint::ServerEndpoint;
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_discovery::roster::Said;
@@ -65,13 +66,13 @@
 }
 
 struct Seat {
-    commission: Commission,
+    commission: FrontConfig,
     engine: Option<Engine>,
     stalled_at: Option<u64>,
     /// What waits in the socket, and since when.
     socket: Vec<(u64, SocketAddr, Vec<u8>)>,
     /// The last list that the host has on its disk.
-    kept: Vec<(Post, Said)>,
+    kept: Vec<(ServerEndpoint, Said)>,
     lives: u32,
     stopped: bool,
     /// What servers said while nobody was there to hear it: they say it again.
@@ -136,10 +137,10 @@
 
 impl World {
     pub fn new(most: usize, fault: Option<Fault>, drop_releases: bool) -> World {
-        let commission = commission::read("tiny", SETTINGS).unwrap();
+        let commission = front_config::parse("tiny", SETTINGS).unwrap();
         let seat = |nth: usize| {
             let mut commission = commission.clone();
-            commission.provision.seed = nth as u64;
+            commission.controller.seed = nth as u64;
             let (socket, kept, unheard) = (Vec::new(), Vec::new(), BTreeMap::new());
             Seat {
                 commission,
@@ -174,7 +175,7 @@
         let now = at(self.now);
         let (fault, seat) = (self.fault, &mut self.seats[nth]);
         seat.lives += 1;
-        let judge: Box<dyn CallPolicy + Send> = Box::new(Controller::new(&seat.commission.provision, now));
+        let judge: Box<dyn CallPolicy + Send> = Box::new(Controller::new(&seat.commission.controller, now));
         let judge = match fault {
             Some(fault) => Box::new(Wrong::new(fault, judge)),
             None => judge,
