--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -14,7 +14,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use ochrelead_config::commission::{Commission, Post};
+use ochrelead_config::front_config::FrontConfig;
+use ochrelead_config::server_endpoint::ServerEndpoint;
 use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_core::types::{Decision, DecisionReason, InviteOutcome, LineCapacity, ServerSnapshot};
@@ -66,7 +67,7 @@
 
 /// A front without I/O.
 pub struct Engine {
-    commission: Commission,
+    config: FrontConfig,
     policy: Box<dyn CallPolicy + Send>,
     now: Moment,
     exchange: Exchange,
@@ -94,18 +95,18 @@
 impl Engine {
     /// A front in service. Its transaction ids begin at `first_transaction`, which has to be another at each start.
     pub fn new(
-        commission: Commission,
+        config: FrontConfig,
         policy: Box<dyn CallPolicy + Send>,
         first_transaction: u32,
         now: Moment,
     ) -> Engine {
-        let endpoints = commission.roster.clone();
-        let targets = commission.provision.services.iter().map(|service| service.post_dial_target);
+        let endpoints = config.servers.clone();
+        let targets = config.controller.services.iter().map(|service| service.post_dial_target);
         let max_turn_gap = targets.min().unwrap_or(Span::from_secs(1)) / TURNS_PER_TARGET;
         let mut engine = Engine {
-            exchange: Exchange::new(commission.pace, first_transaction),
-            releases: PendingReleases::new(&commission.pace),
-            commission,
+            exchange: Exchange::new(config.pace, first_transaction),
+            releases: PendingReleases::new(&config.pace),
+            config,
             policy,
             now,
             calls: CallTable::default(),
@@ -128,8 +129,8 @@
 
     fn advance_to(&mut self, now: Moment) {
         let late = self.next_timeout.map_or(Span::ZERO, |timeout| now.since(timeout));
-        let margin = self.commission.answer_margin.scaled(LATE_SHARE);
-        if late > margin.max(self.commission.provision.min_turn_interval * 4) {
+        let margin = self.config.answer_margin.scaled(LATE_SHARE);
+        if late > margin.max(self.config.controller.min_turn_interval * 4) {
             // What was received since the last turn was unread, for an unknown time.
             self.input_delay = now.since(self.last_turn);
         }
@@ -151,15 +152,16 @@
     }
 
     /// The list of servers is replaced.
-    pub fn update_endpoints(&mut self, now: Moment, endpoints: &[Post]) {
+    pub fn update_endpoints(&mut self, now: Moment, endpoints: &[ServerEndpoint]) {
         self.advance_to(now);
-        self.commission.numbering.serve(endpoints);
-        for (service, name) in self.commission.service_names.iter().enumerate() {
-            let serves = |endpoint: &&Post| endpoint.services.is_empty() || endpoint.services.contains(name);
+        self.config.numbering_plan.set_servers(endpoints);
+        for (service, name) in self.config.service_names.iter().enumerate() {
+            let serves =
+                |endpoint: &&ServerEndpoint| endpoint.services.is_empty() || endpoint.services.contains(name);
             let serving = endpoints.iter().filter(serves);
             let mut servers: Vec<i64> = serving.map(|endpoint| endpoint.number).collect();
             // The servers that the configuration allows for a service hold where the list names no services.
-            let allowed = &self.commission.provision.services[service].servers;
+            let allowed = &self.config.controller.services[service].servers;
             servers.retain(|number| allowed.is_empty() || allowed.contains(number));
             let all_serve = servers.len() == endpoints.len();
             self.policy.on_service_servers(ServiceIx::new(service), if all_serve { &[] } else { &servers });
@@ -170,7 +172,7 @@
     }
 
     /// Restores what the servers had said of themselves before this front was restarted.
-    pub fn restore_self_reports(&mut self, now: Moment, persisted: &[(Post, Said)]) {
+    pub fn restore_self_reports(&mut self, now: Moment, persisted: &[(ServerEndpoint, Said)]) {
         self.advance_to(now);
         let updates = self.roster.remember(persisted);
         self.policy.on_endpoints(true, &updates);
@@ -192,7 +194,7 @@
     /// Leaves service: no new sessions, each held one gets its answer, within the bound of the configuration.
     pub fn drain(&mut self, now: Moment) {
         self.advance_to(now);
-        self.drain_state.start(self.now, self.commission.drain);
+        self.drain_state.start(self.now, self.config.drain_time);
     }
 
     /// Whether a front that leaves service has nothing left to do.
@@ -222,7 +224,7 @@
             self.execute(decision);
         }
         // Where a decision met a full table, its session went back to the policy: it is counted as unfinished.
-        self.drain_state.update(self.now, self.unfinished(), self.commission.drain);
+        self.drain_state.update(self.now, self.unfinished(), self.config.drain_time);
         self.next_timeout = self.earliest_timeout();
         (self.last_turn, self.input_delay) = (self.now, Span::ZERO);
     }
@@ -233,7 +235,7 @@
             self.exchange.wake(),
             self.calls.poll_timeout(),
             self.releases.poll_timeout(),
-            self.drain_state.poll_timeout(self.now, self.commission.drain),
+            self.drain_state.poll_timeout(self.now, self.config.drain_time),
             Some(self.now + self.max_turn_gap),
         ];
         timeouts.into_iter().flatten().min()
--- a/crates/ochrelead-front/src/engine/caller_side.rs
+++ b/crates/ochrelead-front/src/engine/caller_side.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use ochrelead_config::numbering::Dialled;
+use ochrelead_config::numbering_plan::ResolvedNumber;
 use ochrelead_core::index::{ServerIx, SessionIx, TenantIx};
 use ochrelead_core::time::Span;
 use ochrelead_core::types::{CallRequest, InviteOutcome, RejectionCause};
@@ -71,12 +71,12 @@
         if self.ended_attempts.contains(attempt) {
             return self.ignore_message(from, format!("try {attempt} had hung up before it came"));
         }
-        let dialled = self.commission.numbering.read(digits);
+        let dialled = self.config.numbering_plan.resolve(digits);
         let call = self.new_call(from, command, attempt, digits);
         let deadline = call.deadline;
         let session = self.calls.insert(call);
         let trunk = command.endpoint.local().split('/').next().unwrap_or("");
-        let tenant = self.commission.trunks.iter().position(|name| name == trunk);
+        let tenant = self.config.trunks.iter().position(|name| name == trunk);
         let is_redial = command.parameters.get(name::REDIAL).is_some_and(|value| value != "0");
         let accepted = SessionStep::Accepted {
             service: dialled.map_or(0, |dialled| dialled.service.index()),
@@ -86,12 +86,12 @@
             is_redial,
         };
         self.emit_step(session, accepted);
-        let Some(Dialled { service, destination }) = dialled else {
+        let Some(ResolvedNumber { service, destination }) = dialled else {
             // The numbering plan does not have the number: nothing can be set up.
             return self.fail(session, None);
         };
-        if !self.drain_state.accepts_sessions() || self.calls.len() > self.commission.most_held {
-            let retry_after = self.commission.provision.max_retry_after;
+        if !self.drain_state.accepts_sessions() || self.calls.len() > self.config.max_sessions {
+            let retry_after = self.config.controller.max_retry_after;
             return self.reject(session, (retry_after > Span::ZERO).then_some(retry_after), None);
         }
         let request = CallRequest {
@@ -111,15 +111,15 @@
         let patience =
             command.parameters.read::<u32>(name::PATIENCE).map(|ms| Span::from_millis(u64::from(ms)));
         let service_limit = self
-            .commission
-            .numbering
-            .read(digits)
-            .map_or(Span::ZERO, |dialled| self.commission.timer_limits[dialled.service.index()]);
+            .config
+            .numbering_plan
+            .resolve(digits)
+            .map_or(Span::ZERO, |dialled| self.config.timer_limits[dialled.service.index()]);
         // After a stall an attempt is taken for as old as it may be: its caller has waited all the while.
         let limit = patience.map_or(service_limit, |patience| patience.min(service_limit)) - self.input_delay;
-        call.deadline = self.now + (limit - self.commission.answer_margin);
+        call.deadline = self.now + (limit - self.config.answer_margin);
         // One INVITE that waits until the deadline is repeated so often; several share these repeats.
-        call.remaining_repeats = self.commission.pace.repeats(call.deadline.since(self.now));
+        call.remaining_repeats = self.config.pace.repeats(call.deadline.since(self.now));
         call.connection = command.parameters.get(name::CONNECTION).map(str::to_owned);
         call
     }
--- a/crates/ochrelead-front/src/engine/server_side.rs
+++ b/crates/ochrelead-front/src/engine/server_side.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use ochrelead_config::commission::Post;
+use ochrelead_config::server_endpoint::ServerEndpoint;
 use ochrelead_core::index::{ServerIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_core::types::{InviteOutcome, LoadReport};
@@ -53,7 +53,7 @@
     }
 
     fn trunk_endpoint(&self, server: ServerIx, circuit: &str) -> Endpoint {
-        let Post { name, trunk, .. } = self.roster.post(server);
+        let ServerEndpoint { name, trunk, .. } = self.roster.post(server);
         let endpoint = format!("{trunk}/{circuit}@{name}");
         endpoint.parse().expect("the names of listed servers were validated as parts of endpoint names")
     }
@@ -129,7 +129,7 @@
         let server = invite.server;
         let name = self.server_name(server);
         let duration = self.now.since(invite.sent);
-        self.calls.count_repeats(session, self.commission.pace.repeats(duration));
+        self.calls.count_repeats(session, self.config.pace.repeats(duration));
         self.emit_step(session, SessionStep::InviteEnded { server: name, outcome, duration });
         self.calls.set_phase(session, Phase::Pending);
         self.policy.on_invite_ended(session, server, outcome, false);
@@ -271,7 +271,7 @@
     /// repeated, may be the new process's, and would never be released there.
     fn release_if_recent(&mut self, session: SessionIx) {
         let Some(call) = self.calls.get(session) else { return };
-        let (attempt, late) = (call.attempt.clone(), self.commission.pace.first_gap * LATE_COMMAND_GAPS);
+        let (attempt, late) = (call.attempt.clone(), self.config.pace.first_gap * LATE_COMMAND_GAPS);
         match call.phase.clone() {
             Phase::Inviting(invite) if self.now.since(invite.sent) < late => {
                 self.release_call(invite, session);
--- a/crates/ochrelead-front/src/host.rs
+++ b/crates/ochrelead-front/src/host.rs
@@ -16,7 +16,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::stream::Stream;
 use futures_lite::{StreamExt, future, stream};
-use ochrelead_config::commission::Commission;
+use ochrelead_config::front_config::FrontConfig;
 use ochrelead_core::time::Moment;
 use ochrelead_discovery::keeper::{Keeper, Outcome};
 use ochrelead_discovery::sheet::Page;
@@ -57,15 +57,15 @@
 ///
 /// Where the signals, the socket or the state folder can't be used.
 pub async fn serve(
-    commission: Commission,
-    new_engine: impl FnOnce(Commission) -> Engine,
+    config: FrontConfig,
+    new_engine: impl FnOnce(FrontConfig) -> Engine,
     socket: Async<UdpSocket>,
     clock: Clock,
     paths: FrontPaths,
 ) -> io::Result<()> {
     let persisted = load_state(&paths)?;
-    let (services, name) = (commission.service_names.clone(), commission.name.clone());
-    let mut engine = new_engine(commission);
+    let (services, name) = (config.service_names.clone(), config.name.clone());
+    let mut engine = new_engine(config);
     let reloader = paths.fleet.is_some().then(|| {
         let fleet = persisted.as_ref().and_then(Kept::fleet);
         if let Some(fleet) = &fleet {
--- a/crates/ochrelead-front/tests/engine/helper.rs
+++ b/crates/ochrelead-front/tests/engine/helper.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use ochrelead_config::commission;
+use ochrelead_config::front_config;
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_front::engine::Engine;
@@ -49,10 +49,10 @@
 
 impl Front {
     pub(crate) fn start(first: u32) -> Front {
-        let commission = commission::read("test", SETTINGS).unwrap();
-        let policy = Controller::new(&commission.provision, at(0));
+        let config = front_config::parse("test", SETTINGS).unwrap();
+        let policy = Controller::new(&config.controller, at(0));
         Front {
-            engine: Engine::new(commission, Box::new(policy), first, at(0)),
+            engine: Engine::new(config, Box::new(policy), first, at(0)),
             seen: Vec::new(),
             invites: 0,
             last_transaction: 0,
--- a/crates/ochrelead-front/tests/engine/servers.rs
+++ b/crates/ochrelead-front/tests/engine/servers.rs
@@ -82,7 +82,7 @@
     let (transaction, to) = front.invited(0, "a1");
     front.establish(20, to, transaction, 5);
     front.sent(20);
-    let mut posts = ochrelead_config::commission::read("test", SETTINGS).unwrap().roster;
+    let mut posts = ochrelead_config::front_config::parse("test", SETTINGS).unwrap().servers;
     (posts[0].address, posts[1].address) = (posts[1].address, posts[0].address);
     front.engine.update_endpoints(at(100), &posts);
     front.hang_up(200, "a1");
@@ -130,7 +130,7 @@
 #[test]
 fn send_failure_to_an_old_address_does_not_end_the_invite() {
     let mut front = Front::start(100);
-    let mut posts = ochrelead_config::commission::read("test", SETTINGS).unwrap().roster;
+    let mut posts = ochrelead_config::front_config::parse("test", SETTINGS).unwrap().servers;
     posts[0].address = server(7);
     front.engine.update_endpoints(at(0), &posts);
     front.dial(100, "a1", "1004711");
