--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -20,7 +20,7 @@
 use ochrelead_lease::electorate::{DEFAULT_SIZE, Electorate};
 use ochrelead_lease::persistence::PersistedState;
 use ochrelead_node::engine::Engine as Node;
-use ochrelead_node::host::{Peers, take_signals};
+use ochrelead_node::host::{HostConfig, Peers, serve, take_signals};
 use ochrelead_node::promises::Promises;
 use ochrelead_node::together::Together;
 use ochrelead_platform::configuration::{self as platform, Configuration as Platform};
@@ -208,7 +208,7 @@
         );
     }
     let engine = Node::new(configuration, Box::new(judge), clock.now());
-    match ochrelead_node::host::serve(listen, config.to_owned(), engine, peers, signals, clock) {
+    match serve(HostConfig { listen, configuration: config.to_owned(), engine, peers, signals, clock }) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("ochrelead-front: {error}");
--- a/crates/ochrelead-front/tests/crossings.rs
+++ b/crates/ochrelead-front/tests/crossings.rs
@@ -187,7 +187,7 @@
     rig.server.answer(&invite);
     assert_eq!(last.next().unwrap()["t"], "up");
     assert!(rig.descriptors() <= 64, "{}", rig.descriptors());
-    assert!(!rig.logged().contains("could not be taken"), "{}", rig.logged());
+    assert!(!rig.logged().contains("connection not accepted"), "{}", rig.logged());
     drop(crowd);
 }
 
--- a/crates/ochrelead-node/src/host/signals.rs
+++ b/crates/ochrelead-node/src/host/signals.rs
@@ -1,4 +1,4 @@
-//! Signals, and the configuration that one of them says to read again.
+//! Signals, and the configuration that one of them reloads.
 
 use std::fs;
 use std::io;
@@ -9,16 +9,26 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use ochrelead_platform::configuration;
+use thiserror::Error;
 use tracing::{info, warn};
 
 use super::Host;
 use crate::io::Input;
 
-/// A configuration that can't be read is read so many times, so far apart.
-const TRIES: usize = 10;
-const TRY_GAP: Duration = Duration::from_millis(50);
+/// Attempts to read a configuration that is invalid: it may be written just now.
+const RELOAD_ATTEMPTS: usize = 10;
+const RELOAD_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Takes the signals from now on: one that comes before the node serves is obeyed once it does.
+/// Why a configuration could not be reloaded.
+#[derive(Debug, Error)]
+enum ReloadError {
+    #[error(transparent)]
+    Read(#[from] io::Error),
+    #[error(transparent)]
+    Parse(#[from] serde_json::Error),
+}
+
+/// Takes the signals from now on: one that arrives before the node serves is handled once it does.
 ///
 /// # Errors
 ///
@@ -28,50 +38,43 @@
 }
 
 impl Host {
-    pub(super) async fn obey(self, mut signals: Signals, file: PathBuf) {
+    pub(super) async fn handle_signals(self, mut signals: Signals, configuration: PathBuf) {
         while let Some(signal) = signals.next().await {
             match signal {
-                // Beside this one: no signal waits for a file.
-                Ok(Signal::Hup) => self.tasks.spawn(self.clone().read_again(file.clone())).detach(),
+                // In a task of its own: no signal waits for a file.
+                Ok(Signal::Hup) => self.tasks.spawn(self.clone().reload(configuration.clone())).detach(),
                 Ok(_) => {
                     info!("leaving service");
                     let mut state = self.state.borrow_mut();
-                    let now = state.clock.now();
-                    if let Some(peer_host) = &mut state.peer_host {
-                        peer_host.together.leave(now);
+                    let now = state.engine.clock.now();
+                    if let Some(peers) = &mut state.peers {
+                        peers.together.leave(now);
                     }
-                    state.take(Input::Shutdown);
+                    state.engine.handle_input(Input::Shutdown);
                 }
-                Err(error) => warn!(%error, "a signal could not be read"),
+                Err(error) => warn!(%error, "signal not read"),
             }
         }
     }
 
-    /// It may be written just now.
-    async fn read_again(self, file: PathBuf) {
-        for _ in 0..TRIES {
-            if self.has_read(&file) {
-                return;
+    /// Reloads the configuration; an invalid one changes nothing.
+    async fn reload(self, configuration: PathBuf) {
+        for _ in 0..RELOAD_ATTEMPTS {
+            match self.reload_once(&configuration) {
+                Ok(()) => return,
+                Err(error) => warn!(%error, "configuration not reloaded"),
             }
-            Timer::after(TRY_GAP).await;
+            Timer::after(RELOAD_RETRY_DELAY).await;
         }
     }
 
-    /// The configuration was replaced: the coordinator may be elsewhere now. One that can't be read changes nothing.
-    fn has_read(&self, file: &Path) -> bool {
-        let read = fs::read_to_string(file).map_err(|error| error.to_string());
-        match read.and_then(|text| configuration::parse(&text).map_err(|error| error.to_string())) {
-            Ok(configuration) => {
-                if let Some(coordinator) = configuration.coordinator {
-                    info!(%coordinator, "the configuration was read again");
-                    self.state.borrow_mut().take(Input::CoordinatorMoved(coordinator));
-                }
-                true
-            }
-            Err(error) => {
-                warn!(%error, "the configuration in force stands");
-                false
-            }
+    /// Follows the coordinator at the address of the replaced configuration.
+    fn reload_once(&self, configuration: &Path) -> Result<(), ReloadError> {
+        let configuration = configuration::parse(&fs::read_to_string(configuration)?)?;
+        if let Some(coordinator) = configuration.coordinator {
+            info!(%coordinator, "configuration reloaded");
+            self.state.borrow_mut().engine.handle_input(Input::CoordinatorMoved(coordinator));
         }
+        Ok(())
     }
 }
