Coordinate the fleet behind one engine, and split the node's tests by behaviour

Cause: together.rs held gossip, leases, probes, zones, persistence and status text in 490 lines, with tuples of three numbers between them; sounding, quiet, duty and keeping named nothing that a reader of SWIM or Paxos leases would search for.

Change: FleetCoordination (coordination.rs) composes Transport, PendingPersistence, Zones and StatusSource, so that a second host can drive it: handle_input, process, poll_output, poll_action, poll_voter_state, poll_status, poll_timeout. HealthCheckScheduler with the crate fnv for FNV-1a; PersistenceWriter with VoterState and StatusReport; Observation, ServerActivity, ServerReport, TrafficShare stand in `observation`, below engine and coordination, which no longer know each other. File names, status text and metrics stay. The package inherits the workspace's lints, documents each public item, and opens with an example that compiles. The program's set-up of the coordination is four short functions. Tests: TestNode in place of Rig, a Response struct in place of seven arguments, enums in place of strings; call_setup, invalid_input, connections, call_ends, releases, coordinator, shutdown, event_orders, health_check, coordination in place of engine, crossings, orders, sounding, together. All assertions stay, the parameters' values too.

--- a/crates/ochrelead-front/src/main.rs
+++ b/crates/ochrelead-front/src/main.rs
@@ -19,10 +19,10 @@
 use ochrelead_host::clock::Clock;
 use ochrelead_lease::electorate::{DEFAULT_SIZE, Electorate};
 use ochrelead_lease::persistence::PersistedState;
+use ochrelead_node::coordination::{CoordinationConfig, FleetCoordination, ZoneSettings};
 use ochrelead_node::engine::Engine as Node;
 use ochrelead_node::host::{HostConfig, Peers, serve, take_signals};
-use ochrelead_node::promises::Promises;
-use ochrelead_node::together::Together;
+use ochrelead_node::persistence::PersistenceWriter;
 use ochrelead_platform::configuration::{self as platform, Configuration as Platform};
 use ochrelead_zone::{ZoneConfig, ZoneId};
 use rand::{RngExt, SeedableRng};
@@ -195,7 +195,7 @@
     };
     let (clock, listen) = (Clock::start(), configuration.listen);
     let judge = Controller::new(&configuration.controller_config, clock.now());
-    let peers = match together(&configuration, options, clock.now()) {
+    let peers = match coordination(&configuration, options, clock.now()) {
         Ok(peers) => peers,
         Err(error) => {
             eprintln!("ochrelead-front: {error:#}");
@@ -207,7 +207,7 @@
             "serves alone: the settings allow no messages between fronts, or this front is not among the peers"
         );
     }
-    let engine = Node::new(configuration, Box::new(judge), clock.now());
+    let engine = Node::new(&configuration, Box::new(judge), clock.now());
     match serve(HostConfig { listen, configuration: config.to_owned(), engine, peers, signals, clock }) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -217,55 +217,79 @@
     }
 }
 
-/// What a node does with its peers, where their datagrams arrive, and where it keeps its promises; none where the
-/// settings do not allow it.
-fn together(configuration: &Platform, options: &PeerOptions, now: Moment) -> anyhow::Result<Option<Peers>> {
-    let allowed = (options.peers || options.districts) && configuration.settings.allows_peer_messages();
-    let Some(listen) = configuration.peer_listen.filter(|_| allowed) else { return Ok(None) };
-    let (number, peers) = (configuration.settings.peer_number(), configuration.peers.clone());
-    let (fronts, seed) = (peers.len() as u32, configuration.controller_config.seed);
-    let electorate = if options.voters.is_empty() {
-        Electorate::evenly_spaced(options.generation, fronts, DEFAULT_SIZE)
-    } else {
-        Electorate::from_config(options.generation, &options.voters, &options.former_voters, fronts)
-            .map_err(|why| anyhow::anyhow!("--voters: {why}"))?
-    };
-    let Some(mut together) = Together::new(listen, peers, number, electorate, seed, now) else {
-        return Ok(None);
+/// The coordination of a node with other fronts; `None` where the settings do not allow it.
+fn coordination(
+    configuration: &Platform,
+    options: &PeerOptions,
+    now: Moment,
+) -> anyhow::Result<Option<Peers>> {
+    let is_allowed = (options.peers || options.districts) && configuration.settings.allows_peer_messages();
+    let Some(listen) = configuration.peer_listen.filter(|_| is_allowed) else { return Ok(None) };
+    let seed = configuration.controller_config.seed;
+    let config = CoordinationConfig {
+        local_address: listen,
+        addresses: configuration.peers.clone(),
+        front: configuration.settings.peer_number(),
+        electorate: electorate(configuration, options)?,
+        seed,
     };
+    let Some(mut coordination) = FleetCoordination::new(config, now) else { return Ok(None) };
     if options.districts {
-        match configuration.settings.local_zone() {
-            Some(own) => {
-                let (names, pace) = (
-                    configuration.settings.zones(),
-                    ZoneConfig::from_controller(&configuration.controller_config),
-                );
-                together.act_on_districts(ZoneId(own), names, pace, configuration.peers_all, seed, now);
-            }
+        match zone_settings(configuration) {
+            Some(settings) => coordination.enable_zones(settings, now),
             None => warn!("--districts has nothing to do: the settings name no district of this front"),
         }
     }
     if !options.peers {
-        if !together.observes() {
+        if !coordination.wants_observations() {
             return Ok(None);
         }
-        together.only_districts();
+        coordination.set_zones_only();
     }
-    let mut promises = None;
-    if let Some(folder) = &options.state {
-        let opened = Promises::open(folder).with_context(|| format!("--state {}", folder.display()));
-        let (own, kept) = opened?;
-        let kept = kept.and_then(|bytes| match PersistedState::decode(&bytes, together.front()) {
-            Ok(kept) => Some(kept),
-            Err(why) => {
-                warn!(%why, "what was promised before can't be used: this front abstains for a while");
-                None
-            }
-        });
-        together.keep(kept.as_ref(), seed, now);
-        promises = Some(own);
+    let persistence = match &options.state {
+        Some(folder) => Some(open_state(folder, &mut coordination, seed, now)?),
+        None => None,
+    };
+    Ok(Some(Peers { coordination, listen, persistence }))
+}
+
+fn electorate(configuration: &Platform, options: &PeerOptions) -> anyhow::Result<Electorate> {
+    let fronts = u32::try_from(configuration.peers.len())?;
+    if options.voters.is_empty() {
+        return Ok(Electorate::evenly_spaced(options.generation, fronts, DEFAULT_SIZE));
     }
-    Ok(Some(Peers { together, listen, promises }))
+    Electorate::from_config(options.generation, &options.voters, &options.former_voters, fronts)
+        .map_err(|error| anyhow::anyhow!("--voters: {error}"))
+}
+
+/// How this front acts with the others of its zone; `None` where the settings do not name its zone.
+fn zone_settings(configuration: &Platform) -> Option<ZoneSettings> {
+    Some(ZoneSettings {
+        local_zone: ZoneId(configuration.settings.local_zone()?),
+        names: configuration.settings.zones().to_vec(),
+        config: ZoneConfig::from_controller(&configuration.controller_config),
+        broadcast_address: configuration.peers_all,
+        seed: configuration.controller_config.seed,
+    })
+}
+
+/// Opens a voter's state folder; a state that is unusable there makes the voter abstain for a while.
+fn open_state(
+    folder: &Path,
+    coordination: &mut FleetCoordination,
+    seed: u64,
+    now: Moment,
+) -> anyhow::Result<PersistenceWriter> {
+    let opened = PersistenceWriter::open(folder).with_context(|| format!("--state {}", folder.display()))?;
+    let stored = opened.stored.and_then(|bytes| {
+        PersistedState::decode(&bytes, coordination.local_front())
+            .inspect_err(
+                |error| warn!(%error, "stored voter state is unusable; this front abstains for a while"),
+            )
+            .ok()
+    });
+    coordination.enable_persistence(stored.as_ref(), seed, now);
+    Ok(opened.writer)
 }
 
 fn read(line: &Line) -> Result<FrontConfig, Vec<String>> {
--- a/crates/ochrelead-node/src/coordinator_watch.rs
+++ b/crates/ochrelead-node/src/coordinator_watch.rs
@@ -47,7 +47,7 @@
 }
 
 impl CoordinatorWatch {
-    pub(crate) fn new(config: WatchConfig, now: Moment) -> CoordinatorWatch {
+    pub(crate) fn new(config: &WatchConfig, now: Moment) -> CoordinatorWatch {
         CoordinatorWatch {
             coordinator: config.coordinator,
             event_cursor: config.event_cursor,
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -38,8 +38,6 @@
 use observations::FleetObservations;
 use releases::PendingReleases;
 
-pub use observations::{Observation, SupersededToken, TrafficShare};
-
 /// The log target for established calls that did not end in the usual way; operators select it by `--log`.
 const CALL_END_LOG: &str = "ochrelead_node::ends";
 /// The tables' figures are logged this often.
@@ -99,7 +97,7 @@
 
 impl Engine {
     /// A node that knows the endpoints of its configuration and whose sessions the policy decides on.
-    pub fn new(configuration: Configuration, policy: Box<dyn CallPolicy>, now: Moment) -> Engine {
+    pub fn new(configuration: &Configuration, policy: Box<dyn CallPolicy>, now: Moment) -> Engine {
         let settings = &configuration.settings;
         let bounds = Bounds::new(configuration.limits, settings.max_sessions());
         let connect_timeout = settings.connect_timeout().unwrap_or(protocol::DEFAULT_CONNECT_TIMEOUT);
@@ -120,7 +118,7 @@
             callers: CallerTable::default(),
             servers: ServerTable::new(bounds.servers),
             called_numbers: CalledNumberTable::new(bounds.called_numbers),
-            watch: CoordinatorWatch::new(watch, now),
+            watch: CoordinatorWatch::new(&watch, now),
             cancelled: RecentIds::new(bounds.called_numbers),
             released: RecentIds::new(bounds.called_numbers),
             unchecked_invites: Vec::new(),
--- a/crates/ochrelead-node/src/engine/observations.rs
+++ b/crates/ochrelead-node/src/engine/observations.rs
@@ -4,45 +4,11 @@
 
 use ochrelead_core::index::{ServerIx, SessionIx};
 use ochrelead_core::time::Moment;
-use ochrelead_lease::FencingToken;
 use ochrelead_zone::{MAX_ZONES, ServerKey, ServerLocation, ZoneId};
 
 use super::Engine;
+use crate::observation::{Observation, ServerActivity, ServerReport, SupersededToken, TrafficShare};
 use crate::server_table::Server;
-use crate::sounding::Quiet;
-
-/// The outcome of an INVITE, or a sign of life of a server. An INVITE is identified by its session.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Observation {
-    /// An INVITE was begun at a server.
-    Asked(ServerKey, u64),
-    /// A server answered an INVITE, by accepting or refusing it.
-    Answered(u64),
-    /// An INVITE failed without an answer.
-    Failed(u64),
-    /// An INVITE was cancelled, timed out, or refused.
-    CalledOff(u64),
-    /// A message arrived from a server, or a connection to it was established.
-    Alive(ServerKey),
-}
-
-/// A server refused a health check, for it has seen a higher fencing token.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SupersededToken {
-    /// The server's id.
-    pub server: String,
-    /// The highest token that it has seen.
-    pub highest: FencingToken,
-}
-
-/// The share of sessions that the servers of a zone take.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct TrafficShare {
-    /// Which zone.
-    pub zone: ZoneId,
-    /// The share: 0 for none, 1 for all.
-    pub share: f64,
-}
 
 /// What the engine holds for the coordination with other fronts.
 pub(super) struct FleetObservations {
@@ -68,19 +34,22 @@
 }
 
 impl Engine {
-    /// When each server in service was last heard.
-    pub fn server_activity(&self) -> Vec<Quiet> {
-        let activity = |server: &Server| Quiet {
-            id: server.id.clone(),
-            spoke: server.last_unprompted,
-            heard: server.last_heard,
+    /// The servers in service, as this front sees them.
+    pub fn server_report(&self) -> ServerReport {
+        let ready: Vec<ServerIx> =
+            self.servers.indices().filter(|server| self.servers.get(*server).is_ready()).collect();
+        let activity = |server: &Server| ServerActivity {
+            server: server.id.clone(),
+            last_unprompted: server.last_unprompted,
+            last_heard: server.last_heard,
+        };
+        let location = |server: ServerIx| {
+            Some(ServerLocation { server: self.server_key(server), zone: self.zone(server)? })
         };
-        self.servers
-            .indices()
-            .map(|server| self.servers.get(server))
-            .filter(|server| server.is_ready())
-            .map(activity)
-            .collect()
+        ServerReport {
+            activity: ready.iter().map(|server| activity(self.servers.get(*server))).collect(),
+            locations: ready.iter().filter_map(|server| location(*server)).collect(),
+        }
     }
 
     /// Collects observations from now on.
@@ -102,13 +71,14 @@
 
     pub(super) fn observe_alive(&mut self, server: ServerIx) {
         if self.fleet.is_enabled {
-            self.observe(Observation::Alive(self.server_key(server)));
+            self.observe(Observation::ServerAlive { server: self.server_key(server) });
         }
     }
 
     pub(super) fn observe_invite(&mut self, server: ServerIx, session: SessionIx) {
         if self.fleet.is_enabled {
-            self.observe(Observation::Asked(self.server_key(server), session.index() as u64));
+            let (server, invite) = (self.server_key(server), invite_id(session));
+            self.observe(Observation::InviteSent { server, invite });
         }
     }
 
@@ -127,17 +97,6 @@
         (zone < MAX_ZONES && (zone as usize) < zone_count).then_some(ZoneId(zone))
     }
 
-    /// The servers in service whose zones are known.
-    pub fn server_locations(&self) -> Vec<ServerLocation> {
-        self.servers
-            .indices()
-            .filter(|server| self.servers.get(*server).is_ready())
-            .filter_map(|server| {
-                Some(ServerLocation { server: self.server_key(server), zone: self.zone(server)? })
-            })
-            .collect()
-    }
-
     /// Sets the shares of the zones that take less than all of their sessions; the others take all.
     pub fn set_traffic_shares(&mut self, shares: Vec<TrafficShare>) {
         self.fleet.shares = shares;
@@ -173,3 +132,8 @@
         }
     }
 }
+
+/// The number of a session's INVITE among observations.
+pub(super) fn invite_id(session: SessionIx) -> u64 {
+    session.index() as u64
+}
--- a/crates/ochrelead-node/src/engine/server_messages.rs
+++ b/crates/ochrelead-node/src/engine/server_messages.rs
@@ -6,10 +6,11 @@
 use ochrelead_sip::message::{Message, StartLine, header};
 use tracing::debug;
 
-use super::observations::{Observation, SupersededToken};
+use super::observations::invite_id;
 use super::{CALL_END_LOG, Engine, requests};
 use crate::call_table::{Invite, Phase};
 use crate::io::{Output, ServerConnectionId};
+use crate::observation::{Observation, SupersededToken};
 use crate::{fencing, occupancy, outcomes};
 
 /// Who a response to an INVITE came from and which INVITE it answers.
@@ -152,7 +153,7 @@
             return Err(InvalidMessage);
         }
         self.outputs.push_back(Output::SendToServer(id, requests::ack(call, sequence)));
-        self.observe(Observation::Answered(session.index() as u64));
+        self.observe(Observation::InviteAnswered { invite: invite_id(session) });
         let Some(caller) = self.calls.get(session).map(|call| call.caller) else { return Ok(()) };
         if let Some(connection) = self.servers.connection_mut(id) {
             connection.sessions.retain(|other| *other != session);
@@ -184,7 +185,7 @@
 
     fn on_invite_refused(&mut self, response: InviteResponse, outcome: InviteOutcome) {
         let Some(session) = self.answered_session(response) else { return };
-        self.observe(Observation::Answered(session.index() as u64));
+        self.observe(Observation::InviteAnswered { invite: invite_id(session) });
         if let Some(connection) = self.servers.connection_mut(response.connection) {
             connection.last_used = self.now;
         }
@@ -209,7 +210,7 @@
                 self.release(session, message.cause().unwrap_or(cause::FAILED));
             }
             Some(Phase::Inviting(invite)) if invite.server == server => {
-                self.observe(Observation::Answered(session.index() as u64));
+                self.observe(Observation::InviteAnswered { invite: invite_id(session) });
                 self.end_invite(session, InviteOutcome::Reset);
             }
             _ => {}
--- a/crates/ochrelead-node/src/engine/server_side.rs
+++ b/crates/ochrelead-node/src/engine/server_side.rs
@@ -7,11 +7,12 @@
 use ochrelead_platform::caller_messages::CallId;
 use tracing::debug;
 
-use super::observations::Observation;
+use super::observations::invite_id;
 use super::{Engine, UncheckedInvite, requests};
 use crate::call_table::{Invite, Phase};
 use crate::fencing;
 use crate::io::{Output, ServerConnectionId};
+use crate::observation::Observation;
 
 /// The call id of requests outside of any call.
 const NO_CALL: &str = "0000000000000000";
@@ -90,10 +91,12 @@
     pub(super) fn end_invite(&mut self, session: SessionIx, outcome: InviteOutcome) {
         let Some(Phase::Inviting(invite)) = self.calls.phase(session) else { return };
         // The answer to an INVITE has been observed already.
-        let ask = session.index() as u64;
+        let invite_id = invite_id(session);
         self.observe(match outcome {
-            InviteOutcome::Reset | InviteOutcome::ConnectFailed => Observation::Failed(ask),
-            _ => Observation::CalledOff(ask),
+            InviteOutcome::Reset | InviteOutcome::ConnectFailed => {
+                Observation::InviteFailed { invite: invite_id }
+            }
+            _ => Observation::InviteCancelled { invite: invite_id },
         });
         if outcome == InviteOutcome::TimedOut {
             self.cancel_invite(session);
@@ -109,7 +112,7 @@
 
     /// Cancels an INVITE: its server is notified where it had been sent.
     pub(super) fn cancel_invite(&mut self, session: SessionIx) {
-        self.observe(Observation::CalledOff(session.index() as u64));
+        self.observe(Observation::InviteCancelled { invite: invite_id(session) });
         let Some(call) = self.calls.get(session) else { return };
         let Phase::Inviting(invite) = call.phase else { return };
         if let Some(connection) = invite.connection {
--- a/crates/ochrelead-node/src/host.rs
+++ b/crates/ochrelead-node/src/host.rs
@@ -16,8 +16,9 @@
 //! | signal handler | [`serve`] | with the process |
 //! | reload of the configuration | SIGHUP | the file is read, or after a few attempts |
 //!
-//! The only other thread writes files (`promises`); it ends when its sender, owned by `State`, is dropped.
+//! The only other thread writes files ([`crate::persistence`]); it ends when its sender, owned by `State`, is dropped.
 
+mod connection;
 mod connections;
 mod engine_handle;
 mod peers;
@@ -43,7 +44,8 @@
 
 use crate::engine::Engine;
 use crate::io::{Output, WatchAction};
-use connections::{CloseMode, ConnectionTable, Remote};
+use connection::{CloseMode, Remote};
+use connections::ConnectionTable;
 use engine_handle::EngineHandle;
 use peers::PeerHost;
 
@@ -107,7 +109,7 @@
     let (wakeup, wakeups) = async_channel::bounded(1);
     let (peers, persisted) = match peers {
         Some(peers) => {
-            if peers.together.observes() {
+            if peers.coordination.wants_observations() {
                 engine.enable_observations();
             }
             let (peers, persisted) = PeerHost::bind(peers)?;
@@ -259,7 +261,7 @@
         while let Ok(sequence) = persisted.recv().await {
             let mut state = self.state.borrow_mut();
             if let Some(peers) = &mut state.peers {
-                peers.together.saved(sequence);
+                peers.coordination.on_persisted(sequence);
             }
             state.engine.wake();
         }
--- a/crates/ochrelead-node/src/host/connections.rs
+++ b/crates/ochrelead-node/src/host/connections.rs
@@ -1,111 +1,25 @@
 //! The connections of a node. Borrowed between two waits only, as all that its tasks share.
 
 use std::collections::HashMap;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{ErrorKind, Read};
 use std::mem;
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use async_io::Async;
 use ochrelead_core::time::Moment;
 use ochrelead_platform::MAX_MESSAGE_LENGTH;
 use tracing::{debug, trace};
 
+use super::connection::{CloseMode, CloseState, Connection, ReadOutcome, Remote, write_now};
 use super::engine_handle::EngineHandle;
 use crate::bounds::protocol;
-use crate::io::{CallerId, Input, ServerConnectionId, WatchId};
+use crate::io::{CallerId, Input};
 
 /// Reads of one connection in a row while its input is drained: the others have their turn between.
 const READS_PER_ROUND: usize = 16;
 
-/// The other side of a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(super) enum Remote {
-    Caller(CallerId),
-    Server(ServerConnectionId),
-    Coordinator(WatchId),
-}
-
-/// How the node ends a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CloseMode {
-    /// A caller's is shut down for writing first and what still arrives is discarded for a moment: closed with bytes
-    /// unread it would be reset, and what was written last could be lost.
-    Close,
-    /// Nothing more is written; it is read until the other side ends it too.
-    HalfClose,
-}
-
-/// How far the end of a connection has got.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Open,
-    /// A caller has shut its side down for writing; it still reads.
-    RemoteClosed,
-    /// Shut down for writing once all is written.
-    HalfClosing,
-    /// Closed once all is written; what arrives is discarded.
-    Closing {
-        remote_closed: bool,
-    },
-    /// Shut down for writing; what arrives is discarded until it is closed.
-    Lingering,
-}
-
-impl State {
-    fn is_closing(self) -> bool {
-        matches!(self, State::Closing { .. } | State::Lingering)
-    }
-
-    fn is_remote_closed(self) -> bool {
-        matches!(self, State::RemoteClosed | State::Closing { remote_closed: true })
-    }
-
-    fn accepts_writes(self) -> bool {
-        matches!(self, State::Open | State::RemoteClosed)
-    }
-
-    fn close(self, mode: CloseMode) -> State {
-        match (mode, self) {
-            (CloseMode::HalfClose, _) => State::HalfClosing,
-            (CloseMode::Close, State::Open | State::HalfClosing) => State::Closing { remote_closed: false },
-            (CloseMode::Close, State::RemoteClosed) => State::Closing { remote_closed: true },
-            (CloseMode::Close, closing) => closing,
-        }
-    }
-}
-
-/// What a read brought.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ReadOutcome {
-    Bytes,
-    WouldBlock,
-    End,
-}
-
-/// What came of writing what is queued.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum WriteProgress {
-    Complete,
-    Blocked,
-    Failed,
-    /// The connection has been closed.
-    Gone,
-}
-
-struct Connection {
-    /// `None` while it is being established.
-    stream: Option<Rc<Async<TcpStream>>>,
-    /// What its reader has not taken yet; a task writes it while there is any.
-    write_queue: Vec<u8>,
-    state: State,
-    /// Bytes that were read and discarded since the node began to close it.
-    discarded_bytes: usize,
-    /// Ends its reader task when dropped.
-    _reader_guard: Sender<()>,
-}
-
 /// A connection that is closed at a moment, whatever arrives on it.
 struct LingeringClose {
     until: Moment,
@@ -185,14 +99,7 @@
     }
 
     fn insert(&mut self, remote: Remote, stream: Option<Rc<Async<TcpStream>>>) -> Receiver<()> {
-        let (reader_guard, closed) = async_channel::bounded(1);
-        let connection = Connection {
-            stream,
-            write_queue: Vec::new(),
-            state: State::Open,
-            discarded_bytes: 0,
-            _reader_guard: reader_guard,
-        };
+        let (connection, closed) = Connection::new(stream);
         self.connections.insert(remote, connection);
         closed
     }
@@ -264,7 +171,7 @@
             self.remove(remote);
         } else if let Remote::Caller(caller) = remote {
             if let Some(connection) = self.connections.get_mut(&remote) {
-                connection.state = State::RemoteClosed;
+                connection.state = CloseState::RemoteClosed;
             }
             engine.handle_input(Input::CallerHalfClosed(caller));
         } else {
@@ -374,21 +281,25 @@
         let Some(connection) = self.connections.get_mut(&remote) else { return };
         let is_caller = matches!(remote, Remote::Caller(_));
         match (connection.state, &connection.stream) {
-            (State::Open | State::RemoteClosed, _) => {}
-            (State::HalfClosing, Some(stream)) => {
+            (CloseState::Open | CloseState::RemoteClosed, _) => {}
+            (CloseState::HalfClosing, Some(stream)) => {
                 // One that can't be shut down has ended: its reader sees that.
                 let _ = stream.get_ref().shutdown(Shutdown::Write);
             }
-            (State::Closing { remote_closed: false } | State::Lingering, Some(stream)) if is_caller => {
+            (CloseState::Closing { remote_closed: false } | CloseState::Lingering, Some(stream))
+                if is_caller =>
+            {
                 if stream.get_ref().shutdown(Shutdown::Write).is_err() {
                     self.remove(remote);
-                } else if connection.state != State::Lingering {
-                    connection.state = State::Lingering;
+                } else if connection.state != CloseState::Lingering {
+                    connection.state = CloseState::Lingering;
                     let until = engine.clock.now() + protocol::CLOSE_RACE_WINDOW * 2;
                     self.lingering.push(LingeringClose { until, remote });
                 }
             }
-            (State::Closing { .. } | State::Lingering | State::HalfClosing, _) => _ = self.remove(remote),
+            (CloseState::Closing { .. } | CloseState::Lingering | CloseState::HalfClosing, _) => {
+                _ = self.remove(remote)
+            }
         }
     }
 
@@ -406,7 +317,7 @@
     fn remove(&mut self, remote: Remote) -> bool {
         let Some(connection) = self.connections.remove(&remote) else { return false };
         self.caller_count -= usize::from(matches!(remote, Remote::Caller(_)));
-        if connection.state == State::Lingering {
+        if connection.state == CloseState::Lingering {
             self.lingering.retain(|lingering| lingering.remote != remote);
         }
         true
@@ -433,17 +344,3 @@
         }
     }
 }
-
-/// Writes what the socket takes now; how many bytes that were.
-fn write_now(stream: &Async<TcpStream>, bytes: &[u8]) -> std::io::Result<usize> {
-    let mut written = 0;
-    while written < bytes.len() {
-        match stream.get_ref().write(&bytes[written..]) {
-            Ok(length) => written += length,
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            Err(error) if error.kind() == ErrorKind::WouldBlock => break,
-            Err(error) => return Err(error),
-        }
-    }
-    Ok(written)
-}
--- a/crates/ochrelead-node/src/host/signals.rs
+++ b/crates/ochrelead-node/src/host/signals.rs
@@ -48,7 +48,7 @@
                     let mut state = self.state.borrow_mut();
                     let now = state.engine.clock.now();
                     if let Some(peers) = &mut state.peers {
-                        peers.together.leave(now);
+                        peers.coordination.leave(now);
                     }
                     state.engine.handle_input(Input::Shutdown);
                 }
--- a/crates/ochrelead-node/src/host/sockets.rs
+++ b/crates/ochrelead-node/src/host/sockets.rs
@@ -10,7 +10,8 @@
 use futures_lite::future;
 use tracing::{debug, warn};
 
-use super::connections::{ConnectionTable, Remote, WriteProgress};
+use super::connection::{Remote, WriteProgress};
+use super::connections::ConnectionTable;
 use super::{Host, State};
 use crate::bounds::protocol;
 use crate::io::Input;
--- a/crates/ochrelead-node/src/io.rs
+++ b/crates/ochrelead-node/src/io.rs
@@ -15,7 +15,7 @@
 pub struct WatchId(pub u64);
 
 /// An event that the host reports to the engine.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub enum Input<'a> {
     /// A caller's connection was accepted.
     CallerConnected(CallerId),
--- a/crates/ochrelead-node/src/server_table.rs
+++ b/crates/ochrelead-node/src/server_table.rs
@@ -15,8 +15,8 @@
 use ochrelead_platform::events::{Endpoint, EndpointChange};
 
 use crate::bounds::protocol;
+use crate::health_check::effective_last_heard;
 use crate::io::ServerConnectionId;
-use crate::sounding::counts_as_heard;
 
 pub(crate) use connections::{ConnectionState, ServerConnection};
 
@@ -75,7 +75,8 @@
 
     /// Whether it has been silent for so long that it needs a probe.
     pub(crate) fn is_silent(&self, now: Moment) -> bool {
-        now.since(counts_as_heard(self.last_heard, self.last_heard_by_peer)) >= protocol::SILENCE_THRESHOLD
+        now.since(effective_last_heard(self.last_heard, self.last_heard_by_peer))
+            >= protocol::SILENCE_THRESHOLD
     }
 }
 
--- a/crates/ochrelead-node/tests/stored_bytes.rs
+++ b/crates/ochrelead-node/tests/stored_bytes.rs
@@ -1,4 +1,4 @@
-//! What a node keeps and shows, as written by an earlier program: a voter's promises under their file name, the status
+//! What a node stores and shows, against fixtures of an earlier program: a voter's state under its file name, the status
 //! text and the counters, and the numbers of tasks that go over the wire.
 
 use std::fs;
@@ -9,105 +9,112 @@
 use ochrelead_core::time::Moment;
 use ochrelead_lease::TaskId;
 use ochrelead_lease::electorate::Electorate;
-use ochrelead_node::promises::{Job, Promises};
-use ochrelead_node::sounding::{self, Quiet};
-use ochrelead_node::together::Together;
+use ochrelead_node::coordination::{CoordinationConfig, FleetCoordination};
+use ochrelead_node::health_check::{candidate_rank, task_id};
+use ochrelead_node::observation::{ServerActivity, ServerReport};
+use ochrelead_node::persistence::{PersistenceWriter, StatusReport, VoterState, WriteJob};
 
-fn fixtures() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures")
-}
-
-fn stored(name: &str) -> String {
-    let path = fixtures().join(name);
-    fs::read_to_string(path).unwrap()
+fn fixture(name: &str) -> String {
+    let folder: PathBuf = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures");
+    fs::read_to_string(folder.join(name)).unwrap()
 }
 
 #[test]
 fn state_folder_has_the_stored_file_names() {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("stored_promises");
     let _ = fs::remove_dir_all(&folder);
-    let (promises, kept) = Promises::open(&folder).unwrap();
-    assert_eq!(kept, None);
-    promises.out.send(Job::Promises(1, b"promised".to_vec())).unwrap();
-    promises
-        .out
-        .send(Job::Status { status: "status text".to_owned(), counters: "counts".to_owned() })
-        .unwrap();
-    assert_eq!(promises.written.recv_blocking(), Ok(1));
-    let begun = Instant::now();
+    let opened = PersistenceWriter::open(&folder).unwrap();
+    assert_eq!(opened.stored, None);
+    let state = VoterState { sequence: 1, bytes: b"promised".to_vec() };
+    opened.writer.jobs.send(WriteJob::VoterState(state)).unwrap();
+    let report = StatusReport { status: "status text".to_owned(), counters: "counts".to_owned() };
+    opened.writer.jobs.send(WriteJob::Status(report)).unwrap();
+    assert_eq!(opened.writer.persisted.recv_blocking(), Ok(1));
+    let started = Instant::now();
     while !folder.join("counters.prom").exists() {
-        assert!(begun.elapsed() < Duration::from_secs(10), "no counters");
+        assert!(started.elapsed() < Duration::from_secs(10), "no counters");
         std::thread::sleep(Duration::from_millis(5));
     }
     assert_eq!(fs::read_to_string(folder.join("status")).unwrap(), "status text");
     assert_eq!(fs::read_to_string(folder.join("counters.prom")).unwrap(), "counts");
     assert_eq!(fs::read(folder.join("promises")).unwrap(), b"promised");
-    let (_, kept) = Promises::open(&folder).unwrap();
-    assert_eq!(kept.as_deref(), Some(&b"promised"[..]));
+    let reopened = PersistenceWriter::open(&folder).unwrap();
+    assert_eq!(reopened.stored.as_deref(), Some(&b"promised"[..]));
 }
 
 #[test]
 fn tasks_have_the_numbers_that_go_over_the_wire() {
     let names = ["", "s", "s-0", "s-1", "norte-17", "a-much-longer-name-of-a-signalling-server.example"];
-    let written: String =
-        names.iter().map(|name| format!("{name} {:016x}\n", sounding::task(name).0)).collect();
-    assert_eq!(written, stored("tasks.txt"));
+    let written: String = names.iter().map(|name| format!("{name} {:016x}\n", task_id(name).0)).collect();
+    assert_eq!(written, fixture("tasks.txt"));
 }
 
 #[test]
 fn fronts_are_ranked_as_they_were() {
     let fronts: Vec<u32> = (0..40).collect();
     let ranks = |task: u64| -> Vec<(u32, u32)> {
-        let ranked = |front: &u32| Some((*front, sounding::rank(TaskId(task), *front, &fronts)?));
+        let ranked = |front: &u32| Some((*front, candidate_rank(TaskId(task), *front, &fronts)?));
         fronts.iter().filter_map(ranked).collect()
     };
     let written: String = [0, 1, u64::MAX, 0x0123_4567_89ab_cdef]
         .iter()
         .map(|task| format!("{task:x} {:?}\n", ranks(*task)))
         .collect();
-    assert_eq!(written, stored("ranks.txt"));
+    assert_eq!(written, fixture("ranks.txt"));
 }
 
 fn address(front: u32) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, front as u8 + 1], 7946))
+    SocketAddr::from(([127, 0, 0, u8::try_from(front).unwrap() + 1], 7946))
 }
 
-fn at(ms: u64) -> Moment {
+fn moment(ms: u64) -> Moment {
     Moment::from_micros(1_000_000_000_000 + ms * 1_000)
 }
 
+fn front(number: u32, addresses: &[SocketAddr]) -> FleetCoordination {
+    let config = CoordinationConfig {
+        local_address: address(number),
+        addresses: addresses.to_vec(),
+        front: Some(number),
+        electorate: Electorate::new(1, &[0, 1, 2]),
+        seed: 7,
+    };
+    FleetCoordination::new(config, moment(0)).unwrap()
+}
+
+fn silent_server() -> ServerReport {
+    let server = "s-0".to_owned();
+    let activity = ServerActivity { server, last_unprompted: moment(0), last_heard: moment(0) };
+    ServerReport { activity: vec![activity], locations: Vec::new() }
+}
+
 /// Three fronts and a silent server for twenty seconds; what each shows then.
 #[test]
 fn status_and_counters_are_the_stored_text() {
     let addresses: Vec<SocketAddr> = (0..3).map(address).collect();
-    let front = |number: u32| {
-        let electorate = Electorate::new(1, &[0, 1, 2]);
-        Together::new(address(number), addresses.clone(), Some(number), electorate, 7, at(0)).unwrap()
-    };
-    let mut fronts: Vec<Together> = (0..3).map(front).collect();
+    let mut fronts: Vec<FleetCoordination> = (0..3).map(|number| front(number, &addresses)).collect();
     for ms in (20..=20_000).step_by(20) {
+        let now = moment(ms);
         let mut sent = Vec::new();
-        for (number, front) in fronts.iter_mut().enumerate() {
-            front.turn(at(ms));
-            front.look(at(ms), || {
-                (vec![Quiet { id: "s-0".to_owned(), spoke: at(0), heard: at(0) }], Vec::new())
-            });
-            while front.duty().is_some() {}
-            while let Some((to, bytes)) = front.next() {
-                sent.push((number, to, bytes));
+        for (sender, front) in fronts.iter_mut().enumerate() {
+            front.process(now);
+            front.update_servers(now, silent_server);
+            while front.poll_action().is_some() {}
+            while let Some(datagram) = front.poll_output() {
+                sent.push((sender, datagram));
             }
         }
-        for (from, to, bytes) in sent {
-            let to = addresses.iter().position(|address| *address == to).unwrap();
-            fronts[to].take(at(ms), addresses[from], &bytes);
+        for (sender, datagram) in sent {
+            let recipient = addresses.iter().position(|address| *address == datagram.destination).unwrap();
+            fronts[recipient].handle_input(now, addresses[sender], &datagram.bytes);
         }
     }
     let mut written = String::new();
     for front in &mut fronts {
-        let (status, counters) = front.status(at(20_000)).unwrap();
+        let StatusReport { status, counters } = front.poll_status(moment(20_000)).unwrap();
         written.push_str(&status);
         written.push_str(&counters);
     }
     assert!(written.contains("held here since"), "{written}");
-    assert_eq!(written, stored("status.txt"));
+    assert_eq!(written, fixture("status.txt"));
 }
--- a/crates/ochrelead-verify/src/districts/watch.rs
+++ b/crates/ochrelead-verify/src/districts/watch.rs
@@ -5,7 +5,7 @@
 
 use ochrelead_gossip::schema::part::Kind as PartKind;
 use ochrelead_gossip::wire::{self, DatagramBuilder};
-use ochrelead_node::together::Together;
+use ochrelead_node::coordination::FleetCoordination;
 use ochrelead_zone::codec::{decode, encode};
 use ochrelead_zone::message::Message;
 use ochrelead_zone::outcome_reporter::{OutcomeSample, ServerSample};
@@ -195,7 +195,7 @@
         if known && !recent.clone().any(|(_, shares)| *shares == state.eased) {
             let last = said.back();
             // What was said and changed again between two looks is not known here.
-            let districts = state.together.as_ref().and_then(Together::districts);
+            let districts = state.together.as_ref().and_then(FleetCoordination::zone_engine);
             let row = districts
                 .and_then(|districts| districts.active_verdicts(moment(now), ZoneId(state.district)));
             if row.is_some_and(|told| told.received_at.micros() + LAG / 4 > moment(now).micros()) {
@@ -242,7 +242,7 @@
 
 /// What an observer has in force.
 fn observed(front: &Front, now: u64) -> Option<Shares> {
-    let districts = front.together.as_ref().and_then(Together::districts)?;
+    let districts = front.together.as_ref().and_then(FleetCoordination::zone_engine)?;
     if !districts.is_observer() || front.halted {
         return None;
     }
--- a/crates/ochrelead-verify/src/districts/world.rs
+++ b/crates/ochrelead-verify/src/districts/world.rs
@@ -14,8 +14,8 @@
 use ochrelead_core::time::Moment;
 use ochrelead_core::types::{CallRequest, Decision, EndpointState, EndpointUpdate, InviteOutcome};
 use ochrelead_lease::electorate::{DEFAULT_SIZE, Electorate};
-use ochrelead_node::engine::Observation;
-use ochrelead_node::together::Together;
+use ochrelead_node::coordination::{CoordinationConfig, FleetCoordination, ZoneSettings};
+use ochrelead_node::observation::{Observation, ServerReport};
 use ochrelead_zone::{ServerKey, ServerLocation, ZoneConfig, ZoneId};
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
@@ -77,7 +77,7 @@
 pub(super) struct Front {
     pub district: u32,
     pub judge: Controller,
-    pub together: Option<Together>,
+    pub together: Option<FleetCoordination>,
     pub up_since: u64,
     pub halted: bool,
     pub held: BTreeMap<usize, Held>,
@@ -175,18 +175,23 @@
         let together = day.together.then(|| {
             let addresses = (0..day.fronts).map(address).collect();
             let electorate = Electorate::evenly_spaced(1, day.fronts, DEFAULT_SIZE.min(day.fronts as usize));
-            let mut together = Together::new(address(front), addresses, Some(front), electorate, seed, now)
-                .expect("more than one");
-            let all = Some(address(ALL));
-            together.only_districts();
-            together.act_on_districts(
-                ZoneId(district),
-                &names,
-                ZoneConfig::from_controller(&provision),
-                all,
+            let config = CoordinationConfig {
+                local_address: address(front),
+                addresses,
+                front: Some(front),
+                electorate,
                 seed,
-                now,
-            );
+            };
+            let mut together = FleetCoordination::new(config, now).expect("more than one front");
+            together.set_zones_only();
+            let settings = ZoneSettings {
+                local_zone: ZoneId(district),
+                names,
+                config: ZoneConfig::from_controller(&provision),
+                broadcast_address: Some(address(ALL)),
+                seed,
+            };
+            together.enable_zones(settings, now);
             together
         });
         let mut judge = Controller::new(&provision, now);
@@ -308,7 +313,7 @@
             for front in 0..self.day.fronts {
                 let alive = speaks && self.reaches(front, server) && !self.fronts[front as usize].halted;
                 if alive || self.day.slip == Some(Slip::DeadToldAlive) {
-                    self.met(front, Observation::Alive(key(server)));
+                    self.met(front, Observation::ServerAlive { server: key(server) });
                 }
                 if alive {
                     let state = &mut self.fronts[front as usize];
--- a/crates/ochrelead-verify/src/districts/world/session.rs
+++ b/crates/ochrelead-verify/src/districts/world/session.rs
@@ -14,30 +14,32 @@
         let mut wake = None;
         if let Some(together) = &mut state.together {
             for (from, bytes) in std::mem::take(&mut state.unread) {
-                together.take(now, from, &bytes);
+                together.handle_input(now, from, &bytes);
             }
-            together.turn(now);
+            together.process(now);
             let servers = &self.servers;
-            together.look(now, || {
+            together.update_servers(now, || {
                 let place = |(nth, server): (usize, &Server)| ServerLocation {
                     server: key(nth as u32),
                     zone: ZoneId(server.district),
                 };
-                let places = servers.iter().enumerate().map(place).collect();
-                (Vec::new(), places)
+                ServerReport {
+                    activity: Vec::new(),
+                    locations: servers.iter().enumerate().map(place).collect(),
+                }
             });
-            while together.duty().is_some() {}
-            while let Some(datagram) = together.next() {
+            while together.poll_action().is_some() {}
+            while let Some(datagram) = together.poll_output() {
                 sent.push(datagram);
             }
-            wake = together.wake();
+            wake = together.poll_timeout();
         }
         self.ease(front);
         while let Some(decision) = self.fronts[front as usize].judge.next_decision() {
             self.carry_out(front, decision);
         }
-        for (to, bytes) in sent {
-            self.send(front, to, &bytes);
+        for datagram in sent {
+            self.send(front, datagram.destination, &datagram.bytes);
         }
         let judge_wake = self.fronts[front as usize].judge.poll_timeout();
         if let Some(wake) = [wake, judge_wake].into_iter().flatten().min() {
@@ -54,9 +56,10 @@
     pub(super) fn ease(&mut self, front: u32) {
         let (now, slip) = (moment(self.now), self.day.slip);
         let state = &mut self.fronts[front as usize];
-        let Some(mut eased) = state.together.as_mut().and_then(|together| together.shares(now)) else {
-            return;
-        };
+        let shares = state.together.as_mut().and_then(|together| together.poll_traffic_shares(now));
+        let Some(shares) = shares else { return };
+        let mut eased: Vec<(ZoneId, f64)> =
+            shares.into_iter().map(|reduced| (reduced.zone, reduced.share)).collect();
         let former = |district: ZoneId, eased: &[(ZoneId, f64)]| {
             eased.iter().find(|(of, _)| *of == district).map_or(1.0, |(_, share)| *share)
         };
@@ -105,10 +108,10 @@
                 let share = state.eased.iter().find(|(of, _)| of.0 == district).map(|(_, share)| *share);
                 self.watch.invited(now, front, district, share, &self.servers[to as usize], &mut self.shown);
                 if self.day.slip == Some(Slip::LossToldEarly) && district != front % self.day.districts {
-                    self.met(front, Observation::Asked(key(to), ask));
-                    self.met(front, Observation::Failed(ask));
+                    self.met(front, Observation::InviteSent { server: key(to), invite: ask });
+                    self.met(front, Observation::InviteFailed { invite: ask });
                 } else {
-                    self.met(front, Observation::Asked(key(to), ask));
+                    self.met(front, Observation::InviteSent { server: key(to), invite: ask });
                 }
                 self.at(until, What::TimedOut { front, session: index, ask });
                 let way = self.way(front, to);
@@ -198,7 +201,7 @@
         if self.fronts[front as usize].halted {
             return self.at(self.now + 50 * MS, What::Answered { server, life, front, session, ask, stands });
         }
-        self.met(front, Observation::Answered(ask));
+        self.met(front, Observation::InviteAnswered { invite: ask });
         let state = &mut self.fronts[front as usize];
         state.judge.advance_to(now);
         let waits = state.held.get_mut(&session).filter(|held| held.ask == ask && !held.stands);
@@ -235,7 +238,7 @@
             InviteOutcome::TimedOut,
             false,
         );
-        self.met(front, Observation::CalledOff(ask));
+        self.met(front, Observation::InviteCancelled { invite: ask });
         self.turn(front);
     }
 
--- a/crates/ochrelead-verify/src/districts/world/talk.rs
+++ b/crates/ochrelead-verify/src/districts/world/talk.rs
@@ -35,7 +35,7 @@
     pub(super) fn met(&mut self, front: u32, observation: Observation) {
         let now = moment(self.now);
         if let Some(together) = &mut self.fronts[front as usize].together {
-            together.met(now, observation);
+            together.on_observation(now, observation);
         }
     }
 
--- a/crates/ochrelead-verify/src/districts/world/trouble.rs
+++ b/crates/ochrelead-verify/src/districts/world/trouble.rs
@@ -9,7 +9,7 @@
             return (0..self.day.districts).collect();
         }
         let observes = |front: &Front| {
-            let districts = front.together.as_ref().and_then(Together::districts);
+            let districts = front.together.as_ref().and_then(FleetCoordination::zone_engine);
             districts.is_some_and(|districts| districts.is_observer())
         };
         (0..self.day.fronts).filter(|front| observes(&self.fronts[*front as usize])).collect()
--- a/crates/ochrelead-verify/src/fleet/world.rs
+++ b/crates/ochrelead-verify/src/fleet/world.rs
@@ -5,8 +5,9 @@
 
 use ochrelead_core::time::Moment;
 use ochrelead_lease::electorate::{DEFAULT_SIZE, Electorate};
-use ochrelead_node::sounding::{Quiet, counts_as_heard};
-use ochrelead_node::together::{Duty, Together};
+use ochrelead_node::coordination::{CoordinationConfig, FleetAction, FleetCoordination};
+use ochrelead_node::health_check::effective_last_heard;
+use ochrelead_node::observation::{ServerActivity, ServerReport};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -52,7 +53,7 @@
 
 pub(super) struct Front {
     /// `None` while its process does not run, and where fronts do not coordinate.
-    pub(super) node: Option<Together>,
+    pub(super) node: Option<FleetCoordination>,
     pub(super) is_paused: bool,
     wakes_us: u64,
     servers: Vec<ServerState>,
@@ -71,7 +72,7 @@
 
     pub(super) fn may_test_first_server(&self, now_us: u64) -> bool {
         let node = self.node.as_ref().filter(|_| !self.is_paused);
-        node.is_some_and(|node| node.holds(moment(now_us), &server_name(0)).is_some())
+        node.is_some_and(|node| node.held_token(moment(now_us), &server_name(0)).is_some())
     }
 }
 
@@ -143,7 +144,14 @@
         let seed = seed << 32 ^ u64::from(front) << 8 ^ self.now_us;
         let electorate = Electorate::evenly_spaced(1, fronts, DEFAULT_SIZE);
         let now = moment(self.now_us);
-        let node = Together::new(address(front), addresses, Some(front), electorate, seed, now);
+        let config = CoordinationConfig {
+            local_address: address(front),
+            addresses,
+            front: Some(front),
+            electorate,
+            seed,
+        };
+        let node = FleetCoordination::new(config, now);
         let state = &mut self.fronts[front as usize];
         state.node = node.filter(|_| is_coordinated);
         (state.is_paused, state.wakes_us) = (false, self.now_us);
@@ -157,19 +165,22 @@
         let state = &mut self.fronts[front as usize];
         let Some(node) = state.node.as_mut().filter(|_| !state.is_paused) else { return };
         for datagram in std::mem::take(&mut state.inbox) {
-            node.take(now, datagram.sender, &datagram.bytes);
+            node.handle_input(now, datagram.sender, &datagram.bytes);
         }
-        node.turn(now);
-        node.look(now, || (silent_servers(&state.servers), Vec::new()));
-        let duties: Vec<Duty> = std::iter::from_fn(|| node.duty()).collect();
-        let datagrams: Vec<_> = std::iter::from_fn(|| node.next()).collect();
-        let timeout = node.wake();
+        node.process(now);
+        node.update_servers(now, || ServerReport {
+            activity: silent_servers(&state.servers),
+            locations: Vec::new(),
+        });
+        let actions: Vec<FleetAction> = std::iter::from_fn(|| node.poll_action()).collect();
+        let datagrams: Vec<_> = std::iter::from_fn(|| node.poll_output()).collect();
+        let timeout = node.poll_timeout();
         self.costs.cpu += started.elapsed();
-        for duty in duties {
-            self.perform(front, duty);
+        for action in actions {
+            self.perform(front, action);
         }
-        for (recipient, bytes) in datagrams {
-            self.send(front, recipient, bytes);
+        for datagram in datagrams {
+            self.send(front, datagram.destination, datagram.bytes);
         }
         if let Some(timeout) = timeout {
             self.schedule_wake(front, (self.now_us + timeout.since(now).micros()).max(self.now_us + 1));
@@ -180,18 +191,18 @@
         (0..self.scenario.servers).find(|server| server_name(*server) == name)
     }
 
-    fn perform(&mut self, front: u32, duty: Duty) {
-        match duty {
-            Duty::Sound { server, .. } => {
+    fn perform(&mut self, front: u32, action: FleetAction) {
+        match action {
+            FleetAction::CheckHealth { server, .. } => {
                 self.costs.leased_tests += u64::from(self.is_counting);
                 let server = self.server_number(&server).filter(|_| self.scenario.servers_answer);
                 if let Some(server) = server {
                     self.queue.push(self.now_us + 2 * LATENCY_US, Event::Answer { front, server });
                 }
             }
-            Duty::Vouched { server, at } => {
+            FleetAction::NoteHeardByPeer { server, heard_at } => {
                 if let Some(server) = self.server_number(&server) {
-                    self.fronts[front as usize].servers[server as usize].heard_by_others = Some(at);
+                    self.fronts[front as usize].servers[server as usize].heard_by_others = Some(heard_at);
                 }
             }
         }
@@ -220,7 +231,7 @@
     fn test_alone(&mut self) {
         let now = moment(self.now_us);
         for server in self.fronts.iter_mut().flat_map(|front| &mut front.servers) {
-            let heard = counts_as_heard(moment(server.heard_us), server.heard_by_others);
+            let heard = effective_last_heard(moment(server.heard_us), server.heard_by_others);
             if now.since(heard).micros() >= SILENCE_US {
                 self.costs.own_tests += u64::from(self.is_counting);
                 server.heard_us = self.now_us;
@@ -268,11 +279,11 @@
 }
 
 /// Servers that have said nothing since the start.
-fn silent_servers(servers: &[ServerState]) -> Vec<Quiet> {
-    let silent = |(number, server): (u32, &ServerState)| Quiet {
-        id: server_name(number),
-        spoke: moment(0),
-        heard: moment(server.heard_us),
+fn silent_servers(servers: &[ServerState]) -> Vec<ServerActivity> {
+    let silent = |(number, server): (u32, &ServerState)| ServerActivity {
+        server: server_name(number),
+        last_unprompted: moment(0),
+        last_heard: moment(server.heard_us),
     };
     (0..).zip(servers).map(silent).collect()
 }
