Name the zone simulation by terms of simulation, and take its modules apart

Scenario, Fault, ScheduledFault, Mutation, Outcome, Invite and Event are named structs and enums, documented, with an example that compiles. Lines of the subcommand `districts` are as they were, except the text of a violation, which names faults and zones by their new names. A field that was written and never read is gone (each front's last INVITE by zone).

scripts/behaviour.sh prints the same as before the renames; tests/zones.rs: 5 passed; the doc example passed.

--- a/crates/ochrelead-verify/src/commands/districts.rs
+++ b/crates/ochrelead-verify/src/commands/districts.rs
@@ -4,42 +4,48 @@
 use std::process::ExitCode;
 use std::time::Instant;
 
-use ochrelead_verify::districts::{self, Day, Shown};
+use ochrelead_verify::zones::outcome::Outcome;
+use ochrelead_verify::zones::scenario::Scenario;
+use ochrelead_verify::zones::simulate;
 
 use super::{Seeded, run_seeds};
 
-/// One day, with each front alone and with all acting together.
+/// One scenario, with each front alone and with all acting together.
 struct Comparison {
-    day: Day,
-    alone: Shown,
-    together: Shown,
+    scenario: Scenario,
+    alone: Outcome,
+    together: Outcome,
 }
 
-/// A figure of a day.
-type Figure<'a, T> = &'a dyn Fn(&Shown) -> T;
+/// A figure of an outcome.
+type Figure<'a, T> = &'a dyn Fn(&Outcome) -> T;
 
 const FIGURES: [(&str, Figure<'_, f64>); 5] = [
-    ("value served", &|shown| shown.served),
-    ("INVITEs to dead districts", &|shown| shown.lost as f64),
-    ("cold servers that fell", &|shown| shown.falls as f64),
-    ("datagrams a day", &|shown| shown.datagrams as f64),
-    ("their bytes", &|shown| shown.bytes as f64),
+    ("value served", &|outcome| outcome.served_share),
+    ("INVITEs to dead districts", &|outcome| outcome.lost_invites as f64),
+    ("cold servers that fell", &|outcome| outcome.cold_failures as f64),
+    ("datagrams a day", &|outcome| outcome.datagrams as f64),
+    ("their bytes", &|outcome| outcome.datagram_bytes as f64),
 ];
 
 const DURATIONS: [(&str, Figure<'_, Option<u64>>); 4] = [
-    ("nine in ten fronts have left", &|shown| shown.nine_in_ten_ms),
-    ("the last front has left", &|shown| shown.last_ms),
-    ("from the first front that heard to the last", &|shown| shown.spread_ms),
-    ("whole again after the return", &|shown| shown.whole_ms),
+    ("nine in ten fronts have left", &|outcome| outcome.p90_drained_ms),
+    ("the last front has left", &|outcome| outcome.last_drained_ms),
+    ("from the first front that heard to the last", &|outcome| outcome.verdict_spread_ms),
+    ("whole again after the return", &|outcome| outcome.full_use_ms),
 ];
 
-pub(crate) fn run(seeds: Range<u64>, day: impl Fn(u64) -> Day + Sync, has_course: bool) -> ExitCode {
+pub(crate) fn run(
+    seeds: Range<u64>,
+    scenario: impl Fn(u64) -> Scenario + Sync,
+    has_course: bool,
+) -> ExitCode {
     let started = Instant::now();
     let comparisons = run_seeds(seeds, |seed| {
-        let day = day(seed);
-        let alone = districts::play(&Day { together: false, ..day.clone() });
-        let together = districts::play(&day);
-        Comparison { day, alone, together }
+        let scenario = scenario(seed);
+        let alone = simulate(&Scenario { is_coordinated: false, ..scenario.clone() });
+        let together = simulate(&scenario);
+        Comparison { scenario, alone, together }
     });
     println!("{} days twice, {:.1} s", comparisons.len(), started.elapsed().as_secs_f64());
     print_figures(&comparisons);
@@ -55,9 +61,9 @@
     }
     let mut is_clean = true;
     for Seeded { seed, result } in &comparisons {
-        if let Some(what) = &result.together.found {
+        if let Some(violation) = &result.together.violation {
             is_clean = false;
-            println!("found: seed {seed}: {what}; {:?}", result.day.troubles);
+            println!("found: seed {seed}: {violation}; {:?}", result.scenario.faults);
         }
     }
     if is_clean { ExitCode::SUCCESS } else { ExitCode::FAILURE }
@@ -73,7 +79,8 @@
 }
 
 fn print_gain(comparisons: &[Seeded<Comparison>]) {
-    let gain = |seeded: &Seeded<Comparison>| seeded.result.together.served - seeded.result.alone.served;
+    let gain =
+        |seeded: &Seeded<Comparison>| seeded.result.together.served_share - seeded.result.alone.served_share;
     let gains: Vec<f64> = comparisons.iter().map(gain).collect();
     let mean = gains.iter().sum::<f64>() / gains.len() as f64;
     let squares = gains.iter().map(|gain| (gain - mean).powi(2)).sum::<f64>();
@@ -93,9 +100,10 @@
 
 /// A line for each half second, with the service and the share in force.
 fn print_course(Seeded { seed, result }: &Seeded<Comparison>) {
-    let courses = result.alone.course.iter().zip(&result.together.course);
-    for (index, ((at, alone), (_, together))) in courses.enumerate() {
-        let share = result.together.shares.get(index).copied();
+    let courses = result.alone.served_over_time.iter().zip(&result.together.served_over_time);
+    for (index, (alone, together)) in courses.enumerate() {
+        let share = result.together.zone_shares.get(index).copied();
+        let (at, alone, together) = (alone.start_seconds, alone.share, together.share);
         println!("seed {seed} {at:.1} s: alone {alone:.3}, together {together:.3}, share {share:?}");
     }
 }
--- a/crates/ochrelead-verify/src/lib.rs
+++ b/crates/ochrelead-verify/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`simulation`]: fleets of lease engines on a virtual clock, with faults from seeds.
 //! - [`fleet`]: whole fleets of nodes on a virtual clock; what coordination costs, and how soon a lease is held again.
 //! - [`cluster`]: several processes of the program, a relay between them, and a server that is acted upon.
-//! - [`districts`]: whole fleets with servers and callers, whose zones fail and return; it has mutations of its own.
+//! - [`zones`]: whole fleets with servers and callers, whose zones fail and return; it has mutations of its own.
 //! - [`mutation`]: what is wrong on purpose, around the lease engine and never in it.
 //! - [`resource`], [`violation`]: what holders act upon, and what does not hold.
 //!
@@ -28,13 +28,6 @@
 //! ```
 
 pub mod cluster;
-#[allow(
-    missing_docs,
-    unreachable_pub,
-    clippy::redundant_closure_for_method_calls,
-    reason = "this module does not follow the workspace's lints yet"
-)]
-pub mod districts;
 mod event_queue;
 pub mod explore;
 pub mod fleet;
@@ -42,3 +35,4 @@
 pub mod resource;
 pub mod simulation;
 pub mod violation;
+pub mod zones;
--- a/crates/ochrelead-verify/src/main.rs
+++ b/crates/ochrelead-verify/src/main.rs
@@ -8,7 +8,8 @@
 
 use clap::{Parser, Subcommand};
 use ochrelead_verify::explore::Model;
-use ochrelead_verify::{districts, simulation};
+use ochrelead_verify::simulation;
+use ochrelead_verify::zones::scenario::Scenario;
 
 /// Verifies what fronts do together: a lease never has two holders, whatever happens between the fronts.
 ///
@@ -146,7 +147,7 @@
         Command::Costs { fronts, servers, secs, times } => commands::costs::run(fronts, servers, secs, times),
         Command::Play { front, fronts, seed, faults } => commands::cluster::run(&front, fronts, seed, faults),
         Command::Districts { seeds, fronts, servers, harmless, course } => {
-            let draw = if harmless { districts::Day::harmless } else { districts::Day::failing };
+            let draw = if harmless { Scenario::harmless } else { Scenario::failing };
             commands::districts::run(seeds, |seed| draw(seed, fronts, servers), course)
         }
         Command::Seeds { seeds, fronts, tasks, secs, calm } => {
