End a statement of the connection table as the lints ask

Cause: the split of the connection table left one statement without its semicolon; clippy with the workspace's lints found it.

Change: the semicolon.

Result: clippy of node clean with the strict thresholds, documentation of node without warnings.

--- a/crates/ochrelead-node/src/host/connections.rs
+++ b/crates/ochrelead-node/src/host/connections.rs
@@ -298,7 +298,7 @@
                 }
             }
             (CloseState::Closing { .. } | CloseState::Lingering | CloseState::HalfClosing, _) => {
-                _ = self.remove(remote)
+                _ = self.remove(remote);
             }
         }
     }
