--- a/crates/ochrelead-diagnosis/src/trouble.rs
+++ b/crates/ochrelead-diagnosis/src/trouble.rs
@@ -34,6 +34,24 @@
 }
 
 impl Kind {
+    /// The stable identifier, for machines: a renamed variant keeps it.
+    pub fn id(self) -> &'static str {
+        match self {
+            Kind::Slow => "Slow",
+            Kind::AllSlow => "AllSlow",
+            Kind::Silent => "Silent",
+            Kind::Crashed => "Crashed",
+            Kind::Replaced => "Replaced",
+            Kind::AnswersLost => "AnswersLost",
+            Kind::CutOff => "CutOff",
+            Kind::FrontKilled => "FrontKilled",
+            Kind::FrontStalled => "FrontStalled",
+            Kind::Redials => "Redials",
+            Kind::HotNumber => "HotNumber",
+            Kind::Overload => "Overload",
+        }
+    }
+
     /// In a word or two, for plots.
     pub fn short(self) -> &'static str {
         match self {
--- a/crates/ochrelead-parquet/src/lib.rs
+++ b/crates/ochrelead-parquet/src/lib.rs
@@ -1,91 +1,166 @@
-//! Tables as Parquet files, for the tools that people have. Rows are written in groups: memory does not grow with
-//! the table. The file appears under its name when it is whole.
+//! Tables written as Parquet files. Rows are written in groups: memory does not grow with the table. The file appears
+//! under its name once it is whole.
+//!
+//! ```
+//! use ochrelead_parquet::{Cell, ColumnType, TableWriter};
+//!
+//! # let folder = std::env::temp_dir().join(format!("ochrelead-parquet-example-{}", std::process::id()));
+//! # std::fs::create_dir_all(&folder).unwrap();
+//! let path = folder.join("servers.parquet");
+//! let mut table = TableWriter::create(&path, &[("server", ColumnType::Text), ("calls", ColumnType::Integer)])?;
+//! table.write_row(vec![Cell::Text("s1".to_owned()), Cell::Integer(12)])?;
+//! assert_eq!(table.finish()?, 1);
+//! # std::fs::remove_dir_all(&folder).unwrap();
+//! # Ok::<(), ochrelead_parquet::TableError>(())
+//! ```
+#![warn(missing_docs)]
 
 use std::fs::{self, File};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use parquet::basic::{ConvertedType, Repetition, Type as Physical};
-use parquet::data_type::{ByteArray, ByteArrayType, DoubleType, Int64Type};
+use parquet::basic::{ConvertedType, Repetition, Type as PhysicalType};
+use parquet::data_type::{ByteArray, ByteArrayType, DataType, DoubleType, Int64Type};
 use parquet::errors::ParquetError;
 use parquet::file::properties::WriterProperties;
-use parquet::file::writer::SerializedFileWriter;
+use parquet::file::writer::{SerializedColumnWriter, SerializedFileWriter};
 use parquet::schema::types::Type;
 
-/// What a column holds.
+/// Rows of one group.
+const ROWS_PER_GROUP: usize = 32_768;
+
+/// Why a table could not be written.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum TableError {
+    /// The file could not be created, written or renamed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The file could not be encoded.
+    #[error(transparent)]
+    Parquet(#[from] ParquetError),
+    /// The cells of a row are not those of the columns.
+    #[error("row {row}: its cells do not fit")]
+    RowMismatch {
+        /// The row, from 0.
+        row: usize,
+    },
+}
+
+/// What a column holds. Each cell may be empty.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
+pub enum ColumnType {
+    /// Text, in UTF-8.
     Text,
-    Whole,
-    Figure,
+    /// A whole number of 64 bits.
+    Integer,
+    /// A floating-point number of 64 bits.
+    Float,
 }
 
-/// One cell; it must be of its column's kind, or empty.
+/// One cell; it must be of its column's type, or empty.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Cell {
+    /// No value.
     Empty,
+    /// A value of a text column.
     Text(String),
-    Whole(i64),
-    Figure(f64),
+    /// A value of an integer column.
+    Integer(i64),
+    /// A value of a float column.
+    Float(f64),
 }
 
-/// Rows of one group.
-const GROUP: usize = 32_768;
-
-enum Column {
+enum Values {
     Text(Vec<ByteArray>),
-    Whole(Vec<i64>),
-    Figure(Vec<f64>),
+    Integer(Vec<i64>),
+    Float(Vec<f64>),
+}
+
+/// The buffered rows of one column.
+struct Column {
+    values: Values,
+    /// For each row 1 where it has a value, else 0.
+    definition_levels: Vec<i16>,
+}
+
+impl Column {
+    fn new(column_type: ColumnType) -> Column {
+        let values = match column_type {
+            ColumnType::Text => Values::Text(Vec::new()),
+            ColumnType::Integer => Values::Integer(Vec::new()),
+            ColumnType::Float => Values::Float(Vec::new()),
+        };
+        Column { values, definition_levels: Vec::new() }
+    }
+
+    fn accepts(&self, cell: &Cell) -> bool {
+        matches!(
+            (cell, &self.values),
+            (Cell::Empty, _)
+                | (Cell::Text(_), Values::Text(_))
+                | (Cell::Integer(_), Values::Integer(_))
+                | (Cell::Float(_), Values::Float(_))
+        )
+    }
+
+    fn push(&mut self, cell: Cell) {
+        self.definition_levels.push(i16::from(cell != Cell::Empty));
+        match (cell, &mut self.values) {
+            (Cell::Text(text), Values::Text(values)) => values.push(ByteArray::from(text.into_bytes())),
+            (Cell::Integer(integer), Values::Integer(values)) => values.push(integer),
+            (Cell::Float(float), Values::Float(values)) => values.push(float),
+            _ => {}
+        }
+    }
+
+    fn flush(&mut self, writer: &mut SerializedColumnWriter<'_>) -> Result<(), ParquetError> {
+        match &mut self.values {
+            Values::Text(values) => write::<ByteArrayType>(writer, values, &self.definition_levels)?,
+            Values::Integer(values) => write::<Int64Type>(writer, values, &self.definition_levels)?,
+            Values::Float(values) => write::<DoubleType>(writer, values, &self.definition_levels)?,
+        }
+        self.definition_levels.clear();
+        Ok(())
+    }
+}
+
+fn write<T: DataType>(
+    writer: &mut SerializedColumnWriter<'_>,
+    values: &mut Vec<T::T>,
+    definition_levels: &[i16],
+) -> Result<(), ParquetError> {
+    writer.typed::<T>().write_batch(values, Some(definition_levels), None)?;
+    values.clear();
+    Ok(())
 }
 
 /// A table that is being written.
-pub struct Table {
-    beside: PathBuf,
+pub struct TableWriter {
+    /// Where it is written until it is whole.
+    partial_path: PathBuf,
     path: PathBuf,
     writer: SerializedFileWriter<File>,
-    /// Values, and for each row whether there is one.
-    columns: Vec<(Column, Vec<i16>)>,
+    columns: Vec<Column>,
     rows: usize,
 }
 
-fn other(error: ParquetError) -> io::Error {
-    io::Error::other(error)
-}
-
-impl Table {
-    /// A table with these columns.
+impl TableWriter {
+    /// A table with these columns, by name and type.
     ///
     /// # Errors
     ///
-    /// Where the file can't be made.
-    pub fn create(path: &Path, columns: &[(&str, Kind)]) -> io::Result<Table> {
-        let field = |(name, kind): &(&str, Kind)| {
-            let (physical, converted) = match kind {
-                Kind::Text => (Physical::BYTE_ARRAY, ConvertedType::UTF8),
-                Kind::Whole => (Physical::INT64, ConvertedType::NONE),
-                Kind::Figure => (Physical::DOUBLE, ConvertedType::NONE),
-            };
-            let builder = Type::primitive_type_builder(name, physical);
-            let built = builder.with_repetition(Repetition::OPTIONAL).with_converted_type(converted).build();
-            built.map(Arc::new).map_err(other)
-        };
-        let fields = columns.iter().map(field).collect::<io::Result<Vec<_>>>()?;
-        let schema = Type::group_type_builder("row").with_fields(fields).build().map_err(other)?;
-        let beside = path.with_extension("parquet.next");
+    /// Where the file can't be created.
+    pub fn create(path: &Path, columns: &[(&str, ColumnType)]) -> Result<TableWriter, TableError> {
+        let fields = columns.iter().map(|(name, column_type)| field(name, *column_type));
+        let fields = fields.collect::<Result<Vec<_>, _>>()?;
+        let schema = Type::group_type_builder("row").with_fields(fields).build()?;
+        let partial_path = path.with_extension("parquet.next");
         let properties = Arc::new(WriterProperties::builder().build());
-        let writer =
-            SerializedFileWriter::new(File::create(&beside)?, Arc::new(schema), properties).map_err(other)?;
-        let mut table = Table { beside, path: path.to_owned(), writer, columns: Vec::new(), rows: 0 };
-        for (_, kind) in columns {
-            let column = match kind {
-                Kind::Text => Column::Text(Vec::new()),
-                Kind::Whole => Column::Whole(Vec::new()),
-                Kind::Figure => Column::Figure(Vec::new()),
-            };
-            table.columns.push((column, Vec::new()));
-        }
-        Ok(table)
+        let writer = SerializedFileWriter::new(File::create(&partial_path)?, Arc::new(schema), properties)?;
+        let columns = columns.iter().map(|(_, column_type)| Column::new(*column_type)).collect();
+        Ok(TableWriter { partial_path, path: path.to_owned(), writer, columns, rows: 0 })
     }
 
     /// Adds a row.
@@ -93,72 +168,53 @@
     /// # Errors
     ///
     /// Where a cell does not fit its column, or the disk fails.
-    pub fn row(&mut self, cells: Vec<Cell>) -> io::Result<()> {
+    pub fn write_row(&mut self, cells: Vec<Cell>) -> Result<(), TableError> {
         let fits = cells.len() == self.columns.len()
-            && cells.iter().zip(&self.columns).all(|(cell, (column, _))| {
-                matches!(
-                    (cell, column),
-                    (Cell::Empty, _)
-                        | (Cell::Text(_), Column::Text(_))
-                        | (Cell::Whole(_), Column::Whole(_))
-                        | (Cell::Figure(_), Column::Figure(_))
-                )
-            });
+            && cells.iter().zip(&self.columns).all(|(cell, column)| column.accepts(cell));
         if !fits {
-            return Err(io::Error::new(
-                io::ErrorKind::InvalidInput,
-                format!("row {}: its cells do not fit", self.rows),
-            ));
+            return Err(TableError::RowMismatch { row: self.rows });
         }
-        for (cell, (column, defined)) in cells.into_iter().zip(&mut self.columns) {
-            defined.push(i16::from(cell != Cell::Empty));
-            match (cell, column) {
-                (Cell::Text(text), Column::Text(own)) => own.push(ByteArray::from(text.into_bytes())),
-                (Cell::Whole(whole), Column::Whole(own)) => own.push(whole),
-                (Cell::Figure(figure), Column::Figure(own)) => own.push(figure),
-                _ => {}
-            }
+        for (cell, column) in cells.into_iter().zip(&mut self.columns) {
+            column.push(cell);
         }
         self.rows += 1;
-        if self.rows % GROUP == 0 { self.flush() } else { Ok(()) }
+        if self.rows % ROWS_PER_GROUP == 0 { self.flush() } else { Ok(()) }
     }
 
-    fn flush(&mut self) -> io::Result<()> {
-        if self.columns.first().is_none_or(|(_, defined)| defined.is_empty()) {
+    /// Writes the buffered rows as a group.
+    fn flush(&mut self) -> Result<(), TableError> {
+        if self.columns.first().is_none_or(|column| column.definition_levels.is_empty()) {
             return Ok(());
         }
-        let mut group = self.writer.next_row_group().map_err(other)?;
-        for (column, defined) in &mut self.columns {
-            let Some(mut writer) = group.next_column().map_err(other)? else { break };
-            match column {
-                Column::Text(own) => {
-                    writer.typed::<ByteArrayType>().write_batch(own, Some(defined), None).map_err(other)?;
-                    own.clear();
-                }
-                Column::Whole(own) => {
-                    writer.typed::<Int64Type>().write_batch(own, Some(defined), None).map_err(other)?;
-                    own.clear();
-                }
-                Column::Figure(own) => {
-                    writer.typed::<DoubleType>().write_batch(own, Some(defined), None).map_err(other)?;
-                    own.clear();
-                }
-            }
-            defined.clear();
-            writer.close().map_err(other)?;
+        let mut group = self.writer.next_row_group()?;
+        for column in &mut self.columns {
+            let Some(mut writer) = group.next_column()? else { break };
+            column.flush(&mut writer)?;
+            writer.close()?;
         }
-        group.close().map(drop).map_err(other)
+        group.close()?;
+        Ok(())
     }
 
     /// Ends the table and gives it its name. How many rows it has.
     ///
     /// # Errors
     ///
-    /// Where the disk fails; nothing then has the name that had not before.
-    pub fn finish(mut self) -> io::Result<usize> {
+    /// Where the disk fails; then a file that had the name before still has it.
+    pub fn finish(mut self) -> Result<usize, TableError> {
         self.flush()?;
-        self.writer.close().map_err(other)?;
-        fs::rename(&self.beside, &self.path)?;
+        self.writer.close()?;
+        fs::rename(&self.partial_path, &self.path)?;
         Ok(self.rows)
     }
 }
+
+fn field(name: &str, column_type: ColumnType) -> Result<Arc<Type>, ParquetError> {
+    let (physical, converted) = match column_type {
+        ColumnType::Text => (PhysicalType::BYTE_ARRAY, ConvertedType::UTF8),
+        ColumnType::Integer => (PhysicalType::INT64, ConvertedType::NONE),
+        ColumnType::Float => (PhysicalType::DOUBLE, ConvertedType::NONE),
+    };
+    let builder = Type::primitive_type_builder(name, physical);
+    builder.with_repetition(Repetition::OPTIONAL).with_converted_type(converted).build().map(Arc::new)
+}
--- a/crates/ochrelead-parquet/tests/table.rs
+++ b/crates/ochrelead-parquet/tests/table.rs
@@ -1,9 +1,9 @@
-//! What is written is read by the crate's own reader.
+//! Tables are read again by the reader of the parquet crate.
 
 use std::fs::File;
 use std::path::Path;
 
-use ochrelead_parquet::{Cell, Kind, Table};
+use ochrelead_parquet::{Cell, ColumnType, TableWriter};
 use parquet::file::reader::{FileReader, SerializedFileReader};
 use test_case::test_case;
 
@@ -16,11 +16,11 @@
 #[test_case(70_000; "several groups")]
 fn all_rows_are_read_again(rows: i64) {
     let file = path(&format!("{rows}.parquet"));
-    let columns = [("name", Kind::Text), ("count", Kind::Whole), ("share", Kind::Figure)];
-    let mut table = Table::create(&file, &columns).unwrap();
-    for nth in 0..rows {
-        let name = if nth % 2 == 0 { Cell::Text(format!("s{nth}")) } else { Cell::Empty };
-        table.row(vec![name, Cell::Whole(nth), Cell::Figure(nth as f64 / 2.0)]).unwrap();
+    let columns = [("name", ColumnType::Text), ("count", ColumnType::Integer), ("share", ColumnType::Float)];
+    let mut table = TableWriter::create(&file, &columns).unwrap();
+    for row in 0..rows {
+        let name = if row % 2 == 0 { Cell::Text(format!("s{row}")) } else { Cell::Empty };
+        table.write_row(vec![name, Cell::Integer(row), Cell::Float(row as f64 / 2.0)]).unwrap();
     }
     assert_eq!(table.finish().unwrap(), rows as usize);
     let reader = SerializedFileReader::new(File::open(&file).unwrap()).unwrap();
@@ -35,10 +35,10 @@
 }
 
 #[test]
-fn a_row_that_does_not_fit_is_refused_and_nothing_has_the_name() {
+fn row_that_does_not_fit_is_rejected_and_no_file_appears() {
     let file = path("unfit.parquet");
-    let mut table = Table::create(&file, &[("count", Kind::Whole)]).unwrap();
-    assert!(table.row(vec![Cell::Text("one".to_owned())]).unwrap_err().to_string().contains("row 0"));
+    let mut table = TableWriter::create(&file, &[("count", ColumnType::Integer)]).unwrap();
+    assert!(table.write_row(vec![Cell::Text("one".to_owned())]).unwrap_err().to_string().contains("row 0"));
     drop(table);
     assert!(!file.exists());
 }
--- a/crates/ochrelead-report/src/export.rs
+++ b/crates/ochrelead-report/src/export.rs
@@ -6,27 +6,27 @@
 use ochrelead_core::time::Moment;
 use ochrelead_event_log::reader::{Log, Record, open_logs};
 use ochrelead_event_log::schema::{Choice, Denial, Ending, Payment, event::What};
-use ochrelead_parquet::{Cell, Kind, Table};
+use ochrelead_parquet::{Cell, ColumnType, TableWriter};
 
 use crate::incident::survey;
 use crate::merged::Merged;
 use crate::story::words;
 
 /// The columns; times in microseconds, moments since 1970 on the common clock.
-const COLUMNS: [(&str, Kind); 13] = [
-    ("at_us", Kind::Whole),
-    ("front", Kind::Text),
-    ("life_us", Kind::Whole),
-    ("nth", Kind::Whole),
-    ("event", Kind::Text),
-    ("try", Kind::Text),
-    ("server", Kind::Text),
-    ("what", Kind::Text),
-    ("how", Kind::Text),
-    ("took_us", Kind::Whole),
-    ("service", Kind::Whole),
-    ("member", Kind::Whole),
-    ("figure", Kind::Figure),
+const COLUMNS: [(&str, ColumnType); 13] = [
+    ("at_us", ColumnType::Integer),
+    ("front", ColumnType::Text),
+    ("life_us", ColumnType::Integer),
+    ("nth", ColumnType::Integer),
+    ("event", ColumnType::Text),
+    ("try", ColumnType::Text),
+    ("server", ColumnType::Text),
+    ("what", ColumnType::Text),
+    ("how", ColumnType::Text),
+    ("took_us", ColumnType::Integer),
+    ("service", ColumnType::Integer),
+    ("member", ColumnType::Integer),
+    ("figure", ColumnType::Float),
 ];
 
 /// What an event says, column by column.
@@ -54,22 +54,22 @@
         all.extend(open_logs(folder).with_context(|| folder.display().to_string())?.0);
     }
     let (clocks, _) = survey(&all);
-    let mut table = Table::create(path, &COLUMNS).with_context(|| path.display().to_string())?;
+    let mut table = TableWriter::create(path, &COLUMNS).with_context(|| path.display().to_string())?;
     for (at, record) in Merged::new(all, &clocks) {
-        table.row(cells(at, &record)).with_context(|| path.display().to_string())?;
+        table.write_row(cells(at, &record)).with_context(|| path.display().to_string())?;
     }
     table.finish().with_context(|| path.display().to_string())
 }
 
 fn cells(at: Moment, record: &Record) -> Vec<Cell> {
     let text = |text: Option<String>| text.map_or(Cell::Empty, Cell::Text);
-    let whole = |own: Option<u64>| own.map_or(Cell::Empty, |own| Cell::Whole(own as i64));
+    let whole = |own: Option<u64>| own.map_or(Cell::Empty, |own| Cell::Integer(own as i64));
     let row = record.event.what.as_ref().map_or(Row { event: "unknown", ..Row::default() }, row);
     vec![
-        Cell::Whole(at.micros() as i64),
+        Cell::Integer(at.micros() as i64),
         Cell::Text(record.incarnation.front.clone()),
-        Cell::Whole(record.incarnation.started_us as i64),
-        Cell::Whole(record.event.nth as i64),
+        Cell::Integer(record.incarnation.started_us as i64),
+        Cell::Integer(record.event.nth as i64),
         Cell::Text(row.event.to_owned()),
         text(row.tried),
         text(row.server),
@@ -78,7 +78,7 @@
         whole(row.took_us),
         whole(row.service.map(u64::from)),
         whole(row.member.map(u64::from)),
-        row.figure.map_or(Cell::Empty, Cell::Figure),
+        row.figure.map_or(Cell::Empty, Cell::Float),
     ]
 }
 
--- a/crates/ochrelead-report/src/json.rs
+++ b/crates/ochrelead-report/src/json.rs
@@ -11,7 +11,7 @@
         .iter()
         .map(|own| {
             json!({
-                "kind": format!("{:?}", own.kind), "name": own.kind.name(), "of": own.of,
+                "kind": own.kind.id(), "name": own.kind.name(), "of": own.of,
                 "onset_us": own.onset.micros(), "end_us": own.end.map(|end| end.micros()),
                 "confidence": own.confidence, "evidence": own.evidence,
             })
--- a/crates/ochrelead-sim/src/experiment.rs
+++ b/crates/ochrelead-sim/src/experiment.rs
@@ -1,7 +1,6 @@
 //! Grids of emulated days: what is served, by load, size and policy, with how sure that is.
 
 use std::error::Error;
-use std::io;
 use std::path::Path;
 
 use anyhow::{Context, bail};
@@ -10,7 +9,7 @@
 use ochrelead_config::faults::FaultKind;
 use ochrelead_config::scenario::{self, Scenario};
 use ochrelead_config::schema;
-use ochrelead_parquet::{Cell, Kind as Column, Table};
+use ochrelead_parquet::{Cell, ColumnType as Column, TableError, TableWriter};
 use ochrelead_scenario::world::Deciding;
 use plotters::prelude::*;
 use statrs::distribution::{ContinuousCDF, StudentsT};
@@ -198,33 +197,33 @@
 /// # Errors
 ///
 /// Where the table can't be written.
-pub fn write(path: &Path, cases: &[Case], runs: &[Run]) -> io::Result<usize> {
+pub fn write(path: &Path, cases: &[Case], runs: &[Run]) -> Result<usize, TableError> {
     let columns = [
         ("policy", Column::Text),
-        ("sessions_per_s", Column::Figure),
-        ("fronts", Column::Whole),
-        ("servers", Column::Whole),
-        ("seed", Column::Whole),
-        ("service", Column::Figure),
-        ("worst_10_s", Column::Figure),
-        ("ceiling", Column::Figure),
-        ("offered", Column::Whole),
-        ("events", Column::Whole),
+        ("sessions_per_s", Column::Float),
+        ("fronts", Column::Integer),
+        ("servers", Column::Integer),
+        ("seed", Column::Integer),
+        ("service", Column::Float),
+        ("worst_10_s", Column::Float),
+        ("ceiling", Column::Float),
+        ("offered", Column::Integer),
+        ("events", Column::Integer),
         ("broken", Column::Text),
     ];
-    let mut table = Table::create(path, &columns)?;
+    let mut table = TableWriter::create(path, &columns)?;
     for (case, run) in cases.iter().zip(runs) {
-        table.row(vec![
+        table.write_row(vec![
             Cell::Text(case.policy.to_owned()),
-            Cell::Figure(case.day.callers.sessions_per_s),
-            Cell::Whole(case.day.fronts as i64),
-            Cell::Whole(case.day.servers.len() as i64),
-            Cell::Whole(case.day.seed as i64),
-            Cell::Figure(run.service),
-            Cell::Figure(run.worst),
-            Cell::Figure(run.ceiling),
-            Cell::Whole(run.offered as i64),
-            Cell::Whole(run.events as i64),
+            Cell::Float(case.day.callers.sessions_per_s),
+            Cell::Integer(case.day.fronts as i64),
+            Cell::Integer(case.day.servers.len() as i64),
+            Cell::Integer(case.day.seed as i64),
+            Cell::Float(run.service),
+            Cell::Float(run.worst),
+            Cell::Float(run.ceiling),
+            Cell::Integer(run.offered as i64),
+            Cell::Integer(run.events as i64),
             run.broken.clone().map_or(Cell::Empty, Cell::Text),
         ])?;
     }
