Let the districts' test run one cluster at a time, and read INVITEs before calls

Two said "an INVITE that no caller asked for": the verdict read the callers' table before the INVITEs, so a call placed between the two reads looked unasked. Two said "not in 90s: the district is left": six clusters of twelve processes ran at once, and each wait copied all INVITEs every 20 ms under the lock that the servers need; fronts without processor time take all districts for slow.

Change: the verdict reads INVITEs first; a call is entered before it is asked for, so the check is as strict. INVITEs are counted without a copy. The cases of the file run one after the other. No bound, count or check was changed.

--- a/crates/ochrelead-front/tests/districts.rs
+++ b/crates/ochrelead-front/tests/districts.rs
@@ -1,7 +1,9 @@
 //! Twelve processes of the program in three districts, six servers, callers, and faults between them. Judged from the
-//! INVITEs that reached servers and from what callers were told. Waits are bounds, not verdicts.
+//! INVITEs that reached servers and from what callers were told. Waits are bounds, not verdicts. One cluster runs at a time:
+//! fronts that get no processor time take all districts for slow, and then rightly leave none.
 
 use std::path::Path;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use ochrelead_verify::cluster::deployment::TestDeployment;
@@ -19,14 +21,20 @@
 /// Callers of each front, a session so often.
 const APART: Duration = Duration::from_millis(20);
 
+/// Held by the test whose cluster runs.
+static CLUSTER_SLOT: Mutex<()> = Mutex::new(());
+
 /// `talks`: fronts also ask who is there and hold leases; else they speak of districts alone.
 struct Place {
     rig: TestCluster,
     town: TestDeployment,
+    /// Dropped last, when the processes have ended.
+    _slot: MutexGuard<'static, ()>,
 }
 
 impl Place {
     fn new(name: &str, net: u8, talks: bool, districts: impl Fn(u32) -> bool) -> Place {
+        let slot = CLUSTER_SLOT.lock().unwrap_or_else(PoisonError::into_inner);
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         let host = (std::process::id() % 250) as u8 + 1;
         let binary = Path::new(env!("CARGO_BIN_EXE_ochrelead-front"));
@@ -51,10 +59,11 @@
         for front in 0..FRONTS {
             town.start_caller(front, rig.caller_address(front), APART);
         }
-        let place = Place { rig, town };
+        let place = Place { rig, town, _slot: slot };
+        let started_at = Instant::now();
         place.until(LONG, "all servers are in use", || {
-            let invites = place.town.invites();
-            (0..FRONTS).all(|front| invites.iter().filter(|own| own.front == front).count() > 100)
+            (0..FRONTS)
+                .all(|front| place.town.count_invites(started_at, |invite| invite.front == front) > 100)
         });
         place
     }
@@ -69,8 +78,7 @@
 
     /// INVITEs of some fronts to servers of a district since a moment.
     fn to(&self, district: u32, since: Instant, of: impl Fn(u32) -> bool) -> usize {
-        let own = self.town.invites().into_iter().filter(|own| own.at >= since && of(own.front));
-        own.filter(|own| own.server % DISTRICTS == district).count()
+        self.town.count_invites(since, |invite| of(invite.front) && invite.server % DISTRICTS == district)
     }
 
     /// Waits until no INVITE of these fronts reaches a district for that long, though many are asked for.
@@ -82,8 +90,8 @@
     fn whole(&self, district: u32) {
         self.until(LONG, "the district is in use again", || {
             let since = Instant::now() - Duration::from_secs(2);
-            let (own, all) = (self.to(district, since, |_| true), self.town.invites());
-            let all = all.into_iter().filter(|own| own.at >= since).count();
+            let own = self.to(district, since, |_| true);
+            let all = self.town.count_invites(since, |_| true);
             all > 200 && own as f64 > 0.8 * all as f64 / f64::from(DISTRICTS)
         });
     }
--- a/crates/ochrelead-verify/src/cluster/deployment.rs
+++ b/crates/ochrelead-verify/src/cluster/deployment.rs
@@ -171,6 +171,11 @@
         lock(&self.shared.invites).clone()
     }
 
+    /// How many INVITEs fit, of those that came since a moment.
+    pub fn count_invites(&self, since: Instant, fits: impl Fn(&Invite) -> bool) -> usize {
+        lock(&self.shared.invites).iter().filter(|invite| invite.at >= since && fits(invite)).count()
+    }
+
     /// What callers were told, by call.
     pub fn calls(&self) -> BTreeMap<String, CallRecord> {
         lock(&self.shared.calls).clone()
@@ -194,14 +199,14 @@
     ///
     /// What does not hold.
     pub fn check(&self) -> Result<(), CallViolation> {
-        for (call, record) in self.calls() {
-            if record.ups + record.downs_before > 1 {
-                return Err(CallViolation::SeveralAnswers { call, record });
-            }
-        }
+        // A call is entered before its caller asks for it, so each INVITE read first has its call in what is read next.
+        let invites = self.invites();
         let calls = self.calls();
-        match self.invites().into_iter().find(|invite| !calls.contains_key(&invite.call)) {
-            Some(invite) => Err(CallViolation::UnknownCall { invite }),
+        if let Some(invite) = invites.into_iter().find(|invite| !calls.contains_key(&invite.call)) {
+            return Err(CallViolation::UnknownCall { invite });
+        }
+        match calls.into_iter().find(|(_, record)| record.ups + record.downs_before > 1) {
+            Some((call, record)) => Err(CallViolation::SeveralAnswers { call, record }),
             None => Ok(()),
         }
     }
