--- a/crates/ochrelead-core/src/controller.rs
+++ b/crates/ochrelead-core/src/controller.rs
@@ -9,8 +9,6 @@
 mod health;
 mod observations;
 mod slow_start;
-mod snapshot;
-mod state_updates;
 
 use rand::SeedableRng;
 use rand::distr::Distribution;
@@ -40,10 +38,8 @@
 /// A turn that comes later than so many of the host's shortest intervals shows that this front stood still.
 const STALL_INTERVALS: u64 = 4;
 
-/// The decisions of one front.
-///
-/// It holds what the front knows of services, tenants, servers, called numbers and open sessions. The host
-/// tells it the time and what it observes, and carries out its decisions.
+/// The decisions of one front, and what it knows of services, tenants, servers, called numbers and sessions.
+/// The host tells it the time and what it observes, and carries out its decisions.
 pub struct Controller {
     config: ControllerConfig,
     started_at: Moment,
@@ -114,8 +110,9 @@
     pub fn next_decision(&mut self) -> Option<Decision> {
         self.expire_probes();
         while let Some(session) = self.sessions.pop_due(self.now) {
-            if let Some(decision) = self.evaluate(session) {
-                return Some(decision);
+            let decision = self.evaluate(session).unwrap_or_else(|cause| Some(self.reject(session, cause)));
+            if decision.is_some() {
+                return decision;
             }
         }
         None
@@ -126,8 +123,7 @@
         self.last_reason
     }
 
-    /// When the host is to come again although nothing happens. While an INVITE is outstanding that is often
-    /// enough to tell by a late turn that this front itself stood still.
+    /// When the host is to come again at the latest: in time to notice that this front itself stood still.
     pub fn poll_timeout(&mut self) -> Option<Moment> {
         let (now, objective) = (self.now, self.latency_objective);
         let probes = self.servers.iter().filter_map(|server| server.probe_expires_at(objective));
@@ -138,12 +134,8 @@
         self.timeout_at
     }
 
-    /// Decides on a session that is due: an INVITE, a final answer, or none while a re-send has to wait.
-    fn evaluate(&mut self, session: SessionIx) -> Option<Decision> {
-        self.try_invite(session).unwrap_or_else(|cause| Some(self.reject(session, cause)))
-    }
-
-    fn try_invite(&mut self, session: SessionIx) -> Result<Option<Decision>, RejectionCause> {
+    /// Decides on a session that is due: an INVITE, none while a re-send has to wait, or why to reject it.
+    fn evaluate(&mut self, session: SessionIx) -> Result<Option<Decision>, RejectionCause> {
         let Some(state) = self.sessions.get(session) else { return Ok(None) };
         let (destination, reservation) = (state.request.destination, state.reservation);
         let ready_at = state.not_before.max(self.now);
@@ -224,14 +216,13 @@
         let state = self.sessions.get(session)?;
         let allowed = &self.services[state.request.service].servers;
         let is_allowed = |number| allowed.is_empty() || allowed.contains(&number);
-        let all = self.servers.indices().filter(|server| is_allowed(self.servers[*server].number));
-        let candidates: Vec<ServerIx> =
-            all.filter(|server| !state.excluded_servers.contains(server)).collect();
-        let mut admitting = candidates.clone();
-        admitting.retain(|server| self.can_admit(*server, session));
+        let is_candidate = |server: &ServerIx| {
+            is_allowed(self.servers[*server].number) && !state.excluded_servers.contains(server)
+        };
+        let candidates = || self.servers.indices().filter(is_candidate);
+        let mut admitting: Vec<_> = candidates().filter(|server| self.can_admit(*server, session)).collect();
         if admitting.is_empty() {
-            admitting = candidates;
-            admitting.retain(|server| self.is_last_resort(*server));
+            admitting = candidates().filter(|server| self.is_last_resort(*server)).collect();
         }
         let destination = state.request.destination;
         if let Some(first) = admitting.iter().find(|server| self.servers[**server].number == destination) {
--- a/crates/ochrelead-core/src/controller/admission.rs
+++ b/crates/ochrelead-core/src/controller/admission.rs
@@ -36,9 +36,8 @@
         let is_destination = session.request.destination == server.number;
         let weight = self.priority_weight(session);
         // A zone that is left, or re-entered: those whose destination it is first, the weightier ones ahead.
-        if server.zone_share < 1.0
-            && (!is_destination || sample >= server.zone_share * weight / self.mean_priority_weight)
-        {
+        let zone_share = server.zone_share * weight / self.mean_priority_weight;
+        if server.zone_share < 1.0 && (!is_destination || sample >= zone_share) {
             return false;
         }
         let waiting = server.waiting(self.latency_objective).count() as f64;
@@ -144,9 +143,8 @@
         (self.answers.rate(self.now, self.started_at) + few) / (all + few / self.even_share)
     }
 
-    /// What is left to gain with a session, in values of the cheapest service: a redial after the latency
-    /// objective of its first attempt earns the late share only. Never zero: what earns nothing is still set
-    /// up where nothing is short.
+    /// What is left to gain with a session, in values of the cheapest service: after the latency objective of
+    /// its first attempt, the late share. Never zero: what earns nothing is set up where nothing is short.
     pub(super) fn priority_weight(&self, session: &SessionState) -> f64 {
         let service = &self.services[session.request.service];
         let is_late = self.now.since(session.first_tried_at) > service.latency_objective
--- a/crates/ochrelead-core/src/controller/health.rs
+++ b/crates/ochrelead-core/src/controller/health.rs
@@ -1,8 +1,10 @@
 //! The health of a server, by its answers: outlier detection, weight, answer time, in-flight limit.
 
 use super::Controller;
+use crate::index::ServerIx;
 use crate::state::{Ejection, ServerState};
 use crate::time::{Moment, Span};
+use crate::types::ServerSnapshot;
 
 /// An answer within this share of the latency objective is easy: no sign of a queue. So is one within this
 /// multiple of the shortest of the long term.
@@ -34,11 +36,25 @@
             }
         }
     }
+
+    /// The present state of a server, for the event log.
+    pub fn server_snapshot(&self, server: ServerIx) -> Option<ServerSnapshot> {
+        let (server, now, objective) = (self.servers.get(server)?, self.now, self.latency_objective);
+        Some(ServerSnapshot {
+            in_flight_limit: server.in_flight_limit(now, objective),
+            in_flight: u32::try_from(server.waiting(objective).count()).unwrap_or(u32::MAX),
+            answer_time: server.answer_time(now, objective),
+            ejected: server.is_ejected(),
+            warming_up: now < server.warming_up_until,
+            last_attempt_failed: server.last_attempt_failed,
+            setup_rate: server.setup_rate,
+            lines: server.lines,
+        })
+    }
 }
 
 impl ServerState {
-    /// Ejects the server for the backoff; it is then probed with one session, and each time that fails it is
-    /// ejected for longer.
+    /// Ejects the server for the backoff; then one session probes it, and each failure lengthens the backoff.
     pub(super) fn eject(&mut self, now: Moment, first_backoff: Span, objective: Span) {
         let backoff = match self.ejection {
             Some(ejection) if !ejection.probe_in_flight => return,
@@ -50,8 +66,7 @@
         self.recent_answers.clear();
     }
 
-    /// When the probe of an ejected server counts as unanswered: it must not keep the next one back until its
-    /// caller's deadline.
+    /// When the probe of an ejected server counts as unanswered: the next one does not wait for its deadline.
     pub(super) fn probe_expires_at(&self, objective: Span) -> Option<Moment> {
         self.ejection.filter(|ejection| ejection.probe_in_flight)?;
         Some(self.in_flight.last()?.sent_at + objective)
--- a/crates/ochrelead-core/src/controller/observations.rs
+++ b/crates/ochrelead-core/src/controller/observations.rs
@@ -4,10 +4,11 @@
 
 use super::health::EASY_ANSWER_SHARE;
 use super::{Controller, LONG_TERM_BUCKET, RECENT_BUCKET};
-use crate::index::{CalledNumberIx, ServerIx, SessionIx};
+use crate::index::{CalledNumberIx, ServerIx, ServiceIx, SessionIx};
+use crate::state::mean_hold_time_s;
 use crate::state::{AnswerSample, BucketWidths, OutstandingInvite, ServerState, SessionState};
 use crate::time::{Moment, Span};
-use crate::types::{CallRequest, EndpointState, EndpointUpdate, InviteOutcome, LoadReport};
+use crate::types::{CallRequest, EndpointState, EndpointUpdate, InviteOutcome, LineCapacity, LoadReport};
 
 /// A session to a number that was rejected less than so many latency objectives ago counts as a redial.
 const REDIAL_OBJECTIVES: u64 = 4;
@@ -44,8 +45,7 @@
         for server in self.servers.iter_mut().filter(|server| server.number == request.destination) {
             server.demand.record(now, Span::ZERO);
         }
-        let sampling_key = self.rng.random::<f64>();
-        let state = SessionState::new(request, now, first_tried_at, sampling_key);
+        let state = SessionState::new(request, now, first_tried_at, self.rng.random());
         let deviation = self.priority_weight(&state) - self.mean_priority_weight;
         self.mean_priority_weight += deviation * PRIORITY_WEIGHT_SMOOTHING;
         self.sessions.insert(session, state);
@@ -137,20 +137,16 @@
         if is_complete {
             self.servers.iter_mut().for_each(|server| server.is_ready = false);
         }
-        let sends = self.config.overload_duration / SEND_BUCKETS;
-        let widths =
-            BucketWidths { sends, lines: LINES_BUCKET, recent: RECENT_BUCKET, long_term: LONG_TERM_BUCKET };
+        let (sends, lines) = (self.config.overload_duration / SEND_BUCKETS, LINES_BUCKET);
+        let widths = BucketWidths { sends, lines, recent: RECENT_BUCKET, long_term: LONG_TERM_BUCKET };
         for update in updates {
-            let new_server = || ServerState::new(now, widths);
-            let server = self.servers.get_or_insert_with(update.server, new_server);
+            let server = self.servers.get_or_insert_with(update.server, || ServerState::new(now, widths));
             server.number = update.number;
             server.listed_weight = update.weight;
             server.is_ready = matches!(update.state, EndpointState::Ready { .. });
-            if let EndpointState::Ready { started: Some(started_at) } = update.state
-                && server.started_at != Some(started_at)
-            {
-                server.started_at = Some(started_at);
-                if started_at + warm_up_time > now {
+            if let EndpointState::Ready { started: Some(started_at) } = update.state {
+                let has_restarted = server.started_at.replace(started_at) != Some(started_at);
+                if has_restarted && started_at + warm_up_time > now {
                     server.restart(now, started_at + warm_up_time);
                 }
             }
@@ -159,61 +155,75 @@
 
     /// A server reports the load of its processor.
     pub fn on_load_report(&mut self, server: ServerIx, report: LoadReport) {
-        let Some(server) = self.servers.get_mut(server) else { return };
-        if report != LoadReport::default() {
+        let server = self.servers.get_mut(server).filter(|_| report != LoadReport::default());
+        if let Some(server) = server {
             (server.load_report, server.load_reported_at) = (report, self.now);
         }
     }
+
+    /// The numbers of the servers that serve a service from now on; any where none is named.
+    pub fn on_service_servers(&mut self, service: ServiceIx, servers: &[i64]) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.servers = servers.to_vec();
+        }
+    }
+
+    /// A server reports its lines.
+    pub fn on_line_capacity(&mut self, server: ServerIx, lines: LineCapacity) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.update_lines(self.now, lines, mean_hold_time_s(&self.services));
+        }
+    }
+
+    /// The share of the sessions that a server admits from now on, the same at all fronts; 1 for all.
+    pub fn on_zone_share(&mut self, server: ServerIx, share: f64) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.zone_share = share;
+        }
+    }
 }
 
 impl ServerState {
     /// What the end of an INVITE sent at `sent_at`, or of the call that it set up, says of the server.
     fn observe_outcome(&mut self, now: Moment, outcome: InviteOutcome, sent_at: Moment, objective: Span) {
-        // No answer, though a later INVITE had one: it was lost, and the server is not slow. Otherwise an
-        // answer would have taken longer than this: were that forgotten as the INVITE ends, one of each front
-        // after the other would keep a jammed server jammed. Harm: where answers get lost, it is held back
-        // for a while.
-        let timed_out = outcome == InviteOutcome::TimedOut;
-        if timed_out && sent_at < self.newest_answered_sent_at {
+        use InviteOutcome::{Cancelled, ConnectFailed, Failed, Rejected, Released, Reset, TimedOut, Unsent};
+        // No answer, though a later INVITE had one: it was lost; the server is not slow. Otherwise it takes
+        // longer than this: were that forgotten, one INVITE of each front after the other would keep a jammed
+        // server jammed. Harm: where answers get lost, the server is held back for a while.
+        if outcome == TimedOut && sent_at < self.newest_answered_sent_at {
             self.answers_lossy_until = now + objective * LOSSY_OBJECTIVES;
-        } else if timed_out {
+        } else if outcome == TimedOut {
             self.latest_answer = Some(AnswerSample { received_at: now, took: now.since(sent_at) });
         }
+        if outcome.is_answer() {
+            self.last_heard_at = now;
+        }
         match outcome {
-            // Busy lines, a number's or its own, are no sign of an overloaded processor.
-            InviteOutcome::Released => self.last_heard_at = now,
-            // Nor does a probe that met them tell whether it is healthy: the next session is another probe.
-            InviteOutcome::Failed { lines_busy: true } => {
-                self.last_heard_at = now;
+            Released => {}
+            // Busy lines, a number's or its own, are no sign of a full processor. A probe that met them does
+            // not tell whether the server is healthy: the next session is another probe.
+            Failed { lines_busy: true } => {
                 self.ejection.iter_mut().for_each(|ejection| ejection.probe_in_flight = false);
             }
             // A server that answers quickly with failures would attract ever more sessions.
-            InviteOutcome::Failed { lines_busy: false } => {
-                self.last_heard_at = now;
+            Failed { lines_busy: false } => {
                 self.record_failure(now);
                 self.eject(now, objective, objective);
                 self.ejection.iter_mut().for_each(|ejection| ejection.for_faults = true);
             }
-            InviteOutcome::Rejected { no_line: true, .. } => {
-                self.last_heard_at = now;
+            Rejected { no_line: true, .. } => {
                 self.lines.free = 0;
                 self.ejection = None;
                 self.reduce_weight(now);
             }
-            InviteOutcome::Rejected { retry_after, .. } => {
-                self.last_heard_at = now;
+            Rejected { retry_after: Some(retry_after), .. } => {
                 self.record_failure(now);
-                if self.is_ejected() || retry_after.is_some() {
-                    self.eject(now, retry_after.unwrap_or(objective), objective);
-                }
+                self.eject(now, retry_after, objective);
             }
-            InviteOutcome::ConnectFailed => self.eject(now, objective, objective),
-            InviteOutcome::TimedOut
-            | InviteOutcome::Reset
-            | InviteOutcome::Cancelled
-            | InviteOutcome::Unsent => {
+            ConnectFailed => self.eject(now, objective, objective),
+            // A probe that fails, or ends without an answer, leaves the server ejected, for longer.
+            Rejected { retry_after: None, .. } | TimedOut | Reset | Cancelled | Unsent => {
                 self.record_failure(now);
-                // A probe that ends without an answer leaves the server ejected, for longer.
                 if self.is_ejected() {
                     self.eject(now, objective, objective);
                 }
--- a/crates/ochrelead-core/src/types.rs
+++ b/crates/ochrelead-core/src/types.rs
@@ -50,6 +50,14 @@
 }
 
 impl InviteOutcome {
+    /// Whether the server answered the INVITE.
+    pub(crate) fn is_answer(self) -> bool {
+        matches!(
+            self,
+            InviteOutcome::Released | InviteOutcome::Failed { .. } | InviteOutcome::Rejected { .. }
+        )
+    }
+
     /// Whether the server may have set the call up although no answer of it is known.
     pub fn may_have_run(self) -> bool {
         matches!(self, InviteOutcome::TimedOut | InviteOutcome::Reset | InviteOutcome::Cancelled)
