Name the discovery package as the field does, with typed errors and split tests

Cause: the package still spoke the house's words (`Keeper`, `Roster`, `Kept`, `Said`, `News`, `Page`), passed tuples, joined errors to strings, was not under the workspace's lints, and had a test file of 509 lines.

Change: - modules: `adopt` -> `adoption`, `keeper` -> `reloader`, `roster` -> `server_table`, `sheet` -> `fleet`; `source_file` and `persistence` stand apart from `watch` and `store`. - types: `Kept` -> `PersistedEndpoints`, `Said` -> `SelfReport`, `News` -> `RestartEffect`, `Restart` -> `RestartMethod` with RFC 3435's names, `Tallies` -> `Counters`, `Folder` -> `StateFolder`, `Outcome` -> `ReloadOutcome`. Tuples become `ListedServer`, `ServerChange`, `FileVersion`, `FileGeneration`, `LoadedEndpoints`. - typed errors with the texts that they had: `ReadError`, `RestoreError`, `RejectedFile`, `ReadingError`, `Refusal` (a held fleet is one of its variants, its counter is still "held"), and `FleetWarning`. - the workspace's lints hold, without allowances; every public item has a doc comment. - `tests/fleet.rs` becomes `fleet_files`, `adoption`, `server_table`, `reloader`, `store` and `common`; the tests keep their names. Where a test compared a joined string it now checks the variant and the text. - plain renames in front, check, sim and docs/discovery.md; a tuple of endpoint and report becomes `ListedServer` there too. Nothing that is stored, printed by name or counted has changed.

--- a/crates/ochrelead-check/src/main.rs
+++ b/crates/ochrelead-check/src/main.rs
@@ -6,7 +6,7 @@
 use clap::Parser;
 use ochrelead_config::diagnostic::Diagnostic;
 use ochrelead_config::{front_config, scenario};
-use ochrelead_discovery::sheet;
+use ochrelead_discovery::fleet;
 use ochrelead_discovery::watch;
 
 /// The exit code where something would be rejected.
@@ -55,13 +55,13 @@
     }
 
     fn check_fleet(&mut self, path: &Path, services: &[String]) {
-        let files = watch::pages(path);
+        let files = watch::read_files(path);
         if files.is_empty() {
             self.errors.push(format!("{}: no fleet file is there", path.display()));
             return;
         }
-        if let Some(fleet) = self.accept(sheet::join(&files, services)) {
-            let warnings = sheet::warnings(&fleet);
+        if let Some(fleet) = self.accept(fleet::join(&files, services)) {
+            let warnings = fleet::warnings(&fleet);
             self.warnings
                 .extend(warnings.into_iter().map(|warning| format!("{}: {warning}", path.display())));
         }
--- a/crates/ochrelead-discovery/benches/adoption.rs
+++ b/crates/ochrelead-discovery/benches/adoption.rs
@@ -10,7 +10,7 @@
 use hdrhistogram::Histogram;
 use notify::{RecursiveMode, Watcher};
 use ochrelead_core::time::Moment;
-use ochrelead_discovery::keeper::Keeper;
+use ochrelead_discovery::reloader::EndpointReloader;
 use ochrelead_discovery::watch;
 
 const REWRITES: u64 = 2_000;
@@ -36,7 +36,7 @@
         notify::recommended_watcher(move |_| told.send(Instant::now()).unwrap_or(())).expect("a watcher");
     watcher.watch(&folder, RecursiveMode::NonRecursive).expect("a folder to watch");
     thread::sleep(Duration::from_millis(200));
-    let mut keeper = Keeper::new(vec!["check".to_owned()], None);
+    let mut reloader = EndpointReloader::new(vec!["check".to_owned()], None);
     let histogram = || Histogram::<u64>::new_with_bounds(1, 10_000_000, 3).expect("sound bounds");
     let (mut floor, mut adopted) = (histogram(), histogram());
     let begun = Instant::now();
@@ -47,11 +47,11 @@
         if let Ok(event) = events.recv_timeout(Duration::from_millis(50)) {
             let _ = floor.record(event.saturating_duration_since(written).as_micros().max(1) as u64);
         }
-        while keeper.in_force().generation() != generation && written.elapsed() < Duration::from_secs(1) {
+        while reloader.in_force().generation() != generation && written.elapsed() < Duration::from_secs(1) {
             match readings.try_recv() {
-                Ok(pages) => {
+                Ok(files) => {
                     let now = Moment::from_micros(begun.elapsed().as_micros() as u64);
-                    drop(keeper.read(now, pages));
+                    drop(reloader.handle_files(now, files));
                 }
                 Err(_) => thread::sleep(Duration::from_micros(20)),
             }
--- a/crates/ochrelead-discovery/src/counters.rs
+++ b/crates/ochrelead-discovery/src/counters.rs
@@ -1,4 +1,4 @@
-//! Plain counters of adoptions and refusals, in the prometheus text form.
+//! Counters of adoptions and refusals, in the text format of Prometheus.
 
 use std::collections::BTreeMap;
 
@@ -9,64 +9,83 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
-use crate::adopt::Change;
+use crate::adoption::ServerChange;
 
-/// What was counted.
+/// The prefix of all metric names.
+const PREFIX: &str = "ochrelead_fleet";
+/// The age of a fleet that was not adopted by this process.
+const UNKNOWN_AGE: i64 = -1;
+
+/// What was counted since the start.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Tallies {
+pub struct Counters {
+    /// Readings whose contents differed from the one before.
     pub readings: u64,
+    /// Fleets adopted.
     pub adoptions: u64,
+    /// Changes of servers by adopted fleets, by the name of the change.
     pub changes: BTreeMap<&'static str, u64>,
+    /// Readings rejected, by reason.
     pub refusals: BTreeMap<&'static str, u64>,
 }
 
-impl Tallies {
-    pub(crate) fn adopted(&mut self, changes: &[(String, Change)]) {
+impl Counters {
+    pub(crate) fn count_adoption(&mut self, changes: &[ServerChange]) {
         self.adoptions += 1;
-        for (_, change) in changes {
-            *self.changes.entry(change.name()).or_insert(0) += 1;
+        for change in changes {
+            *self.changes.entry(change.kind.name()).or_insert(0) += 1;
         }
     }
 
-    pub(crate) fn refused(&mut self, reason: &'static str) {
+    pub(crate) fn count_refusal(&mut self, reason: &'static str) {
         *self.refusals.entry(reason).or_insert(0) += 1;
     }
 
     /// The counters as text, with the generation and the age of the fleet in force.
-    pub fn text(&self, generation: u64, age: Option<Span>) -> String {
-        let mut registry = Registry::with_prefix("ochrelead_fleet");
-        let counted = |value: u64| {
-            let counter: Counter = Counter::default();
-            counter.inc_by(value);
-            counter
-        };
-        registry.register("readings", "Changed contents that were read", counted(self.readings));
-        registry.register("adoptions", "Fleets adopted", counted(self.adoptions));
-        for (name, help, by) in [
-            ("changes", "Changes of servers by adopted fleets", &self.changes),
-            ("refusals", "Readings refused or held, by reason", &self.refusals),
-        ] {
-            let family = Family::<Vec<(String, String)>, Counter>::default();
-            for (reason, count) in by {
-                let labels = vec![("reason".to_owned(), (*reason).to_owned())];
-                family.get_or_create(&labels).inc_by(*count);
-            }
-            registry.register(name, help, family);
-        }
-        let level = |value: i64| {
-            let gauge: Gauge = Gauge::default();
-            gauge.set(value);
-            gauge
-        };
-        registry.register("generation", "The generation in force", level(generation as i64));
-        let age = age.map_or(-1, |age| (age.micros() / 1_000_000) as i64);
+    pub fn to_prometheus(&self, generation: u64, age: Option<Span>) -> String {
+        let mut registry = Registry::with_prefix(PREFIX);
+        registry.register("readings", "Changed contents that were read", counter(self.readings));
+        registry.register("adoptions", "Fleets adopted", counter(self.adoptions));
+        registry.register(
+            "changes",
+            "Changes of servers by adopted fleets",
+            counters_by_reason(&self.changes),
+        );
+        registry.register(
+            "refusals",
+            "Readings refused or held, by reason",
+            counters_by_reason(&self.refusals),
+        );
+        registry.register("generation", "The generation in force", gauge(generation as i64));
+        let age_seconds = age.map_or(UNKNOWN_AGE, |age| (age.micros() / 1_000_000) as i64);
         registry.register(
             "age_seconds",
             "Since the fleet in force was adopted; -1 where it was kept",
-            level(age),
+            gauge(age_seconds),
         );
         let mut text = String::new();
         encode(&mut text, &registry).expect("a string takes all that is written");
         text
     }
 }
+
+fn counter(value: u64) -> Counter {
+    let counter = Counter::default();
+    counter.inc_by(value);
+    counter
+}
+
+fn counters_by_reason(counts: &BTreeMap<&'static str, u64>) -> Family<Vec<(String, String)>, Counter> {
+    let family = Family::<Vec<(String, String)>, Counter>::default();
+    for (reason, count) in counts {
+        let labels = vec![("reason".to_owned(), (*reason).to_owned())];
+        family.get_or_create(&labels).inc_by(*count);
+    }
+    family
+}
+
+fn gauge(value: i64) -> Gauge {
+    let gauge = Gauge::default();
+    gauge.set(value);
+    gauge
+}
--- a/crates/ochrelead-discovery/src/watch.rs
+++ b/crates/ochrelead-discovery/src/watch.rs
@@ -1,5 +1,5 @@
-//! Files and notifications. A thread of its own reads all files whole whenever something moved, and at a slow
-//! poll beside that, for events get lost and some file systems give none. It decides nothing.
+//! Files and notifications. A thread reads all files whole whenever anything has changed, and at a slow poll besides:
+//! events get lost, and some file systems give none. It decides nothing.
 
 use std::fs;
 use std::io;
@@ -11,87 +11,91 @@
 use async_channel::{Receiver, Sender};
 use notify::{RecursiveMode, Watcher};
 
-use crate::sheet::Page;
+use crate::source_file::{MAX_FILE_SIZE, ReadError, SourceFile};
 
-/// How often the files are read although nothing was told.
-const POLL: Duration = Duration::from_millis(100);
-/// Events that come together are one.
-const GATHER: Duration = Duration::from_millis(2);
-/// The folder is watched anew so often: it may be another under the same name.
-const RENEW: Duration = Duration::from_millis(500);
-/// The ending of a fleet file; others in a folder are not read.
-const ENDING: &str = "textproto";
-/// The largest file that is read.
-const LARGEST: u64 = 16 * 1024 * 1024;
+/// How often the files are read although no event has come.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Events that come within this time are one.
+const EVENT_GATHERING: Duration = Duration::from_millis(2);
+/// How often the watch is renewed: the folder may be another one of the same name.
+const WATCH_RENEWAL: Duration = Duration::from_millis(500);
+/// The extension of a fleet file; other files of a folder are not read.
+const EXTENSION: &str = "textproto";
 
-/// Reads a fleet file, or all of a folder, by their names.
-pub fn pages(path: &Path) -> Vec<Page> {
-    let mut files: Vec<PathBuf> = match fs::read_dir(path) {
-        Ok(entries) => entries.flatten().map(|entry| entry.path()).filter(|file| is_fleet(file)).collect(),
+/// Reads a fleet file, or all of a folder, in the order of their names.
+pub fn read_files(path: &Path) -> Vec<SourceFile> {
+    let mut paths: Vec<PathBuf> = match fs::read_dir(path) {
+        Ok(entries) => {
+            entries.flatten().map(|entry| entry.path()).filter(|file| is_fleet_file(file)).collect()
+        }
         Err(_) if path.is_file() => vec![path.to_owned()],
         Err(_) => Vec::new(),
     };
-    files.sort();
-    let name = |file: &Path| file.file_name().unwrap_or(file.as_os_str()).to_string_lossy().into_owned();
-    files.iter().map(|file| Page { name: name(file), text: read(file) }).collect()
+    paths.sort();
+    paths.iter().map(|path| SourceFile { name: file_name(path), text: read_text(path) }).collect()
+}
+
+fn file_name(path: &Path) -> String {
+    path.file_name().unwrap_or(path.as_os_str()).to_string_lossy().into_owned()
 }
 
-fn is_fleet(file: &Path) -> bool {
-    let hidden = file.file_name().is_some_and(|name| name.to_string_lossy().starts_with('.'));
-    !hidden && file.extension().is_some_and(|ending| ending == ENDING)
+fn is_fleet_file(path: &Path) -> bool {
+    let is_hidden = path.file_name().is_some_and(|name| name.to_string_lossy().starts_with('.'));
+    !is_hidden && path.extension().is_some_and(|extension| extension == EXTENSION)
 }
 
-fn read(file: &Path) -> Result<String, String> {
-    let size = fs::metadata(file).map_err(|error| error.to_string())?.len();
-    if size > LARGEST {
-        return Err(format!("{size} bytes; a fleet file has {LARGEST} at most"));
+fn read_text(path: &Path) -> Result<String, ReadError> {
+    let io_error = |error: io::Error| ReadError::Io(error.to_string());
+    let size = fs::metadata(path).map_err(io_error)?.len();
+    if size > MAX_FILE_SIZE {
+        return Err(ReadError::TooLarge(size));
     }
-    let bytes = fs::read(file).map_err(|error| error.to_string())?;
-    String::from_utf8(bytes).map_err(|error| format!("not UTF-8 text: {error}"))
+    let bytes = fs::read(path).map_err(io_error)?;
+    String::from_utf8(bytes).map_err(|error| ReadError::NotUtf8(error.utf8_error()))
 }
 
-/// Watches a file or a folder; each changed reading comes out of the channel. Ends when that is dropped.
+/// Watches a file or a folder; each changed reading comes out of the channel. The thread ends when that is dropped.
 ///
 /// # Errors
 ///
-/// Where no thread can be started.
-pub fn start(path: PathBuf) -> io::Result<Receiver<Vec<Page>>> {
-    let (out, readings) = async_channel::unbounded();
-    thread::Builder::new().name("fleet".to_owned()).spawn(move || follow(&path, &out))?;
+/// Where the thread can't be started.
+pub fn start(path: PathBuf) -> io::Result<Receiver<Vec<SourceFile>>> {
+    let (sender, readings) = async_channel::unbounded();
+    thread::Builder::new().name("fleet".to_owned()).spawn(move || run(&path, &sender))?;
     Ok(readings)
 }
 
-fn follow(path: &Path, out: &Sender<Vec<Page>>) {
-    let (told, news) = mpsc::channel();
+fn run(path: &Path, readings: &Sender<Vec<SourceFile>>) {
+    let (event_sender, events) = mpsc::channel();
     let mut watcher = None;
-    let mut renewed = Instant::now();
-    let mut last = None;
-    while !out.is_closed() {
-        if watcher.is_none() || renewed.elapsed() > RENEW {
-            watcher = watch(path, told.clone());
-            renewed = Instant::now();
+    let mut watched_since = Instant::now();
+    let mut last_reading = None;
+    while !readings.is_closed() {
+        if watcher.is_none() || watched_since.elapsed() > WATCH_RENEWAL {
+            watcher = watch(path, event_sender.clone());
+            watched_since = Instant::now();
         }
-        let now = pages(path);
-        if last.as_ref() != Some(&now) {
-            last = Some(now.clone());
-            if out.send_blocking(now).is_err() {
+        let reading = read_files(path);
+        if last_reading.as_ref() != Some(&reading) {
+            last_reading = Some(reading.clone());
+            if readings.send_blocking(reading).is_err() {
                 return;
             }
         }
-        if news.recv_timeout(POLL) == Err(RecvTimeoutError::Disconnected) {
-            thread::sleep(POLL);
+        if events.recv_timeout(POLL_INTERVAL) == Err(RecvTimeoutError::Disconnected) {
+            thread::sleep(POLL_INTERVAL);
         }
-        thread::sleep(GATHER);
-        while news.try_recv().is_ok() {}
+        thread::sleep(EVENT_GATHERING);
+        while events.try_recv().is_ok() {}
     }
 }
 
-/// Watches the path and the folder that it is in: a swapped link is an event of that folder.
-fn watch(path: &Path, told: mpsc::Sender<()>) -> Option<impl Watcher> {
+/// Watches the path and the folder that it is in: a replaced link is an event of that folder.
+fn watch(path: &Path, events: mpsc::Sender<()>) -> Option<impl Watcher> {
     // Where nothing can be watched the poll serves.
     let mut watcher = notify::recommended_watcher(move |event: notify::Result<notify::Event>| {
         if event.is_ok_and(|event| !event.kind.is_access()) {
-            let _ = told.send(());
+            let _ = events.send(());
         }
     })
     .ok()?;
--- /dev/null
+++ b/crates/ochrelead-discovery/tests/store.rs
@@ -0,0 +1,127 @@
+//! What is stored, and what a kill at any step leaves of it.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+
+use common::{empty_folder, endpoint, moment};
+use ochrelead_config::server_endpoint::ServerEndpoint;
+use ochrelead_discovery::persistence::{FileGeneration, PersistedEndpoints, RestoreError};
+use ochrelead_discovery::server_table::{ListedServer, SelfReport};
+use ochrelead_discovery::store::{self, Disk, LoadedEndpoints, StateFolder};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+fn endpoints(generation: u64) -> PersistedEndpoints {
+    let draining = ServerEndpoint {
+        started: Some(moment(3)),
+        lines: 7,
+        services: vec!["check".to_owned()],
+        ..endpoint("s0", 1)
+    };
+    let servers = vec![
+        ListedServer { endpoint: draining, self_report: SelfReport::Draining },
+        ListedServer { endpoint: endpoint("s1", 2), self_report: SelfReport::None },
+    ];
+    PersistedEndpoints { files: vec![FileGeneration { name: "a".to_owned(), generation }], servers }
+}
+
+#[test]
+fn what_is_kept_is_read_again_and_any_flipped_byte_is_found() {
+    let text = endpoints(5).encode();
+    assert_eq!(PersistedEndpoints::decode("kept", &text), Ok(endpoints(5)));
+    for index in 0..text.len() {
+        let mut bytes = text.clone().into_bytes();
+        bytes[index] ^= 1;
+        let read = PersistedEndpoints::decode("kept", &String::from_utf8_lossy(&bytes));
+        assert!(read.is_err(), "byte {index}");
+    }
+    let newer = text.replacen("kept 1", "kept 2", 1);
+    let error = PersistedEndpoints::decode("kept", &newer).unwrap_err();
+    assert!(matches!(error, RestoreError::UnknownHeader(_)), "{error:?}");
+    assert!(error.to_string().contains("no file of this kind and version"), "{error}");
+}
+
+/// A disk whose process is killed after some steps; a write that is cut leaves a torn file.
+struct KilledDisk {
+    files: BTreeMap<String, String>,
+    steps_left: u32,
+    rng: Pcg64Mcg,
+}
+
+impl KilledDisk {
+    fn step(&mut self) -> io::Result<()> {
+        self.steps_left = self.steps_left.checked_sub(1).ok_or_else(|| io::Error::other("killed"))?;
+        Ok(())
+    }
+}
+
+impl Disk for KilledDisk {
+    fn read(&self, name: &str) -> io::Result<Option<String>> {
+        Ok(self.files.get(name).cloned())
+    }
+
+    fn write(&mut self, name: &str, text: &str) -> io::Result<()> {
+        let torn = self.rng.random_range(0..text.len());
+        self.files.insert(name.to_owned(), text[..torn].to_owned());
+        self.step()?;
+        self.files.insert(name.to_owned(), text.to_owned());
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.step()?;
+        let text = self.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
+        self.files.insert(to.to_owned(), text);
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.step()
+    }
+}
+
+#[test]
+fn killed_at_any_step_two_hundred_times_something_whole_is_left() {
+    let mut disk =
+        KilledDisk { files: BTreeMap::new(), steps_left: u32::MAX, rng: Pcg64Mcg::seed_from_u64(4) };
+    store::save(&mut disk, &endpoints(1)).unwrap();
+    let mut saved = 1;
+    for generation in 2..202 {
+        disk.steps_left = disk.rng.random_range(0..5);
+        let done = store::save(&mut disk, &endpoints(generation)).is_ok();
+        let loaded = store::load(&disk).unwrap();
+        let read = loaded.endpoints.expect("something whole").files[0].generation;
+        assert!(read == saved || read == generation, "{read} after {saved}");
+        assert!(!done || read == generation, "what was saved is there");
+        saved = read;
+    }
+}
+
+#[test]
+fn a_torn_present_file_is_passed_over_with_a_line_and_does_not_displace_the_former() {
+    let mut disk =
+        KilledDisk { files: BTreeMap::new(), steps_left: u32::MAX, rng: Pcg64Mcg::seed_from_u64(4) };
+    store::save(&mut disk, &endpoints(1)).unwrap();
+    store::save(&mut disk, &endpoints(2)).unwrap();
+    disk.files.insert("kept".to_owned(), "foreign".to_owned());
+    let loaded = store::load(&disk).unwrap();
+    assert_eq!((loaded.endpoints, loaded.rejected.len()), (Some(endpoints(1)), 1));
+    disk.steps_left = 1;
+    assert!(store::save(&mut disk, &endpoints(3)).is_err());
+    assert_eq!(store::load(&disk).unwrap().endpoints, Some(endpoints(1)));
+}
+
+#[test]
+fn a_folder_of_the_file_system_keeps_and_forgets_nothing() {
+    let path = empty_folder("kept");
+    let mut disk = StateFolder::open(&path).unwrap();
+    assert_eq!(store::load(&disk).unwrap(), LoadedEndpoints { endpoints: None, rejected: vec![] });
+    store::save(&mut disk, &endpoints(1)).unwrap();
+    store::save(&mut disk, &endpoints(2)).unwrap();
+    assert_eq!(store::load(&disk).unwrap().endpoints, Some(endpoints(2)));
+    fs::write(path.join("kept"), "torn").unwrap();
+    assert_eq!(store::load(&disk).unwrap().endpoints, Some(endpoints(1)));
+}
--- a/crates/ochrelead-discovery/tests/stored_bytes.rs
+++ b/crates/ochrelead-discovery/tests/stored_bytes.rs
@@ -5,15 +5,16 @@
 
 use ochrelead_config::server_endpoint::ServerEndpoint;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_discovery::counters::Tallies;
-use ochrelead_discovery::roster::{Roster, Said};
-use ochrelead_discovery::store::{self, Folder, Kept};
+use ochrelead_discovery::counters::Counters;
+use ochrelead_discovery::persistence::{FileGeneration, PersistedEndpoints};
+use ochrelead_discovery::server_table::{ListedServer, SelfReport, ServerTable};
+use ochrelead_discovery::store::{self, LoadedEndpoints, StateFolder};
 
 fn fixtures() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures")
 }
 
-fn post(number: u16) -> ServerEndpoint {
+fn endpoint(number: u16) -> ServerEndpoint {
     ServerEndpoint {
         name: format!("s{number}"),
         address: ([127, 0, 0, 1], 1_000 + number).into(),
@@ -28,13 +29,15 @@
     }
 }
 
-fn servers() -> Vec<(ServerEndpoint, Said)> {
-    let said = [Said::Nothing, Said::Drains, Said::Gone, Said::Nothing];
-    said.into_iter().enumerate().map(|(number, said)| (post(number as u16), said)).collect()
+fn servers() -> Vec<ListedServer> {
+    let self_reports = [SelfReport::None, SelfReport::Draining, SelfReport::Gone, SelfReport::None];
+    let server = |(number, self_report)| ListedServer { endpoint: endpoint(number as u16), self_report };
+    self_reports.into_iter().enumerate().map(server).collect()
 }
 
-fn state(generation: u64) -> Kept {
-    Kept { files: vec![("fleet.d/a.textproto".to_owned(), generation)], servers: servers() }
+fn state(generation: u64) -> PersistedEndpoints {
+    let file = FileGeneration { name: "fleet.d/a.textproto".to_owned(), generation };
+    PersistedEndpoints { files: vec![file], servers: servers() }
 }
 
 fn assert_stored(folder: &Path, name: &str) {
@@ -48,7 +51,7 @@
 fn state_folder_is_written_as_it_was_stored() {
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("stored_state");
     let _ = fs::remove_dir_all(&path);
-    let mut folder = Folder::open(&path).unwrap();
+    let mut folder = StateFolder::open(&path).unwrap();
     store::save(&mut folder, &state(12)).unwrap();
     store::save(&mut folder, &state(13)).unwrap();
     assert_stored(&path, "kept");
@@ -58,24 +61,24 @@
 
 #[test]
 fn stored_state_folder_is_read() {
-    let (loaded, passed_over) = store::load(&Folder::open(&fixtures()).unwrap()).unwrap();
-    assert_eq!((loaded, passed_over), (Some(state(13)), Vec::new()));
+    let loaded = store::load(&StateFolder::open(&fixtures()).unwrap()).unwrap();
+    assert_eq!(loaded, LoadedEndpoints { endpoints: Some(state(13)), rejected: Vec::new() });
     let former = fs::read_to_string(fixtures().join("kept.former")).unwrap();
-    assert_eq!(Kept::read("kept.former", &former), Ok(state(12)));
+    assert_eq!(PersistedEndpoints::decode("kept.former", &former), Ok(state(12)));
 }
 
 #[test]
 fn status_and_counters_are_the_stored_text() {
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("stored_text");
     fs::create_dir_all(&path).unwrap();
-    let mut roster = Roster::default();
-    let posts: Vec<ServerEndpoint> = servers().into_iter().map(|(post, _)| post).collect();
-    roster.relist(&posts, Moment::from_micros(1_700_000_000_000_000));
-    roster.remember(&servers());
-    roster.relist(&posts[1..], Moment::from_micros(1_700_000_001_000_000));
-    fs::write(path.join("status.txt"), roster.status().join("\n") + "\n").unwrap();
+    let mut table = ServerTable::default();
+    let endpoints: Vec<ServerEndpoint> = servers().into_iter().map(|server| server.endpoint).collect();
+    table.replace_list(&endpoints, Moment::from_micros(1_700_000_000_000_000));
+    table.restore_self_reports(&servers());
+    table.replace_list(&endpoints[1..], Moment::from_micros(1_700_000_001_000_000));
+    fs::write(path.join("status.txt"), table.status().join("\n") + "\n").unwrap();
     assert_stored(&path, "status.txt");
-    let tallies = Tallies {
+    let counters = Counters {
         readings: 9,
         adoptions: 4,
         changes: [("added", 3), ("moved", 2)].into(),
@@ -88,5 +91,5 @@
         lines
     };
     let stored = fs::read_to_string(fixtures().join("counters.prom")).unwrap();
-    assert_eq!(sorted(&tallies.text(13, Some(Span::from_secs(7)))), sorted(&stored));
+    assert_eq!(sorted(&counters.to_prometheus(13, Some(Span::from_secs(7)))), sorted(&stored));
 }
--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -19,7 +19,7 @@
 use ochrelead_core::index::{ServerIx, ServiceIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_core::types::{Decision, DecisionReason, InviteOutcome, LineCapacity, ServerSnapshot};
-use ochrelead_discovery::roster::{Roster, Said};
+use ochrelead_discovery::server_table::{ListedServer, ServerTable};
 use ochrelead_host::call_policy::CallPolicy;
 use ochrelead_host::called_numbers::CalledNumberTable;
 use ochrelead_host::recent_ids::RecentIds;
@@ -72,7 +72,7 @@
     now: Moment,
     exchange: Exchange,
     calls: CallTable,
-    roster: Roster,
+    server_table: ServerTable,
     called_numbers: CalledNumberTable,
     pending_commands: HashMap<TransactionId, PendingCommand>,
     /// Attempts that have ended, though this front holds no session of them: nothing is set up for them any more.
@@ -110,7 +110,7 @@
             policy,
             now,
             calls: CallTable::default(),
-            roster: Roster::default(),
+            server_table: ServerTable::default(),
             called_numbers: CalledNumberTable::new(MAX_CALLED_NUMBERS),
             pending_commands: HashMap::new(),
             ended_attempts: RecentIds::new(MAX_ENDED_ATTEMPTS),
@@ -166,23 +166,23 @@
             let all_serve = servers.len() == endpoints.len();
             self.policy.on_service_servers(ServiceIx::new(service), if all_serve { &[] } else { &servers });
         }
-        let updates = self.roster.relist(endpoints, self.now);
+        let updates = self.server_table.replace_list(endpoints, self.now);
         self.policy.on_endpoints(true, &updates);
-        self.emit(EngineEvent::EndpointsChanged(self.roster.posts()));
+        self.emit(EngineEvent::EndpointsChanged(self.server_table.listed_servers()));
     }
 
     /// Restores what the servers had said of themselves before this front was restarted.
-    pub fn restore_self_reports(&mut self, now: Moment, persisted: &[(ServerEndpoint, Said)]) {
+    pub fn restore_self_reports(&mut self, now: Moment, persisted: &[ListedServer]) {
         self.advance_to(now);
-        let updates = self.roster.remember(persisted);
+        let updates = self.server_table.restore_self_reports(persisted);
         self.policy.on_endpoints(true, &updates);
-        self.emit(EngineEvent::EndpointsChanged(self.roster.posts()));
+        self.emit(EngineEvent::EndpointsChanged(self.server_table.listed_servers()));
     }
 
     /// A datagram could not be sent. A set-up to that address has failed to connect; all else is repeated.
     pub fn on_send_failed(&mut self, now: Moment, to: SocketAddr) {
         self.advance_to(now);
-        let Some(server) = self.roster.at(to) else { return };
+        let Some(server) = self.server_table.find_by_address(to) else { return };
         for session in self.calls.inviting_at(server) {
             // The server may have moved: an INVITE to its other address is under way.
             if self.is_served_from(session, to) {
@@ -290,18 +290,22 @@
 
     /// One line a server: its state and the reason for it.
     pub fn status(&self) -> Vec<String> {
-        self.roster.status()
+        self.server_table.status()
     }
 
     /// The state of each listed server.
     pub fn server_reports(&self) -> Vec<ServerReport> {
         let report = |name: String| {
-            let server = self.roster.named(&name)?;
+            let server = self.server_table.find_by_name(&name)?;
             let last_heard = self.last_heard.get(server.index()).copied().flatten();
             let silent_for = last_heard.map(|heard_at| self.now.since(heard_at));
             Some(ServerReport { name, snapshot: self.policy.server_snapshot(server)?, silent_for })
         };
-        self.roster.posts().into_iter().filter_map(|(endpoint, _)| report(endpoint.name)).collect()
+        self.server_table
+            .listed_servers()
+            .into_iter()
+            .filter_map(|server| report(server.endpoint.name))
+            .collect()
     }
 
     /// Releases that servers have not confirmed.
@@ -339,6 +343,6 @@
     }
 
     fn server_name(&self, server: ServerIx) -> String {
-        self.roster.post(server).name.clone()
+        self.server_table.endpoint(server).name.clone()
     }
 }
--- a/crates/ochrelead-front/src/engine/caller_side.rs
+++ b/crates/ochrelead-front/src/engine/caller_side.rs
@@ -138,9 +138,9 @@
             Some((connection, endpoint.parse::<Endpoint>().ok()?))
         });
         let Some((connection, endpoint)) = far_end else { return };
-        match self.roster.named(endpoint.domain()) {
+        match self.server_table.find_by_name(endpoint.domain()) {
             Some(server) => {
-                let to = self.roster.post(server).address;
+                let to = self.server_table.endpoint(server).address;
                 self.release_connection(to, endpoint, Some(attempt), Some(connection));
             }
             None => self.ignore_message(from, format!("try {attempt}: no server {}", endpoint.domain())),
--- a/crates/ochrelead-front/src/engine/server_side.rs
+++ b/crates/ochrelead-front/src/engine/server_side.rs
@@ -6,7 +6,7 @@
 use ochrelead_core::index::{ServerIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_core::types::{InviteOutcome, LoadReport};
-use ochrelead_discovery::roster::Restart;
+use ochrelead_discovery::server_table::RestartMethod;
 use ochrelead_mgcp::message::{Command, Endpoint, Parameters, Response, Verb, code, name};
 
 use super::Engine;
@@ -53,7 +53,7 @@
     }
 
     fn trunk_endpoint(&self, server: ServerIx, circuit: &str) -> Endpoint {
-        let ServerEndpoint { name, trunk, .. } = self.roster.post(server);
+        let ServerEndpoint { name, trunk, .. } = self.server_table.endpoint(server);
         let endpoint = format!("{trunk}/{circuit}@{name}");
         endpoint.parse().expect("the names of listed servers were validated as parts of endpoint names")
     }
@@ -69,7 +69,7 @@
             .with(name::TRY, &call.attempt)
             .with(name::CALLED, &call.called_number);
         let max_repeats = call.remaining_repeats;
-        let address = self.roster.post(server).address;
+        let address = self.server_table.endpoint(server).address;
         let key = self.calls.key(session);
         let sequence = self.calls.count_invite(session);
         let name = self.server_name(server);
@@ -182,7 +182,7 @@
     /// A response that no command waits for. Where it says that a call was established, nobody will ever release that
     /// call: it is released here, unless its circuit is in use by now.
     pub(super) fn release_unclaimed_call(&mut self, from: SocketAddr, response: &Response) {
-        let Some(server) = self.roster.at(from) else { return };
+        let Some(server) = self.server_table.find_by_address(from) else { return };
         if response.code != code::DONE {
             return;
         }
@@ -286,26 +286,27 @@
 
     /// A server announces its restart, its drain or its end.
     pub(super) fn handle_restart(&mut self, from: SocketAddr, command: &Command) {
-        let server = self.roster.named(command.endpoint.domain());
-        let Some(server) = server.filter(|server| self.roster.at(from) == Some(*server)) else {
+        let server = self.server_table.find_by_name(command.endpoint.domain());
+        let Some(server) = server.filter(|server| self.server_table.find_by_address(from) == Some(*server))
+        else {
             self.respond(from, code::UNKNOWN_ENDPOINT, command);
             return self.ignore_message(from, format!("RSIP of {}, which is not listed", command.endpoint));
         };
-        let method = command.parameters.get(name::RESTART).unwrap_or("");
-        let Some(restart) = Restart::read(method) else {
+        let parameter = command.parameters.get(name::RESTART).unwrap_or("");
+        let Some(method) = RestartMethod::parse(parameter) else {
             self.respond(from, code::PROTOCOL_ERROR, command);
-            return self.ignore_message(from, format!("RSIP with the unknown method {method:?}"));
+            return self.ignore_message(from, format!("RSIP with the unknown method {parameter:?}"));
         };
         self.respond(from, code::DONE, command);
         // The delay of a drain is how long it lasts, not when it begins: nothing new goes there from now on.
-        let Some(news) = self.roster.told(server, restart, self.now) else { return };
-        if news.cut {
+        let Some(effect) = self.server_table.handle_restart(server, method, self.now) else { return };
+        if effect.calls_lost {
             self.lose_calls(server, from);
         }
-        self.policy.on_endpoints(false, &[news.listing]);
+        self.policy.on_endpoints(false, &[effect.update]);
         let name = self.server_name(server);
-        self.emit(EngineEvent::ServerRestart { name, state: restart_state(restart) });
-        self.emit(EngineEvent::EndpointsChanged(self.roster.posts()));
+        self.emit(EngineEvent::ServerRestart { name, state: restart_state(method) });
+        self.emit(EngineEvent::EndpointsChanged(self.server_table.listed_servers()));
     }
 
     /// What the old process of a server had is gone; its responses are of no use any more.
@@ -322,12 +323,12 @@
 }
 
 /// What a restart method says of the server, as the event log has it.
-fn restart_state(restart: Restart) -> &'static str {
-    match restart {
-        Restart::Started => "started",
-        Restart::Drains => "drains",
-        Restart::Gone => "gone",
-        Restart::Back | Restart::Disconnected => "back",
+fn restart_state(method: RestartMethod) -> &'static str {
+    match method {
+        RestartMethod::Restart => "started",
+        RestartMethod::Graceful => "drains",
+        RestartMethod::Forced => "gone",
+        RestartMethod::CancelGraceful | RestartMethod::Disconnected => "back",
     }
 }
 
--- a/crates/ochrelead-front/src/engine/transactions.rs
+++ b/crates/ochrelead-front/src/engine/transactions.rs
@@ -43,7 +43,7 @@
     }
 
     fn handle_command(&mut self, from: SocketAddr, command: &Command) {
-        let server = self.roster.at(from);
+        let server = self.server_table.find_by_address(from);
         if let Some(server) = server {
             self.mark_heard(server);
             self.update_load(server, &command.parameters);
@@ -66,7 +66,7 @@
     }
 
     fn handle_response(&mut self, from: SocketAddr, response: &Response, claim: Claim) {
-        if let Some(server) = self.roster.at(from) {
+        if let Some(server) = self.server_table.find_by_address(from) {
             self.mark_heard(server);
             self.update_load(server, &response.parameters);
         }
--- a/crates/ochrelead-front/src/event_recording.rs
+++ b/crates/ochrelead-front/src/event_recording.rs
@@ -23,7 +23,7 @@
             what: format!("{LINES}{}/{}", lines.free, lines.total),
         }),
         EngineEvent::EndpointsChanged(endpoints) => {
-            let server = endpoints.iter().map(|(endpoint, _)| endpoint.name.clone()).collect();
+            let server = endpoints.iter().map(|server| server.endpoint.name.clone()).collect();
             What::Fleet(schema::Fleet { generation, server })
         }
         EngineEvent::Stalled(span) => What::PausedUs(span.micros()),
--- a/crates/ochrelead-front/src/events.rs
+++ b/crates/ochrelead-front/src/events.rs
@@ -1,9 +1,8 @@
 //! What the engine reports for the log and the event log. The host writes it; nothing is decided by it.
 
-use ochrelead_config::server_endpoint::ServerEndpoint;
 use ochrelead_core::time::Span;
 use ochrelead_core::types::{DecisionReason, InviteOutcome, LineCapacity, RejectionCause};
-use ochrelead_discovery::roster::Said;
+use ochrelead_discovery::server_table::ListedServer;
 
 /// One event.
 #[derive(Clone, Debug, PartialEq)]
@@ -30,7 +29,7 @@
         lines: LineCapacity,
     },
     /// The list of servers has changed: what a restarted front has to know.
-    EndpointsChanged(Vec<(ServerEndpoint, Said)>),
+    EndpointsChanged(Vec<ListedServer>),
     /// A message was ignored.
     MessageIgnored {
         /// Where it came from.
--- a/crates/ochrelead-front/src/host.rs
+++ b/crates/ochrelead-front/src/host.rs
@@ -18,9 +18,10 @@
 use futures_lite::{StreamExt, future, stream};
 use ochrelead_config::front_config::FrontConfig;
 use ochrelead_core::time::Moment;
-use ochrelead_discovery::keeper::{Keeper, Outcome};
-use ochrelead_discovery::sheet::Page;
-use ochrelead_discovery::store::{self, Folder, Kept};
+use ochrelead_discovery::persistence::PersistedEndpoints;
+use ochrelead_discovery::reloader::{EndpointReloader, ReloadOutcome};
+use ochrelead_discovery::source_file::SourceFile;
+use ochrelead_discovery::store::{self, StateFolder};
 use ochrelead_discovery::watch;
 use ochrelead_host::clock::Clock;
 use tracing::{info, warn};
@@ -46,7 +47,7 @@
 
 enum HostEvent {
     Readable,
-    EndpointFiles(Vec<Page>),
+    EndpointFiles(Vec<SourceFile>),
     Terminate,
     TimedOut,
 }
@@ -67,12 +68,12 @@
     let (services, name) = (config.service_names.clone(), config.name.clone());
     let mut engine = new_engine(config);
     let reloader = paths.fleet.is_some().then(|| {
-        let fleet = persisted.as_ref().and_then(Kept::fleet);
+        let fleet = persisted.as_ref().and_then(PersistedEndpoints::fleet);
         if let Some(fleet) = &fleet {
             info!(generation = fleet.generation(), "persisted endpoints in force");
             engine.update_endpoints(clock.now(), &fleet.servers);
         }
-        Keeper::new(services, fleet)
+        EndpointReloader::new(services, fleet)
     });
     let readings = paths.fleet.clone().map(watch::start).transpose()?;
     if let Some(persisted) = &persisted {
@@ -86,18 +87,18 @@
     Ok(())
 }
 
-fn load_state(paths: &FrontPaths) -> io::Result<Option<Kept>> {
+fn load_state(paths: &FrontPaths) -> io::Result<Option<PersistedEndpoints>> {
     let Some(path) = &paths.state else { return Ok(None) };
-    let (persisted, rejected) = store::load(&Folder::open(path)?)?;
-    for reason in rejected {
-        warn!(reason, "state file ignored");
+    let loaded = store::load(&StateFolder::open(path)?)?;
+    for rejected in loaded.rejected {
+        warn!(reason = rejected.to_string(), "state file ignored");
     }
-    Ok(persisted)
+    Ok(loaded.endpoints)
 }
 
 struct Host {
     engine: Engine,
-    reloader: Option<Keeper>,
+    reloader: Option<EndpointReloader>,
     output: Output,
     clock: Clock,
 }
@@ -106,7 +107,7 @@
     async fn run(
         &mut self,
         socket: &Async<UdpSocket>,
-        readings: Option<Receiver<Vec<Page>>>,
+        readings: Option<Receiver<Vec<SourceFile>>>,
     ) -> io::Result<()> {
         let signals = Signals::new([Signal::Term, Signal::Int])?.map(|_| HostEvent::Terminate);
         let events = stream::or(signals, stream::or(endpoint_readings(readings), readability(socket)));
@@ -132,7 +133,7 @@
     }
 
     fn earliest_timeout(&self) -> Option<Moment> {
-        let reloader = self.reloader.as_ref().and_then(Keeper::wake);
+        let reloader = self.reloader.as_ref().and_then(EndpointReloader::poll_timeout);
         [self.engine.poll_timeout(), reloader, self.output.poll_timeout()].into_iter().flatten().min()
     }
 
@@ -167,18 +168,22 @@
                 self.engine.drain(now);
                 None
             }
-            (Some(HostEvent::EndpointFiles(files)), Some(reloader)) => reloader.read(now, files),
-            (_, Some(reloader)) => reloader.told(now),
+            (Some(HostEvent::EndpointFiles(files)), Some(reloader)) => reloader.handle_files(now, files),
+            (_, Some(reloader)) => reloader.poll_report(now),
             _ => None,
         };
         match outcome {
-            Some(Outcome::Adopt { servers, generation, changes }) => {
+            Some(ReloadOutcome::Adopted { servers, generation, changes }) => {
                 self.engine.update_endpoints(self.clock.now(), &servers);
-                let changes: Vec<String> =
-                    changes.iter().map(|(name, change)| format!("{name} {}", change.name())).collect();
+                let changes: Vec<String> = changes
+                    .iter()
+                    .map(|change| format!("{} {}", change.server, change.kind.name()))
+                    .collect();
                 info!(generation, changes = changes.join(", "), "endpoints adopted");
             }
-            Some(Outcome::Complain(reason)) => warn!(reason, "endpoints in force stay"),
+            Some(ReloadOutcome::Rejected(error)) => {
+                warn!(reason = error.to_string(), "endpoints in force stay");
+            }
             None => {}
         }
     }
@@ -199,7 +204,7 @@
 }
 
 /// Readings of the endpoint files as a stream; one that never yields where no files are watched.
-fn endpoint_readings(readings: Option<Receiver<Vec<Page>>>) -> impl Stream<Item = HostEvent> {
+fn endpoint_readings(readings: Option<Receiver<Vec<SourceFile>>>) -> impl Stream<Item = HostEvent> {
     stream::unfold(readings, |readings| async move {
         let Some(receiver) = &readings else { return future::pending().await };
         let mut files = receiver.recv().await.ok()?;
--- a/crates/ochrelead-front/src/host/output.rs
+++ b/crates/ochrelead-front/src/host/output.rs
@@ -3,8 +3,8 @@
 use std::io;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_discovery::keeper::Keeper;
-use ochrelead_discovery::store::Kept;
+use ochrelead_discovery::persistence::{FileGeneration, PersistedEndpoints};
+use ochrelead_discovery::reloader::EndpointReloader;
 use ochrelead_event_log::schema::event::What;
 use ochrelead_event_log::writer::{Bounds, Recorder};
 use ochrelead_host::clock::Clock;
@@ -71,7 +71,7 @@
     }
 
     /// Logs and records an event of the engine.
-    pub(super) fn write_event(&mut self, event: EngineEvent, reloader: Option<&Keeper>) {
+    pub(super) fn write_event(&mut self, event: EngineEvent, reloader: Option<&EndpointReloader>) {
         if self.event_log.is_some() {
             let generation = reloader.map_or(0, |reloader| reloader.in_force().generation());
             if let Some(record) = event_recording::to_record(&event, generation) {
@@ -90,16 +90,21 @@
             EngineEvent::EndpointsChanged(servers) if servers.is_empty() => {}
             EngineEvent::EndpointsChanged(servers) => {
                 let files = reloader.map(|reloader| &reloader.in_force().files).into_iter().flatten();
-                let files = files.map(|(name, (generation, _))| (name.clone(), *generation)).collect();
+                let files = files
+                    .map(|(name, version)| FileGeneration {
+                        name: name.clone(),
+                        generation: version.generation,
+                    })
+                    .collect();
                 if let Some(state_writer) = &self.state_writer {
-                    state_writer.write_endpoints(Kept { files, servers });
+                    state_writer.write_endpoints(PersistedEndpoints { files, servers });
                 }
             }
         }
     }
 
     /// Writes the status and the counters, where they are due, and flushes the event log.
-    pub(super) fn write_status(&mut self, now: Moment, engine: &Engine, reloader: Option<&Keeper>) {
+    pub(super) fn write_status(&mut self, now: Moment, engine: &Engine, reloader: Option<&EndpointReloader>) {
         if now >= self.next_flush {
             self.flush(now);
         }
@@ -148,7 +153,7 @@
     }
 }
 
-fn status_text(now: Moment, engine: &Engine, reloader: Option<&Keeper>) -> String {
+fn status_text(now: Moment, engine: &Engine, reloader: Option<&EndpointReloader>) -> String {
     let load = engine.load();
     let mut status = format!(
         "written_us: {}\nsessions held: {}, commands open: {}\n",
@@ -170,8 +175,8 @@
     status
 }
 
-fn counters_text(now: Moment, reloader: &Keeper) -> String {
-    reloader.tallies().text(reloader.in_force().generation(), reloader.age(now))
+fn counters_text(now: Moment, reloader: &EndpointReloader) -> String {
+    reloader.counters().to_prometheus(reloader.in_force().generation(), reloader.age(now))
 }
 
 fn log_step(attempt: &str, step: SessionStep) {
--- a/crates/ochrelead-front/src/state_writer.rs
+++ b/crates/ochrelead-front/src/state_writer.rs
@@ -6,13 +6,14 @@
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::thread::{self, JoinHandle};
 
-use ochrelead_discovery::store::{self, Folder, Kept};
+use ochrelead_discovery::persistence::PersistedEndpoints;
+use ochrelead_discovery::store::{self, StateFolder};
 use ochrelead_host::{COUNTERS, STATUS};
 use tracing::warn;
 
 /// What is to be written.
 enum StateWrite {
-    Endpoints(Kept),
+    Endpoints(PersistedEndpoints),
     Status { status: String, counters: String },
 }
 
@@ -29,7 +30,7 @@
     ///
     /// Where the folder can't be created or the thread can't be started.
     pub fn start(path: &Path) -> io::Result<StateWriter> {
-        let folder = Folder::open(path)?;
+        let folder = StateFolder::open(path)?;
         let (writes, queue) = mpsc::channel();
         let thread =
             thread::Builder::new().name("state-writer".to_owned()).spawn(move || run(folder, &queue))?;
@@ -37,7 +38,7 @@
     }
 
     /// Writes the endpoints in force, to survive a restart.
-    pub fn write_endpoints(&self, endpoints: Kept) {
+    pub fn write_endpoints(&self, endpoints: PersistedEndpoints) {
         self.send(StateWrite::Endpoints(endpoints));
     }
 
@@ -58,7 +59,7 @@
     }
 }
 
-fn run(mut folder: Folder, queue: &Receiver<StateWrite>) {
+fn run(mut folder: StateFolder, queue: &Receiver<StateWrite>) {
     while let Ok(first) = queue.recv() {
         let (mut newest_endpoints, mut newest_status) = (None, None);
         for write in std::iter::once(first).chain(queue.try_iter()) {
@@ -69,7 +70,7 @@
         }
         let saved = newest_endpoints.map_or(Ok(()), |endpoints| store::save(&mut folder, &endpoints));
         let shown = newest_status.map_or(Ok(()), |(status, counters)| {
-            folder.put(STATUS, &status).and_then(|()| folder.put(COUNTERS, &counters))
+            folder.replace(STATUS, &status).and_then(|()| folder.replace(COUNTERS, &counters))
         });
         if let Err(error) = saved.and(shown) {
             warn!(%error, "state could not be written");
--- a/crates/ochrelead-front/tests/engine/servers.rs
+++ b/crates/ochrelead-front/tests/engine/servers.rs
@@ -65,9 +65,11 @@
     let lists: Vec<_> = front
         .events()
         .into_iter()
-        .filter_map(|event| if let EngineEvent::EndpointsChanged(posts) = event { Some(posts) } else { None })
+        .filter_map(
+            |event| if let EngineEvent::EndpointsChanged(servers) = event { Some(servers) } else { None },
+        )
         .collect();
-    assert_eq!(lists[0][1].0.started, Some(at(10)));
+    assert_eq!(lists[0][1].endpoint.started, Some(at(10)));
     front.ask(20, gateway(), "RSIP *@s1", "RM: forced");
     front.sent(20);
     assert!(
--- a/crates/ochrelead-sim/src/front.rs
+++ b/crates/ochrelead-sim/src/front.rs
@@ -5,7 +5,8 @@
 
 use ochrelead_config::front_config::FrontConfig;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_discovery::store::{self, Kept};
+use ochrelead_discovery::persistence::PersistedEndpoints;
+use ochrelead_discovery::store;
 use ochrelead_event_log::reader::{FrontIncarnation, Log, Record};
 use ochrelead_event_log::schema::{Event, event::What};
 use ochrelead_front::engine::Engine;
@@ -38,7 +39,7 @@
     pub clock: ProcessClock,
     pub books: Books,
     /// The list that is to be written, and when.
-    writing: Option<(Moment, Kept)>,
+    writing: Option<(Moment, PersistedEndpoints)>,
     next_status: Moment,
     turned: (Moment, u32),
     life: FrontIncarnation,
@@ -87,7 +88,7 @@
         &mut self,
         now: Moment,
         judge: impl FnOnce(&FrontConfig, Moment) -> Box<dyn CallPolicy + Send>,
-        recall: impl FnOnce(Option<Kept>) -> Option<Kept>,
+        recall: impl FnOnce(Option<PersistedEndpoints>) -> Option<PersistedEndpoints>,
         chance: &mut Pcg64Mcg,
     ) {
         self.disk.revive();
@@ -99,7 +100,7 @@
         self.commission.controller.seed = chance.random();
         let judge = judge(&self.commission, shows);
         let mut engine = Engine::new(self.commission.clone(), judge, chance.random(), shows);
-        let kept = store::load(&self.disk).ok().and_then(|(kept, _)| kept);
+        let kept = store::load(&self.disk).ok().and_then(|loaded| loaded.endpoints);
         if let Some(kept) = recall(kept) {
             engine.restore_self_reports(shows, &kept.servers);
         }
@@ -157,7 +158,7 @@
         let mut wrong = Ok(());
         while let Some(note) = process.engine.poll_event() {
             if let EngineEvent::EndpointsChanged(servers) = &note {
-                let kept = Kept { files: Vec::new(), servers: servers.clone() };
+                let kept = PersistedEndpoints { files: Vec::new(), servers: servers.clone() };
                 process.writing = Some((shows + WRITES_AFTER, kept));
             }
             if let Some(what) = event_recording::to_record(&note, 0) {
--- a/crates/ochrelead-sim/src/world.rs
+++ b/crates/ochrelead-sim/src/world.rs
@@ -10,7 +10,7 @@
 use ochrelead_config::{document, schema};
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_discovery::store::Kept;
+use ochrelead_discovery::persistence::PersistedEndpoints;
 use ochrelead_emulator::Peer;
 use ochrelead_emulator::callers::Callers;
 use ochrelead_emulator::network::{Network, faults};
@@ -55,7 +55,7 @@
     }
 
     /// What a front that starts finds on its disk.
-    fn recalls(&self, kept: Option<Kept>) -> Option<Kept> {
+    fn recalls(&self, kept: Option<PersistedEndpoints>) -> Option<PersistedEndpoints> {
         kept
     }
 }
--- a/crates/ochrelead-sim/tests/sabotage.rs
+++ b/crates/ochrelead-sim/tests/sabotage.rs
@@ -4,8 +4,8 @@
 
 use ochrelead_config::front_config::FrontConfig;
 use ochrelead_core::time::Span;
-use ochrelead_discovery::roster::Said;
-use ochrelead_discovery::store::Kept;
+use ochrelead_discovery::persistence::PersistedEndpoints;
+use ochrelead_discovery::server_table::SelfReport;
 use ochrelead_host::call_policy::CallPolicy;
 use ochrelead_scenario::world::Deciding;
 use ochrelead_sim::play::meddled;
@@ -74,10 +74,10 @@
         (!lost).then_some(bytes)
     }
 
-    fn recalls(&self, kept: Option<Kept>) -> Option<Kept> {
+    fn recalls(&self, kept: Option<PersistedEndpoints>) -> Option<PersistedEndpoints> {
         let mut kept = kept.filter(|_| self.0 != Slip::StateForgotten)?;
         if self.0 == Slip::SaidForgotten {
-            kept.servers.iter_mut().for_each(|(_, said)| *said = Said::Nothing);
+            kept.servers.iter_mut().for_each(|server| server.self_report = SelfReport::None);
         }
         Some(kept)
     }
--- a/crates/ochrelead-sim/tests/tiny/mod.rs
+++ b/crates/ochrelead-sim/tests/tiny/mod.rs
@@ -7,10 +7,9 @@
 use std::net::SocketAddr;
 
 use ochrelead_config::front_config::{self, FrontConfig};
-use ochrelead_config::server_endpoint::ServerEndpoint;
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
-use ochrelead_discovery::roster::Said;
+use ochrelead_discovery::server_table::ListedServer;
 use ochrelead_front::engine::Engine;
 use ochrelead_front::events::EngineEvent;
 use ochrelead_host::call_policy::CallPolicy;
@@ -72,7 +71,7 @@
     /// What waits in the socket, and since when.
     socket: Vec<(u64, SocketAddr, Vec<u8>)>,
     /// The last list that the host has on its disk.
-    kept: Vec<(ServerEndpoint, Said)>,
+    kept: Vec<ListedServer>,
     lives: u32,
     stopped: bool,
     /// What servers said while nobody was there to hear it: they say it again.
