--- a/crates/ochrelead-config/src/front_config.rs
+++ b/crates/ochrelead-config/src/front_config.rs
@@ -5,7 +5,7 @@
 
 use ochrelead_core::config::{ControllerConfig, Service, Tenant};
 use ochrelead_core::time::Span;
-use ochrelead_mgcp::exchange::Pace;
+use ochrelead_mgcp::transaction::TransactionConfig;
 
 use crate::diagnostic::Diagnostic;
 use crate::digits::{is_digits, overlap};
@@ -35,8 +35,8 @@
     pub trunks: Vec<String>,
     /// The servers that it knows at the start.
     pub servers: Vec<ServerEndpoint>,
-    /// How commands are repeated.
-    pub pace: Pace,
+    /// How commands are retransmitted.
+    pub transactions: TransactionConfig,
     /// The most sessions at a time.
     pub max_sessions: usize,
     /// How long before its timer limit a caller gets its final answer.
@@ -114,7 +114,7 @@
         timer_limits: timer_limits.collect(),
         trunks: tenants.into_iter().map(|tenant| tenant.trunk).collect(),
         servers,
-        pace: check_pace(front.repeats.unwrap_or_default(), fields.message("repeats")),
+        transactions: check_transactions(front.repeats.unwrap_or_default(), fields.message("repeats")),
         max_sessions: max_sessions as usize,
         answer_margin: millis(answer_margin_ms),
         drain_time: millis(front.drain_ms.unwrap_or(10_000)),
@@ -166,23 +166,23 @@
     margin
 }
 
-fn check_pace(repeats: schema::Repeats, mut fields: Fields<'_>) -> Pace {
-    let default = Pace::default();
-    let pace = Pace {
-        first_gap: repeats.first_gap_ms.map_or(default.first_gap, millis),
-        longest_gap: repeats.longest_gap_ms.map_or(default.longest_gap, millis),
-        give_up: repeats.give_up_ms.map_or(default.give_up, millis),
-        kept: repeats.kept_ms.map_or(default.kept, millis),
+fn check_transactions(repeats: schema::Repeats, mut fields: Fields<'_>) -> TransactionConfig {
+    let default = TransactionConfig::default();
+    let transactions = TransactionConfig {
+        initial_rto: repeats.first_gap_ms.map_or(default.initial_rto, millis),
+        max_rto: repeats.longest_gap_ms.map_or(default.max_rto, millis),
+        response_timeout: repeats.give_up_ms.map_or(default.response_timeout, millis),
+        history_duration: repeats.kept_ms.map_or(default.history_duration, millis),
         ..default
     };
-    fields.in_range("first_gap_ms", pace.first_gap.ratio(Span::from_millis(1)), 10.0, 60_000.0);
-    if pace.longest_gap < pace.first_gap {
+    fields.in_range("first_gap_ms", transactions.initial_rto.ratio(Span::from_millis(1)), 10.0, 60_000.0);
+    if transactions.max_rto < transactions.initial_rto {
         fields.report("longest_gap_ms", "longest_gap_ms is less than first_gap_ms");
     }
-    if pace.kept < pace.give_up {
+    if transactions.history_duration < transactions.response_timeout {
         fields.report("kept_ms", "kept_ms is less than give_up_ms: a late repeat would run twice");
     }
-    pace
+    transactions
 }
 
 fn check_services(services: &[schema::Service], fields: &mut Fields<'_>) -> Vec<Service> {
--- a/crates/ochrelead-emulator/src/callers.rs
+++ b/crates/ochrelead-emulator/src/callers.rs
@@ -6,8 +6,8 @@
 use ochrelead_config::faults::{FaultKind, InjectedFault};
 use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_mgcp::exchange::{Exchange, News};
-use ochrelead_mgcp::message::{Command, Endpoint, Response, Verb, code, name};
+use ochrelead_mgcp::message::{Command, Endpoint, Response, Verb, code, parameter};
+use ochrelead_mgcp::transaction::{TransactionEvent, TransactionLayer};
 use rand::distr::weighted::WeightedIndex;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp};
@@ -56,7 +56,7 @@
 pub struct Callers {
     day: Scenario,
     fronts: Vec<SocketAddr>,
-    exchange: Exchange,
+    transactions: TransactionLayer,
     start: Moment,
     now: Moment,
     callers: HashMap<u32, Caller>,
@@ -74,7 +74,7 @@
     pub fn new(day: Scenario, fronts: Vec<SocketAddr>, start: Moment, now: Moment) -> Callers {
         let shares = |shares: &[f64]| WeightedIndex::new(shares).ok();
         Callers {
-            exchange: Exchange::new(day.front.pace, (now.micros() % 900_000_000) as u32),
+            transactions: TransactionLayer::new(day.front.transactions, (now.micros() % 900_000_000) as u32),
             start,
             now,
             callers: HashMap::new(),
@@ -154,11 +154,11 @@
     fn notify(&mut self, number: u32, parameters: &[(&str, String)]) {
         let Some(caller) = self.callers.get(&number) else { return };
         let command = Command::new(Verb::Notify, 0, caller.line.clone())
-            .with(name::REQUEST, 0)
-            .with(name::TRY, Self::tried(number, caller));
+            .with(parameter::REQUEST_IDENTIFIER, 0)
+            .with(parameter::ATTEMPT, Self::tried(number, caller));
         let command = parameters.iter().fold(command, |command, (name, value)| command.with(name, value));
         // A gateway that has too much out loses the event, as a busy one would.
-        let _ = self.exchange.ask(self.now, self.fronts[caller.front], command);
+        let _ = self.transactions.send_command(self.now, self.fronts[caller.front], command);
     }
 
     fn act(&mut self, number: u32, act: Act) {
@@ -177,17 +177,24 @@
                 self.plan(number, until, Act::GiveUp);
                 self.notify(
                     number,
-                    &[(name::CONNECTION, connection), (name::PATIENCE, patience), (name::OBSERVED, events)],
+                    &[
+                        (parameter::CONNECTION_ID, connection),
+                        (parameter::TIMER_LIMIT, patience),
+                        (parameter::OBSERVED_EVENTS, events),
+                    ],
                 );
             }
             (Act::GiveUp, State::Waiting) => {
                 caller.state = State::Away;
-                self.notify(number, &[(name::OBSERVED, "L/hu".to_owned())]);
+                self.notify(number, &[(parameter::OBSERVED_EVENTS, "L/hu".to_owned())]);
                 self.dial_again(number, None);
             }
             (Act::HangUp, State::Standing { far }) => {
                 caller.state = State::Away;
-                self.notify(number, &[(name::OBSERVED, "L/hu".to_owned()), (name::FAR, far)]);
+                self.notify(
+                    number,
+                    &[(parameter::OBSERVED_EVENTS, "L/hu".to_owned()), (parameter::FAR_END, far)],
+                );
                 self.leave(number);
             }
             _ => {}
@@ -229,24 +236,26 @@
 
     /// What a front tells a line: connected, a tone, or the end of the call.
     fn told(&mut self, from: SocketAddr, command: &Command) {
-        let tried = command.parameters.get(name::TRY).unwrap_or("");
+        let tried = command.parameters.get(parameter::ATTEMPT).unwrap_or("");
         let number = tried.get(..8).and_then(|digits| u32::from_str_radix(digits, 16).ok()).unwrap_or(0);
         let present = self.callers.get(&number).filter(|caller| Self::tried(number, caller) == tried);
         let Some(state) = present.map(|caller| caller.state.clone()) else {
             // The caller has left: its line knows no such call.
-            return self.exchange.answer(from, Response::new(code::UNKNOWN_CONNECTION, command.transaction));
+            return self
+                .transactions
+                .respond(from, Response::new(code::UNKNOWN_CONNECTION, command.transaction));
         };
         let known = match (command.verb, state) {
             (Verb::ModifyConnection, State::Waiting) => {
                 let caller = self.callers.get_mut(&number).expect("just seen");
-                let far = command.parameters.get(name::FAR).unwrap_or("").to_owned();
+                let far = command.parameters.get(parameter::FAR_END).unwrap_or("").to_owned();
                 caller.state = State::Standing { far };
                 let ends = self.now + caller.hold;
                 self.plan(number, ends, Act::HangUp);
                 true
             }
             (Verb::NotificationRequest, State::Waiting) => {
-                let come_back = command.parameters.read::<u32>(name::COME_BACK);
+                let come_back = command.parameters.parse::<u32>(parameter::CALLER_RETRY_AFTER);
                 self.callers.get_mut(&number).expect("just seen").state = State::Away;
                 self.dial_again(number, come_back.map(|ms| Span::from_millis(u64::from(ms))));
                 true
@@ -258,7 +267,7 @@
             _ => false,
         };
         let code = if known { code::DONE } else { code::UNKNOWN_CONNECTION };
-        self.exchange.answer(from, Response::new(code, command.transaction));
+        self.transactions.respond(from, Response::new(code, command.transaction));
     }
 
     /// Callers that wait or talk.
@@ -277,11 +286,11 @@
 impl Peer for Callers {
     fn take(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]) {
         self.now = self.now.max(now);
-        self.exchange.take(now, from, bytes);
-        while let Some(news) = self.exchange.next_news() {
+        self.transactions.handle_datagram(now, from, bytes);
+        while let Some(news) = self.transactions.poll_event() {
             match news {
-                News::Asked { from, command } => self.told(from, &command),
-                News::Unanswered { .. } => {}
+                TransactionEvent::CommandReceived { from, command } => self.told(from, &command),
+                TransactionEvent::TimedOut { .. } => {}
                 _ => {}
             }
         }
@@ -302,8 +311,8 @@
             }
             self.act(number, act);
         }
-        self.exchange.tick(now);
-        while let Some(datagram) = self.exchange.next_datagram() {
+        self.transactions.process(now);
+        while let Some(datagram) = self.transactions.poll_datagram() {
             self.datagrams.push_back(datagram);
         }
     }
@@ -314,6 +323,6 @@
 
     fn wake(&self) -> Option<Moment> {
         let due = self.due.first().map(|(moment, _, _)| *moment);
-        due.into_iter().chain(self.arrives).chain(self.exchange.wake()).min()
+        due.into_iter().chain(self.arrives).chain(self.transactions.poll_timeout()).min()
     }
 }
--- a/crates/ochrelead-emulator/src/server.rs
+++ b/crates/ochrelead-emulator/src/server.rs
@@ -7,8 +7,8 @@
 use ochrelead_config::faults::FaultKind;
 use ochrelead_config::scenario::{EmulatedServer, Scenario};
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_mgcp::exchange::{Exchange, News, Pace};
-use ochrelead_mgcp::message::{Command, Endpoint, Response, TransactionId, Verb, code, name};
+use ochrelead_mgcp::message::{Command, Endpoint, Response, TransactionId, Verb, code, parameter};
+use ochrelead_mgcp::transaction::{TransactionConfig, TransactionEvent, TransactionLayer};
 
 use crate::Peer;
 
@@ -77,7 +77,7 @@
     figures: EmulatedServer,
     name: String,
     fronts: Vec<SocketAddr>,
-    exchange: Exchange,
+    transactions: TransactionLayer,
     now: Moment,
     health: Health,
     /// When it started cold; none where it has been warm since long ago.
@@ -115,7 +115,10 @@
             figures,
             name,
             fronts,
-            exchange: Exchange::new(Pace { provisional: false, ..day.front.pace }, first),
+            transactions: TransactionLayer::new(
+                TransactionConfig { sends_provisional: false, ..day.front.transactions },
+                first,
+            ),
             now,
             health: Health::Well,
             started: None,
@@ -205,14 +208,14 @@
     /// What it says of itself in its messages.
     fn telling(&self) -> Vec<(&'static str, String)> {
         let free = (self.figures.lines as usize).saturating_sub(self.circuits.len());
-        let mut telling = vec![(name::LINES, format!("{free}/{}", self.figures.lines))];
+        let mut telling = vec![(parameter::LINE_CAPACITY, format!("{free}/{}", self.figures.lines))];
         let full = self.wait().ratio(self.figures.max_queue).min(1.0);
         if self.figures.reports_accepted_rate {
             let can_take = self.figures.sessions_per_s * self.speed() * (1.0 - full);
-            telling.push((name::CAN_TAKE, format!("{can_take:.2}")));
+            telling.push((parameter::ACCEPTED_RATE, format!("{can_take:.2}")));
         }
         if self.figures.reports_hold_back_share {
-            telling.push((name::HOLD_BACK, format!("{:.3}", (full * 2.0).min(0.95))));
+            telling.push((parameter::HOLD_BACK_SHARE, format!("{:.3}", (full * 2.0).min(0.95))));
         }
         telling
     }
@@ -221,7 +224,7 @@
         let telling = self.telling();
         let response =
             telling.into_iter().fold(response, |response, (name, value)| response.with(name, value));
-        self.exchange.answer(to, response);
+        self.transactions.respond(to, response);
     }
 
     fn everything(&self) -> Endpoint {
@@ -231,24 +234,25 @@
     fn tell_restart(&mut self, method: &str, delay: Span) {
         for front in self.fronts.clone() {
             let command = Command::new(Verb::RestartInProgress, 0, self.everything())
-                .with(name::RESTART, method)
-                .with(name::DELAY, delay.micros() / 1_000_000);
+                .with(parameter::RESTART_METHOD, method)
+                .with(parameter::RESTART_DELAY, delay.micros() / 1_000_000);
             // A full table is that of a server that nobody answers: there is nobody to tell.
-            let _ = self.exchange.ask(self.now, front, command);
+            let _ = self.transactions.send_command(self.now, front, command);
         }
     }
 
     /// The lines, unasked, to all fronts. Old news is not repeated: newer is on its way.
     fn tell_lines(&mut self) {
         for front in self.fronts.clone() {
-            let command = Command::new(Verb::Notify, 0, self.everything()).with(name::REQUEST, 0);
+            let command =
+                Command::new(Verb::Notify, 0, self.everything()).with(parameter::REQUEST_IDENTIFIER, 0);
             let telling = self.telling();
             let command =
                 telling.into_iter().fold(command, |command, (name, value)| command.with(name, value));
-            if let Ok(transaction) = self.exchange.ask(self.now, front, command)
+            if let Ok(transaction) = self.transactions.send_command(self.now, front, command)
                 && let Some(before) = self.told.insert(front, transaction)
             {
-                self.exchange.abandon(self.now, before);
+                self.transactions.abandon(self.now, before);
             }
         }
     }
@@ -269,11 +273,15 @@
     fn set_up(&mut self, from: SocketAddr, command: &Command) {
         let (transaction, figures) = (command.transaction, self.figures);
         let text = |name: &str| command.parameters.get(name).unwrap_or("").to_owned();
-        let called = text(name::CALLED);
+        let called = text(parameter::CALLED_NUMBER);
         let wait = self.wait();
         let refusal = if wait > figures.max_queue {
             let busy = Response::new(code::OVERLOAD, transaction);
-            Some(if figures.names_retry_after { busy.with(name::WAIT, wait.micros() / 2_000) } else { busy })
+            Some(if figures.names_retry_after {
+                busy.with(parameter::SERVER_RETRY_AFTER, wait.micros() / 2_000)
+            } else {
+                busy
+            })
         } else if self.circuits.len() >= figures.lines as usize {
             Some(Response::new(code::NO_ENDPOINT, transaction))
         } else if self.numbers.get(&called).is_some_and(|used| *used >= LINES_OF_A_NUMBER) {
@@ -287,19 +295,19 @@
             return self.respond(from, refusal);
         }
         self.press(1.0);
-        let call = text(name::CALL);
+        let call = text(parameter::CALL_ID);
         self.put(1.0, Work::SetUp(Asked { from, transaction, call, called, off: false }));
     }
 
     fn release(&mut self, from: SocketAddr, command: &Command) {
-        let call = command.parameters.get(name::CALL);
-        let connection = command.parameters.get(name::CONNECTION);
+        let call = command.parameters.get(parameter::CALL_ID);
+        let connection = command.parameters.get(parameter::CONNECTION_ID);
         let local = command.endpoint.local().to_owned();
         let meant = |(number, circuit): &(&u32, &Circuit)| {
             let named = local == format!("trunk/{number}");
             let same = connection.is_none_or(|own| own == format!("c{number}"));
             circuit.front == from
-                && (named || command.endpoint.is_wild())
+                && (named || command.endpoint.has_wildcard())
                 && same
                 && call.is_none_or(|own| own == circuit.call)
         };
@@ -359,9 +367,9 @@
         let number = self.last_circuit;
         *self.numbers.entry(asked.called.clone()).or_insert(0) += 1;
         let response = Response::new(code::DONE, asked.transaction)
-            .with(name::CONNECTION, format!("c{number}"))
-            .with(name::SPECIFIC, format!("trunk/{number}@{}", self.name))
-            .with(name::TRY, &asked.call);
+            .with(parameter::CONNECTION_ID, format!("c{number}"))
+            .with(parameter::SPECIFIC_ENDPOINT_ID, format!("trunk/{number}@{}", self.name))
+            .with(parameter::ATTEMPT, &asked.call);
         let circuit = Circuit { front: asked.from, call: asked.call, called: asked.called };
         self.circuits.insert(number, circuit);
         self.respond(asked.from, response);
@@ -378,9 +386,9 @@
                 for (number, circuit) in std::mem::take(&mut self.circuits) {
                     let endpoint = format!("trunk/{number}@{}", self.name).parse().expect("a sound name");
                     let command = Command::new(Verb::DeleteConnection, 0, endpoint)
-                        .with(name::CALL, &circuit.call)
-                        .with(name::REASON, "900 replaced");
-                    let _ = self.exchange.ask(self.now, circuit.front, command);
+                        .with(parameter::CALL_ID, &circuit.call)
+                        .with(parameter::REASON_CODE, "900 replaced");
+                    let _ = self.transactions.send_command(self.now, circuit.front, command);
                 }
                 self.go(Health::Well);
                 self.start_cold();
@@ -436,11 +444,11 @@
         if !self.is_there() {
             return;
         }
-        self.exchange.take(now, from, bytes);
-        while let Some(news) = self.exchange.next_news() {
+        self.transactions.handle_datagram(now, from, bytes);
+        while let Some(news) = self.transactions.poll_event() {
             match news {
-                News::Asked { from, command } => self.asked(from, &command),
-                News::Repeated { .. } => {
+                TransactionEvent::CommandReceived { from, command } => self.asked(from, &command),
+                TransactionEvent::CommandRepeated { .. } => {
                     self.press(self.figures.repeat_work);
                     self.put(self.figures.repeat_work, Work::Waste);
                 }
@@ -456,14 +464,14 @@
             self.act(act);
         }
         if !self.is_there() {
-            while self.exchange.next_datagram().is_some() {}
+            while self.transactions.poll_datagram().is_some() {}
             return;
         }
         if self.health == Health::Well {
             self.work();
         }
-        self.exchange.tick(now);
-        while let Some(datagram) = self.exchange.next_datagram() {
+        self.transactions.process(now);
+        while let Some(datagram) = self.transactions.poll_datagram() {
             if self.health == Health::Well {
                 self.datagrams.push_back(datagram);
             }
@@ -477,8 +485,8 @@
     fn wake(&self) -> Option<Moment> {
         let script = self.script.first_key_value().map(|((moment, _), _)| *moment);
         let work = self.in_hand.as_ref().map(|(done, _)| *done).filter(|_| self.health == Health::Well);
-        let exchange = self.exchange.wake().filter(|_| self.is_there());
-        script.into_iter().chain(work).chain(exchange).min()
+        let transactions = self.transactions.poll_timeout().filter(|_| self.is_there());
+        script.into_iter().chain(work).chain(transactions).min()
     }
 }
 
--- a/crates/ochrelead-emulator/tests/standin.rs
+++ b/crates/ochrelead-emulator/tests/emulator.rs
@@ -8,7 +8,7 @@
 use ochrelead_emulator::callers::Callers;
 use ochrelead_emulator::network::{Fault, Network};
 use ochrelead_emulator::server::Server;
-use ochrelead_mgcp::message::{Command, Message, Response, Verb, code, name};
+use ochrelead_mgcp::message::{Command, Message, Response, Verb, code, parameter};
 use ochrelead_mgcp::{parse, write};
 use test_case::test_case;
 
@@ -50,8 +50,8 @@
 
 fn ask(peer: &mut impl Peer, ms: u64, verb: Verb, id: u32, call: &str) {
     let command = Command::new(verb, id, "trunk/*@s0".parse().unwrap())
-        .with(name::CALL, call)
-        .with(name::CALLED, format!("100{call}"));
+        .with(parameter::CALL_ID, call)
+        .with(parameter::CALLED_NUMBER, format!("100{call}"));
     peer.take(at(ms), front(), &write::datagram(&[Message::Command(command)]));
 }
 
@@ -181,8 +181,8 @@
             let Message::Command(command) = message else { continue };
             let response = Response::new(200, command.transaction);
             callers.take(at(ms), front(), &write::datagram(&[Message::Response(response)]));
-            let tried = command.parameters.get(name::TRY).unwrap().to_owned();
-            if !command.parameters.get(name::OBSERVED).unwrap().contains("hd")
+            let tried = command.parameters.get(parameter::ATTEMPT).unwrap().to_owned();
+            if !command.parameters.get(parameter::OBSERVED_EVENTS).unwrap().contains("hd")
                 || tries.iter().any(|(own, _)| *own == tried)
             {
                 continue;
@@ -197,7 +197,7 @@
             } else {
                 Command::new(Verb::ModifyConnection, answered, line).with("M", "sendrecv")
             };
-            let bytes = write::datagram(&[Message::Command(answer.with(name::TRY, &tried))]);
+            let bytes = write::datagram(&[Message::Command(answer.with(parameter::ATTEMPT, &tried))]);
             callers.take(at(ms), front(), &bytes);
         }
     }
--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -23,8 +23,8 @@
 use ochrelead_host::call_policy::CallPolicy;
 use ochrelead_host::called_numbers::CalledNumberTable;
 use ochrelead_host::recent_ids::RecentIds;
-use ochrelead_mgcp::exchange::Exchange;
 use ochrelead_mgcp::message::TransactionId;
+use ochrelead_mgcp::transaction::TransactionLayer;
 
 use crate::drain::DrainState;
 use crate::events::{EngineEvent, SessionStep};
@@ -70,7 +70,7 @@
     config: FrontConfig,
     policy: Box<dyn CallPolicy + Send>,
     now: Moment,
-    exchange: Exchange,
+    transactions: TransactionLayer,
     calls: CallTable,
     roster: Roster,
     called_numbers: CalledNumberTable,
@@ -104,8 +104,8 @@
         let targets = config.controller.services.iter().map(|service| service.post_dial_target);
         let max_turn_gap = targets.min().unwrap_or(Span::from_secs(1)) / TURNS_PER_TARGET;
         let mut engine = Engine {
-            exchange: Exchange::new(config.pace, first_transaction),
-            releases: PendingReleases::new(&config.pace),
+            transactions: TransactionLayer::new(config.transactions, first_transaction),
+            releases: PendingReleases::new(&config.transactions),
             config,
             policy,
             now,
@@ -147,8 +147,8 @@
     /// A datagram was received.
     pub fn handle_datagram(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]) {
         self.advance_to(now);
-        self.exchange.take(self.now, from, bytes);
-        self.handle_exchange_events();
+        self.transactions.handle_datagram(self.now, from, bytes);
+        self.handle_transaction_events();
     }
 
     /// The list of servers is replaced.
@@ -207,8 +207,8 @@
     /// Does all that is due: repeats, time-outs, and the policy's decisions.
     pub fn process(&mut self, now: Moment) {
         self.advance_to(now);
-        self.exchange.tick(self.now);
-        self.handle_exchange_events();
+        self.transactions.process(self.now);
+        self.handle_transaction_events();
         while let Some(session) = self.calls.next_timed_out(self.now) {
             self.abort_invite(session, InviteOutcome::TimedOut);
         }
@@ -232,7 +232,7 @@
     fn earliest_timeout(&mut self) -> Option<Moment> {
         let timeouts = [
             self.policy.poll_timeout(),
-            self.exchange.wake(),
+            self.transactions.poll_timeout(),
             self.calls.poll_timeout(),
             self.releases.poll_timeout(),
             self.drain_state.poll_timeout(self.now, self.config.drain_time),
@@ -243,7 +243,7 @@
 
     /// What a front that leaves service still has to finish.
     fn unfinished(&self) -> usize {
-        self.calls.unanswered().len() + self.exchange.load().0 + self.releases.scheduled()
+        self.calls.unanswered().len() + self.transactions.load().outstanding + self.releases.scheduled()
     }
 
     fn execute(&mut self, decision: Decision) {
@@ -278,7 +278,7 @@
 
     /// The next datagram to send, and its destination.
     pub fn poll_datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
-        self.exchange.next_datagram()
+        self.transactions.poll_datagram()
     }
 
     /// The next event for the log and the event log.
@@ -316,7 +316,7 @@
 
     /// How much it holds.
     pub fn load(&self) -> EngineLoad {
-        EngineLoad { sessions: self.calls.len(), open_commands: self.exchange.load().0 }
+        EngineLoad { sessions: self.calls.len(), open_commands: self.transactions.load().outstanding }
     }
 
     // ---- For the engine's parts ----
--- a/crates/ochrelead-front/src/engine/caller_side.rs
+++ b/crates/ochrelead-front/src/engine/caller_side.rs
@@ -6,7 +6,7 @@
 use ochrelead_core::index::{ServerIx, SessionIx, TenantIx};
 use ochrelead_core::time::Span;
 use ochrelead_core::types::{CallRequest, InviteOutcome, RejectionCause};
-use ochrelead_mgcp::message::{Command, Endpoint, Verb, code, name};
+use ochrelead_mgcp::message::{Command, Endpoint, Verb, code, parameter};
 
 use super::Engine;
 use super::call_table::{Call, Circuit, Phase, SessionKey};
@@ -50,11 +50,13 @@
 
 impl Engine {
     pub(super) fn handle_notify(&mut self, from: SocketAddr, command: &Command) {
-        let observed = ObservedEvents::parse(command.parameters.get(name::OBSERVED).unwrap_or(""));
-        let attempt = command.parameters.get(name::TRY).unwrap_or("");
+        let observed =
+            ObservedEvents::parse(command.parameters.get(parameter::OBSERVED_EVENTS).unwrap_or(""));
+        let attempt = command.parameters.get(parameter::ATTEMPT).unwrap_or("");
         if !is_attempt_id(attempt) {
             self.respond(from, code::PROTOCOL_ERROR, command);
-            let reason = format!("no {} of 1 to {MAX_ATTEMPT_ID_LENGTH} hexadecimal digits", name::TRY);
+            let reason =
+                format!("no {} of 1 to {MAX_ATTEMPT_ID_LENGTH} hexadecimal digits", parameter::ATTEMPT);
             return self.ignore_message(from, reason);
         }
         self.respond(from, code::DONE, command);
@@ -77,7 +79,7 @@
         let session = self.calls.insert(call);
         let trunk = command.endpoint.local().split('/').next().unwrap_or("");
         let tenant = self.config.trunks.iter().position(|name| name == trunk);
-        let is_redial = command.parameters.get(name::REDIAL).is_some_and(|value| value != "0");
+        let is_redial = command.parameters.get(parameter::REDIAL).is_some_and(|value| value != "0");
         let accepted = SessionStep::Accepted {
             service: dialled.map_or(0, |dialled| dialled.service.index()),
             tenant,
@@ -108,8 +110,10 @@
     fn new_call(&self, from: SocketAddr, command: &Command, attempt: &str, digits: &str) -> Call {
         let mut call =
             Call::new(from, command.endpoint.clone(), attempt.to_owned(), digits.to_owned(), self.now);
-        let patience =
-            command.parameters.read::<u32>(name::PATIENCE).map(|ms| Span::from_millis(u64::from(ms)));
+        let patience = command
+            .parameters
+            .parse::<u32>(parameter::TIMER_LIMIT)
+            .map(|ms| Span::from_millis(u64::from(ms)));
         let service_limit = self
             .config
             .numbering_plan
@@ -119,8 +123,8 @@
         let limit = patience.map_or(service_limit, |patience| patience.min(service_limit)) - self.input_delay;
         call.deadline = self.now + (limit - self.config.answer_margin);
         // One INVITE that waits until the deadline is repeated so often; several share these repeats.
-        call.remaining_repeats = self.config.pace.repeats(call.deadline.since(self.now));
-        call.connection = command.parameters.get(name::CONNECTION).map(str::to_owned);
+        call.remaining_repeats = self.config.transactions.max_retransmissions(call.deadline.since(self.now));
+        call.connection = command.parameters.get(parameter::CONNECTION_ID).map(str::to_owned);
         call
     }
 
@@ -133,7 +137,7 @@
         // Its attempt may still come: overtaken, or repeated to a front that was restarted and whose response to the
         // first one got lost.
         self.ended_attempts.insert(attempt);
-        let far_end = command.parameters.get(name::FAR).and_then(|far_end| {
+        let far_end = command.parameters.get(parameter::FAR_END).and_then(|far_end| {
             let (connection, endpoint) = far_end.split_once(' ')?;
             Some((connection, endpoint.parse::<Endpoint>().ok()?))
         });
@@ -186,13 +190,13 @@
     ) {
         let Some(call) = self.calls.get(session) else { return };
         let mut command = Command::new(Verb::ModifyConnection, 0, call.line.clone())
-            .with(name::CALL, &call.attempt)
-            .with(name::TRY, &call.attempt)
-            .with(name::MODE, "sendrecv")
-            .with(name::REQUESTED, REQUEST_HANG_UP)
-            .with(name::FAR, format!("{} {}", circuit.connection, circuit.endpoint));
+            .with(parameter::CALL_ID, &call.attempt)
+            .with(parameter::ATTEMPT, &call.attempt)
+            .with(parameter::CONNECTION_MODE, "sendrecv")
+            .with(parameter::REQUESTED_EVENTS, REQUEST_HANG_UP)
+            .with(parameter::FAR_END, format!("{} {}", circuit.connection, circuit.endpoint));
         if let Some(connection) = &call.connection {
-            command.parameters.add(name::CONNECTION, connection);
+            command.parameters.add(parameter::CONNECTION_ID, connection);
         }
         command.description = description;
         let (gateway, key) = (call.gateway, self.calls.key(session));
@@ -220,12 +224,12 @@
     fn send_tone(&mut self, session: SessionIx, signal: &str, retry_after_ms: Option<u64>) {
         let Some(call) = self.calls.remove(session) else { return };
         let mut command = Command::new(Verb::NotificationRequest, 0, call.line)
-            .with(name::REQUEST, &call.attempt)
-            .with(name::TRY, &call.attempt)
-            .with(name::REQUESTED, REQUEST_HANG_UP)
-            .with(name::SIGNALS, signal);
+            .with(parameter::REQUEST_IDENTIFIER, &call.attempt)
+            .with(parameter::ATTEMPT, &call.attempt)
+            .with(parameter::REQUESTED_EVENTS, REQUEST_HANG_UP)
+            .with(parameter::SIGNAL_REQUESTS, signal);
         if let Some(ms) = retry_after_ms {
-            command.parameters.add(name::COME_BACK, ms);
+            command.parameters.add(parameter::CALLER_RETRY_AFTER, ms);
         }
         self.send_command(call.gateway, command, PendingCommand::NoFollowUp);
     }
@@ -236,10 +240,10 @@
         self.emit_step(session, SessionStep::CutByServer { server });
         let Some(call) = self.calls.remove(session) else { return };
         let mut command = Command::new(Verb::DeleteConnection, 0, call.line)
-            .with(name::CALL, &call.attempt)
-            .with(name::TRY, &call.attempt);
+            .with(parameter::CALL_ID, &call.attempt)
+            .with(parameter::ATTEMPT, &call.attempt);
         if let Some(connection) = &call.connection {
-            command.parameters.add(name::CONNECTION, connection);
+            command.parameters.add(parameter::CONNECTION_ID, connection);
         }
         self.send_command(call.gateway, command, PendingCommand::NoFollowUp);
     }
--- a/crates/ochrelead-front/src/engine/server_side.rs
+++ b/crates/ochrelead-front/src/engine/server_side.rs
@@ -7,7 +7,7 @@
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_core::types::{InviteOutcome, LoadReport};
 use ochrelead_discovery::roster::Restart;
-use ochrelead_mgcp::message::{Command, Endpoint, Parameters, Response, Verb, code, name};
+use ochrelead_mgcp::message::{Command, Endpoint, Parameters, Response, Verb, code, parameter};
 
 use super::Engine;
 use super::call_table::{Circuit, Invite, Phase, SessionKey};
@@ -63,11 +63,11 @@
         let Some(call) = self.calls.get(session) else { return };
         let deadline = call.deadline;
         let command = Command::new(Verb::CreateConnection, 0, self.trunk_endpoint(server, ANY_CIRCUIT))
-            .with(name::CALL, &call.attempt)
-            .with(name::MODE, "sendrecv")
-            .with(name::OPTIONS, "p:20, a:PCMU")
-            .with(name::TRY, &call.attempt)
-            .with(name::CALLED, &call.called_number);
+            .with(parameter::CALL_ID, &call.attempt)
+            .with(parameter::CONNECTION_MODE, "sendrecv")
+            .with(parameter::LOCAL_CONNECTION_OPTIONS, "p:20, a:PCMU")
+            .with(parameter::ATTEMPT, &call.attempt)
+            .with(parameter::CALLED_NUMBER, &call.called_number);
         let max_repeats = call.remaining_repeats;
         let address = self.roster.post(server).address;
         let key = self.calls.key(session);
@@ -129,7 +129,7 @@
         let server = invite.server;
         let name = self.server_name(server);
         let duration = self.now.since(invite.sent);
-        self.calls.count_repeats(session, self.config.pace.repeats(duration));
+        self.calls.count_repeats(session, self.config.transactions.max_retransmissions(duration));
         self.emit_step(session, SessionStep::InviteEnded { server: name, outcome, duration });
         self.calls.set_phase(session, Phase::Pending);
         self.policy.on_invite_ended(session, server, outcome, false);
@@ -144,7 +144,7 @@
     }
 
     fn abandon_invite(&mut self, invite: Invite) {
-        self.exchange.abandon(self.now, invite.transaction);
+        self.transactions.abandon(self.now, invite.transaction);
         self.pending_commands.remove(&invite.transaction);
     }
 
@@ -169,10 +169,10 @@
     pub(super) fn send_release(&mut self, release: Release) {
         let mut command = Command::new(Verb::DeleteConnection, 0, release.endpoint.clone());
         if let Some(call) = &release.call {
-            command.parameters.add(name::CALL, call);
+            command.parameters.add(parameter::CALL_ID, call);
         }
         if let Some(connection) = &release.connection {
-            command.parameters.add(name::CONNECTION, connection);
+            command.parameters.add(parameter::CONNECTION_ID, connection);
         }
         if let Some(transaction) = self.send_command(release.to, command, PendingCommand::ReleaseUnheld) {
             self.releases.on_sent(transaction, release);
@@ -191,7 +191,7 @@
             return;
         }
         let step = SessionStep::UnclaimedCallReleased { server: self.server_name(server) };
-        let attempt = response.parameters.get(name::TRY).unwrap_or("").to_owned();
+        let attempt = response.parameters.get(parameter::ATTEMPT).unwrap_or("").to_owned();
         self.emit(EngineEvent::Session { attempt, step });
         self.release_connection(from, circuit.endpoint, None, Some(&circuit.connection));
     }
@@ -206,8 +206,8 @@
             Some(&circuit.connection),
         );
         let command = Command::new(Verb::DeleteConnection, 0, circuit.endpoint)
-            .with(name::CALL, &call.attempt)
-            .with(name::CONNECTION, &circuit.connection);
+            .with(parameter::CALL_ID, &call.attempt)
+            .with(parameter::CONNECTION_ID, &circuit.connection);
         let key = self.calls.key(session);
         self.calls.set_phase(session, Phase::Releasing);
         match self.send_command(circuit.address, command, PendingCommand::Release(key, circuit.server)) {
@@ -229,7 +229,7 @@
 
     /// A server releases a call by itself (RFC 3435 section 2.3.10).
     pub(super) fn handle_server_release(&mut self, from: SocketAddr, command: &Command) {
-        let session = command.parameters.get(name::CALL).and_then(|call| self.calls.find(call));
+        let session = command.parameters.get(parameter::CALL_ID).and_then(|call| self.calls.find(call));
         let served = session.and_then(|session| Some((session, self.serving_server(session)?)));
         let Some((session, (server, _))) = served.filter(|(_, (_, address))| *address == from) else {
             return self.respond(from, code::UNKNOWN_CALL, command);
@@ -271,7 +271,8 @@
     /// repeated, may be the new process's, and would never be released there.
     fn release_if_recent(&mut self, session: SessionIx) {
         let Some(call) = self.calls.get(session) else { return };
-        let (attempt, late) = (call.attempt.clone(), self.config.pace.first_gap * LATE_COMMAND_GAPS);
+        let (attempt, late) =
+            (call.attempt.clone(), self.config.transactions.initial_rto * LATE_COMMAND_GAPS);
         match call.phase.clone() {
             Phase::Inviting(invite) if self.now.since(invite.sent) < late => {
                 self.release_call(invite, session);
@@ -291,7 +292,7 @@
             self.respond(from, code::UNKNOWN_ENDPOINT, command);
             return self.ignore_message(from, format!("RSIP of {}, which is not listed", command.endpoint));
         };
-        let method = command.parameters.get(name::RESTART).unwrap_or("");
+        let method = command.parameters.get(parameter::RESTART_METHOD).unwrap_or("");
         let Some(restart) = Restart::read(method) else {
             self.respond(from, code::PROTOCOL_ERROR, command);
             return self.ignore_message(from, format!("RSIP with the unknown method {method:?}"));
@@ -338,7 +339,7 @@
     response: &Response,
     established_at: Moment,
 ) -> Option<Circuit> {
-    let endpoint = response.parameters.get(name::SPECIFIC)?.parse().ok()?;
-    let connection = response.parameters.get(name::CONNECTION)?.to_owned();
+    let endpoint = response.parameters.get(parameter::SPECIFIC_ENDPOINT_ID)?.parse().ok()?;
+    let connection = response.parameters.get(parameter::CONNECTION_ID)?.to_owned();
     Some(Circuit { server, address, endpoint, connection, established_at })
 }
--- a/crates/ochrelead-front/src/engine/transactions.rs
+++ b/crates/ochrelead-front/src/engine/transactions.rs
@@ -4,8 +4,8 @@
 
 use ochrelead_core::index::ServerIx;
 use ochrelead_core::types::InviteOutcome;
-use ochrelead_mgcp::exchange::{Claim, News};
 use ochrelead_mgcp::message::{Command, Response, TransactionId, Verb, code};
+use ochrelead_mgcp::transaction::{ResponseMatch, TransactionEvent};
 
 use super::Engine;
 use super::call_table::SessionKey;
@@ -28,16 +28,24 @@
 }
 
 impl Engine {
-    pub(super) fn handle_exchange_events(&mut self) {
-        while let Some(event) = self.exchange.next_news() {
+    pub(super) fn handle_transaction_events(&mut self) {
+        while let Some(event) = self.transactions.poll_event() {
             match event {
-                News::Asked { from, command } => self.handle_command(from, &command),
-                News::Answered { from, response, claim } => self.handle_response(from, &response, claim),
-                News::Unanswered { transaction, .. } => self.handle_no_response(transaction),
-                News::Repeated { .. } => {}
-                News::Unread { from, broken } => self.ignore_message(from, broken.to_string()),
-                News::Refused { from, fault } => self.ignore_message(from, fault.to_string()),
-                News::Crowded { from, .. } => self.ignore_message(from, "too many commands in work"),
+                TransactionEvent::CommandReceived { from, command } => self.handle_command(from, &command),
+                TransactionEvent::ResponseReceived { from, response, matched } => {
+                    self.handle_response(from, &response, matched);
+                }
+                TransactionEvent::TimedOut { transaction, .. } => self.handle_no_response(transaction),
+                TransactionEvent::CommandRepeated { .. } => {}
+                TransactionEvent::InvalidMessage { from, error } => {
+                    self.ignore_message(from, error.to_string());
+                }
+                TransactionEvent::InvalidDatagram { from, error } => {
+                    self.ignore_message(from, error.to_string());
+                }
+                TransactionEvent::CommandRefused { from, .. } => {
+                    self.ignore_message(from, "too many commands in work");
+                }
             }
         }
     }
@@ -65,15 +73,15 @@
         }
     }
 
-    fn handle_response(&mut self, from: SocketAddr, response: &Response, claim: Claim) {
+    fn handle_response(&mut self, from: SocketAddr, response: &Response, matched: ResponseMatch) {
         if let Some(server) = self.roster.at(from) {
             self.mark_heard(server);
             self.update_load(server, &response.parameters);
         }
-        if claim != Claim::Awaited {
+        if matched != ResponseMatch::Outstanding {
             // The command was given up, or is of the process that ran here before: what was set up is released again. The
             // id may be that of a command which waits for another peer's response: that one keeps waiting.
-            if claim == Claim::Late {
+            if matched == ResponseMatch::Late {
                 self.releases.on_invite_answered(response.transaction);
             }
             return self.release_unclaimed_call(from, response);
@@ -114,7 +122,7 @@
 
     /// Responds to a command with a bare return code.
     pub(super) fn respond(&mut self, to: SocketAddr, code: u16, command: &Command) {
-        self.exchange.answer(to, Response::new(code, command.transaction));
+        self.transactions.respond(to, Response::new(code, command.transaction));
     }
 
     /// Sends a command; none where the table of commands is full.
@@ -135,7 +143,7 @@
         pending: PendingCommand,
         max_repeats: u32,
     ) -> Option<TransactionId> {
-        match self.exchange.ask_at_most(self.now, to, command, max_repeats) {
+        match self.transactions.send_command_with_limit(self.now, to, command, max_repeats) {
             Ok(transaction) => {
                 self.pending_commands.insert(transaction, pending);
                 Some(transaction)
--- a/crates/ochrelead-front/src/outcomes.rs
+++ b/crates/ochrelead-front/src/outcomes.rs
@@ -2,14 +2,15 @@
 
 use ochrelead_core::time::Span;
 use ochrelead_core::types::{InviteOutcome, LineCapacity, LoadReport};
-use ochrelead_mgcp::message::{Parameters, Response, code, name};
+use ochrelead_mgcp::message::{Parameters, Response, code, parameter};
 
 /// The outcome of an INVITE by the final response to it; none where the call is established.
 pub fn from_response(response: &Response) -> Option<InviteOutcome> {
     match response.code {
         200..=299 => None,
         code::OVERLOAD => {
-            let wait_ms = response.parameters.read::<u32>(name::WAIT).filter(|ms| *ms > 0);
+            let wait_ms =
+                response.parameters.parse::<u32>(parameter::SERVER_RETRY_AFTER).filter(|ms| *ms > 0);
             let retry_after = wait_ms.map(|ms| Span::from_millis(u64::from(ms)));
             Some(InviteOutcome::Rejected { no_line: false, retry_after })
         }
@@ -27,7 +28,7 @@
 
 /// The lines of a server, `free/total`, where its message has them. More free lines than there are in all are ignored.
 pub fn parse_lines(parameters: &Parameters) -> Option<LineCapacity> {
-    let (free, total) = parameters.get(name::LINES)?.split_once('/')?;
+    let (free, total) = parameters.get(parameter::LINE_CAPACITY)?.split_once('/')?;
     let lines = LineCapacity { free: free.trim().parse().ok()?, total: total.trim().parse().ok()? };
     (lines.free <= lines.total).then_some(lines)
 }
@@ -35,9 +36,9 @@
 /// What a server reports of its load; a figure that is out of its range is ignored.
 pub fn parse_load_report(parameters: &Parameters) -> LoadReport {
     let parse_figure =
-        |name: &str| parameters.read::<f64>(name).filter(|figure| figure.is_finite() && *figure >= 0.0);
+        |name: &str| parameters.parse::<f64>(name).filter(|figure| figure.is_finite() && *figure >= 0.0);
     LoadReport {
-        accepted_rate: parse_figure(name::CAN_TAKE),
-        hold_back_share: parse_figure(name::HOLD_BACK).filter(|share| *share <= 1.0),
+        accepted_rate: parse_figure(parameter::ACCEPTED_RATE),
+        hold_back_share: parse_figure(parameter::HOLD_BACK_SHARE).filter(|share| *share <= 1.0),
     }
 }
--- a/crates/ochrelead-front/src/releases.rs
+++ b/crates/ochrelead-front/src/releases.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_mgcp::exchange::Pace;
 use ochrelead_mgcp::message::{Endpoint, TransactionId};
+use ochrelead_mgcp::transaction::TransactionConfig;
 
 /// How often a release is sent again, each time with all repeats of a transaction.
 const MAX_RESENDS: u8 = 2;
@@ -46,8 +46,8 @@
 /// All releases that are not confirmed.
 #[derive(Debug)]
 pub struct PendingReleases {
-    first_gap: Span,
-    longest_gap: Span,
+    initial_rto: Span,
+    max_rto: Span,
     sent: HashMap<TransactionId, Release>,
     scheduled: BTreeMap<(Moment, u64), Release>,
     /// INVITEs that were cancelled and have not been answered.
@@ -56,11 +56,11 @@
 }
 
 impl PendingReleases {
-    /// No releases; `pace` is that of the transactions.
-    pub fn new(pace: &Pace) -> PendingReleases {
+    /// No releases; `config` is that of the transaction layer.
+    pub fn new(config: &TransactionConfig) -> PendingReleases {
         PendingReleases {
-            first_gap: pace.first_gap,
-            longest_gap: pace.longest_gap,
+            initial_rto: config.initial_rto,
+            max_rto: config.max_rto,
             sent: HashMap::new(),
             scheduled: BTreeMap::new(),
             cancelled_invites: HashSet::new(),
@@ -83,7 +83,7 @@
             && self.cancelled_invites.remove(&invite)
         {
             // The order on the way is not known: the INVITE may arrive after its release.
-            self.schedule(now + self.first_gap, Release { invite: None, ..release });
+            self.schedule(now + self.initial_rto, Release { invite: None, ..release });
         }
     }
 
@@ -95,7 +95,7 @@
         }
         if release.resends < MAX_RESENDS {
             let resends = release.resends + 1;
-            self.schedule(now + self.longest_gap, Release { resends, invite: None, ..release });
+            self.schedule(now + self.max_rto, Release { resends, invite: None, ..release });
         }
     }
 
--- /dev/null
+++ b/crates/ochrelead-mgcp/src/message/code.rs
@@ -0,0 +1,36 @@
+//! Return codes (RFC 3435 section 2.4).
+
+/// A response was received.
+pub const ACKNOWLEDGED: u16 = 0;
+/// The command is being executed; a final response follows.
+pub const PENDING: u16 = 100;
+/// The command was executed.
+pub const DONE: u16 = 200;
+/// The connection was deleted.
+pub const DELETED: u16 = 250;
+/// The phone is already off hook: here, the called line is busy.
+pub const OFF_HOOK: u16 = 401;
+/// There are not enough resources now.
+pub const NO_RESOURCES: u16 = 403;
+/// The endpoint is restarting.
+pub const RESTARTING: u16 = 405;
+/// The command could not be completed in time.
+pub const TIMED_OUT: u16 = 406;
+/// The command was aborted, as by the release of its call.
+pub const ABORTED: u16 = 407;
+/// Overload.
+pub const OVERLOAD: u16 = 409;
+/// No endpoint is available.
+pub const NO_ENDPOINT: u16 = 410;
+/// The endpoint is unknown.
+pub const UNKNOWN_ENDPOINT: u16 = 500;
+/// The command is unknown or not supported.
+pub const UNSUPPORTED: u16 = 504;
+/// The command violates the protocol.
+pub const PROTOCOL_ERROR: u16 = 510;
+/// The connection id is unknown.
+pub const UNKNOWN_CONNECTION: u16 = 515;
+/// The call id is unknown.
+pub const UNKNOWN_CALL: u16 = 516;
+/// The endpoint is restarting: the connection is gone.
+pub const ENDPOINT_RESTARTING: u16 = 520;
--- a/crates/ochrelead-mgcp/src/parse.rs
+++ b/crates/ochrelead-mgcp/src/parse.rs
@@ -1,195 +1,172 @@
-//! From a datagram to messages (RFC 3435 section 3.1 and appendix A).
+//! Parsing of datagrams (RFC 3435 section 3.1 and appendix A).
+
+mod lines;
 
 use thiserror::Error;
 
 use crate::message::{
-    BadEndpoint, Command, Endpoint, LAST_TRANSACTION, Message, Parameters, Response, TransactionId, Verb,
+    Command, Endpoint, EndpointNameError, MAX_TRANSACTION_ID, Message, Parameters, Response, TransactionId,
+    Verb,
 };
+use lines::Lines;
 
-/// The longest datagram that is read, in bytes; RFC 3435 section 3.5.4 asks for 4,000 at the least.
-pub const LONGEST_DATAGRAM: usize = 16 * 1024;
+/// The longest datagram that is parsed, in bytes; RFC 3435 section 3.5.4 asks for 4,000 at the least.
+pub const MAX_DATAGRAM_LENGTH: usize = 16 * 1024;
 /// The most parameter lines of one message.
-pub const MOST_PARAMETERS: usize = 128;
+pub const MAX_PARAMETERS: usize = 128;
 /// The most messages of one datagram (RFC 3435 section 3.5.5, piggybacking).
-pub const MOST_MESSAGES: usize = 64;
+pub const MAX_MESSAGES: usize = 64;
+/// The longest transaction id, in digits.
+const MAX_TRANSACTION_ID_DIGITS: usize = 9;
 
-/// Why a message could not be read.
+/// Why a datagram or a message could not be parsed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum Fault {
+pub enum ParseError {
+    /// The datagram has no message.
     #[error("an empty datagram")]
     Empty,
-    #[error("a datagram of more than {LONGEST_DATAGRAM} bytes")]
+    /// The datagram is longer than [`MAX_DATAGRAM_LENGTH`].
+    #[error("a datagram of more than {MAX_DATAGRAM_LENGTH} bytes")]
     TooLong,
-    #[error("more than {MOST_MESSAGES} messages in one datagram")]
+    /// The datagram has more than [`MAX_MESSAGES`] messages.
+    #[error("more than {MAX_MESSAGES} messages in one datagram")]
     TooManyMessages,
-    #[error("more than {MOST_PARAMETERS} parameter lines")]
+    /// The message has more than [`MAX_PARAMETERS`] parameter lines.
+    #[error("more than {MAX_PARAMETERS} parameter lines")]
     TooManyParameters,
+    /// A line is not UTF-8.
     #[error("a line that is not UTF-8 text")]
-    NotText,
+    NotUtf8,
+    /// The first line begins with neither a verb nor a return code.
     #[error("neither a command nor a response code")]
-    NoSuchVerb,
-    #[error("no transaction id of 1 to {LAST_TRANSACTION}")]
-    BadTransaction,
+    UnknownVerb,
+    /// The transaction id is missing or out of range.
+    #[error("no transaction id of 1 to {MAX_TRANSACTION_ID}")]
+    InvalidTransactionId,
+    /// The endpoint name of a command is invalid.
     #[error("endpoint name: {0}")]
-    BadEndpoint(BadEndpoint),
+    InvalidEndpointName(EndpointNameError),
+    /// The version of a command is not that of RFC 3435.
     #[error("no MGCP 1.0 behind the endpoint name")]
-    BadVersion,
+    UnsupportedVersion,
+    /// A parameter line has no valid name, or no colon.
     #[error("a parameter line without a name and a colon")]
-    BadParameter,
+    InvalidParameter,
 }
 
-/// A message that could not be read, and what can be said of it.
+/// A message that could not be parsed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("line {line}: {fault}")]
-pub struct Broken {
-    /// Counted from 1 in the datagram.
+#[error("line {line}: {cause}")]
+pub struct MessageError {
+    /// The line of the datagram, counted from 1.
     pub line: usize,
-    pub fault: Fault,
-    /// The transaction of a command that was told so far; its sender can be answered.
+    /// What is wrong with it.
+    pub cause: ParseError,
+    /// The transaction, where it is a command whose first line is intact so far: its sender can be answered.
     pub transaction: Option<TransactionId>,
 }
 
-/// All messages of a datagram, each read or not on its own.
+/// All messages of a datagram, each parsed or not on its own.
 ///
 /// # Errors
 ///
-/// Where the datagram as a whole is none: empty, too long, or with too many messages.
-pub fn datagram(bytes: &[u8]) -> Result<Vec<Result<Message, Broken>>, Fault> {
-    if bytes.len() > LONGEST_DATAGRAM {
-        return Err(Fault::TooLong);
+/// The datagram as a whole is invalid: empty, too long, or with too many messages.
+pub fn datagram(bytes: &[u8]) -> Result<Vec<Result<Message, MessageError>>, ParseError> {
+    if bytes.len() > MAX_DATAGRAM_LENGTH {
+        return Err(ParseError::TooLong);
     }
     let mut messages = Vec::new();
-    let mut lines = Lines { rest: Some(bytes), at: 0 };
-    while let Some(first) = lines.first_of_message() {
-        if messages.len() == MOST_MESSAGES {
-            return Err(Fault::TooManyMessages);
-        }
-        messages.push(message(first, &mut lines));
-    }
-    if messages.is_empty() { Err(Fault::Empty) } else { Ok(messages) }
-}
-
-/// The lines of a datagram, ended by CRLF, LF or the end.
-struct Lines<'a> {
-    rest: Option<&'a [u8]>,
-    at: usize,
-}
-
-impl<'a> Lines<'a> {
-    fn next(&mut self) -> Option<&'a [u8]> {
-        let rest = self.rest.filter(|rest| !rest.is_empty())?;
-        self.at += 1;
-        let (line, rest) = match rest.iter().position(|byte| *byte == b'\n') {
-            Some(end) => (&rest[..end], Some(&rest[end + 1..])),
-            None => (rest, None),
-        };
-        self.rest = rest;
-        Some(line.strip_suffix(b"\r").unwrap_or(line))
-    }
-
-    /// The first line that is neither empty nor the dot between two messages.
-    fn first_of_message(&mut self) -> Option<&'a [u8]> {
-        loop {
-            let line = self.next()?;
-            if !line.is_empty() && line != b"." {
-                return Some(line);
-            }
-        }
-    }
-
-    /// Passes over what is left of the present message.
-    fn skip_message(&mut self) {
-        while let Some(line) = self.next() {
-            if line == b"." {
-                return;
-            }
+    let mut lines = Lines::new(bytes);
+    while let Some(first_line) = lines.next_message() {
+        if messages.len() == MAX_MESSAGES {
+            return Err(ParseError::TooManyMessages);
         }
+        messages.push(parse_message(first_line, &mut lines));
     }
+    if messages.is_empty() { Err(ParseError::Empty) } else { Ok(messages) }
 }
 
-fn message(first: &[u8], lines: &mut Lines<'_>) -> Result<Message, Broken> {
+fn parse_message(first_line: &[u8], lines: &mut Lines<'_>) -> Result<Message, MessageError> {
     let mut transaction = None;
-    let read = head(first, &mut transaction).and_then(|head| {
-        let (parameters, description) = body(lines)?;
-        Ok((head, parameters, description))
+    let message = parse_first_line(first_line, &mut transaction).and_then(|message| {
+        let (parameters, description) = parse_body(lines)?;
+        Ok(match message {
+            Message::Command(command) => Message::Command(Command { parameters, description, ..command }),
+            Message::Response(response) => {
+                Message::Response(Response { parameters, description, ..response })
+            }
+        })
     });
-    match read {
-        Ok((Message::Command(command), parameters, description)) => {
-            Ok(Message::Command(Command { parameters, description, ..command }))
-        }
-        Ok((Message::Response(response), parameters, description)) => {
-            Ok(Message::Response(Response { parameters, description, ..response }))
-        }
-        Err(fault) => {
-            let broken = Broken { line: lines.at, fault, transaction };
-            lines.skip_message();
-            Err(broken)
-        }
-    }
+    message.map_err(|cause| {
+        let error = MessageError { line: lines.line_number(), cause, transaction };
+        lines.skip_message();
+        error
+    })
 }
 
-/// A command line or a response line; a command's transaction is told even where the rest is broken.
-fn head(line: &[u8], transaction: &mut Option<TransactionId>) -> Result<Message, Fault> {
-    let line = std::str::from_utf8(line).map_err(|_| Fault::NotText)?;
+/// Parses a command line or a response line. The transaction of a command is set even if the rest is invalid.
+fn parse_first_line(line: &[u8], transaction: &mut Option<TransactionId>) -> Result<Message, ParseError> {
+    let line = std::str::from_utf8(line).map_err(|_| ParseError::NotUtf8)?;
     let mut words = line.split([' ', '\t']).filter(|word| !word.is_empty());
-    let verb = words.next().ok_or(Fault::NoSuchVerb)?;
-    let id = words.next().and_then(whole).filter(|id| (1..=LAST_TRANSACTION).contains(id));
+    let verb = words.next().ok_or(ParseError::UnknownVerb)?;
+    let id = words.next().and_then(parse_transaction_id);
     if verb.len() == 3 && verb.bytes().all(|byte| byte.is_ascii_digit()) {
-        let id = id.ok_or(Fault::BadTransaction)?;
-        let code = verb.parse().map_err(|_| Fault::NoSuchVerb)?;
+        let id = id.ok_or(ParseError::InvalidTransactionId)?;
+        let code = verb.parse().map_err(|_| ParseError::UnknownVerb)?;
         let comment = words.collect::<Vec<_>>().join(" ");
         return Ok(Message::Response(Response { comment, ..Response::new(code, id) }));
     }
-    let sound = verb.len() == 4 && verb.bytes().all(|byte| byte.is_ascii_alphanumeric());
-    *transaction = id.filter(|_| sound);
-    let verb = Verb::from_code(verb).ok_or(Fault::NoSuchVerb)?;
-    let id = id.ok_or(Fault::BadTransaction)?;
-    let endpoint: Endpoint = words.next().unwrap_or("").parse().map_err(Fault::BadEndpoint)?;
-    let version = words.next().is_some_and(|word| word.eq_ignore_ascii_case("MGCP"))
-        && words.next().is_some_and(|word| word == "1.0");
-    if !version {
-        return Err(Fault::BadVersion);
+    let is_command = verb.len() == 4 && verb.bytes().all(|byte| byte.is_ascii_alphanumeric());
+    *transaction = id.filter(|_| is_command);
+    let verb = Verb::from_code(verb).ok_or(ParseError::UnknownVerb)?;
+    let id = id.ok_or(ParseError::InvalidTransactionId)?;
+    let endpoint: Endpoint = words.next().unwrap_or("").parse().map_err(ParseError::InvalidEndpointName)?;
+    let is_mgcp = words.next().is_some_and(|word| word.eq_ignore_ascii_case("MGCP"));
+    if !is_mgcp || words.next() != Some("1.0") {
+        return Err(ParseError::UnsupportedVersion);
     }
     Ok(Message::Command(Command::new(verb, id, endpoint)))
 }
 
-fn whole(word: &str) -> Option<u32> {
-    (word.len() <= 9 && word.bytes().all(|byte| byte.is_ascii_digit())).then(|| word.parse().ok())?
+fn parse_transaction_id(word: &str) -> Option<TransactionId> {
+    if word.len() > MAX_TRANSACTION_ID_DIGITS || !word.bytes().all(|byte| byte.is_ascii_digit()) {
+        return None;
+    }
+    word.parse().ok().filter(|id| (1..=MAX_TRANSACTION_ID).contains(id))
 }
 
-fn body(lines: &mut Lines<'_>) -> Result<(Parameters, Option<Vec<u8>>), Fault> {
+/// Parses the parameter lines and the session description.
+fn parse_body(lines: &mut Lines<'_>) -> Result<(Parameters, Option<Vec<u8>>), ParseError> {
     let mut parameters = Parameters::default();
-    while let Some(line) = lines.next() {
-        if line == b"." {
-            return Ok((parameters, None));
-        }
+    while let Some(line) = lines.next_line_of_message() {
         if line.is_empty() {
-            return Ok((parameters, description(lines)));
-        }
-        if parameters.0.len() == MOST_PARAMETERS {
-            return Err(Fault::TooManyParameters);
+            return Ok((parameters, parse_description(lines)));
         }
-        let line = std::str::from_utf8(line).map_err(|_| Fault::NotText)?;
-        let (name, value) = line.split_once(':').ok_or(Fault::BadParameter)?;
-        let name = name.trim();
-        let sound = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'+' | b'/');
-        if name.is_empty() || !name.bytes().all(sound) {
-            return Err(Fault::BadParameter);
+        if parameters.0.len() == MAX_PARAMETERS {
+            return Err(ParseError::TooManyParameters);
         }
-        parameters.0.push((name.to_owned(), value.trim().to_owned()));
+        parameters.0.push(parse_parameter(line)?);
     }
     Ok((parameters, None))
 }
 
+fn parse_parameter(line: &[u8]) -> Result<(String, String), ParseError> {
+    let line = std::str::from_utf8(line).map_err(|_| ParseError::NotUtf8)?;
+    let (name, value) = line.split_once(':').ok_or(ParseError::InvalidParameter)?;
+    let name = name.trim();
+    let is_valid = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'+' | b'/');
+    if name.is_empty() || !name.bytes().all(is_valid) {
+        return Err(ParseError::InvalidParameter);
+    }
+    Ok((name.to_owned(), value.trim().to_owned()))
+}
+
 /// All lines up to the next message, as they are.
-fn description(lines: &mut Lines<'_>) -> Option<Vec<u8>> {
-    let mut bytes = Vec::new();
-    while let Some(line) = lines.next() {
-        if line == b"." {
-            break;
-        }
-        bytes.extend_from_slice(line);
-        bytes.extend_from_slice(b"\r\n");
+fn parse_description(lines: &mut Lines<'_>) -> Option<Vec<u8>> {
+    let mut description = Vec::new();
+    while let Some(line) = lines.next_line_of_message() {
+        description.extend_from_slice(line);
+        description.extend_from_slice(b"\r\n");
     }
-    (!bytes.is_empty()).then_some(bytes)
+    (!description.is_empty()).then_some(description)
 }
--- a/crates/ochrelead-mgcp/tests/grammar.rs
+++ b/crates/ochrelead-mgcp/tests/grammar.rs
@@ -1,7 +1,7 @@
-//! Reading and writing, line by line and under chance.
+//! Parsing and writing, line by line and under random mutation.
 
-use ochrelead_mgcp::message::{BadEndpoint, Command, Endpoint, Message, Response, Verb};
-use ochrelead_mgcp::parse::{Fault, datagram};
+use ochrelead_mgcp::message::{Command, Endpoint, EndpointNameError, Message, Response, Verb};
+use ochrelead_mgcp::parse::{ParseError, datagram};
 use ochrelead_mgcp::write;
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -10,22 +10,22 @@
 
 #[test_case("trunk/$@s1.example", None; "any")]
 #[test_case("*@s1", None; "all")]
-#[test_case("trunk/5", Some(BadEndpoint::NoDomain); "no domain")]
-#[test_case("trunk//5@s1", Some(BadEndpoint::EmptyTerm); "empty term")]
-#[test_case("@s1", Some(BadEndpoint::EmptyTerm); "no local name")]
-#[test_case("trunk/\0@s1", Some(BadEndpoint::BadCharacter); "nul")]
-#[test_case("trunk/5*@s1", Some(BadEndpoint::WildcardInTerm); "half a wildcard")]
-#[test_case(&format!("{}@s1", "a".repeat(256)), Some(BadEndpoint::TooLong); "long")]
-fn endpoint(name: &str, fault: Option<BadEndpoint>) {
-    assert_eq!(name.parse::<Endpoint>().err(), fault);
+#[test_case("trunk/5", Some(EndpointNameError::NoDomain); "no domain")]
+#[test_case("trunk//5@s1", Some(EndpointNameError::EmptyTerm); "empty term")]
+#[test_case("@s1", Some(EndpointNameError::EmptyTerm); "no local name")]
+#[test_case("trunk/\0@s1", Some(EndpointNameError::InvalidCharacter); "nul")]
+#[test_case("trunk/5*@s1", Some(EndpointNameError::WildcardInTerm); "half a wildcard")]
+#[test_case(&format!("{}@s1", "a".repeat(256)), Some(EndpointNameError::TooLong); "long")]
+fn endpoint_name(name: &str, error: Option<EndpointNameError>) {
+    assert_eq!(name.parse::<Endpoint>().err(), error);
 }
 
-#[test_case(b"", Fault::Empty; "zero bytes")]
-#[test_case(b"\r\n.\r\n", Fault::Empty; "nothing but a dot")]
-#[test_case(&[b'A'; 65_507], Fault::TooLong; "64 KiB")]
-#[test_case(".\nAUEP 1 a@b MGCP 1.0\n".repeat(65).as_bytes(), Fault::TooManyMessages; "too many messages")]
-fn no_datagram(bytes: &[u8], fault: Fault) {
-    assert_eq!(datagram(bytes), Err(fault));
+#[test_case(b"", ParseError::Empty; "zero bytes")]
+#[test_case(b"\r\n.\r\n", ParseError::Empty; "nothing but a dot")]
+#[test_case(&[b'A'; 65_507], ParseError::TooLong; "64 KiB")]
+#[test_case(".\nAUEP 1 a@b MGCP 1.0\n".repeat(65).as_bytes(), ParseError::TooManyMessages; "too many messages")]
+fn invalid_datagram(bytes: &[u8], expected: ParseError) {
+    assert_eq!(datagram(bytes), Err(expected));
 }
 
 #[test_case(b"AUEP 7 a\0b@c MGCP 1.0", 1, Some(7); "nul endpoint is answered")]
@@ -37,58 +37,63 @@
 #[test_case(b"AUEP 7 a@c MGCP 1.0\nK: 1\nno colon", 3, Some(7); "parameter without colon")]
 #[test_case(b"AUEP 7 a@c MGCP 1.0\nX-\xc3\x28: 1", 2, Some(7); "parameter not UTF-8")]
 #[test_case(("AUEP 7 a@c MGCP 1.0\n".to_owned() + &"X-A: 1\n".repeat(600)).as_bytes(), 130, Some(7); "too many parameters")]
-fn broken(bytes: &[u8], line: usize, transaction: Option<u32>) {
-    let read = datagram(bytes).unwrap();
-    let broken = read[0].clone().unwrap_err();
-    assert_eq!((read.len(), broken.line, broken.transaction), (1, line, transaction), "{broken}");
+fn invalid_message(bytes: &[u8], line: usize, transaction: Option<u32>) {
+    let messages = datagram(bytes).unwrap();
+    let error = messages[0].clone().unwrap_err();
+    assert_eq!((messages.len(), error.line, error.transaction), (1, line, transaction), "{error}");
 }
 
 #[test]
-fn a_broken_message_does_not_spoil_the_next() {
-    let read = datagram(b"JUMP 7 a@c MGCP 1.0\r\nQ: x\r\n.\r\n200 8 OK\r\nI: 3\r\n\r\nv=0\r\n").unwrap();
-    assert!(read[0].is_err());
-    let Ok(Message::Response(response)) = &read[1] else { panic!("{read:?}") };
+fn invalid_message_does_not_affect_the_next() {
+    let messages = datagram(b"JUMP 7 a@c MGCP 1.0\r\nQ: x\r\n.\r\n200 8 OK\r\nI: 3\r\n\r\nv=0\r\n").unwrap();
+    assert!(messages[0].is_err());
+    let Ok(Message::Response(response)) = &messages[1] else { panic!("{messages:?}") };
     assert_eq!(response.parameters.get("i"), Some("3"));
     assert_eq!(response.description.as_deref(), Some(&b"v=0\r\n"[..]));
 }
 
-fn named() -> impl Strategy<Value = Vec<(String, String)>> {
+fn any_parameters() -> impl Strategy<Value = Vec<(String, String)>> {
     prop::collection::vec(("[A-Z][A-Za-z0-9-]{0,8}", "[!-~]([ -~]{0,30}[!-~])?"), 0..6)
 }
 
-fn described() -> impl Strategy<Value = Option<Vec<u8>>> {
+fn any_description() -> impl Strategy<Value = Option<Vec<u8>>> {
     prop::option::of("([a-z]=[ -~]{1,30}\r\n){1,4}".prop_map(String::into_bytes))
 }
 
 fn any_message() -> impl Strategy<Value = Message> {
     let local = "([a-z0-9]{1,6}|\\*|\\$)(/([a-z0-9]{1,6}|\\*|\\$)){0,2}@[a-z0-9.]{1,12}";
-    let command =
-        (0..Verb::ALL.len(), 1..1_000_000_000u32, local, named(), described()).prop_map(|(v, t, e, p, d)| {
+    let command = (0..Verb::ALL.len(), 1..1_000_000_000u32, local, any_parameters(), any_description())
+        .prop_map(|(v, t, e, p, d)| {
             let command = Command::new(Verb::ALL[v], t, e.parse().unwrap());
             let command = p.into_iter().fold(command, |command, (name, value)| command.with(&name, value));
             Message::Command(Command { description: d, ..command })
         });
-    let response =
-        (0..1_000u16, 1..1_000_000_000u32, "([a-zA-Z]{1,8}( [a-zA-Z]{1,8}){0,2})?", named(), described())
-            .prop_map(|(c, t, comment, p, d)| {
-                let response = Response { comment, ..Response::new(c, t) };
-                let response =
-                    p.into_iter().fold(response, |response, (name, value)| response.with(&name, value));
-                Message::Response(Response { description: d, ..response })
-            });
+    let response = (
+        0..1_000u16,
+        1..1_000_000_000u32,
+        "([a-zA-Z]{1,8}( [a-zA-Z]{1,8}){0,2})?",
+        any_parameters(),
+        any_description(),
+    )
+        .prop_map(|(c, t, comment, p, d)| {
+            let response = Response { comment, ..Response::new(c, t) };
+            let response =
+                p.into_iter().fold(response, |response, (name, value)| response.with(&name, value));
+            Message::Response(Response { description: d, ..response })
+        });
     prop_oneof![command, response]
 }
 
 proptest! {
     #[test]
-    fn what_is_written_is_read_again(messages in prop::collection::vec(any_message(), 1..5)) {
-        let read: Result<Vec<Message>, _> = datagram(&write::datagram(&messages)).unwrap().into_iter().collect();
-        prop_assert_eq!(read.unwrap(), messages);
+    fn written_messages_are_parsed_again(messages in prop::collection::vec(any_message(), 1..5)) {
+        let parsed: Result<Vec<Message>, _> = datagram(&write::datagram(&messages)).unwrap().into_iter().collect();
+        prop_assert_eq!(parsed.unwrap(), messages);
     }
 }
 
-fn mutated(rounds: u32) {
-    let mut chance = Pcg64Mcg::seed_from_u64(1);
+fn check_mutated_datagrams(rounds: u32) {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
     let seeds: [&[u8]; 3] = [
         b"CRCX 1204 trunk/$@s1.example MGCP 1.0\r\nC: A3C47F\r\nL: p:20\r\nM: sendrecv\r\n\r\nv=0\r\n",
         b"200 1204 OK\r\nI: FDE2\r\nZ: trunk/5@s1\r\nX-Lines: 3/40\r\nK:\r\n",
@@ -96,16 +101,16 @@
     ];
     for round in 0..rounds {
         let mut bytes = seeds[round as usize % seeds.len()].to_vec();
-        for _ in 0..chance.random_range(1..6) {
-            let at = chance.random_range(0..bytes.len());
-            match chance.random_range(0..4) {
-                0 => bytes[at] = chance.random(),
-                1 => bytes.truncate(at.max(1)),
-                2 => bytes.insert(at, chance.random()),
-                _ => bytes.extend_from_within(at..),
+        for _ in 0..rng.random_range(1..6) {
+            let position = rng.random_range(0..bytes.len());
+            match rng.random_range(0..4) {
+                0 => bytes[position] = rng.random(),
+                1 => bytes.truncate(position.max(1)),
+                2 => bytes.insert(position, rng.random()),
+                _ => bytes.extend_from_within(position..),
             }
         }
-        // What is read at all is read the same after it was written again.
+        // A message that is parsed at all is parsed to the same one after it was written.
         for message in datagram(&bytes).into_iter().flatten().flatten() {
             let again = datagram(&write::datagram(std::slice::from_ref(&message))).unwrap();
             assert_eq!(again[0].as_ref().ok().map(kind), Some(kind(&message)));
@@ -122,11 +127,11 @@
 
 #[test]
 fn mutated_datagrams_do_no_harm() {
-    mutated(100_000);
+    check_mutated_datagrams(100_000);
 }
 
 #[test]
 #[ignore = "ten million datagrams take a while; run with --release"]
 fn ten_million_mutated_datagrams_do_no_harm() {
-    mutated(10_000_000);
+    check_mutated_datagrams(10_000_000);
 }
--- a/crates/ochrelead-scenario/src/audit/cold.rs
+++ b/crates/ochrelead-scenario/src/audit/cold.rs
@@ -4,7 +4,7 @@
 
 use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_mgcp::message::{Message, TransactionId, Verb, code, name};
+use ochrelead_mgcp::message::{Message, TransactionId, Verb, code, parameter};
 
 use super::Verdict;
 use super::sightings::{Seen, What, state};
@@ -37,7 +37,7 @@
             (What::Message(Message::Command(command)), Party::Server(server), Party::Front(front))
                 if command.verb == Verb::RestartInProgress =>
             {
-                let restarts = command.parameters.get(name::RESTART) == Some("restart");
+                let restarts = command.parameters.get(parameter::RESTART_METHOD) == Some("restart");
                 let cold = servers.entry(server).or_default();
                 if restarts && !one.reached {
                     cold.start(one.at, (front, command.transaction));
--- a/crates/ochrelead-scenario/src/audit/drawn.rs
+++ b/crates/ochrelead-scenario/src/audit/drawn.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashSet};
 
 use ochrelead_config::scenario::Scenario;
-use ochrelead_mgcp::message::{Message, Verb, name};
+use ochrelead_mgcp::message::{Message, Verb, parameter};
 use statrs::distribution::{ChiSquared, ContinuousCDF};
 
 use super::sightings::{Mark, Seen, What};
@@ -48,8 +48,8 @@
             (What::Message(Message::Command(command)), Party::Front(front), Party::Server(server))
                 if command.verb == Verb::CreateConnection && !one.reached =>
             {
-                let tried = command.parameters.get(name::TRY).unwrap_or("").to_owned();
-                let called = command.parameters.get(name::CALLED).unwrap_or("");
+                let tried = command.parameters.get(parameter::ATTEMPT).unwrap_or("").to_owned();
+                let called = command.parameters.get(parameter::CALLED_NUMBER).unwrap_or("");
                 let destination = called.get(1..3).and_then(|digits| digits.parse::<u16>().ok());
                 if !tries.insert(tried) || destination == Some(server) {
                     continue;
--- a/crates/ochrelead-scenario/src/audit/rules.rs
+++ b/crates/ochrelead-scenario/src/audit/rules.rs
@@ -4,7 +4,7 @@
 
 use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_mgcp::message::{Command, Message, Response, TransactionId, Verb, code, name};
+use ochrelead_mgcp::message::{Command, Message, Response, TransactionId, Verb, code, parameter};
 
 use super::Verdict;
 use super::sightings::{Mark, Seen, What};
@@ -125,10 +125,11 @@
 
     /// A caller's NTFY reached its front.
     fn notified(&mut self, at: Moment, front: u16, command: &Command) {
-        let Some(tried) = command.parameters.get(name::TRY).filter(|_| command.verb == Verb::Notify) else {
+        let Some(tried) = command.parameters.get(parameter::ATTEMPT).filter(|_| command.verb == Verb::Notify)
+        else {
             return;
         };
-        let events = command.parameters.get(name::OBSERVED).unwrap_or("");
+        let events = command.parameters.get(parameter::OBSERVED_EVENTS).unwrap_or("");
         let front = self.fronts.entry(front).or_default();
         if front.dead {
             return;
@@ -148,7 +149,7 @@
                     own.dialled.as_deref().is_some_and(|dialled| digits.starts_with(dialled))
                 });
             let usual = service.map_or(Span::ZERO, |service| self.day.front.timer_limits[service]);
-            let told = command.parameters.read::<u32>(name::PATIENCE);
+            let told = command.parameters.parse::<u32>(parameter::TIMER_LIMIT);
             let limit = told.map_or(usual, |ms| Span::from_millis(u64::from(ms)).min(usual));
             front.tries.insert(tried.to_owned(), Try::new(at, at + limit, None));
             self.verdict.tested[0].case();
@@ -159,10 +160,10 @@
     fn answered(&mut self, at: Moment, front: u16, command: &Command) {
         let is_final = match command.verb {
             Verb::ModifyConnection => true,
-            Verb::NotificationRequest => command.parameters.get(name::SIGNALS).is_some(),
+            Verb::NotificationRequest => command.parameters.get(parameter::SIGNAL_REQUESTS).is_some(),
             _ => false,
         };
-        let Some(tried) = command.parameters.get(name::TRY).filter(|_| is_final) else { return };
+        let Some(tried) = command.parameters.get(parameter::ATTEMPT).filter(|_| is_final) else { return };
         let Some(front) = self.fronts.get_mut(&front) else { return };
         let resumed = front.resumed;
         let Some(held) = front.tries.get_mut(tried) else {
@@ -210,7 +211,7 @@
     /// A front sends something to a server.
     fn sent(&mut self, at: Moment, number: u16, server: u16, command: &Command) {
         let front = self.fronts.entry(number).or_default();
-        let tried = command.parameters.get(name::CALL).unwrap_or("");
+        let tried = command.parameters.get(parameter::CALL_ID).unwrap_or("");
         match command.verb {
             Verb::DeleteConnection => {
                 if let Some(held) = front.tries.get_mut(tried)
@@ -314,7 +315,8 @@
         match command.verb {
             Verb::RestartInProgress if !front.told.insert((server, command.transaction)) => {}
             Verb::RestartInProgress => {
-                let method = command.parameters.get(name::RESTART).unwrap_or("").to_ascii_lowercase();
+                let method =
+                    command.parameters.get(parameter::RESTART_METHOD).unwrap_or("").to_ascii_lowercase();
                 match method.as_str() {
                     "graceful" => {
                         front.leaving.entry(server).or_insert(at);
@@ -333,7 +335,7 @@
                     _ => {}
                 }
             }
-            Verb::DeleteConnection => front.cut(server, command.parameters.get(name::CALL), at),
+            Verb::DeleteConnection => front.cut(server, command.parameters.get(parameter::CALL_ID), at),
             _ => {}
         }
     }
--- a/crates/ochrelead-scenario/src/audit/service.rs
+++ b/crates/ochrelead-scenario/src/audit/service.rs
@@ -6,7 +6,7 @@
 use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_emulator::callers::HOT;
-use ochrelead_mgcp::message::{Message, Verb, name};
+use ochrelead_mgcp::message::{Message, Verb, parameter};
 
 use super::sightings::{Seen, What, state};
 use crate::party::Party;
@@ -59,11 +59,13 @@
     let mut asked: Vec<Vec<Moment>> = vec![Vec::new(); day.front.trunks.len()];
     for one in seen {
         let What::Message(Message::Command(command)) = &one.what else { continue };
-        let Some(tried) = command.parameters.get(name::TRY).filter(|tried| tried.len() > 8) else { continue };
+        let Some(tried) = command.parameters.get(parameter::ATTEMPT).filter(|tried| tried.len() > 8) else {
+            continue;
+        };
         let id = &tried[..8];
         match (one.from, one.to, one.reached, command.verb) {
             (Party::Gateway, Party::Front(_), false, Verb::Notify) => {
-                let events = command.parameters.get(name::OBSERVED).unwrap_or("");
+                let events = command.parameters.get(parameter::OBSERVED_EVENTS).unwrap_or("");
                 if events.contains("L/hd") {
                     let caller = callers.entry(id.to_owned()).or_insert_with(|| {
                         let trunk = command.endpoint.local().split('/').next().unwrap_or("");
--- a/crates/ochrelead-sim/src/world.rs
+++ b/crates/ochrelead-sim/src/world.rs
@@ -16,7 +16,7 @@
 use ochrelead_emulator::network::{Network, faults};
 use ochrelead_emulator::server::Server;
 use ochrelead_host::call_policy::CallPolicy;
-use ochrelead_mgcp::exchange::Pace;
+use ochrelead_mgcp::transaction::TransactionConfig;
 use ochrelead_scenario::baseline::{Baseline, Policy};
 use ochrelead_scenario::capture::Sight;
 use ochrelead_scenario::party::Party;
@@ -463,13 +463,13 @@
 }
 
 /// After this nobody owes anybody anything: a release is asked for three times.
-fn last_words(pace: &Pace) -> Span {
-    pace.give_up * 3 + pace.longest_gap * 2 + Span::from_secs(1)
+fn last_words(transactions: &TransactionConfig) -> Span {
+    transactions.response_timeout * 3 + transactions.max_rto * 2 + Span::from_secs(1)
 }
 
 fn script(day: &Scenario, start: Moment) -> VecDeque<(Moment, Act)> {
     let ends = start + day.duration + TAIL;
-    let mut script = vec![(ends, Act::End), (ends + last_words(&day.front.pace), Act::Close)];
+    let mut script = vec![(ends, Act::End), (ends + last_words(&day.front.transactions), Act::Close)];
     for trouble in &day.faults {
         let (begins, ends) = (start + trouble.start, start + trouble.start + trouble.duration);
         for &which in &trouble.targets {
--- a/crates/ochrelead-sim/tests/resent.rs
+++ b/crates/ochrelead-sim/tests/resent.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 use ochrelead_config::scenario;
-use ochrelead_mgcp::message::{Message, Verb, name};
+use ochrelead_mgcp::message::{Message, Verb, parameter};
 use ochrelead_mgcp::parse;
 use ochrelead_scenario::party::Party;
 use ochrelead_scenario::world::Deciding;
@@ -48,21 +48,23 @@
             let Message::Command(command) = message else { continue };
             let of = |field: &str| command.parameters.get(field).unwrap_or("").to_owned();
             match (sight.from, sight.to, command.verb, sight.reached) {
-                (Party::Gateway, _, Verb::Notify, true) if of(name::OBSERVED).contains("L/hd") => {
+                (Party::Gateway, _, Verb::Notify, true)
+                    if of(parameter::OBSERVED_EVENTS).contains("L/hd") =>
+                {
                     // The stand-in callers keep one line for all their tries.
-                    let tried = lines.entry(command.endpoint.to_string()).or_insert(of(name::TRY));
-                    if *tried != of(name::TRY) {
-                        again.insert(of(name::TRY));
+                    let tried = lines.entry(command.endpoint.to_string()).or_insert(of(parameter::ATTEMPT));
+                    if *tried != of(parameter::ATTEMPT) {
+                        again.insert(of(parameter::ATTEMPT));
                     }
                 }
                 (front, Party::Server(_), Verb::DeleteConnection, false) => {
-                    off.insert((front, of(name::CALL)));
+                    off.insert((front, of(parameter::CALL_ID)));
                 }
                 (front, Party::Server(_), Verb::CreateConnection, false) => {
-                    *sent.entry((front, of(name::CALL))).or_default() += 1;
+                    *sent.entry((front, of(parameter::CALL_ID))).or_default() += 1;
                 }
                 (front, Party::Server(_), Verb::CreateConnection, true) => {
-                    let call = (front, of(name::CALL));
+                    let call = (front, of(parameter::CALL_ID));
                     layers.called_off += u32::from(off.contains(&call));
                     if !invites.insert((front, command.transaction)) {
                         layers.repeats += 1;
@@ -80,7 +82,7 @@
     }
     layers.most_of_a_session = sent.into_values().max().unwrap_or(0);
     let limit = day.front.timer_limits.iter().max().copied().unwrap_or_default();
-    (layers, MOST_INVITES + day.front.pace.repeats(limit))
+    (layers, MOST_INVITES + day.front.transactions.max_retransmissions(limit))
 }
 
 /// Of a hundred sessions that are first set up: the most INVITE datagrams that the module and the repeats may add.
--- a/crates/ochrelead-sim/tests/sabotage.rs
+++ b/crates/ochrelead-sim/tests/sabotage.rs
@@ -45,7 +45,7 @@
 impl Meddler for Slipped {
     fn commission(&self, commission: &mut FrontConfig) {
         if self.0 == Slip::KeptTooShort {
-            commission.pace.kept = Span::from_millis(1);
+            commission.transactions.history_duration = Span::from_millis(1);
         }
     }
 
--- a/crates/ochrelead-sim/tests/tiny/mod.rs
+++ b/crates/ochrelead-sim/tests/tiny/mod.rs
@@ -14,7 +14,7 @@
 use ochrelead_front::engine::Engine;
 use ochrelead_front::events::EngineEvent;
 use ochrelead_host::call_policy::CallPolicy;
-use ochrelead_mgcp::message::{Command, Message, Response, Verb, name};
+use ochrelead_mgcp::message::{Command, Message, Response, Verb, parameter};
 use ochrelead_mgcp::{parse, write};
 use oracle::Oracle;
 
@@ -423,15 +423,19 @@
         let now = self.now;
         match parse::datagram(bytes).unwrap().remove(0).unwrap() {
             Message::Command(command) if from == gateway() => {
-                let tried = command.parameters.get(name::TRY).unwrap_or("").to_owned();
-                if command.parameters.get(name::OBSERVED).is_some_and(|events| events.contains("L/hu")) {
+                let tried = command.parameters.get(parameter::ATTEMPT).unwrap_or("").to_owned();
+                if command
+                    .parameters
+                    .get(parameter::OBSERVED_EVENTS)
+                    .is_some_and(|events| events.contains("L/hu"))
+                {
                     self.oracle.hung_up(now, &tried);
                 } else {
                     self.oracle.taken(now, nth, &tried, waited);
                 }
             }
             Message::Command(command) if command.verb == Verb::RestartInProgress => {
-                let method = command.parameters.get(name::RESTART).unwrap_or("").to_owned();
+                let method = command.parameters.get(parameter::RESTART_METHOD).unwrap_or("").to_owned();
                 self.oracle.told(now, nth, usize::from(from.port() - 10), &method);
             }
             Message::Response(response) if from != gateway() => {
@@ -506,7 +510,7 @@
             return self.told_to_caller(nth, &command);
         }
         let at_server = usize::from(to.port() - 10);
-        let call = command.parameters.get(name::CALL).unwrap_or("").to_owned();
+        let call = command.parameters.get(parameter::CALL_ID).unwrap_or("").to_owned();
         let transaction = command.transaction;
         if command.verb == Verb::DeleteConnection {
             self.oracle.called_off(self.now, nth, at_server, &call);
@@ -542,9 +546,9 @@
     }
 
     fn told_to_caller(&mut self, nth: usize, command: &Command) -> Result<(), Wrongdoing> {
-        let tried = command.parameters.get(name::TRY).unwrap_or("").to_owned();
+        let tried = command.parameters.get(parameter::ATTEMPT).unwrap_or("").to_owned();
         let stands = command.verb == Verb::ModifyConnection;
-        if stands || command.parameters.get(name::SIGNALS).is_some() {
+        if stands || command.parameters.get(parameter::SIGNAL_REQUESTS).is_some() {
             self.oracle.answered(self.now, nth, &tried, command.transaction, stands)?;
         } else if command.verb == Verb::DeleteConnection
             && let Some(own) = self.oracle.tries.get_mut(&tried)
