Replace stored files through one writer for both hosts, tested for a kill at each point

Cause: the atomic replacement of a file stood three times (discovery `store.rs`, node `persistence.rs` synced and unsynced), and only one of them was tested for a kill.

Change: `ochrelead-host` `state_folder` has the `Disk` trait (of discovery's store before), `StateFolder`, and `replace`: write NAME.next, rename it into place; synced, the contents are synced before the rename and the folder after it. `replace_after` lets discovery keep the present file as the former one between the two, where that one is whole. `Disk` carries bytes in place of text, since a voter's state is none, and is told whether a write is to be synced; the two test disks follow. Discovery depends on host now, as all its hosts did; nothing depends the other way.

Nothing else of the three differed: names, bytes, order of write, sync, rename and sync of the folder are as before.

--- a/crates/ochrelead-discovery/benches/adoption.rs
+++ b/crates/ochrelead-discovery/benches/adoption.rs
@@ -17,8 +17,11 @@
 const GAP: Duration = Duration::from_millis(10);
 
 fn text(generation: u64) -> String {
-    let server = |nth: u64| {
-        format!("server {{ name: \"s{nth}\" address: \"127.0.0.1:{}\" number: {nth} weight: 2 }}\n", 10 + nth)
+    let server = |index: u64| {
+        format!(
+            "server {{ name: \"s{index}\" address: \"127.0.0.1:{}\" number: {index} weight: 2 }}\n",
+            10 + index
+        )
     };
     let servers: String = (0..5).map(server).collect();
     format!("generation: {generation}\n{servers}end: {generation}\n")
@@ -31,9 +34,9 @@
     let file = folder.join("a.textproto");
     fs::write(&file, text(1)).expect("a file of our own");
     let readings = watch::start(folder.clone()).expect("a thread");
-    let (told, events) = mpsc::channel();
-    let mut watcher =
-        notify::recommended_watcher(move |_| told.send(Instant::now()).unwrap_or(())).expect("a watcher");
+    let (event_sender, events) = mpsc::channel();
+    let mut watcher = notify::recommended_watcher(move |_| event_sender.send(Instant::now()).unwrap_or(()))
+        .expect("a watcher");
     watcher.watch(&folder, RecursiveMode::NonRecursive).expect("a folder to watch");
     thread::sleep(Duration::from_millis(200));
     let mut reloader = EndpointReloader::new(vec!["check".to_owned()], None);
--- a/crates/ochrelead-discovery/tests/store.rs
+++ b/crates/ochrelead-discovery/tests/store.rs
@@ -10,7 +10,8 @@
 use ochrelead_config::server_endpoint::ServerEndpoint;
 use ochrelead_discovery::persistence::{FileGeneration, PersistedEndpoints, RestoreError};
 use ochrelead_discovery::server_table::{ListedServer, SelfReport};
-use ochrelead_discovery::store::{self, Disk, LoadedEndpoints, StateFolder};
+use ochrelead_discovery::store::{self, LoadedEndpoints};
+use ochrelead_host::state_folder::{Disk, Durability, StateFolder};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -46,7 +47,7 @@
 
 /// A disk whose process is killed after some steps; a write that is cut leaves a torn file.
 struct KilledDisk {
-    files: BTreeMap<String, String>,
+    files: BTreeMap<String, Vec<u8>>,
     steps_left: u32,
     rng: Pcg64Mcg,
 }
@@ -59,22 +60,22 @@
 }
 
 impl Disk for KilledDisk {
-    fn read(&self, name: &str) -> io::Result<Option<String>> {
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
         Ok(self.files.get(name).cloned())
     }
 
-    fn write(&mut self, name: &str, text: &str) -> io::Result<()> {
-        let torn = self.rng.random_range(0..text.len());
-        self.files.insert(name.to_owned(), text[..torn].to_owned());
+    fn write(&mut self, name: &str, contents: &[u8], _: Durability) -> io::Result<()> {
+        let torn = self.rng.random_range(0..contents.len());
+        self.files.insert(name.to_owned(), contents[..torn].to_owned());
         self.step()?;
-        self.files.insert(name.to_owned(), text.to_owned());
+        self.files.insert(name.to_owned(), contents.to_owned());
         Ok(())
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
         self.step()?;
-        let text = self.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
-        self.files.insert(to.to_owned(), text);
+        let contents = self.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
+        self.files.insert(to.to_owned(), contents);
         Ok(())
     }
 
@@ -106,7 +107,7 @@
         KilledDisk { files: BTreeMap::new(), steps_left: u32::MAX, rng: Pcg64Mcg::seed_from_u64(4) };
     store::save(&mut disk, &endpoints(1)).unwrap();
     store::save(&mut disk, &endpoints(2)).unwrap();
-    disk.files.insert("kept".to_owned(), "foreign".to_owned());
+    disk.files.insert("kept".to_owned(), b"foreign".to_vec());
     let loaded = store::load(&disk).unwrap();
     assert_eq!((loaded.endpoints, loaded.rejected.len()), (Some(endpoints(1)), 1));
     disk.steps_left = 1;
--- a/crates/ochrelead-discovery/tests/stored_bytes.rs
+++ b/crates/ochrelead-discovery/tests/stored_bytes.rs
@@ -8,7 +8,8 @@
 use ochrelead_discovery::counters::Counters;
 use ochrelead_discovery::persistence::{FileGeneration, PersistedEndpoints};
 use ochrelead_discovery::server_table::{ListedServer, SelfReport, ServerTable};
-use ochrelead_discovery::store::{self, LoadedEndpoints, StateFolder};
+use ochrelead_discovery::store::{self, LoadedEndpoints};
+use ochrelead_host::state_folder::StateFolder;
 
 fn fixtures() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures")
--- a/crates/ochrelead-front/src/host.rs
+++ b/crates/ochrelead-front/src/host.rs
@@ -21,9 +21,10 @@
 use ochrelead_discovery::persistence::PersistedEndpoints;
 use ochrelead_discovery::reloader::{EndpointReloader, ReloadOutcome};
 use ochrelead_discovery::source_file::SourceFile;
-use ochrelead_discovery::store::{self, StateFolder};
+use ochrelead_discovery::store;
 use ochrelead_discovery::watch;
 use ochrelead_host::clock::Clock;
+use ochrelead_host::state_folder::StateFolder;
 use tracing::{info, warn};
 
 use crate::engine::Engine;
--- a/crates/ochrelead-front/src/state_writer.rs
+++ b/crates/ochrelead-front/src/state_writer.rs
@@ -7,7 +7,8 @@
 use std::thread::{self, JoinHandle};
 
 use ochrelead_discovery::persistence::PersistedEndpoints;
-use ochrelead_discovery::store::{self, StateFolder};
+use ochrelead_discovery::store;
+use ochrelead_host::state_folder::{Durability, StateFolder, replace};
 use ochrelead_host::{COUNTERS, STATUS};
 use tracing::warn;
 
@@ -70,7 +71,8 @@
         }
         let saved = newest_endpoints.map_or(Ok(()), |endpoints| store::save(&mut folder, &endpoints));
         let shown = newest_status.map_or(Ok(()), |(status, counters)| {
-            folder.replace(STATUS, &status).and_then(|()| folder.replace(COUNTERS, &counters))
+            replace(&mut folder, STATUS, status.as_bytes(), Durability::Unsynced)
+                .and_then(|()| replace(&mut folder, COUNTERS, counters.as_bytes(), Durability::Unsynced))
         });
         if let Err(error) = saved.and(shown) {
             warn!(%error, "state could not be written");
--- a/crates/ochrelead-host/src/lib.rs
+++ b/crates/ochrelead-host/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`clock`]: the machine's clock as moments, and timers on it.
 //! - [`called_numbers`]: called numbers by index, bounded.
 //! - [`recent_ids`]: identifiers that are no longer in use, bounded.
+//! - [`state_folder`]: the folder in which a front stores its state, and how a file in it is replaced.
 //!
 //! ```
 //! use ochrelead_core::config::ControllerConfig;
@@ -27,6 +28,7 @@
 pub mod called_numbers;
 pub mod clock;
 pub mod recent_ids;
+pub mod state_folder;
 
 /// The status file in a state folder, as `ochrelead-front status` prints it. Its first line says when it was written.
 pub const STATUS: &str = "status";
--- a/crates/ochrelead-node/src/persistence.rs
+++ b/crates/ochrelead-node/src/persistence.rs
@@ -3,18 +3,17 @@
 //! A thread writes, so that no session waits for the disk. The host is notified of each voter state that has been
 //! written, and lets the messages go that waited for it. The thread ends when its [`PersistenceWriter`] is dropped.
 
-use std::fs::{self, File};
-use std::io::{self, ErrorKind, Write};
-use std::path::{Path, PathBuf};
+use std::io;
+use std::path::Path;
 use std::sync::mpsc::{self, Receiver as Jobs, Sender};
 use std::thread;
 
 use async_channel::{Receiver, Sender as Reports};
+use ochrelead_host::state_folder::{Disk, Durability, StateFolder, replace};
 use ochrelead_host::{COUNTERS, STATUS};
 use tracing::warn;
 
 const VOTER_STATE: &str = "promises";
-const NEXT_VOTER_STATE: &str = "promises.next";
 
 /// A voter's state; a higher sequence number replaces a lower one.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -66,15 +65,10 @@
     ///
     /// Where the folder can't be made, the file can't be read, or the thread can't be started.
     pub fn open(folder: &Path) -> io::Result<OpenedState> {
-        fs::create_dir_all(folder)?;
-        let stored = match fs::read(folder.join(VOTER_STATE)) {
-            Ok(bytes) => Some(bytes),
-            Err(error) if error.kind() == ErrorKind::NotFound => None,
-            Err(error) => return Err(error),
-        };
+        let folder = StateFolder::open(folder)?;
+        let stored = folder.read(VOTER_STATE)?;
         let (jobs, queue) = mpsc::channel();
         let (reports, persisted) = async_channel::unbounded();
-        let folder = folder.to_owned();
         thread::Builder::new()
             .name("persistence".to_owned())
             .spawn(move || WriterThread { folder, queue, reports }.run())?;
@@ -83,13 +77,13 @@
 }
 
 struct WriterThread {
-    folder: PathBuf,
+    folder: StateFolder,
     queue: Jobs<WriteJob>,
     reports: Reports<u64>,
 }
 
 impl WriterThread {
-    fn run(self) {
+    fn run(mut self) {
         while let Ok(first) = self.queue.recv() {
             // Only the newest of each matters: it includes all that came before.
             let (mut voter_state, mut status) = (None, None);
@@ -108,8 +102,8 @@
         }
     }
 
-    fn write_voter_state(&self, state: &VoterState) {
-        match replace_synced(&self.folder, &state.bytes) {
+    fn write_voter_state(&mut self, state: &VoterState) {
+        match replace(&mut self.folder, VOTER_STATE, &state.bytes, Durability::Synced) {
             // A closed channel: the host has ended.
             Ok(()) => _ = self.reports.send_blocking(state.sequence),
             Err(error) => {
@@ -118,28 +112,13 @@
         }
     }
 
-    fn write_status(&self, report: &StatusReport) {
-        let written = replace(&self.folder, STATUS, &report.status)
-            .and_then(|()| replace(&self.folder, COUNTERS, &report.counters));
+    fn write_status(&mut self, report: &StatusReport) {
+        let mut replace_unsynced =
+            |name, text: &str| replace(&mut self.folder, name, text.as_bytes(), Durability::Unsynced);
+        let written = replace_unsynced(STATUS, &report.status)
+            .and_then(|()| replace_unsynced(COUNTERS, &report.counters));
         if let Err(error) = written {
             warn!(%error, "status not written");
         }
     }
 }
-
-/// Replaces a file that need not last: atomically, but not synced.
-fn replace(folder: &Path, name: &str, text: &str) -> io::Result<()> {
-    let next = folder.join(format!("{name}.next"));
-    fs::write(&next, text)?;
-    fs::rename(next, folder.join(name))
-}
-
-/// Replaces the voter's state: a kill at any point leaves the former or the next.
-fn replace_synced(folder: &Path, bytes: &[u8]) -> io::Result<()> {
-    let next = folder.join(NEXT_VOTER_STATE);
-    let mut file = File::create(&next)?;
-    file.write_all(bytes)?;
-    file.sync_all()?;
-    fs::rename(next, folder.join(VOTER_STATE))?;
-    File::open(folder)?.sync_all()
-}
--- a/crates/ochrelead-sim/src/disk.rs
+++ b/crates/ochrelead-sim/src/disk.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::io;
 
-use ochrelead_discovery::store::Disk;
+use ochrelead_host::state_folder::{Disk, Durability};
 
 /// One folder.
 #[derive(Clone, Debug, Default)]
 pub struct MemoryDisk {
-    files: BTreeMap<String, String>,
+    files: BTreeMap<String, Vec<u8>>,
     /// Takes nothing more.
     pub full: bool,
     /// Steps (writes, renames) until the power is gone; the one in hand then is torn.
@@ -38,31 +38,31 @@
     }
 }
 
-/// As much of a text as got to the disk.
-fn half(text: &str) -> String {
-    text.chars().take(text.chars().count() / 2).collect()
+/// As much of a file as got to the disk.
+fn half(contents: &[u8]) -> Vec<u8> {
+    contents[..contents.len() / 2].to_owned()
 }
 
 impl Disk for MemoryDisk {
-    fn read(&self, name: &str) -> io::Result<Option<String>> {
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
         Ok(self.files.get(name).cloned())
     }
 
-    fn write(&mut self, name: &str, text: &str) -> io::Result<()> {
+    fn write(&mut self, name: &str, contents: &[u8], _: Durability) -> io::Result<()> {
         if self.full {
-            self.files.insert(name.to_owned(), half(text));
+            self.files.insert(name.to_owned(), half(contents));
             return Err(io::Error::new(io::ErrorKind::StorageFull, "no space left"));
         }
         let done = self.step();
-        let got = if done.is_ok() { text.to_owned() } else { half(text) };
+        let got = if done.is_ok() { contents.to_owned() } else { half(contents) };
         self.files.insert(name.to_owned(), got);
         done
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
         self.step()?;
-        let text = self.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
-        self.files.insert(to.to_owned(), text);
+        let contents = self.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
+        self.files.insert(to.to_owned(), contents);
         Ok(())
     }
 
