--- a/crates/ochrelead-emulator/src/callers.rs
+++ b/crates/ochrelead-emulator/src/callers.rs
@@ -1,315 +1,261 @@
-//! All callers of a day behind one gateway: they dial, wait, talk, hang up, and dial again.
+//! All callers of a scenario behind one gateway: they dial, wait, talk, hang up, and dial again.
+
+mod arrivals;
+mod caller;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use ochrelead_config::faults::{FaultKind, InjectedFault};
 use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_mgcp::message::{Command, Endpoint, Response, Verb, code, parameter};
+use ochrelead_mgcp::message::{Command, Response, Verb, code, parameter};
 use ochrelead_mgcp::transaction::{TransactionEvent, TransactionLayer};
-use rand::distr::weighted::WeightedIndex;
 use rand::{RngExt, SeedableRng};
-use rand_distr::{Distribution, Exp};
 use rand_pcg::Pcg64Mcg;
 
-use crate::Peer;
-
-/// The subscriber digits of the number that a flood goes to.
-pub const HOT: &str = "999999";
-/// An impatient caller waits for this share of what others do, and dials so many times more.
-const IMPATIENT: f64 = 0.15;
-const IMPATIENT_REDIALS: u32 = 6;
+use crate::{Peer, first_transaction};
+use arrivals::Arrivals;
+use caller::{Action, Caller, CallerState, caller_id};
 
-/// What a caller does next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Act {
-    Dial,
-    GiveUp,
-    HangUp,
-}
+/// The subscriber digits of the number that a flood of calls goes to.
+pub const HOT_SUBSCRIBER: &str = "999999";
 
-struct Caller {
-    front: usize,
-    line: Endpoint,
-    digits: String,
-    impatient: bool,
-    first_tried: Moment,
-    tries: u32,
-    redials: u32,
-    timer_limit: Span,
-    patience: Span,
-    hold: Span,
-    state: State,
-    /// What is due of it.
-    next: Option<(Moment, Act)>,
-}
+/// How long an impatient caller waits before it dials again.
+const IMPATIENT_REDIAL_DELAY: Span = Span::from_millis(20);
+/// The redial delay doubles at most so often.
+const MAX_REDIAL_DOUBLINGS: u32 = 6;
+/// The smallest random factor of a redial delay; the largest is greater by one.
+const MIN_REDIAL_SPREAD: f64 = 0.5;
 
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum State {
-    Waiting,
-    Standing { far: String },
-    Away,
-}
+/// The gateway event of a caller that dials: off hook, with the digits behind it.
+const OFF_HOOK: &str = "L/hd";
+/// The gateway event of a caller that hangs up.
+const ON_HOOK: &str = "L/hu";
 
 /// The engine of all callers.
 pub struct Callers {
-    day: Scenario,
+    scenario: Scenario,
     fronts: Vec<SocketAddr>,
     transactions: TransactionLayer,
-    start: Moment,
     now: Moment,
     callers: HashMap<u32, Caller>,
-    due: BTreeSet<(Moment, u32, Act)>,
-    arrives: Option<Moment>,
-    arrived: u32,
-    chance: Pcg64Mcg,
-    services: WeightedIndex<f64>,
-    members: Option<WeightedIndex<f64>>,
+    scheduled: BTreeSet<(Moment, u32, Action)>,
+    arrivals: Arrivals,
+    next_arrival: Option<Moment>,
+    last_caller_id: u32,
+    rng: Pcg64Mcg,
     datagrams: VecDeque<(SocketAddr, Vec<u8>)>,
 }
 
 impl Callers {
-    /// The callers of a day that begins at `start`, at fronts that can be reached at these addresses.
-    pub fn new(day: Scenario, fronts: Vec<SocketAddr>, start: Moment, now: Moment) -> Callers {
-        let shares = |shares: &[f64]| WeightedIndex::new(shares).ok();
+    /// The callers of a scenario that begins at `start`, at fronts with these addresses.
+    ///
+    /// # Panics
+    ///
+    /// The shares of the services are invalid; those of a scenario that was checked are valid.
+    pub fn new(scenario: Scenario, fronts: Vec<SocketAddr>, start: Moment, now: Moment) -> Callers {
         Callers {
-            transactions: TransactionLayer::new(day.front.transactions, (now.micros() % 900_000_000) as u32),
-            start,
+            transactions: TransactionLayer::new(scenario.front.transactions, first_transaction(now)),
             now,
             callers: HashMap::new(),
-            due: BTreeSet::new(),
-            arrives: Some(start.max(now)),
-            arrived: 0,
-            chance: Pcg64Mcg::seed_from_u64(day.seed),
-            services: shares(&day.callers.service_shares).expect("the shares were checked"),
-            members: shares(&day.callers.tenant_shares),
+            scheduled: BTreeSet::new(),
+            arrivals: Arrivals::new(&scenario, start, fronts.len()),
+            next_arrival: Some(start.max(now)),
+            last_caller_id: 0,
+            rng: Pcg64Mcg::seed_from_u64(scenario.seed),
             datagrams: VecDeque::new(),
             fronts,
-            day,
+            scenario,
         }
     }
 
-    /// The size of a trouble of that kind that is on at `moment`.
-    fn trouble(&self, kind: FaultKind, moment: Moment) -> Option<&InjectedFault> {
-        let at = moment.since(self.start);
-        let on = |own: &&InjectedFault| own.start <= at && at < own.start + own.duration;
-        self.day.faults.iter().filter(|own| own.kind == kind).find(on)
+    /// Whether the caller of that attempt is connected by it.
+    pub fn is_connected(&self, attempt: &str) -> bool {
+        let caller = self.caller_of_attempt(caller_id(attempt), attempt);
+        caller.is_some_and(|caller| matches!(caller.state, CallerState::Connected { .. }))
     }
 
-    /// One caller comes; the next is drawn.
-    fn arrive(&mut self, moment: Moment) {
-        let surge = self.trouble(FaultKind::Surge, moment).map_or(1.0, |trouble| trouble.magnitude.max(0.01));
-        let rate = self.day.callers.sessions_per_s * surge;
-        let gap = Exp::new(rate).expect("a rate above zero").sample(&mut self.chance);
-        let next = moment + Span::from_secs(1).scaled(gap);
-        self.arrives = Some(next).filter(|next| next.since(self.start) < self.day.duration);
-        let service = self.services.sample(&mut self.chance);
-        let member = self.members.as_ref().map(|members| members.sample(&mut self.chance));
-        let server = self.chance.random_range(0..self.day.servers.len());
-        let front = self.chance.random_range(0..self.fronts.len());
-        let subscriber = self.chance.random_range(0..HOT.parse::<u32>().expect("digits"));
-        let luck = (self.chance.random::<f64>(), self.chance.random::<f64>());
-        let hot =
-            self.trouble(FaultKind::HotNumber, moment).is_some_and(|trouble| luck.0 < trouble.magnitude);
-        let impatient = self.trouble(FaultKind::Redials, moment).is_some_and(|trouble| {
-            member.map_or(trouble.targets.is_empty(), |member| trouble.targets.contains(&member))
-        });
-        let desk = &self.day.front.controller.services[service];
-        let hold = desk.mean_hold_time.max(Span::from_millis(100)).scaled(-(1.0 - luck.1).ln());
-        let dialled = self.day.front_settings.service[service].dialled.clone().unwrap_or_default();
-        let digits = match hot {
-            true => format!("{dialled}00{HOT}"),
-            false => format!("{dialled}{server:02}{subscriber:06}"),
-        };
-        self.arrived += 1;
-        let caller = self.arrived;
-        let trunk = member.map_or("line", |member| self.day.front.trunks[member].as_str());
-        let limit = self.day.front.timer_limits[service];
-        let patience = limit.scaled(self.day.callers.patience * if impatient { IMPATIENT } else { 1.0 });
-        let redials = if impatient || hot { IMPATIENT_REDIALS } else { self.day.callers.max_redials };
-        let held = Caller {
-            front,
-            line: format!("{trunk}/{caller}@callers").parse().expect("a sound name"),
-            digits,
-            impatient: impatient || hot,
-            first_tried: moment,
-            tries: 0,
-            redials,
-            timer_limit: limit,
-            patience,
-            hold,
-            state: State::Away,
-            next: None,
-        };
-        self.callers.insert(caller, held);
-        self.plan(caller, moment, Act::Dial);
+    /// The caller with that id, if that is its present attempt.
+    fn caller_of_attempt(&self, id: u32, attempt: &str) -> Option<&Caller> {
+        self.callers.get(&id).filter(|caller| caller.attempt_id(id) == attempt)
     }
 
-    /// The id of a caller's present try: eight digits for the caller, two for the try.
-    fn tried(number: u32, caller: &Caller) -> String {
-        format!("{number:08X}{:02X}", caller.tries)
+    fn on_arrival(&mut self, now: Moment) {
+        self.next_arrival = self.arrivals.draw_next(&self.scenario, now, &mut self.rng);
+        self.last_caller_id += 1;
+        let id = self.last_caller_id;
+        let caller = self.arrivals.draw_caller(&self.scenario, now, id, &mut self.rng);
+        self.callers.insert(id, caller);
+        self.schedule(id, now, Action::Dial);
     }
 
-    fn notify(&mut self, number: u32, parameters: &[(&str, String)]) {
-        let Some(caller) = self.callers.get(&number) else { return };
-        let command = Command::new(Verb::Notify, 0, caller.line.clone())
-            .with(parameter::REQUEST_IDENTIFIER, 0)
-            .with(parameter::ATTEMPT, Self::tried(number, caller));
-        let command = parameters.iter().fold(command, |command, (name, value)| command.with(name, value));
-        // A gateway that has too much out loses the event, as a busy one would.
-        let _ = self.transactions.send_command(self.now, self.fronts[caller.front], command);
-    }
+    // ---- What callers do ----
 
-    fn act(&mut self, number: u32, act: Act) {
-        let Some(caller) = self.callers.get_mut(&number) else { return };
-        match (act, caller.state.clone()) {
-            (Act::Dial, State::Away) => {
-                caller.tries += 1;
-                caller.state = State::Waiting;
-                let left = (caller.first_tried + caller.timer_limit).since(self.now);
-                let patience = caller.patience.min(left);
-                let digits: Vec<String> = caller.digits.chars().map(|digit| format!("D/{digit}")).collect();
-                let events = format!("L/hd, {}", digits.join(", "));
-                let connection = format!("h{number}");
-                let until = self.now + patience;
-                let patience = (patience.micros() / 1_000).to_string();
-                self.plan(number, until, Act::GiveUp);
-                self.notify(
-                    number,
-                    &[
-                        (parameter::CONNECTION_ID, connection),
-                        (parameter::TIMER_LIMIT, patience),
-                        (parameter::OBSERVED_EVENTS, events),
-                    ],
-                );
-            }
-            (Act::GiveUp, State::Waiting) => {
-                caller.state = State::Away;
-                self.notify(number, &[(parameter::OBSERVED_EVENTS, "L/hu".to_owned())]);
-                self.dial_again(number, None);
-            }
-            (Act::HangUp, State::Standing { far }) => {
-                caller.state = State::Away;
-                self.notify(
-                    number,
-                    &[(parameter::OBSERVED_EVENTS, "L/hu".to_owned()), (parameter::FAR_END, far)],
-                );
-                self.leave(number);
-            }
+    fn act(&mut self, id: u32, action: Action) {
+        let Some(caller) = self.callers.get(&id) else { return };
+        match (action, caller.state.clone()) {
+            (Action::Dial, CallerState::Idle) => self.dial(id),
+            (Action::GiveUp, CallerState::Waiting) => self.give_up(id),
+            (Action::HangUp, CallerState::Connected { far_end }) => self.hang_up(id, far_end),
             _ => {}
         }
     }
 
-    /// One thing at a time is due of a caller.
-    fn plan(&mut self, number: u32, at: Moment, act: Act) {
-        let Some(caller) = self.callers.get_mut(&number) else { return };
-        if let Some((before, own)) = caller.next.replace((at, act)) {
-            self.due.remove(&(before, number, own));
-        }
-        self.due.insert((at, number, act));
+    fn dial(&mut self, id: u32) {
+        let Some(caller) = self.callers.get_mut(&id) else { return };
+        caller.attempts += 1;
+        caller.state = CallerState::Waiting;
+        let patience = caller.patience.min(caller.deadline().since(self.now));
+        let digits: Vec<String> = caller.digits.chars().map(|digit| format!("D/{digit}")).collect();
+        let events = format!("{OFF_HOOK}, {}", digits.join(", "));
+        let patience_ms = (patience.micros() / 1_000).to_string();
+        self.schedule(id, self.now + patience, Action::GiveUp);
+        let parameters = [
+            (parameter::CONNECTION_ID, format!("h{id}")),
+            (parameter::TIMER_LIMIT, patience_ms),
+            (parameter::OBSERVED_EVENTS, events),
+        ];
+        self.notify(id, &parameters);
     }
 
-    fn leave(&mut self, number: u32) {
-        if let Some((at, act)) = self.callers.remove(&number).and_then(|caller| caller.next) {
-            self.due.remove(&(at, number, act));
-        }
+    fn give_up(&mut self, id: u32) {
+        self.set_state(id, CallerState::Idle);
+        self.notify(id, &[(parameter::OBSERVED_EVENTS, ON_HOOK.to_owned())]);
+        self.redial(id, None);
     }
 
-    /// A try came to nothing: another one, while the caller still has patience for it.
-    fn dial_again(&mut self, number: u32, come_back: Option<Span>) {
-        let honours = self.chance.random::<f64>() < self.day.callers.retry_after_compliance;
-        let spread = 0.5 + self.chance.random::<f64>();
-        let Some(caller) = self.callers.get_mut(&number) else { return };
-        let wait = match come_back.filter(|_| honours) {
-            Some(told) => told,
-            None if caller.impatient => Span::from_millis(20),
-            None => self.day.callers.redial_delay.scaled(spread * f64::from(1 << (caller.tries - 1).min(6))),
+    fn hang_up(&mut self, id: u32, far_end: String) {
+        self.set_state(id, CallerState::Idle);
+        let parameters = [(parameter::OBSERVED_EVENTS, ON_HOOK.to_owned()), (parameter::FAR_END, far_end)];
+        self.notify(id, &parameters);
+        self.remove(id);
+    }
+
+    /// An attempt has failed: another one is scheduled, unless the caller leaves.
+    fn redial(&mut self, id: u32, retry_after: Option<Span>) {
+        let complies = self.rng.random::<f64>() < self.scenario.callers.retry_after_compliance;
+        let spread = MIN_REDIAL_SPREAD + self.rng.random::<f64>();
+        let Some(caller) = self.callers.get(&id) else { return };
+        let delay = match retry_after.filter(|_| complies) {
+            Some(retry_after) => retry_after,
+            None if caller.is_impatient => IMPATIENT_REDIAL_DELAY,
+            None => {
+                let back_off = 1u32 << (caller.attempts - 1).min(MAX_REDIAL_DOUBLINGS);
+                self.scenario.callers.redial_delay.scaled(spread * f64::from(back_off))
+            }
         };
-        let next = self.now + wait;
-        if caller.tries > caller.redials || next >= caller.first_tried + caller.timer_limit {
-            self.leave(number);
+        let redial_at = self.now + delay;
+        if caller.attempts > caller.max_redials || redial_at >= caller.deadline() {
+            self.remove(id);
         } else {
-            self.plan(number, next, Act::Dial);
+            self.schedule(id, redial_at, Action::Dial);
         }
     }
 
-    /// What a front tells a line: connected, a tone, or the end of the call.
-    fn told(&mut self, from: SocketAddr, command: &Command) {
-        let tried = command.parameters.get(parameter::ATTEMPT).unwrap_or("");
-        let number = tried.get(..8).and_then(|digits| u32::from_str_radix(digits, 16).ok()).unwrap_or(0);
-        let present = self.callers.get(&number).filter(|caller| Self::tried(number, caller) == tried);
-        let Some(state) = present.map(|caller| caller.state.clone()) else {
-            // The caller has left: its line knows no such call.
-            return self
-                .transactions
-                .respond(from, Response::new(code::UNKNOWN_CONNECTION, command.transaction));
-        };
-        let known = match (command.verb, state) {
-            (Verb::ModifyConnection, State::Waiting) => {
-                let caller = self.callers.get_mut(&number).expect("just seen");
-                let far = command.parameters.get(parameter::FAR_END).unwrap_or("").to_owned();
-                caller.state = State::Standing { far };
-                let ends = self.now + caller.hold;
-                self.plan(number, ends, Act::HangUp);
+    /// Reports events of a caller's line to its front.
+    fn notify(&mut self, id: u32, parameters: &[(&str, String)]) {
+        let Some(caller) = self.callers.get(&id) else { return };
+        let command = Command::new(Verb::Notify, 0, caller.line.clone())
+            .with(parameter::REQUEST_IDENTIFIER, 0)
+            .with(parameter::ATTEMPT, caller.attempt_id(id));
+        let command = parameters.iter().fold(command, |command, (name, value)| command.with(name, value));
+        // A gateway with too many outstanding commands loses the event, as a busy one would.
+        let _ = self.transactions.send_command(self.now, self.fronts[caller.front], command);
+    }
+
+    // ---- What a front asks of a line ----
+
+    /// Handles a command of a front: the call is connected, rejected with a tone, or ended.
+    fn handle_command(&mut self, from: SocketAddr, command: &Command) {
+        let attempt = command.parameters.get(parameter::ATTEMPT).unwrap_or("");
+        let id = caller_id(attempt);
+        let state = self.caller_of_attempt(id, attempt).map(|caller| caller.state.clone());
+        let is_accepted = match (command.verb, state) {
+            (Verb::ModifyConnection, Some(CallerState::Waiting)) => {
+                self.on_connected(id, command);
                 true
             }
-            (Verb::NotificationRequest, State::Waiting) => {
-                let come_back = command.parameters.parse::<u32>(parameter::CALLER_RETRY_AFTER);
-                self.callers.get_mut(&number).expect("just seen").state = State::Away;
-                self.dial_again(number, come_back.map(|ms| Span::from_millis(u64::from(ms))));
+            (Verb::NotificationRequest, Some(CallerState::Waiting)) => {
+                self.on_rejected(id, command);
                 true
             }
-            (Verb::DeleteConnection, State::Standing { .. }) => {
-                self.leave(number);
+            (Verb::DeleteConnection, Some(CallerState::Connected { .. })) => {
+                self.remove(id);
                 true
             }
+            // The line knows no such call.
             _ => false,
         };
-        let code = if known { code::DONE } else { code::UNKNOWN_CONNECTION };
+        let code = if is_accepted { code::DONE } else { code::UNKNOWN_CONNECTION };
         self.transactions.respond(from, Response::new(code, command.transaction));
     }
 
-    /// Callers that wait or talk.
-    pub fn present(&self) -> usize {
-        self.callers.len()
+    fn on_connected(&mut self, id: u32, command: &Command) {
+        let Some(caller) = self.callers.get_mut(&id) else { return };
+        let far_end = command.parameters.get(parameter::FAR_END).unwrap_or("").to_owned();
+        caller.state = CallerState::Connected { far_end };
+        let hang_up_at = self.now + caller.hold_time;
+        self.schedule(id, hang_up_at, Action::HangUp);
     }
 
-    /// Whether that try's caller is connected by it.
-    pub fn stands(&self, tried: &str) -> bool {
-        let number = tried.get(..8).and_then(|digits| u32::from_str_radix(digits, 16).ok()).unwrap_or(0);
-        let caller = self.callers.get(&number).filter(|caller| Self::tried(number, caller) == tried);
-        caller.is_some_and(|caller| matches!(caller.state, State::Standing { .. }))
+    fn on_rejected(&mut self, id: u32, command: &Command) {
+        let retry_after_ms = command.parameters.parse::<u32>(parameter::CALLER_RETRY_AFTER);
+        self.set_state(id, CallerState::Idle);
+        self.redial(id, retry_after_ms.map(|ms| Span::from_millis(u64::from(ms))));
+    }
+
+    // ---- The table of callers ----
+
+    fn set_state(&mut self, id: u32, state: CallerState) {
+        if let Some(caller) = self.callers.get_mut(&id) {
+            caller.state = state;
+        }
+    }
+
+    /// Schedules the next action of a caller, in place of the one that was scheduled.
+    fn schedule(&mut self, id: u32, due: Moment, action: Action) {
+        let Some(caller) = self.callers.get_mut(&id) else { return };
+        if let Some((former_due, former_action)) = caller.next_action.replace((due, action)) {
+            self.scheduled.remove(&(former_due, id, former_action));
+        }
+        self.scheduled.insert((due, id, action));
+    }
+
+    fn remove(&mut self, id: u32) {
+        if let Some((due, action)) = self.callers.remove(&id).and_then(|caller| caller.next_action) {
+            self.scheduled.remove(&(due, id, action));
+        }
+    }
+
+    /// The next caller whose action is due.
+    fn next_due(&mut self, now: Moment) -> Option<(u32, Action)> {
+        let (_, id, action) = *self.scheduled.first().filter(|(due, _, _)| *due <= now)?;
+        self.scheduled.pop_first();
+        if let Some(caller) = self.callers.get_mut(&id) {
+            caller.next_action = None;
+        }
+        Some((id, action))
     }
 }
 
 impl Peer for Callers {
-    fn take(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]) {
+    fn handle_datagram(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]) {
         self.now = self.now.max(now);
         self.transactions.handle_datagram(now, from, bytes);
-        while let Some(news) = self.transactions.poll_event() {
-            match news {
-                TransactionEvent::CommandReceived { from, command } => self.told(from, &command),
-                TransactionEvent::TimedOut { .. } => {}
-                _ => {}
+        while let Some(event) = self.transactions.poll_event() {
+            if let TransactionEvent::CommandReceived { from, command } = event {
+                self.handle_command(from, &command);
             }
         }
     }
 
-    fn turn(&mut self, now: Moment) {
+    fn process(&mut self, now: Moment) {
         self.now = self.now.max(now);
-        while let Some(moment) = self.arrives.filter(|moment| *moment <= now) {
-            self.arrive(moment);
+        while let Some(arrival) = self.next_arrival.filter(|arrival| *arrival <= now) {
+            self.on_arrival(arrival);
         }
-        while let Some(&(moment, number, act)) = self.due.first() {
-            if moment > now {
-                break;
-            }
-            self.due.pop_first();
-            if let Some(caller) = self.callers.get_mut(&number) {
-                caller.next = None;
-            }
-            self.act(number, act);
+        while let Some((id, action)) = self.next_due(now) {
+            self.act(id, action);
         }
         self.transactions.process(now);
         while let Some(datagram) = self.transactions.poll_datagram() {
@@ -317,12 +263,13 @@
         }
     }
 
-    fn next_datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+    fn poll_datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
         self.datagrams.pop_front()
     }
 
-    fn wake(&self) -> Option<Moment> {
-        let due = self.due.first().map(|(moment, _, _)| *moment);
-        due.into_iter().chain(self.arrives).chain(self.transactions.poll_timeout()).min()
+    fn poll_timeout(&self) -> Option<Moment> {
+        let scheduled = self.scheduled.first().map(|(due, _, _)| *due);
+        let timeouts = [scheduled, self.next_arrival, self.transactions.poll_timeout()];
+        timeouts.into_iter().flatten().min()
     }
 }
--- a/crates/ochrelead-emulator/src/network.rs
+++ b/crates/ochrelead-emulator/src/network.rs
@@ -1,117 +1,100 @@
-//! What becomes of a datagram on its way: delay, loss, doubling, reordering, cut links.
+//! The emulated network: delay, loss, duplication, reordering and failed links.
+
+mod faults;
 
 use std::collections::BTreeMap;
 
-use ochrelead_config::faults::FaultKind;
-use ochrelead_config::scenario;
-use ochrelead_core::time::{Moment, Span};
+use ochrelead_config::scenario::EmulatedNetwork;
+use ochrelead_core::time::Moment;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Normal};
 use rand_pcg::Pcg64Mcg;
 
-/// A fault on the way from some parties to some others, for a while.
-#[derive(Clone, Copy, Debug)]
-pub struct Fault<P> {
-    pub from: Option<P>,
-    pub to: Option<P>,
-    pub begins: Moment,
-    pub ends: Moment,
-    /// The share of datagrams that are lost.
-    pub loss: f64,
+pub use faults::{LinkFault, link_faults};
+
+/// A reordered datagram is held back for so many mean delays.
+const REORDERED_DELAYS: u64 = 3;
+/// The bounds of a delay, as shares of the mean.
+const DELAY_SHARE_RANGE: (f64, f64) = (0.2, 5.0);
+
+/// A datagram on its way between parties of type `P`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Datagram<P> {
+    /// Its sender.
+    pub from: P,
+    /// Its destination.
+    pub to: P,
+    /// Its content.
+    pub bytes: Vec<u8>,
 }
 
 /// The network between parties of type `P`.
 pub struct Network<P> {
-    figures: scenario::EmulatedNetwork,
-    faults: Vec<Fault<P>>,
-    underway: BTreeMap<(Moment, u64), (P, P, Vec<u8>)>,
-    sent: u64,
-    chance: Pcg64Mcg,
-    /// Delays over the mean, as a share of it.
+    config: EmulatedNetwork,
+    faults: Vec<LinkFault<P>>,
+    /// Datagrams by arrival; those that arrive together in the order in which they were sent.
+    in_flight: BTreeMap<(Moment, u64), Datagram<P>>,
+    last_sequence: u64,
+    rng: Pcg64Mcg,
+    /// What a delay differs from the mean by, as a share of it.
     jitter: Normal<f64>,
 }
 
-/// How many delays a reordered datagram is held back.
-const HELD_BACK: u64 = 3;
-
 impl<P: Copy + PartialEq> Network<P> {
-    pub fn new(figures: scenario::EmulatedNetwork, faults: Vec<Fault<P>>, seed: u64) -> Network<P> {
-        let jitter = Normal::new(0.0, figures.jitter).expect("a share was checked to be a number");
-        let chance = Pcg64Mcg::seed_from_u64(seed);
-        Network { figures, faults, underway: BTreeMap::new(), sent: 0, chance, jitter }
+    /// A network on which nothing is on its way.
+    ///
+    /// # Panics
+    ///
+    /// The jitter is not a finite number; a scenario that was checked has one.
+    pub fn new(config: EmulatedNetwork, faults: Vec<LinkFault<P>>, seed: u64) -> Network<P> {
+        Network {
+            config,
+            faults,
+            in_flight: BTreeMap::new(),
+            last_sequence: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            jitter: Normal::new(0.0, config.jitter).expect("the jitter of a scenario is a finite number"),
+        }
     }
 
-    /// A datagram leaves its sender.
-    pub fn carry(&mut self, now: Moment, from: P, to: P, bytes: &[u8]) {
-        let concerns = |own: Option<P>, party: P| own.is_none_or(|own| own == party);
-        let struck = self.faults.iter().filter(|fault| {
-            now >= fault.begins && now < fault.ends && concerns(fault.from, from) && concerns(fault.to, to)
-        });
-        let loss = struck.map(|fault| fault.loss).fold(self.figures.loss, f64::max);
-        if self.chance.random::<f64>() < loss {
+    /// Sends a datagram. It may be lost, or arrive twice.
+    pub fn send(&mut self, now: Moment, from: P, to: P, bytes: &[u8]) {
+        if self.rng.random::<f64>() < self.loss(now, from, to) {
             return;
         }
-        let copies = if self.chance.random::<f64>() < self.figures.duplicated { 2 } else { 1 };
+        let copies = if self.rng.random::<f64>() < self.config.duplicated { 2 } else { 1 };
         for _ in 0..copies {
-            let spread = (1.0 + self.jitter.sample(&mut self.chance)).clamp(0.2, 5.0);
-            let mut delay = self.figures.delay.scaled(spread);
-            if self.chance.random::<f64>() < self.figures.reordered {
-                delay += self.figures.delay * HELD_BACK;
-            }
-            self.sent += 1;
-            self.underway.insert((now + delay, self.sent), (from, to, bytes.to_vec()));
+            let arrives_at = self.draw_arrival(now);
+            self.last_sequence += 1;
+            let datagram = Datagram { from, to, bytes: bytes.to_vec() };
+            self.in_flight.insert((arrives_at, self.last_sequence), datagram);
         }
     }
 
-    /// The next datagram that has arrived by now.
-    pub fn next(&mut self, now: Moment) -> Option<(P, P, Vec<u8>)> {
-        let (moment, _) = *self.underway.first_key_value()?.0;
-        (moment <= now).then(|| self.underway.pop_first().map(|(_, carried)| carried))?
+    /// The share of datagrams that are lost on a link now.
+    fn loss(&self, now: Moment, from: P, to: P) -> f64 {
+        let active = self.faults.iter().filter(|fault| fault.is_active(now, from, to));
+        active.map(|fault| fault.loss).fold(self.config.loss, f64::max)
     }
 
-    pub fn wake(&self) -> Option<Moment> {
-        self.underway.first_key_value().map(|((moment, _), _)| *moment)
+    fn draw_arrival(&mut self, now: Moment) -> Moment {
+        let (min, max) = DELAY_SHARE_RANGE;
+        let share = (1.0 + self.jitter.sample(&mut self.rng)).clamp(min, max);
+        let mut delay = self.config.delay.scaled(share);
+        if self.rng.random::<f64>() < self.config.reordered {
+            delay += self.config.delay * REORDERED_DELAYS;
+        }
+        now + delay
     }
-}
 
-/// The faults of a day's troubles, for parties named by `front` and `server`, and the `callers`.
-pub fn faults<P: Copy>(
-    day: &scenario::Scenario,
-    start: Moment,
-    front: impl Fn(usize) -> P,
-    server: impl Fn(usize) -> P,
-    callers: P,
-) -> Vec<Fault<P>> {
-    let mut faults = Vec::new();
-    for trouble in &day.faults {
-        let begins = start + trouble.start;
-        let ends: Moment = begins + trouble.duration.max(Span::from_millis(1));
-        for which in &trouble.targets {
-            let fault = |from, to, loss| Fault { from, to, begins, ends, loss };
-            match trouble.kind {
-                FaultKind::AnswersLost => {
-                    faults.push(fault(Some(server(*which)), None, trouble.magnitude.min(1.0)))
-                }
-                FaultKind::LinkCut | FaultKind::FrontDeaf | FaultKind::FrontMute => {
-                    let loss =
-                        if trouble.kind == FaultKind::LinkCut { 1.0 } else { trouble.magnitude.min(1.0) };
-                    for at in 0..day.servers.len() {
-                        if trouble.kind != FaultKind::FrontDeaf {
-                            faults.push(fault(Some(front(*which)), Some(server(at)), loss));
-                        }
-                        if trouble.kind != FaultKind::FrontMute {
-                            faults.push(fault(Some(server(at)), Some(front(*which)), loss));
-                        }
-                    }
-                }
-                FaultKind::CallersCut => {
-                    let loss = trouble.magnitude.min(1.0);
-                    faults.push(fault(Some(front(*which)), Some(callers), loss));
-                    faults.push(fault(Some(callers), Some(front(*which)), loss));
-                }
-                _ => {}
-            }
-        }
+    /// The next datagram that has arrived.
+    pub fn poll_arrival(&mut self, now: Moment) -> Option<Datagram<P>> {
+        let entry = self.in_flight.first_entry().filter(|entry| entry.key().0 <= now)?;
+        Some(entry.remove())
+    }
+
+    /// When the next datagram arrives.
+    pub fn poll_timeout(&self) -> Option<Moment> {
+        self.in_flight.first_key_value().map(|((arrives_at, _), _)| *arrives_at)
     }
-    faults
 }
--- a/crates/ochrelead-emulator/src/server.rs
+++ b/crates/ochrelead-emulator/src/server.rs
@@ -1,512 +1,350 @@
-//! A stand-in signalling server: one processor line that set-ups, answers, releases, repeats and refusals all
-//! need; lines; a cold start that warms, and that falls over when pushed.
+//! An emulated signalling server: one processor that set-ups, answers, releases, repeats and rejections all need; lines;
+//! and a cold start after which it warms up, or crashes where it is overloaded.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+mod circuits;
+mod overload;
+mod processor;
+mod reports;
+mod script;
+
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use ochrelead_config::faults::FaultKind;
 use ochrelead_config::scenario::{EmulatedServer, Scenario};
-use ochrelead_core::time::{Moment, Span};
-use ochrelead_mgcp::message::{Command, Endpoint, Response, TransactionId, Verb, code, parameter};
+use ochrelead_core::time::Moment;
+use ochrelead_mgcp::message::{Command, Response, TransactionId, Verb, code, parameter};
 use ochrelead_mgcp::transaction::{TransactionConfig, TransactionEvent, TransactionLayer};
 
-use crate::Peer;
+use crate::{Peer, first_transaction};
+use circuits::{Circuit, CircuitSelector, CircuitTable, connection_id, local_name};
+use overload::OverloadDetector;
+use processor::{Processor, SetUp, Task};
+use script::{Script, ScriptedAction};
 
-/// The lines of one called number at one server.
-const LINES_OF_A_NUMBER: usize = 4;
-/// Set-ups that a cold server takes beyond its budget without falling over: the slack for chance.
-const SLACK: f64 = 3.0;
+/// The reason code of calls that end because their processor is replaced.
+const REPLACED: &str = "900 replaced";
 
-/// What a server is in the eyes of its peers.
+/// The state of a server's process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Health {
-    Well,
-    /// Takes everything, answers nothing.
+enum ProcessState {
+    Serving,
+    /// It receives everything and answers nothing.
     Silent,
-    /// Not there.
-    Away,
-    /// Was pushed over while it was cold: not there any more.
-    Fallen,
-}
-
-/// What the day has in store for this server.
-#[derive(Clone, Copy, Debug)]
-enum Act {
-    Health(Health),
-    Drain,
-    /// The old processor goes, a cold one takes its place.
-    Replace,
-    Slower(f64),
-    Told,
-}
-
-struct Job {
-    work: Span,
-    kind: Work,
-}
-
-enum Work {
-    SetUp(Asked),
-    Answer(Asked),
-    Release {
-        from: SocketAddr,
-        transaction: TransactionId,
-        circuits: Vec<u32>,
-    },
-    /// Repeats, refusals, looks: work that leads to nothing.
-    Waste,
+    /// It does not run.
+    Stopped,
+    /// It was overloaded while it was cold, and does not run any more.
+    Crashed,
 }
 
-#[derive(Clone)]
-struct Asked {
-    from: SocketAddr,
-    transaction: TransactionId,
-    call: String,
-    called: String,
-    off: bool,
-}
-
-struct Circuit {
-    front: SocketAddr,
-    call: String,
-    called: String,
+/// What a server is made from.
+#[derive(Clone, Debug)]
+pub struct ServerConfig<'a> {
+    /// The scenario.
+    pub scenario: &'a Scenario,
+    /// Which of the scenario's servers it is.
+    pub index: usize,
+    /// Its name, the domain of its endpoints.
+    pub name: String,
+    /// The addresses of all fronts.
+    pub fronts: Vec<SocketAddr>,
+    /// When the scenario begins.
+    pub scenario_start: Moment,
+    /// Whether its process has just been started, and has to warm up.
+    pub is_cold: bool,
 }
 
 /// The engine of one server.
 pub struct Server {
-    figures: EmulatedServer,
+    config: EmulatedServer,
     name: String,
     fronts: Vec<SocketAddr>,
     transactions: TransactionLayer,
     now: Moment,
-    health: Health,
-    /// When it started cold; none where it has been warm since long ago.
-    started: Option<Moment>,
-    slower: f64,
-    fall_multiple: f64,
-    fall_after: Span,
-    /// Work that came while it was cold, in set-ups.
-    pressure: VecDeque<(Moment, f64)>,
-    first: VecDeque<Job>,
-    queue: VecDeque<Job>,
-    in_hand: Option<(Moment, Job)>,
-    circuits: BTreeMap<u32, Circuit>,
-    last_circuit: u32,
-    numbers: HashMap<String, usize>,
-    told: HashMap<SocketAddr, TransactionId>,
-    script: BTreeMap<(Moment, usize), Act>,
+    state: ProcessState,
+    processor: Processor,
+    overload: OverloadDetector,
+    circuits: CircuitTable,
+    /// The last report to each front.
+    last_reports: HashMap<SocketAddr, TransactionId>,
+    script: Script,
     datagrams: VecDeque<(SocketAddr, Vec<u8>)>,
 }
 
 impl Server {
-    /// The `nth` server of a day that began at `start`. `fresh`: its process has just been started anew.
-    pub fn new(
-        day: &Scenario,
-        nth: usize,
-        name: String,
-        fronts: Vec<SocketAddr>,
-        start: Moment,
-        now: Moment,
-        fresh: bool,
-    ) -> Server {
-        let figures = day.servers[nth];
-        let first = (now.micros() % 900_000_000) as u32 + nth as u32;
+    /// A server whose process runs.
+    ///
+    /// # Panics
+    ///
+    /// The scenario has no server of that index, or the name is not a valid domain.
+    pub fn new(config: ServerConfig<'_>, now: Moment) -> Server {
+        let ServerConfig { scenario, index, name, fronts, scenario_start, is_cold } = config;
+        let config = scenario.servers[index];
+        let front = &scenario.front;
+        let transactions = TransactionConfig { sends_provisional: false, ..front.transactions };
         let mut server = Server {
-            figures,
+            config,
             name,
             fronts,
-            transactions: TransactionLayer::new(
-                TransactionConfig { sends_provisional: false, ..day.front.transactions },
-                first,
-            ),
+            transactions: TransactionLayer::new(transactions, first_transaction(now) + index as u32),
             now,
-            health: Health::Well,
-            started: None,
-            slower: 1.0,
-            fall_multiple: day.front.controller.overload_multiple,
-            fall_after: day.front.controller.overload_duration,
-            pressure: VecDeque::new(),
-            first: VecDeque::new(),
-            queue: VecDeque::new(),
-            in_hand: None,
-            circuits: BTreeMap::new(),
-            last_circuit: 0,
-            numbers: HashMap::new(),
-            told: HashMap::new(),
-            script: script(day, nth, start, now),
+            state: ProcessState::Serving,
+            processor: Processor::new(config),
+            overload: OverloadDetector::new(front),
+            circuits: CircuitTable::default(),
+            last_reports: HashMap::new(),
+            script: Script::new(scenario, index, scenario_start, now),
             datagrams: VecDeque::new(),
         };
-        if fresh {
+        if is_cold {
             server.start_cold();
         }
-        let offset = figures.report_interval.scaled(nth as f64 / day.servers.len() as f64);
-        server.script.insert((now + offset, usize::MAX), Act::Told);
+        // The servers' reports are spread over the interval.
+        let offset = config.report_interval.scaled(index as f64 / scenario.servers.len() as f64);
+        server.script.schedule_report(now + offset);
         server
     }
 
-    fn start_cold(&mut self) {
-        self.health = Health::Well;
-        self.started = Some(self.now);
-        self.tell_restart("restart", Span::ZERO);
-    }
-
-    /// What it can do now, in shares of its warm speed.
-    fn speed(&self) -> f64 {
-        let Some(started) = self.started else { return 1.0 / self.slower };
-        let warmth = self.now.since(started).ratio(self.figures.warm_up_time).min(1.0);
-        (self.figures.cold_share + (1.0 - self.figures.cold_share) * warmth) / self.slower
-    }
-
-    fn is_cold(&self) -> bool {
-        self.started.is_some_and(|started| self.now.since(started) < self.figures.warm_up_time)
-    }
-
-    fn wait(&self) -> Span {
-        let queued = self.first.iter().chain(&self.queue).map(|job| job.work);
-        let left = self.in_hand.as_ref().map_or(Span::ZERO, |(done, _)| done.since(self.now));
-        queued.fold(Span::ZERO, |sum, work| sum + work).scaled(1.0 / self.speed()) + left
-    }
+    // ---- Its process ----
 
-    fn put(&mut self, shares: f64, kind: Work) {
-        let job = Job { work: self.figures.set_up_time().scaled(shares), kind };
-        let ahead = self.figures.finishes_first && matches!(job.kind, Work::Answer(_) | Work::Release { .. });
-        if ahead {
-            self.first.push_back(job);
-        } else {
-            self.queue.push_back(job);
-        }
+    fn start_cold(&mut self) {
+        self.state = ProcessState::Serving;
+        self.processor.start_cold(self.now);
+        self.announce_restart();
     }
 
-    /// Work from outside reaches a processor that may be cold.
-    fn press(&mut self, set_ups: f64) {
-        if !self.is_cold() {
-            return self.pressure.clear();
-        }
-        self.pressure.push_back((self.now, set_ups));
-        while self.pressure.front().is_some_and(|(then, _)| self.now.since(*then) > self.fall_after) {
-            self.pressure.pop_front();
-        }
-        let second = Span::from_secs(1);
-        let able = self.fall_after.ratio(second) * second.ratio(self.figures.set_up_time()) * self.speed();
-        let sent: f64 = self.pressure.iter().map(|(_, set_ups)| set_ups).sum();
-        if sent > able * self.fall_multiple + SLACK {
-            self.go(Health::Fallen);
-        }
+    /// The process ends: all that it held is gone.
+    fn end_process(&mut self, state: ProcessState) {
+        self.state = state;
+        self.processor.clear();
+        self.circuits.clear();
+        self.overload.clear();
     }
 
-    /// The process is not there any more: all that it held is gone.
-    fn go(&mut self, health: Health) {
-        self.health = health;
-        self.first.clear();
-        self.queue.clear();
-        self.in_hand = None;
-        self.circuits.clear();
-        self.numbers.clear();
-        self.pressure.clear();
+    fn is_running(&self) -> bool {
+        matches!(self.state, ProcessState::Serving | ProcessState::Silent)
     }
 
-    /// What it says of itself in its messages.
-    fn telling(&self) -> Vec<(&'static str, String)> {
-        let free = (self.figures.lines as usize).saturating_sub(self.circuits.len());
-        let mut telling = vec![(parameter::LINE_CAPACITY, format!("{free}/{}", self.figures.lines))];
-        let full = self.wait().ratio(self.figures.max_queue).min(1.0);
-        if self.figures.reports_accepted_rate {
-            let can_take = self.figures.sessions_per_s * self.speed() * (1.0 - full);
-            telling.push((parameter::ACCEPTED_RATE, format!("{can_take:.2}")));
+    /// Work arrives from outside, in set-ups: a cold process crashes where it is too much.
+    fn add_load(&mut self, set_ups: f64) {
+        if !self.processor.is_cold(self.now) {
+            return self.overload.clear();
         }
-        if self.figures.reports_hold_back_share {
-            telling.push((parameter::HOLD_BACK_SHARE, format!("{:.3}", (full * 2.0).min(0.95))));
+        let capacity = self.processor.capacity(self.now, self.overload.window());
+        if self.overload.is_overloaded_by(self.now, set_ups, capacity) {
+            self.end_process(ProcessState::Crashed);
         }
-        telling
-    }
-
-    fn respond(&mut self, to: SocketAddr, response: Response) {
-        let telling = self.telling();
-        let response =
-            telling.into_iter().fold(response, |response, (name, value)| response.with(name, value));
-        self.transactions.respond(to, response);
-    }
-
-    fn everything(&self) -> Endpoint {
-        format!("*@{}", self.name).parse().expect("a name that the rig gave")
     }
 
-    fn tell_restart(&mut self, method: &str, delay: Span) {
-        for front in self.fronts.clone() {
-            let command = Command::new(Verb::RestartInProgress, 0, self.everything())
-                .with(parameter::RESTART_METHOD, method)
-                .with(parameter::RESTART_DELAY, delay.micros() / 1_000_000);
-            // A full table is that of a server that nobody answers: there is nobody to tell.
-            let _ = self.transactions.send_command(self.now, front, command);
-        }
+    /// Work that arrives from outside and leads to nothing, in set-ups.
+    fn add_overhead(&mut self, set_ups: f64) {
+        self.add_load(set_ups);
+        self.processor.enqueue(set_ups, Task::Overhead);
     }
 
-    /// The lines, unasked, to all fronts. Old news is not repeated: newer is on its way.
-    fn tell_lines(&mut self) {
-        for front in self.fronts.clone() {
-            let command =
-                Command::new(Verb::Notify, 0, self.everything()).with(parameter::REQUEST_IDENTIFIER, 0);
-            let telling = self.telling();
-            let command =
-                telling.into_iter().fold(command, |command, (name, value)| command.with(name, value));
-            if let Ok(transaction) = self.transactions.send_command(self.now, front, command)
-                && let Some(before) = self.told.insert(front, transaction)
-            {
-                self.transactions.abandon(self.now, before);
-            }
-        }
-    }
+    // ---- Commands ----
 
-    fn asked(&mut self, from: SocketAddr, command: &Command) {
-        let transaction = command.transaction;
+    fn handle_command(&mut self, from: SocketAddr, command: &Command) {
         match command.verb {
-            Verb::CreateConnection => self.set_up(from, command),
-            Verb::DeleteConnection => self.release(from, command),
+            Verb::CreateConnection => self.handle_set_up(from, command),
+            Verb::DeleteConnection => self.handle_release(from, command),
             Verb::AuditEndpoint => {
-                self.put(self.figures.read_work, Work::Waste);
-                self.respond(from, Response::new(code::DONE, transaction));
+                self.processor.enqueue(self.config.read_work, Task::Overhead);
+                self.respond(from, Response::new(code::DONE, command.transaction));
             }
-            _ => self.respond(from, Response::new(code::UNSUPPORTED, transaction)),
+            _ => self.respond(from, Response::new(code::UNSUPPORTED, command.transaction)),
         }
     }
 
-    fn set_up(&mut self, from: SocketAddr, command: &Command) {
-        let (transaction, figures) = (command.transaction, self.figures);
-        let text = |name: &str| command.parameters.get(name).unwrap_or("").to_owned();
-        let called = text(parameter::CALLED_NUMBER);
-        let wait = self.wait();
-        let refusal = if wait > figures.max_queue {
-            let busy = Response::new(code::OVERLOAD, transaction);
-            Some(if figures.names_retry_after {
-                busy.with(parameter::SERVER_RETRY_AFTER, wait.micros() / 2_000)
-            } else {
-                busy
-            })
-        } else if self.circuits.len() >= figures.lines as usize {
-            Some(Response::new(code::NO_ENDPOINT, transaction))
-        } else if self.numbers.get(&called).is_some_and(|used| *used >= LINES_OF_A_NUMBER) {
-            Some(Response::new(code::OFF_HOOK, transaction))
-        } else {
-            None
+    fn handle_set_up(&mut self, from: SocketAddr, command: &Command) {
+        let value = |name: &str| command.parameters.get(name).unwrap_or("").to_owned();
+        let set_up = SetUp {
+            front: from,
+            transaction: command.transaction,
+            call_id: value(parameter::CALL_ID),
+            called_number: value(parameter::CALLED_NUMBER),
+            is_cancelled: false,
         };
-        if let Some(refusal) = refusal {
-            self.press(figures.read_work + figures.reject_work);
-            self.put(figures.read_work + figures.reject_work, Work::Waste);
-            return self.respond(from, refusal);
+        if let Some(rejection) = self.rejection(&set_up) {
+            self.add_overhead(self.config.read_work + self.config.reject_work);
+            return self.respond(from, rejection);
         }
-        self.press(1.0);
-        let call = text(parameter::CALL_ID);
-        self.put(1.0, Work::SetUp(Asked { from, transaction, call, called, off: false }));
+        self.add_load(1.0);
+        self.processor.enqueue(1.0, Task::SetUp(set_up));
     }
 
-    fn release(&mut self, from: SocketAddr, command: &Command) {
-        let call = command.parameters.get(parameter::CALL_ID);
-        let connection = command.parameters.get(parameter::CONNECTION_ID);
-        let local = command.endpoint.local().to_owned();
-        let meant = |(number, circuit): &(&u32, &Circuit)| {
-            let named = local == format!("trunk/{number}");
-            let same = connection.is_none_or(|own| own == format!("c{number}"));
-            circuit.front == from
-                && (named || command.endpoint.has_wildcard())
-                && same
-                && call.is_none_or(|own| own == circuit.call)
-        };
-        let circuits: Vec<u32> = self.circuits.iter().filter(meant).map(|(number, _)| *number).collect();
-        if let Some(call) = call {
-            self.call_off(from, call);
+    /// The response to a set-up that is rejected at once.
+    fn rejection(&self, set_up: &SetUp) -> Option<Response> {
+        let transaction = set_up.transaction;
+        let queue_delay = self.processor.queue_delay(self.now);
+        if queue_delay > self.config.max_queue {
+            let rejection = Response::new(code::OVERLOAD, transaction);
+            if !self.config.names_retry_after {
+                return Some(rejection);
+            }
+            // After half of the delay there is room again.
+            let retry_after_ms = queue_delay.micros() / 2_000;
+            return Some(rejection.with(parameter::SERVER_RETRY_AFTER, retry_after_ms));
+        }
+        if self.circuits.len() >= self.config.lines as usize {
+            return Some(Response::new(code::NO_ENDPOINT, transaction));
         }
-        let work = if circuits.is_empty() { self.figures.read_work } else { self.figures.follow_up_work };
-        self.put(work, Work::Release { from, transaction: command.transaction, circuits });
+        let is_busy = self.circuits.is_busy(&set_up.called_number);
+        is_busy.then(|| Response::new(code::OFF_HOOK, transaction))
     }
 
-    /// A set-up in the queue is not wanted any more; where the figures say so it needs no work either.
-    fn call_off(&mut self, from: SocketAddr, call: &str) {
-        let drops = self.figures.drops_cancelled;
-        let look = self.figures.set_up_time().scaled(self.figures.read_work);
-        let in_hand = self.in_hand.iter_mut().map(|(_, job)| job);
-        for job in self.first.iter_mut().chain(&mut self.queue).chain(in_hand) {
-            if let Work::SetUp(asked) | Work::Answer(asked) = &mut job.kind
-                && asked.from == from
-                && asked.call == call
-            {
-                asked.off = true;
-                if drops {
-                    job.work = job.work.min(look);
-                }
-            }
+    fn handle_release(&mut self, from: SocketAddr, command: &Command) {
+        let call_id = command.parameters.get(parameter::CALL_ID);
+        let circuits = self.circuits.select(&CircuitSelector {
+            front: from,
+            local_name: command.endpoint.local(),
+            has_wildcard: command.endpoint.has_wildcard(),
+            call_id,
+            connection_id: command.parameters.get(parameter::CONNECTION_ID),
+        });
+        if let Some(call_id) = call_id {
+            self.processor.cancel(from, call_id);
         }
+        let is_unknown = circuits.is_empty();
+        let work = if is_unknown { self.config.read_work } else { self.config.follow_up_work };
+        let transaction = command.transaction;
+        self.processor.enqueue(work, Task::Release { front: from, transaction, circuits });
     }
 
-    fn done(&mut self, job: Job) {
-        match job.kind {
-            Work::SetUp(asked) if asked.off => {
-                self.respond(asked.from, Response::new(code::ABORTED, asked.transaction));
+    // ---- Finished work ----
+
+    fn on_finished(&mut self, task: Task) {
+        match task {
+            Task::SetUp(set_up) | Task::Answer(set_up) if set_up.is_cancelled => {
+                self.respond(set_up.front, Response::new(code::ABORTED, set_up.transaction));
             }
-            Work::SetUp(asked) => self.put(self.figures.follow_up_work, Work::Answer(asked)),
-            Work::Answer(asked) if asked.off => {
-                self.respond(asked.from, Response::new(code::ABORTED, asked.transaction));
+            Task::SetUp(set_up) => {
+                self.processor.enqueue(self.config.follow_up_work, Task::Answer(set_up));
             }
-            Work::Answer(asked) => self.stands(asked),
-            Work::Release { from, transaction, circuits } => {
-                for number in circuits {
-                    if let Some(circuit) = self.circuits.remove(&number)
-                        && let Some(used) = self.numbers.get_mut(&circuit.called)
-                    {
-                        *used = used.saturating_sub(1);
-                    }
-                }
-                self.numbers.retain(|_, used| *used > 0);
-                self.respond(from, Response::new(code::DELETED, transaction));
+            Task::Answer(set_up) => self.establish(set_up),
+            Task::Release { front, transaction, circuits } => {
+                self.circuits.release(&circuits);
+                self.respond(front, Response::new(code::DELETED, transaction));
             }
-            Work::Waste => {}
+            Task::Overhead => {}
         }
     }
 
-    fn stands(&mut self, asked: Asked) {
-        self.last_circuit += 1;
-        let number = self.last_circuit;
-        *self.numbers.entry(asked.called.clone()).or_insert(0) += 1;
-        let response = Response::new(code::DONE, asked.transaction)
-            .with(parameter::CONNECTION_ID, format!("c{number}"))
-            .with(parameter::SPECIFIC_ENDPOINT_ID, format!("trunk/{number}@{}", self.name))
-            .with(parameter::ATTEMPT, &asked.call);
-        let circuit = Circuit { front: asked.from, call: asked.call, called: asked.called };
-        self.circuits.insert(number, circuit);
-        self.respond(asked.from, response);
+    fn establish(&mut self, set_up: SetUp) {
+        let SetUp { front, transaction, call_id, called_number, .. } = set_up;
+        let id = self.circuits.insert(Circuit { front, call_id: call_id.clone(), called_number });
+        let response = Response::new(code::DONE, transaction)
+            .with(parameter::CONNECTION_ID, connection_id(id))
+            .with(parameter::SPECIFIC_ENDPOINT_ID, format!("{}@{}", local_name(id), self.name))
+            .with(parameter::ATTEMPT, call_id);
+        self.respond(front, response);
     }
 
-    fn act(&mut self, act: Act) {
-        match act {
-            Act::Health(Health::Well) if self.health == Health::Away => self.start_cold(),
-            Act::Health(Health::Away) => self.go(Health::Away),
-            Act::Health(health) if self.health != Health::Fallen => self.health = health,
-            Act::Health(_) => {}
-            Act::Drain => self.tell_restart("graceful", Span::from_secs(2)),
-            Act::Replace => {
-                for (number, circuit) in std::mem::take(&mut self.circuits) {
-                    let endpoint = format!("trunk/{number}@{}", self.name).parse().expect("a sound name");
-                    let command = Command::new(Verb::DeleteConnection, 0, endpoint)
-                        .with(parameter::CALL_ID, &circuit.call)
-                        .with(parameter::REASON_CODE, "900 replaced");
-                    let _ = self.transactions.send_command(self.now, circuit.front, command);
+    // ---- The scenario ----
+
+    fn act(&mut self, action: ScriptedAction) {
+        match action {
+            ScriptedAction::SetState(state) => self.set_state(state),
+            ScriptedAction::AnnounceDrain => self.announce_drain(),
+            ScriptedAction::Replace => self.replace(),
+            ScriptedAction::SetSlowdown(slowdown) => self.processor.set_slowdown(slowdown),
+            ScriptedAction::ReportLines => {
+                if self.state == ProcessState::Serving {
+                    self.report_load();
                 }
-                self.go(Health::Well);
-                self.start_cold();
-            }
-            Act::Slower(times) => self.slower = times.max(0.01),
-            Act::Told => {
-                if self.health == Health::Well {
-                    self.tell_lines();
-                }
-                self.script.insert((self.now + self.figures.report_interval, usize::MAX), Act::Told);
+                self.script.schedule_report(self.now + self.config.report_interval);
             }
         }
     }
 
-    fn work(&mut self) {
-        loop {
-            match self.in_hand.take() {
-                Some((done, job)) if done <= self.now => self.done(job),
-                Some(in_hand) => {
-                    self.in_hand = Some(in_hand);
-                    return;
-                }
-                None => match self.first.pop_front().or_else(|| self.queue.pop_front()) {
-                    Some(job) => self.in_hand = Some((self.now + job.work.scaled(1.0 / self.speed()), job)),
-                    None => return,
-                },
-            }
+    fn set_state(&mut self, state: ProcessState) {
+        match state {
+            ProcessState::Serving if self.state == ProcessState::Stopped => self.start_cold(),
+            ProcessState::Stopped => self.end_process(ProcessState::Stopped),
+            _ if self.state != ProcessState::Crashed => self.state = state,
+            _ => {}
         }
     }
 
-    fn is_there(&self) -> bool {
-        matches!(self.health, Health::Well | Health::Silent)
+    /// A cold process takes the place of this one, whose calls are cut.
+    fn replace(&mut self) {
+        let calls = self.circuits.iter().map(|(id, circuit)| {
+            let command = Command::new(Verb::DeleteConnection, 0, self.endpoint(&local_name(id)))
+                .with(parameter::CALL_ID, &circuit.call_id)
+                .with(parameter::REASON_CODE, REPLACED);
+            (circuit.front, command)
+        });
+        for (front, command) in calls.collect::<Vec<_>>() {
+            // Where the table of commands is full, a front learns of the cut from the restart alone.
+            let _ = self.transactions.send_command(self.now, front, command);
+        }
+        self.end_process(ProcessState::Serving);
+        self.start_cold();
     }
 
-    /// Calls that stand here.
-    pub fn standing(&self) -> usize {
+    // ---- State that is shown ----
+
+    /// How many calls are established.
+    pub fn established_calls(&self) -> usize {
         self.circuits.len()
     }
 
-    /// The calls that stand here: whose, and of which try.
+    /// The established calls: the front and the attempt of each.
     pub fn calls(&self) -> impl Iterator<Item = (SocketAddr, &str)> {
-        self.circuits.values().map(|circuit| (circuit.front, circuit.call.as_str()))
+        self.circuits.iter().map(|(_, circuit)| (circuit.front, circuit.call_id.as_str()))
     }
 
-    pub fn has_fallen(&self) -> bool {
-        self.health == Health::Fallen
+    /// Whether its process was overloaded while it was cold, and has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.state == ProcessState::Crashed
     }
 }
 
 impl Peer for Server {
-    fn take(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]) {
+    fn handle_datagram(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]) {
         self.now = self.now.max(now);
-        if !self.is_there() {
+        if !self.is_running() {
             return;
         }
         self.transactions.handle_datagram(now, from, bytes);
-        while let Some(news) = self.transactions.poll_event() {
-            match news {
-                TransactionEvent::CommandReceived { from, command } => self.asked(from, &command),
-                TransactionEvent::CommandRepeated { .. } => {
-                    self.press(self.figures.repeat_work);
-                    self.put(self.figures.repeat_work, Work::Waste);
-                }
+        while let Some(event) = self.transactions.poll_event() {
+            match event {
+                TransactionEvent::CommandReceived { from, command } => self.handle_command(from, &command),
+                TransactionEvent::CommandRepeated { .. } => self.add_overhead(self.config.repeat_work),
                 _ => {}
             }
         }
     }
 
-    fn turn(&mut self, now: Moment) {
+    fn process(&mut self, now: Moment) {
         self.now = self.now.max(now);
-        while let Some(entry) = self.script.first_entry().filter(|entry| entry.key().0 <= now) {
-            let act = entry.remove();
-            self.act(act);
+        while let Some(action) = self.script.next_due(now) {
+            self.act(action);
         }
-        if !self.is_there() {
+        if !self.is_running() {
             while self.transactions.poll_datagram().is_some() {}
             return;
         }
-        if self.health == Health::Well {
-            self.work();
+        if self.state == ProcessState::Serving {
+            while let Some(task) = self.processor.poll_finished(self.now) {
+                self.on_finished(task);
+            }
         }
         self.transactions.process(now);
         while let Some(datagram) = self.transactions.poll_datagram() {
-            if self.health == Health::Well {
+            if self.state == ProcessState::Serving {
                 self.datagrams.push_back(datagram);
             }
         }
     }
 
-    fn next_datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+    fn poll_datagram(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
         self.datagrams.pop_front()
     }
 
-    fn wake(&self) -> Option<Moment> {
-        let script = self.script.first_key_value().map(|((moment, _), _)| *moment);
-        let work = self.in_hand.as_ref().map(|(done, _)| *done).filter(|_| self.health == Health::Well);
-        let transactions = self.transactions.poll_timeout().filter(|_| self.is_there());
-        script.into_iter().chain(work).chain(transactions).min()
-    }
-}
-
-/// What is still to come for the server. Kills and starts of its process are the rig's.
-fn script(day: &Scenario, nth: usize, start: Moment, now: Moment) -> BTreeMap<(Moment, usize), Act> {
-    let mut script = BTreeMap::new();
-    for (at, trouble) in day.faults.iter().enumerate() {
-        let (begins, ends) = (start + trouble.start, start + trouble.start + trouble.duration);
-        if ends <= now || (trouble.kind != FaultKind::AllSlow && !trouble.targets.contains(&nth)) {
-            continue;
-        }
-        let acts = match trouble.kind {
-            FaultKind::Silent => (Act::Health(Health::Silent), Act::Health(Health::Well)),
-            FaultKind::Vanish => (Act::Health(Health::Away), Act::Health(Health::Well)),
-            FaultKind::Slow | FaultKind::AllSlow => (Act::Slower(trouble.magnitude), Act::Slower(1.0)),
-            FaultKind::Replaced => (Act::Drain, Act::Replace),
-            _ => continue,
-        };
-        script.insert((begins, at * 2), acts.0);
-        script.insert((ends, at * 2 + 1), acts.1);
+    fn poll_timeout(&self) -> Option<Moment> {
+        let is_serving = self.state == ProcessState::Serving;
+        let processor = self.processor.poll_timeout().filter(|_| is_serving);
+        let transactions = self.transactions.poll_timeout().filter(|_| self.is_running());
+        [self.script.poll_timeout(), processor, transactions].into_iter().flatten().min()
     }
-    script
 }
--- a/crates/ochrelead-emulator/tests/emulator.rs
+++ b/crates/ochrelead-emulator/tests/emulator.rs
@@ -1,4 +1,4 @@
-//! What the stand-ins do, so that a day's trouble is the trouble it says.
+//! Emulated servers, callers and network do what a scenario says.
 
 use std::net::SocketAddr;
 
@@ -6,13 +6,13 @@
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_emulator::Peer;
 use ochrelead_emulator::callers::Callers;
-use ochrelead_emulator::network::{Fault, Network};
-use ochrelead_emulator::server::Server;
+use ochrelead_emulator::network::{LinkFault, Network};
+use ochrelead_emulator::server::{Server, ServerConfig};
 use ochrelead_mgcp::message::{Command, Message, Response, Verb, code, parameter};
 use ochrelead_mgcp::{parse, write};
 use test_case::test_case;
 
-const DAY: &str = r#"seed: 1 length_ms: 20000 fronts: 1
+const SCENARIO: &str = r#"seed: 1 length_ms: 20000 fronts: 1
 front { release_wait_ms: 200
   service { name: "check" dialled: "1" value: 1 post_dial_target_ms: 1500 timer_limit_ms: 9000 usual_hold_ms: 1000 }
 }
@@ -28,34 +28,46 @@
     "127.0.0.1:1".parse().unwrap()
 }
 
-fn day(more: &str) -> Scenario {
-    scenario::parse("day", &format!("{DAY}{more}")).unwrap()
+fn scenario_with(more: &str) -> Scenario {
+    scenario::parse("day", &format!("{SCENARIO}{more}")).unwrap()
 }
 
-/// Runs a stand-in up to a moment; what it sent, with the moments.
+/// Runs a peer up to a moment: what it sent, with the milliseconds.
 fn run(peer: &mut impl Peer, from: u64, to: u64) -> Vec<(u64, Message)> {
     let mut sent = Vec::new();
     for ms in from..=to {
-        peer.turn(at(ms));
-        while let Some((_, bytes)) = peer.next_datagram() {
+        peer.process(at(ms));
+        while let Some((_, bytes)) = peer.poll_datagram() {
             sent.extend(parse::datagram(&bytes).unwrap().into_iter().map(|message| (ms, message.unwrap())));
         }
     }
     sent
 }
 
-fn server(more: &str, fresh: bool) -> Server {
-    Server::new(&day(more), 0, "s0".to_owned(), vec![front()], at(0), at(0), fresh)
+fn server(more: &str, is_cold: bool) -> Server {
+    server_of(&scenario_with(more), is_cold)
 }
 
-fn ask(peer: &mut impl Peer, ms: u64, verb: Verb, id: u32, call: &str) {
+fn server_of(scenario: &Scenario, is_cold: bool) -> Server {
+    let config = ServerConfig {
+        scenario,
+        index: 0,
+        name: "s0".to_owned(),
+        fronts: vec![front()],
+        scenario_start: at(0),
+        is_cold,
+    };
+    Server::new(config, at(0))
+}
+
+fn send_command(peer: &mut impl Peer, ms: u64, verb: Verb, id: u32, call: &str) {
     let command = Command::new(verb, id, "trunk/*@s0".parse().unwrap())
         .with(parameter::CALL_ID, call)
         .with(parameter::CALLED_NUMBER, format!("100{call}"));
-    peer.take(at(ms), front(), &write::datagram(&[Message::Command(command)]));
+    peer.handle_datagram(at(ms), front(), &write::datagram(&[Message::Command(command)]));
 }
 
-/// The codes of the responses, with their moments.
+/// The codes of the responses, with their milliseconds.
 fn codes(sent: &[(u64, Message)]) -> Vec<(u64, u16)> {
     let code = |(ms, message): &(u64, Message)| match message {
         Message::Response(response) => Some((*ms, response.code)),
@@ -65,178 +77,182 @@
 }
 
 #[test]
-fn a_set_up_and_its_answer_need_the_processor() {
+fn set_up_and_answer_need_the_processor() {
     // Ten sessions a second with an answer and a release of half a set-up each: 50 ms and 25 ms.
     let mut server = server("", false);
-    ask(&mut server, 0, Verb::CreateConnection, 1, "a");
-    ask(&mut server, 0, Verb::CreateConnection, 2, "b");
+    send_command(&mut server, 0, Verb::CreateConnection, 1, "a");
+    send_command(&mut server, 0, Verb::CreateConnection, 2, "b");
     assert_eq!(codes(&run(&mut server, 0, 400)), [(125, 200), (150, 200)], "answers wait behind set-ups");
-    assert_eq!(server.standing(), 2);
-    ask(&mut server, 500, Verb::DeleteConnection, 3, "a");
+    assert_eq!(server.established_calls(), 2);
+    send_command(&mut server, 500, Verb::DeleteConnection, 3, "a");
     assert_eq!(codes(&run(&mut server, 500, 900)), [(525, 250)]);
-    assert_eq!(server.standing(), 1);
+    assert_eq!(server.established_calls(), 1);
 }
 
 #[test]
-fn a_repeat_is_work_and_takes_no_second_circuit() {
+fn repeat_is_work_and_takes_no_second_circuit() {
     let mut server = server("", false);
     for ms in [0, 10, 20] {
-        ask(&mut server, ms, Verb::CreateConnection, 1, "a");
+        send_command(&mut server, ms, Verb::CreateConnection, 1, "a");
     }
     assert_eq!(
         codes(&run(&mut server, 20, 400)),
         [(145, 200)],
         "two repeats of half a set-up come before its answer"
     );
-    ask(&mut server, 500, Verb::CreateConnection, 1, "a");
+    send_command(&mut server, 500, Verb::CreateConnection, 1, "a");
     assert_eq!(
-        (codes(&run(&mut server, 500, 900)), server.standing()),
+        (codes(&run(&mut server, 500, 900)), server.established_calls()),
         (vec![(500, 200)], 1),
-        "from the kept answer"
+        "from the history"
     );
 }
 
 #[test_case(40, code::OVERLOAD; "a queue past its bound")]
 #[test_case(9, code::NO_ENDPOINT; "no line free")]
-fn turns_set_ups_away(set_ups: u32, code: u16) {
+fn set_ups_are_rejected(set_ups: u32, code: u16) {
     let mut server = server("", false);
     let gap = if code == code::OVERLOAD { 0 } else { 300 };
     let mut seen = Vec::new();
-    for nth in 0..set_ups {
-        let ms = u64::from(nth) * gap;
-        ask(&mut server, ms, Verb::CreateConnection, nth + 1, &format!("{nth}"));
+    for index in 0..set_ups {
+        let ms = u64::from(index) * gap;
+        send_command(&mut server, ms, Verb::CreateConnection, index + 1, &format!("{index}"));
         seen.extend(codes(&run(&mut server, ms, ms + gap)));
     }
-    assert!(seen.iter().any(|(_, own)| *own == code), "{seen:?}");
+    assert!(seen.iter().any(|(_, seen)| *seen == code), "{seen:?}");
 }
 
 #[test_case("", 130; "worked on all the same")]
 #[test_case("cancel_drops: true", 85; "dropped")]
-fn a_set_up_that_was_given_up(more: &str, done: u64) {
-    let text = DAY.replace("queue_ms", &format!("{more} queue_ms"));
-    let day = scenario::parse("day", &text).unwrap();
-    let mut server = Server::new(&day, 0, "s0".to_owned(), vec![front()], at(0), at(0), false);
-    ask(&mut server, 0, Verb::CreateConnection, 1, "a");
-    ask(&mut server, 0, Verb::CreateConnection, 2, "b");
+fn cancelled_set_up(more: &str, answered_at: u64) {
+    let text = SCENARIO.replace("queue_ms", &format!("{more} queue_ms"));
+    let mut server = server_of(&scenario::parse("day", &text).unwrap(), false);
+    send_command(&mut server, 0, Verb::CreateConnection, 1, "a");
+    send_command(&mut server, 0, Verb::CreateConnection, 2, "b");
     run(&mut server, 0, 0);
-    ask(&mut server, 1, Verb::DeleteConnection, 3, "b");
+    send_command(&mut server, 1, Verb::DeleteConnection, 3, "b");
     let seen = codes(&run(&mut server, 1, 1_000));
     assert!(seen.iter().any(|(_, code)| *code == 407), "{seen:?}");
     let first = seen.iter().find(|(_, code)| *code == 200).unwrap().0;
-    assert_eq!((first, server.standing()), (done, 1), "{seen:?}");
+    assert_eq!((first, server.established_calls()), (answered_at, 1), "{seen:?}");
 }
 
 #[test_case(5, false; "few set-ups")]
-#[test_case(100, true; "many within the fall time")]
-fn a_cold_server_falls_when_pushed(set_ups: u32, falls: bool) {
+#[test_case(100, true; "many within the overload window")]
+fn cold_server_crashes_when_overloaded(set_ups: u32, crashes: bool) {
     let mut server = server("", true);
     let started = run(&mut server, 0, 0);
     assert!(matches!(&started[0].1, Message::Command(c) if c.parameters.get("RM") == Some("restart")));
-    for nth in 0..set_ups {
-        ask(&mut server, 100 + u64::from(nth) * 5, Verb::CreateConnection, nth + 1, &format!("{nth}"));
-        run(&mut server, 100 + u64::from(nth) * 5, 100 + u64::from(nth) * 5);
+    for index in 0..set_ups {
+        let ms = 100 + u64::from(index) * 5;
+        send_command(&mut server, ms, Verb::CreateConnection, index + 1, &format!("{index}"));
+        run(&mut server, ms, ms);
     }
-    assert_eq!(server.has_fallen(), falls);
+    assert_eq!(server.has_crashed(), crashes);
 }
 
 #[test_case("silent", 0; "silent")]
 #[test_case("vanish", 0; "vanished")]
 #[test_case("slow", 1; "slow")]
-fn in_trouble(kind: &str, answers: usize) {
+fn faulty_server(kind: &str, answers: usize) {
     let mut server =
         server(&format!("trouble {{ kind: \"{kind}\" at_ms: 0 length_ms: 5000 which: 0 size: 4 }}"), false);
     run(&mut server, 0, 1);
-    ask(&mut server, 1, Verb::CreateConnection, 1, "a");
+    send_command(&mut server, 1, Verb::CreateConnection, 1, "a");
     let seen = codes(&run(&mut server, 2, 900));
     assert_eq!(seen.len(), answers, "{seen:?}");
     assert!(seen.iter().all(|(ms, _)| *ms >= 300), "four times slower: {seen:?}");
 }
 
 #[test]
-fn a_drain_is_told_and_the_calls_of_the_old_processor_are_cut() {
+fn drain_is_announced_and_calls_of_the_old_processor_are_cut() {
     let mut server = server("trouble { kind: \"replaced\" at_ms: 500 length_ms: 1000 which: 0 }", false);
-    ask(&mut server, 0, Verb::CreateConnection, 1, "a");
+    send_command(&mut server, 0, Verb::CreateConnection, 1, "a");
     let sent = run(&mut server, 0, 1_600);
-    let told: Vec<(u64, Verb)> = sent
+    let commands: Vec<(u64, Verb)> = sent
         .iter()
         .filter_map(|(ms, message)| match message {
             Message::Command(command) if *ms >= 500 => Some((*ms, command.verb)),
             _ => None,
         })
         .collect();
-    assert_eq!(told[0], (500, Verb::RestartInProgress));
+    assert_eq!(commands[0], (500, Verb::RestartInProgress));
     assert!(
-        told.contains(&(1_500, Verb::DeleteConnection)) && told.contains(&(1_500, Verb::RestartInProgress))
+        commands.contains(&(1_500, Verb::DeleteConnection))
+            && commands.contains(&(1_500, Verb::RestartInProgress))
     );
-    assert_eq!(server.standing(), 0);
+    assert_eq!(server.established_calls(), 0);
 }
 
 #[test]
-fn a_refused_caller_comes_back_when_told_and_then_talks() {
-    let mut callers = Callers::new(day(""), vec![front()], at(0), at(0));
-    let mut tries = Vec::new();
+fn rejected_caller_dials_again_after_the_retry_after_and_talks() {
+    let mut callers = Callers::new(scenario_with(""), vec![front()], at(0), at(0));
+    let mut attempts = Vec::new();
     let mut answered = 0;
     for ms in 0..19_000 {
         for (_, message) in run(&mut callers, ms, ms) {
             let Message::Command(command) = message else { continue };
             let response = Response::new(200, command.transaction);
-            callers.take(at(ms), front(), &write::datagram(&[Message::Response(response)]));
-            let tried = command.parameters.get(parameter::ATTEMPT).unwrap().to_owned();
+            callers.handle_datagram(at(ms), front(), &write::datagram(&[Message::Response(response)]));
+            let attempt = command.parameters.get(parameter::ATTEMPT).unwrap().to_owned();
             if !command.parameters.get(parameter::OBSERVED_EVENTS).unwrap().contains("hd")
-                || tries.iter().any(|(own, _)| *own == tried)
+                || attempts.iter().any(|(known, _)| *known == attempt)
             {
                 continue;
             }
-            tries.push((tried.clone(), ms));
+            attempts.push((attempt.clone(), ms));
             answered += 1;
             let line = command.endpoint.clone();
-            let answer = if tried.ends_with("01") {
+            let answer = if attempt.ends_with("01") {
                 Command::new(Verb::NotificationRequest, answered, line)
                     .with("S", "L/bz")
                     .with("X-Come-Back", 300)
             } else {
                 Command::new(Verb::ModifyConnection, answered, line).with("M", "sendrecv")
             };
-            let bytes = write::datagram(&[Message::Command(answer.with(parameter::ATTEMPT, &tried))]);
-            callers.take(at(ms), front(), &bytes);
+            let bytes = write::datagram(&[Message::Command(answer.with(parameter::ATTEMPT, &attempt))]);
+            callers.handle_datagram(at(ms), front(), &bytes);
         }
     }
-    let again: Vec<_> = tries.iter().filter(|(tried, _)| tried.ends_with("02")).collect();
-    assert!(again.len() > 40, "{}", again.len());
-    for (tried, ms) in again {
-        let first = tries.iter().find(|(own, _)| own[..8] == tried[..8]).unwrap().1;
-        assert!((300..=301).contains(&(ms - first)), "as told");
+    let redials: Vec<_> = attempts.iter().filter(|(attempt, _)| attempt.ends_with("02")).collect();
+    assert!(redials.len() > 40, "{}", redials.len());
+    for (attempt, ms) in redials {
+        let first = attempts.iter().find(|(known, _)| known[..8] == attempt[..8]).unwrap().1;
+        assert!((300..=301).contains(&(ms - first)), "after the retry-after");
     }
-    assert!(!tries.iter().any(|(tried, _)| tried.ends_with("03")), "who stood does not dial again");
+    assert!(
+        !attempts.iter().any(|(attempt, _)| attempt.ends_with("03")),
+        "a caller that was connected does not dial again"
+    );
 }
 
 #[test]
 fn callers_are_the_same_from_the_same_seed() {
-    let course = || run(&mut Callers::new(day(""), vec![front()], at(0), at(0)), 0, 5_000);
-    assert_eq!(course(), course());
+    let datagrams = || run(&mut Callers::new(scenario_with(""), vec![front()], at(0), at(0)), 0, 5_000);
+    assert_eq!(datagrams(), datagrams());
 }
 
-#[test_case(0.0, &[], 100; "sound")]
+#[test_case(0.0, &[], 100; "no loss")]
 #[test_case(1.0, &[], 0; "all is lost")]
 #[test_case(0.0, &[(Some(1), None)], 0; "a fault on the way from the sender")]
 #[test_case(0.0, &[(Some(2), Some(1))], 100; "a fault on the way back")]
 fn network(loss: f64, faults: &[(Option<u8>, Option<u8>)], arrive: usize) {
-    let figures = scenario::EmulatedNetwork {
+    let config = scenario::EmulatedNetwork {
         delay: Span::from_millis(5),
         jitter: 0.2,
         loss,
         duplicated: 0.0,
         reordered: 0.2,
     };
-    let fault = |(from, to): &(Option<u8>, Option<u8>)| Fault {
+    let fault = |(from, to): &(Option<u8>, Option<u8>)| LinkFault {
         from: *from,
         to: *to,
-        begins: at(0),
-        ends: at(9),
+        start: at(0),
+        end: at(9),
         loss: 1.0,
     };
-    let mut network = Network::new(figures, faults.iter().map(fault).collect(), 7);
-    (0..100).for_each(|_| network.carry(at(1), 1u8, 2u8, b"x"));
-    assert!(network.next(at(1)).is_none(), "nothing arrives at once");
-    assert_eq!(std::iter::from_fn(|| network.next(at(60))).count(), arrive);
+    let mut network = Network::new(config, faults.iter().map(fault).collect(), 7);
+    (0..100).for_each(|_| network.send(at(1), 1u8, 2u8, b"x"));
+    assert!(network.poll_arrival(at(1)).is_none(), "nothing arrives at once");
+    assert_eq!(std::iter::from_fn(|| network.poll_arrival(at(60))).count(), arrive);
 }
--- a/crates/ochrelead-scenario/src/audit/service.rs
+++ b/crates/ochrelead-scenario/src/audit/service.rs
@@ -5,7 +5,7 @@
 
 use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_emulator::callers::HOT;
+use ochrelead_emulator::callers::HOT_SUBSCRIBER;
 use ochrelead_mgcp::message::{Message, Verb, parameter};
 
 use super::sightings::{Seen, What, state};
@@ -106,7 +106,7 @@
     let member = day.front.trunks.iter().position(|own| own == trunk);
     let provision = &day.front.controller;
     let mut value = provision.services[service].value;
-    if digits.ends_with(HOT) {
+    if digits.ends_with(HOT_SUBSCRIBER) {
         value *= HOT_WORTH;
     }
     if let Some(member) = member {
--- a/crates/ochrelead-scenario/src/part.rs
+++ b/crates/ochrelead-scenario/src/part.rs
@@ -15,7 +15,7 @@
 use ochrelead_core::time::Moment;
 use ochrelead_emulator::Peer;
 use ochrelead_emulator::callers::Callers;
-use ochrelead_emulator::server::Server;
+use ochrelead_emulator::server::{Server, ServerConfig};
 use ochrelead_front::engine::Engine;
 use ochrelead_front::host::{self, FrontPaths};
 use ochrelead_host::clock::Clock;
@@ -75,10 +75,15 @@
         bail!("there are only {} servers", day.servers.len());
     }
     let clock = Clock::start();
-    let start = Moment::from_micros(start_us);
-    let name = crate::world::server_name(nth);
-    let fronts = fronts.iter().map(|front| SocketAddr::V4(*front)).collect();
-    run(Server::new(day, nth, name, fronts, start, clock.now(), fresh), listen, clock)
+    let config = ServerConfig {
+        scenario: day,
+        index: nth,
+        name: crate::world::server_name(nth),
+        fronts: fronts.iter().map(|front| SocketAddr::V4(*front)).collect(),
+        scenario_start: Moment::from_micros(start_us),
+        is_cold: fresh,
+    };
+    run(Server::new(config, clock.now()), listen, clock)
 }
 
 /// Runs all callers.
@@ -101,14 +106,14 @@
     future::block_on(async {
         loop {
             while let Ok((length, from)) = socket.get_ref().recv_from(&mut buffer) {
-                peer.take(clock.now(), from, &buffer[..length]);
+                peer.handle_datagram(clock.now(), from, &buffer[..length]);
             }
-            peer.turn(clock.now());
-            while let Some((to, bytes)) = peer.next_datagram() {
+            peer.process(clock.now());
+            while let Some((to, bytes)) = peer.poll_datagram() {
                 // What can't leave is lost, as on any network.
                 let _ = socket.get_ref().send_to(&bytes, to);
             }
-            let alarm = clock.timer(peer.wake());
+            let alarm = clock.timer(peer.poll_timeout());
             let idle = Timer::after(Duration::from_secs(1));
             let tick = future::or(
                 async {
--- a/crates/ochrelead-scenario/src/world.rs
+++ b/crates/ochrelead-scenario/src/world.rs
@@ -18,7 +18,7 @@
 use ochrelead_config::scenario::Scenario;
 use ochrelead_config::schema;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_emulator::network::{Network, faults};
+use ochrelead_emulator::network::{Datagram, Network, link_faults};
 use ochrelead_host::clock::Clock;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -158,7 +158,7 @@
                 }
             }
         }
-        let faults = faults(
+        let faults = link_faults(
             &self.day,
             start,
             |nth| Party::Front(nth as u16),
@@ -444,7 +444,7 @@
         }
         let mut rig = rig.borrow_mut();
         let (at, bytes) = (clock.now(), buffer[..length].to_vec());
-        rig.network.carry(at, by, seen, &bytes);
+        rig.network.send(at, by, seen, &bytes);
         let put = rig.tape.put(&Sight { at, from: by, to: seen, reached: false, bytes });
         rig.error = put.err().or(rig.error.take());
         // One note is enough for any number of datagrams.
@@ -457,7 +457,7 @@
     loop {
         let next = {
             let mut rig = rig.borrow_mut();
-            while let Some((from, to, bytes)) = rig.network.next(clock.now()) {
+            while let Some(Datagram { from, to, bytes }) = rig.network.poll_arrival(clock.now()) {
                 let at = clock.now();
                 let put = rig.tape.put(&Sight { at, from, to, reached: true, bytes: bytes.clone() });
                 rig.error = put.err().or(rig.error.take());
@@ -466,7 +466,7 @@
                     let _ = socket.get_ref().send_to(&bytes, street.own(to));
                 }
             }
-            rig.network.wake()
+            rig.network.poll_timeout()
         };
         let alarm = clock.timer(next);
         future::or(
--- a/crates/ochrelead-sim/src/world.rs
+++ b/crates/ochrelead-sim/src/world.rs
@@ -13,8 +13,8 @@
 use ochrelead_discovery::persistence::PersistedEndpoints;
 use ochrelead_emulator::Peer;
 use ochrelead_emulator::callers::Callers;
-use ochrelead_emulator::network::{Network, faults};
-use ochrelead_emulator::server::Server;
+use ochrelead_emulator::network::{Datagram, Network, link_faults};
+use ochrelead_emulator::server::{Server, ServerConfig};
 use ochrelead_host::call_policy::CallPolicy;
 use ochrelead_mgcp::transaction::TransactionConfig;
 use ochrelead_scenario::baseline::{Baseline, Policy};
@@ -142,12 +142,11 @@
             fronts.push(Machine::new(commission, keep.records));
         }
         let seen: Vec<SocketAddr> = (0..day.fronts).map(|nth| address(front(nth))).collect();
-        let servers = (0..day.servers.len())
-            .map(|nth| Some(Server::new(day, nth, server_name(nth), seen.clone(), start, START, false)))
-            .collect();
+        let servers =
+            (0..day.servers.len()).map(|nth| Some(emulated_server(day, nth, START, false))).collect();
         let parties = (0..day.fronts).map(front).chain((0..day.servers.len()).map(server));
         let addresses = parties.chain([Party::Gateway]).map(|party| (address(party), party)).collect();
-        let faults = faults(day, start, front, server, Party::Gateway);
+        let faults = link_faults(day, start, front, server, Party::Gateway);
         let mut world = World {
             now: START,
             step: 0,
@@ -195,13 +194,13 @@
         }
         let next_act = self.script.front().map(|(at, _)| *at);
         let next_alarm = self.alarms.first().map(|(at, _)| *at);
-        let next = [next_act, self.network.wake(), next_alarm].into_iter().flatten().min()?;
+        let next = [next_act, self.network.poll_timeout(), next_alarm].into_iter().flatten().min()?;
         self.now = self.now.max(next);
         self.step += 1;
         let done = if next_act == Some(next) {
             let (_, act) = self.script.pop_front()?;
             self.act(act)
-        } else if let Some((from, to, bytes)) = self.network.next(self.now) {
+        } else if let Some(Datagram { from, to, bytes }) = self.network.poll_arrival(self.now) {
             self.deliver(from, to, bytes)
         } else {
             let (_, party) = self.alarms.pop_first()?;
@@ -278,9 +277,9 @@
             }
             Party::Server(nth) => {
                 let Some(server) = &mut self.servers[usize::from(nth)] else { return Ok(()) };
-                server.take(now, sender, &bytes);
+                server.handle_datagram(now, sender, &bytes);
             }
-            _ => self.callers.take(now, sender, &bytes),
+            _ => self.callers.handle_datagram(now, sender, &bytes),
         }
         self.turn(to)
     }
@@ -312,7 +311,7 @@
             let Some(&to) = self.addresses.get(&to) else { continue };
             self.note("leaves", party, &bytes);
             self.see(party, to, false, &bytes);
-            self.network.carry(now, party, to, &bytes);
+            self.network.send(now, party, to, &bytes);
         }
         self.set_alarm(party, wake);
         done
@@ -354,11 +353,8 @@
                 match party {
                     Party::Front(nth) => self.start_front(usize::from(nth)),
                     Party::Server(nth) => {
-                        let seen = (0..self.day.fronts).map(|nth| address(front(nth))).collect();
-                        let (nth, start) = (usize::from(nth), START + LEAD);
-                        let name = server_name(nth);
-                        let server = Server::new(&self.day, nth, name, seen, start, self.now, true);
-                        self.servers[nth] = Some(server);
+                        let nth = usize::from(nth);
+                        self.servers[nth] = Some(emulated_server(&self.day, nth, self.now, true));
                     }
                     _ => {}
                 }
@@ -400,7 +396,7 @@
                 let held = |machine: &Machine| {
                     machine.process.as_ref().is_some_and(|own| own.engine.has_session(call))
                 };
-                !excused && !self.callers.stands(call) && !self.fronts.iter().any(held)
+                !excused && !self.callers.is_connected(call) && !self.fronts.iter().any(held)
             });
             if let Some((_, call)) = unclaimed {
                 let how =
@@ -413,9 +409,22 @@
 }
 
 fn played(peer: &mut impl Peer, now: Moment, out: &mut Vec<(SocketAddr, Vec<u8>)>) -> Option<Moment> {
-    peer.turn(now);
-    out.extend(std::iter::from_fn(|| peer.next_datagram()));
-    peer.wake().map(|wake| wake.max(now))
+    peer.process(now);
+    out.extend(std::iter::from_fn(|| peer.poll_datagram()));
+    peer.poll_timeout().map(|wake| wake.max(now))
+}
+
+/// The server of that index, whose process starts now.
+fn emulated_server(day: &Scenario, index: usize, now: Moment, is_cold: bool) -> Server {
+    let config = ServerConfig {
+        scenario: day,
+        index,
+        name: server_name(index),
+        fronts: (0..day.fronts).map(|nth| address(front(nth))).collect(),
+        scenario_start: START + LEAD,
+        is_cold,
+    };
+    Server::new(config, now)
 }
 
 fn address_of(machine: &Machine) -> SocketAddr {
