--- a/crates/ochrelead-sim/src/clock.rs
+++ b/crates/ochrelead-sim/src/clock.rs
@@ -6,39 +6,43 @@
 /// A machine's system clock, against true time.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SystemClock {
-    /// Microseconds that it is ahead of true time.
-    pub ahead_us: i64,
-    /// How much faster its steady clock runs.
-    pub fast: f64,
+    /// How far it is ahead of true time, in microseconds.
+    pub offset_us: i64,
+    /// How much faster than true time its steady clock runs, as a share.
+    pub drift: f64,
 }
 
 /// The clock of one process.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessClock {
-    born: Moment,
-    shows: Moment,
-    fast: f64,
+    /// The true time of the process's start.
+    started_at: Moment,
+    /// What the system clock showed then.
+    initial_reading: Moment,
+    drift: f64,
 }
 
 impl SystemClock {
-    pub fn process(&self, now: Moment) -> ProcessClock {
-        let shows = Moment::from_micros(now.micros().saturating_add_signed(self.ahead_us));
-        ProcessClock { born: now, shows, fast: self.fast }
+    /// The clock of a process that starts now.
+    pub fn start_process(&self, now: Moment) -> ProcessClock {
+        let initial_reading = Moment::from_micros(now.micros().saturating_add_signed(self.offset_us));
+        ProcessClock { started_at: now, initial_reading, drift: self.drift }
     }
 }
 
 impl ProcessClock {
-    /// What it shows at a true moment.
-    pub fn shows(&self, now: Moment) -> Moment {
-        self.shows + now.since(self.born).scaled(1.0 + self.fast)
+    /// What it shows at a true time.
+    pub fn read(&self, now: Moment) -> Moment {
+        self.initial_reading + now.since(self.started_at).scaled(1.0 + self.drift)
     }
 
-    /// The first true moment at which it shows that, or now.
-    pub fn when(&self, shows: Moment, now: Moment) -> Moment {
-        let mut when = self.born + shows.since(self.shows).scaled(1.0 / (1.0 + self.fast));
-        while self.shows(when) < shows {
-            when = when + Span::from_micros(1);
+    /// The first true time at which it shows that, or `now` where that has passed.
+    pub fn true_time(&self, reading: Moment, now: Moment) -> Moment {
+        let elapsed = reading.since(self.initial_reading).scaled(1.0 / (1.0 + self.drift));
+        let mut time = self.started_at + elapsed;
+        while self.read(time) < reading {
+            time = time + Span::from_micros(1);
         }
-        when.max(now)
+        time.max(now)
     }
 }
--- /dev/null
+++ b/crates/ochrelead-sim/src/commands/diagnosis.rs
@@ -0,0 +1,51 @@
+//! `found`: how well the diagnosis finds what scripted scenarios did.
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::path::PathBuf;
+
+use ochrelead_config::scenario::Scenario;
+use ochrelead_scenario::found::{self, Tally};
+use ochrelead_scenario::world::Deciding;
+use ochrelead_sim::run;
+use ochrelead_sim::world::{LEAD, RecordingOptions, START};
+
+use super::{cores, parallel_map, scripted_scenario};
+
+/// Simulates each scenario with each seed, and prints what the diagnosis found by the fronts' event logs; whether it
+/// found all and nothing else.
+pub(crate) fn run(paths: &[PathBuf], seeds: Range<u64>, marred: bool) -> anyhow::Result<bool> {
+    let mut scenarios = Vec::new();
+    for path in paths {
+        let scenario = scripted_scenario(path)?;
+        scenarios.extend(seeds.clone().map(|seed| Scenario { seed, ..scenario.clone() }));
+    }
+    let options = RecordingOptions { event_logs: true, ..RecordingOptions::default() };
+    let diagnoses = parallel_map(scenarios.len() as u64, cores(), "days", |index, _| {
+        let scenario = &scenarios[index as usize];
+        let outcome = run::run(scenario, Deciding::Module, options)?;
+        Ok(found::of_logs(scenario, outcome.logs, START + LEAD, marred.then_some(scenario.seed)))
+    })?;
+    let mut tally: BTreeMap<_, Tally> = BTreeMap::new();
+    diagnoses.iter().for_each(|diagnosis| found::count(&mut tally, diagnosis));
+    println!("{} days; onset off: middle, and nine in ten", scenarios.len());
+    println!(
+        "{:<38} {:>8} {:>6} {:>9} {:>7} {:>10}",
+        "kind", "scripted", "found", "invented", "middle", "nine in 10"
+    );
+    for (kind, Tally { scripted, found, invented, onsets }) in &mut tally {
+        onsets.sort_by(f64::total_cmp);
+        let (middle, nine_in_ten) = (quantile(onsets, 0.5), quantile(onsets, 0.9));
+        println!(
+            "{:<38} {scripted:>8} {found:>6} {invented:>9} {middle:>5.1} s {nine_in_ten:>8.1} s",
+            kind.name()
+        );
+    }
+    println!("on simulated servers");
+    Ok(tally.values().all(|tally| tally.found == tally.scripted && tally.invented == 0))
+}
+
+/// The value that this share of the sorted values is below; 0 where there is none.
+fn quantile(sorted: &[f64], share: f64) -> f64 {
+    sorted.get((sorted.len() as f64 * share) as usize).copied().unwrap_or(0.0)
+}
--- a/crates/ochrelead-sim/src/disk.rs
+++ b/crates/ochrelead-sim/src/disk.rs
@@ -1,4 +1,4 @@
-//! A disk in memory: it fills up, and what was being written at a kill is torn.
+//! A disk in memory: it fills up, and what is written during a kill is torn.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -9,28 +9,28 @@
 #[derive(Clone, Debug, Default)]
 pub struct MemoryDisk {
     files: BTreeMap<String, String>,
-    /// Takes nothing more.
+    /// Whether writes fail for lack of space.
     pub full: bool,
-    /// Steps (writes, renames) until the power is gone; the one in hand then is torn.
-    steps_left: Option<u32>,
+    /// Steps (writes, renames, syncs) until the process is killed; a write during the kill is torn.
+    remaining_steps: Option<u32>,
 }
 
 impl MemoryDisk {
     /// The process will be killed after so many steps.
     pub fn fail_after(&mut self, steps: u32) {
-        self.steps_left = Some(steps);
+        self.remaining_steps = Some(steps);
     }
 
-    /// The next process finds what is there.
-    pub fn revive(&mut self) {
-        self.steps_left = None;
+    /// A new process runs: nothing fails any more because of the kill.
+    pub fn restart(&mut self) {
+        self.remaining_steps = None;
     }
 
     fn step(&mut self) -> io::Result<()> {
-        match &mut self.steps_left {
+        match &mut self.remaining_steps {
             Some(0) => Err(io::Error::other("the process is gone")),
-            Some(left) => {
-                *left -= 1;
+            Some(remaining) => {
+                *remaining -= 1;
                 Ok(())
             }
             None => Ok(()),
@@ -38,8 +38,8 @@
     }
 }
 
-/// As much of a text as got to the disk.
-fn half(text: &str) -> String {
+/// The part of a torn write that reached the disk.
+fn first_half(text: &str) -> String {
     text.chars().take(text.chars().count() / 2).collect()
 }
 
@@ -50,13 +50,13 @@
 
     fn write(&mut self, name: &str, text: &str) -> io::Result<()> {
         if self.full {
-            self.files.insert(name.to_owned(), half(text));
+            self.files.insert(name.to_owned(), first_half(text));
             return Err(io::Error::new(io::ErrorKind::StorageFull, "no space left"));
         }
-        let done = self.step();
-        let got = if done.is_ok() { text.to_owned() } else { half(text) };
-        self.files.insert(name.to_owned(), got);
-        done
+        let result = self.step();
+        let written = if result.is_ok() { text.to_owned() } else { first_half(text) };
+        self.files.insert(name.to_owned(), written);
+        result
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
--- a/crates/ochrelead-sim/src/front.rs
+++ b/crates/ochrelead-sim/src/front.rs
@@ -1,4 +1,6 @@
-//! A front's process: the engine as it ships, and around it what its host would do.
+//! A front's machine and the process on it: the engine as it ships, and around it what its host would do.
+
+mod event_log;
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -7,8 +9,8 @@
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_discovery::persistence::PersistedEndpoints;
 use ochrelead_discovery::store;
-use ochrelead_event_log::reader::{FrontIncarnation, Log, Record};
-use ochrelead_event_log::schema::{Event, event::What};
+use ochrelead_event_log::reader::Log;
+use ochrelead_event_log::schema::event::What;
 use ochrelead_front::engine::Engine;
 use ochrelead_front::event_recording;
 use ochrelead_front::events::EngineEvent;
@@ -16,209 +18,248 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
-use crate::books::Books;
 use crate::clock::{ProcessClock, SystemClock};
 use crate::disk::MemoryDisk;
+use crate::session_tracker::SessionTracker;
+use crate::violation::{InvariantError, ViolationCause};
+use event_log::EventLog;
 
-/// The writing thread comes to a list after so long.
-const WRITES_AFTER: Span = Span::from_millis(2);
-/// The status, and what is held of each server, is recorded so often.
-const STATUS_GAP: Span = Span::from_secs(1);
+/// How long after a change the writing thread saves the list of servers.
+const SAVE_DELAY: Span = Span::from_millis(2);
+/// How often the status of each server is recorded.
+const STATUS_INTERVAL: Span = Span::from_secs(1);
 /// Datagrams that a socket holds while nobody reads it.
-const SOCKET: usize = 512;
-/// INVITEs of one session where the settings name none, and at the most (docs/design.md).
-const USUAL_INVITES: u32 = 3;
-/// A session waits for its release, and a little for a server that is cold; then it has its answer.
-const WAITS: Span = Span::from_millis(500);
-/// So many turns at one moment are a loop without end.
-const SPIN: u32 = 2_000;
-
-/// A process while it runs.
-pub struct Process {
+const SOCKET_CAPACITY: usize = 512;
+/// INVITEs of one session where the configuration names none, and at the most (docs/design.md).
+const DEFAULT_MAX_INVITES: u32 = 3;
+/// A session waits for its release, and up to so much longer for a server that has just started; then it has its
+/// answer.
+const IDLE_GRACE: Span = Span::from_millis(500);
+/// More calls than this at one moment are a loop without end.
+const MAX_CALLS_AT_ONCE: u32 = 2_000;
+
+/// A front's process while it runs.
+pub struct FrontProcess {
+    /// The front's engine, as shipped.
     pub engine: Engine,
-    pub clock: ProcessClock,
-    pub books: Books,
-    /// The list that is to be written, and when.
-    writing: Option<(Moment, PersistedEndpoints)>,
+    clock: ProcessClock,
+    sessions: SessionTracker,
+    /// The list of servers that will be saved, and when.
+    pending_save: Option<(Moment, PersistedEndpoints)>,
     next_status: Moment,
-    turned: (Moment, u32),
-    life: FrontIncarnation,
-    nth: u64,
+    calls: CallCounter,
+}
+
+/// Counts how often a process was called without time passing.
+struct CallCounter {
+    time: Moment,
+    calls: u32,
+}
+
+impl CallCounter {
+    fn count(&mut self, now: Moment) -> u32 {
+        self.calls = if self.time == now { self.calls + 1 } else { 0 };
+        self.time = now;
+        self.calls
+    }
 }
 
-/// One front's machine.
-pub struct Machine {
-    pub name: String,
-    pub commission: FrontConfig,
-    pub system: SystemClock,
+/// The machine that a front runs on. It outlives the front's processes.
+pub struct FrontMachine {
+    /// The configuration that each process starts with.
+    pub config: FrontConfig,
+    /// The system clock.
+    pub clock: SystemClock,
+    /// The folder that the front's state is in.
     pub disk: MemoryDisk,
-    /// A kill tears what is being written.
-    pub tears: bool,
-    pub process: Option<Process>,
-    /// Processes that ran here.
-    pub lives: u32,
-    /// It stands still: nothing is read until it goes on.
-    pub halted: bool,
+    /// Whether a kill tears what is being written.
+    pub tears_writes: bool,
+    /// The process, while one runs.
+    pub process: Option<FrontProcess>,
+    /// How many processes have run here.
+    pub incarnations: u32,
+    /// Whether the process is stopped: it reads nothing until it is resumed.
+    pub stalled: bool,
     socket: VecDeque<(SocketAddr, Vec<u8>)>,
-    /// The records of all lives, where they are kept.
-    pub logs: Option<Vec<(FrontIncarnation, Vec<Record>)>>,
-    /// Lists that could not be kept.
-    pub unkept: u64,
+    /// The event logs of all processes, where they are kept.
+    logs: Option<Vec<EventLog>>,
 }
 
-impl Machine {
-    pub fn new(commission: FrontConfig, recorded: bool) -> Machine {
-        Machine {
-            name: commission.name.clone(),
-            commission,
-            system: SystemClock::default(),
+impl FrontMachine {
+    /// A machine on which nothing runs yet.
+    pub fn new(config: FrontConfig, keeps_logs: bool) -> FrontMachine {
+        FrontMachine {
+            config,
+            clock: SystemClock::default(),
             disk: MemoryDisk::default(),
-            tears: false,
+            tears_writes: false,
             process: None,
-            lives: 0,
-            halted: false,
+            incarnations: 0,
+            stalled: false,
             socket: VecDeque::new(),
-            logs: recorded.then(Vec::new),
-            unkept: 0,
+            logs: keeps_logs.then(Vec::new),
         }
     }
 
-    /// Starts a process. `recall`: what it makes of what it finds on its disk.
+    /// Starts a process with the policy that `policy` makes and the persisted state that `restore` makes of what is on
+    /// the disk.
     pub fn start(
         &mut self,
         now: Moment,
-        judge: impl FnOnce(&FrontConfig, Moment) -> Box<dyn CallPolicy + Send>,
-        recall: impl FnOnce(Option<PersistedEndpoints>) -> Option<PersistedEndpoints>,
-        chance: &mut Pcg64Mcg,
+        policy: impl FnOnce(&FrontConfig, Moment) -> Box<dyn CallPolicy + Send>,
+        restore: impl FnOnce(Option<PersistedEndpoints>) -> Option<PersistedEndpoints>,
+        rng: &mut Pcg64Mcg,
     ) {
-        self.disk.revive();
-        self.lives += 1;
+        self.disk.restart();
+        self.incarnations += 1;
         self.socket.clear();
-        self.halted = false;
-        let clock = self.system.process(now);
-        let shows = clock.shows(now);
-        self.commission.controller.seed = chance.random();
-        let judge = judge(&self.commission, shows);
-        let mut engine = Engine::new(self.commission.clone(), judge, chance.random(), shows);
-        let kept = store::load(&self.disk).ok().and_then(|loaded| loaded.endpoints);
-        if let Some(kept) = recall(kept) {
-            engine.restore_self_reports(shows, &kept.servers);
+        self.stalled = false;
+        let clock = self.clock.start_process(now);
+        let local_now = clock.read(now);
+        self.config.controller.seed = rng.random();
+        let policy = policy(&self.config, local_now);
+        let mut engine = Engine::new(self.config.clone(), policy, rng.random(), local_now);
+        let persisted = store::load(&self.disk).ok().and_then(|loaded| loaded.endpoints);
+        if let Some(persisted) = restore(persisted) {
+            engine.restore_self_reports(local_now, &persisted.servers);
         }
-        let life = FrontIncarnation { front: self.name.clone(), started_us: shows.micros() };
         if let Some(logs) = &mut self.logs {
-            logs.push((life.clone(), Vec::new()));
+            logs.push(EventLog::new(&self.config.name, local_now));
         }
-        let mut process = Process {
+        record(&mut self.logs, local_now, What::Life("start".to_owned()));
+        self.process = Some(FrontProcess {
             engine,
             clock,
-            books: Books::default(),
-            writing: None,
-            next_status: shows,
-            turned: (now, 0),
-            life,
-            nth: 0,
-        };
-        process.record(&mut self.logs, shows, What::Life("start".to_owned()));
-        self.process = Some(process);
+            sessions: SessionTracker::default(),
+            pending_save: None,
+            next_status: local_now,
+            calls: CallCounter { time: now, calls: 0 },
+        });
     }
 
-    /// The process is killed, at any point of what its writing thread does.
-    pub fn kill(&mut self, chance: &mut Pcg64Mcg) {
+    /// Kills the process, at any point of what its writing thread does.
+    pub fn kill(&mut self, rng: &mut Pcg64Mcg) {
         let Some(process) = self.process.take() else { return };
-        if let Some((_, kept)) = process.writing.filter(|_| self.tears) {
-            self.disk.fail_after(chance.random_range(0..4));
-            let _ = store::save(&mut self.disk, &kept);
+        if let Some((_, endpoints)) = process.pending_save.filter(|_| self.tears_writes) {
+            self.disk.fail_after(rng.random_range(0..4));
+            // It fails where the kill strikes; the next process loads what is there.
+            let _ = store::save(&mut self.disk, &endpoints);
         }
-        self.halted = false;
+        self.stalled = false;
         self.socket.clear();
     }
 
-    /// Whether a datagram would be kept: it waits in the socket while the process stands still, and is lost where
-    /// there is none or the socket is full.
-    pub fn has_room(&self) -> bool {
-        self.process.is_some() && self.socket.len() < SOCKET
+    /// Whether the socket takes a datagram: it waits there while the process is stalled, and is lost where there is
+    /// no process or the socket is full.
+    pub fn can_receive(&self) -> bool {
+        self.process.is_some() && self.socket.len() < SOCKET_CAPACITY
     }
 
-    pub fn arrives(&mut self, from: SocketAddr, bytes: Vec<u8>) {
-        self.socket.push_back((from, bytes));
+    /// A datagram comes to the socket.
+    pub fn receive(&mut self, sender: SocketAddr, bytes: Vec<u8>) {
+        self.socket.push_back((sender, bytes));
     }
 
-    /// Reads what has come, does what is due. What may not be is said, with of whom.
-    pub fn turn(&mut self, now: Moment) -> Result<(), (String, String)> {
-        let Some(process) = self.process.as_mut().filter(|_| !self.halted) else { return Ok(()) };
-        let shows = process.clock.shows(now);
-        while let Some((from, bytes)) = self.socket.pop_front() {
-            process.engine.handle_datagram(shows, from, &bytes);
+    /// Reads what the socket holds and does what is due.
+    ///
+    /// # Errors
+    ///
+    /// Where an invariant is violated.
+    pub fn process(&mut self, now: Moment) -> Result<(), InvariantError> {
+        let Some(process) = self.process.as_mut().filter(|_| !self.stalled) else { return Ok(()) };
+        let local_now = process.clock.read(now);
+        while let Some((sender, bytes)) = self.socket.pop_front() {
+            process.engine.handle_datagram(local_now, sender, &bytes);
         }
-        process.engine.process(shows);
-        let most_invites = match self.commission.controller.max_invites {
-            0 => USUAL_INVITES,
-            most => most.min(USUAL_INVITES),
+        process.engine.process(local_now);
+        let max_invites = match self.config.controller.max_invites {
+            0 => DEFAULT_MAX_INVITES,
+            configured => configured.min(DEFAULT_MAX_INVITES),
         };
-        let mut wrong = Ok(());
-        while let Some(note) = process.engine.poll_event() {
-            if let EngineEvent::EndpointsChanged(servers) = &note {
-                let kept = PersistedEndpoints { files: Vec::new(), servers: servers.clone() };
-                process.writing = Some((shows + WRITES_AFTER, kept));
+        let tracked = process.handle_events(local_now, max_invites, &mut self.logs);
+        if let Some((_, endpoints)) = process.pending_save.take_if(|(time, _)| *time <= local_now) {
+            // A full disk keeps what it had; the next change is saved again.
+            let _ = store::save(&mut self.disk, &endpoints);
+        }
+        process.record_status(local_now, &mut self.logs);
+        let idle_limit = self.config.controller.resend_delay * 2 + IDLE_GRACE;
+        process.check_invariants(now, idle_limit, &self.config.name)?;
+        tracked
+    }
+
+    /// The true time at which it wants to be called.
+    pub fn poll_timeout(&self, now: Moment) -> Option<Moment> {
+        let process = self.process.as_ref().filter(|_| !self.stalled)?;
+        let save = process.pending_save.as_ref().map(|(time, _)| *time);
+        let timeouts = [process.engine.poll_timeout(), save, Some(process.next_status)];
+        timeouts.into_iter().flatten().min().map(|time| process.clock.true_time(time, now))
+    }
+
+    /// The event logs of all processes.
+    pub fn into_logs(self) -> impl Iterator<Item = Log> {
+        self.logs.into_iter().flatten().map(EventLog::into_log)
+    }
+}
+
+impl FrontProcess {
+    /// Follows what the engine says that it did; the first contradiction, after all events were handled.
+    fn handle_events(
+        &mut self,
+        local_now: Moment,
+        max_invites: u32,
+        logs: &mut Option<Vec<EventLog>>,
+    ) -> Result<(), InvariantError> {
+        let mut result = Ok(());
+        while let Some(event) = self.engine.poll_event() {
+            if let EngineEvent::EndpointsChanged(servers) = &event {
+                let endpoints = PersistedEndpoints { files: Vec::new(), servers: servers.clone() };
+                self.pending_save = Some((local_now + SAVE_DELAY, endpoints));
             }
-            if let Some(what) = event_recording::to_record(&note, 0) {
-                process.record(&mut self.logs, shows, what);
+            if let Some(what) = event_recording::to_record(&event, 0) {
+                record(logs, local_now, what);
             }
-            if let EngineEvent::Session { attempt: tried, step: what } = &note {
-                let noted = process.books.note(shows, tried, what, most_invites);
-                wrong = wrong.and(noted.map_err(|how| (tried.clone(), how)));
+            if let EngineEvent::Session { attempt, step } = &event {
+                let tracked = self.sessions.apply(local_now, attempt, step, max_invites);
+                result = result.and(tracked.map_err(|error| InvariantError {
+                    subject: attempt.clone(),
+                    cause: ViolationCause::Session(error),
+                }));
             }
         }
-        if let Some((_, kept)) = process.writing.take_if(|(at, _)| *at <= shows) {
-            self.unkept += u64::from(store::save(&mut self.disk, &kept).is_err());
+        result
+    }
+
+    fn record_status(&mut self, local_now: Moment, logs: &mut Option<Vec<EventLog>>) {
+        if local_now < self.next_status {
+            return;
         }
-        if shows >= process.next_status {
-            process.next_status = shows + STATUS_GAP;
-            if self.logs.is_some() {
-                for report in process.engine.server_reports() {
-                    process.record(&mut self.logs, shows, event_recording::server_record(report));
-                }
+        self.next_status = local_now + STATUS_INTERVAL;
+        if logs.is_some() {
+            for report in self.engine.server_reports() {
+                record(logs, local_now, event_recording::server_record(report));
             }
         }
-        process.turned = if process.turned.0 == now { (now, process.turned.1 + 1) } else { (now, 0) };
-        let own = || self.name.clone();
-        if process.turned.1 > SPIN {
-            return Err((own(), format!("{SPIN} turns at one moment")));
+    }
+
+    fn check_invariants(&mut self, now: Moment, idle_limit: Span, front: &str) -> Result<(), InvariantError> {
+        let error = |subject: &str, cause| Err(InvariantError { subject: subject.to_owned(), cause });
+        if self.calls.count(now) > MAX_CALLS_AT_ONCE {
+            return error(front, ViolationCause::EndlessLoop { limit: MAX_CALLS_AT_ONCE });
         }
-        let most = self.commission.controller.resend_delay * 2 + WAITS;
-        if let Some(tried) = process.books.forgotten(shows, most) {
-            return Err((
-                tried.to_owned(),
-                format!("nothing is under way for it for {} ms", most.micros() / 1_000),
-            ));
+        if let Some(attempt) = self.sessions.idle_session(self.clock.read(now), idle_limit) {
+            return error(attempt, ViolationCause::SessionIdle { limit: idle_limit });
         }
-        let (held, engine) = (process.books.held(), process.engine.load().sessions);
-        if held != engine {
-            return Err((own(), format!("{engine} sessions held where the notes say {held}")));
+        let (tracked, reported) = (self.sessions.session_count(), self.engine.load().sessions);
+        if tracked != reported {
+            return error(front, ViolationCause::SessionCount { reported, tracked });
         }
-        wrong
-    }
-
-    /// The true moment at which it wants to be called.
-    pub fn wake(&self, now: Moment) -> Option<Moment> {
-        let process = self.process.as_ref().filter(|_| !self.halted)?;
-        let writes = process.writing.as_ref().map(|(at, _)| *at);
-        let alarms = [process.engine.poll_timeout(), writes, Some(process.next_status)];
-        alarms.into_iter().flatten().min().map(|at| process.clock.when(at, now))
-    }
-
-    /// The records as logs.
-    pub fn into_logs(self) -> Vec<Log> {
-        self.logs.into_iter().flatten().map(|(life, records)| Log::from_records(life, records)).collect()
+        Ok(())
     }
 }
 
-impl Process {
-    fn record(&mut self, logs: &mut Option<Vec<(FrontIncarnation, Vec<Record>)>>, shows: Moment, what: What) {
-        let Some((life, records)) = logs.as_mut().and_then(|logs| logs.last_mut()) else { return };
-        let event = Event { at_us: shows.micros(), nth: self.nth, what: Some(what) };
-        self.nth += 1;
-        debug_assert_eq!(*life, self.life);
-        records.push(Record { incarnation: self.life.clone(), event, unknown_fields: 0 });
+/// Appends to the log of the process that runs, where logs are kept.
+fn record(logs: &mut Option<Vec<EventLog>>, local_now: Moment, what: What) {
+    if let Some(log) = logs.as_mut().and_then(|logs| logs.last_mut()) {
+        log.append(local_now, what);
     }
 }
--- a/crates/ochrelead-sim/src/world.rs
+++ b/crates/ochrelead-sim/src/world.rs
@@ -1,491 +1,377 @@
 //! Fronts, servers, callers and the network between them on one queue of events.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::fmt::Write;
+mod alarms;
+mod recorder;
+mod script;
+mod setup;
+
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use ochrelead_config::faults::FaultKind;
-use ochrelead_config::front_config::{self, FrontConfig};
+use ochrelead_config::front_config::FrontConfig;
 use ochrelead_config::scenario::Scenario;
-use ochrelead_config::{document, schema};
-use ochrelead_core::controller::Controller;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_discovery::persistence::PersistedEndpoints;
 use ochrelead_emulator::Peer;
 use ochrelead_emulator::callers::Callers;
 use ochrelead_emulator::network::{Network, faults};
 use ochrelead_emulator::server::Server;
-use ochrelead_host::call_policy::CallPolicy;
-use ochrelead_mgcp::transaction::TransactionConfig;
-use ochrelead_scenario::baseline::{Baseline, Policy};
+use ochrelead_event_log::reader::Log;
 use ochrelead_scenario::capture::Sight;
 use ochrelead_scenario::party::Party;
 use ochrelead_scenario::world::{Deciding, server_name};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use crate::books::Violation;
-use crate::front::Machine;
+use crate::error::SimulationError;
+use crate::front::FrontMachine;
+use crate::mutation::Mutation;
+use crate::violation::{InvariantError, Violation, ViolationCause};
+use alarms::Alarms;
+use recorder::{Recorder, Step};
+use script::ScriptedEvent;
 
-/// Everything is up before the day begins.
+/// How long everything is up before the scenario starts.
 pub const LEAD: Span = Span::from_millis(700);
-/// After its length a day runs on until the last sessions have their answers.
-/// Then commands that nobody answers are given up, and what is left must be nobody's.
-const TAIL: Span = Span::from_secs(4);
-/// The moment of the day's start: far from zero, so that a clock may be behind.
+/// When everything comes up: far from zero, so that a clock may be behind.
 pub const START: Moment = Moment::from_micros(1_700_000_000_000_000);
+/// Mixed into the scenario's seed for what the fronts draw.
+const FRONT_SEED_SALT: u64 = 0x0c4_1ead;
 
-/// Something that is changed on purpose, to see that it is found. The product is none of these.
-pub trait Meddler: Send {
-    /// Whoever decides at a front.
-    fn judge(&self, judge: Box<dyn CallPolicy + Send>) -> Box<dyn CallPolicy + Send> {
-        judge
-    }
-
-    /// What a front is set to.
-    fn commission(&self, _commission: &mut FrontConfig) {}
-
-    /// What leaves a front, and what reaches it.
-    fn sends(&mut self, _front: usize, bytes: Vec<u8>) -> Vec<Vec<u8>> {
-        vec![bytes]
-    }
-
-    fn hears(&mut self, _front: usize, bytes: Vec<u8>) -> Option<Vec<u8>> {
-        Some(bytes)
-    }
-
-    /// What a front that starts finds on its disk.
-    fn recalls(&self, kept: Option<PersistedEndpoints>) -> Option<PersistedEndpoints> {
-        kept
-    }
-}
-
-/// Changes nothing.
-pub struct Honest;
-
-impl Meddler for Honest {}
-
-/// What the day does to machines.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Act {
-    Kill(Party),
-    Start(Party),
-    Halt(usize),
-    Resume(usize),
-    Set(usize, f64),
-    Full(usize, bool),
-    Tears(usize, bool),
-    End,
-    Close,
-}
-
-/// What is kept of a day.
+/// What is kept of a simulation.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Keep {
+pub struct RecordingOptions {
     /// Every datagram, for the auditor.
-    pub sights: bool,
+    pub datagrams: bool,
     /// Every event as a line.
     pub trace: bool,
-    /// The fronts' records.
-    pub records: bool,
+    /// The fronts' event logs.
+    pub event_logs: bool,
 }
 
-/// One world.
+/// A scenario while it is simulated.
 pub struct World {
-    pub day: Scenario,
-    pub now: Moment,
-    pub step: u64,
+    scenario: Scenario,
+    step: Step,
     deciding: Deciding,
-    meddler: Box<dyn Meddler>,
-    keep: Keep,
-    pub fronts: Vec<Machine>,
-    pub servers: Vec<Option<Server>>,
-    pub callers: Callers,
+    mutation: Box<dyn Mutation>,
+    fronts: Vec<FrontMachine>,
+    /// None while a server's process is killed.
+    servers: Vec<Option<Server>>,
+    callers: Callers,
     network: Network<Party>,
-    /// When each party wants to be called.
-    alarms: BTreeSet<(Moment, Party)>,
-    alarm_of: BTreeMap<Party, Moment>,
-    script: VecDeque<(Moment, Act)>,
+    alarms: Alarms,
+    script: VecDeque<(Moment, ScriptedEvent)>,
     addresses: BTreeMap<SocketAddr, Party>,
-    chance: Pcg64Mcg,
-    pub sights: Vec<Sight>,
-    /// The step of each.
-    sight_steps: Vec<u64>,
-    pub trace: String,
-    /// The sum of all events, whether they are kept or not.
-    sum: crc32fast::Hasher,
-    ended: bool,
+    rng: Pcg64Mcg,
+    recorder: Recorder,
+    finished: bool,
 }
 
-/// Where a party is.
+/// The address at which the others see a party.
 fn address(party: Party) -> SocketAddr {
     party.shown().into()
 }
 
+fn front(index: usize) -> Party {
+    Party::Front(index as u16)
+}
+
+fn server(index: usize) -> Party {
+    Party::Server(index as u16)
+}
+
 impl World {
-    /// A world before its day.
+    /// A world before its scenario starts.
     ///
     /// # Errors
     ///
-    /// Where the day gives no sound settings for a front.
+    /// Where the scenario gives no valid configuration for a front, or an invariant is violated already.
     pub fn new(
-        day: &Scenario,
+        scenario: &Scenario,
         deciding: Deciding,
-        meddler: Box<dyn Meddler>,
-        keep: Keep,
-    ) -> Result<World, String> {
+        mutation: Box<dyn Mutation>,
+        options: RecordingOptions,
+    ) -> Result<World, SimulationError> {
         let start = START + LEAD;
         let mut fronts = Vec::new();
-        for nth in 0..day.fronts {
-            let mut commission = settle(day, nth)?;
-            meddler.commission(&mut commission);
-            fronts.push(Machine::new(commission, keep.records));
+        for index in 0..scenario.fronts {
+            let mut config = setup::front_config(scenario, index)?;
+            mutation.change_config(&mut config);
+            fronts.push(FrontMachine::new(config, options.event_logs));
         }
-        let seen: Vec<SocketAddr> = (0..day.fronts).map(|nth| address(front(nth))).collect();
-        let servers = (0..day.servers.len())
-            .map(|nth| Some(Server::new(day, nth, server_name(nth), seen.clone(), start, START, false)))
-            .collect();
-        let parties = (0..day.fronts).map(front).chain((0..day.servers.len()).map(server));
-        let addresses = parties.chain([Party::Gateway]).map(|party| (address(party), party)).collect();
-        let faults = faults(day, start, front, server, Party::Gateway);
+        let emulated_server = |index| Some(setup::emulated_server(scenario, index, START, false));
+        let parties = (0..scenario.fronts).map(front).chain((0..scenario.servers.len()).map(server));
+        let faults = faults(scenario, start, front, server, Party::Gateway);
         let mut world = World {
-            now: START,
-            step: 0,
+            step: Step { number: 0, time: START },
             deciding,
-            meddler,
-            keep,
+            mutation,
             fronts,
-            servers,
-            callers: Callers::new(day.clone(), seen, start, START),
-            network: Network::new(day.network, faults, day.seed),
-            alarms: BTreeSet::new(),
-            alarm_of: BTreeMap::new(),
-            script: script(day, start),
-            addresses,
-            chance: Pcg64Mcg::seed_from_u64(day.seed ^ 0x0c4_1ead),
-            sights: Vec::new(),
-            sight_steps: Vec::new(),
-            trace: String::new(),
-            sum: crc32fast::Hasher::new(),
-            ended: false,
-            day: day.clone(),
+            servers: (0..scenario.servers.len()).map(emulated_server).collect(),
+            callers: Callers::new(scenario.clone(), setup::front_addresses(scenario), start, START),
+            network: Network::new(scenario.network, faults, scenario.seed),
+            alarms: Alarms::default(),
+            script: script::script(scenario, start),
+            addresses: parties.chain([Party::Gateway]).map(|party| (address(party), party)).collect(),
+            rng: Pcg64Mcg::seed_from_u64(scenario.seed ^ FRONT_SEED_SALT),
+            recorder: Recorder::new(options),
+            finished: false,
+            scenario: scenario.clone(),
         };
-        world.mark(format!("start {}", start.micros()));
-        for trouble in &day.faults {
-            if trouble.kind == FaultKind::ClockFast {
-                trouble
-                    .targets
-                    .iter()
-                    .for_each(|nth| world.fronts[*nth].system.fast = trouble.magnitude / 1e6);
+        world.start_parties()?;
+        Ok(world)
+    }
+
+    fn start_parties(&mut self) -> Result<(), InvariantError> {
+        self.recorder.mark(self.step, &format!("start {}", (START + LEAD).micros()));
+        for fault in self.scenario.faults.iter().filter(|fault| fault.kind == FaultKind::ClockFast) {
+            for &target in &fault.targets {
+                self.fronts[target].clock.drift = fault.magnitude / 1e6;
             }
         }
-        for nth in 0..day.fronts {
-            world.start_front(nth);
+        for index in 0..self.fronts.len() {
+            self.start_front(index);
         }
-        for party in (0..day.servers.len()).map(server).chain([Party::Gateway]) {
-            world.turn(party).map_err(|(of, how)| format!("{of}: {how}"))?;
-        }
-        Ok(world)
+        let servers = (0..self.servers.len()).map(server);
+        servers.chain([Party::Gateway]).try_for_each(|party| self.process(party))
     }
 
-    /// Does the next thing; none where the day is over.
+    /// Does the next thing; none where the simulation is over.
     pub fn step(&mut self) -> Option<Result<(), Violation>> {
-        if self.ended {
+        if self.finished {
             return None;
         }
-        let next_act = self.script.front().map(|(at, _)| *at);
-        let next_alarm = self.alarms.first().map(|(at, _)| *at);
-        let next = [next_act, self.network.wake(), next_alarm].into_iter().flatten().min()?;
-        self.now = self.now.max(next);
-        self.step += 1;
-        let done = if next_act == Some(next) {
-            let (_, act) = self.script.pop_front()?;
-            self.act(act)
-        } else if let Some((from, to, bytes)) = self.network.next(self.now) {
+        let scripted = self.script.front().map(|(time, _)| *time);
+        let times = [scripted, self.network.wake(), self.alarms.next_time()];
+        let next = times.into_iter().flatten().min()?;
+        self.step.time = self.step.time.max(next);
+        self.step.number += 1;
+        let result = if scripted == Some(next) {
+            let (_, event) = self.script.pop_front()?;
+            self.run_scripted(event)
+        } else if let Some((from, to, bytes)) = self.network.next(self.step.time) {
             self.deliver(from, to, bytes)
         } else {
-            let (_, party) = self.alarms.pop_first()?;
-            self.alarm_of.remove(&party);
-            self.note("turn", party, b"");
-            self.turn(party)
+            let party = self.alarms.pop()?;
+            self.recorder.event(self.step, "turn", party, b"");
+            self.process(party)
         };
-        Some(done.map_err(|(of, how)| self.violation("books", of, how)))
+        Some(result.map_err(|error| self.violation(error)))
+    }
+
+    /// How many steps were done.
+    pub fn step_count(&self) -> u64 {
+        self.step.number
     }
 
-    /// A violation at this moment.
-    pub fn violation(&self, kind: &str, of: impl Into<String>, how: impl Into<String>) -> Violation {
-        let at = Moment::START + self.now.since(START + LEAD);
-        Violation { step: self.step, at, kind: kind.to_owned(), of: of.into(), how: how.into() }
+    /// Seconds since everything came up.
+    pub fn elapsed_s(&self) -> f64 {
+        self.step.time.since(START).ratio(Span::from_secs(1))
     }
 
-    /// The first step that was seen at or after a moment of the day.
-    pub fn step_at(&self, at: Moment) -> u64 {
-        let then = START + LEAD + at.since(Moment::START);
-        let nth = self.sights.partition_point(|sight| sight.at < then);
-        self.sight_steps.get(nth).copied().unwrap_or(self.step)
+    /// The checksum of all events so far.
+    pub fn checksum(&self) -> u32 {
+        self.recorder.checksum()
     }
 
-    /// The sum of all events so far.
-    pub fn sum(&self) -> u32 {
-        self.sum.clone().finalize()
+    /// The captured datagrams.
+    pub fn datagrams(&self) -> &[Sight] {
+        &self.recorder.datagrams
     }
 
-    /// Seconds of the day that have passed.
-    pub fn passed(&self) -> f64 {
-        self.now.since(START).ratio(Span::from_secs(1))
+    /// The step of the first captured datagram at or after a time of the scenario; the last step where there is none.
+    pub fn step_at(&self, time: Moment) -> u64 {
+        let time = START + LEAD + time.since(Moment::START);
+        self.recorder.step_at(time).unwrap_or(self.step.number)
     }
 
-    fn note(&mut self, what: &str, of: Party, bytes: &[u8]) {
-        self.sum.update(&self.now.micros().to_le_bytes());
-        self.sum.update(what.as_bytes());
-        self.sum.update(format!("{of:?}").as_bytes());
-        self.sum.update(bytes);
-        if self.keep.trace {
-            let us = self.now.since(START).micros();
-            let first = String::from_utf8_lossy(bytes);
-            let first = first.lines().next().unwrap_or("");
-            let sum = crc32fast::hash(bytes);
-            let _ = writeln!(self.trace, "{} {us} {what} {of:?} {sum:08x} {first}", self.step);
+    /// Ends the simulation; its trace and the fronts' event logs, where they were recorded.
+    pub fn into_recordings(self) -> (String, Vec<Log>) {
+        let logs = self.fronts.into_iter().flat_map(FrontMachine::into_logs).collect();
+        (self.recorder.trace, logs)
+    }
+
+    /// At the end of a scenario every call that is established at a server is known to a front or a caller.
+    ///
+    /// # Errors
+    ///
+    /// The first call that nobody knows.
+    pub fn check_unclaimed_calls(&self) -> Result<(), Violation> {
+        for (index, server) in self.servers.iter().enumerate() {
+            let mut calls = server.iter().flat_map(Server::calls);
+            let unclaimed = calls.find(|(from, call)| !self.is_excused(*from) && !self.is_claimed(call));
+            if let Some((_, call)) = unclaimed {
+                let cause = ViolationCause::UnclaimedCall { server: server_name(index) };
+                return Err(self.violation(InvariantError { subject: call.to_owned(), cause }));
+            }
         }
+        Ok(())
+    }
+
+    /// Whether a front may leave calls behind. What a killed front had set up without telling the caller is nobody's
+    /// until its servers can be asked; what a front still asks to have released is in hand.
+    fn is_excused(&self, listen: SocketAddr) -> bool {
+        let releases = |front: &FrontMachine| {
+            front.process.as_ref().is_some_and(|process| process.engine.unconfirmed_releases() > 0)
+        };
+        let mut fronts = self.fronts.iter().filter(|front| front.config.listen == listen);
+        fronts.any(|front| front.incarnations > 1 || releases(front))
     }
 
-    fn mark(&mut self, text: String) {
-        self.see(Party::Rig, Party::Rig, false, text.as_bytes());
+    fn is_claimed(&self, call: &str) -> bool {
+        let has_session = |front: &FrontMachine| {
+            front.process.as_ref().is_some_and(|process| process.engine.has_session(call))
+        };
+        self.callers.stands(call) || self.fronts.iter().any(has_session)
     }
 
-    fn see(&mut self, from: Party, to: Party, reached: bool, bytes: &[u8]) {
-        if self.keep.sights {
-            self.sight_steps.push(self.step);
-            self.sights.push(Sight { at: self.now, from, to, reached, bytes: bytes.to_vec() });
+    fn violation(&self, error: InvariantError) -> Violation {
+        Violation {
+            step: self.step.number,
+            time: Moment::START + self.step.time.since(START + LEAD),
+            subject: error.subject,
+            cause: error.cause,
         }
     }
 
-    fn deliver(&mut self, from: Party, to: Party, bytes: Vec<u8>) -> Result<(), (String, String)> {
-        if let Party::Front(nth) = to
-            && !self.fronts[usize::from(nth)].has_room()
+    fn deliver(&mut self, from: Party, to: Party, bytes: Vec<u8>) -> Result<(), InvariantError> {
+        if let Party::Front(index) = to
+            && !self.fronts[usize::from(index)].can_receive()
         {
-            self.note("lost", to, &bytes);
+            self.recorder.event(self.step, "lost", to, &bytes);
             return Ok(());
         }
-        self.note("reaches", to, &bytes);
-        self.see(from, to, true, &bytes);
-        let (sender, now) = (address(from), self.now);
+        self.recorder.received(self.step, from, to, &bytes);
+        let (sender, now) = (address(from), self.step.time);
         match to {
-            Party::Front(nth) => {
-                let nth = usize::from(nth);
-                let Some(bytes) = self.meddler.hears(nth, bytes) else { return Ok(()) };
-                self.fronts[nth].arrives(sender, bytes);
+            Party::Front(index) => {
+                let index = usize::from(index);
+                let Some(bytes) = self.mutation.on_receive(index, bytes) else { return Ok(()) };
+                self.fronts[index].receive(sender, bytes);
             }
-            Party::Server(nth) => {
-                let Some(server) = &mut self.servers[usize::from(nth)] else { return Ok(()) };
+            Party::Server(index) => {
+                let Some(server) = &mut self.servers[usize::from(index)] else { return Ok(()) };
                 server.take(now, sender, &bytes);
             }
             _ => self.callers.take(now, sender, &bytes),
         }
-        self.turn(to)
+        self.process(to)
     }
 
-    /// Lets a party do what is due, sends what it has to say, and notes when it wants to be called.
-    fn turn(&mut self, party: Party) -> Result<(), (String, String)> {
-        let now = self.now;
-        let mut out = Vec::new();
-        let mut done = Ok(());
-        let wake = match party {
-            Party::Front(nth) => {
-                let nth = usize::from(nth);
-                done = self.fronts[nth].turn(now);
-                let halted = self.fronts[nth].halted;
-                if let Some(process) = self.fronts[nth].process.as_mut().filter(|_| !halted) {
-                    while let Some((to, bytes)) = process.engine.poll_datagram() {
-                        out.extend(self.meddler.sends(nth, bytes).into_iter().map(|bytes| (to, bytes)));
-                    }
-                }
-                self.fronts[nth].wake(now)
+    /// Lets a party do what is due, carries what it sends, and sets its alarm.
+    fn process(&mut self, party: Party) -> Result<(), InvariantError> {
+        let now = self.step.time;
+        let mut datagrams = Vec::new();
+        let mut result = Ok(());
+        let timeout = match party {
+            Party::Front(index) => {
+                let index = usize::from(index);
+                result = self.fronts[index].process(now);
+                self.poll_front(index, &mut datagrams);
+                self.fronts[index].poll_timeout(now)
             }
-            Party::Server(nth) => match &mut self.servers[usize::from(nth)] {
-                Some(server) => played(server, now, &mut out),
+            Party::Server(index) => match &mut self.servers[usize::from(index)] {
+                Some(server) => process_peer(server, now, &mut datagrams),
                 None => None,
             },
-            _ => played(&mut self.callers, now, &mut out),
+            _ => process_peer(&mut self.callers, now, &mut datagrams),
         };
-        for (to, bytes) in out {
-            let Some(&to) = self.addresses.get(&to) else { continue };
-            self.note("leaves", party, &bytes);
-            self.see(party, to, false, &bytes);
+        for (receiver, bytes) in datagrams {
+            let Some(&to) = self.addresses.get(&receiver) else { continue };
+            self.recorder.sent(self.step, party, to, &bytes);
             self.network.carry(now, party, to, &bytes);
         }
-        self.set_alarm(party, wake);
-        done
+        self.alarms.set(party, timeout);
+        result
     }
 
-    fn set_alarm(&mut self, party: Party, wake: Option<Moment>) {
-        if let Some(before) = self.alarm_of.remove(&party) {
-            self.alarms.remove(&(before, party));
-        }
-        if let Some(wake) = wake {
-            self.alarm_of.insert(party, wake);
-            self.alarms.insert((wake, party));
+    fn poll_front(&mut self, index: usize, datagrams: &mut Vec<(SocketAddr, Vec<u8>)>) {
+        let front = &mut self.fronts[index];
+        let Some(process) = front.process.as_mut().filter(|_| !front.stalled) else { return };
+        while let Some((to, bytes)) = process.engine.poll_datagram() {
+            datagrams.extend(self.mutation.on_send(index, bytes).into_iter().map(|bytes| (to, bytes)));
         }
     }
 
-    fn start_front(&mut self, nth: usize) {
-        let (deciding, meddler) = (self.deciding, &self.meddler);
-        let judge = |commission: &FrontConfig, shows| meddler.judge(judge(deciding, commission, shows));
-        let recall = |kept| meddler.recalls(kept);
-        self.fronts[nth].start(self.now, judge, recall, &mut self.chance);
-        let wake = self.fronts[nth].wake(self.now);
-        self.set_alarm(front(nth), wake);
+    fn start_front(&mut self, index: usize) {
+        let (deciding, mutation) = (self.deciding, &self.mutation);
+        let policy = |config: &FrontConfig, local_now| {
+            mutation.wrap_policy(setup::call_policy(deciding, config, local_now))
+        };
+        let restore = |persisted| mutation.on_restore(persisted);
+        let now = self.step.time;
+        self.fronts[index].start(now, policy, restore, &mut self.rng);
+        let timeout = self.fronts[index].poll_timeout(now);
+        self.alarms.set(front(index), timeout);
     }
 
-    fn act(&mut self, act: Act) -> Result<(), (String, String)> {
-        self.note(&format!("{act:?}"), Party::Rig, b"");
-        match act {
-            Act::Kill(party) => {
-                self.mark(format!("kill {}", party.shown()));
-                match party {
-                    Party::Front(nth) => self.fronts[usize::from(nth)].kill(&mut self.chance),
-                    Party::Server(nth) => self.servers[usize::from(nth)] = None,
-                    _ => {}
-                }
-                self.set_alarm(party, None);
-            }
-            Act::Start(party) => {
-                self.mark(format!("begin {}", party.shown()));
-                match party {
-                    Party::Front(nth) => self.start_front(usize::from(nth)),
-                    Party::Server(nth) => {
-                        let seen = (0..self.day.fronts).map(|nth| address(front(nth))).collect();
-                        let (nth, start) = (usize::from(nth), START + LEAD);
-                        let name = server_name(nth);
-                        let server = Server::new(&self.day, nth, name, seen, start, self.now, true);
-                        self.servers[nth] = Some(server);
-                    }
-                    _ => {}
-                }
-                return self.turn(party);
+    fn run_scripted(&mut self, event: ScriptedEvent) -> Result<(), InvariantError> {
+        self.recorder.event(self.step, &event.to_string(), Party::Rig, b"");
+        match event {
+            ScriptedEvent::KillProcess(party) => self.kill_process(party),
+            ScriptedEvent::StartProcess(party) => return self.start_process(party),
+            ScriptedEvent::StallFront(index) => {
+                self.mark("halt", front(index));
+                self.fronts[index].stalled = self.fronts[index].process.is_some();
+                self.alarms.set(front(index), None);
             }
-            Act::Halt(nth) => {
-                self.mark(format!("halt {}", front(nth).shown()));
-                self.fronts[nth].halted = self.fronts[nth].process.is_some();
-                self.set_alarm(front(nth), None);
+            ScriptedEvent::ResumeFront(index) => {
+                self.mark("resume", front(index));
+                self.fronts[index].stalled = false;
+                return self.process(front(index));
             }
-            Act::Resume(nth) => {
-                self.mark(format!("resume {}", front(nth).shown()));
-                self.fronts[nth].halted = false;
-                return self.turn(front(nth));
+            ScriptedEvent::SetClock { front, seconds } => {
+                self.fronts[front].clock.offset_us += (seconds * 1e6) as i64;
             }
-            Act::Set(nth, by_s) => self.fronts[nth].system.ahead_us += (by_s * 1e6) as i64,
-            Act::Full(nth, full) => self.fronts[nth].disk.full = full,
-            Act::Tears(nth, tears) => self.fronts[nth].tears = tears,
-            Act::End => {
-                self.mark("end".to_owned());
-                self.keep.sights = false;
+            ScriptedEvent::SetDiskFull { front, full } => self.fronts[front].disk.full = full,
+            ScriptedEvent::SetTornWrites { front, torn } => self.fronts[front].tears_writes = torn,
+            ScriptedEvent::StopCapture => {
+                self.recorder.mark(self.step, "end");
+                self.recorder.stop_capture();
             }
-            Act::Close => self.ended = true,
+            ScriptedEvent::Finish => self.finished = true,
         }
         Ok(())
     }
 
-    /// What must be at the end of a day: calls that stand at a server are known to a front or a caller.
-    pub fn settle(&self) -> Result<(), Violation> {
-        for (nth, server) in self.servers.iter().enumerate() {
-            let unclaimed = server.iter().flat_map(Server::calls).find(|(from, call)| {
-                // What a killed front had set up and not told is nobody's until its servers can be asked; what a
-                // front still asks to have released is in hand.
-                let owes = |own: &Machine| {
-                    own.process.as_ref().is_some_and(|own| own.engine.unconfirmed_releases() > 0)
-                };
-                let excused = |own: &Machine| own.lives > 1 || owes(own);
-                let excused = self.fronts.iter().any(|own| address_of(own) == *from && excused(own));
-                let held = |machine: &Machine| {
-                    machine.process.as_ref().is_some_and(|own| own.engine.has_session(call))
-                };
-                !excused && !self.callers.stands(call) && !self.fronts.iter().any(held)
-            });
-            if let Some((_, call)) = unclaimed {
-                let how =
-                    format!("it still stands at {}, and neither front nor caller knows it", server_name(nth));
-                return Err(self.violation("circuits", call, how));
-            }
+    fn kill_process(&mut self, party: Party) {
+        self.mark("kill", party);
+        match party {
+            Party::Front(index) => self.fronts[usize::from(index)].kill(&mut self.rng),
+            Party::Server(index) => self.servers[usize::from(index)] = None,
+            _ => {}
         }
-        Ok(())
+        self.alarms.set(party, None);
     }
-}
-
-fn played(peer: &mut impl Peer, now: Moment, out: &mut Vec<(SocketAddr, Vec<u8>)>) -> Option<Moment> {
-    peer.turn(now);
-    out.extend(std::iter::from_fn(|| peer.next_datagram()));
-    peer.wake().map(|wake| wake.max(now))
-}
 
-fn address_of(machine: &Machine) -> SocketAddr {
-    machine.commission.listen
-}
-
-fn front(nth: usize) -> Party {
-    Party::Front(nth as u16)
-}
-
-fn server(nth: usize) -> Party {
-    Party::Server(nth as u16)
-}
-
-fn judge(deciding: Deciding, commission: &FrontConfig, now: Moment) -> Box<dyn CallPolicy + Send> {
-    let provision = &commission.controller;
-    let target = provision.services.iter().map(|own| own.post_dial_target).max().unwrap_or_default();
-    let baseline = |policy| Box::new(Baseline::new(policy, provision.resend_delay, target, provision.seed));
-    match deciding {
-        Deciding::Module => Box::new(Controller::new(provision, now)),
-        Deciding::Random => baseline(Policy::Random),
-        Deciding::Unbounded => baseline(Policy::Unbounded),
+    fn start_process(&mut self, party: Party) -> Result<(), InvariantError> {
+        self.mark("begin", party);
+        match party {
+            Party::Front(index) => self.start_front(usize::from(index)),
+            Party::Server(index) => {
+                let index = usize::from(index);
+                let server = setup::emulated_server(&self.scenario, index, self.step.time, true);
+                self.servers[index] = Some(server);
+            }
+            _ => {}
+        }
+        self.process(party)
     }
-}
-
-/// A front's settings, as its file would have them.
-fn settle(day: &Scenario, nth: usize) -> Result<FrontConfig, String> {
-    let listed = (0..day.servers.len()).map(|at| schema::Server {
-        name: Some(server_name(at)),
-        address: Some(address(server(at)).to_string()),
-        number: Some(at as u32),
-        dialled: Some(format!("{at:02}")),
-        ..schema::Server::default()
-    });
-    let settings = schema::Front {
-        name: Some(format!("f{nth}.example")),
-        listen: Some(address(front(nth)).to_string()),
-        server: listed.collect(),
-        ..day.front_settings.clone()
-    };
-    let told = |complaints: Vec<ochrelead_config::diagnostic::Diagnostic>| {
-        complaints.iter().map(ToString::to_string).collect::<String>()
-    };
-    front_config::parse("front", &document::to_text(&settings, "Front")).map_err(told)
-}
 
-/// After this nobody owes anybody anything: a release is asked for three times.
-fn last_words(transactions: &TransactionConfig) -> Span {
-    transactions.response_timeout * 3 + transactions.max_rto * 2 + Span::from_secs(1)
+    /// Tells the auditor what is done to a process.
+    fn mark(&mut self, action: &str, party: Party) {
+        self.recorder.mark(self.step, &format!("{action} {}", party.shown()));
+    }
 }
 
-fn script(day: &Scenario, start: Moment) -> VecDeque<(Moment, Act)> {
-    let ends = start + day.duration + TAIL;
-    let mut script = vec![(ends, Act::End), (ends + last_words(&day.front.transactions), Act::Close)];
-    for trouble in &day.faults {
-        let (begins, ends) = (start + trouble.start, start + trouble.start + trouble.duration);
-        for &which in &trouble.targets {
-            let acts: [Option<Act>; 2] = match trouble.kind {
-                FaultKind::FrontKilled => [Some(Act::Kill(front(which))), Some(Act::Start(front(which)))],
-                FaultKind::FrontStall => [Some(Act::Halt(which)), Some(Act::Resume(which))],
-                FaultKind::Crash => [Some(Act::Kill(server(which))), Some(Act::Start(server(which)))],
-                FaultKind::ClockAhead => [Some(Act::Set(which, trouble.magnitude)), None],
-                FaultKind::ClockBack => [Some(Act::Set(which, -trouble.magnitude)), None],
-                FaultKind::DiskFull => [Some(Act::Full(which, true)), Some(Act::Full(which, false))],
-                FaultKind::DiskTorn => [Some(Act::Tears(which, true)), Some(Act::Tears(which, false))],
-                _ => [None, None],
-            };
-            script.extend([begins, ends].into_iter().zip(acts).filter_map(|(at, act)| Some((at, act?))));
-        }
-    }
-    script.sort_by_key(|(at, _)| *at);
-    script.into()
+/// Lets an emulated party do what is due; when it wants to be called again.
+fn process_peer(
+    peer: &mut impl Peer,
+    now: Moment,
+    datagrams: &mut Vec<(SocketAddr, Vec<u8>)>,
+) -> Option<Moment> {
+    peer.turn(now);
+    datagrams.extend(std::iter::from_fn(|| peer.next_datagram()));
+    peer.wake().map(|timeout| timeout.max(now))
 }
--- /dev/null
+++ b/crates/ochrelead-sim/src/world/setup.rs
@@ -0,0 +1,62 @@
+//! What a scenario's parties are made of.
+
+use std::net::SocketAddr;
+
+use ochrelead_config::front_config::{self, FrontConfig};
+use ochrelead_config::scenario::Scenario;
+use ochrelead_config::{document, schema};
+use ochrelead_core::controller::Controller;
+use ochrelead_core::time::Moment;
+use ochrelead_emulator::server::Server;
+use ochrelead_host::call_policy::CallPolicy;
+use ochrelead_scenario::baseline::{Baseline, Policy};
+use ochrelead_scenario::world::{Deciding, server_name};
+
+use super::{LEAD, START, address, front, server};
+use crate::error::InvalidDocument;
+
+/// The addresses of all fronts.
+pub(super) fn front_addresses(scenario: &Scenario) -> Vec<SocketAddr> {
+    (0..scenario.fronts).map(|index| address(front(index))).collect()
+}
+
+/// A front's configuration, as its file would have it.
+pub(super) fn front_config(scenario: &Scenario, index: usize) -> Result<FrontConfig, InvalidDocument> {
+    let servers = (0..scenario.servers.len()).map(|number| schema::Server {
+        name: Some(server_name(number)),
+        address: Some(address(server(number)).to_string()),
+        number: Some(number as u32),
+        dialled: Some(format!("{number:02}")),
+        ..schema::Server::default()
+    });
+    let settings = schema::Front {
+        name: Some(format!("f{index}.example")),
+        listen: Some(address(front(index)).to_string()),
+        server: servers.collect(),
+        ..scenario.front_settings.clone()
+    };
+    let text = document::to_text(&settings, "Front");
+    front_config::parse("front", &text).map_err(InvalidDocument::from)
+}
+
+/// The policy of a front whose clock shows `now`.
+pub(super) fn call_policy(
+    deciding: Deciding,
+    config: &FrontConfig,
+    now: Moment,
+) -> Box<dyn CallPolicy + Send> {
+    let controller = &config.controller;
+    let target = controller.services.iter().map(|service| service.post_dial_target).max().unwrap_or_default();
+    let baseline = |policy| Box::new(Baseline::new(policy, controller.resend_delay, target, controller.seed));
+    match deciding {
+        Deciding::Module => Box::new(Controller::new(controller, now)),
+        Deciding::Random => baseline(Policy::Random),
+        Deciding::Unbounded => baseline(Policy::Unbounded),
+    }
+}
+
+/// An emulated server whose process starts now, anew or for the first time.
+pub(super) fn emulated_server(scenario: &Scenario, index: usize, now: Moment, restarted: bool) -> Server {
+    let fronts = front_addresses(scenario);
+    Server::new(scenario, index, server_name(index), fronts, START + LEAD, now, restarted)
+}
--- a/crates/ochrelead-sim/tests/console.rs
+++ b/crates/ochrelead-sim/tests/console.rs
@@ -9,32 +9,33 @@
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_event_log::reader::Record;
 use ochrelead_scenario::world::Deciding;
-use ochrelead_sim::play::play;
-use ochrelead_sim::world::{Keep, LEAD, START};
+use ochrelead_sim::run::run;
+use ochrelead_sim::world::{LEAD, RecordingOptions, START};
 use test_case::test_case;
 
 /// A front hands its records over so often, and the console looks at the files so often.
-const FLUSH: Span = Span::from_millis(200);
-const LOOK: Span = Span::from_millis(250);
+const FLUSH_INTERVAL: Span = Span::from_millis(200);
+const POLL_INTERVAL: Span = Span::from_millis(250);
 
-/// Seconds from the silence's beginning to the console's word on it; none where it came too late.
-fn shown_after(day: &Scenario) -> Option<f64> {
-    let trouble = day.faults.iter().find(|own| own.kind == FaultKind::Silent).unwrap();
-    let begins = START + LEAD + trouble.start;
-    let name = ochrelead_scenario::world::server_name(trouble.targets[0]);
-    let outcome = play(day, Deciding::Module, Keep { records: true, ..Keep::default() }).unwrap();
+/// Seconds from the silence's beginning until the console shows it; none where it does not in time.
+fn shown_after(scenario: &Scenario) -> Option<f64> {
+    let fault = scenario.faults.iter().find(|fault| fault.kind == FaultKind::Silent).unwrap();
+    let begins = START + LEAD + fault.start;
+    let name = ochrelead_scenario::world::server_name(fault.targets[0]);
+    let options = RecordingOptions { event_logs: true, ..RecordingOptions::default() };
+    let outcome = run(scenario, Deciding::Module, options).unwrap();
     // By when the disk has them.
     let mut arrive: BTreeMap<u64, Vec<Record>> = BTreeMap::new();
     for record in outcome.logs.into_iter().flatten() {
-        let flushed = record.event.at_us.div_ceil(FLUSH.micros()) * FLUSH.micros();
+        let flushed = record.event.at_us.div_ceil(FLUSH_INTERVAL.micros()) * FLUSH_INTERVAL.micros();
         arrive.entry(flushed).or_default().push(record);
     }
     let (mut watch, mut now, mut last) = (Watch::default(), START, START);
-    while now < begins + trouble.duration {
-        now = now + LOOK;
+    while now < begins + fault.duration {
+        now = now + POLL_INTERVAL;
         let later = arrive.split_off(&(now.micros() + 1));
-        for (at, records) in std::mem::replace(&mut arrive, later) {
-            last = Moment::from_micros(at);
+        for (flushed, records) in std::mem::replace(&mut arrive, later) {
+            last = Moment::from_micros(flushed);
             records.into_iter().for_each(|record| watch.take(record));
         }
         watch.settle(now.since(last));
@@ -50,11 +51,11 @@
 fn a_silent_server_is_shown_within_three_seconds(file: &str, seeds: u64) {
     let path =
         Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios").join(format!("{file}.textproto"));
-    let day = scenario::open(&path).unwrap();
-    let mut after: Vec<f64> = (1..=seeds)
-        .map(|seed| shown_after(&Scenario { seed, ..day.clone() }).unwrap_or(f64::INFINITY))
+    let scenario = scenario::open(&path).unwrap();
+    let mut delays: Vec<f64> = (1..=seeds)
+        .map(|seed| shown_after(&Scenario { seed, ..scenario.clone() }).unwrap_or(f64::INFINITY))
         .collect();
-    after.sort_by(f64::total_cmp);
-    println!("{file}: middle {:.2} s, worst {:.2} s", after[after.len() / 2], after[after.len() - 1]);
-    assert!(after[after.len() - 1] <= 3.0, "{after:?}");
+    delays.sort_by(f64::total_cmp);
+    println!("{file}: middle {:.2} s, worst {:.2} s", delays[delays.len() / 2], delays[delays.len() - 1]);
+    assert!(delays[delays.len() - 1] <= 3.0, "{delays:?}");
 }
--- a/crates/ochrelead-sim/tests/replay.rs
+++ b/crates/ochrelead-sim/tests/replay.rs
@@ -6,45 +6,46 @@
 use std::process::Command;
 
 use ochrelead_scenario::world::Deciding;
-use ochrelead_sim::play::{Outcome, play};
-use ochrelead_sim::schedule::{drawn, read};
-use ochrelead_sim::world::Keep;
+use ochrelead_sim::generator::{generate, parse};
+use ochrelead_sim::run::{Outcome, run};
+use ochrelead_sim::world::RecordingOptions;
 use test_case::test_case;
 
 fn outcome(seed: u64, trace: bool) -> Outcome {
-    let keep = Keep { sights: true, trace, records: trace };
-    play(&read(&drawn(seed)).unwrap(), Deciding::Module, keep).unwrap()
+    let options = RecordingOptions { datagrams: true, trace, event_logs: trace };
+    run(&parse(&generate(seed)).unwrap(), Deciding::Module, options).unwrap()
 }
 
 #[test_case(3)]
 #[test_case(17)]
 #[test_case(40)]
 fn two_processes_see_the_same_events(seed: u64) {
-    let own = outcome(seed, true);
+    let expected = outcome(seed, true);
     let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("trace-{seed}.txt"));
     let run = Command::new(env!("CARGO_BIN_EXE_ochrelead-sim"))
         .args(["replay", &seed.to_string(), "--trace"])
         .arg(&file)
         .output()
         .unwrap();
-    let said = String::from_utf8(run.stdout).unwrap();
-    assert!(said.contains(&format!("{} events, sum {:08x}", own.steps, own.sum)), "{said}");
-    let other = fs::read_to_string(&file).unwrap();
-    let differs = own.trace.lines().zip(other.lines()).find(|(own, other)| own != other);
-    assert_eq!(differs, None);
-    assert_eq!(own.trace.len(), other.len());
+    let printed = String::from_utf8(run.stdout).unwrap();
+    let summary = format!("{} events, sum {:08x}", expected.steps, expected.checksum);
+    assert!(printed.contains(&summary), "{printed}");
+    let trace = fs::read_to_string(&file).unwrap();
+    let difference = expected.trace.lines().zip(trace.lines()).find(|(expected, line)| expected != line);
+    assert_eq!(difference, None);
+    assert_eq!(expected.trace.len(), trace.len());
 }
 
 #[test]
 fn two_seeds_differ() {
-    assert_ne!(outcome(3, false).sum, outcome(4, false).sum);
+    assert_ne!(outcome(3, false).checksum, outcome(4, false).checksum);
 }
 
 #[test]
 fn the_first_seeds_break_nothing() {
     for seed in 0..120 {
-        let wrong = outcome(seed, false).violation;
-        assert_eq!(wrong, None, "seed {seed}");
+        let violation = outcome(seed, false).violation;
+        assert_eq!(violation, None, "seed {seed}");
     }
 }
 
@@ -63,11 +64,11 @@
 
 #[test_case("x..y", "invalid value"; "no seeds")]
 #[test_case("5", "two seeds with .. between"; "one seed")]
-fn a_range_that_is_none(seeds: &str, said: &str) {
+fn a_range_that_is_none(seeds: &str, message: &str) {
     let run = Command::new(env!("CARGO_BIN_EXE_ochrelead-sim"))
         .args(["explore", "--seeds", seeds])
         .output()
         .unwrap();
     let error = String::from_utf8_lossy(&run.stderr).into_owned();
-    assert!(run.status.code() == Some(2) && error.contains(said), "{error}");
+    assert!(run.status.code() == Some(2) && error.contains(message), "{error}");
 }
