--- a/crates/ochrelead-scenario/src/audit/mod.rs
+++ b/crates/ochrelead-scenario/src/audit/mod.rs
@@ -1,94 +1,79 @@
-//! The judge of a day: what was seen on the sockets and the day's script, nothing else.
+//! The auditor: judges a scenario by the captured datagrams and its script, and by nothing else.
+//!
+//! It shares no code with the fronts but the MGCP grammar, so that it can't agree with a front's own mistakes.
+//!
+//! - [`Rule`]: the five rules; [`Violation`], [`RuleCoverage`]: what was found and how much was examined.
+//! - `call_rules`: the rules on single calls; `slow_start`: the rule on servers that have just started.
+//! - [`ServiceLevel`]: how much of the offered value was served.
+//! - [`OverflowDistribution`]: whether overflow followed the servers' weights.
 
-mod cold;
-mod drawn;
-mod rules;
-mod service;
-mod sightings;
-
-use std::fmt;
+mod call_rules;
+mod dialled;
+mod overflow_distribution;
+mod rule;
+mod server_condition;
+mod service_level;
+mod slow_start;
+mod trace;
 
 use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
 
-use crate::capture::Sight;
-pub use drawn::Drawn;
-pub use service::{Service, ceiling};
-
-/// The rules by their numbers, from 1.
-pub const RULES: [&str; 5] = [
-    "one final answer, in time, and nothing after it",
-    "never two INVITEs at once",
-    "nothing new to a server that drains or is gone",
-    "no cold server pushed over",
-    "the release is awaited",
-];
-
-/// A rule that was broken: which, for what, when, and how.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Breach {
-    /// Counted from 1.
-    pub rule: usize,
-    /// The try or the server concerned.
-    pub of: String,
-    pub at: Moment,
-    pub how: String,
-}
-
-impl fmt::Display for Breach {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let ms = self.at.micros() as f64 / 1_000.0;
-        write!(f, "rule {} broken by {} at {ms:.3} ms: {}", self.rule, self.of, self.how)
-    }
-}
+use crate::capture::CapturedDatagram;
+pub use overflow_distribution::OverflowDistribution;
+pub use rule::{Rule, RuleCoverage, Violation};
+pub use service_level::{OfferedCall, ServiceLevel, capacity_ceiling};
 
-/// What was examined of one rule.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Tested {
-    pub cases: u64,
-    /// How much of what the rule allows was used at the worst, 1 being all of it; none where nothing says.
-    pub nearest: Option<f64>,
+/// The verdict on one scenario. Moments are counted from the scenario's start.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    coverage: [RuleCoverage; Rule::ALL.len()],
+    /// The violations, in the order of their moments.
+    pub violations: Vec<Violation>,
+    /// For each drain by endpoint file: from the file's last byte to the last INVITE to the server, zero where none
+    /// came.
+    pub drain_delays: Vec<Span>,
+    /// Where calls went that did not go to their destination.
+    pub overflow: OverflowDistribution,
+    /// How much of the offered value was served.
+    pub service_level: ServiceLevel,
 }
 
-impl Tested {
-    fn case(&mut self) {
-        self.cases += 1;
+impl Verdict {
+    /// Whether no rule was broken.
+    pub fn is_passed(&self) -> bool {
+        self.violations.is_empty()
     }
 
-    fn used(&mut self, share: f64) {
-        self.nearest = Some(self.nearest.unwrap_or(0.0).max(share));
+    /// What was examined of a rule.
+    pub fn coverage(&self, rule: Rule) -> &RuleCoverage {
+        &self.coverage[rule as usize]
     }
-}
-
-/// The verdict on one day. Moments are counted from the day's start.
-#[derive(Clone, Debug, Default)]
-pub struct Verdict {
-    pub tested: [Tested; 5],
-    pub breaches: Vec<Breach>,
-    /// For each drain by file: from the file's last byte to the last INVITE to the server, zero where none came.
-    pub drained: Vec<Span>,
-    pub drawn: Drawn,
-    pub service: Service,
-}
 
-impl Verdict {
-    pub fn is_kept(&self) -> bool {
-        self.breaches.is_empty()
+    fn coverage_mut(&mut self, rule: Rule) -> &mut RuleCoverage {
+        &mut self.coverage[rule as usize]
     }
 
-    fn breach(&mut self, rule: usize, of: impl Into<String>, at: Moment, how: impl Into<String>) {
-        self.breaches.push(Breach { rule, of: of.into(), at, how: how.into() });
+    fn add_violation(
+        &mut self,
+        rule: Rule,
+        subject: impl Into<String>,
+        time: Moment,
+        description: impl Into<String>,
+    ) {
+        let (subject, description) = (subject.into(), description.into());
+        self.violations.push(Violation { rule, subject, time, description });
     }
 }
 
-/// Judges a day by its capture.
-pub fn audit(day: &Scenario, sights: &[Sight]) -> Verdict {
-    let seen = sightings::read(day, sights);
+/// Judges a scenario by its capture.
+pub fn audit(scenario: &Scenario, datagrams: &[CapturedDatagram]) -> Verdict {
+    let trace = trace::read_trace(datagrams);
     let mut verdict = Verdict::default();
-    rules::judge(day, &seen, &mut verdict);
-    cold::judge(day, &seen, &mut verdict);
-    verdict.drawn = drawn::measure(day, &seen);
-    verdict.service = service::measure(day, &seen);
-    verdict.breaches.sort_by_key(|breach| (breach.at, breach.rule));
+    call_rules::check(scenario, &trace, &mut verdict);
+    slow_start::check(scenario, &trace, &mut verdict);
+    verdict.overflow = overflow_distribution::measure(scenario, &trace);
+    verdict.service_level = service_level::measure(scenario, &trace);
+    verdict.violations.sort_by_key(|violation| (violation.time, violation.rule));
     verdict
 }
--- a/crates/ochrelead-scenario/src/baseline.rs
+++ b/crates/ochrelead-scenario/src/baseline.rs
@@ -1,5 +1,7 @@
-//! Textbook policies in the module's place, for comparison only. They keep the rules that cost them nothing:
-//! one INVITE at a time, the release awaited, nothing to a server that leaves; none of them minds load.
+//! Textbook policies in the module's place, for comparison only.
+//!
+//! They keep the rules that cost them nothing: one INVITE at a time, the release awaited, no new call to a server that
+//! leaves. Neither of them considers load.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -13,82 +15,109 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-/// Which textbook.
+/// The re-sends of a call by [`BaselineKind::Random`].
+const MAX_RESENDS: u32 = 3;
+/// No INVITE leaves so shortly before the deadline.
+const MIN_TIME_LEFT: Span = Span::from_millis(20);
+/// The least pause, in milliseconds, after an INVITE that was rejected: without one, two rejections by one server
+/// would be a loop that takes no time.
+const REJECTION_PAUSE_MS: u64 = 10;
+/// Pauses are longer by a random number of milliseconds below this.
+const PAUSE_JITTER_MS: u64 = 5;
+
+/// Which textbook policy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Policy {
+pub enum BaselineKind {
     /// A server at random, and up to three immediate re-sends to others at random.
     Random,
     /// The destination, again and again while there is time.
     Unbounded,
 }
 
-struct Held {
-    offer: CallRequest,
+struct PendingCall {
+    request: CallRequest,
     invites: u32,
-    out: bool,
-    last: Option<ServerIx>,
+    /// Whether an INVITE of it is outstanding.
+    outstanding: bool,
+    last_server: Option<ServerIx>,
     not_before: Moment,
 }
 
-/// A baseline as a judge.
+struct KnownServer {
+    number: i64,
+    ready: bool,
+}
+
+/// A textbook policy.
 pub struct Baseline {
-    policy: Policy,
+    kind: BaselineKind,
     now: Moment,
-    release_wait: Span,
-    /// An INVITE is waited for this long.
-    patience: Span,
-    held: BTreeMap<SessionIx, Held>,
-    servers: BTreeMap<ServerIx, (i64, bool)>,
+    resend_delay: Span,
+    answer_timeout: Span,
+    calls: BTreeMap<SessionIx, PendingCall>,
+    servers: BTreeMap<ServerIx, KnownServer>,
+    /// When which call is to be evaluated.
     due: BTreeSet<(Moment, SessionIx)>,
-    chance: Pcg64Mcg,
+    rng: Pcg64Mcg,
 }
 
-const RESENDS: u32 = 3;
-
 impl Baseline {
-    /// `target`: the post-dial target, after which an INVITE is given up for another.
-    pub fn new(policy: Policy, release_wait: Span, target: Span, seed: u64) -> Baseline {
+    /// A policy that knows no server yet. An INVITE without an answer is given up after `answer_timeout`.
+    pub fn new(kind: BaselineKind, resend_delay: Span, answer_timeout: Span, seed: u64) -> Baseline {
         Baseline {
-            policy,
+            kind,
             now: Moment::START,
-            release_wait,
-            patience: target,
-            held: BTreeMap::new(),
+            resend_delay,
+            answer_timeout,
+            calls: BTreeMap::new(),
             servers: BTreeMap::new(),
             due: BTreeSet::new(),
-            chance: Pcg64Mcg::seed_from_u64(seed),
+            rng: Pcg64Mcg::seed_from_u64(seed),
         }
     }
 
-    fn judge(&mut self, session: SessionIx) -> Option<Decision> {
-        let held = self.held.get(&session).filter(|held| !held.out)?;
-        if held.not_before > self.now {
-            self.due.insert((held.not_before, session));
+    /// Decides on a call, unless one of its INVITEs is outstanding or it has to wait.
+    fn evaluate(&mut self, session: SessionIx) -> Option<Decision> {
+        let call = self.calls.get(&session).filter(|call| !call.outstanding)?;
+        if call.not_before > self.now {
+            self.due.insert((call.not_before, session));
             return None;
         }
-        let most = if self.policy == Policy::Random { 1 + RESENDS } else { u32::MAX };
-        let open: Vec<ServerIx> =
-            self.servers.iter().filter(|(_, (_, open))| *open).map(|(server, _)| *server).collect();
-        let server = match self.policy {
-            Policy::Random => {
+        let may_send = call.invites < self.max_invites() && self.now + MIN_TIME_LEFT < call.request.deadline;
+        let (destination, last_server) = (call.request.destination, call.last_server);
+        let server = self.choose_server(destination, last_server);
+        let Some(server) = server.filter(|_| may_send) else {
+            self.calls.remove(&session);
+            return Some(Decision::Reject { session, retry_after: None });
+        };
+        let call = self.calls.get_mut(&session)?;
+        call.invites += 1;
+        call.outstanding = true;
+        call.last_server = Some(server);
+        Some(Decision::Invite { session, server, answer_timeout: Some(self.answer_timeout) })
+    }
+
+    fn max_invites(&self) -> u32 {
+        match self.kind {
+            BaselineKind::Random => 1 + MAX_RESENDS,
+            BaselineKind::Unbounded => u32::MAX,
+        }
+    }
+
+    fn choose_server(&mut self, destination: i64, last_server: Option<ServerIx>) -> Option<ServerIx> {
+        let ready: Vec<ServerIx> =
+            self.servers.iter().filter(|(_, server)| server.ready).map(|(index, _)| *index).collect();
+        match self.kind {
+            BaselineKind::Random => {
                 let others: Vec<ServerIx> =
-                    open.iter().copied().filter(|server| Some(*server) != held.last).collect();
-                others.choose(&mut self.chance).or(open.first()).copied()
+                    ready.iter().copied().filter(|server| Some(*server) != last_server).collect();
+                others.choose(&mut self.rng).or(ready.first()).copied()
             }
-            Policy::Unbounded => {
-                let destined = |server: &&ServerIx| self.servers[*server].0 == held.offer.destination;
-                open.iter().find(destined).or(open.first()).copied()
+            BaselineKind::Unbounded => {
+                let is_destination = |server: &&ServerIx| self.servers[*server].number == destination;
+                ready.iter().find(is_destination).or(ready.first()).copied()
             }
-        };
-        let in_time = self.now + Span::from_millis(20) < held.offer.deadline;
-        let Some(server) = server.filter(|_| held.invites < most && in_time) else {
-            self.held.remove(&session);
-            return Some(Decision::Reject { session, retry_after: None });
-        };
-        let held = self.held.get_mut(&session)?;
-        held.invites += 1;
-        (held.out, held.last) = (true, Some(server));
-        Some(Decision::Invite { session, server, answer_timeout: Some(self.patience) })
+        }
     }
 }
 
@@ -97,42 +126,46 @@
         self.now = self.now.max(now);
     }
 
-    fn on_call_request(&mut self, session: SessionIx, offer: CallRequest) {
-        let held = Held { offer, invites: 0, out: false, last: None, not_before: self.now };
-        self.held.insert(session, held);
+    fn on_call_request(&mut self, session: SessionIx, request: CallRequest) {
+        let call =
+            PendingCall { request, invites: 0, outstanding: false, last_server: None, not_before: self.now };
+        self.calls.insert(session, call);
         self.due.insert((self.now, session));
     }
 
     fn on_call_established(&mut self, session: SessionIx) {
-        self.held.remove(&session);
+        self.calls.remove(&session);
     }
 
-    fn on_invite_ended(&mut self, session: SessionIx, _server: ServerIx, ending: InviteOutcome, over: bool) {
-        if over {
-            self.held.remove(&session);
-        }
-        if let Some(held) = self.held.get_mut(&session) {
-            held.out = false;
-            let waits =
-                matches!(ending, InviteOutcome::TimedOut | InviteOutcome::Reset | InviteOutcome::Cancelled);
-            // A breath between two refusals by one server: none would be a loop without time.
-            let pause = Span::from_millis(if waits { 0 } else { 10 } + self.chance.random_range(0..5));
-            held.not_before = self.now + if waits { self.release_wait + pause } else { pause };
-            self.due.insert((held.not_before, session));
+    fn on_invite_ended(&mut self, session: SessionIx, _: ServerIx, outcome: InviteOutcome, is_over: bool) {
+        if is_over {
+            self.calls.remove(&session);
         }
+        let Some(call) = self.calls.get_mut(&session) else { return };
+        call.outstanding = false;
+        let awaits_release =
+            matches!(outcome, InviteOutcome::TimedOut | InviteOutcome::Reset | InviteOutcome::Cancelled);
+        let jitter_ms = self.rng.random_range(0..PAUSE_JITTER_MS);
+        let pause = if awaits_release {
+            self.resend_delay + Span::from_millis(jitter_ms)
+        } else {
+            Span::from_millis(REJECTION_PAUSE_MS + jitter_ms)
+        };
+        call.not_before = self.now + pause;
+        self.due.insert((call.not_before, session));
     }
 
     fn on_caller_gone(&mut self, session: SessionIx) {
-        self.held.remove(&session);
+        self.calls.remove(&session);
     }
 
-    fn on_endpoints(&mut self, whole: bool, listings: &[EndpointUpdate]) {
-        if whole {
+    fn on_endpoints(&mut self, is_complete: bool, updates: &[EndpointUpdate]) {
+        if is_complete {
             self.servers.clear();
         }
-        for listing in listings {
-            let open = matches!(listing.state, EndpointState::Ready { .. });
-            self.servers.insert(listing.server, (listing.number, open));
+        for update in updates {
+            let ready = matches!(update.state, EndpointState::Ready { .. });
+            self.servers.insert(update.server, KnownServer { number: update.number, ready });
         }
     }
 
@@ -148,7 +181,7 @@
                 return None;
             }
             self.due.pop_first();
-            if let Some(decision) = self.judge(session) {
+            if let Some(decision) = self.evaluate(session) {
                 return Some(decision);
             }
         }
--- a/crates/ochrelead-scenario/src/capture.rs
+++ b/crates/ochrelead-scenario/src/capture.rs
@@ -1,103 +1,182 @@
-//! The capture: every datagram twice, as it left its sender (time to live 64) and as it reached its receiver
-//! (63, one hop on). One that got lost shows only the first. Marks of the rig are datagrams from 10.0.0.1.
+//! Packet capture: every datagram twice, as it left its sender (time to live 64) and as it reached its receiver
+//! (63, one hop on). A datagram that got lost shows only the first.
+//!
+//! What the rig did is recorded as datagrams from 10.0.0.1 to itself ([`crate::rig_event`]).
 
 use std::fs::File;
-use std::io::{BufReader, BufWriter, Read, Write};
+use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::net::SocketAddrV4;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use anyhow::{Context, bail};
+use etherparse::err::packet::{BuildWriteError, SliceError};
 use etherparse::{NetSlice, PacketBuilder, SlicedPacket, TransportSlice};
 use ochrelead_core::time::Moment;
 use pcap_file::pcap::{PcapHeader, PcapPacket, PcapReader, PcapWriter};
-use pcap_file::{DataLink, TsResolution};
+use pcap_file::{DataLink, PcapError, TsResolution};
+use thiserror::Error;
 
-use crate::party::Party;
+use crate::participant::Participant;
 
-const LEFT: u8 = 64;
-const REACHED: u8 = 63;
+/// The time to live of a datagram that leaves its sender.
+const TTL_SENT: u8 = 64;
+/// The time to live of a datagram that reaches its receiver.
+const TTL_DELIVERED: u8 = 63;
 
-/// One sight of a datagram.
+/// Why a capture can't be written or read.
+#[derive(Debug, Error)]
+pub enum CaptureError {
+    /// The file concerned, with the cause as source.
+    #[error("{}", path.display())]
+    File {
+        /// The capture file.
+        path: PathBuf,
+        /// What went wrong with it.
+        source: Box<CaptureError>,
+    },
+    /// The file can't be opened, read or written.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The file is no sound capture.
+    #[error(transparent)]
+    Pcap(#[from] PcapError),
+    /// A packet can't be read.
+    #[error(transparent)]
+    ReadPacket(#[from] SliceError),
+    /// A packet can't be written.
+    #[error(transparent)]
+    WritePacket(#[from] BuildWriteError),
+    /// A packet of another protocol.
+    #[error("packet {number}: not UDP over IPv4")]
+    UnexpectedProtocol {
+        /// The packet, counted from 1.
+        number: usize,
+    },
+    /// A packet whose addresses stand for no participant.
+    #[error("packet {number}: unknown parties")]
+    UnknownParticipant {
+        /// The packet, counted from 1.
+        number: usize,
+    },
+}
+
+/// One record of a capture: a datagram that was sent, or one that was delivered.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Sight {
-    pub at: Moment,
-    pub from: Party,
-    pub to: Party,
-    /// It reached its receiver; else it left its sender.
-    pub reached: bool,
+pub struct CapturedDatagram {
+    /// When it was recorded, on the clock of the rig.
+    pub time: Moment,
+    /// Its sender.
+    pub from: Participant,
+    /// Its receiver.
+    pub to: Participant,
+    /// Whether it reached its receiver; else it left its sender.
+    pub delivered: bool,
+    /// Its payload.
     pub bytes: Vec<u8>,
 }
 
 /// Writes a capture.
-pub struct Tape<W: Write> {
+pub struct CaptureWriter<W: Write> {
     pcap: PcapWriter<W>,
 }
 
-impl Tape<BufWriter<File>> {
-    pub fn create(path: &Path) -> anyhow::Result<Self> {
-        let file = File::create(path).with_context(|| format!("{}", path.display()))?;
-        Tape::new(BufWriter::new(file))
+impl CaptureWriter<BufWriter<File>> {
+    /// Creates a capture file.
+    ///
+    /// # Errors
+    ///
+    /// Where the file can't be created or written.
+    pub fn create(path: &Path) -> Result<Self, CaptureError> {
+        let file = File::create(path).map_err(|error| in_file(path, error.into()))?;
+        CaptureWriter::new(BufWriter::new(file))
     }
 }
 
-impl<W: Write> Tape<W> {
-    pub fn new(to: W) -> anyhow::Result<Self> {
+impl<W: Write> CaptureWriter<W> {
+    /// Begins a capture in `target`.
+    ///
+    /// # Errors
+    ///
+    /// Where the header can't be written.
+    pub fn new(target: W) -> Result<Self, CaptureError> {
         let header = PcapHeader {
             datalink: DataLink::RAW,
             ts_resolution: TsResolution::MicroSecond,
             ..PcapHeader::default()
         };
-        Ok(Tape { pcap: PcapWriter::with_header(to, header)? })
+        Ok(CaptureWriter { pcap: PcapWriter::with_header(target, header)? })
     }
 
-    pub fn put(&mut self, sight: &Sight) -> anyhow::Result<()> {
-        let (from, to) = (sight.from.shown(), sight.to.shown());
-        let hops = if sight.reached { REACHED } else { LEFT };
-        let packet =
-            PacketBuilder::ipv4(from.ip().octets(), to.ip().octets(), hops).udp(from.port(), to.port());
-        let mut bytes = Vec::with_capacity(packet.size(sight.bytes.len()));
-        packet.write(&mut bytes, &sight.bytes)?;
-        let packet =
-            PcapPacket::new_owned(Duration::from_micros(sight.at.micros()), bytes.len() as u32, bytes);
+    /// Appends one record.
+    ///
+    /// # Errors
+    ///
+    /// Where the datagram is too long for a packet, or can't be written.
+    pub fn write(&mut self, datagram: &CapturedDatagram) -> Result<(), CaptureError> {
+        let (from, to) = (datagram.from.capture_address(), datagram.to.capture_address());
+        let time_to_live = if datagram.delivered { TTL_DELIVERED } else { TTL_SENT };
+        let packet = PacketBuilder::ipv4(from.ip().octets(), to.ip().octets(), time_to_live)
+            .udp(from.port(), to.port());
+        let mut bytes = Vec::with_capacity(packet.size(datagram.bytes.len()));
+        packet.write(&mut bytes, &datagram.bytes)?;
+        let timestamp = Duration::from_micros(datagram.time.micros());
+        let packet = PcapPacket::new_owned(timestamp, bytes.len() as u32, bytes);
         self.pcap.write_packet(&packet)?;
         Ok(())
     }
 
-    pub fn finish(self) -> anyhow::Result<()> {
+    /// Writes what is buffered.
+    ///
+    /// # Errors
+    ///
+    /// Where it can't be written.
+    pub fn finish(self) -> Result<(), CaptureError> {
         Ok(self.pcap.into_writer().flush()?)
     }
 }
 
-/// Reads a capture.
-pub fn read(path: &Path) -> anyhow::Result<Vec<Sight>> {
-    let file = File::open(path).with_context(|| format!("{}", path.display()))?;
-    sights(BufReader::new(file)).with_context(|| format!("{}", path.display()))
+/// Reads a capture file.
+///
+/// # Errors
+///
+/// As [`read_from`], with the file's path.
+pub fn read_file(path: &Path) -> Result<Vec<CapturedDatagram>, CaptureError> {
+    let file = File::open(path).map_err(|error| in_file(path, error.into()))?;
+    read_from(BufReader::new(file)).map_err(|error| in_file(path, error))
 }
 
-pub fn sights(from: impl Read) -> anyhow::Result<Vec<Sight>> {
-    let mut pcap = PcapReader::new(from)?;
-    let mut sights = Vec::new();
+/// Reads a capture.
+///
+/// # Errors
+///
+/// Where it can't be read, or holds anything but UDP datagrams of participants.
+pub fn read_from(source: impl Read) -> Result<Vec<CapturedDatagram>, CaptureError> {
+    let mut pcap = PcapReader::new(source)?;
+    let mut datagrams = Vec::new();
     while let Some(packet) = pcap.next_packet() {
-        let packet = packet?;
-        let sliced = SlicedPacket::from_ip(&packet.data)?;
-        let (Some(NetSlice::Ipv4(ip)), Some(TransportSlice::Udp(udp))) = (&sliced.net, &sliced.transport)
-        else {
-            bail!("packet {}: not UDP over IPv4", sights.len() + 1);
-        };
-        let party = |address, port| Party::of_shown(SocketAddrV4::new(address, port));
-        let from = party(ip.header().source_addr(), udp.source_port());
-        let to = party(ip.header().destination_addr(), udp.destination_port());
-        let (Some(from), Some(to)) = (from, to) else {
-            bail!("packet {}: unknown parties", sights.len() + 1)
-        };
-        sights.push(Sight {
-            at: Moment::from_micros(packet.timestamp.as_micros() as u64),
-            from,
-            to,
-            reached: ip.header().ttl() < LEFT,
-            bytes: udp.payload().to_vec(),
-        });
+        datagrams.push(parse_packet(&packet?, datagrams.len() + 1)?);
     }
-    Ok(sights)
+    Ok(datagrams)
+}
+
+fn parse_packet(packet: &PcapPacket<'_>, number: usize) -> Result<CapturedDatagram, CaptureError> {
+    let sliced = SlicedPacket::from_ip(&packet.data)?;
+    let (Some(NetSlice::Ipv4(ip)), Some(TransportSlice::Udp(udp))) = (&sliced.net, &sliced.transport) else {
+        return Err(CaptureError::UnexpectedProtocol { number });
+    };
+    let participant = |ip, port| {
+        Participant::from_capture_address(SocketAddrV4::new(ip, port))
+            .ok_or(CaptureError::UnknownParticipant { number })
+    };
+    Ok(CapturedDatagram {
+        time: Moment::from_micros(packet.timestamp.as_micros() as u64),
+        from: participant(ip.header().source_addr(), udp.source_port())?,
+        to: participant(ip.header().destination_addr(), udp.destination_port())?,
+        delivered: ip.header().ttl() < TTL_SENT,
+        bytes: udp.payload().to_vec(),
+    })
+}
+
+fn in_file(path: &Path, source: CaptureError) -> CaptureError {
+    CaptureError::File { path: path.to_owned(), source: Box::new(source) }
 }
--- a/crates/ochrelead-scenario/tests/audit.rs
+++ b/crates/ochrelead-scenario/tests/audit.rs
@@ -1,13 +1,14 @@
-//! Each rule broken in a capture, and found: rule, try and moment. Beside each stands the same course kept.
+//! Each rule broken in a capture, and the violation found: rule, call attempt and moment; and captures like them in which
+//! all rules are kept.
 
 use ochrelead_config::scenario::{self, Scenario};
 use ochrelead_core::time::Moment;
-use ochrelead_scenario::audit::{Verdict, audit, ceiling};
-use ochrelead_scenario::capture::{Sight, Tape, sights};
-use ochrelead_scenario::party::Party;
+use ochrelead_scenario::audit::{OfferedCall, Rule, Verdict, audit, capacity_ceiling};
+use ochrelead_scenario::capture::{CaptureWriter, CapturedDatagram, read_from};
+use ochrelead_scenario::participant::Participant;
 use test_case::test_case;
 
-const DAY: &str = r#"seed: 1 length_ms: 20000 fronts: 2
+const SCENARIO: &str = r#"seed: 1 length_ms: 20000 fronts: 2
 front {
   release_wait_ms: 200
   cold { share: 0.3 warm_after_ms: 10000 fall_multiple: 2.5 fall_after_ms: 1000 }
@@ -20,101 +21,106 @@
 callers { sessions_per_s: 10 service_share: [1, 1] member_share: 1 }
 "#;
 
-const TRY: &str = "0000000101";
-const FRONT: Party = Party::Front(0);
+const ATTEMPT: &str = "0000000101";
+const FRONT: Participant = Participant::Front(0);
 
-fn day() -> Scenario {
-    scenario::parse("day", DAY).unwrap()
+fn scenario() -> Scenario {
+    scenario::parse("day", SCENARIO).unwrap()
 }
 
 /// A capture, written line by line: `ms from to message`. A datagram arrives a millisecond after it left;
 /// `lost` ones do not.
-struct Course(Vec<(u64, Sight)>);
+struct Capture(Vec<(u64, CapturedDatagram)>);
 
-impl Course {
-    fn new() -> Course {
-        let course = Course(Vec::new());
-        course.mark(0, "start 1000000000")
+impl Capture {
+    fn new() -> Capture {
+        let capture = Capture(Vec::new());
+        capture.mark(0, "start 1000000000")
     }
 
-    fn mark(mut self, ms: u64, text: &str) -> Course {
-        self.0.push((ms, sight(ms, Party::Rig, Party::Rig, false, text)));
+    fn mark(mut self, ms: u64, text: &str) -> Capture {
+        self.0.push((ms, datagram(ms, Participant::Rig, Participant::Rig, false, text)));
         self
     }
 
-    fn sent(mut self, ms: u64, from: Party, to: Party, text: &str) -> Course {
-        self.0.push((ms, sight(ms, from, to, false, text)));
-        self.0.push((ms + 1, sight(ms + 1, from, to, true, text)));
+    fn sent(mut self, ms: u64, from: Participant, to: Participant, text: &str) -> Capture {
+        self.0.push((ms, datagram(ms, from, to, false, text)));
+        self.0.push((ms + 1, datagram(ms + 1, from, to, true, text)));
         self
     }
 
     /// A caller's try reaches front 0 a millisecond later.
-    fn dial(self, ms: u64) -> Course {
+    fn dial(self, ms: u64) -> Capture {
         let text = format!(
-            "NTFY {} norte/1@g MGCP 1.0\nX-Try: {TRY}\nX-Patience: 3000\nO: L/hd, D/1, D/0, D/0",
+            "NTFY {} norte/1@g MGCP 1.0\nX-Try: {ATTEMPT}\nX-Patience: 3000\nO: L/hd, D/1, D/0, D/0",
             1 + ms
         );
-        self.sent(ms, Party::Gateway, FRONT, &text)
+        self.sent(ms, Participant::Gateway, FRONT, &text)
     }
 
-    fn hang_up(self, ms: u64) -> Course {
-        let text = format!("NTFY {} norte/1@g MGCP 1.0\nX-Try: {TRY}\nO: L/hu", 1 + ms);
-        self.sent(ms, Party::Gateway, FRONT, &text)
+    fn hang_up(self, ms: u64) -> Capture {
+        let text = format!("NTFY {} norte/1@g MGCP 1.0\nX-Try: {ATTEMPT}\nO: L/hu", 1 + ms);
+        self.sent(ms, Participant::Gateway, FRONT, &text)
     }
 
-    fn invite(self, ms: u64, server: u16, id: u32) -> Course {
-        let text = format!("CRCX {id} trunk/$@s{server} MGCP 1.0\nC: {TRY}");
-        self.sent(ms, FRONT, Party::Server(server), &text)
+    fn invite(self, ms: u64, server: u16, id: u32) -> Capture {
+        let text = format!("CRCX {id} trunk/$@s{server} MGCP 1.0\nC: {ATTEMPT}");
+        self.sent(ms, FRONT, Participant::Server(server), &text)
     }
 
-    fn off(self, ms: u64, server: u16, id: u32) -> Course {
-        let text = format!("DLCX {id} trunk/*@s{server} MGCP 1.0\nC: {TRY}");
-        self.sent(ms, FRONT, Party::Server(server), &text)
+    fn off(self, ms: u64, server: u16, id: u32) -> Capture {
+        let text = format!("DLCX {id} trunk/*@s{server} MGCP 1.0\nC: {ATTEMPT}");
+        self.sent(ms, FRONT, Participant::Server(server), &text)
     }
 
-    fn respond(self, ms: u64, server: u16, code: u32, id: u32) -> Course {
-        self.sent(ms, Party::Server(server), FRONT, &format!("{code} {id}\nI: 1\nZ: trunk/1@s{server}"))
+    fn respond(self, ms: u64, server: u16, code: u32, id: u32) -> Capture {
+        self.sent(ms, Participant::Server(server), FRONT, &format!("{code} {id}\nI: 1\nZ: trunk/1@s{server}"))
     }
 
-    fn restart(self, ms: u64, server: u16, id: u32, method: &str) -> Course {
+    fn restart(self, ms: u64, server: u16, id: u32, method: &str) -> Capture {
         let text = format!("RSIP {id} *@s{server} MGCP 1.0\nRM: {method}");
-        self.sent(ms, Party::Server(server), FRONT, &text)
+        self.sent(ms, Participant::Server(server), FRONT, &text)
     }
 
-    fn connect(self, ms: u64, id: u32) -> Course {
+    fn connect(self, ms: u64, id: u32) -> Capture {
         self.sent(
             ms,
             FRONT,
-            Party::Gateway,
-            &format!("MDCX {id} norte/1@g MGCP 1.0\nX-Try: {TRY}\nM: sendrecv"),
+            Participant::Gateway,
+            &format!("MDCX {id} norte/1@g MGCP 1.0\nX-Try: {ATTEMPT}\nM: sendrecv"),
         )
     }
 
-    fn tone(self, ms: u64, id: u32) -> Course {
-        self.sent(ms, FRONT, Party::Gateway, &format!("RQNT {id} norte/1@g MGCP 1.0\nX-Try: {TRY}\nS: L/bz"))
+    fn tone(self, ms: u64, id: u32) -> Capture {
+        self.sent(
+            ms,
+            FRONT,
+            Participant::Gateway,
+            &format!("RQNT {id} norte/1@g MGCP 1.0\nX-Try: {ATTEMPT}\nS: L/bz"),
+        )
     }
 
     /// Through a capture file and back, to the verdict.
-    fn judged(mut self) -> Verdict {
+    fn audited(mut self) -> Verdict {
         self = self.mark(30_000, "end");
         self.0.sort_by_key(|(ms, _)| *ms);
         let mut file = Vec::new();
-        let mut tape = Tape::new(&mut file).unwrap();
-        self.0.iter().for_each(|(_, sight)| tape.put(sight).unwrap());
-        tape.finish().unwrap();
-        let read = sights(file.as_slice()).unwrap();
-        assert_eq!(read, self.0.into_iter().map(|(_, sight)| sight).collect::<Vec<_>>());
-        audit(&day(), &read)
+        let mut writer = CaptureWriter::new(&mut file).unwrap();
+        self.0.iter().for_each(|(_, datagram)| writer.write(datagram).unwrap());
+        writer.finish().unwrap();
+        let read = read_from(file.as_slice()).unwrap();
+        assert_eq!(read, self.0.into_iter().map(|(_, datagram)| datagram).collect::<Vec<_>>());
+        audit(&scenario(), &read)
     }
 }
 
-fn sight(ms: u64, from: Party, to: Party, reached: bool, text: &str) -> Sight {
-    let at = Moment::from_micros(1_000_000_000 + ms * 1_000);
-    Sight { at, from, to, reached, bytes: text.as_bytes().to_vec() }
+fn datagram(ms: u64, from: Participant, to: Participant, delivered: bool, text: &str) -> CapturedDatagram {
+    let time = Moment::from_micros(1_000_000_000 + ms * 1_000);
+    CapturedDatagram { time, from, to, delivered, bytes: text.as_bytes().to_vec() }
 }
 
-fn set_up() -> Course {
-    Course::new().dial(100).invite(110, 0, 1)
+fn set_up() -> Capture {
+    Capture::new().dial(100).invite(110, 0, 1)
 }
 
 #[test_case(set_up().respond(200, 0, 200, 1).connect(210, 2); "stands")]
@@ -126,10 +132,10 @@
 #[test_case(set_up().respond(600, 0, 409, 1).invite(610, 0, 1).tone(650, 3); "repeated while the answer waits in the socket")]
 #[test_case(set_up().mark(120, "kill 10.0.1.1:2727"); "killed: what it held is not its duty")]
 #[test_case(set_up().connect(210, 2).connect(710, 2); "a repeated answer is one")]
-#[test_case(Course::new().dial(100).mark(105, "kill 10.0.1.1:2727").invite(112, 0, 1).mark(900, "begin 10.0.1.1:2727"); "sent before the kill, seen after it")]
-#[test_case(Course::new().mark(50, "kill 10.0.1.1:2727").dial(100).mark(900, "begin 10.0.1.1:2727"); "a dead front takes nothing")]
-fn kept(course: Course) {
-    assert_eq!(course.judged().breaches, []);
+#[test_case(Capture::new().dial(100).mark(105, "kill 10.0.1.1:2727").invite(112, 0, 1).mark(900, "begin 10.0.1.1:2727"); "sent before the kill, seen after it")]
+#[test_case(Capture::new().mark(50, "kill 10.0.1.1:2727").dial(100).mark(900, "begin 10.0.1.1:2727"); "a dead front takes nothing")]
+fn keeps_all_rules(capture: Capture) {
+    assert_eq!(capture.audited().violations, []);
 }
 
 #[test_case(set_up(), 1, 3_101, "no final answer"; "no answer")]
@@ -142,36 +148,42 @@
 #[test_case(set_up().respond(600, 0, 409, 1).invite(655, 0, 1).tone(700, 3), 1, 655, "repeated after its end"; "repeated after the answer")]
 #[test_case(set_up().mark(120, "kill 10.0.1.1:2727").mark(300, "begin 10.0.1.1:2727").invite(500, 1, 3), 1, 500, "has not taken"; "an INVITE of a former life")]
 #[test_case(set_up().invite(700, 1, 3).tone(800, 4), 2, 700, "while another is out"; "two at once")]
-#[test_case(Course::new().restart(10, 0, 7, "graceful").dial(300).invite(310, 0, 1).tone(400, 2), 3, 310, "to server 0 299 ms"; "to one that drains")]
-#[test_case(Course::new().restart(10, 0, 7, "forced").dial(900).invite(910, 0, 1).tone(950, 2), 3, 910, "to server 0 899 ms"; "to one that is gone")]
+#[test_case(Capture::new().restart(10, 0, 7, "graceful").dial(300).invite(310, 0, 1).tone(400, 2), 3, 310, "to server 0 299 ms"; "to one that drains")]
+#[test_case(Capture::new().restart(10, 0, 7, "forced").dial(900).invite(910, 0, 1).tone(950, 2), 3, 910, "to server 0 899 ms"; "to one that is gone")]
 #[test_case(set_up().off(500, 0, 2).invite(650, 1, 3).tone(800, 4), 5, 650, "150 ms after"; "release not awaited after a time-out")]
 #[test_case(set_up().respond(200, 0, 405, 1).invite(390, 1, 3).tone(800, 4), 5, 390, "189 ms after"; "release not awaited after a reset")]
-fn broken(course: Course, rule: usize, ms: u64, how: &str) {
-    let breaches = course.judged().breaches;
-    assert_eq!(breaches.len(), 1, "{breaches:?}");
-    let found = &breaches[0];
-    assert_eq!((found.rule, found.of.as_str(), found.at), (rule, TRY, Moment::from_micros(ms * 1_000)));
-    assert!(found.how.contains(how), "{found}");
+fn breaks_a_rule(capture: Capture, rule: usize, ms: u64, description: &str) {
+    let violations = capture.audited().violations;
+    assert_eq!(violations.len(), 1, "{violations:?}");
+    let violation = &violations[0];
+    assert_eq!((violation.rule.number(), violation.subject.as_str()), (rule, ATTEMPT));
+    assert_eq!(violation.time, Moment::from_micros(ms * 1_000));
+    assert!(violation.description.contains(description), "{violation}");
 }
 
 /// Set-ups of many tries to a server that has just started; `told`: the front knows.
 fn flood(sent: u32, told: bool) -> Verdict {
-    let mut course = Course::new();
+    let mut capture = Capture::new();
     let text = "RSIP 7 *@s0 MGCP 1.0\nRM: restart";
-    course = if told {
-        course.restart(100, 0, 7, "restart")
+    capture = if told {
+        capture.restart(100, 0, 7, "restart")
     } else {
-        course.sent(100, Party::Server(0), Party::Front(1), text)
+        capture.sent(100, Participant::Server(0), Participant::Front(1), text)
     };
     for nth in 0..sent {
         let ms = 200 + u64::from(nth) * 5;
         let text = format!("CRCX {} trunk/$@s0 MGCP 1.0\nC: {nth:010X}", 100 + nth);
         let dial = format!("NTFY {} norte/1@g MGCP 1.0\nX-Try: {nth:010X}\nO: L/hd, D/1", 100 + nth);
         let tone = format!("RQNT {} norte/1@g MGCP 1.0\nX-Try: {nth:010X}\nS: L/ro", 10_000 + nth);
-        course = course.sent(ms - 2, Party::Gateway, FRONT, &dial).sent(ms, FRONT, Party::Server(0), &text);
-        course = course.sent(ms + 1_200, FRONT, Party::Gateway, &tone);
+        capture = capture.sent(ms - 2, Participant::Gateway, FRONT, &dial).sent(
+            ms,
+            FRONT,
+            Participant::Server(0),
+            &text,
+        );
+        capture = capture.sent(ms + 1_200, FRONT, Participant::Gateway, &tone);
     }
-    course.judged()
+    capture.audited()
 }
 
 #[test_case(10, true, false; "within the budget")]
@@ -179,24 +191,27 @@
 #[test_case(60, false, false; "beyond it, but nobody had been told")]
 fn a_cold_server(sent: u32, told: bool, pushed_over: bool) {
     let verdict = flood(sent, told);
-    let found: Vec<_> = verdict.breaches.iter().map(|breach| (breach.rule, breach.of.as_str())).collect();
+    let violations = verdict.violations.iter();
+    let found: Vec<_> =
+        violations.map(|violation| (violation.rule.number(), violation.subject.as_str())).collect();
     assert_eq!(found, if pushed_over { vec![(4, "server 0")] } else { vec![] });
-    assert_eq!(verdict.tested[3].cases, u64::from(sent));
+    assert_eq!(verdict.coverage(Rule::SlowStart).cases, u64::from(sent));
 }
 
 #[test_case(set_up().respond(200, 0, 200, 1).connect(210, 2), 1.0; "in time")]
 #[test_case(set_up().respond(1_800, 0, 200, 1).connect(1_810, 2), 0.25; "after the target")]
 #[test_case(set_up().off(300, 0, 1).tone(310, 2), 0.0; "refused")]
-#[test_case(set_up().connect(210, 2).sent(900, FRONT, Party::Gateway, &format!("DLCX 9 norte/1@g MGCP 1.0\nX-Try: {TRY}")), 0.0; "cut")]
-fn service(course: Course, share: f64) {
-    let verdict = course.judged();
-    assert_eq!((verdict.service.whole, verdict.service.offered), (share, 1));
+#[test_case(set_up().connect(210, 2).sent(900, FRONT, Participant::Gateway, &format!("DLCX 9 norte/1@g MGCP 1.0\nX-Try: {ATTEMPT}")), 0.0; "cut")]
+fn service(capture: Capture, share: f64) {
+    let verdict = capture.audited();
+    assert_eq!((verdict.service_level.overall, verdict.service_level.offered), (share, 1));
 }
 
 #[test]
-fn the_ceiling_takes_the_worthiest_first() {
-    let at = Moment::from_micros(500_000);
-    let offered: Vec<(Moment, f64)> = (0..80).map(|nth| (at, if nth < 20 { 3.0 } else { 1.0 })).collect();
+fn the_ceiling_takes_the_highest_values_first() {
+    let time = Moment::from_micros(500_000);
+    let offered: Vec<OfferedCall> =
+        (0..80).map(|call| OfferedCall { time, value: if call < 20 { 3.0 } else { 1.0 } }).collect();
     // Two servers of ten a second for two seconds: the twenty of value 3, and twenty more.
-    assert!((ceiling(&day(), &offered) - 80.0 / 120.0).abs() < 1e-9);
+    assert!((capacity_ceiling(&scenario(), &offered) - 80.0 / 120.0).abs() < 1e-9);
 }
--- /dev/null
+++ b/crates/ochrelead-scenario/tests/rig_event.rs
@@ -0,0 +1,37 @@
+//! The texts by which a capture records what the rig did: stored, so that they must not change.
+
+use ochrelead_core::time::Moment;
+use ochrelead_scenario::participant::Participant;
+use ochrelead_scenario::rig_event::{RigEvent, scenario_start};
+use test_case::test_case;
+
+#[test_case(RigEvent::ScenarioStart(Moment::from_micros(1_700)), "start 1700")]
+#[test_case(RigEvent::Killed(Participant::Front(2)), "kill 10.0.1.3:2727")]
+#[test_case(RigEvent::Restarted(Participant::Server(300)), "begin 10.1.2.45:2427")]
+#[test_case(RigEvent::Suspended(Participant::Front(0)), "halt 10.0.1.1:2727")]
+#[test_case(RigEvent::Resumed(Participant::Gateway), "resume 10.0.3.1:2427")]
+#[test_case(RigEvent::EndpointFileWritten { front: Participant::Front(0), draining: Some(4) }, "fleet 10.0.1.1:2727 4")]
+#[test_case(RigEvent::EndpointFileWritten { front: Participant::Front(0), draining: None }, "fleet 10.0.1.1:2727 -")]
+#[test_case(RigEvent::ScenarioEnd, "end")]
+fn written_and_read_back(event: RigEvent, text: &str) {
+    assert_eq!(event.to_string(), text);
+    assert_eq!(text.parse(), Ok(event));
+}
+
+#[test_case(""; "empty")]
+#[test_case("ended"; "another word")]
+#[test_case("kill 10.0.9.1:2727"; "an address of no participant")]
+#[test_case("start soon"; "no moment")]
+fn refused(text: &str) {
+    assert!(text.parse::<RigEvent>().is_err());
+}
+
+#[test]
+fn only_datagrams_of_the_rig_say_when_a_scenario_began() {
+    let start = Moment::from_micros(5_000);
+    let by_rig = RigEvent::ScenarioStart(start).into_datagram(Moment::START);
+    let mut by_caller = by_rig.clone();
+    by_caller.from = Participant::Gateway;
+    assert_eq!(scenario_start(&[by_caller.clone()]), None);
+    assert_eq!(scenario_start(&[by_caller, by_rig]), Some(start));
+}
--- a/crates/ochrelead-sim/src/experiment.rs
+++ b/crates/ochrelead-sim/src/experiment.rs
@@ -10,7 +10,7 @@
 use ochrelead_config::scenario::{self, Scenario};
 use ochrelead_config::schema;
 use ochrelead_parquet::{Cell, ColumnType as Column, TableError, TableWriter};
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::policy::PolicyKind;
 use plotters::prelude::*;
 use statrs::distribution::{ContinuousCDF, StudentsT};
 
@@ -28,7 +28,7 @@
     rates: Vec<f64>,
     fronts: Vec<usize>,
     servers: Vec<usize>,
-    policies: Vec<(&'static str, Deciding)>,
+    policies: Vec<(&'static str, PolicyKind)>,
     repeats: u64,
 }
 
@@ -36,7 +36,7 @@
 pub struct Case {
     pub day: Scenario,
     pub policy: &'static str,
-    deciding: Deciding,
+    deciding: PolicyKind,
 }
 
 /// What came of one day.
@@ -84,10 +84,10 @@
         let repeats = sheet.in_range("repeats", f64::from(grid.repeats.unwrap_or(5)), 1.0, 10_000.0) as u64;
         let mut policies = Vec::new();
         for (nth, name) in grid.policy.iter().enumerate() {
-            match Deciding::ALL.iter().find(|(own, _)| own == name) {
+            match PolicyKind::ALL.iter().find(|(own, _)| own == name) {
                 Some(policy) => policies.push(*policy),
                 None => {
-                    let names = Deciding::ALL.map(|(name, _)| name).join(", ");
+                    let names = PolicyKind::ALL.map(|(name, _)| name).join(", ");
                     sheet.report(
                         &format!("policy[{nth}]"),
                         format!("policy is {name:?}; it must be one of {names}"),
@@ -119,7 +119,7 @@
             },
             fronts: or(whole(&grid.fronts), day.fronts),
             servers: or(whole(&grid.servers), day.servers.len()),
-            policies: if policies.is_empty() { Deciding::ALL.to_vec() } else { policies },
+            policies: if policies.is_empty() { PolicyKind::ALL.to_vec() } else { policies },
             repeats,
             day,
         };
@@ -182,7 +182,7 @@
     pub fn play(&self) -> Result<Run, String> {
         let outcome = play(&self.day, self.deciding, Keep { sights: true, ..Keep::default() })?;
         Ok(Run {
-            service: outcome.service.whole,
+            service: outcome.service.overall,
             worst: outcome.service.worst_window,
             ceiling: outcome.service.ceiling,
             offered: outcome.service.offered,
--- a/crates/ochrelead-sim/src/main.rs
+++ b/crates/ochrelead-sim/src/main.rs
@@ -17,8 +17,8 @@
 use ochrelead_config::scenario::{self, Scenario};
 use ochrelead_event_log::reader::Log;
 use ochrelead_event_log::writer::{Bounds, Recorder};
-use ochrelead_scenario::found::{self, Tally};
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::detection::{self, DetectionTally};
+use ochrelead_scenario::policy::PolicyKind;
 use ochrelead_sim::books::Violation;
 use ochrelead_sim::experiment::{self, Experiment};
 use ochrelead_sim::play::{Outcome, play};
@@ -138,7 +138,7 @@
 fn outcome(sheet: &Sheet, trace: bool) -> anyhow::Result<Outcome> {
     let day = schedule::read(sheet).map_err(anyhow::Error::msg)?;
     let keep = Keep { sights: true, trace, records: false };
-    play(&day, Deciding::Module, keep).map_err(anyhow::Error::msg)
+    play(&day, PolicyKind::Controller, keep).map_err(anyhow::Error::msg)
 }
 
 fn explore(seeds: Range<u64>, threads: usize) -> anyhow::Result<bool> {
@@ -208,7 +208,7 @@
         let lines: Vec<&str> = outcome.trace.lines().filter(until).collect();
         lines[lines.len().saturating_sub(60)..].iter().for_each(|line| println!("{line}"));
     }
-    println!("{} events, sum {:08x}, service {:.3}", outcome.steps, outcome.sum, outcome.service.whole);
+    println!("{} events, sum {:08x}, service {:.3}", outcome.steps, outcome.sum, outcome.service.overall);
     let Some(wrong) = &outcome.violation else {
         println!("all rules kept, all books balance; on simulated servers");
         return Ok(true);
@@ -263,29 +263,31 @@
     }
     let keep = Keep { records: true, ..Keep::default() };
     let made = over_all(&jobs, |day| {
-        let outcome = play(day, Deciding::Module, keep).map_err(anyhow::Error::msg)?;
+        let outcome = play(day, PolicyKind::Controller, keep).map_err(anyhow::Error::msg)?;
         let start = world::START + world::LEAD;
-        Ok(found::of_logs(day, outcome.logs, start, marred.then_some(day.seed)))
+        Ok(detection::compare_logs(day, outcome.logs, start, marred.then_some(day.seed)))
     })?;
-    let mut tally: BTreeMap<_, Tally> = BTreeMap::new();
-    made.iter().for_each(|own| found::count(&mut tally, own));
+    let mut tally: BTreeMap<_, DetectionTally> = BTreeMap::new();
+    made.iter().for_each(|own| detection::add_to_tallies(&mut tally, own));
     println!("{} days; onset off: middle, and nine in ten", jobs.len());
     println!(
         "{:<38} {:>8} {:>6} {:>9} {:>7} {:>10}",
         "kind", "scripted", "found", "invented", "middle", "nine in 10"
     );
-    for (kind, Tally { scripted, found, invented, onsets }) in &mut tally {
-        onsets.sort_by(f64::total_cmp);
-        let at = |share: f64| onsets.get((onsets.len() as f64 * share) as usize).copied().unwrap_or(0.0);
+    for (kind, DetectionTally { scripted, detected, false_positives, onset_errors }) in &mut tally {
+        onset_errors.sort_by(f64::total_cmp);
+        let at = |share: f64| {
+            onset_errors.get((onset_errors.len() as f64 * share) as usize).copied().unwrap_or(0.0)
+        };
         println!(
-            "{:<38} {scripted:>8} {found:>6} {invented:>9} {:>5.1} s {:>8.1} s",
+            "{:<38} {scripted:>8} {detected:>6} {false_positives:>9} {:>5.1} s {:>8.1} s",
             kind.name(),
             at(0.5),
             at(0.9)
         );
     }
     println!("on simulated servers");
-    Ok(tally.values().all(|own| own.found == own.scripted && own.invented == 0))
+    Ok(tally.values().all(|own| own.detected == own.scripted && own.false_positives == 0))
 }
 
 fn tried(grid: &Path, out: &Path) -> anyhow::Result<bool> {
@@ -345,16 +347,16 @@
         "{:<12} {:>7} {:>11} {:>9} {:>12} {:>10}",
         "service", "whole", "worst 10 s", "events", "rules", "x real"
     );
-    for (name, deciding) in Deciding::ALL.into_iter().take(if alone { 1 } else { 3 }) {
+    for (name, deciding) in PolicyKind::ALL.into_iter().take(if alone { 1 } else { 3 }) {
         let began = Instant::now();
-        let own = deciding == Deciding::Module;
+        let own = deciding == PolicyKind::Controller;
         let keep = Keep { sights: true, records: own && records.is_some(), trace: false };
         let outcome = play(&day, deciding, keep).map_err(anyhow::Error::msg)?;
         let faster = outcome.seconds / began.elapsed().as_secs_f64().max(1e-3);
         let rules = outcome.violation.as_ref().map_or("kept".to_owned(), |own| own.kind.clone());
-        let (whole, worst) = (outcome.service.whole, outcome.service.worst_window);
+        let (whole, worst) = (outcome.service.overall, outcome.service.worst_window);
         println!("{name:<12} {whole:>7.3} {worst:>11.3} {:>9} {rules:>12} {faster:>10.1}", outcome.steps);
-        if deciding == Deciding::Module {
+        if deciding == PolicyKind::Controller {
             kept = outcome.violation.is_none();
             if let Some(folder) = records {
                 write_logs(folder, outcome.logs.clone())?;
--- a/crates/ochrelead-sim/src/play.rs
+++ b/crates/ochrelead-sim/src/play.rs
@@ -3,8 +3,8 @@
 use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_event_log::reader::Log;
-use ochrelead_scenario::audit::{self, Service};
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::audit::{self, ServiceLevel};
+use ochrelead_scenario::policy::PolicyKind;
 
 use crate::books::Violation;
 use crate::world::{Honest, Keep, Meddler, World};
@@ -18,7 +18,7 @@
     /// The first thing that must never be.
     pub violation: Option<Violation>,
     /// What was served, where every datagram was kept and no step went wrong.
-    pub service: Service,
+    pub service: ServiceLevel,
     pub seconds: f64,
     pub trace: String,
     pub logs: Vec<Log>,
@@ -36,7 +36,7 @@
 /// # Errors
 ///
 /// Where the day gives no sound settings.
-pub fn play(day: &Scenario, deciding: Deciding, keep: Keep) -> Result<Outcome, String> {
+pub fn play(day: &Scenario, deciding: PolicyKind, keep: Keep) -> Result<Outcome, String> {
     meddled(day, deciding, keep, Box::new(Honest))
 }
 
@@ -47,7 +47,7 @@
 /// Where the day gives no sound settings.
 pub fn meddled(
     day: &Scenario,
-    deciding: Deciding,
+    deciding: PolicyKind,
     keep: Keep,
     meddler: Box<dyn Meddler>,
 ) -> Result<Outcome, String> {
@@ -56,13 +56,13 @@
     while let Some(step) = world.step() {
         // The textbooks keep neither books nor bounds: their days are played to the end.
         if let Err(wrong) = step
-            && deciding == Deciding::Module
+            && deciding == PolicyKind::Controller
         {
             violation = Some(wrong);
             break;
         }
     }
-    if violation.is_none() && deciding == Deciding::Module {
+    if violation.is_none() && deciding == PolicyKind::Controller {
         violation = world.settle().err();
     }
     // The tail, in which only what is owed goes on, is not counted.
@@ -70,12 +70,12 @@
     let mut outcome = Outcome { steps: world.step, sum: world.sum(), seconds, ..Outcome::default() };
     if keep.sights && !world.sights.is_empty() {
         let verdict = audit::audit(day, &world.sights);
-        let breach = verdict.breaches.first().map(|breach| Violation {
-            step: world.step_at(breach.at),
-            at: breach.at,
-            kind: format!("rule {}", breach.rule),
-            of: breach.of.clone(),
-            how: breach.how.clone(),
+        let breach = verdict.violations.first().map(|breach| Violation {
+            step: world.step_at(breach.time),
+            at: breach.time,
+            kind: format!("rule {}", breach.rule.number()),
+            of: breach.subject.clone(),
+            how: breach.description.clone(),
         });
         // What came first is the cause, or nearer to it.
         let first =
@@ -83,7 +83,7 @@
         if first(&breach) < first(&violation) {
             violation = breach;
         }
-        outcome.service = verdict.service;
+        outcome.service = verdict.service_level;
         if let Some(wrong) = &violation {
             outcome.last = last_of(&world, wrong);
         }
@@ -96,13 +96,13 @@
 
 /// The last datagrams that name the party or the try concerned, and what the day did.
 fn last_of(world: &World, wrong: &Violation) -> Vec<String> {
-    let start = world.sights.first().map_or(Moment::START, |own| own.at) + Span::from_millis(700);
+    let start = world.sights.first().map_or(Moment::START, |own| own.time) + Span::from_millis(700);
     let until = start + wrong.at.since(Moment::START) + NEAR;
-    let concerned = world.sights.iter().filter(|own| own.at <= until).filter_map(|own| {
+    let concerned = world.sights.iter().filter(|own| own.time <= until).filter_map(|own| {
         let text = String::from_utf8_lossy(&own.bytes);
         let named = text.contains(&wrong.of) || own.from == own.to;
-        let ms = own.at.since(start).micros() as f64 / 1e3;
-        let way = if own.reached { "reached" } else { "left" };
+        let ms = own.time.since(start).micros() as f64 / 1e3;
+        let way = if own.delivered { "reached" } else { "left" };
         let first = text.lines().next().unwrap_or("").to_owned();
         named.then(|| format!("{ms:>10.3} ms {way:>7} {:?} to {:?}: {first}", own.from, own.to))
     });
--- a/crates/ochrelead-sim/src/world.rs
+++ b/crates/ochrelead-sim/src/world.rs
@@ -17,10 +17,10 @@
 use ochrelead_emulator::server::Server;
 use ochrelead_host::call_policy::CallPolicy;
 use ochrelead_mgcp::transaction::TransactionConfig;
-use ochrelead_scenario::baseline::{Baseline, Policy};
-use ochrelead_scenario::capture::Sight;
-use ochrelead_scenario::party::Party;
-use ochrelead_scenario::world::{Deciding, server_name};
+use ochrelead_scenario::baseline::{Baseline, BaselineKind};
+use ochrelead_scenario::capture::CapturedDatagram;
+use ochrelead_scenario::participant::{Participant, server_name};
+use ochrelead_scenario::policy::PolicyKind;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -68,8 +68,8 @@
 /// What the day does to machines.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Act {
-    Kill(Party),
-    Start(Party),
+    Kill(Participant),
+    Start(Participant),
     Halt(usize),
     Resume(usize),
     Set(usize, f64),
@@ -95,20 +95,20 @@
     pub day: Scenario,
     pub now: Moment,
     pub step: u64,
-    deciding: Deciding,
+    deciding: PolicyKind,
     meddler: Box<dyn Meddler>,
     keep: Keep,
     pub fronts: Vec<Machine>,
     pub servers: Vec<Option<Server>>,
     pub callers: Callers,
-    network: Network<Party>,
+    network: Network<Participant>,
     /// When each party wants to be called.
-    alarms: BTreeSet<(Moment, Party)>,
-    alarm_of: BTreeMap<Party, Moment>,
+    alarms: BTreeSet<(Moment, Participant)>,
+    alarm_of: BTreeMap<Participant, Moment>,
     script: VecDeque<(Moment, Act)>,
-    addresses: BTreeMap<SocketAddr, Party>,
+    addresses: BTreeMap<SocketAddr, Participant>,
     chance: Pcg64Mcg,
-    pub sights: Vec<Sight>,
+    pub sights: Vec<CapturedDatagram>,
     /// The step of each.
     sight_steps: Vec<u64>,
     pub trace: String,
@@ -118,8 +118,8 @@
 }
 
 /// Where a party is.
-fn address(party: Party) -> SocketAddr {
-    party.shown().into()
+fn address(party: Participant) -> SocketAddr {
+    party.capture_address().into()
 }
 
 impl World {
@@ -130,7 +130,7 @@
     /// Where the day gives no sound settings for a front.
     pub fn new(
         day: &Scenario,
-        deciding: Deciding,
+        deciding: PolicyKind,
         meddler: Box<dyn Meddler>,
         keep: Keep,
     ) -> Result<World, String> {
@@ -146,8 +146,8 @@
             .map(|nth| Some(Server::new(day, nth, server_name(nth), seen.clone(), start, START, false)))
             .collect();
         let parties = (0..day.fronts).map(front).chain((0..day.servers.len()).map(server));
-        let addresses = parties.chain([Party::Gateway]).map(|party| (address(party), party)).collect();
-        let faults = faults(day, start, front, server, Party::Gateway);
+        let addresses = parties.chain([Participant::Gateway]).map(|party| (address(party), party)).collect();
+        let faults = faults(day, start, front, server, Participant::Gateway);
         let mut world = World {
             now: START,
             step: 0,
@@ -182,7 +182,7 @@
         for nth in 0..day.fronts {
             world.start_front(nth);
         }
-        for party in (0..day.servers.len()).map(server).chain([Party::Gateway]) {
+        for party in (0..day.servers.len()).map(server).chain([Participant::Gateway]) {
             world.turn(party).map_err(|(of, how)| format!("{of}: {how}"))?;
         }
         Ok(world)
@@ -221,7 +221,7 @@
     /// The first step that was seen at or after a moment of the day.
     pub fn step_at(&self, at: Moment) -> u64 {
         let then = START + LEAD + at.since(Moment::START);
-        let nth = self.sights.partition_point(|sight| sight.at < then);
+        let nth = self.sights.partition_point(|sight| sight.time < then);
         self.sight_steps.get(nth).copied().unwrap_or(self.step)
     }
 
@@ -235,7 +235,7 @@
         self.now.since(START).ratio(Span::from_secs(1))
     }
 
-    fn note(&mut self, what: &str, of: Party, bytes: &[u8]) {
+    fn note(&mut self, what: &str, of: Participant, bytes: &[u8]) {
         self.sum.update(&self.now.micros().to_le_bytes());
         self.sum.update(what.as_bytes());
         self.sum.update(format!("{of:?}").as_bytes());
@@ -250,18 +250,29 @@
     }
 
     fn mark(&mut self, text: String) {
-        self.see(Party::Rig, Party::Rig, false, text.as_bytes());
+        self.see(Participant::Rig, Participant::Rig, false, text.as_bytes());
     }
 
-    fn see(&mut self, from: Party, to: Party, reached: bool, bytes: &[u8]) {
+    fn see(&mut self, from: Participant, to: Participant, reached: bool, bytes: &[u8]) {
         if self.keep.sights {
             self.sight_steps.push(self.step);
-            self.sights.push(Sight { at: self.now, from, to, reached, bytes: bytes.to_vec() });
+            self.sights.push(CapturedDatagram {
+                time: self.now,
+                from,
+                to,
+                delivered: reached,
+                bytes: bytes.to_vec(),
+            });
         }
     }
 
-    fn deliver(&mut self, from: Party, to: Party, bytes: Vec<u8>) -> Result<(), (String, String)> {
-        if let Party::Front(nth) = to
+    fn deliver(
+        &mut self,
+        from: Participant,
+        to: Participant,
+        bytes: Vec<u8>,
+    ) -> Result<(), (String, String)> {
+        if let Participant::Front(nth) = to
             && !self.fronts[usize::from(nth)].has_room()
         {
             self.note("lost", to, &bytes);
@@ -271,12 +282,12 @@
         self.see(from, to, true, &bytes);
         let (sender, now) = (address(from), self.now);
         match to {
-            Party::Front(nth) => {
+            Participant::Front(nth) => {
                 let nth = usize::from(nth);
                 let Some(bytes) = self.meddler.hears(nth, bytes) else { return Ok(()) };
                 self.fronts[nth].arrives(sender, bytes);
             }
-            Party::Server(nth) => {
+            Participant::Server(nth) => {
                 let Some(server) = &mut self.servers[usize::from(nth)] else { return Ok(()) };
                 server.take(now, sender, &bytes);
             }
@@ -286,12 +297,12 @@
     }
 
     /// Lets a party do what is due, sends what it has to say, and notes when it wants to be called.
-    fn turn(&mut self, party: Party) -> Result<(), (String, String)> {
+    fn turn(&mut self, party: Participant) -> Result<(), (String, String)> {
         let now = self.now;
         let mut out = Vec::new();
         let mut done = Ok(());
         let wake = match party {
-            Party::Front(nth) => {
+            Participant::Front(nth) => {
                 let nth = usize::from(nth);
                 done = self.fronts[nth].turn(now);
                 let halted = self.fronts[nth].halted;
@@ -302,7 +313,7 @@
                 }
                 self.fronts[nth].wake(now)
             }
-            Party::Server(nth) => match &mut self.servers[usize::from(nth)] {
+            Participant::Server(nth) => match &mut self.servers[usize::from(nth)] {
                 Some(server) => played(server, now, &mut out),
                 None => None,
             },
@@ -318,7 +329,7 @@
         done
     }
 
-    fn set_alarm(&mut self, party: Party, wake: Option<Moment>) {
+    fn set_alarm(&mut self, party: Participant, wake: Option<Moment>) {
         if let Some(before) = self.alarm_of.remove(&party) {
             self.alarms.remove(&(before, party));
         }
@@ -338,22 +349,22 @@
     }
 
     fn act(&mut self, act: Act) -> Result<(), (String, String)> {
-        self.note(&format!("{act:?}"), Party::Rig, b"");
+        self.note(&format!("{act:?}"), Participant::Rig, b"");
         match act {
             Act::Kill(party) => {
-                self.mark(format!("kill {}", party.shown()));
+                self.mark(format!("kill {}", party.capture_address()));
                 match party {
-                    Party::Front(nth) => self.fronts[usize::from(nth)].kill(&mut self.chance),
-                    Party::Server(nth) => self.servers[usize::from(nth)] = None,
+                    Participant::Front(nth) => self.fronts[usize::from(nth)].kill(&mut self.chance),
+                    Participant::Server(nth) => self.servers[usize::from(nth)] = None,
                     _ => {}
                 }
                 self.set_alarm(party, None);
             }
             Act::Start(party) => {
-                self.mark(format!("begin {}", party.shown()));
+                self.mark(format!("begin {}", party.capture_address()));
                 match party {
-                    Party::Front(nth) => self.start_front(usize::from(nth)),
-                    Party::Server(nth) => {
+                    Participant::Front(nth) => self.start_front(usize::from(nth)),
+                    Participant::Server(nth) => {
                         let seen = (0..self.day.fronts).map(|nth| address(front(nth))).collect();
                         let (nth, start) = (usize::from(nth), START + LEAD);
                         let name = server_name(nth);
@@ -365,12 +376,12 @@
                 return self.turn(party);
             }
             Act::Halt(nth) => {
-                self.mark(format!("halt {}", front(nth).shown()));
+                self.mark(format!("halt {}", front(nth).capture_address()));
                 self.fronts[nth].halted = self.fronts[nth].process.is_some();
                 self.set_alarm(front(nth), None);
             }
             Act::Resume(nth) => {
-                self.mark(format!("resume {}", front(nth).shown()));
+                self.mark(format!("resume {}", front(nth).capture_address()));
                 self.fronts[nth].halted = false;
                 return self.turn(front(nth));
             }
@@ -422,22 +433,22 @@
     machine.commission.listen
 }
 
-fn front(nth: usize) -> Party {
-    Party::Front(nth as u16)
+fn front(nth: usize) -> Participant {
+    Participant::Front(nth as u16)
 }
 
-fn server(nth: usize) -> Party {
-    Party::Server(nth as u16)
+fn server(nth: usize) -> Participant {
+    Participant::Server(nth as u16)
 }
 
-fn judge(deciding: Deciding, commission: &FrontConfig, now: Moment) -> Box<dyn CallPolicy + Send> {
+fn judge(deciding: PolicyKind, commission: &FrontConfig, now: Moment) -> Box<dyn CallPolicy + Send> {
     let provision = &commission.controller;
     let target = provision.services.iter().map(|own| own.post_dial_target).max().unwrap_or_default();
     let baseline = |policy| Box::new(Baseline::new(policy, provision.resend_delay, target, provision.seed));
     match deciding {
-        Deciding::Module => Box::new(Controller::new(provision, now)),
-        Deciding::Random => baseline(Policy::Random),
-        Deciding::Unbounded => baseline(Policy::Unbounded),
+        PolicyKind::Controller => Box::new(Controller::new(provision, now)),
+        PolicyKind::Random => baseline(BaselineKind::Random),
+        PolicyKind::Unbounded => baseline(BaselineKind::Unbounded),
     }
 }
 
--- a/crates/ochrelead-sim/tests/console.rs
+++ b/crates/ochrelead-sim/tests/console.rs
@@ -8,7 +8,7 @@
 use ochrelead_console::watch::Watch;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_event_log::reader::Record;
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::policy::PolicyKind;
 use ochrelead_sim::play::play;
 use ochrelead_sim::world::{Keep, LEAD, START};
 use test_case::test_case;
@@ -21,8 +21,8 @@
 fn shown_after(day: &Scenario) -> Option<f64> {
     let trouble = day.faults.iter().find(|own| own.kind == FaultKind::Silent).unwrap();
     let begins = START + LEAD + trouble.start;
-    let name = ochrelead_scenario::world::server_name(trouble.targets[0]);
-    let outcome = play(day, Deciding::Module, Keep { records: true, ..Keep::default() }).unwrap();
+    let name = ochrelead_scenario::participant::server_name(trouble.targets[0]);
+    let outcome = play(day, PolicyKind::Controller, Keep { records: true, ..Keep::default() }).unwrap();
     // By when the disk has them.
     let mut arrive: BTreeMap<u64, Vec<Record>> = BTreeMap::new();
     for record in outcome.logs.into_iter().flatten() {
--- a/crates/ochrelead-sim/tests/replay.rs
+++ b/crates/ochrelead-sim/tests/replay.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::process::Command;
 
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::policy::PolicyKind;
 use ochrelead_sim::play::{Outcome, play};
 use ochrelead_sim::schedule::{drawn, read};
 use ochrelead_sim::world::Keep;
@@ -13,7 +13,7 @@
 
 fn outcome(seed: u64, trace: bool) -> Outcome {
     let keep = Keep { sights: true, trace, records: trace };
-    play(&read(&drawn(seed)).unwrap(), Deciding::Module, keep).unwrap()
+    play(&read(&drawn(seed)).unwrap(), PolicyKind::Controller, keep).unwrap()
 }
 
 #[test_case(3)]
--- a/crates/ochrelead-sim/tests/resent.rs
+++ b/crates/ochrelead-sim/tests/resent.rs
@@ -7,8 +7,8 @@
 use ochrelead_config::scenario;
 use ochrelead_mgcp::message::{Message, Verb, parameter};
 use ochrelead_mgcp::parse;
-use ochrelead_scenario::party::Party;
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::participant::Participant;
+use ochrelead_scenario::policy::PolicyKind;
 use ochrelead_sim::world::{Honest, Keep, World};
 use test_case::test_case;
 
@@ -34,7 +34,7 @@
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
     let day = scenario::open(&folder.join(day)).unwrap();
     let keep = Keep { sights: true, ..Keep::default() };
-    let mut world = World::new(&day, Deciding::Module, Box::new(Honest), keep).unwrap();
+    let mut world = World::new(&day, PolicyKind::Controller, Box::new(Honest), keep).unwrap();
     while let Some(step) = world.step() {
         step.unwrap();
     }
@@ -42,13 +42,13 @@
     let (mut again, mut off) = (BTreeSet::new(), BTreeSet::new());
     let mut lines = BTreeMap::new();
     let (mut invites, mut calls) = (BTreeSet::new(), BTreeSet::new());
-    let mut sent: BTreeMap<(Party, String), u32> = BTreeMap::new();
+    let mut sent: BTreeMap<(Participant, String), u32> = BTreeMap::new();
     for sight in &world.sights {
         for message in parse::datagram(&sight.bytes).into_iter().flatten().flatten() {
             let Message::Command(command) = message else { continue };
             let of = |field: &str| command.parameters.get(field).unwrap_or("").to_owned();
-            match (sight.from, sight.to, command.verb, sight.reached) {
-                (Party::Gateway, _, Verb::Notify, true)
+            match (sight.from, sight.to, command.verb, sight.delivered) {
+                (Participant::Gateway, _, Verb::Notify, true)
                     if of(parameter::OBSERVED_EVENTS).contains("L/hd") =>
                 {
                     // The stand-in callers keep one line for all their tries.
@@ -57,13 +57,13 @@
                         again.insert(of(parameter::ATTEMPT));
                     }
                 }
-                (front, Party::Server(_), Verb::DeleteConnection, false) => {
+                (front, Participant::Server(_), Verb::DeleteConnection, false) => {
                     off.insert((front, of(parameter::CALL_ID)));
                 }
-                (front, Party::Server(_), Verb::CreateConnection, false) => {
+                (front, Participant::Server(_), Verb::CreateConnection, false) => {
                     *sent.entry((front, of(parameter::CALL_ID))).or_default() += 1;
                 }
-                (front, Party::Server(_), Verb::CreateConnection, true) => {
+                (front, Participant::Server(_), Verb::CreateConnection, true) => {
                     let call = (front, of(parameter::CALL_ID));
                     layers.called_off += u32::from(off.contains(&call));
                     if !invites.insert((front, command.transaction)) {
--- a/crates/ochrelead-sim/tests/sabotage.rs
+++ b/crates/ochrelead-sim/tests/sabotage.rs
@@ -7,7 +7,7 @@
 use ochrelead_discovery::persistence::PersistedEndpoints;
 use ochrelead_discovery::server_table::SelfReport;
 use ochrelead_host::call_policy::CallPolicy;
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::policy::PolicyKind;
 use ochrelead_sim::play::meddled;
 use ochrelead_sim::schedule::{Sheet, drawn, read};
 use ochrelead_sim::shrink::shrink;
@@ -91,7 +91,7 @@
 fn broken(sheet: &Sheet, meddler: &impl Fn() -> Box<dyn Meddler>) -> Option<String> {
     let keep = Keep { sights: true, ..Keep::default() };
     let day = read(sheet).ok()?;
-    meddled(&day, Deciding::Module, keep, meddler()).unwrap().violation.map(|own| own.kind)
+    meddled(&day, PolicyKind::Controller, keep, meddler()).unwrap().violation.map(|own| own.kind)
 }
 
 fn is_found(meddler: impl Fn() -> Box<dyn Meddler>, most: u64, kinds: &[&str]) {
