--- a/crates/ochrelead-scenario/src/baseline.rs
+++ b/crates/ochrelead-scenario/src/baseline.rs
@@ -1,7 +1,7 @@
 //! Textbook policies in the module's place, for comparison only.
 //!
-//! They keep the rules that cost them nothing: one INVITE at a time, the release awaited, no new call to a server that
-//! leaves. Neither of them considers load.
+//! They are meant to keep the rules that cost them nothing: one INVITE at a time, the release awaited, no new call to a
+//! server that leaves. Neither of them considers load.
 
 use std::collections::{BTreeMap, BTreeSet};
 
