--- a/crates/ochrelead-sim/src/commands.rs
+++ b/crates/ochrelead-sim/src/commands.rs
@@ -15,7 +15,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use ochrelead_config::document::Document;
 use ochrelead_config::scenario::{self, Scenario};
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::policy::PolicyKind;
 use ochrelead_sim::error::InvalidDocument;
 use ochrelead_sim::generator::{self, ScenarioFile};
 use ochrelead_sim::run::{self, Outcome};
@@ -44,7 +44,7 @@
 /// Simulates a scenario with the module, and checks all invariants.
 pub(crate) fn check(file: &ScenarioFile, trace: bool) -> anyhow::Result<Outcome> {
     let options = RecordingOptions { datagrams: true, trace, event_logs: false };
-    Ok(run::run(&generator::parse(file)?, Deciding::Module, options)?)
+    Ok(run::run(&generator::parse(file)?, PolicyKind::Controller, options)?)
 }
 
 /// Calls `run` for each index below `count`, on several threads, with a progress bar over so many `unit`s. Returns the
--- a/crates/ochrelead-sim/src/commands/diagnosis.rs
+++ b/crates/ochrelead-sim/src/commands/diagnosis.rs
@@ -5,8 +5,8 @@
 use std::path::PathBuf;
 
 use ochrelead_config::scenario::Scenario;
-use ochrelead_scenario::found::{self, Tally};
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::detection::{self, DetectionTally};
+use ochrelead_scenario::policy::PolicyKind;
 use ochrelead_sim::run;
 use ochrelead_sim::world::{LEAD, RecordingOptions, START};
 
@@ -23,26 +23,26 @@
     let options = RecordingOptions { event_logs: true, ..RecordingOptions::default() };
     let diagnoses = parallel_map(scenarios.len() as u64, cores(), "days", |index, _| {
         let scenario = &scenarios[index as usize];
-        let outcome = run::run(scenario, Deciding::Module, options)?;
-        Ok(found::of_logs(scenario, outcome.logs, START + LEAD, marred.then_some(scenario.seed)))
+        let outcome = run::run(scenario, PolicyKind::Controller, options)?;
+        Ok(detection::compare_logs(scenario, outcome.logs, START + LEAD, marred.then_some(scenario.seed)))
     })?;
-    let mut tally: BTreeMap<_, Tally> = BTreeMap::new();
-    diagnoses.iter().for_each(|diagnosis| found::count(&mut tally, diagnosis));
+    let mut tally: BTreeMap<_, DetectionTally> = BTreeMap::new();
+    diagnoses.iter().for_each(|diagnosis| detection::add_to_tallies(&mut tally, diagnosis));
     println!("{} days; onset off: middle, and nine in ten", scenarios.len());
     println!(
         "{:<38} {:>8} {:>6} {:>9} {:>7} {:>10}",
         "kind", "scripted", "found", "invented", "middle", "nine in 10"
     );
-    for (kind, Tally { scripted, found, invented, onsets }) in &mut tally {
-        onsets.sort_by(f64::total_cmp);
-        let (middle, nine_in_ten) = (quantile(onsets, 0.5), quantile(onsets, 0.9));
+    for (kind, DetectionTally { scripted, detected, false_positives, onset_errors }) in &mut tally {
+        onset_errors.sort_by(f64::total_cmp);
+        let (middle, nine_in_ten) = (quantile(onset_errors, 0.5), quantile(onset_errors, 0.9));
         println!(
-            "{:<38} {scripted:>8} {found:>6} {invented:>9} {middle:>5.1} s {nine_in_ten:>8.1} s",
+            "{:<38} {scripted:>8} {detected:>6} {false_positives:>9} {middle:>5.1} s {nine_in_ten:>8.1} s",
             kind.name()
         );
     }
     println!("on simulated servers");
-    Ok(tally.values().all(|tally| tally.found == tally.scripted && tally.invented == 0))
+    Ok(tally.values().all(|tally| tally.detected == tally.scripted && tally.false_positives == 0))
 }
 
 /// The value that this share of the sorted values is below; 0 where there is none.
--- a/crates/ochrelead-sim/src/commands/play.rs
+++ b/crates/ochrelead-sim/src/commands/play.rs
@@ -6,7 +6,7 @@
 use anyhow::Context;
 use ochrelead_event_log::reader::Log;
 use ochrelead_event_log::writer::{Bounds, Recorder};
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::policy::PolicyKind;
 use ochrelead_sim::run;
 use ochrelead_sim::world::RecordingOptions;
 
@@ -20,17 +20,17 @@
         "{:<12} {:>7} {:>11} {:>9} {:>12} {:>10}",
         "service", "whole", "worst 10 s", "events", "rules", "x real"
     );
-    let policies = if module_alone { &Deciding::ALL[..1] } else { &Deciding::ALL[..] };
-    for &(name, deciding) in policies {
+    let policies = if module_alone { &PolicyKind::ALL[..1] } else { &PolicyKind::ALL[..] };
+    for &(name, policy_kind) in policies {
         let began = Instant::now();
-        let is_module = deciding == Deciding::Module;
+        let is_module = policy_kind == PolicyKind::Controller;
         let event_logs = is_module && records.is_some();
         let options = RecordingOptions { datagrams: true, trace: false, event_logs };
-        let outcome = run::run(&scenario, deciding, options)?;
+        let outcome = run::run(&scenario, policy_kind, options)?;
         let speed = outcome.simulated_s / began.elapsed().as_secs_f64().max(1e-3);
         let rules =
             outcome.violation.as_ref().map_or("kept".to_owned(), |violation| violation.kind().to_string());
-        let (whole, worst) = (outcome.service.whole, outcome.service.worst_window);
+        let (whole, worst) = (outcome.service.overall, outcome.service.worst_window);
         println!("{name:<12} {whole:>7.3} {worst:>11.3} {:>9} {rules:>12} {speed:>10.1}", outcome.steps);
         if !is_module {
             continue;
--- a/crates/ochrelead-sim/src/commands/replay.rs
+++ b/crates/ochrelead-sim/src/commands/replay.rs
@@ -20,7 +20,7 @@
     if let Some(step) = step {
         print_trace(&outcome.trace, step);
     }
-    let service = outcome.service.whole;
+    let service = outcome.service.overall;
     println!("{} events, sum {:08x}, service {service:.3}", outcome.steps, outcome.checksum);
     let Some(violation) = &outcome.violation else {
         println!("all rules kept, all books balance; on simulated servers");
--- a/crates/ochrelead-sim/src/experiment.rs
+++ b/crates/ochrelead-sim/src/experiment.rs
@@ -10,7 +10,7 @@
 use ochrelead_config::faults::FaultKind;
 use ochrelead_config::scenario::{self, Scenario};
 use ochrelead_config::schema;
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::policy::PolicyKind;
 use thiserror::Error;
 
 use crate::error::{InvalidDocument, SimulationError};
@@ -26,7 +26,7 @@
 const MAX_REPEATS: f64 = 10_000.0;
 
 /// A policy, with the name that files and tables have for it.
-type NamedPolicy = (&'static str, Deciding);
+type NamedPolicy = (&'static str, PolicyKind);
 
 /// Why an experiment can't be run.
 #[derive(Debug, Error)]
@@ -83,7 +83,7 @@
     pub scenario: Scenario,
     /// The name of the policy that decides.
     pub policy: &'static str,
-    deciding: Deciding,
+    policy_kind: PolicyKind,
 }
 
 /// What came of one run.
@@ -178,8 +178,8 @@
         }
         scenario.front.controller.fronts = size.fronts as u32;
         scenario.front_settings.fronts = Some(size.fronts as u32);
-        let (policy, deciding) = policy;
-        Case { scenario, policy, deciding }
+        let (policy, policy_kind) = policy;
+        Case { scenario, policy, policy_kind }
     }
 }
 
@@ -187,16 +187,16 @@
 fn policies(grid: &schema::Experiment, document: &mut Document) -> Vec<NamedPolicy> {
     let mut policies = Vec::new();
     for (index, name) in grid.policy.iter().enumerate() {
-        match Deciding::ALL.iter().find(|(known, _)| known == name) {
+        match PolicyKind::ALL.iter().find(|(known, _)| known == name) {
             Some(policy) => policies.push(*policy),
             None => {
-                let names = Deciding::ALL.map(|(name, _)| name).join(", ");
+                let names = PolicyKind::ALL.map(|(name, _)| name).join(", ");
                 let message = format!("policy is {name:?}; it must be one of {names}");
                 document.report(&format!("policy[{index}]"), message);
             }
         }
     }
-    if policies.is_empty() { Deciding::ALL.to_vec() } else { policies }
+    if policies.is_empty() { PolicyKind::ALL.to_vec() } else { policies }
 }
 
 fn check_grid(grid: &schema::Experiment, document: &mut Document) {
@@ -227,9 +227,9 @@
     /// Where the simulation can't begin.
     pub fn run(&self) -> Result<CaseResult, SimulationError> {
         let options = RecordingOptions { datagrams: true, ..RecordingOptions::default() };
-        let outcome = run(&self.scenario, self.deciding, options)?;
+        let outcome = run(&self.scenario, self.policy_kind, options)?;
         Ok(CaseResult {
-            service: outcome.service.whole,
+            service: outcome.service.overall,
             worst_window: outcome.service.worst_window,
             ceiling: outcome.service.ceiling,
             offered: outcome.service.offered,
--- a/crates/ochrelead-sim/src/lib.rs
+++ b/crates/ochrelead-sim/src/lib.rs
@@ -13,14 +13,14 @@
 //! - [`error`]: why a scenario can't be simulated.
 //!
 //! ```
-//! use ochrelead_scenario::world::Deciding;
+//! use ochrelead_scenario::policy::PolicyKind;
 //! use ochrelead_sim::generator;
 //! use ochrelead_sim::run::run;
 //! use ochrelead_sim::world::RecordingOptions;
 //!
 //! let scenario = generator::parse(&generator::generate(1))?;
 //! let options = RecordingOptions { datagrams: true, ..RecordingOptions::default() };
-//! let outcome = run(&scenario, Deciding::Module, options)?;
+//! let outcome = run(&scenario, PolicyKind::Controller, options)?;
 //! assert_eq!(outcome.violation, None);
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
--- a/crates/ochrelead-sim/src/run.rs
+++ b/crates/ochrelead-sim/src/run.rs
@@ -3,8 +3,8 @@
 use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_event_log::reader::Log;
-use ochrelead_scenario::audit::{self, Service};
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::audit::{self, ServiceLevel};
+use ochrelead_scenario::policy::PolicyKind;
 
 use crate::error::SimulationError;
 use crate::mutation::{Mutation, NoMutation};
@@ -26,7 +26,7 @@
     /// The first violated invariant.
     pub violation: Option<Violation>,
     /// What was served, where datagrams were recorded.
-    pub service: Service,
+    pub service: ServiceLevel,
     /// The simulated seconds, without those after the scenario's end.
     pub simulated_s: f64,
     /// Every event as a line, where the trace was recorded.
@@ -44,10 +44,10 @@
 /// Where the simulation can't begin.
 pub fn run(
     scenario: &Scenario,
-    deciding: Deciding,
+    policy_kind: PolicyKind,
     options: RecordingOptions,
 ) -> Result<Outcome, SimulationError> {
-    run_mutated(scenario, deciding, options, Box::new(NoMutation))
+    run_mutated(scenario, policy_kind, options, Box::new(NoMutation))
 }
 
 /// Simulates a scenario with something changed on purpose.
@@ -57,12 +57,12 @@
 /// Where the simulation can't begin.
 pub fn run_mutated(
     scenario: &Scenario,
-    deciding: Deciding,
+    policy_kind: PolicyKind,
     options: RecordingOptions,
     mutation: Box<dyn Mutation>,
 ) -> Result<Outcome, SimulationError> {
-    let mut world = World::new(scenario, deciding, mutation, options)?;
-    let mut violation = run_steps(&mut world, deciding);
+    let mut world = World::new(scenario, policy_kind, mutation, options)?;
+    let mut violation = run_steps(&mut world, policy_kind);
     let mut outcome = Outcome {
         steps: world.step_count(),
         checksum: world.checksum(),
@@ -71,12 +71,12 @@
     };
     if options.datagrams && !world.datagrams().is_empty() {
         let verdict = audit::audit(scenario, world.datagrams());
-        outcome.service = verdict.service;
-        let breach = verdict.breaches.into_iter().next().map(|breach| Violation {
-            step: world.step_at(breach.at),
-            time: breach.at,
-            subject: breach.of,
-            cause: ViolationCause::Rule { rule: breach.rule, detail: breach.how },
+        outcome.service = verdict.service_level;
+        let breach = verdict.violations.into_iter().next().map(|breach| Violation {
+            step: world.step_at(breach.time),
+            time: breach.time,
+            subject: breach.subject,
+            cause: ViolationCause::Rule { rule: breach.rule.number(), detail: breach.description },
         });
         violation = earlier(violation, breach);
         outcome.context = violation.as_ref().map_or_else(Vec::new, |violation| context(&world, violation));
@@ -87,9 +87,9 @@
 }
 
 /// Simulates to the end, or to the first violation.
-fn run_steps(world: &mut World, deciding: Deciding) -> Option<Violation> {
+fn run_steps(world: &mut World, policy_kind: PolicyKind) -> Option<Violation> {
     // The baselines keep no limits: their scenarios run to the end whatever they violate.
-    let is_checked = deciding == Deciding::Module;
+    let is_checked = policy_kind == PolicyKind::Controller;
     while let Some(result) = world.step() {
         if let Err(violation) = result
             && is_checked
@@ -111,14 +111,14 @@
 
 /// The last datagrams that name the subject of a violation, and what the script did.
 fn context(world: &World, violation: &Violation) -> Vec<String> {
-    let start = world.datagrams().first().map_or(Moment::START, |datagram| datagram.at) + LEAD;
+    let start = world.datagrams().first().map_or(Moment::START, |datagram| datagram.time) + LEAD;
     let until = start + violation.time.since(Moment::START) + TIME_TOLERANCE;
-    let datagrams = world.datagrams().iter().filter(|datagram| datagram.at <= until);
+    let datagrams = world.datagrams().iter().filter(|datagram| datagram.time <= until);
     let lines = datagrams.filter_map(|datagram| {
         let text = String::from_utf8_lossy(&datagram.bytes);
         let is_concerned = text.contains(&violation.subject) || datagram.from == datagram.to;
-        let ms = datagram.at.since(start).micros() as f64 / 1e3;
-        let direction = if datagram.reached { "reached" } else { "left" };
+        let ms = datagram.time.since(start).micros() as f64 / 1e3;
+        let direction = if datagram.delivered { "reached" } else { "left" };
         let first_line = text.lines().next().unwrap_or("");
         let (from, to) = (datagram.from, datagram.to);
         is_concerned.then(|| format!("{ms:>10.3} ms {direction:>7} {from:?} to {to:?}: {first_line}"))
--- a/crates/ochrelead-sim/src/world.rs
+++ b/crates/ochrelead-sim/src/world.rs
@@ -17,9 +17,10 @@
 use ochrelead_emulator::network::{Datagram, Network, link_faults};
 use ochrelead_emulator::server::Server;
 use ochrelead_event_log::reader::Log;
-use ochrelead_scenario::capture::Sight;
-use ochrelead_scenario::party::Party;
-use ochrelead_scenario::world::{Deciding, server_name};
+use ochrelead_scenario::capture::CapturedDatagram;
+use ochrelead_scenario::participant::Participant;
+use ochrelead_scenario::participant::server_name;
+use ochrelead_scenario::policy::PolicyKind;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -53,32 +54,32 @@
 pub struct World {
     scenario: Scenario,
     step: Step,
-    deciding: Deciding,
+    policy_kind: PolicyKind,
     mutation: Box<dyn Mutation>,
     fronts: Vec<FrontMachine>,
     /// None while a server's process is killed.
     servers: Vec<Option<Server>>,
     callers: Callers,
-    network: Network<Party>,
+    network: Network<Participant>,
     alarms: Alarms,
     script: VecDeque<(Moment, ScriptedEvent)>,
-    addresses: BTreeMap<SocketAddr, Party>,
+    addresses: BTreeMap<SocketAddr, Participant>,
     rng: Pcg64Mcg,
     recorder: Recorder,
     finished: bool,
 }
 
 /// The address at which the others see a party.
-fn address(party: Party) -> SocketAddr {
-    party.shown().into()
+fn address(party: Participant) -> SocketAddr {
+    party.capture_address().into()
 }
 
-fn front(index: usize) -> Party {
-    Party::Front(index as u16)
+fn front(index: usize) -> Participant {
+    Participant::Front(index as u16)
 }
 
-fn server(index: usize) -> Party {
-    Party::Server(index as u16)
+fn server(index: usize) -> Participant {
+    Participant::Server(index as u16)
 }
 
 impl World {
@@ -89,7 +90,7 @@
     /// Where the scenario gives no valid configuration for a front, or an invariant is violated already.
     pub fn new(
         scenario: &Scenario,
-        deciding: Deciding,
+        policy_kind: PolicyKind,
         mutation: Box<dyn Mutation>,
         options: RecordingOptions,
     ) -> Result<World, SimulationError> {
@@ -102,10 +103,10 @@
         }
         let emulated_server = |index| Some(setup::emulated_server(scenario, index, START, false));
         let parties = (0..scenario.fronts).map(front).chain((0..scenario.servers.len()).map(server));
-        let faults = link_faults(scenario, start, front, server, Party::Gateway);
+        let faults = link_faults(scenario, start, front, server, Participant::Gateway);
         let mut world = World {
             step: Step { number: 0, time: START },
-            deciding,
+            policy_kind,
             mutation,
             fronts,
             servers: (0..scenario.servers.len()).map(emulated_server).collect(),
@@ -113,7 +114,7 @@
             network: Network::new(scenario.network, faults, scenario.seed),
             alarms: Alarms::default(),
             script: script::script(scenario, start),
-            addresses: parties.chain([Party::Gateway]).map(|party| (address(party), party)).collect(),
+            addresses: parties.chain([Participant::Gateway]).map(|party| (address(party), party)).collect(),
             rng: Pcg64Mcg::seed_from_u64(scenario.seed ^ FRONT_SEED_SALT),
             recorder: Recorder::new(options),
             finished: false,
@@ -134,7 +135,7 @@
             self.start_front(index);
         }
         let servers = (0..self.servers.len()).map(server);
-        servers.chain([Party::Gateway]).try_for_each(|party| self.process(party))
+        servers.chain([Participant::Gateway]).try_for_each(|party| self.process(party))
     }
 
     /// Does the next thing; none where the simulation is over.
@@ -176,7 +177,7 @@
     }
 
     /// The captured datagrams.
-    pub fn datagrams(&self) -> &[Sight] {
+    pub fn datagrams(&self) -> &[CapturedDatagram] {
         &self.recorder.datagrams
     }
 
@@ -235,8 +236,8 @@
         }
     }
 
-    fn deliver(&mut self, from: Party, to: Party, bytes: Vec<u8>) -> Result<(), InvariantError> {
-        if let Party::Front(index) = to
+    fn deliver(&mut self, from: Participant, to: Participant, bytes: Vec<u8>) -> Result<(), InvariantError> {
+        if let Participant::Front(index) = to
             && !self.fronts[usize::from(index)].can_receive()
         {
             self.recorder.event(self.step, "lost", to, &bytes);
@@ -245,12 +246,12 @@
         self.recorder.received(self.step, from, to, &bytes);
         let (sender, now) = (address(from), self.step.time);
         match to {
-            Party::Front(index) => {
+            Participant::Front(index) => {
                 let index = usize::from(index);
                 let Some(bytes) = self.mutation.on_receive(index, bytes) else { return Ok(()) };
                 self.fronts[index].receive(sender, bytes);
             }
-            Party::Server(index) => {
+            Participant::Server(index) => {
                 let Some(server) = &mut self.servers[usize::from(index)] else { return Ok(()) };
                 server.handle_datagram(now, sender, &bytes);
             }
@@ -260,18 +261,18 @@
     }
 
     /// Lets a party do what is due, carries what it sends, and sets its alarm.
-    fn process(&mut self, party: Party) -> Result<(), InvariantError> {
+    fn process(&mut self, party: Participant) -> Result<(), InvariantError> {
         let now = self.step.time;
         let mut datagrams = Vec::new();
         let mut result = Ok(());
         let timeout = match party {
-            Party::Front(index) => {
+            Participant::Front(index) => {
                 let index = usize::from(index);
                 result = self.fronts[index].process(now);
                 self.poll_front(index, &mut datagrams);
                 self.fronts[index].poll_timeout(now)
             }
-            Party::Server(index) => match &mut self.servers[usize::from(index)] {
+            Participant::Server(index) => match &mut self.servers[usize::from(index)] {
                 Some(server) => process_peer(server, now, &mut datagrams),
                 None => None,
             },
@@ -295,9 +296,9 @@
     }
 
     fn start_front(&mut self, index: usize) {
-        let (deciding, mutation) = (self.deciding, &self.mutation);
+        let (policy_kind, mutation) = (self.policy_kind, &self.mutation);
         let policy = |config: &FrontConfig, local_now| {
-            mutation.wrap_policy(setup::call_policy(deciding, config, local_now))
+            mutation.wrap_policy(setup::call_policy(policy_kind, config, local_now))
         };
         let restore = |persisted| mutation.on_restore(persisted);
         let now = self.step.time;
@@ -307,7 +308,7 @@
     }
 
     fn run_scripted(&mut self, event: ScriptedEvent) -> Result<(), InvariantError> {
-        self.recorder.event(self.step, &event.to_string(), Party::Rig, b"");
+        self.recorder.event(self.step, &event.to_string(), Participant::Rig, b"");
         match event {
             ScriptedEvent::KillProcess(party) => self.kill_process(party),
             ScriptedEvent::StartProcess(party) => return self.start_process(party),
@@ -335,21 +336,21 @@
         Ok(())
     }
 
-    fn kill_process(&mut self, party: Party) {
+    fn kill_process(&mut self, party: Participant) {
         self.mark("kill", party);
         match party {
-            Party::Front(index) => self.fronts[usize::from(index)].kill(&mut self.rng),
-            Party::Server(index) => self.servers[usize::from(index)] = None,
+            Participant::Front(index) => self.fronts[usize::from(index)].kill(&mut self.rng),
+            Participant::Server(index) => self.servers[usize::from(index)] = None,
             _ => {}
         }
         self.alarms.set(party, None);
     }
 
-    fn start_process(&mut self, party: Party) -> Result<(), InvariantError> {
+    fn start_process(&mut self, party: Participant) -> Result<(), InvariantError> {
         self.mark("begin", party);
         match party {
-            Party::Front(index) => self.start_front(usize::from(index)),
-            Party::Server(index) => {
+            Participant::Front(index) => self.start_front(usize::from(index)),
+            Participant::Server(index) => {
                 let index = usize::from(index);
                 let server = setup::emulated_server(&self.scenario, index, self.step.time, true);
                 self.servers[index] = Some(server);
@@ -360,8 +361,8 @@
     }
 
     /// Tells the auditor what is done to a process.
-    fn mark(&mut self, action: &str, party: Party) {
-        self.recorder.mark(self.step, &format!("{action} {}", party.shown()));
+    fn mark(&mut self, action: &str, party: Participant) {
+        self.recorder.mark(self.step, &format!("{action} {}", party.capture_address()));
     }
 }
 
--- a/crates/ochrelead-sim/src/world/alarms.rs
+++ b/crates/ochrelead-sim/src/world/alarms.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use ochrelead_core::time::Moment;
-use ochrelead_scenario::party::Party;
+use ochrelead_scenario::participant::Participant;
 
 /// One alarm at the most for each party.
 #[derive(Default)]
 pub(super) struct Alarms {
-    queue: BTreeSet<(Moment, Party)>,
-    by_party: BTreeMap<Party, Moment>,
+    queue: BTreeSet<(Moment, Participant)>,
+    by_party: BTreeMap<Participant, Moment>,
 }
 
 impl Alarms {
@@ -19,14 +19,14 @@
     }
 
     /// Takes the first.
-    pub(super) fn pop(&mut self) -> Option<Party> {
+    pub(super) fn pop(&mut self) -> Option<Participant> {
         let (_, party) = self.queue.pop_first()?;
         self.by_party.remove(&party);
         Some(party)
     }
 
     /// Replaces a party's alarm.
-    pub(super) fn set(&mut self, party: Party, time: Option<Moment>) {
+    pub(super) fn set(&mut self, party: Participant, time: Option<Moment>) {
         if let Some(former) = self.by_party.remove(&party) {
             self.queue.remove(&(former, party));
         }
--- a/crates/ochrelead-sim/src/world/recorder.rs
+++ b/crates/ochrelead-sim/src/world/recorder.rs
@@ -3,8 +3,8 @@
 use std::fmt::Write;
 
 use ochrelead_core::time::Moment;
-use ochrelead_scenario::capture::Sight;
-use ochrelead_scenario::party::Party;
+use ochrelead_scenario::capture::CapturedDatagram;
+use ochrelead_scenario::participant::Participant;
 
 use super::{RecordingOptions, START};
 
@@ -20,7 +20,7 @@
 /// Keeps what the options ask for. The checksum is of all events, whether they are kept or not.
 pub(super) struct Recorder {
     options: RecordingOptions,
-    pub(super) datagrams: Vec<Sight>,
+    pub(super) datagrams: Vec<CapturedDatagram>,
     /// The step of each datagram.
     steps: Vec<u64>,
     pub(super) trace: String,
@@ -39,7 +39,7 @@
     }
 
     /// An event: its name in the trace, the party concerned, and the datagram if it is about one.
-    pub(super) fn event(&mut self, step: Step, name: &str, party: Party, bytes: &[u8]) {
+    pub(super) fn event(&mut self, step: Step, name: &str, party: Participant, bytes: &[u8]) {
         let party = format!("{party:?}");
         self.checksum.update(&step.time.micros().to_le_bytes());
         self.checksum.update(name.as_bytes());
@@ -56,24 +56,30 @@
     }
 
     /// A datagram leaves a party.
-    pub(super) fn sent(&mut self, step: Step, from: Party, to: Party, bytes: &[u8]) {
+    pub(super) fn sent(&mut self, step: Step, from: Participant, to: Participant, bytes: &[u8]) {
         self.event(step, "leaves", from, bytes);
-        self.capture(|| Sight { at: step.time, from, to, reached: false, bytes: bytes.to_vec() }, step);
+        self.capture(
+            || CapturedDatagram { time: step.time, from, to, delivered: false, bytes: bytes.to_vec() },
+            step,
+        );
     }
 
     /// A datagram reaches a party.
-    pub(super) fn received(&mut self, step: Step, from: Party, to: Party, bytes: &[u8]) {
+    pub(super) fn received(&mut self, step: Step, from: Participant, to: Participant, bytes: &[u8]) {
         self.event(step, "reaches", to, bytes);
-        self.capture(|| Sight { at: step.time, from, to, reached: true, bytes: bytes.to_vec() }, step);
+        self.capture(
+            || CapturedDatagram { time: step.time, from, to, delivered: true, bytes: bytes.to_vec() },
+            step,
+        );
     }
 
     /// A mark for the auditor among the captured datagrams.
     pub(super) fn mark(&mut self, step: Step, text: &str) {
-        let (from, to, bytes) = (Party::Rig, Party::Rig, text.as_bytes().to_vec());
-        self.capture(|| Sight { at: step.time, from, to, reached: false, bytes }, step);
+        let (from, to, bytes) = (Participant::Rig, Participant::Rig, text.as_bytes().to_vec());
+        self.capture(|| CapturedDatagram { time: step.time, from, to, delivered: false, bytes }, step);
     }
 
-    fn capture(&mut self, datagram: impl FnOnce() -> Sight, step: Step) {
+    fn capture(&mut self, datagram: impl FnOnce() -> CapturedDatagram, step: Step) {
         if self.options.datagrams {
             self.steps.push(step.number);
             self.datagrams.push(datagram());
@@ -87,7 +93,7 @@
 
     /// The step of the first datagram at or after a time.
     pub(super) fn step_at(&self, time: Moment) -> Option<u64> {
-        let index = self.datagrams.partition_point(|datagram| datagram.at < time);
+        let index = self.datagrams.partition_point(|datagram| datagram.time < time);
         self.steps.get(index).copied()
     }
 
--- a/crates/ochrelead-sim/src/world/script.rs
+++ b/crates/ochrelead-sim/src/world/script.rs
@@ -7,7 +7,7 @@
 use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_mgcp::transaction::TransactionConfig;
-use ochrelead_scenario::party::Party;
+use ochrelead_scenario::participant::Participant;
 
 use super::{front, server};
 
@@ -18,8 +18,8 @@
 /// A scripted event. Fronts are named by their index.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum ScriptedEvent {
-    KillProcess(Party),
-    StartProcess(Party),
+    KillProcess(Participant),
+    StartProcess(Participant),
     StallFront(usize),
     ResumeFront(usize),
     SetClock { front: usize, seconds: f64 },
--- a/crates/ochrelead-sim/src/world/setup.rs
+++ b/crates/ochrelead-sim/src/world/setup.rs
@@ -9,8 +9,9 @@
 use ochrelead_core::time::Moment;
 use ochrelead_emulator::server::{Server, ServerConfig};
 use ochrelead_host::call_policy::CallPolicy;
-use ochrelead_scenario::baseline::{Baseline, Policy};
-use ochrelead_scenario::world::{Deciding, server_name};
+use ochrelead_scenario::baseline::{Baseline, BaselineKind};
+use ochrelead_scenario::participant::server_name;
+use ochrelead_scenario::policy::PolicyKind;
 
 use super::{LEAD, START, address, front, server};
 use crate::error::InvalidDocument;
@@ -41,17 +42,17 @@
 
 /// The policy of a front whose clock shows `now`.
 pub(super) fn call_policy(
-    deciding: Deciding,
+    policy_kind: PolicyKind,
     config: &FrontConfig,
     now: Moment,
 ) -> Box<dyn CallPolicy + Send> {
     let controller = &config.controller;
     let target = controller.services.iter().map(|service| service.post_dial_target).max().unwrap_or_default();
     let baseline = |policy| Box::new(Baseline::new(policy, controller.resend_delay, target, controller.seed));
-    match deciding {
-        Deciding::Module => Box::new(Controller::new(controller, now)),
-        Deciding::Random => baseline(Policy::Random),
-        Deciding::Unbounded => baseline(Policy::Unbounded),
+    match policy_kind {
+        PolicyKind::Controller => Box::new(Controller::new(controller, now)),
+        PolicyKind::Random => baseline(BaselineKind::Random),
+        PolicyKind::Unbounded => baseline(BaselineKind::Unbounded),
     }
 }
 
--- a/crates/ochrelead-sim/tests/console.rs
+++ b/crates/ochrelead-sim/tests/console.rs
@@ -8,7 +8,7 @@
 use ochrelead_console::watch::Watch;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_event_log::reader::Record;
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::policy::PolicyKind;
 use ochrelead_sim::run::run;
 use ochrelead_sim::world::{LEAD, RecordingOptions, START};
 use test_case::test_case;
@@ -21,9 +21,9 @@
 fn shown_after(scenario: &Scenario) -> Option<f64> {
     let fault = scenario.faults.iter().find(|fault| fault.kind == FaultKind::Silent).unwrap();
     let begins = START + LEAD + fault.start;
-    let name = ochrelead_scenario::world::server_name(fault.targets[0]);
+    let name = ochrelead_scenario::participant::server_name(fault.targets[0]);
     let options = RecordingOptions { event_logs: true, ..RecordingOptions::default() };
-    let outcome = run(scenario, Deciding::Module, options).unwrap();
+    let outcome = run(scenario, PolicyKind::Controller, options).unwrap();
     // By when the disk has them.
     let mut arrive: BTreeMap<u64, Vec<Record>> = BTreeMap::new();
     for record in outcome.logs.into_iter().flatten() {
--- a/crates/ochrelead-sim/tests/mutations.rs
+++ b/crates/ochrelead-sim/tests/mutations.rs
@@ -8,7 +8,7 @@
 use ochrelead_discovery::persistence::PersistedEndpoints;
 use ochrelead_discovery::server_table::SelfReport;
 use ochrelead_host::call_policy::CallPolicy;
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::policy::PolicyKind;
 use ochrelead_sim::generator::{ScenarioFile, generate, parse};
 use ochrelead_sim::mutation::Mutation;
 use ochrelead_sim::run::run_mutated;
@@ -94,7 +94,7 @@
 /// The kind of the first violation in a scenario, as it is printed.
 fn violation_kind(scenario: &ScenarioFile, mutation: Box<dyn Mutation>) -> Option<String> {
     let options = RecordingOptions { datagrams: true, ..RecordingOptions::default() };
-    let outcome = run_mutated(&parse(scenario).ok()?, Deciding::Module, options, mutation).unwrap();
+    let outcome = run_mutated(&parse(scenario).ok()?, PolicyKind::Controller, options, mutation).unwrap();
     outcome.violation.map(|violation| violation.kind().to_string())
 }
 
--- a/crates/ochrelead-sim/tests/replay.rs
+++ b/crates/ochrelead-sim/tests/replay.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::process::Command;
 
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::policy::PolicyKind;
 use ochrelead_sim::generator::{generate, parse};
 use ochrelead_sim::run::{Outcome, run};
 use ochrelead_sim::world::RecordingOptions;
@@ -13,7 +13,7 @@
 
 fn outcome(seed: u64, trace: bool) -> Outcome {
     let options = RecordingOptions { datagrams: true, trace, event_logs: trace };
-    run(&parse(&generate(seed)).unwrap(), Deciding::Module, options).unwrap()
+    run(&parse(&generate(seed)).unwrap(), PolicyKind::Controller, options).unwrap()
 }
 
 #[test_case(3)]
--- a/crates/ochrelead-sim/tests/retransmissions.rs
+++ b/crates/ochrelead-sim/tests/retransmissions.rs
@@ -7,8 +7,8 @@
 use ochrelead_config::scenario::{self, Scenario};
 use ochrelead_mgcp::message::{Command, Message, Verb, parameter};
 use ochrelead_mgcp::parse;
-use ochrelead_scenario::party::Party;
-use ochrelead_scenario::world::Deciding;
+use ochrelead_scenario::participant::Participant;
+use ochrelead_scenario::policy::PolicyKind;
 use ochrelead_sim::mutation::NoMutation;
 use ochrelead_sim::world::{RecordingOptions, World};
 use test_case::test_case;
@@ -36,7 +36,7 @@
 }
 
 /// A call, by the front that sets it up.
-type Call = (Party, String);
+type Call = (Participant, String);
 
 /// Counts INVITEs in the order in which their datagrams were captured.
 #[derive(Default)]
@@ -46,7 +46,7 @@
     first_attempts: BTreeMap<String, String>,
     redials: BTreeSet<String>,
     released: BTreeSet<Call>,
-    transactions: BTreeSet<(Party, u32)>,
+    transactions: BTreeSet<(Participant, u32)>,
     calls: BTreeSet<Call>,
     sent: BTreeMap<Call, u32>,
 }
@@ -63,7 +63,7 @@
     }
 
     /// An INVITE reaches a server.
-    fn on_invite(&mut self, front: Party, command: &Command) {
+    fn on_invite(&mut self, front: Participant, command: &Command) {
         let call = (front, parameter_value(command, parameter::CALL_ID));
         self.counts.released += u32::from(self.released.contains(&call));
         let is_redial = self.redials.contains(&call.1);
@@ -78,20 +78,20 @@
         }
     }
 
-    fn on_captured(&mut self, from: Party, to: Party, reached: bool, command: &Command) {
+    fn on_captured(&mut self, from: Participant, to: Participant, reached: bool, command: &Command) {
         match (from, to, command.verb, reached) {
-            (Party::Gateway, _, Verb::Notify, true)
+            (Participant::Gateway, _, Verb::Notify, true)
                 if parameter_value(command, parameter::OBSERVED_EVENTS).contains("L/hd") =>
             {
                 self.on_attempt(command);
             }
-            (front, Party::Server(_), Verb::DeleteConnection, false) => {
+            (front, Participant::Server(_), Verb::DeleteConnection, false) => {
                 self.released.insert((front, parameter_value(command, parameter::CALL_ID)));
             }
-            (front, Party::Server(_), Verb::CreateConnection, false) => {
+            (front, Participant::Server(_), Verb::CreateConnection, false) => {
                 *self.sent.entry((front, parameter_value(command, parameter::CALL_ID))).or_default() += 1;
             }
-            (front, Party::Server(_), Verb::CreateConnection, true) => self.on_invite(front, command),
+            (front, Participant::Server(_), Verb::CreateConnection, true) => self.on_invite(front, command),
             _ => {}
         }
     }
@@ -103,7 +103,7 @@
 
 fn count_invites(scenario: &Scenario) -> InviteCounts {
     let options = RecordingOptions { datagrams: true, ..RecordingOptions::default() };
-    let mut world = World::new(scenario, Deciding::Module, Box::new(NoMutation), options).unwrap();
+    let mut world = World::new(scenario, PolicyKind::Controller, Box::new(NoMutation), options).unwrap();
     while let Some(step) = world.step() {
         step.unwrap();
     }
@@ -111,7 +111,7 @@
     for datagram in world.datagrams() {
         for message in parse::datagram(&datagram.bytes).into_iter().flatten().flatten() {
             if let Message::Command(command) = message {
-                counter.on_captured(datagram.from, datagram.to, datagram.reached, &command);
+                counter.on_captured(datagram.from, datagram.to, datagram.delivered, &command);
             }
         }
     }
