Keep a caller's connection open while a call stands on it

Cause: a connection of a caller on which nothing was sent for 16 s was closed although established calls stood on it, and one whose caller had only named a call with `at` after 2.4 s. The release of such a call then needs another verified caller's connection; once the load has ended there may be none for longer than the 1 s that the protocol allows, and the call counts as lost. Callers close a connection only once it has no call on it, so the node closed it.

Change: a connection with an established call does not expire. Beyond the bound of connections those without a call are closed first, so that the table stays bounded; a caller that confirms no release is closed after 16 s as before.

--- a/crates/ochrelead-node/src/caller_table.rs
+++ b/crates/ochrelead-node/src/caller_table.rs
@@ -80,7 +80,7 @@
     }
 
     /// Up to `count` connections to close in favour of new ones: of those without a pending set-up the unverified
-    /// first, then the least recently used.
+    /// first, then those on which no call stands, then the least recently used.
     pub(crate) fn eviction_candidates(&self, count: usize, excluded: &[CallerId]) -> Vec<CallerId> {
         if count == 0 {
             return Vec::new();
@@ -89,14 +89,14 @@
             .0
             .iter()
             .filter(|(id, caller)| caller.pending_sessions.is_empty() && !excluded.contains(id))
-            .map(|(id, caller)| (caller.is_verified, caller.last_used, *id))
+            .map(|(id, caller)| (caller.is_verified, caller.established_calls > 0, caller.last_used, *id))
             .collect();
         idle.sort();
-        idle.into_iter().take(count).map(|(_, _, id)| id).collect()
+        idle.into_iter().take(count).map(|(.., id)| id).collect()
     }
 
     /// Connections to close now: those that sent nothing valid for most of the time in which a refusal is owed, and
-    /// those idle for longer than regular callers leave them open.
+    /// those without a call that are idle for longer than regular callers leave them open.
     pub(crate) fn expired(&self, now: Moment) -> Vec<CallerId> {
         self.0.iter().filter(|(_, caller)| caller.is_expired(now)).map(|(id, _)| *id).collect()
     }
@@ -104,16 +104,16 @@
 
 impl Caller {
     fn is_expired(&self, now: Moment) -> bool {
-        if !self.pending_sessions.is_empty() {
+        // Callers leave a connection open while a call stands on it, and its release needs one that is open.
+        if !self.pending_sessions.is_empty() || self.established_calls > 0 {
             return false;
         }
         let idle_timeout = protocol::CALLER_IDLE_TIMEOUT;
         let idle = now.since(self.last_used);
         let is_invalid =
             !self.is_verified && now.since(self.opened_at) >= protocol::INVALID_CALLER_DEADLINE.scaled(0.8);
-        // Callers accept the release of a call on any connection, but the call's own serves longest; one that was just
-        // sent a release has yet to confirm it.
-        let is_unneeded = self.established_calls == 0 && self.unconfirmed_releases.is_empty();
-        is_invalid || (idle >= idle_timeout.scaled(1.25) && is_unneeded) || idle >= idle_timeout * 4
+        // One that was just sent a release has yet to confirm it.
+        let is_confirmed = self.unconfirmed_releases.is_empty();
+        is_invalid || (idle >= idle_timeout.scaled(1.25) && is_confirmed) || idle >= idle_timeout * 4
     }
 }
--- a/crates/ochrelead-node/tests/connections.rs
+++ b/crates/ochrelead-node/tests/connections.rs
@@ -2,7 +2,7 @@
 
 mod helper;
 
-use helper::{EstablishedCalls, Response, TestNode, endpoint};
+use helper::{EstablishedCalls, Response, TestNode, call_id, endpoint};
 use ochrelead_node::io::{CallerId, Input, Output, ServerConnectionId};
 use serde_json::json;
 use test_case::{test_case, test_matrix};
@@ -37,6 +37,54 @@
     assert_eq!((node.has_closed(1), node.sent_to_servers("INVITE").len()), (!asks, usize::from(asks)));
 }
 
+/// Callers leave a connection open while a call stands on it, however long nothing is sent there.
+#[test_case(false; "set up on it")]
+#[test_case(true; "of a former incarnation, named on it")]
+fn caller_connection_is_kept_while_a_call_stands_on_it(is_named: bool) {
+    let mut node = TestNode::with_servers(1);
+    node.connect_caller(1);
+    let connection = if is_named {
+        node.send_line(1, &json!({"t": "new", "ref": call_id(7), "f": {"extras": "at:s-0"}}));
+        *node.connections.keys().next().unwrap()
+    } else {
+        node.establish(1, 7, 0)
+    };
+    for _ in 0..60 {
+        node.advance(500);
+        node.all_servers_notify();
+    }
+    assert!(!node.has_closed(1));
+    node.server_releases(connection, 7, 16);
+    assert_eq!(node.answers(), [(1, "down".to_owned(), Some(16))]);
+    node.advance(20_000);
+    assert!(node.has_closed(1), "nothing stands on it any more");
+}
+
+/// Beyond the bound, the connections go first on which no call stands, also where those were used later.
+#[test]
+fn caller_connections_without_a_call_are_evicted_first() {
+    let mut node = TestNode::with_limits(1, 64, json!({}));
+    let bound = 24;
+    node.connect_caller(1);
+    node.establish(1, 7, 0);
+    for caller in 2..=bound {
+        node.advance(100);
+        node.connect_caller(caller);
+        let connection = node.establish(caller, 100 + caller, 0);
+        node.server_releases(connection, 100 + caller, 16);
+        node.send_line(caller, &json!({"t": "ack", "ref": call_id(100 + caller)}));
+    }
+    // One more has written its set-up before its connection is looked at.
+    node.drains_input = false;
+    node.connect_caller(bound + 1);
+    node.set_up(bound + 1, 7_000, 0);
+    node.drains_input = true;
+    node.input_and_process(Input::InputDrained(CallerId(bound + 1)));
+    node.advance(200);
+    let closed: Vec<u64> = (1..=bound + 1).filter(|caller| node.has_closed(*caller)).collect();
+    assert_eq!(closed, [2]);
+}
+
 #[test_case(4_000, 3_500; "a connect time-out before its server does")]
 #[test_case(1_000, 750; "a quarter before, where that is short")]
 fn idle_server_connection_is_closed_before_its_server_does(limit: u64, rested: u64) {
