Pin the console's text and screens before its names change

Cause: the console's tests looked for a few words only, so a rename of its states or of its lines would not have shown.

--- a/crates/ochrelead-console/tests/watch.rs
+++ b/crates/ochrelead-console/tests/fleet_view.rs
@@ -1,12 +1,16 @@
 //! What the console makes of records as they come, and that a silent server shows within seconds.
 
+use std::path::Path;
+
 use ochrelead_console::plain;
 use ochrelead_console::screen::{Shown, draw};
 use ochrelead_console::watch::Watch;
 use ochrelead_core::time::Span;
 use ochrelead_event_log::reader::{FrontIncarnation, Record};
 use ochrelead_event_log::schema::event::What;
-use ochrelead_event_log::schema::{Event, Invite, Outlook, Stands, Taken};
+use ochrelead_event_log::schema::{
+    Denial, Ended, Ending, Event, GivenUp, HungUp, Invite, Outlook, Stands, Taken,
+};
 use ratatui::Terminal;
 use ratatui::backend::TestBackend;
 
@@ -106,3 +110,65 @@
     let story = text(&Shown { picked: 1, story: true });
     assert!(story.contains("last sessions at s1") && story.contains("INVITE 1 to s1"), "{story}");
 }
+
+/// The course of a silent server, with a server that warms up, one that is ejected, and sessions that fail.
+fn course_with_failures() -> Vec<Record> {
+    let mut records = course(20_000, 10_000);
+    for (server, fresh, sick) in [("s2", true, false), ("s3", false, true)] {
+        let outlook = Outlook {
+            server: server.to_owned(),
+            limit: 4.0,
+            answer_us: 120_000,
+            free: 3,
+            lines: 8,
+            fresh,
+            sick,
+            ..Outlook::default()
+        };
+        records.push(record(19_000, 0, What::Outlook(outlook)));
+    }
+    let (tried, server) = ("f00".to_owned(), "s3".to_owned());
+    let invite = Invite { tried: tried.clone(), server: server.clone(), nth: 2, ..Invite::default() };
+    records.push(record(19_010, 1, What::Invite(invite)));
+    let ended = Ended {
+        tried: tried.clone(),
+        server: server.clone(),
+        ending: Ending::LinesBusy.into(),
+        ..Ended::default()
+    };
+    records.push(record(19_020, 1, What::Ended(ended)));
+    let given_up = GivenUp { tried: tried.clone(), denial: Denial::NoRoom.into(), ..GivenUp::default() };
+    records.push(record(19_030, 1, What::GivenUp(given_up)));
+    records.push(record(19_040, 1, What::HungUp(HungUp { tried, server, ..HungUp::default() })));
+    records
+}
+
+fn stored(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures").join(name);
+    std::fs::read_to_string(path).unwrap()
+}
+
+/// Scripts may read the text of `--once`: it is that of an earlier program.
+#[test]
+fn text_of_a_fleet_with_troubles_is_the_stored_text() {
+    let mut watch = Watch::default();
+    course_with_failures().into_iter().for_each(|own| watch.take(own));
+    watch.settle(Span::from_secs(1));
+    assert_eq!(plain::of(&watch), stored("text.txt"));
+}
+
+#[test]
+fn screens_of_a_fleet_with_troubles_are_the_stored_screens() {
+    let mut watch = Watch::default();
+    course_with_failures().into_iter().for_each(|own| watch.take(own));
+    watch.settle(Span::from_secs(1));
+    let screen = |shown: &Shown| {
+        let mut terminal = Terminal::new(TestBackend::new(120, 32)).unwrap();
+        terminal.draw(|frame| draw(frame, &watch, shown)).unwrap();
+        let styles: Vec<String> =
+            (1..5).map(|row| format!("{:?}", terminal.backend().buffer()[(1, row)].style())).collect();
+        format!("{}{}\n", terminal.backend(), styles.join("\n"))
+    };
+    assert_eq!(screen(&Shown::default()), stored("screen-troubles.txt"));
+    assert_eq!(screen(&Shown { picked: 3, story: true }), stored("screen-sessions.txt"));
+}
