Split the console by concern, with the field's names and a type for a server's state

Cause: watch.rs reordered records, counted, kept sessions' steps and judged servers in one type; states were strings, reports of fronts tuples; public fields had no comments. Change: FleetView (was Watch) with handle_record and process, over RecordQueue, RateSeries, SessionSteps and ServerView; ServerState is an enum whose labels are the texts shown as before. plain.rs becomes text.rs, Shown ScreenState; the terminal's loop is a function of its own, so that the terminal is restored at one place.

--- a/crates/ochrelead-console/src/screen.rs
+++ b/crates/ochrelead-console/src/screen.rs
@@ -1,83 +1,115 @@
-//! The console on a terminal.
+//! The fleet on a terminal.
 
 use ratatui::Frame;
-use ratatui::layout::{Constraint, Layout};
+use ratatui::layout::{Constraint, Layout, Rect};
 use ratatui::style::{Color, Modifier, Style};
 use ratatui::text::Line;
 use ratatui::widgets::{Block, List, Paragraph, Sparkline};
 
-use crate::plain;
-use crate::watch::Watch;
+use crate::fleet_view::FleetView;
+use crate::rate_series::RateSeries;
+use crate::server_view::ServerState;
+use crate::text;
 
-/// What is shown besides the fleet.
+/// Rows or columns that a block's border takes.
+const BORDER: u16 = 2;
+/// The fewest rows of the list in the middle.
+const LIST_MIN_HEIGHT: u16 = 4;
+/// Rows of a plot.
+const PLOT_HEIGHT: u16 = 4;
+
+/// What the user has chosen to see.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Shown {
-    /// Which server is picked, in their order.
-    pub picked: usize,
-    /// Its story is open.
-    pub story: bool,
+pub struct ScreenState {
+    /// The selected server, as its position in the list.
+    pub selected: usize,
+    /// Whether the selected server's sessions are shown in place of the troubles.
+    pub sessions_open: bool,
+}
+
+impl ScreenState {
+    /// Selects the server above.
+    pub fn select_previous(&mut self) {
+        self.selected = self.selected.saturating_sub(1);
+    }
+
+    /// Selects the server below, of `server_count`.
+    pub fn select_next(&mut self, server_count: usize) {
+        self.selected = (self.selected + 1).min(server_count.saturating_sub(1));
+    }
+
+    /// Shows the selected server's sessions, or the troubles again.
+    pub fn toggle_sessions(&mut self) {
+        self.sessions_open = !self.sessions_open;
+    }
 }
 
 /// Draws everything.
-pub fn draw(frame: &mut Frame<'_>, watch: &Watch, shown: &Shown) {
-    let servers = watch.servers.len() as u16 + 2;
-    let areas = Layout::vertical([
-        Constraint::Length(servers),
-        Constraint::Min(4),
-        Constraint::Length(4),
-        Constraint::Length(4),
-        Constraint::Length(4),
+pub fn draw(frame: &mut Frame<'_>, fleet: &FleetView, state: &ScreenState) {
+    let [servers, list, accepted, established, rejected, help] = Layout::vertical([
+        Constraint::Length(fleet.servers().len() as u16 + BORDER),
+        Constraint::Min(LIST_MIN_HEIGHT),
+        Constraint::Length(PLOT_HEIGHT),
+        Constraint::Length(PLOT_HEIGHT),
+        Constraint::Length(PLOT_HEIGHT),
         Constraint::Length(1),
     ])
-    .split(frame.area());
-    let now = watch.now();
-    let lines: Vec<Line<'_>> = watch
-        .servers
-        .iter()
-        .enumerate()
-        .map(|(nth, (name, own))| {
-            let color = match own.state() {
-                "well" => Color::Green,
-                "cold" => Color::Cyan,
-                "slow" | "lossy" | "sick" => Color::Yellow,
-                _ => Color::Red,
-            };
-            let mut style = Style::new().fg(color);
-            if nth == shown.picked {
-                style = style.add_modifier(Modifier::REVERSED);
-            }
-            Line::styled(plain::server(name, own, now), style)
-        })
-        .collect();
-    let title = format!("servers; {} of {} fronts write", watch.fronts_here(), watch.fronts.len());
-    frame.render_widget(Paragraph::new(lines).block(Block::bordered().title(title)), areas[0]);
-    let picked = watch.servers.keys().nth(shown.picked);
-    match picked.filter(|_| shown.story) {
-        Some(name) => {
-            let story = List::new(watch.story(name))
-                .block(Block::bordered().title(format!("last sessions at {name}")));
-            frame.render_widget(story, areas[1]);
-        }
-        None => {
-            let red = |text: String| Line::styled(text, Style::new().fg(Color::Red));
-            let dim = |text: String| Line::styled(text, Style::new().add_modifier(Modifier::DIM));
-            let in_hand = watch.in_hand().iter().map(|own| red(plain::line(own, now))).collect::<Vec<_>>();
-            let passed = watch.passed().iter().map(|own| dim(plain::line(own, now))).collect::<Vec<_>>();
-            let all = List::new(in_hand.into_iter().chain(passed)).block(Block::bordered().title("troubles"));
-            frame.render_widget(all, areas[1]);
+    .areas(frame.area());
+    draw_servers(frame, servers, fleet, state.selected);
+    match fleet.servers().keys().nth(state.selected) {
+        Some(server) if state.sessions_open => draw_sessions(frame, list, fleet, server),
+        _ => draw_troubles(frame, list, fleet),
+    }
+    draw_plot(frame, accepted, "tries", fleet.accepted());
+    draw_plot(frame, established, "stood", fleet.established());
+    draw_plot(frame, rejected, "given up", fleet.rejected());
+    frame.render_widget("up and down pick a server, enter its sessions, q ends", help);
+}
+
+fn draw_servers(frame: &mut Frame<'_>, area: Rect, fleet: &FleetView, selected: usize) {
+    let mut lines = Vec::new();
+    for (position, (name, server)) in fleet.servers().iter().enumerate() {
+        let mut style = Style::new().fg(state_color(server.state()));
+        if position == selected {
+            style = style.add_modifier(Modifier::REVERSED);
         }
+        lines.push(Line::styled(text::describe_server(name, server, fleet.now()), style));
     }
-    for (title, plot, area) in
-        [("tries", &watch.tried, 2), ("stood", &watch.stood, 3), ("given up", &watch.given_up, 4)]
-    {
-        let wide = usize::from(areas[area].width.saturating_sub(2));
-        let last: Vec<u64> = plot.iter().copied().skip(plot.len().saturating_sub(wide)).collect();
-        let most = plot.iter().max().copied().unwrap_or(0);
-        let title = format!("{title} a second, up to {most}");
-        frame.render_widget(
-            Sparkline::default().data(last).block(Block::bordered().title(title)),
-            areas[area],
-        );
+    let title = format!("servers; {} of {} fronts write", fleet.active_front_count(), fleet.front_count());
+    frame.render_widget(Paragraph::new(lines).block(Block::bordered().title(title)), area);
+}
+
+fn state_color(state: ServerState) -> Color {
+    match state {
+        ServerState::Healthy => Color::Green,
+        ServerState::WarmingUp => Color::Cyan,
+        ServerState::Slow | ServerState::AnswersLost | ServerState::Ejected => Color::Yellow,
+        ServerState::Silent => Color::Red,
     }
-    frame.render_widget("up and down pick a server, enter its sessions, q ends", areas[5]);
+}
+
+fn draw_sessions(frame: &mut Frame<'_>, area: Rect, fleet: &FleetView, server: &str) {
+    let block = Block::bordered().title(format!("last sessions at {server}"));
+    frame.render_widget(List::new(fleet.describe_sessions(server)).block(block), area);
+}
+
+fn draw_troubles(frame: &mut Frame<'_>, area: Rect, fleet: &FleetView) {
+    let now = fleet.now();
+    let ongoing_style = Style::new().fg(Color::Red);
+    let past_style = Style::new().add_modifier(Modifier::DIM);
+    let mut lines = Vec::new();
+    for trouble in fleet.ongoing_troubles() {
+        lines.push(Line::styled(text::describe_trouble(&trouble, now), ongoing_style));
+    }
+    for trouble in fleet.past_troubles() {
+        lines.push(Line::styled(text::describe_trouble(&trouble, now), past_style));
+    }
+    frame.render_widget(List::new(lines).block(Block::bordered().title("troubles")), area);
+}
+
+fn draw_plot(frame: &mut Frame<'_>, area: Rect, name: &str, series: &RateSeries) {
+    let title = format!("{name} a second, up to {}", series.peak());
+    let columns = usize::from(area.width.saturating_sub(BORDER));
+    let plot = Sparkline::default().data(series.latest(columns)).block(Block::bordered().title(title));
+    frame.render_widget(plot, area);
 }
--- a/crates/ochrelead-console/tests/fleet_view.rs
+++ b/crates/ochrelead-console/tests/fleet_view.rs
@@ -2,9 +2,9 @@
 
 use std::path::Path;
 
-use ochrelead_console::plain;
-use ochrelead_console::screen::{Shown, draw};
-use ochrelead_console::watch::Watch;
+use ochrelead_console::fleet_view::FleetView;
+use ochrelead_console::screen::{ScreenState, draw};
+use ochrelead_console::text;
 use ochrelead_core::time::Span;
 use ochrelead_event_log::reader::{FrontIncarnation, Record};
 use ochrelead_event_log::schema::event::What;
@@ -15,9 +15,9 @@
 use ratatui::backend::TestBackend;
 
 fn record(ms: u64, front: u64, what: What) -> Record {
-    let life = FrontIncarnation { front: format!("f{front}"), started_us: 1 };
+    let incarnation = FrontIncarnation { front: format!("f{front}"), started_us: 1 };
     Record {
-        incarnation: life,
+        incarnation,
         event: Event { at_us: 5_000_000_000 + ms * 1_000, nth: 0, what: Some(what) },
         unknown_fields: 0,
     }
@@ -26,9 +26,9 @@
 /// Two fronts, two servers; one is silent from a moment on.
 fn course(length: u64, silent_from: u64) -> Vec<Record> {
     let mut records = Vec::new();
-    for nth in 0..length / 50 {
-        let (ms, front, server) = (nth * 50, nth % 2, nth / 2 % 2);
-        let (tried, name) = (format!("{nth:x}"), format!("s{server}"));
+    for session in 0..length / 50 {
+        let (ms, front, server) = (session * 50, session % 2, session / 2 % 2);
+        let (tried, name) = (format!("{session:x}"), format!("s{server}"));
         records.push(record(
             ms,
             front,
@@ -45,70 +45,74 @@
         for (front, server) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
             let ms = second * 1_000;
             let since = if server == 1 && ms > silent_from { ms - silent_from } else { 100 };
-            let held = Outlook {
+            let outlook = Outlook {
                 server: format!("s{server}"),
                 limit: 2.5,
                 unheard_us: since * 1_000,
                 ..Outlook::default()
             };
-            records.push(record(ms, front, What::Outlook(held)));
+            records.push(record(ms, front, What::Outlook(outlook)));
         }
     }
-    records.sort_by_key(|own| own.event.at_us);
+    records.sort_by_key(|record| record.event.at_us);
     records
 }
 
 #[test]
 fn a_silent_server_shows_within_three_seconds() {
-    let mut watch = Watch::default();
+    let mut fleet = FleetView::default();
     let mut shown_at = None;
-    for own in course(20_000, 10_000) {
-        let ms = (own.event.at_us - 5_000_000_000) / 1_000;
-        watch.take(own);
-        watch.settle(Span::ZERO);
-        if shown_at.is_none() && watch.servers.get("s1").is_some_and(|server| server.state() == "silent") {
+    for record in course(20_000, 10_000) {
+        let ms = (record.event.at_us - 5_000_000_000) / 1_000;
+        fleet.handle_record(record);
+        fleet.process(Span::ZERO);
+        if shown_at.is_none()
+            && fleet.servers().get("s1").is_some_and(|server| server.state().label() == "silent")
+        {
             shown_at = Some(ms);
         }
     }
     let after = shown_at.expect("it shows") - 10_000;
     assert!((1_000..3_000).contains(&after), "{after} ms");
-    assert_eq!(watch.servers["s0"].state(), "well");
-    assert!(plain::of(&watch).contains("s1: silent"), "{}", plain::of(&watch));
-    assert_eq!(watch.fronts_here(), 2);
+    assert_eq!(fleet.servers()["s0"].state().label(), "well");
+    assert!(text::render(&fleet).contains("s1: silent"), "{}", text::render(&fleet));
+    assert_eq!(fleet.active_front_count(), 2);
 }
 
 #[test]
 fn records_that_come_out_of_order_are_taken_in_order() {
     let mut apart = course(12_000, 6_000);
     // One front's come a second's worth at a time after the other's.
-    apart.sort_by_key(|own| (own.event.at_us / 400_000, own.incarnation.front.clone(), own.event.at_us));
-    let (mut one, mut other) = (Watch::default(), Watch::default());
-    course(12_000, 6_000).into_iter().for_each(|own| {
-        one.take(own);
-        one.settle(Span::ZERO);
+    apart.sort_by_key(|record| {
+        (record.event.at_us / 400_000, record.incarnation.front.clone(), record.event.at_us)
     });
-    apart.into_iter().for_each(|own| {
-        other.take(own);
-        other.settle(Span::ZERO);
+    let (mut one, mut other) = (FleetView::default(), FleetView::default());
+    course(12_000, 6_000).into_iter().for_each(|record| {
+        one.handle_record(record);
+        one.process(Span::ZERO);
     });
-    [&mut one, &mut other].into_iter().for_each(|watch| watch.settle(Span::from_secs(2)));
-    assert_eq!(plain::of(&one), plain::of(&other));
+    apart.into_iter().for_each(|record| {
+        other.handle_record(record);
+        other.process(Span::ZERO);
+    });
+    [&mut one, &mut other].into_iter().for_each(|fleet| fleet.process(Span::from_secs(2)));
+    assert_eq!(text::render(&one), text::render(&other));
 }
 
 #[test]
 fn the_screen_shows_servers_troubles_and_a_servers_sessions() {
-    let mut watch = Watch::default();
-    course(20_000, 10_000).into_iter().for_each(|own| watch.take(own));
-    watch.settle(Span::ZERO);
-    let text = |shown: &Shown| {
+    let mut fleet = FleetView::default();
+    course(20_000, 10_000).into_iter().for_each(|record| fleet.handle_record(record));
+    fleet.process(Span::ZERO);
+    let screen = |state: &ScreenState| {
         let mut terminal = Terminal::new(TestBackend::new(140, 40)).unwrap();
-        terminal.draw(|frame| draw(frame, &watch, shown)).unwrap();
+        terminal.draw(|frame| draw(frame, &fleet, state)).unwrap();
         terminal.backend().to_string()
     };
-    let fleet = text(&Shown::default());
-    assert!(fleet.contains("s1: silent") && fleet.contains("no sign of it since"), "{fleet}");
-    let story = text(&Shown { picked: 1, story: true });
-    assert!(story.contains("last sessions at s1") && story.contains("INVITE 1 to s1"), "{story}");
+    let troubles = screen(&ScreenState::default());
+    assert!(troubles.contains("s1: silent") && troubles.contains("no sign of it since"), "{troubles}");
+    let sessions = screen(&ScreenState { selected: 1, sessions_open: true });
+    assert!(sessions.contains("last sessions at s1") && sessions.contains("INVITE 1 to s1"), "{sessions}");
 }
 
 /// The course of a silent server, with a server that warms up, one that is ejected, and sessions that fail.
@@ -151,24 +155,24 @@
 /// Scripts may read the text of `--once`: it is that of an earlier program.
 #[test]
 fn text_of_a_fleet_with_troubles_is_the_stored_text() {
-    let mut watch = Watch::default();
-    course_with_failures().into_iter().for_each(|own| watch.take(own));
-    watch.settle(Span::from_secs(1));
-    assert_eq!(plain::of(&watch), stored("text.txt"));
+    let mut fleet = FleetView::default();
+    course_with_failures().into_iter().for_each(|record| fleet.handle_record(record));
+    fleet.process(Span::from_secs(1));
+    assert_eq!(text::render(&fleet), stored("text.txt"));
 }
 
 #[test]
 fn screens_of_a_fleet_with_troubles_are_the_stored_screens() {
-    let mut watch = Watch::default();
-    course_with_failures().into_iter().for_each(|own| watch.take(own));
-    watch.settle(Span::from_secs(1));
-    let screen = |shown: &Shown| {
+    let mut fleet = FleetView::default();
+    course_with_failures().into_iter().for_each(|record| fleet.handle_record(record));
+    fleet.process(Span::from_secs(1));
+    let screen = |state: &ScreenState| {
         let mut terminal = Terminal::new(TestBackend::new(120, 32)).unwrap();
-        terminal.draw(|frame| draw(frame, &watch, shown)).unwrap();
+        terminal.draw(|frame| draw(frame, &fleet, state)).unwrap();
         let styles: Vec<String> =
             (1..5).map(|row| format!("{:?}", terminal.backend().buffer()[(1, row)].style())).collect();
         format!("{}{}\n", terminal.backend(), styles.join("\n"))
     };
-    assert_eq!(screen(&Shown::default()), stored("screen-troubles.txt"));
-    assert_eq!(screen(&Shown { picked: 3, story: true }), stored("screen-sessions.txt"));
+    assert_eq!(screen(&ScreenState::default()), stored("screen-troubles.txt"));
+    assert_eq!(screen(&ScreenState { selected: 3, sessions_open: true }), stored("screen-sessions.txt"));
 }
--- a/crates/ochrelead-sim/tests/console.rs
+++ b/crates/ochrelead-sim/tests/console.rs
@@ -5,7 +5,7 @@
 
 use ochrelead_config::faults::FaultKind;
 use ochrelead_config::scenario::{self, Scenario};
-use ochrelead_console::watch::Watch;
+use ochrelead_console::fleet_view::FleetView;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_event_log::reader::Record;
 use ochrelead_scenario::policy::PolicyKind;
@@ -30,16 +30,16 @@
         let flushed = record.event.at_us.div_ceil(FLUSH_INTERVAL.micros()) * FLUSH_INTERVAL.micros();
         arrive.entry(flushed).or_default().push(record);
     }
-    let (mut watch, mut now, mut last) = (Watch::default(), START, START);
+    let (mut fleet, mut now, mut last) = (FleetView::default(), START, START);
     while now < begins + fault.duration {
         now = now + POLL_INTERVAL;
         let later = arrive.split_off(&(now.micros() + 1));
         for (flushed, records) in std::mem::replace(&mut arrive, later) {
             last = Moment::from_micros(flushed);
-            records.into_iter().for_each(|record| watch.take(record));
+            records.into_iter().for_each(|record| fleet.handle_record(record));
         }
-        watch.settle(now.since(last));
-        if watch.in_hand().iter().any(|own| own.kind.short() == "silent" && own.of == name) {
+        fleet.process(now.since(last));
+        if fleet.ongoing_troubles().iter().any(|own| own.kind.short() == "silent" && own.of == name) {
             return Some(now.since(begins).ratio(Span::from_secs(1)));
         }
     }
