--- a/crates/ochrelead-report/tests/report.rs
+++ b/crates/ochrelead-report/tests/report.rs
@@ -156,6 +156,12 @@
     assert_eq!(written, stored("small-log.json"));
 }
 
+#[test]
+fn page_of_a_small_log_is_the_stored_page() {
+    let written = page::of(&incident(records(40_000, 15_000..18_000)));
+    assert_eq!(written, stored("small-log.html"));
+}
+
 #[test]
 fn json_names_each_kind_of_trouble_as_stored() {
     let mut incident = incident(records(0, 0..0));
