Split the report by concern, with the field's names and typed errors

Cause: page.rs and series.rs had long functions, tuples for counts and steps, and names such as Course, Stories, told, weigh; errors were anyhow's in the library; public items had no comments. Change: MergedLog, TimeSeries, LongestSessions, Survey; the page in page.rs, page/plots.rs, page/tables.rs, page/style.css; ReportError; table rows built by methods. Two series that nothing read are gone (drawn INVITEs, rejections by interval). The test's records come from a builder.

--- a/crates/ochrelead-report/src/export.rs
+++ b/crates/ochrelead-report/src/export.rs
@@ -2,15 +2,15 @@
 
 use std::path::{Path, PathBuf};
 
-use anyhow::Context;
 use ochrelead_core::time::Moment;
-use ochrelead_event_log::reader::{Log, Record, open_logs};
+use ochrelead_event_log::reader::Record;
 use ochrelead_event_log::schema::{Choice, Denial, Ending, Payment, event::What};
 use ochrelead_parquet::{Cell, ColumnType, TableWriter};
 
-use crate::incident::survey;
-use crate::merged::Merged;
-use crate::story::words;
+use crate::error::ReportError;
+use crate::merged_log::MergedLog;
+use crate::readable_name;
+use crate::survey::{open_folders, survey};
 
 /// The columns; times in microseconds, moments since 1970 on the common clock.
 const COLUMNS: [(&str, ColumnType); 13] = [
@@ -29,138 +29,143 @@
     ("figure", ColumnType::Float),
 ];
 
-/// What an event says, column by column.
-#[derive(Default)]
-struct Row {
-    event: &'static str,
-    tried: Option<String>,
-    server: Option<String>,
-    what: Option<String>,
-    how: Option<String>,
-    took_us: Option<u64>,
-    service: Option<u32>,
-    member: Option<u32>,
-    figure: Option<f64>,
-}
-
 /// Writes all events of some folders; how many there were.
 ///
 /// # Errors
 ///
 /// Where a folder can't be read or the table can't be written.
-pub fn export(folders: &[PathBuf], path: &Path) -> anyhow::Result<usize> {
-    let mut all: Vec<Log> = Vec::new();
-    for folder in folders {
-        all.extend(open_logs(folder).with_context(|| folder.display().to_string())?.0);
-    }
-    let (clocks, _) = survey(&all);
-    let mut table = TableWriter::create(path, &COLUMNS).with_context(|| path.display().to_string())?;
-    for (at, record) in Merged::new(all, &clocks) {
-        table.write_row(cells(at, &record)).with_context(|| path.display().to_string())?;
+pub fn export(folders: &[PathBuf], path: &Path) -> Result<usize, ReportError> {
+    let (logs, _) = open_folders(folders)?;
+    let clocks = survey(&logs).clocks;
+    let table_error = |error| ReportError::table(path, error);
+    let mut table = TableWriter::create(path, &COLUMNS).map_err(table_error)?;
+    for (time, record) in MergedLog::new(logs, &clocks) {
+        table.write_row(cells(time, &record)).map_err(table_error)?;
     }
-    table.finish().with_context(|| path.display().to_string())
+    table.finish().map_err(table_error)
 }
 
-fn cells(at: Moment, record: &Record) -> Vec<Cell> {
+fn cells(time: Moment, record: &Record) -> Vec<Cell> {
     let text = |text: Option<String>| text.map_or(Cell::Empty, Cell::Text);
-    let whole = |own: Option<u64>| own.map_or(Cell::Empty, |own| Cell::Integer(own as i64));
-    let row = record.event.what.as_ref().map_or(Row { event: "unknown", ..Row::default() }, row);
+    let integer = |number: Option<u64>| number.map_or(Cell::Empty, |number| Cell::Integer(number as i64));
+    let row = record.event.what.as_ref().map_or_else(|| Row::new("unknown"), row);
     vec![
-        Cell::Integer(at.micros() as i64),
+        Cell::Integer(time.micros() as i64),
         Cell::Text(record.incarnation.front.clone()),
         Cell::Integer(record.incarnation.started_us as i64),
         Cell::Integer(record.event.nth as i64),
         Cell::Text(row.event.to_owned()),
-        text(row.tried),
+        text(row.session),
         text(row.server),
-        text(row.what),
-        text(row.how),
-        whole(row.took_us),
-        whole(row.service.map(u64::from)),
-        whole(row.member.map(u64::from)),
+        text(row.detail),
+        text(row.manner),
+        integer(row.duration_us),
+        integer(row.service.map(u64::from)),
+        integer(row.member.map(u64::from)),
         row.figure.map_or(Cell::Empty, Cell::Float),
     ]
 }
 
+/// What an event says, column by column.
+#[derive(Default)]
+struct Row {
+    event: &'static str,
+    session: Option<String>,
+    server: Option<String>,
+    /// The column `what`.
+    detail: Option<String>,
+    /// The column `how`.
+    manner: Option<String>,
+    duration_us: Option<u64>,
+    service: Option<u32>,
+    member: Option<u32>,
+    figure: Option<f64>,
+}
+
+impl Row {
+    fn new(event: &'static str) -> Row {
+        Row { event, ..Row::default() }
+    }
+
+    /// Of an event of a session, at a server.
+    fn at_server(event: &'static str, session: &str, server: &str) -> Row {
+        Row::new(event).session(session).server(server)
+    }
+
+    fn session(self, session: &str) -> Row {
+        Row { session: Some(session.to_owned()), ..self }
+    }
+
+    fn server(self, server: &str) -> Row {
+        Row { server: Some(server.to_owned()), ..self }
+    }
+
+    fn detail(self, detail: &str) -> Row {
+        Row { detail: Some(detail.to_owned()), ..self }
+    }
+
+    /// The detail as the name of an enum's value; none where this version does not know the value.
+    fn detail_name(self, name: Option<&str>) -> Row {
+        Row { detail: name.map(readable_name), ..self }
+    }
+
+    fn manner(self, manner: &str) -> Row {
+        Row { manner: Some(manner.to_owned()), ..self }
+    }
+
+    /// The manner as the name of an enum's value; none where this version does not know the value.
+    fn manner_name(self, name: Option<&str>) -> Row {
+        Row { manner: name.map(readable_name), ..self }
+    }
+
+    fn duration_us(self, duration_us: u64) -> Row {
+        Row { duration_us: Some(duration_us), ..self }
+    }
+
+    fn caller(self, service: u32, member: u32) -> Row {
+        Row { service: Some(service), member: Some(member), ..self }
+    }
+
+    fn figure(self, figure: f64) -> Row {
+        Row { figure: Some(figure), ..self }
+    }
+}
+
 fn row(what: &What) -> Row {
-    let own = |text: &String| Some(text.clone());
-    let named = |name: &str| Some(words(name));
     match what {
-        What::Taken(taken) => Row {
-            event: "taken",
-            tried: own(&taken.tried),
-            what: own(&taken.called),
-            service: Some(taken.service),
-            member: Some(taken.member),
-            ..Row::default()
-        },
-        What::Invite(invite) => Row {
-            event: "invite",
-            tried: own(&invite.tried),
-            server: own(&invite.server),
-            what: Choice::try_from(invite.choice).ok().and_then(|own| named(own.as_str_name())),
-            how: Payment::try_from(invite.payment).ok().and_then(|own| named(own.as_str_name())),
-            figure: Some(f64::from(invite.nth)),
-            ..Row::default()
-        },
-        What::Ended(ended) => Row {
-            event: "ended",
-            tried: own(&ended.tried),
-            server: own(&ended.server),
-            what: Ending::try_from(ended.ending).ok().and_then(|own| named(own.as_str_name())),
-            took_us: Some(ended.took_us),
-            ..Row::default()
-        },
-        What::Stands(stands) => Row {
-            event: "stands",
-            tried: own(&stands.tried),
-            server: own(&stands.server),
-            took_us: Some(stands.took_us),
-            ..Row::default()
-        },
-        What::GivenUp(given_up) => Row {
-            event: "given up",
-            tried: own(&given_up.tried),
-            what: Denial::try_from(given_up.denial).ok().and_then(|own| named(own.as_str_name())),
-            how: Some(if given_up.refused { "refused" } else { "failed" }.to_owned()),
-            figure: Some(f64::from(given_up.come_back_ms)),
-            ..Row::default()
-        },
-        What::HungUp(hung_up) => Row {
-            event: "hung up",
-            tried: own(&hung_up.tried),
-            server: own(&hung_up.server),
-            took_us: Some(hung_up.waited_us),
-            ..Row::default()
-        },
-        What::Cut(cut) => {
-            Row { event: "cut", tried: own(&cut.tried), server: own(&cut.server), ..Row::default() }
+        What::Taken(taken) => {
+            Row::new("taken").session(&taken.tried).detail(&taken.called).caller(taken.service, taken.member)
+        }
+        What::Invite(invite) => Row::at_server("invite", &invite.tried, &invite.server)
+            .detail_name(Choice::try_from(invite.choice).ok().map(|choice| choice.as_str_name()))
+            .manner_name(Payment::try_from(invite.payment).ok().map(|payment| payment.as_str_name()))
+            .figure(f64::from(invite.nth)),
+        What::Ended(ended) => Row::at_server("ended", &ended.tried, &ended.server)
+            .detail_name(Ending::try_from(ended.ending).ok().map(|ending| ending.as_str_name()))
+            .duration_us(ended.took_us),
+        What::Stands(stands) => {
+            Row::at_server("stands", &stands.tried, &stands.server).duration_us(stands.took_us)
+        }
+        What::GivenUp(given_up) => Row::new("given up")
+            .session(&given_up.tried)
+            .detail_name(Denial::try_from(given_up.denial).ok().map(|denial| denial.as_str_name()))
+            .manner(if given_up.refused { "refused" } else { "failed" })
+            .figure(f64::from(given_up.come_back_ms)),
+        What::HungUp(hung_up) => {
+            Row::at_server("hung up", &hung_up.tried, &hung_up.server).duration_us(hung_up.waited_us)
+        }
+        What::Cut(cut) => Row::at_server("cut", &cut.tried, &cut.server),
+        What::Released(released) => Row::at_server("released", &released.tried, &released.server)
+            .manner(if released.confirmed { "confirmed" } else { "not confirmed" }),
+        What::Told(told) => Row::new("told").server(&told.server).detail(&told.what),
+        What::Fleet(fleet) => {
+            Row::new("fleet").detail(&fleet.server.join(" ")).figure(fleet.generation as f64)
         }
-        What::Released(released) => Row {
-            event: "released",
-            tried: own(&released.tried),
-            server: own(&released.server),
-            how: Some(if released.confirmed { "confirmed" } else { "not confirmed" }.to_owned()),
-            ..Row::default()
-        },
-        What::Told(told) => {
-            Row { event: "told", server: own(&told.server), what: own(&told.what), ..Row::default() }
+        What::Outlook(outlook) => {
+            Row::new("outlook").server(&outlook.server).duration_us(outlook.answer_us).figure(outlook.limit)
         }
-        What::Fleet(fleet) => Row {
-            event: "fleet",
-            what: Some(fleet.server.join(" ")),
-            figure: Some(fleet.generation as f64),
-            ..Row::default()
-        },
-        What::Outlook(outlook) => Row {
-            event: "outlook",
-            server: own(&outlook.server),
-            took_us: Some(outlook.answer_us),
-            figure: Some(outlook.limit),
-            ..Row::default()
-        },
-        What::PausedUs(us) => Row { event: "paused", took_us: Some(*us), ..Row::default() },
-        What::Lost(count) => Row { event: "lost", figure: Some(*count as f64), ..Row::default() },
-        What::Life(life) => Row { event: "life", what: own(life), ..Row::default() },
+        What::PausedUs(paused_us) => Row::new("paused").duration_us(*paused_us),
+        What::Lost(count) => Row::new("lost").figure(*count as f64),
+        What::Life(change) => Row::new("life").detail(change),
     }
 }
--- a/crates/ochrelead-report/src/main.rs
+++ b/crates/ochrelead-report/src/main.rs
@@ -4,8 +4,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use anyhow::Context;
 use clap::Parser;
+use ochrelead_core::time::Span;
+use ochrelead_report::error::ReportError;
 use ochrelead_report::incident::Incident;
 use ochrelead_report::{export, json, page};
 
@@ -17,7 +18,7 @@
   ochrelead-report records --out report.html
   ochrelead-report front-a/records front-b/records --json"
 )]
-struct Line {
+struct Arguments {
     /// Folders of records
     #[arg(required = true, value_name = "DIR")]
     folders: Vec<PathBuf>,
@@ -32,33 +33,44 @@
     json: bool,
 }
 
+/// The exit code where a folder can't be read or a file not be written.
+const EXIT_FAILED: u8 = 2;
+
 fn main() -> ExitCode {
-    match run(&Line::parse()) {
+    match run(&Arguments::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("ochrelead-report: {error:#}");
-            ExitCode::from(2)
+            eprintln!("ochrelead-report: {error}");
+            ExitCode::from(EXIT_FAILED)
         }
     }
 }
 
-fn run(line: &Line) -> anyhow::Result<()> {
-    let incident = Incident::read(&line.folders)?;
-    if let Some(out) = &line.out {
-        fs::write(out, page::of(&incident)).with_context(|| out.display().to_string())?;
+fn run(arguments: &Arguments) -> Result<(), ReportError> {
+    let incident = Incident::read(&arguments.folders)?;
+    if let Some(path) = &arguments.out {
+        fs::write(path, page::render(&incident)).map_err(|error| ReportError::io(path, error))?;
     }
-    if let Some(path) = &line.parquet {
-        export::export(&line.folders, path)?;
+    if let Some(path) = &arguments.parquet {
+        export::export(&arguments.folders, path)?;
     }
-    if line.json {
-        println!("{:#}", json::of(&incident));
+    if arguments.json {
+        println!("{:#}", json::render(&incident));
     } else {
-        let (from, _) = incident.span();
-        for own in &incident.troubles {
-            let (onset, end) = (own.onset.since(from), own.end.map(|end| end.since(from)));
-            let end = end.map_or("lasts".to_owned(), |end| format!("{:.1}", end.micros() as f64 / 1e6));
-            println!("{:.1} to {end} s: {own}", onset.micros() as f64 / 1e6);
-        }
+        print_troubles(&incident);
     }
     Ok(())
 }
+
+/// Prints a line for each trouble.
+fn print_troubles(incident: &Incident) {
+    let seconds = |span: Span| span.ratio(Span::from_secs(1));
+    for trouble in &incident.troubles {
+        let onset = seconds(trouble.onset.since(incident.from));
+        let end = match trouble.end {
+            Some(end) => format!("{:.1}", seconds(end.since(incident.from))),
+            None => "lasts".to_owned(),
+        };
+        println!("{onset:.1} to {end} s: {trouble}");
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-report/src/page/plots.rs
@@ -0,0 +1,146 @@
+//! The page's plots, as SVG.
+
+use maud::{Markup, html};
+use ochrelead_core::time::{Moment, Span};
+use ochrelead_diagnosis::trouble::Trouble;
+
+use crate::incident::Incident;
+use crate::page::{seconds, sentence};
+use crate::time_series::ServerSeries;
+
+/// The width of all plots, in SVG units.
+const WIDTH: f64 = 900.0;
+/// Where the time axis begins; labels are left of it.
+const AXIS_LEFT: f64 = 150.0;
+/// The height of a row of the troubles' plot.
+const TROUBLE_ROW_HEIGHT: f64 = 20.0;
+/// The height of a row of the fronts' plot.
+const FRONT_ROW_HEIGHT: f64 = 14.0;
+/// The height of a server's lines, above the axis.
+const SERVER_PLOT_HEIGHT: f64 = 70.0;
+/// The height of the axis' labels.
+const AXIS_HEIGHT: f64 = 18.0;
+/// The room above a line's highest point.
+const LINE_MARGIN: f64 = 4.0;
+/// The shortest length that a plot is drawn for, in seconds.
+const MIN_LENGTH: f64 = 0.001;
+/// The most steps of the axis.
+const MAX_AXIS_STEPS: f64 = 12.0;
+/// What lies between two marks of the axis, in seconds: the first that gives few enough.
+const AXIS_STEPS: [f64; 9] = [1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0, 900.0, 3_600.0];
+/// The same for longer times.
+const LONGEST_AXIS_STEP: f64 = 14_400.0;
+/// The most characters of a label.
+const MAX_LABEL_LENGTH: usize = 25;
+
+/// Where a time since the beginning is on the axis; both in seconds.
+fn axis_position(time: f64, length: f64) -> f64 {
+    AXIS_LEFT + (WIDTH - AXIS_LEFT) * time / length.max(MIN_LENGTH)
+}
+
+fn axis(length: f64, height: f64) -> Markup {
+    let step = AXIS_STEPS.into_iter().find(|step| length / step <= MAX_AXIS_STEPS);
+    let step = step.unwrap_or(LONGEST_AXIS_STEP);
+    let marks = (0..=(length / step) as u32).map(|index| f64::from(index) * step);
+    html! {
+        @for mark in marks {
+            @let x = axis_position(mark, length);
+            line.axis x1=(x) x2=(x) y1="0" y2=(height - 14.0) {}
+            text.faint x=(x + 2.0) y=(height - 3.0) { (format!("{mark:.0} s")) }
+        }
+    }
+}
+
+/// When each trouble began and ended.
+pub(super) fn troubles(incident: &Incident) -> Markup {
+    let length = seconds(incident.to.since(incident.from));
+    let height = incident.troubles.len() as f64 * TROUBLE_ROW_HEIGHT + TROUBLE_ROW_HEIGHT;
+    let position = |time: Moment| axis_position(seconds(time.since(incident.from)), length);
+    html! {
+        svg viewBox=(format!("0 0 {WIDTH} {height}")) role="img" aria-label="timeline of troubles" {
+            (axis(length, height))
+            @for (row, trouble) in incident.troubles.iter().enumerate() {
+                @let (left, right) = (position(trouble.onset), position(trouble.end.unwrap_or(incident.to)));
+                @let top = row as f64 * TROUBLE_ROW_HEIGHT + 3.0;
+                text x="0" y=(top + 11.0) { (trouble_label(trouble)) }
+                rect.bar x=(left) y=(top) width=((right - left).max(2.0)) height="14" rx="2" {
+                    title { (sentence(trouble)) }
+                }
+            }
+        }
+    }
+}
+
+fn trouble_label(trouble: &Trouble) -> String {
+    let subject = trouble.of.split('.').next().unwrap_or("");
+    let text = format!("{subject} {}", trouble.kind.short());
+    text.trim().chars().take(MAX_LABEL_LENGTH).collect()
+}
+
+/// A server's answer times, INVITEs and limit.
+pub(super) fn server(name: &str, series: &ServerSeries, interval: Span, length: f64) -> Markup {
+    let height = SERVER_PLOT_HEIGHT + AXIS_HEIGHT;
+    let rates: Vec<Option<f64>> =
+        series.invites.iter().map(|count| Some(count / seconds(interval))).collect();
+    let top_answer = highest(&series.answers, 0.5);
+    let top_rate = highest(&rates, 1.0);
+    let top_limit = highest(&series.limit, 1.0);
+    html! {
+        svg viewBox=(format!("0 0 {WIDTH} {height}")) role="img" aria-label=(format!("course of {name}")) {
+            (axis(length, height))
+            text x="0" y="14" { (name.split('.').next().unwrap_or(name)) }
+            text.faint x="0" y="30" { (format!("up to {top_answer:.2} s")) }
+            text.faint x="0" y="44" { (format!("up to {top_rate:.0} INVITEs/s")) }
+            text.faint x="0" y="58" { (format!("limit up to {top_limit:.1}")) }
+            (line("limit", &series.limit, top_limit))
+            (line("invites", &rates, top_rate))
+            (line("answers", &series.answers, top_answer))
+        }
+    }
+}
+
+/// The highest of some values, and at least `least`.
+fn highest(values: &[Option<f64>], least: f64) -> f64 {
+    values.iter().flatten().copied().fold(least, f64::max)
+}
+
+/// A line through values up to `top`; a gap where there is none.
+fn line(class: &str, values: &[Option<f64>], top: f64) -> Markup {
+    let column_width = (WIDTH - AXIS_LEFT) / values.len().max(1) as f64;
+    let mut path = String::new();
+    let mut command = "M";
+    for (column, value) in values.iter().enumerate() {
+        let Some(value) = value else {
+            command = "M";
+            continue;
+        };
+        let x = AXIS_LEFT + column_width * (column as f64 + 0.5);
+        let y = SERVER_PLOT_HEIGHT - (SERVER_PLOT_HEIGHT - LINE_MARGIN) * (value / top).min(1.0);
+        path.push_str(&format!("{command}{x:.1} {y:.1}"));
+        command = "L";
+    }
+    html! { path class=(class) d=(path) {} }
+}
+
+/// When each front's incarnations wrote.
+pub(super) fn incarnations(incident: &Incident) -> Markup {
+    let length = seconds(incident.to.since(incident.from));
+    let position = |time: Moment| axis_position(seconds(time.since(incident.from)), length);
+    let mut fronts: Vec<&str> =
+        incident.stretches.iter().map(|stretch| stretch.incarnation.front.as_str()).collect();
+    fronts.dedup();
+    let height = fronts.len() as f64 * FRONT_ROW_HEIGHT + AXIS_HEIGHT;
+    html! {
+        svg viewBox=(format!("0 0 {WIDTH} {height}")) role="img" aria-label="lives of fronts; gaps are gaps in the records" {
+            (axis(length, height))
+            @for (row, front) in fronts.iter().enumerate() {
+                @let top = row as f64 * FRONT_ROW_HEIGHT;
+                text x="0" y=(top + 11.0) { (front) }
+                @for stretch in incident.stretches.iter().filter(|stretch| stretch.incarnation.front == *front) {
+                    @let (left, right) = (position(stretch.from), position(stretch.to));
+                    rect.life x=(left) y=(top + 2.0) width=((right - left).max(1.0)) height="10" {}
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-report/src/survey.rs
@@ -0,0 +1,114 @@
+//! The first reading of some logs: what ties the fronts' clocks, and what there is of each front's incarnation.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use ochrelead_core::time::{Moment, Span};
+use ochrelead_diagnosis::clocks::{Clocks, Ties};
+use ochrelead_event_log::reader::{Damage, FrontIncarnation, Log, Record, open_logs};
+use ochrelead_event_log::schema::{Event, event::What};
+
+use crate::error::ReportError;
+
+const PARTS_PER_MILLION: f64 = 1e6;
+
+/// What the records of a front's incarnation cover, on the common clock.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Stretch {
+    /// The incarnation.
+    pub incarnation: FrontIncarnation,
+    /// The time of its first event.
+    pub from: Moment,
+    /// The time of its last event.
+    pub to: Moment,
+    /// How far its clock was moved, in microseconds.
+    pub moved_us: i64,
+    /// How far off that may be; none where nothing ties its clock to the others'.
+    pub bound: Option<Span>,
+    /// Microseconds that its clock was found to gain in a second.
+    pub gains_us: f64,
+    /// How often its clock was set.
+    pub steps: usize,
+    /// Events that it could not record, by its own count.
+    pub lost: u64,
+    /// Sequence numbers of events that are missing: dropped segments, or cut out.
+    pub missing: u64,
+}
+
+/// What the first reading finds.
+pub struct Survey {
+    /// The fronts' clocks.
+    pub clocks: Clocks,
+    /// What there is of each incarnation.
+    pub stretches: BTreeMap<FrontIncarnation, Stretch>,
+}
+
+/// The events of one incarnation, as far as they are read.
+struct Coverage {
+    first: Event,
+    last: Event,
+    lost: u64,
+    missing: u64,
+}
+
+impl Coverage {
+    fn starting_with(first: &Event) -> Coverage {
+        Coverage { first: first.clone(), last: first.clone(), lost: 0, missing: 0 }
+    }
+
+    fn extend(&mut self, event: Event) {
+        self.missing += event.nth.saturating_sub(self.last.nth + 1);
+        if let Some(What::Lost(count)) = event.what {
+            self.lost += count;
+            self.missing = self.missing.saturating_sub(count);
+        }
+        self.last = event;
+    }
+
+    fn into_stretch(self, incarnation: FrontIncarnation, clocks: &Clocks) -> Stretch {
+        let common_time = |event: &Event| Moment::from_micros(clocks.common(&incarnation, event));
+        let from = common_time(&self.first);
+        let to = common_time(&self.last).max(from);
+        let offset = clocks.of(&incarnation);
+        Stretch {
+            from,
+            to,
+            moved_us: offset.add,
+            bound: offset.bound,
+            gains_us: -offset.drift * PARTS_PER_MILLION,
+            steps: clocks.steps(&incarnation),
+            lost: self.lost,
+            missing: self.missing,
+            incarnation,
+        }
+    }
+}
+
+/// Reads all logs once.
+pub fn survey(logs: &[Log]) -> Survey {
+    let mut ties = Ties::default();
+    let mut coverages: BTreeMap<FrontIncarnation, Coverage> = BTreeMap::new();
+    for Record { incarnation, event, .. } in logs.iter().cloned().flatten() {
+        ties.take(&incarnation, &event);
+        let coverage = coverages.entry(incarnation);
+        coverage.or_insert_with(|| Coverage::starting_with(&event)).extend(event);
+    }
+    let clocks = ties.settle();
+    let stretches = coverages
+        .into_iter()
+        .map(|(incarnation, coverage)| (incarnation.clone(), coverage.into_stretch(incarnation, &clocks)))
+        .collect();
+    Survey { clocks, stretches }
+}
+
+/// The logs of some folders, with what is damaged about the folders.
+pub(crate) fn open_folders(folders: &[PathBuf]) -> Result<(Vec<Log>, Damage), ReportError> {
+    let mut logs = Vec::new();
+    let mut damage = Damage::default();
+    for folder in folders {
+        let (found, folder_damage) = open_logs(folder).map_err(|error| ReportError::io(folder, error))?;
+        logs.extend(found);
+        damage.merge(&folder_damage);
+    }
+    Ok((logs, damage))
+}
