Name the report's summaries of incarnations and their clock fields

Change: IncarnationSummary with clock_offset_us, clock_uncertainty, clock_gain_us_per_s, clock_steps, lost_events, missing_events; Incident::incarnations, ::unsynchronized and ::from_logs. The JSON keeps its keys. ochrelead-scenario's detection follows (plain renames).

--- a/crates/ochrelead-report/src/incident.rs
+++ b/crates/ochrelead-report/src/incident.rs
@@ -11,7 +11,7 @@
 use crate::error::ReportError;
 use crate::longest_sessions::{LongestSessions, SessionTrace};
 use crate::merged_log::MergedLog;
-use crate::survey::{Stretch, Survey, open_folders, survey};
+use crate::survey::{IncarnationSummary, Survey, open_folders, survey};
 use crate::time_series::TimeSeries;
 
 /// What is known of an incident.
@@ -23,7 +23,7 @@
     /// How many events there are.
     pub events: u64,
     /// What there is of each front's incarnation.
-    pub stretches: Vec<Stretch>,
+    pub incarnations: Vec<IncarnationSummary>,
     /// What went wrong.
     pub troubles: Vec<Trouble>,
     /// What is plotted.
@@ -33,7 +33,7 @@
     /// What of the logs could not be read.
     pub damage: Damage,
     /// Incarnations whose clocks nothing ties to the others'.
-    pub loose: Vec<FrontIncarnation>,
+    pub unsynchronized: Vec<FrontIncarnation>,
 }
 
 impl Incident {
@@ -44,14 +44,14 @@
     /// Where one can't be read.
     pub fn read(folders: &[PathBuf]) -> Result<Incident, ReportError> {
         let (logs, damage) = open_folders(folders)?;
-        Ok(Incident::of(&logs, damage))
+        Ok(Incident::from_logs(&logs, damage))
     }
 
     /// Of logs, with what was already found damaged about them.
-    pub fn of(logs: &[Log], mut damage: Damage) -> Incident {
-        let Survey { clocks, stretches } = survey(logs);
-        let from = stretches.values().map(|stretch| stretch.from).min().unwrap_or(Moment::START);
-        let to = stretches.values().map(|stretch| stretch.to).max().unwrap_or(from);
+    pub fn from_logs(logs: &[Log], mut damage: Damage) -> Incident {
+        let Survey { clocks, incarnations } = survey(logs);
+        let from = incarnations.values().map(|summary| summary.from).min().unwrap_or(Moment::START);
+        let to = incarnations.values().map(|summary| summary.to).max().unwrap_or(from);
 
         let mut series = TimeSeries::over(from, to);
         let mut longest = LongestSessions::default();
@@ -74,12 +74,12 @@
             from,
             to,
             events,
-            stretches: stretches.into_values().collect(),
+            incarnations: incarnations.into_values().collect(),
             troubles: diagnosis.troubles(),
             series,
             longest_sessions: longest.into_traces(),
             damage,
-            loose: clocks.loose().to_vec(),
+            unsynchronized: clocks.loose().to_vec(),
         }
     }
 
--- a/crates/ochrelead-report/src/json.rs
+++ b/crates/ochrelead-report/src/json.rs
@@ -5,12 +5,12 @@
 use serde_json::{Value, json};
 
 use crate::incident::Incident;
-use crate::survey::Stretch;
+use crate::survey::IncarnationSummary;
 
 /// Troubles, clocks and gaps; moments in microseconds since 1970 on the common clock.
 pub fn render(incident: &Incident) -> Value {
     let troubles: Vec<Value> = incident.troubles.iter().map(trouble).collect();
-    let incarnations: Vec<Value> = incident.stretches.iter().map(incarnation).collect();
+    let incarnations: Vec<Value> = incident.incarnations.iter().map(incarnation).collect();
     json!({
         "from_us": incident.from.micros(),
         "to_us": incident.to.micros(),
@@ -35,17 +35,17 @@
     })
 }
 
-fn incarnation(stretch: &Stretch) -> Value {
+fn incarnation(summary: &IncarnationSummary) -> Value {
     json!({
-        "front": stretch.incarnation.front,
-        "started_us": stretch.incarnation.started_us,
-        "from_us": stretch.from.micros(),
-        "to_us": stretch.to.micros(),
-        "clock_moved_us": stretch.moved_us,
-        "clock_bound_us": stretch.bound.map(Span::micros),
-        "clock_gains_us_per_s": stretch.gains_us,
-        "clock_set": stretch.steps,
-        "lost": stretch.lost,
-        "missing": stretch.missing,
+        "front": summary.incarnation.front,
+        "started_us": summary.incarnation.started_us,
+        "from_us": summary.from.micros(),
+        "to_us": summary.to.micros(),
+        "clock_moved_us": summary.clock_offset_us,
+        "clock_bound_us": summary.clock_uncertainty.map(Span::micros),
+        "clock_gains_us_per_s": summary.clock_gain_us_per_s,
+        "clock_set": summary.clock_steps,
+        "lost": summary.lost_events,
+        "missing": summary.missing_events,
     })
 }
--- a/crates/ochrelead-report/src/page.rs
+++ b/crates/ochrelead-report/src/page.rs
@@ -33,7 +33,7 @@
     let length = seconds(incident.to.since(incident.from));
     html! {
         h1 { "What happened" }
-        p.sub { (format!("{length:.0} s of records, from {} lives of fronts", incident.stretches.len())) }
+        p.sub { (format!("{length:.0} s of records, from {} lives of fronts", incident.incarnations.len())) }
         (summary(incident))
         h2 { "Timeline of troubles" }
         div.scroll { (plots::troubles(incident)) }
--- a/crates/ochrelead-report/src/page/plots.rs
+++ b/crates/ochrelead-report/src/page/plots.rs
@@ -127,7 +127,7 @@
     let length = seconds(incident.to.since(incident.from));
     let position = |time: Moment| axis_position(seconds(time.since(incident.from)), length);
     let mut fronts: Vec<&str> =
-        incident.stretches.iter().map(|stretch| stretch.incarnation.front.as_str()).collect();
+        incident.incarnations.iter().map(|summary| summary.incarnation.front.as_str()).collect();
     fronts.dedup();
     let height = fronts.len() as f64 * FRONT_ROW_HEIGHT + AXIS_HEIGHT;
     html! {
@@ -136,8 +136,8 @@
             @for (row, front) in fronts.iter().enumerate() {
                 @let top = row as f64 * FRONT_ROW_HEIGHT;
                 text x="0" y=(top + 11.0) { (front) }
-                @for stretch in incident.stretches.iter().filter(|stretch| stretch.incarnation.front == *front) {
-                    @let (left, right) = (position(stretch.from), position(stretch.to));
+                @for summary in incident.incarnations.iter().filter(|summary| summary.incarnation.front == *front) {
+                    @let (left, right) = (position(summary.from), position(summary.to));
                     rect.life x=(left) y=(top + 2.0) width=((right - left).max(1.0)) height="10" {}
                 }
             }
--- a/crates/ochrelead-report/src/page/tables.rs
+++ b/crates/ochrelead-report/src/page/tables.rs
@@ -5,7 +5,7 @@
 use crate::incident::Incident;
 use crate::page::seconds;
 use crate::readable_name;
-use crate::survey::Stretch;
+use crate::survey::IncarnationSummary;
 use crate::time_series::{SessionCounts, TimeSeries};
 
 const MICROS_PER_SECOND: f64 = 1e6;
@@ -76,35 +76,40 @@
 
 /// The fronts whose clocks were moved or whose events are not all there.
 pub(super) fn clocks(incident: &Incident) -> Markup {
-    let notable: Vec<&Stretch> = incident.stretches.iter().filter(|stretch| is_notable(stretch)).collect();
+    let notable: Vec<&IncarnationSummary> =
+        incident.incarnations.iter().filter(|summary| is_notable(summary)).collect();
     html! {
         @if !notable.is_empty() {
             table {
                 tr { th { "Front" } th.num { "Clock moved by" } th.num { "Give or take" } th.num { "Gained" } th.num { "Set" }
                     th.num { "Events lost" } }
-                @for stretch in notable { (clock_row(stretch)) }
+                @for summary in notable { (clock_row(summary)) }
             }
         }
-        @if !incident.loose.is_empty() {
-            p { "Nothing ties the clocks of " (incident.loose.len()) " lives to the others': their order against them is not known." }
+        @if !incident.unsynchronized.is_empty() {
+            p { "Nothing ties the clocks of " (incident.unsynchronized.len()) " lives to the others': their order against them is not known." }
         }
     }
 }
 
-fn is_notable(stretch: &Stretch) -> bool {
-    stretch.moved_us != 0 || stretch.steps > 0 || stretch.lost > 0 || stretch.missing > 0
+fn is_notable(summary: &IncarnationSummary) -> bool {
+    summary.clock_offset_us != 0
+        || summary.clock_steps > 0
+        || summary.lost_events > 0
+        || summary.missing_events > 0
 }
 
-fn clock_row(stretch: &Stretch) -> Markup {
-    let bound = stretch.bound.map_or("not known".to_owned(), |bound| format!("{:.2} s", seconds(bound)));
+fn clock_row(summary: &IncarnationSummary) -> Markup {
+    let bound =
+        summary.clock_uncertainty.map_or("not known".to_owned(), |bound| format!("{:.2} s", seconds(bound)));
     html! {
         tr {
-            td { (stretch.incarnation.front) }
-            td.num { (format!("{:.2} s", stretch.moved_us as f64 / MICROS_PER_SECOND)) }
+            td { (summary.incarnation.front) }
+            td.num { (format!("{:.2} s", summary.clock_offset_us as f64 / MICROS_PER_SECOND)) }
             td.num { (bound) }
-            td.num { (format!("{:.0} in a million", stretch.gains_us)) }
-            td.num { @if stretch.steps > 0 { (stretch.steps) " times" } }
-            td.num { (stretch.lost + stretch.missing) }
+            td.num { (format!("{:.0} in a million", summary.clock_gain_us_per_s)) }
+            td.num { @if summary.clock_steps > 0 { (summary.clock_steps) " times" } }
+            td.num { (summary.lost_events + summary.missing_events) }
         }
     }
 }
--- a/crates/ochrelead-report/src/survey.rs
+++ b/crates/ochrelead-report/src/survey.rs
@@ -14,7 +14,7 @@
 
 /// What the records of a front's incarnation cover, on the common clock.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Stretch {
+pub struct IncarnationSummary {
     /// The incarnation.
     pub incarnation: FrontIncarnation,
     /// The time of its first event.
@@ -22,17 +22,17 @@
     /// The time of its last event.
     pub to: Moment,
     /// How far its clock was moved, in microseconds.
-    pub moved_us: i64,
+    pub clock_offset_us: i64,
     /// How far off that may be; none where nothing ties its clock to the others'.
-    pub bound: Option<Span>,
+    pub clock_uncertainty: Option<Span>,
     /// Microseconds that its clock was found to gain in a second.
-    pub gains_us: f64,
+    pub clock_gain_us_per_s: f64,
     /// How often its clock was set.
-    pub steps: usize,
+    pub clock_steps: usize,
     /// Events that it could not record, by its own count.
-    pub lost: u64,
+    pub lost_events: u64,
     /// Sequence numbers of events that are missing: dropped segments, or cut out.
-    pub missing: u64,
+    pub missing_events: u64,
 }
 
 /// What the first reading finds.
@@ -40,7 +40,7 @@
     /// The fronts' clocks.
     pub clocks: Clocks,
     /// What there is of each incarnation.
-    pub stretches: BTreeMap<FrontIncarnation, Stretch>,
+    pub incarnations: BTreeMap<FrontIncarnation, IncarnationSummary>,
 }
 
 /// The events of one incarnation, as far as they are read.
@@ -65,20 +65,20 @@
         self.last = event;
     }
 
-    fn into_stretch(self, incarnation: FrontIncarnation, clocks: &Clocks) -> Stretch {
+    fn into_summary(self, incarnation: FrontIncarnation, clocks: &Clocks) -> IncarnationSummary {
         let common_time = |event: &Event| Moment::from_micros(clocks.common(&incarnation, event));
         let from = common_time(&self.first);
         let to = common_time(&self.last).max(from);
         let offset = clocks.of(&incarnation);
-        Stretch {
+        IncarnationSummary {
             from,
             to,
-            moved_us: offset.add,
-            bound: offset.bound,
-            gains_us: -offset.drift * PARTS_PER_MILLION,
-            steps: clocks.steps(&incarnation),
-            lost: self.lost,
-            missing: self.missing,
+            clock_offset_us: offset.add,
+            clock_uncertainty: offset.bound,
+            clock_gain_us_per_s: -offset.drift * PARTS_PER_MILLION,
+            clock_steps: clocks.steps(&incarnation),
+            lost_events: self.lost,
+            missing_events: self.missing,
             incarnation,
         }
     }
@@ -94,11 +94,11 @@
         coverage.or_insert_with(|| Coverage::starting_with(&event)).extend(event);
     }
     let clocks = ties.settle();
-    let stretches = coverages
+    let incarnations = coverages
         .into_iter()
-        .map(|(incarnation, coverage)| (incarnation.clone(), coverage.into_stretch(incarnation, &clocks)))
+        .map(|(incarnation, coverage)| (incarnation.clone(), coverage.into_summary(incarnation, &clocks)))
         .collect();
-    Survey { clocks, stretches }
+    Survey { clocks, incarnations }
 }
 
 /// The logs of some folders, with what is damaged about the folders.
--- a/crates/ochrelead-report/tests/report.rs
+++ b/crates/ochrelead-report/tests/report.rs
@@ -100,7 +100,7 @@
         .into_iter()
         .map(|(incarnation, records)| Log::from_records(incarnation, records))
         .collect();
-    Incident::of(&logs, Damage::default())
+    Incident::from_logs(&logs, Damage::default())
 }
 
 #[test_case(0; "clocks that agree")]
@@ -112,7 +112,8 @@
     assert_eq!(crash.len(), 1, "{:?}", incident.troubles);
     let onset = crash[0].onset.since(incident.from).micros() / 1_000;
     assert!((7_000..13_000).contains(&onset), "{onset}");
-    let moved: Vec<i64> = incident.stretches.iter().map(|stretch| stretch.moved_us / 1_000).collect();
+    let moved: Vec<i64> =
+        incident.incarnations.iter().map(|summary| summary.clock_offset_us / 1_000).collect();
     let gap = moved[1] - moved[0];
     assert!((gap + off_ms).abs() <= 100, "{moved:?}");
 }
@@ -120,7 +121,7 @@
 #[test]
 fn what_was_cut_out_is_counted() {
     let incident = incident(records(0, 15_000..18_000));
-    let missing: Vec<u64> = incident.stretches.iter().map(|stretch| stretch.missing).collect();
+    let missing: Vec<u64> = incident.incarnations.iter().map(|summary| summary.missing_events).collect();
     assert!(missing[0] == 0 && missing[1] > 50, "{missing:?}");
     assert!(page::render(&incident).contains(&missing[1].to_string()));
 }
--- a/crates/ochrelead-scenario/src/detection/mod.rs
+++ b/crates/ochrelead-scenario/src/detection/mod.rs
@@ -84,9 +84,9 @@
         Some(seed) => corruption::corrupt_logs(logs, seed),
         None => logs,
     };
-    let incident = Incident::of(&logs, Damage::default());
+    let incident = Incident::from_logs(&logs, Damage::default());
     // The incident's clock is that of some front, the script's that of the last one, which is never corrupted.
-    let clock_offset_us = incident.stretches.last().map_or(0, |stretch| stretch.moved_us);
+    let clock_offset_us = incident.incarnations.last().map_or(0, |summary| summary.clock_offset_us);
     let start = Moment::from_micros(start.micros().saturating_add_signed(clock_offset_us));
     let since_start = |moment: Moment| Moment::START + moment.since(start);
     let troubles = incident.troubles.into_iter().map(|trouble| Trouble {
