--- a/crates/ochrelead-scenario/src/audit/call_rules/caller_side.rs
+++ b/crates/ochrelead-scenario/src/audit/call_rules/caller_side.rs
@@ -3,6 +3,7 @@
 use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_mgcp::message::{Command, Verb, parameter};
+use thiserror::Error;
 
 use super::front_state::Attempt;
 use super::{ANSWER_GRACE, CallRules, SOCKET_DELAY};
@@ -68,8 +69,8 @@
         match answer.check() {
             Ok(Some(usage)) => self.verdict.coverage_mut(Rule::FinalAnswer).record_usage(usage),
             Ok(None) => {}
-            Err(description) => {
-                self.verdict.add_violation(Rule::FinalAnswer, attempt_id, time, description);
+            Err(error) => {
+                self.verdict.add_violation(Rule::FinalAnswer, attempt_id, time, error.to_string());
             }
         }
     }
@@ -83,6 +84,15 @@
     patience.map_or(timer_limit, |ms| Span::from_millis(u64::from(ms)).min(timer_limit))
 }
 
+/// How a final answer breaks its rule.
+#[derive(Clone, Copy, Debug, Error)]
+enum LateAnswer {
+    #[error("a final answer {late_ms} ms after the caller hung up")]
+    AfterHangUp { late_ms: u64 },
+    #[error("its final answer came {late_ms} ms after the timer limit")]
+    AfterDeadline { late_ms: u64 },
+}
+
 /// The first final answer of a call attempt, and what bears on whether it may leave.
 struct FinalAnswer {
     time: Moment,
@@ -95,22 +105,22 @@
 
 impl FinalAnswer {
     /// Says how much of the allowed time was used, where that counts, or how the rule was broken.
-    fn check(&self) -> Result<Option<f64>, String> {
+    fn check(&self) -> Result<Option<f64>, LateAnswer> {
         let since_resumed = self.resumed_at.map(|resumed_at| self.time.since(resumed_at));
         let just_resumed = since_resumed.is_some_and(|since| since <= SOCKET_DELAY);
         if let Some(hung_up_at) = self.known_hang_up() {
             if just_resumed {
                 return Ok(None);
             }
-            let late = self.time.since(hung_up_at).micros() / 1_000;
-            return Err(format!("a final answer {late} ms after the caller hung up"));
+            let late_ms = self.time.since(hung_up_at).micros() / 1_000;
+            return Err(LateAnswer::AfterHangUp { late_ms });
         }
         if just_resumed {
             return Ok(None);
         }
         if self.time > self.deadline + ANSWER_GRACE {
-            let late = self.time.since(self.deadline).micros() / 1_000;
-            return Err(format!("its final answer came {late} ms after the timer limit"));
+            let late_ms = self.time.since(self.deadline).micros() / 1_000;
+            return Err(LateAnswer::AfterDeadline { late_ms });
         }
         let allowed = self.deadline.since(self.accepted_at);
         Ok(Some(self.time.since(self.accepted_at).ratio(allowed).min(1.0)))
