Name the diagnosis package as the field does, split its functions, and hold it to the lints

Cause: the last package with the former words (`take`, `until`, `Ties`, `Lately`, `Usual`, `of`, `life`, `loose`), tuples as keys and votes, functions of over a hundred lines, public items without docs, and an allowance for more than five arguments.

Change, without a change of behaviour: `diagnosis` over `events`, `presence`, `callers`, `answer_times`, `server_survey` and `trouble_log`; `clocks` over `segments`, `shared_events`, `votes` and `estimation`; `course` -> `statistics`. `Kind` -> `TroubleKind`, `Trouble::of` -> `subject`, `Ties` -> `ClockEstimator` (`handle_event`, `estimate`), `Diagnosis::take`, `until` -> `handle_event`, `advance_to`; `Clocks::of`, `common`, `steps`, `loose` -> `initial_offset`, `common_time_us`, `step_count`, `unrelated`. Identifiers, names and evidence that reports print stay. Tests keep their names but one (a_clock_that_nothing_ties_is_said_to_be_loose -> a_clock_that_nothing_relates_is_reported), cases and bounds.

--- a/crates/ochrelead-console/src/fleet_view.rs
+++ b/crates/ochrelead-console/src/fleet_view.rs
@@ -44,12 +44,12 @@
         let until = self.queue.settled_until(idle);
         while let Some(record) = self.queue.pop_until(until) {
             self.advance_to(record.time);
-            self.diagnosis.take(record.time, &record.incarnation, &record.event);
+            self.diagnosis.handle_event(record.time, &record.incarnation, &record.event);
             self.apply(&record);
         }
         if until > Moment::START {
             self.advance_to(until);
-            self.diagnosis.until(self.now);
+            self.diagnosis.advance_to(self.now);
         }
         self.evaluate_servers();
     }
@@ -150,7 +150,7 @@
     fn evaluate_servers(&mut self) {
         let troubles = self.ongoing_troubles();
         for (name, server) in &mut self.servers {
-            let trouble = troubles.iter().find(|trouble| trouble.of == *name);
+            let trouble = troubles.iter().find(|trouble| trouble.subject == *name);
             server.evaluate(self.now, trouble);
         }
     }
--- a/crates/ochrelead-console/src/record_queue.rs
+++ b/crates/ochrelead-console/src/record_queue.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_diagnosis::clocks::{Clocks, Ties};
+use ochrelead_diagnosis::clocks::{ClockEstimator, Clocks};
 use ochrelead_event_log::reader::{FrontIncarnation, Record};
 use ochrelead_event_log::schema::Event;
 
@@ -34,7 +34,7 @@
     waiting: BTreeMap<QueueKey, (FrontIncarnation, Event)>,
     arrivals: u64,
     newest_us: u64,
-    ties: Ties,
+    estimator: ClockEstimator,
     clocks: Clocks,
 }
 
@@ -43,10 +43,10 @@
     pub fn push(&mut self, record: Record) {
         let Record { incarnation, event, .. } = record;
         self.arrivals += 1;
-        if self.ties.take(&incarnation, &event) {
-            self.clocks = self.ties.clone().settle();
+        if self.estimator.handle_event(&incarnation, &event) {
+            self.clocks = self.estimator.clone().estimate();
         }
-        let time_us = self.clocks.common(&incarnation, &event);
+        let time_us = self.clocks.common_time_us(&incarnation, &event);
         self.newest_us = self.newest_us.max(time_us);
         self.waiting.insert(QueueKey { time_us, arrival: self.arrivals }, (incarnation, event));
     }
--- a/crates/ochrelead-console/src/server_view.rs
+++ b/crates/ochrelead-console/src/server_view.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_diagnosis::trouble::{Kind, Trouble};
+use ochrelead_diagnosis::trouble::{Trouble, TroubleKind};
 use ochrelead_event_log::schema::Outlook;
 
 use crate::fleet_view::FRONT_TIMEOUT;
@@ -145,9 +145,9 @@
         let mostly_ejected = ejections * 2 > current.len();
 
         let state = match trouble.map(|trouble| trouble.kind) {
-            Some(Kind::Silent) => ServerState::Silent,
-            Some(Kind::Slow) => ServerState::Slow,
-            Some(Kind::AnswersLost) => ServerState::AnswersLost,
+            Some(TroubleKind::Silent) => ServerState::Silent,
+            Some(TroubleKind::Slow) => ServerState::Slow,
+            Some(TroubleKind::AnswersLost) => ServerState::AnswersLost,
             _ if self.warming_up => ServerState::WarmingUp,
             _ if mostly_ejected => ServerState::Ejected,
             _ => ServerState::Healthy,
--- a/crates/ochrelead-console/src/text.rs
+++ b/crates/ochrelead-console/src/text.rs
@@ -33,7 +33,7 @@
 /// A trouble as one line, with how long ago it began.
 pub(crate) fn describe_trouble(trouble: &Trouble, now: Moment) -> String {
     let age = seconds(now.since(trouble.onset));
-    let subject = if trouble.of.is_empty() { "the fleet" } else { &trouble.of };
+    let subject = if trouble.subject.is_empty() { "the fleet" } else { &trouble.subject };
     let duration = match trouble.end {
         Some(end) => format!("lasted {:.1} s", seconds(end.since(trouble.onset))),
         None => "lasts".to_owned(),
--- a/crates/ochrelead-diagnosis/src/diagnosis/callers.rs
+++ b/crates/ochrelead-diagnosis/src/diagnosis/callers.rs
@@ -1,40 +1,76 @@
-//! What callers do: redials at once, numbers that many dial.
+//! What callers do: redials at once, and called numbers that many dial.
 
-use super::*;
+use std::collections::BTreeMap;
 
-/// How many of them within the stretch are a trouble.
-const MANY: usize = 4;
-/// A number with so many tries and calls at once is flooded.
-const FLOOD: usize = 4;
+use ochrelead_core::time::Moment;
+
+use super::trouble_log::Finding;
+use super::{Diagnosis, window_middle};
+use crate::trouble::TroubleKind;
+
+/// So many cases within the window are a trouble.
+const MIN_CASES: usize = 4;
+/// A number with so many attempts and calls at once is flooded.
+const MIN_OPEN_CALLS: usize = 4;
+/// So many cases give full confidence.
+const CONFIDENT_FLOOD_CASES: f64 = 12.0;
+const CONFIDENT_REDIAL_CASES: f64 = 15.0;
+
+/// How often something was seen.
+struct Count<T> {
+    value: T,
+    count: usize,
+}
+
+/// The most frequent value; of equals the highest.
+fn most_frequent<T: Ord>(values: impl Iterator<Item = T>) -> Option<Count<T>> {
+    let mut counts = BTreeMap::new();
+    for value in values {
+        *counts.entry(value).or_insert(0) += 1;
+    }
+    counts.into_iter().max_by_key(|(_, count)| *count).map(|(value, count)| Count { value, count })
+}
 
 impl Diagnosis {
     /// Callers that dial again at once, and numbers that many dial.
-    pub(super) fn judge_callers(&mut self, at: Moment) {
-        let mut busy: BTreeMap<&str, usize> = BTreeMap::new();
-        for (_, called) in self.busy_numbers.iter() {
-            *busy.entry(called).or_insert(0) += 1;
-        }
-        let mut members: BTreeMap<u32, usize> = BTreeMap::new();
-        for (_, member) in self.redials.iter() {
-            *members.entry(*member).or_insert(0) += 1;
+    pub(super) fn evaluate_callers(&mut self, now: Moment) {
+        if let Some(flooded) = self.flooded_number() {
+            let finding = Finding {
+                kind: TroubleKind::HotNumber,
+                subject: &flooded.value,
+                onset: window_middle(now),
+                confidence: (flooded.count as f64 / CONFIDENT_FLOOD_CASES).min(1.0),
+                evidence: format!("{} tries met its busy lines, or are open, at once", flooded.count),
+            };
+            self.troubles.observe(now, finding);
+            return;
         }
-        let most = |counts: Vec<(String, usize)>| counts.into_iter().max_by_key(|(_, count)| *count);
-        let busiest = most(busy.iter().map(|(called, count)| ((*called).to_owned(), *count)).collect());
-        let fullest = most(self.numbers.iter().map(|(called, open)| (called.clone(), *open)).collect());
-        let onset = Moment::from_micros(at.micros().saturating_sub(WINDOW.micros() / 2));
-        let flooded =
-            busiest.filter(|(_, count)| *count >= MANY).or(fullest.filter(|(_, open)| *open >= FLOOD));
-        if let Some((called, count)) = flooded {
-            let evidence = format!("{count} tries met its busy lines, or are open, at once");
-            self.see(at, Kind::HotNumber, &called, onset, (count as f64 / 12.0).min(1.0), evidence);
+        let all = self.immediate_redials.len();
+        let Some(Count { value: tenant, count }) = most_frequent(self.immediate_redials.values().copied())
+        else {
+            return;
+        };
+        if count < MIN_CASES || count * 4 < all * 3 {
             return;
         }
-        let all: usize = members.values().sum();
-        let worst = members.iter().max_by_key(|(_, count)| **count).map(|(member, count)| (*member, *count));
-        if let Some((member, count)) = worst.filter(|(_, count)| *count >= MANY && *count * 4 >= all * 3) {
-            let evidence = format!("{count} of {all} tries that came again at once are its callers'");
-            let name = format!("member {member}");
-            self.see(at, Kind::Redials, &name, onset, (count as f64 / 15.0).min(1.0), evidence);
+        let finding = Finding {
+            kind: TroubleKind::Redials,
+            subject: &format!("member {tenant}"),
+            onset: window_middle(now),
+            confidence: (count as f64 / CONFIDENT_REDIAL_CASES).min(1.0),
+            evidence: format!("{count} of {all} tries that came again at once are its callers'"),
+        };
+        self.troubles.observe(now, finding);
+    }
+
+    /// The number whose lines were busy most often, or the one with the most open calls.
+    fn flooded_number(&self) -> Option<Count<String>> {
+        let busiest = most_frequent(self.busy_numbers.values());
+        if let Some(Count { value, count }) = busiest.filter(|busiest| busiest.count >= MIN_CASES) {
+            return Some(Count { value: value.clone(), count });
         }
+        let fullest = self.open_calls_by_number.iter().max_by_key(|(_, open)| **open);
+        let (called, open) = fullest.filter(|(_, open)| **open >= MIN_OPEN_CALLS)?;
+        Some(Count { value: called.clone(), count: *open })
     }
 }
--- a/crates/ochrelead-diagnosis/src/trouble.rs
+++ b/crates/ochrelead-diagnosis/src/trouble.rs
@@ -1,4 +1,4 @@
-//! The kinds of trouble, as docs/on-call.md tells them apart.
+//! The kinds of trouble, as docs/on-call.md distinguishes them.
 
 use std::fmt;
 
@@ -6,26 +6,26 @@
 
 /// What is wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Kind {
+pub enum TroubleKind {
     /// A server is slower than it was and than the others are.
     Slow,
     /// All servers are slower, and carry less than they did.
     AllSlow,
     /// A server takes set-ups and answers none.
     Silent,
-    /// A server was gone and has started anew without a word before.
+    /// A server was gone and has restarted without an announcement.
     Crashed,
-    /// A server drained and has started anew.
+    /// A server drained and has restarted.
     Replaced,
     /// Answers of a server are lost on the way.
     AnswersLost,
     /// A front hears no server, while others hear them.
     CutOff,
-    /// A front ended without a word.
+    /// A front ended without leaving service.
     FrontKilled,
-    /// A front stood still.
+    /// A front was suspended for a while.
     FrontStalled,
-    /// One member's callers dial again at once.
+    /// One tenant's callers dial again at once.
     Redials,
     /// Many dial one number.
     HotNumber,
@@ -33,58 +33,58 @@
     Overload,
 }
 
-impl Kind {
+impl TroubleKind {
     /// The stable identifier, for machines: a renamed variant keeps it.
     pub fn id(self) -> &'static str {
         match self {
-            Kind::Slow => "Slow",
-            Kind::AllSlow => "AllSlow",
-            Kind::Silent => "Silent",
-            Kind::Crashed => "Crashed",
-            Kind::Replaced => "Replaced",
-            Kind::AnswersLost => "AnswersLost",
-            Kind::CutOff => "CutOff",
-            Kind::FrontKilled => "FrontKilled",
-            Kind::FrontStalled => "FrontStalled",
-            Kind::Redials => "Redials",
-            Kind::HotNumber => "HotNumber",
-            Kind::Overload => "Overload",
+            TroubleKind::Slow => "Slow",
+            TroubleKind::AllSlow => "AllSlow",
+            TroubleKind::Silent => "Silent",
+            TroubleKind::Crashed => "Crashed",
+            TroubleKind::Replaced => "Replaced",
+            TroubleKind::AnswersLost => "AnswersLost",
+            TroubleKind::CutOff => "CutOff",
+            TroubleKind::FrontKilled => "FrontKilled",
+            TroubleKind::FrontStalled => "FrontStalled",
+            TroubleKind::Redials => "Redials",
+            TroubleKind::HotNumber => "HotNumber",
+            TroubleKind::Overload => "Overload",
         }
     }
 
-    /// In a word or two, for plots.
-    pub fn short(self) -> &'static str {
+    /// A name of a word or two, for plots.
+    pub fn short_name(self) -> &'static str {
         match self {
-            Kind::Slow => "slow",
-            Kind::AllSlow => "all slow",
-            Kind::Silent => "silent",
-            Kind::Crashed => "crashed",
-            Kind::Replaced => "replaced",
-            Kind::AnswersLost => "answers lost",
-            Kind::CutOff => "cut off",
-            Kind::FrontKilled => "killed",
-            Kind::FrontStalled => "stood still",
-            Kind::Redials => "redials",
-            Kind::HotNumber => "flooded",
-            Kind::Overload => "overload",
+            TroubleKind::Slow => "slow",
+            TroubleKind::AllSlow => "all slow",
+            TroubleKind::Silent => "silent",
+            TroubleKind::Crashed => "crashed",
+            TroubleKind::Replaced => "replaced",
+            TroubleKind::AnswersLost => "answers lost",
+            TroubleKind::CutOff => "cut off",
+            TroubleKind::FrontKilled => "killed",
+            TroubleKind::FrontStalled => "stood still",
+            TroubleKind::Redials => "redials",
+            TroubleKind::HotNumber => "flooded",
+            TroubleKind::Overload => "overload",
         }
     }
 
-    /// In plain words.
+    /// The name in reports.
     pub fn name(self) -> &'static str {
         match self {
-            Kind::Slow => "slow",
-            Kind::AllSlow => "all servers slow",
-            Kind::Silent => "silent",
-            Kind::Crashed => "crashed and started anew",
-            Kind::Replaced => "drained and replaced",
-            Kind::AnswersLost => "answers lost on the way",
-            Kind::CutOff => "front cut off from the servers",
-            Kind::FrontKilled => "front ended without a word",
-            Kind::FrontStalled => "front stood still",
-            Kind::Redials => "a member's callers dial again at once",
-            Kind::HotNumber => "one number flooded",
-            Kind::Overload => "more offered than can be carried",
+            TroubleKind::Slow => "slow",
+            TroubleKind::AllSlow => "all servers slow",
+            TroubleKind::Silent => "silent",
+            TroubleKind::Crashed => "crashed and started anew",
+            TroubleKind::Replaced => "drained and replaced",
+            TroubleKind::AnswersLost => "answers lost on the way",
+            TroubleKind::CutOff => "front cut off from the servers",
+            TroubleKind::FrontKilled => "front ended without a word",
+            TroubleKind::FrontStalled => "front stood still",
+            TroubleKind::Redials => "a member's callers dial again at once",
+            TroubleKind::HotNumber => "one number flooded",
+            TroubleKind::Overload => "more offered than can be carried",
         }
     }
 }
@@ -92,23 +92,25 @@
 /// One trouble.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Trouble {
-    pub kind: Kind,
-    /// The server, front, member or number; empty where it is the fleet.
-    pub of: String,
+    /// What is wrong.
+    pub kind: TroubleKind,
+    /// The server, front, tenant or called number concerned; empty where it is the fleet.
+    pub subject: String,
+    /// When it began.
     pub onset: Moment,
-    /// None while it lasts.
+    /// When it ended; none while it lasts.
     pub end: Option<Moment>,
-    /// How sure this is, 0 to 1: how far the evidence is above what was asked of it.
+    /// How sure this is, 0 to 1: how far the evidence is above the least that is needed.
     pub confidence: f64,
-    /// What was seen, in plain words.
+    /// What was seen, as a sentence.
     pub evidence: String,
 }
 
 impl fmt::Display for Trouble {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.kind.name())?;
-        if !self.of.is_empty() {
-            write!(f, " ({})", self.of)?;
+        if !self.subject.is_empty() {
+            write!(f, " ({})", self.subject)?;
         }
         write!(f, ": {}", self.evidence)
     }
--- a/crates/ochrelead-diagnosis/tests/clocks.rs
+++ b/crates/ochrelead-diagnosis/tests/clocks.rs
@@ -1,6 +1,6 @@
 //! Fronts whose clocks are off, run fast, are set in mid-run, and whose records have holes.
 
-use ochrelead_diagnosis::clocks::{Clocks, Ties};
+use ochrelead_diagnosis::clocks::{ClockEstimator, Clocks};
 use ochrelead_event_log::reader::{FrontIncarnation, Record};
 use ochrelead_event_log::schema::{Event, Told, event::What};
 use rand::{RngExt, SeedableRng};
@@ -14,22 +14,22 @@
 /// The front whose clock is wrong.
 const WRONG: u64 = 2;
 
-/// What its clock shows at a true moment since the start.
-type Shows = fn(f64) -> f64;
+/// What its clock reads at a true time since the start.
+type ClockReading = fn(f64) -> f64;
 
 fn right(at: f64) -> f64 {
     at
 }
 
-fn life(front: u64) -> FrontIncarnation {
+fn incarnation(front: u64) -> FrontIncarnation {
     FrontIncarnation { front: format!("f{front}"), started_us: 1 }
 }
 
-/// True moments with the events that each front wrote; of the wrong front all after `silent_from` that would tie
-/// it is left out, and one in `cut` events of all is missing.
-fn course(shows: Shows, silent_from: u64, cut: u32) -> Vec<(u64, Record)> {
+/// True times with the events that each front wrote; of the wrong front all after `silent_from` that would relate
+/// its clock is left out, and one in `cut` events of all is missing.
+fn course(reading: ClockReading, silent_from: u64, cut: u32) -> Vec<(u64, Record)> {
     let mut rng = Pcg64Mcg::seed_from_u64(7);
-    let mut said: Vec<(u64, String)> = Vec::new();
+    let mut announcements: Vec<(u64, String)> = Vec::new();
     for server in 0..6 {
         let mut at = 0;
         loop {
@@ -37,14 +37,14 @@
             if at + 10_000_000 >= LENGTH {
                 break;
             }
-            said.push((at, format!("s{server}")));
+            announcements.push((at, format!("s{server}")));
         }
     }
     let mut records = Vec::new();
     for front in 0..FRONTS {
         let mut events: Vec<(u64, Option<String>)> =
-            (0..LENGTH / 500_000).map(|nth| (nth * 500_000, None)).collect();
-        for (at, server) in &said {
+            (0..LENGTH / 500_000).map(|index| (index * 500_000, None)).collect();
+        for (at, server) in &announcements {
             let repeat = if rng.random_ratio(1, 50) { 500_000 } else { 0 };
             let at = at + rng.random_range(2_000..9_000) + repeat;
             if front != WRONG || at < silent_from {
@@ -52,18 +52,18 @@
             }
         }
         events.sort();
-        for (nth, (at, server)) in events.into_iter().enumerate() {
+        for (index, (at, server)) in events.into_iter().enumerate() {
             if cut > 0 && rng.random_ratio(1, cut) {
                 continue;
             }
-            let shown = if front == WRONG { shows(at as f64 / 1e6) } else { at as f64 / 1e6 };
+            let shown = if front == WRONG { reading(at as f64 / 1e6) } else { at as f64 / 1e6 };
             let what = server.map(|server| What::Told(Told { server, what: "started".to_owned() }));
             let at_us = START.saturating_add_signed((shown * 1e6) as i64);
             records.push((
                 at,
                 Record {
-                    incarnation: life(front),
-                    event: Event { at_us, nth: nth as u64, what },
+                    incarnation: incarnation(front),
+                    event: Event { at_us, nth: index as u64, what },
                     unknown_fields: 0,
                 },
             ));
@@ -85,26 +85,26 @@
 #[test_case(|at| at + 40.0, u64::MAX, 10, 0.1; "fast with a tenth cut out")]
 #[test_case(|at| at * 1.000_2, u64::MAX, 10, 0.1; "runs fast with a tenth cut out")]
 #[test_case(|at| if at < 900.2 { at } else { at - 5.0 }, u64::MAX, 10, 1.1; "set back with a tenth cut out")]
-fn every_event_comes_to_its_true_moment(shows: Shows, silent_from: u64, cut: u32, within_s: f64) {
-    let records = course(shows, silent_from, cut);
-    let clocks = Clocks::estimate(records.iter().map(|(_, record)| record));
+fn every_event_comes_to_its_true_moment(reading: ClockReading, silent_from: u64, cut: u32, within_s: f64) {
+    let records = course(reading, silent_from, cut);
+    let clocks = Clocks::from_records(records.iter().map(|(_, record)| record));
     let off = |(at, record): &(u64, Record)| {
-        clocks.common(&record.incarnation, &record.event) as i64 - (START + at) as i64
+        clocks.common_time_us(&record.incarnation, &record.event) as i64 - (START + at) as i64
     };
     // Whose clock is the reference is free: all are measured against one that is right.
-    let reference = records.iter().find(|(_, own)| own.incarnation == life(0)).map(off).unwrap();
-    let furthest = records.iter().map(|own| (off(own) - reference).abs()).max().unwrap() as f64 / 1e6;
+    let reference = records.iter().find(|(_, record)| record.incarnation == incarnation(0)).map(off).unwrap();
+    let furthest = records.iter().map(|record| (off(record) - reference).abs()).max().unwrap() as f64 / 1e6;
     assert!(furthest <= within_s, "{furthest} s off");
-    assert!(clocks.loose().is_empty());
+    assert!(clocks.unrelated().is_empty());
 }
 
 #[test]
 fn a_stall_is_no_set_clock() {
-    let mut ties = Ties::default();
-    for (nth, (at_us, what)) in
+    let mut estimator = ClockEstimator::default();
+    for (index, (at_us, what)) in
         [(1, None), (2, None), (9_000_000, Some(What::PausedUs(8_900_000)))].into_iter().enumerate()
     {
-        ties.take(&life(0), &Event { at_us: START + at_us, nth: nth as u64, what });
+        estimator.handle_event(&incarnation(0), &Event { at_us: START + at_us, nth: index as u64, what });
     }
-    assert_eq!(ties.settle().steps(&life(0)), 0);
+    assert_eq!(estimator.estimate().step_count(&incarnation(0)), 0);
 }
--- a/crates/ochrelead-diagnosis/tests/diagnosis.rs
+++ b/crates/ochrelead-diagnosis/tests/diagnosis.rs
@@ -3,7 +3,7 @@
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_diagnosis::clocks::Clocks;
 use ochrelead_diagnosis::diagnosis::Diagnosis;
-use ochrelead_diagnosis::trouble::Kind;
+use ochrelead_diagnosis::trouble::TroubleKind;
 use ochrelead_event_log::reader::{FrontIncarnation, Record};
 use ochrelead_event_log::schema::event::What;
 use ochrelead_event_log::schema::{
@@ -22,13 +22,13 @@
     Moment::from_micros((EPOCH + ms) * 1_000)
 }
 
-fn life(front: u64, started: u64) -> FrontIncarnation {
+fn incarnation(front: u64, started: u64) -> FrontIncarnation {
     FrontIncarnation { front: format!("f{front}"), started_us: started }
 }
 
 /// What is wrong, and between which milliseconds.
 #[derive(Clone, Copy)]
-enum Wrong {
+enum Fault {
     Nothing,
     Slow(u64),
     AllSlow,
@@ -49,100 +49,101 @@
 }
 
 impl Course {
-    fn put(&mut self, ms: u64, life: FrontIncarnation, what: What) {
+    fn write(&mut self, ms: u64, incarnation: FrontIncarnation, what: What) {
         let event = Event { at_us: (EPOCH + ms) * 1_000, nth: 0, what: Some(what) };
         let order = self.records.len() as u64;
-        self.records.push((ms, order, Record { incarnation: life, event, unknown_fields: 0 }));
+        self.records.push((ms, order, Record { incarnation, event, unknown_fields: 0 }));
     }
 
-    /// One caller's way through a front.
-    fn call(&mut self, ms: u64, nth: u64, wrong: Wrong, on: bool) {
-        let (front, server, tried) = (nth % FRONTS, nth / 2 % SERVERS, format!("{nth:x}"));
-        let own = life(front, 1);
+    /// One call through a front.
+    fn call(&mut self, ms: u64, index: u64, fault: Fault, on: bool) {
+        let (front, server, tried) = (index % FRONTS, index / 2 % SERVERS, format!("{index:x}"));
+        let front_incarnation = incarnation(front, 1);
         let name = format!("s{server}");
-        let called = match wrong {
-            Wrong::Flood if on && nth % 3 == 0 => "999".to_owned(),
-            _ => format!("{nth}"),
+        let called = match fault {
+            Fault::Flood if on && index % 3 == 0 => "999".to_owned(),
+            _ => format!("{index}"),
         };
         let flooded = called == "999";
-        let taken = Taken { tried: tried.clone(), member: (nth % 2 + 1) as u32, called, ..Taken::default() };
-        self.put(ms, own.clone(), What::Taken(taken));
+        let taken =
+            Taken { tried: tried.clone(), member: (index % 2 + 1) as u32, called, ..Taken::default() };
+        self.write(ms, front_incarnation.clone(), What::Taken(taken));
         let invite = Invite { tried: tried.clone(), server: name.clone(), nth: 1, ..Invite::default() };
-        self.put(ms + 1, own.clone(), What::Invite(invite));
-        let usual = 40 + nth * 7 % 40;
-        let took = match wrong {
-            Wrong::Slow(struck) if on && struck == server => usual * 8,
-            Wrong::AllSlow if on => usual * 7,
-            Wrong::Surge if on => usual * 6,
-            Wrong::Lost(struck) if on && struck == server && nth % 4 < 2 => 500 + usual,
-            Wrong::LostAtOtherGaps(struck) if on && struck == server && nth % 4 < 2 => 250 + usual,
-            Wrong::Silent(struck) | Wrong::Crash(struck) if on && struck == server => 0,
-            Wrong::Cut(struck) if on && struck == front => 0,
+        self.write(ms + 1, front_incarnation.clone(), What::Invite(invite));
+        let usual = 40 + index * 7 % 40;
+        let took = match fault {
+            Fault::Slow(struck) if on && struck == server => usual * 8,
+            Fault::AllSlow if on => usual * 7,
+            Fault::Surge if on => usual * 6,
+            Fault::Lost(struck) if on && struck == server && index % 4 < 2 => 500 + usual,
+            Fault::LostAtOtherGaps(struck) if on && struck == server && index % 4 < 2 => 250 + usual,
+            Fault::Silent(struck) | Fault::Crash(struck) if on && struck == server => 0,
+            Fault::Cut(struck) if on && struck == front => 0,
             _ => usual,
         };
         if took == 0 {
             let hung_up = HungUp { tried, server: name, waited_us: 3_000_000 };
-            return self.put(ms + 3_000, own, What::HungUp(hung_up));
+            return self.write(ms + 3_000, front_incarnation, What::HungUp(hung_up));
         }
         if flooded {
             let ended =
                 Ended { tried: tried.clone(), server: name, ending: Ending::LinesBusy.into(), took_us: 9 };
-            self.put(ms + took, own.clone(), What::Ended(ended));
+            self.write(ms + took, front_incarnation.clone(), What::Ended(ended));
             let given_up = GivenUp { tried, denial: Denial::NotAgain.into(), ..GivenUp::default() };
-            return self.put(ms + took + 1, own, What::GivenUp(given_up));
+            return self.write(ms + took + 1, front_incarnation, What::GivenUp(given_up));
         }
         let (took_us, since_taken_us) = (took * 1_000, took * 1_000 + 1_000);
         let stands = Stands { tried: tried.clone(), server: name.clone(), took_us, since_taken_us };
-        self.put(ms + took, own.clone(), What::Stands(stands));
+        self.write(ms + took, front_incarnation.clone(), What::Stands(stands));
         let released = Released { tried, server: name, confirmed: true };
-        self.put(ms + took + 2_000, own, What::Released(released));
+        self.write(ms + took + 2_000, front_incarnation, What::Released(released));
     }
 
     /// A caller that hangs up at once and dials again at once.
-    fn pest(&mut self, ms: u64, nth: u64) {
-        let own = life(nth % FRONTS, 1);
+    fn redial_at_once(&mut self, ms: u64, index: u64) {
+        let front_incarnation = incarnation(index % FRONTS, 1);
         for again in 0..4 {
-            let (tried, called) = (format!("b{nth:x}{again}"), format!("7{nth}"));
+            let (tried, called) = (format!("b{index:x}{again}"), format!("7{index}"));
             let taken = Taken { tried: tried.clone(), member: 2, called, ..Taken::default() };
-            self.put(ms + again * 220, own.clone(), What::Taken(taken));
-            self.put(
+            self.write(ms + again * 220, front_incarnation.clone(), What::Taken(taken));
+            self.write(
                 ms + again * 220 + 200,
-                own.clone(),
+                front_incarnation.clone(),
                 What::HungUp(HungUp { tried, ..HungUp::default() }),
             );
         }
     }
 
-    fn of(wrong: Wrong, from: u64, to: u64) -> Course {
+    fn with_fault(fault: Fault, from: u64, to: u64) -> Course {
         let mut course = Course { records: Vec::new() };
-        let (mut ms, mut nth) = (0, 0);
+        let (mut ms, mut index) = (0, 0);
         while ms < LENGTH {
             let on = (from..to).contains(&ms);
-            let faster = if matches!(wrong, Wrong::Surge) && on { 2 } else { 1 };
+            let faster = if matches!(fault, Fault::Surge) && on { 2 } else { 1 };
             ms += 1_000 / RATE / faster;
-            nth += 1;
-            let dead = matches!(wrong, Wrong::Killed(struck) if on && struck == nth % FRONTS);
+            index += 1;
+            let dead = matches!(fault, Fault::Killed(struck) if on && struck == index % FRONTS);
             if !dead {
-                course.call(ms, nth, wrong, on);
+                course.call(ms, index, fault, on);
             }
-            if matches!(wrong, Wrong::Redials) && on && nth % 6 == 0 {
-                course.pest(ms, nth);
+            if matches!(fault, Fault::Redials) && on && index % 6 == 0 {
+                course.redial_at_once(ms, index);
             }
         }
         for second in 0..LENGTH / 1_000 {
             for front in 0..FRONTS {
-                course.outlooks(second * 1_000 + front * 10, front, wrong, (from, to));
+                course.outlooks(second * 1_000 + front * 10, front, fault, (from, to));
             }
         }
-        match wrong {
-            Wrong::Crash(server) => course.told(to, server, "started"),
-            Wrong::Killed(front) => {
-                course.records.retain(|(ms, _, own)| {
-                    own.incarnation.front != format!("f{front}") || *ms < from || *ms >= to
+        match fault {
+            Fault::Crash(server) => course.announce(to, server, "started"),
+            Fault::Killed(front) => {
+                course.records.retain(|(ms, _, record)| {
+                    record.incarnation.front != format!("f{front}") || *ms < from || *ms >= to
                 });
-                for (ms, _, own) in &mut course.records {
-                    if own.incarnation.front == format!("f{front}") && *ms >= to {
-                        own.incarnation.started_us = 2;
+                for (ms, _, record) in &mut course.records {
+                    if record.incarnation.front == format!("f{front}") && *ms >= to {
+                        record.incarnation.started_us = 2;
                     }
                 }
             }
@@ -152,94 +153,94 @@
         course
     }
 
-    fn told(&mut self, ms: u64, server: u64, what: &str) {
+    fn announce(&mut self, ms: u64, server: u64, what: &str) {
         for front in 0..FRONTS {
             let told = Told { server: format!("s{server}"), what: what.to_owned() };
-            self.put(ms + front * 20, life(front, 1), What::Told(told));
+            self.write(ms + front * 20, incarnation(front, 1), What::Told(told));
         }
     }
 
     /// What a front holds of all servers; lines are told to it every half second while all is well.
-    fn outlooks(&mut self, ms: u64, front: u64, wrong: Wrong, (from, to): (u64, u64)) {
+    fn outlooks(&mut self, ms: u64, front: u64, fault: Fault, (from, to): (u64, u64)) {
         for server in 0..SERVERS {
-            let deaf = match wrong {
-                Wrong::Silent(struck) | Wrong::Crash(struck) => struck == server,
-                Wrong::Cut(struck) => struck == front,
+            let deaf = match fault {
+                Fault::Silent(struck) | Fault::Crash(struck) => struck == server,
+                Fault::Cut(struck) => struck == front,
                 _ => false,
             };
             let since = if deaf && (from..to).contains(&ms) { ms - from + 100 } else { 200 };
             let unheard_us = since * 1_000;
-            self.put(
+            self.write(
                 ms,
-                life(front, 1),
+                incarnation(front, 1),
                 What::Outlook(Outlook { server: format!("s{server}"), unheard_us, ..Outlook::default() }),
             );
         }
     }
 
-    fn diagnosed(&self, pauses: bool) -> Vec<(Kind, String, u64, Option<u64>)> {
+    fn diagnosed(&self, pauses: bool) -> Vec<(TroubleKind, String, u64, Option<u64>)> {
         let mut diagnosis = Diagnosis::default();
-        for (nth, (ms, _, record)) in self.records.iter().enumerate() {
-            if pauses && nth % 7 == 0 {
-                diagnosis.until(at(ms.saturating_sub(1)));
+        for (index, (ms, _, record)) in self.records.iter().enumerate() {
+            if pauses && index % 7 == 0 {
+                diagnosis.advance_to(at(ms.saturating_sub(1)));
             }
-            diagnosis.take(at(*ms), &record.incarnation, &record.event);
+            diagnosis.handle_event(at(*ms), &record.incarnation, &record.event);
         }
-        diagnosis.until(at(LENGTH + 3_000));
+        diagnosis.advance_to(at(LENGTH + 3_000));
         let ms = |moment: Moment| moment.since(at(0)).micros() / 1_000;
         diagnosis
             .troubles()
             .into_iter()
-            .map(|own| (own.kind, own.of, ms(own.onset), own.end.map(ms)))
+            .map(|trouble| (trouble.kind, trouble.subject, ms(trouble.onset), trouble.end.map(ms)))
             .collect()
     }
 }
 
-#[test_case(Wrong::Slow(1), Kind::Slow, "s1", 10_000, 16_000; "one slow")]
-#[test_case(Wrong::Slow(2), Kind::Slow, "s2", 10_000, 12_500; "slow for a moment only")]
-#[test_case(Wrong::AllSlow, Kind::AllSlow, "", 10_000, 16_000; "all slow")]
-#[test_case(Wrong::Silent(0), Kind::Silent, "s0", 10_000, 16_000; "one silent")]
-#[test_case(Wrong::Lost(2), Kind::AnswersLost, "s2", 10_000, 16_000; "answers lost")]
-#[test_case(Wrong::LostAtOtherGaps(2), Kind::AnswersLost, "s2", 10_000, 16_000 => panics "(Slow, \"s2\")"; "answers lost where repeats come sooner")]
-#[test_case(Wrong::Crash(1), Kind::Crashed, "s1", 10_000, 13_000; "one crashed")]
-#[test_case(Wrong::Killed(3), Kind::FrontKilled, "f3", 10_000, 12_000; "a front killed")]
-#[test_case(Wrong::Killed(3), Kind::FrontKilled, "f3", 10_000, 20_000; "a gap of ten seconds")]
-#[test_case(Wrong::Cut(2), Kind::CutOff, "f2", 10_000, 15_000; "a trouble that one front alone sees")]
-#[test_case(Wrong::Surge, Kind::Overload, "", 10_000, 16_000; "a surge")]
-#[test_case(Wrong::Flood, Kind::HotNumber, "999", 10_000, 16_000; "one number flooded")]
-#[test_case(Wrong::Redials, Kind::Redials, "member 2", 10_000, 16_000; "one member's redials")]
-fn found(wrong: Wrong, kind: Kind, of: &str, from: u64, to: u64) {
-    let found = Course::of(wrong, from, to).diagnosed(false);
-    let [(own, whose, onset, end)] = &found[..] else { panic!("{found:?}") };
-    assert_eq!((*own, whose.as_str()), (kind, of));
+#[test_case(Fault::Slow(1), TroubleKind::Slow, "s1", 10_000, 16_000; "one slow")]
+#[test_case(Fault::Slow(2), TroubleKind::Slow, "s2", 10_000, 12_500; "slow for a moment only")]
+#[test_case(Fault::AllSlow, TroubleKind::AllSlow, "", 10_000, 16_000; "all slow")]
+#[test_case(Fault::Silent(0), TroubleKind::Silent, "s0", 10_000, 16_000; "one silent")]
+#[test_case(Fault::Lost(2), TroubleKind::AnswersLost, "s2", 10_000, 16_000; "answers lost")]
+#[test_case(Fault::LostAtOtherGaps(2), TroubleKind::AnswersLost, "s2", 10_000, 16_000 => panics "(Slow, \"s2\")"; "answers lost where repeats come sooner")]
+#[test_case(Fault::Crash(1), TroubleKind::Crashed, "s1", 10_000, 13_000; "one crashed")]
+#[test_case(Fault::Killed(3), TroubleKind::FrontKilled, "f3", 10_000, 12_000; "a front killed")]
+#[test_case(Fault::Killed(3), TroubleKind::FrontKilled, "f3", 10_000, 20_000; "a gap of ten seconds")]
+#[test_case(Fault::Cut(2), TroubleKind::CutOff, "f2", 10_000, 15_000; "a trouble that one front alone sees")]
+#[test_case(Fault::Surge, TroubleKind::Overload, "", 10_000, 16_000; "a surge")]
+#[test_case(Fault::Flood, TroubleKind::HotNumber, "999", 10_000, 16_000; "one number flooded")]
+#[test_case(Fault::Redials, TroubleKind::Redials, "member 2", 10_000, 16_000; "one member's redials")]
+fn found(fault: Fault, kind: TroubleKind, subject: &str, from: u64, to: u64) {
+    let found = Course::with_fault(fault, from, to).diagnosed(false);
+    let [(found_kind, found_subject, onset, end)] = &found[..] else { panic!("{found:?}") };
+    assert_eq!((*found_kind, found_subject.as_str()), (kind, subject));
     assert!(onset.abs_diff(from) <= 3_000 && end.is_some_and(|end| end.abs_diff(to) <= 5_000), "{found:?}");
 }
 
-#[test_case(Wrong::Nothing; "nothing wrong")]
-#[test_case(Wrong::Silent(1); "a silent server")]
-#[test_case(Wrong::Surge; "a surge")]
-fn live_and_over_the_whole_log_it_is_the_same(wrong: Wrong) {
-    let course = Course::of(wrong, 8_000, 12_000);
+#[test_case(Fault::Nothing; "nothing wrong")]
+#[test_case(Fault::Silent(1); "a silent server")]
+#[test_case(Fault::Surge; "a surge")]
+fn live_and_over_the_whole_log_it_is_the_same(fault: Fault) {
+    let course = Course::with_fault(fault, 8_000, 12_000);
     assert_eq!(course.diagnosed(true), course.diagnosed(false));
 }
 
 #[test]
 fn nothing_is_made_of_a_quiet_course() {
-    assert_eq!(Course::of(Wrong::Nothing, 0, 0).diagnosed(false), []);
+    assert_eq!(Course::with_fault(Fault::Nothing, 0, 0).diagnosed(false), []);
 }
 
 #[test]
 fn two_troubles_at_once_are_both_found() {
-    let mut course = Course::of(Wrong::Silent(0), 10_000, 16_000);
-    let other = Course::of(Wrong::Killed(3), 11_000, 14_000);
-    let killed = |own: &Record| own.incarnation.front == "f3";
-    course.records.retain(|(.., own)| !killed(own));
-    course.records.extend(other.records.into_iter().filter(|(.., own)| killed(own)));
+    let mut course = Course::with_fault(Fault::Silent(0), 10_000, 16_000);
+    let other = Course::with_fault(Fault::Killed(3), 11_000, 14_000);
+    let killed = |record: &Record| record.incarnation.front == "f3";
+    course.records.retain(|(.., record)| !killed(record));
+    course.records.extend(other.records.into_iter().filter(|(.., record)| killed(record)));
     course.records.sort_by_key(|(ms, order, _)| (*ms, *order));
-    let mut found: Vec<(Kind, String)> =
+    let mut found: Vec<(TroubleKind, String)> =
         course.diagnosed(false).into_iter().map(|(kind, of, ..)| (kind, of)).collect();
     found.sort();
-    let expected = [(Kind::Silent, "s0".to_owned()), (Kind::FrontKilled, "f3".to_owned())];
+    let expected = [(TroubleKind::Silent, "s0".to_owned()), (TroubleKind::FrontKilled, "f3".to_owned())];
     assert_eq!(found, expected);
 }
 
@@ -252,38 +253,44 @@
 #[test_case(40_000; "forty seconds fast")]
 #[test_case(-3_000; "three seconds slow")]
 fn a_clock_that_is_off_is_set_by_what_all_fronts_saw(by: i64) {
-    let mut course = Course::of(Wrong::Crash(1), 10_000, 13_000);
-    course.told(20_000, 2, "drains");
-    course.told(22_000, 2, "started");
+    let mut course = Course::with_fault(Fault::Crash(1), 10_000, 13_000);
+    course.announce(20_000, 2, "drains");
+    course.announce(22_000, 2, "started");
     course.records.sort_by_key(|(ms, order, _)| (*ms, *order));
     let records: Vec<Record> = course
         .records
         .iter()
-        .map(|(.., own)| shifted(own, if own.incarnation.front == "f2" { by } else { 0 }))
+        .map(|(.., record)| shifted(record, if record.incarnation.front == "f2" { by } else { 0 }))
         .collect();
-    let clocks = Clocks::estimate(records.iter());
-    let gap = clocks.of(&life_of("f2")).add - clocks.of(&life_of("f0")).add;
+    let clocks = Clocks::from_records(records.iter());
+    let gap = clocks.initial_offset(&incarnation_of("f2")).offset_us
+        - clocks.initial_offset(&incarnation_of("f0")).offset_us;
     assert!((gap + by * 1_000).unsigned_abs() <= 100_000, "{gap} for {by}");
-    assert!(clocks.of(&life_of("f2")).bound.is_none_or(|bound| bound < Span::from_secs(2)));
-    assert!(clocks.loose().is_empty());
+    assert!(
+        clocks
+            .initial_offset(&incarnation_of("f2"))
+            .error_bound
+            .is_none_or(|bound| bound < Span::from_secs(2))
+    );
+    assert!(clocks.unrelated().is_empty());
 }
 
-fn life_of(front: &str) -> FrontIncarnation {
+fn incarnation_of(front: &str) -> FrontIncarnation {
     FrontIncarnation { front: front.to_owned(), started_us: 1 }
 }
 
 #[test]
-fn a_clock_that_nothing_ties_is_said_to_be_loose() {
+fn a_clock_that_nothing_relates_is_reported() {
     let told = |front: &str, ms: u64, server: &str| {
         let what = What::Told(Told { server: server.to_owned(), what: "started".to_owned() });
         Record {
-            incarnation: life_of(front),
+            incarnation: incarnation_of(front),
             event: Event { at_us: ms * 1_000, nth: 0, what: Some(what) },
             unknown_fields: 0,
         }
     };
     let records = [told("f0", 5, "s0"), told("f1", 9, "s0"), told("f2", 700, "s9"), told("f3", 800, "s9")];
-    let clocks = Clocks::estimate(records.iter());
-    assert_eq!(clocks.of(&life_of("f1")).add.abs(), 4_000);
-    assert_eq!(clocks.loose().len(), 2, "two groups that share nothing");
+    let clocks = Clocks::from_records(records.iter());
+    assert_eq!(clocks.initial_offset(&incarnation_of("f1")).offset_us.abs(), 4_000);
+    assert_eq!(clocks.unrelated().len(), 2, "two groups that share nothing");
 }
--- a/crates/ochrelead-report/src/incident.rs
+++ b/crates/ochrelead-report/src/incident.rs
@@ -60,7 +60,7 @@
         let mut merged = MergedLog::new(logs.to_vec(), &clocks);
         for (time, record) in merged.by_ref() {
             events += 1;
-            diagnosis.take(time, &record.incarnation, &record.event);
+            diagnosis.handle_event(time, &record.incarnation, &record.event);
             series.handle_record(time, &record);
             longest.consider(&record);
         }
@@ -79,7 +79,7 @@
             series,
             longest_sessions: longest.into_traces(),
             damage,
-            unsynchronized: clocks.loose().to_vec(),
+            unsynchronized: clocks.unrelated().to_vec(),
         }
     }
 
--- a/crates/ochrelead-report/src/json.rs
+++ b/crates/ochrelead-report/src/json.rs
@@ -27,7 +27,7 @@
     json!({
         "kind": trouble.kind.id(),
         "name": trouble.kind.name(),
-        "of": trouble.of,
+        "of": trouble.subject,
         "onset_us": trouble.onset.micros(),
         "end_us": trouble.end.map(Moment::micros),
         "confidence": trouble.confidence,
--- a/crates/ochrelead-report/src/merged_log.rs
+++ b/crates/ochrelead-report/src/merged_log.rs
@@ -51,8 +51,11 @@
             MergedLog { clocks, fronts: Vec::new(), queue: BinaryHeap::new(), damage: Damage::default() };
         for mut logs in by_front.into_values() {
             // By the common clock: a front whose clock was set back between two starts numbers them in the wrong order.
-            let started =
-                |log: &Log| log.incarnation.started_us.saturating_add_signed(clocks.of(&log.incarnation).add);
+            let started = |log: &Log| {
+                log.incarnation
+                    .started_us
+                    .saturating_add_signed(clocks.initial_offset(&log.incarnation).offset_us)
+            };
             logs.make_contiguous().sort_by_key(started);
             merged.fronts.push(FrontLogs { logs, reached: Moment::START, next: None });
             merged.refill(merged.fronts.len() - 1);
@@ -70,7 +73,7 @@
         let front = &mut self.fronts[index];
         front.next = front.read_next(&mut self.damage);
         if let Some(record) = &front.next {
-            let time = Moment::from_micros(self.clocks.common(&record.incarnation, &record.event));
+            let time = Moment::from_micros(self.clocks.common_time_us(&record.incarnation, &record.event));
             front.reached = front.reached.max(time);
             self.queue.push(Reverse((front.reached, index)));
         }
--- a/crates/ochrelead-report/src/page.rs
+++ b/crates/ochrelead-report/src/page.rs
@@ -82,7 +82,7 @@
         Some(end) => format!("for {:.1} s", seconds(end.since(trouble.onset))),
         None => "and it lasts".to_owned(),
     };
-    let subject = if trouble.of.is_empty() { String::new() } else { format!("{}: ", trouble.of) };
+    let subject = if trouble.subject.is_empty() { String::new() } else { format!("{}: ", trouble.subject) };
     format!("{subject}{} {duration}; {}.", trouble.kind.name(), trouble.evidence)
 }
 
--- a/crates/ochrelead-report/src/page/plots.rs
+++ b/crates/ochrelead-report/src/page/plots.rs
@@ -72,8 +72,8 @@
 }
 
 fn trouble_label(trouble: &Trouble) -> String {
-    let subject = trouble.of.split('.').next().unwrap_or("");
-    let text = format!("{subject} {}", trouble.kind.short());
+    let subject = trouble.subject.split('.').next().unwrap_or("");
+    let text = format!("{subject} {}", trouble.kind.short_name());
     text.trim().chars().take(MAX_LABEL_LENGTH).collect()
 }
 
--- a/crates/ochrelead-report/src/page/tables.rs
+++ b/crates/ochrelead-report/src/page/tables.rs
@@ -19,7 +19,7 @@
             @for trouble in &incident.troubles {
                 tr {
                     td { (trouble.kind.name()) }
-                    td { (trouble.of) }
+                    td { (trouble.subject) }
                     td.num { (format!("{:.1} s", seconds(trouble.onset.since(from)))) }
                     td.num {
                         (trouble.end.map_or("lasts".to_owned(), |end| format!("{:.1} s", seconds(end.since(from)))))
--- a/crates/ochrelead-report/src/survey.rs
+++ b/crates/ochrelead-report/src/survey.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_diagnosis::clocks::{Clocks, Ties};
+use ochrelead_diagnosis::clocks::{ClockEstimator, Clocks};
 use ochrelead_event_log::reader::{Damage, FrontIncarnation, Log, Record, open_logs};
 use ochrelead_event_log::schema::{Event, event::What};
 
@@ -66,17 +66,17 @@
     }
 
     fn into_summary(self, incarnation: FrontIncarnation, clocks: &Clocks) -> IncarnationSummary {
-        let common_time = |event: &Event| Moment::from_micros(clocks.common(&incarnation, event));
+        let common_time = |event: &Event| Moment::from_micros(clocks.common_time_us(&incarnation, event));
         let from = common_time(&self.first);
         let to = common_time(&self.last).max(from);
-        let offset = clocks.of(&incarnation);
+        let offset = clocks.initial_offset(&incarnation);
         IncarnationSummary {
             from,
             to,
-            clock_offset_us: offset.add,
-            clock_uncertainty: offset.bound,
+            clock_offset_us: offset.offset_us,
+            clock_uncertainty: offset.error_bound,
             clock_gain_us_per_s: -offset.drift * PARTS_PER_MILLION,
-            clock_steps: clocks.steps(&incarnation),
+            clock_steps: clocks.step_count(&incarnation),
             lost_events: self.lost,
             missing_events: self.missing,
             incarnation,
@@ -86,14 +86,14 @@
 
 /// Reads all logs once.
 pub fn survey(logs: &[Log]) -> Survey {
-    let mut ties = Ties::default();
+    let mut estimator = ClockEstimator::default();
     let mut coverages: BTreeMap<FrontIncarnation, Coverage> = BTreeMap::new();
     for Record { incarnation, event, .. } in logs.iter().cloned().flatten() {
-        ties.take(&incarnation, &event);
+        estimator.handle_event(&incarnation, &event);
         let coverage = coverages.entry(incarnation);
         coverage.or_insert_with(|| Coverage::starting_with(&event)).extend(event);
     }
-    let clocks = ties.settle();
+    let clocks = estimator.estimate();
     let incarnations = coverages
         .into_iter()
         .map(|(incarnation, coverage)| (incarnation.clone(), coverage.into_summary(incarnation, &clocks)))
--- a/crates/ochrelead-report/tests/report.rs
+++ b/crates/ochrelead-report/tests/report.rs
@@ -6,7 +6,7 @@
 use std::process::Command;
 
 use ochrelead_core::time::Moment;
-use ochrelead_diagnosis::trouble::{Kind, Trouble};
+use ochrelead_diagnosis::trouble::{Trouble, TroubleKind};
 use ochrelead_event_log::reader::{Damage, FrontIncarnation, Log, Record};
 use ochrelead_event_log::schema::event::What;
 use ochrelead_event_log::schema::{Event, Invite, Outlook, Stands, Taken, Told};
@@ -108,7 +108,7 @@
 #[test_case(-3_000; "one three seconds slow")]
 fn the_crash_is_found_whatever_the_clocks(off_ms: i64) {
     let incident = incident(records(off_ms, 0..0));
-    let crash: Vec<_> = incident.troubles.iter().filter(|trouble| trouble.of == "s1").collect();
+    let crash: Vec<_> = incident.troubles.iter().filter(|trouble| trouble.subject == "s1").collect();
     assert_eq!(crash.len(), 1, "{:?}", incident.troubles);
     let onset = crash[0].onset.since(incident.from).micros() / 1_000;
     assert!((7_000..13_000).contains(&onset), "{onset}");
@@ -181,18 +181,18 @@
 fn json_names_each_kind_of_trouble_as_stored() {
     let mut incident = incident(records(0, 0..0));
     let kinds = [
-        Kind::Slow,
-        Kind::AllSlow,
-        Kind::Silent,
-        Kind::Crashed,
-        Kind::Replaced,
-        Kind::AnswersLost,
-        Kind::CutOff,
-        Kind::FrontKilled,
-        Kind::FrontStalled,
-        Kind::Redials,
-        Kind::HotNumber,
-        Kind::Overload,
+        TroubleKind::Slow,
+        TroubleKind::AllSlow,
+        TroubleKind::Silent,
+        TroubleKind::Crashed,
+        TroubleKind::Replaced,
+        TroubleKind::AnswersLost,
+        TroubleKind::CutOff,
+        TroubleKind::FrontKilled,
+        TroubleKind::FrontStalled,
+        TroubleKind::Redials,
+        TroubleKind::HotNumber,
+        TroubleKind::Overload,
     ];
     let trouble = |kind| Trouble {
         kind,
--- a/crates/ochrelead-scenario/src/detection/mod.rs
+++ b/crates/ochrelead-scenario/src/detection/mod.rs
@@ -9,7 +9,7 @@
 
 use ochrelead_config::scenario::Scenario;
 use ochrelead_core::time::{Moment, Span};
-use ochrelead_diagnosis::trouble::{Kind, Trouble};
+use ochrelead_diagnosis::trouble::{Trouble, TroubleKind};
 use ochrelead_event_log::reader::{Damage, Log, open_logs};
 use ochrelead_report::incident::Incident;
 use thiserror::Error;
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct ScriptedTrouble {
     /// What the diagnosis should call it.
-    pub kind: Kind,
+    pub kind: TroubleKind,
     /// The server, front or member concerned; empty where it is the fleet.
     pub subject: String,
     /// When it begins, from the scenario's start.
@@ -107,7 +107,7 @@
     }
     // Where more is offered than all servers together can carry, a detected overload is never wrong.
     let is_overloaded = expected::exceeds_capacity(scenario, 1.0);
-    troubles.retain(|trouble| !(is_overloaded && trouble.kind == Kind::Overload));
+    troubles.retain(|trouble| !(is_overloaded && trouble.kind == TroubleKind::Overload));
     DetectionResult { scripted, false_positives: troubles }
 }
 
@@ -118,7 +118,7 @@
     }
 
     fn is_matched(&self, trouble: &Trouble, scenario_end: Moment) -> bool {
-        let has_subject = trouble.of == self.subject || self.kind == Kind::HotNumber;
+        let has_subject = trouble.subject == self.subject || self.kind == TroubleKind::HotNumber;
         let end = trouble.end.unwrap_or(scenario_end);
         trouble.kind == self.kind
             && has_subject
@@ -159,7 +159,7 @@
 }
 
 /// Adds the result of a scenario to the tallies.
-pub fn add_to_tallies(tallies: &mut BTreeMap<Kind, DetectionTally>, result: &DetectionResult) {
+pub fn add_to_tallies(tallies: &mut BTreeMap<TroubleKind, DetectionTally>, result: &DetectionResult) {
     for scripted in &result.scripted {
         let tally = tallies.entry(scripted.kind).or_default();
         tally.scripted += 1;
