Follow the diagnosis's names in the tests of report and simulator

Cause: two tests outside the package used the former names of a trouble's subject and short name. Change: these two lines.

--- a/crates/ochrelead-report/tests/report.rs
+++ b/crates/ochrelead-report/tests/report.rs
@@ -196,7 +196,7 @@
     ];
     let trouble = |kind| Trouble {
         kind,
-        of: "s1".to_owned(),
+        subject: "s1".to_owned(),
         onset: Moment::from_micros(5),
         end: None,
         confidence: 0.5,
--- a/crates/ochrelead-sim/tests/console.rs
+++ b/crates/ochrelead-sim/tests/console.rs
@@ -39,7 +39,11 @@
             records.into_iter().for_each(|record| fleet.handle_record(record));
         }
         fleet.process(now.since(last));
-        if fleet.ongoing_troubles().iter().any(|own| own.kind.short() == "silent" && own.of == name) {
+        if fleet
+            .ongoing_troubles()
+            .iter()
+            .any(|trouble| trouble.kind.short_name() == "silent" && trouble.subject == name)
+        {
             return Some(now.since(begins).ratio(Span::from_secs(1)));
         }
     }
