--- a/crates/ochrelead-verify/src/commands.rs
+++ b/crates/ochrelead-verify/src/commands.rs
@@ -5,6 +5,7 @@
 pub(crate) mod districts;
 pub(crate) mod explore;
 pub(crate) mod seeds;
+pub(crate) mod soak;
 
 use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
--- /dev/null
+++ b/crates/ochrelead-verify/src/commands/soak.rs
@@ -0,0 +1,103 @@
+//! `soak`: dense trials of several processes, with faults from seeds.
+
+use std::ops::Range;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+
+use ochrelead_verify::soak::scenario::Scenario;
+use ochrelead_verify::soak::trial::{self, TrialConfig, TrialError, TrialReport};
+
+/// How trials are run.
+pub(crate) struct SoakOptions {
+    pub(crate) program: PathBuf,
+    /// Trials at a time.
+    pub(crate) parallel: u8,
+    pub(crate) folder: PathBuf,
+    pub(crate) log_level: String,
+    pub(crate) verbose: bool,
+}
+
+/// What came of the trials so far.
+#[derive(Default)]
+struct Tally {
+    trials: usize,
+    set_ups: usize,
+    failing_seeds: Vec<u64>,
+    broken: Vec<String>,
+}
+
+pub(crate) fn run(seeds: Range<u64>, options: &SoakOptions) -> ExitCode {
+    let next = AtomicU64::new(seeds.start);
+    let tally = Mutex::new(Tally::default());
+    thread::scope(|scope| {
+        for slot in 0..options.parallel {
+            let (next, tally, seeds) = (&next, &tally, &seeds);
+            scope.spawn(move || {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= seeds.end {
+                        return;
+                    }
+                    let report = run_one(seed, slot, options);
+                    if let Ok(mut tally) = tally.lock() {
+                        print(seed, &report, options.verbose);
+                        tally.add(seed, report);
+                    }
+                }
+            });
+        }
+    });
+    let tally = tally.into_inner().unwrap_or_default();
+    let failing = tally.failing_seeds.len();
+    println!("{} trials, {} set-ups, {failing} trials with a broken rule", tally.trials, tally.set_ups);
+    if failing > 0 {
+        println!("seeds: {:?}", tally.failing_seeds);
+    }
+    if !tally.broken.is_empty() {
+        eprintln!("ochrelead-verify: trials not run: {}", tally.broken.join("; "));
+        return ExitCode::from(2);
+    }
+    if failing == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+impl Tally {
+    fn add(&mut self, seed: u64, report: Result<TrialReport, TrialError>) {
+        match report {
+            Ok(report) => {
+                self.trials += 1;
+                self.set_ups += report.set_ups;
+                if !report.violations.is_empty() {
+                    self.failing_seeds.push(seed);
+                }
+            }
+            Err(error) => self.broken.push(format!("seed {seed}: {error}")),
+        }
+    }
+}
+
+fn run_one(seed: u64, slot: u8, options: &SoakOptions) -> Result<TrialReport, TrialError> {
+    let config = TrialConfig {
+        log_level: options.log_level.clone(),
+        ..TrialConfig::new(&options.program, &options.folder, seed, slot)
+    };
+    trial::run(&Scenario::draw(seed), &config)
+}
+
+fn print(seed: u64, report: &Result<TrialReport, TrialError>, verbose: bool) {
+    let Ok(report) = report else { return };
+    let (set_ups, stalled) = (report.set_ups, report.stalled);
+    let violations = report.violations.len();
+    println!("seed {seed}: {set_ups} set-ups, machine late by {stalled:?} in all, {violations} broken");
+    for violation in &report.violations {
+        print!("  {violation}");
+    }
+    if verbose {
+        let scenario = Scenario::draw(seed);
+        println!("  deadline {:?}, {:.0} set-ups a second and node", scenario.deadline, scenario.rate);
+        scenario.steps.iter().for_each(|step| println!("  step {step:?}"));
+        report.history.entries.iter().for_each(|entry| println!("  {entry}"));
+    }
+}
--- a/crates/ochrelead-verify/src/lib.rs
+++ b/crates/ochrelead-verify/src/lib.rs
@@ -34,5 +34,6 @@
 pub mod mutation;
 pub mod resource;
 pub mod simulation;
+pub mod soak;
 pub mod violation;
 pub mod zones;
--- a/crates/ochrelead-verify/src/main.rs
+++ b/crates/ochrelead-verify/src/main.rs
@@ -7,6 +7,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use commands::soak::SoakOptions;
 use ochrelead_verify::explore::Model;
 use ochrelead_verify::simulation;
 use ochrelead_verify::zones::scenario::Scenario;
@@ -69,6 +70,27 @@
         #[arg(long, default_value_t = 20)]
         times: u64,
     },
+    /// Run dense trials of several processes with faults from seeds, and judge them by the platform's rules
+    Soak {
+        /// The seeds, as FIRST..END
+        #[arg(value_parser = range)]
+        seeds: Range<u64>,
+        /// The program
+        #[arg(long, default_value = "target/release/ochrelead-front")]
+        front: PathBuf,
+        /// Trials at a time
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u8).range(1..=20))]
+        parallel: u8,
+        /// Where the configurations and logs of the nodes go
+        #[arg(long, default_value = "target/soak")]
+        folder: PathBuf,
+        /// What the nodes log
+        #[arg(long, default_value = "info")]
+        log: String,
+        /// Print everything that was seen, too
+        #[arg(long)]
+        verbose: bool,
+    },
     /// Run several processes of the program with a relay between them, and faults from a seed one after the other
     Play {
         /// The program
@@ -146,6 +168,10 @@
         }
         Command::Costs { fronts, servers, secs, times } => commands::costs::run(fronts, servers, secs, times),
         Command::Play { front, fronts, seed, faults } => commands::cluster::run(&front, fronts, seed, faults),
+        Command::Soak { seeds, front, parallel, folder, log, verbose } => commands::soak::run(
+            seeds,
+            &SoakOptions { program: front, parallel, folder, log_level: log, verbose },
+        ),
         Command::Districts { seeds, fronts, servers, harmless, course } => {
             let draw = if harmless { Scenario::harmless } else { Scenario::failing };
             commands::districts::run(seeds, |seed| draw(seed, fronts, servers), course)
--- /dev/null
+++ b/crates/ochrelead-verify/src/soak/caller.rs
@@ -0,0 +1,238 @@
+//! Emulated callers of one node: set-ups on shared connections, some withdrawn, some in pieces, until the node is gone.
+
+use std::collections::HashMap;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use super::history::{Answer, CallNumber, Event, Recorder};
+use super::server::{DESCRIPTION_END, description};
+
+/// A set-up that crosses the node's close of its connection within this time is sent once more by its caller.
+const CLOSE_RACE_WINDOW: Duration = Duration::from_millis(50);
+/// How long a slow writer waits between two pieces.
+const PIECE_DELAY: Duration = Duration::from_millis(15);
+
+/// The numbers of a trial's calls.
+#[derive(Default)]
+pub struct CallNumbers(AtomicU64);
+
+impl CallNumbers {
+    /// A number that no other call has.
+    pub fn next(&self) -> CallNumber {
+        self.0.fetch_add(1, Ordering::Relaxed) + 1
+    }
+}
+
+/// A set-up and how its caller behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct SetUp {
+    /// The call.
+    pub call: CallNumber,
+    /// How long its caller waits.
+    pub wait: Duration,
+    /// Whether it is written in two pieces.
+    pub in_pieces: bool,
+}
+
+struct Unanswered {
+    sent_at: Duration,
+    wait: Duration,
+}
+
+#[derive(Default)]
+struct State {
+    unanswered: HashMap<CallNumber, Unanswered>,
+    /// Calls that stand.
+    established: Vec<CallNumber>,
+    is_closed: bool,
+}
+
+/// One connection to a node.
+#[derive(Clone)]
+pub struct CallerConnection {
+    node: usize,
+    writer: Arc<Mutex<TcpStream>>,
+    state: Arc<Mutex<State>>,
+    recorder: Arc<Recorder>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl CallerConnection {
+    /// Connects to a node.
+    ///
+    /// # Errors
+    ///
+    /// Where the node can't be reached.
+    pub fn open(node: usize, address: SocketAddr, recorder: Arc<Recorder>) -> io::Result<CallerConnection> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_nodelay(true)?;
+        let reader = BufReader::new(stream.try_clone()?);
+        let writer = Arc::new(Mutex::new(stream));
+        let connection = CallerConnection { node, writer, state: Arc::default(), recorder };
+        let reading = connection.clone();
+        thread::spawn(move || reading.read(reader));
+        Ok(connection)
+    }
+
+    /// Whether set-ups can still be written to it.
+    pub fn is_open(&self) -> bool {
+        !lock(&self.state).is_closed
+    }
+
+    /// The number of calls without an answer.
+    pub fn unanswered(&self) -> usize {
+        lock(&self.state).unanswered.len()
+    }
+
+    /// Sends a set-up; false where the connection has ended.
+    pub fn set_up(&self, set_up: &SetUp) -> bool {
+        let line = set_up_line(set_up);
+        let bytes = line.as_bytes();
+        let mut writer = lock(&self.writer);
+        if !self.is_open() {
+            return false;
+        }
+        let half = if set_up.in_pieces { bytes.len() / 2 } else { 0 };
+        if half > 0 {
+            if writer.write_all(&bytes[..half]).is_err() {
+                return false;
+            }
+            thread::sleep(PIECE_DELAY);
+        }
+        // Its answer may be read before this thread runs again.
+        if !self.expect_answer(set_up) {
+            return false;
+        }
+        let sent = Event::SetUpSent { call: set_up.call, node: self.node, wait: set_up.wait };
+        self.recorder.record(sent);
+        if writer.write_all(&bytes[half..]).is_err() {
+            self.withdraw_silently(set_up.call);
+            return false;
+        }
+        true
+    }
+
+    /// Notes that a set-up is owed an answer from now on; false where the connection has ended.
+    fn expect_answer(&self, set_up: &SetUp) -> bool {
+        let mut state = lock(&self.state);
+        if !state.is_closed {
+            let sent_at = self.recorder.now();
+            state.unanswered.insert(set_up.call, Unanswered { sent_at, wait: set_up.wait });
+        }
+        !state.is_closed
+    }
+
+    fn withdraw_silently(&self, call: CallNumber) {
+        if lock(&self.state).unanswered.remove(&call).is_some() {
+            self.recorder.record(Event::Withdrawn { call });
+        }
+    }
+
+    /// Gives a set-up up.
+    pub fn cancel(&self, call: CallNumber) {
+        let mut writer = lock(&self.writer);
+        if lock(&self.state).unanswered.remove(&call).is_some() {
+            self.recorder.record(Event::Withdrawn { call });
+            let line = format!("{}\n", json!({"t": "down", "ref": id(call), "f": {}, "c": 16}));
+            // A node that has closed needs no cancel.
+            let _ = writer.write_all(line.as_bytes());
+        }
+    }
+
+    /// Closes it from the caller's side; what is open on it is given up.
+    pub fn close(&self) {
+        let mut state = lock(&self.state);
+        state.is_closed = true;
+        for (call, _) in state.unanswered.drain() {
+            self.recorder.record(Event::Withdrawn { call });
+        }
+        drop(state);
+        // One that the node has closed needs no end.
+        let _ = lock(&self.writer).shutdown(Shutdown::Both);
+    }
+
+    /// Writes bytes that are no set-up.
+    pub fn write_raw(&self, bytes: &[u8]) {
+        // A node may close at any time on what it can't read.
+        let _ = lock(&self.writer).write_all(bytes);
+    }
+
+    fn read(&self, mut reader: BufReader<TcpStream>) {
+        let mut line = String::new();
+        loop {
+            line.clear();
+            match reader.read_line(&mut line) {
+                Ok(length) if length > 0 && line.ends_with('\n') => self.on_line(&line),
+                _ => return self.on_end(),
+            }
+        }
+    }
+
+    fn on_line(&self, line: &str) {
+        let Ok(message) = serde_json::from_str::<Value>(line) else { return };
+        let call = message["ref"].as_str().and_then(|id| CallNumber::from_str_radix(id, 16).ok());
+        let Some(call) = call else { return };
+        match message["t"].as_str() {
+            Some("up") => {
+                let body = message["d"].as_str().unwrap_or("");
+                let intact = body == description(call);
+                self.recorder.record(Event::Told { call, answer: Answer::Up, intact });
+                let mut state = lock(&self.state);
+                state.unanswered.remove(&call);
+                state.established.push(call);
+            }
+            Some("down") => {
+                self.recorder.record(Event::Told { call, answer: Answer::Down, intact: true });
+                let mut state = lock(&self.state);
+                let was_unanswered = state.unanswered.remove(&call).is_some();
+                state.established.retain(|other| *other != call);
+                drop(state);
+                if !was_unanswered {
+                    let heard = json!({"t": "ack", "ref": id(call), "f": {}});
+                    self.write_raw(format!("{heard}\n").as_bytes());
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The node closed it: what had been sent before and is unanswered is lost, but for what crossed the close.
+    fn on_end(&self) {
+        let now = self.recorder.now();
+        let mut state = lock(&self.state);
+        if state.is_closed {
+            return;
+        }
+        state.is_closed = true;
+        for (call, sent) in state.unanswered.drain() {
+            let crossed = now.saturating_sub(sent.sent_at) <= CLOSE_RACE_WINDOW;
+            let expired = now.saturating_sub(sent.sent_at) > sent.wait;
+            self.recorder.record(if crossed || expired {
+                Event::Withdrawn { call }
+            } else {
+                Event::ClosedUnanswered { call }
+            });
+        }
+    }
+}
+
+fn id(call: CallNumber) -> String {
+    format!("{call:016x}")
+}
+
+fn set_up_line(set_up: &SetUp) -> String {
+    let left = set_up.wait.as_millis().to_string();
+    let key = format!("{:016x}", set_up.call % 97);
+    let fields = json!({"class": "voice", "left": left, "key": key, "extras": "dest:-1;width:1;via:-1"});
+    let body = format!("caller\r\n{DESCRIPTION_END}");
+    format!("{}\n", json!({"t": "new", "ref": id(set_up.call), "f": fields, "d": body}))
+}
--- /dev/null
+++ b/crates/ochrelead-verify/src/soak/scheduler.rs
@@ -0,0 +1,75 @@
+//! Runs actions at stated moments, in one thread.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long the thread waits where nothing is scheduled.
+const IDLE_WAIT: Duration = Duration::from_secs(1);
+
+type Action = Box<dyn FnOnce() + Send>;
+
+struct Scheduled {
+    due: Instant,
+    action: Action,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        self.due == other.due
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.due.cmp(&self.due)
+    }
+}
+
+/// A handle to the thread; it ends with the last one.
+#[derive(Clone)]
+pub struct Scheduler(Sender<Scheduled>);
+
+impl Scheduler {
+    /// Starts the thread.
+    pub fn start() -> Scheduler {
+        let (sender, receiver) = channel();
+        thread::spawn(move || run(&receiver));
+        Scheduler(sender)
+    }
+
+    /// Runs an action after a delay.
+    pub fn after(&self, delay: Duration, action: impl FnOnce() + Send + 'static) {
+        let scheduled = Scheduled { due: Instant::now() + delay, action: Box::new(action) };
+        // The thread outlives every handle.
+        let _ = self.0.send(scheduled);
+    }
+}
+
+fn run(receiver: &Receiver<Scheduled>) {
+    let mut queue: BinaryHeap<Scheduled> = BinaryHeap::new();
+    loop {
+        let wait = queue.peek().map_or(IDLE_WAIT, |next| next.due.saturating_duration_since(Instant::now()));
+        match receiver.recv_timeout(wait) {
+            Ok(scheduled) => queue.push(scheduled),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) if queue.is_empty() => return,
+            Err(RecvTimeoutError::Disconnected) => thread::sleep(wait),
+        }
+        while queue.peek().is_some_and(|next| next.due <= Instant::now()) {
+            if let Some(next) = queue.pop() {
+                (next.action)();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ochrelead-verify/src/soak/trial.rs
@@ -0,0 +1,432 @@
+//! Runs a scenario: starts the parties, lets the faults happen, and returns the history.
+
+use std::fs;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use rustix::process::Signal;
+use thiserror::Error;
+
+use super::auditor::{Limits, SHUTDOWN_GRACE, Violation, audit};
+use super::caller::CallNumbers;
+use super::coordinator::{Coordinator, ListedServer, ServerList, WriteFaults};
+use super::history::{Event, History, Lifecycle, Recorder, Stall};
+use super::node_process::{NodeConfiguration, NodeFiles, NodeProcess, NodeSettings};
+use super::scenario::{SERVERS, Scenario, Step};
+use super::scheduler::Scheduler;
+use super::server::{Behaviour, Server};
+use super::traffic::{self, NodeTraffic};
+
+/// The grace of the platform's settings.
+const DRAIN_GRACE: Duration = Duration::from_millis(250);
+const RESEND_DELAY: Duration = Duration::from_millis(100);
+/// How long the calls of a trial last.
+const HOLD_TIME: Duration = Duration::from_millis(700);
+/// SIGKILL comes after the longest deadline, counted as so much where it is longer, and the grace.
+const LONGEST_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// New connections keep coming for so long after SIGTERM.
+const NEW_CONNECTIONS_AFTER_TERM: Duration = Duration::from_millis(300);
+const STALL_PROBE: Duration = Duration::from_millis(5);
+/// A thread that wakes later than this ran on a machine that is too busy to tell who was late.
+const STALL_THRESHOLD: Duration = Duration::from_millis(10);
+
+/// Listeners are closed within this time.
+const CLOSE_TIME: Duration = Duration::from_millis(50);
+
+const NODE_PORT: u16 = 5080;
+const COORDINATOR_PORT: u16 = 8500;
+/// The third parts of addresses, from the subnet's on.
+const NODE_NET: u8 = 0;
+const SERVER_NET: u8 = 1;
+const COORDINATOR_NET: u8 = 2;
+const NETS: u8 = 3;
+/// The second parts of addresses are from here on, one for each trial that runs at a time.
+const FIRST_SUBNET: u8 = 230;
+/// The trials that may run at a time.
+pub const MAX_PARALLEL: u8 = 20;
+/// Processes that run trials at the same time on one machine are told apart by their ids, modulo this.
+const PROCESS_SLOTS: u32 = 80;
+
+/// Why a trial could not be run.
+#[derive(Debug, Error)]
+pub enum TrialError {
+    /// A party could not be started or reached.
+    #[error("{party}: {source}")]
+    Party {
+        /// Which.
+        party: String,
+        /// The system's error.
+        #[source]
+        source: io::Error,
+    },
+}
+
+fn failed(party: impl Into<String>) -> impl FnOnce(io::Error) -> TrialError {
+    let party = party.into();
+    move |source| TrialError::Party { party, source }
+}
+
+/// Where and with what a trial is run.
+#[derive(Clone, Debug)]
+pub struct TrialConfig {
+    /// The program.
+    pub program: PathBuf,
+    /// For configurations and logs.
+    pub folder: PathBuf,
+    /// The second part of all its addresses, and the least of the three third parts that it takes.
+    pub subnet: [u8; 2],
+    /// What the nodes log.
+    pub log_level: String,
+}
+
+/// What came of a trial.
+#[derive(Debug)]
+pub struct TrialReport {
+    /// Everything that was seen.
+    pub history: History,
+    /// The broken rules.
+    pub violations: Vec<Violation>,
+    /// The set-ups that callers sent.
+    pub set_ups: usize,
+    /// For how long the machine stood still, in all.
+    pub stalled: Duration,
+}
+
+/// Runs a scenario and audits it.
+///
+/// # Errors
+///
+/// Where a party can't be started.
+pub fn run(scenario: &Scenario, config: &TrialConfig) -> Result<TrialReport, TrialError> {
+    let trial = Arc::new(Trial::start(scenario, config)?);
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut threads = vec![probe_stalls(trial.recorder.clone(), stop.clone())];
+    for traffic in &trial.traffic {
+        threads.extend(traffic::start(traffic.clone(), trial.recorder.clone(), stop.clone()));
+    }
+    let mut tasks = Vec::new();
+    for scheduled in &scenario.steps {
+        thread::sleep(scheduled.at.saturating_sub(trial.recorder.now()));
+        tasks.extend(trial.clone().carry_out(scheduled.step)?);
+    }
+    thread::sleep(scenario.length.saturating_sub(trial.recorder.now()));
+    let history = trial.recorder.history();
+    stop.store(true, Ordering::Relaxed);
+    for task in tasks.into_iter().chain(threads) {
+        // A task that panicked has said so; what it did is in the history.
+        let _ = task.join();
+    }
+    trial.close();
+    let limits = Limits { drain_grace: DRAIN_GRACE, resend_delay: RESEND_DELAY };
+    let violations = audit(&history, limits);
+    let is_set_up = |event: &Event| matches!(event, Event::SetUpSent { .. });
+    let set_ups = history.entries.iter().filter(|entry| is_set_up(&entry.event)).count();
+    let stalled = history.stalled_between(Duration::ZERO, Duration::MAX);
+    Ok(TrialReport { history, violations, set_ups, stalled })
+}
+
+/// Records when the machine is too busy to run this thread in time.
+fn probe_stalls(recorder: Arc<Recorder>, stop: Arc<AtomicBool>) -> JoinHandle<()> {
+    thread::spawn(move || {
+        while !stop.load(Ordering::Relaxed) {
+            let due = recorder.now() + STALL_PROBE;
+            thread::sleep(STALL_PROBE);
+            let now = recorder.now();
+            if now > due + STALL_THRESHOLD {
+                recorder.record_stall(Stall { from: due, until: now });
+            }
+        }
+    })
+}
+
+struct Trial {
+    settings: NodeSettings,
+    config: TrialConfig,
+    seed: u64,
+    recorder: Arc<Recorder>,
+    list: Arc<Mutex<ServerList>>,
+    /// The servers in force, by number.
+    servers: Mutex<Vec<Server>>,
+    /// Those that were replaced; they run on until they are removed.
+    former_servers: Mutex<Vec<Server>>,
+    coordinators: Mutex<Vec<Coordinator>>,
+    processes: Vec<Mutex<NodeProcess>>,
+    traffic: Vec<Arc<NodeTraffic>>,
+    scheduler: Scheduler,
+    /// Counts addresses and seeds that were given out.
+    last_number: AtomicU64,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn address(subnet: [u8; 2], net: u8, host: u64, port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(127, subnet[0], subnet[1] + net, host as u8 + 1), port))
+}
+
+fn unix_millis() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis())
+}
+
+impl Trial {
+    fn start(scenario: &Scenario, config: &TrialConfig) -> Result<Trial, TrialError> {
+        // Logs of a former run of the same seed would be mixed with these.
+        let _ = fs::remove_dir_all(&config.folder);
+        fs::create_dir_all(&config.folder).map_err(failed("folder"))?;
+        let recorder = Arc::new(Recorder::default());
+        let mut servers = Vec::new();
+        let mut listed = Vec::new();
+        for number in 0..SERVERS {
+            let server = start_server(config, scenario.seed, number as u64, &recorder)?;
+            listed.push(listed_server(&server, number, Lifecycle::Up, 0));
+            servers.push(server);
+        }
+        let list = Arc::new(Mutex::new(ServerList::new(listed)));
+        let settings = NodeSettings {
+            nodes: scenario.nodes,
+            deadline: scenario.deadline,
+            drain_grace: DRAIN_GRACE,
+            resend_delay: RESEND_DELAY,
+        };
+        let mut coordinators = Vec::new();
+        let mut processes = Vec::new();
+        let mut traffic = Vec::new();
+        let calls = Arc::new(CallNumbers::default());
+        for node in 0..scenario.nodes {
+            let at = address(config.subnet, COORDINATOR_NET, node as u64, COORDINATOR_PORT);
+            let coordinator = Coordinator::start(node, at, list.clone(), recorder.clone())
+                .map_err(failed(format!("coordinator of n{node}")))?;
+            let listen = address(config.subnet, NODE_NET, node as u64, NODE_PORT);
+            recorder.record(Event::Started { node });
+            let configuration = NodeConfiguration {
+                node,
+                listen,
+                coordinator: coordinator.address,
+                known: lock(&list).known(),
+                seed: scenario.seed * 31 + node as u64,
+            };
+            let files = NodeFiles::in_folder(&config.folder, node);
+            let process = start_node(config, &files, &configuration, &settings)?;
+            coordinators.push(coordinator);
+            processes.push(Mutex::new(process));
+            traffic.push(Arc::new(NodeTraffic::new(node, listen, scenario, calls.clone())));
+        }
+        Ok(Trial {
+            settings,
+            config: config.clone(),
+            seed: scenario.seed,
+            recorder,
+            list,
+            servers: Mutex::new(servers),
+            former_servers: Mutex::default(),
+            coordinators: Mutex::new(coordinators),
+            processes,
+            traffic,
+            scheduler: Scheduler::start(),
+            last_number: AtomicU64::new(SERVERS as u64 + scenario.nodes as u64),
+        })
+    }
+
+    /// Frees the addresses.
+    fn close(&self) {
+        lock(&self.coordinators).iter().for_each(Coordinator::retire);
+        lock(&self.servers).iter().chain(lock(&self.former_servers).iter()).for_each(Server::stop);
+        thread::sleep(CLOSE_TIME);
+    }
+
+    fn next_number(&self) -> u64 {
+        self.last_number.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Begins a step; what goes on in the background is returned.
+    fn carry_out(self: Arc<Self>, step: Step) -> Result<Option<JoinHandle<()>>, TrialError> {
+        match step {
+            Step::FailDiscovery { node, fault, length } => {
+                let concerned = lock(&self.coordinators).clone();
+                for (number, coordinator) in concerned.into_iter().enumerate() {
+                    if node.is_none_or(|node| node == number) {
+                        coordinator.fail(fault);
+                        self.scheduler.after(length, move || {
+                            if let Err(error) = coordinator.recover() {
+                                eprintln!("coordinator {} does not return: {error}", coordinator.address);
+                            }
+                        });
+                    }
+                }
+            }
+            Step::BreakNextEvent(node) => {
+                self.set_write_faults(node, WriteFaults { break_next_event: true, ..Default::default() });
+            }
+            Step::SpoilNextLine(node) => {
+                self.set_write_faults(node, WriteFaults { spoil_next_line: true, ..Default::default() });
+            }
+            Step::RepeatEventsInPieces(node) => {
+                let faults = WriteFaults { repeat_events: true, in_pieces: true, ..Default::default() };
+                self.set_write_faults(node, faults);
+            }
+            Step::MoveCoordinator(node) => self.move_coordinator(node)?,
+            Step::Replace { server, drain_time } => self.replace_server(server, drain_time)?,
+            Step::Behave { server, behaviour, length } => {
+                let server = lock(&self.servers)[server].clone();
+                server.behave(behaviour);
+                self.scheduler.after(length, move || server.behave(Behaviour::Healthy));
+            }
+            Step::CloseIdle(server) => lock(&self.servers)[server].close_idle(),
+            Step::Terminate(node) => return Ok(Some(thread::spawn(move || self.terminate(node)))),
+            Step::Kill(node) => return Ok(Some(thread::spawn(move || self.kill(node)))),
+            Step::BadCallers(node) => {
+                let (traffic, recorder) = (self.traffic[node].clone(), self.recorder.clone());
+                return Ok(Some(thread::spawn(move || traffic::send_bad_input(&traffic, &recorder))));
+            }
+        }
+        Ok(None)
+    }
+
+    fn set_write_faults(&self, node: usize, faults: WriteFaults) {
+        lock(&self.coordinators)[node].set_write_faults(faults);
+    }
+
+    /// Moves a node's coordinator to a new address and signals the node.
+    fn move_coordinator(&self, node: usize) -> Result<(), TrialError> {
+        let at = address(self.config.subnet, COORDINATOR_NET, self.next_number(), COORDINATOR_PORT);
+        let coordinator = Coordinator::start(node, at, self.list.clone(), self.recorder.clone())
+            .map_err(failed(format!("next coordinator of n{node}")))?;
+        let former = std::mem::replace(&mut lock(&self.coordinators)[node], coordinator);
+        former.retire();
+        self.write_configuration(node)?;
+        self.recorder.record(Event::DiscoveryMoved { node });
+        // A node that has just ended needs no signal: the next one reads the new file.
+        let _ = lock(&self.processes[node]).signal(Signal::HUP);
+        Ok(())
+    }
+
+    fn write_configuration(&self, node: usize) -> Result<NodeFiles, TrialError> {
+        let configuration = NodeConfiguration {
+            node,
+            listen: self.traffic[node].listen,
+            coordinator: lock(&self.coordinators)[node].address,
+            known: lock(&self.list).known(),
+            seed: self.seed * 31 + self.next_number(),
+        };
+        let files = NodeFiles::in_folder(&self.config.folder, node);
+        let text = configuration.to_text(&self.settings);
+        files.write_configuration(&text).map_err(failed(format!("configuration of n{node}")))?;
+        Ok(files)
+    }
+
+    /// A server drains and another takes its number, in one event; the former is removed later.
+    fn replace_server(&self, number: usize, drain_time: Duration) -> Result<(), TrialError> {
+        let next = start_server(&self.config, self.seed, self.next_number(), &self.recorder)?;
+        let former = std::mem::replace(&mut lock(&self.servers)[number], next.clone());
+        lock(&self.former_servers).push(former.clone());
+        let up = listed_server(&next, number, Lifecycle::Up, unix_millis());
+        self.list_changes(&[up, listed_server(&former, number, Lifecycle::Draining, 0)]);
+        let (list, recorder) = (self.list.clone(), self.recorder.clone());
+        self.scheduler.after(drain_time, move || {
+            let mut list = lock(&list);
+            recorder.record(Event::Listed { server: former.id.clone(), state: Lifecycle::Removed });
+            list.change(&[listed_server(&former, number, Lifecycle::Removed, 0)]);
+            former.stop();
+        });
+        Ok(())
+    }
+
+    fn list_changes(&self, changed: &[ListedServer]) {
+        let mut list = lock(&self.list);
+        for server in changed {
+            self.recorder.record(Event::Listed { server: server.id.clone(), state: server.state });
+        }
+        list.change(changed);
+    }
+
+    /// SIGTERM, SIGKILL at the earliest moment where the node has not ended, and a new start.
+    fn terminate(&self, node: usize) {
+        let mut process = lock(&self.processes[node]);
+        self.recorder.record(Event::Terminated { node });
+        // A process that has ended is told apart below.
+        let _ = process.signal(Signal::TERM);
+        let began = Instant::now();
+        self.traffic[node].leave_after(NEW_CONNECTIONS_AFTER_TERM);
+        let longest = self.settings.deadline.min(LONGEST_COUNTED_DEADLINE);
+        match process.wait_until(began + longest + SHUTDOWN_GRACE) {
+            Ok(Some(status)) => self.recorder.record(Event::Exited { node, success: status.success() }),
+            _ => self.kill_process(node, &mut process),
+        }
+        self.restart(node, &mut process);
+    }
+
+    fn kill(&self, node: usize) {
+        let mut process = lock(&self.processes[node]);
+        self.kill_process(node, &mut process);
+        self.restart(node, &mut process);
+    }
+
+    fn kill_process(&self, node: usize, process: &mut NodeProcess) {
+        self.recorder.record(Event::Killed { node });
+        if let Err(error) = process.kill() {
+            eprintln!("n{node} is not killed: {error}");
+        }
+    }
+
+    fn restart(&self, node: usize, process: &mut NodeProcess) {
+        self.recorder.record(Event::Started { node });
+        let started = self.write_configuration(node).and_then(|files| {
+            NodeProcess::start(&self.config.program, &files, &self.config.log_level)
+                .map_err(failed(format!("n{node}")))
+        });
+        match started {
+            Ok(next) => *process = next,
+            Err(error) => eprintln!("{error}"),
+        }
+        self.traffic[node].enter();
+    }
+}
+
+fn start_node(
+    config: &TrialConfig,
+    files: &NodeFiles,
+    configuration: &NodeConfiguration,
+    settings: &NodeSettings,
+) -> Result<NodeProcess, TrialError> {
+    let party = format!("n{}", configuration.node);
+    let text = configuration.to_text(settings);
+    files.write_configuration(&text).map_err(failed(party.clone()))?;
+    let process =
+        NodeProcess::start(&config.program, files, &config.log_level).map_err(failed(party.clone()))?;
+    NodeProcess::await_ready(configuration.listen).map_err(failed(party))?;
+    Ok(process)
+}
+
+fn start_server(
+    config: &TrialConfig,
+    seed: u64,
+    number: u64,
+    recorder: &Arc<Recorder>,
+) -> Result<Server, TrialError> {
+    let id = format!("s-{number:08x}");
+    let at = address(config.subnet, SERVER_NET, number, NODE_PORT);
+    Server::start(id.clone(), at, seed ^ number, HOLD_TIME, recorder.clone()).map_err(failed(id))
+}
+
+fn listed_server(server: &Server, number: usize, state: Lifecycle, started_at_ms: u128) -> ListedServer {
+    ListedServer { id: server.id.clone(), address: server.address, number, state, started_at_ms }
+}
+
+impl TrialConfig {
+    /// For the trial of a seed, in a folder below `parent`; `slot` tells it from others that run at the same time.
+    pub fn new(program: &Path, parent: &Path, seed: u64, slot: u8) -> TrialConfig {
+        let process = (std::process::id() % PROCESS_SLOTS) as u8;
+        TrialConfig {
+            program: program.to_owned(),
+            folder: parent.join(format!("seed-{seed}")),
+            subnet: [FIRST_SUBNET + slot % MAX_PARALLEL, process * NETS],
+            log_level: "info".to_owned(),
+        }
+    }
+}
