Ask a silent coordinator again within the grace, and keep what was asked before

Cause: the node had one connection to the coordinator at a time. A coordinator that takes a connection and is silent loses the request that was put to it; the node waited 1.6 s for the answer before it asked again, so a drain close to the return of discovery came that late. In the same lines, with the same effect (class: news of the list is late because one attempt has to fail before the next begins): - a coordinator slower than 1.6 s was never heard, for each request was given up before its answer; - a number that came before its event ended the connection that was bringing the event; - the pause after an invalid line doubled with each since the last event, however long ago they were: up to 1.5 s; - a coordinator that greets and closes was asked again without any pause.

Change: while no connection is live, a further one is opened each two fifths of the settings' grace (with the front's own share of chance, as before), at most five, with ages spread from 0.1 to 6 s, so that a slow answer is heard as well as a fresh request is. A line on one closes the older ones. Errors are forgotten once the coordinator says that nothing is new.

Engine tests for each of the points. The test of a trickled line held that its connection is closed at once; it holds now that the coordinator is asked on another connection, and that the former is closed by its answer. Events: 'gap' and 'nothing' are told apart further.

The node logs at info by default: the list's changes, and when the coordinator is followed and lost, with the reason.

--- a/crates/ochrelead-front/src/arguments.rs
+++ b/crates/ochrelead-front/src/arguments.rs
@@ -83,7 +83,7 @@
         #[command(flatten)]
         options: PeerOptions,
         /// What is logged, as for a front
-        #[arg(long, default_value = "warn")]
+        #[arg(long, default_value = "info")]
         log: String,
     },
 }
--- a/crates/ochrelead-node/src/bounds.rs
+++ b/crates/ochrelead-node/src/bounds.rs
@@ -5,9 +5,12 @@
 use ochrelead_platform::MAX_MESSAGE_LENGTH;
 use ochrelead_platform::configuration::Limits;
 
-/// File descriptors in use whatever the load: the standard three, the listener, the coordinator's connection and its
-/// successor, the datagram socket, the system's queues of events, timers and signals, a file being read.
-const RESERVED_DESCRIPTORS: usize = 16;
+/// Connections to the coordinator, unanswered ones included.
+pub(crate) const MAX_WATCH_CONNECTIONS: usize = 5;
+/// File descriptors in use whatever the load: the standard three, the listener, the datagram socket, the system's queues
+/// of events, timers and signals, a file being read.
+const SYSTEM_DESCRIPTORS: usize = 11;
+const RESERVED_DESCRIPTORS: usize = SYSTEM_DESCRIPTORS + MAX_WATCH_CONNECTIONS;
 /// Memory that one call may take.
 const BYTES_PER_CALL: usize = 2_048;
 /// Memory that the entry of one called number may take, with all that is learned of it.
@@ -81,6 +84,10 @@
     pub(crate) const CLOSE_RACE_WINDOW: Span = Span::from_millis(50);
     /// The coordinator repeats its last index this often.
     pub(crate) const WATCH_HEARTBEAT: Span = Span::from_secs(1);
+    /// A coordinator that is silent for longer is asked again: a line is due each second.
+    pub(crate) const WATCH_SILENCE_THRESHOLD: Span = Span::from_millis(1_600);
+    /// A request to the coordinator is given up after this time, by when what it brings counts as told.
+    pub(crate) const WATCH_ANSWER_TIMEOUT: Span = Span::from_secs(6);
     /// An established call whose server died silently is to be released towards its caller within this time.
     pub(crate) const SILENT_FAILURE_DEADLINE: Span = Span::from_secs(8);
     /// A silent server is probed after this time: a quarter of the time allowed for noticing its failure.
--- a/crates/ochrelead-node/src/coordinator_watch.rs
+++ b/crates/ochrelead-node/src/coordinator_watch.rs
@@ -1,33 +1,36 @@
 //! The subscription to the coordinator: connects, follows events from the last known index, and reconnects when the
 //! connection fails, falls silent or brings invalid lines. It only returns what is to be done.
+//!
+//! A coordinator that is silent or slow can't be told from one that is about to answer. So while no connection is live,
+//! the events are requested again and again on further connections, and earlier ones are kept: whichever is answered
+//! first brings them. A line on a connection closes all older ones.
 
+mod connection;
+
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_platform::events::{EndpointChange, EventCursor, EventOutcome};
-use ochrelead_platform::line_splitter::LineSplitter;
+use tracing::{debug, info};
 
-use crate::bounds::protocol;
+use crate::bounds::{MAX_WATCH_CONNECTIONS, protocol};
 use crate::io::{WatchAction, WatchId};
+use connection::WatchConnection;
 
 /// The resolution of a front's own share of a retry delay.
 const JITTER_STEPS: u64 = 1 << 10;
 /// The retry delay doubles at most so often.
 const MAX_DOUBLINGS: u32 = 8;
 
-#[derive(Debug)]
-enum WatchState {
-    Disconnected { retry_at: Moment },
-    Connecting { since: Moment },
-    Connected { last_heard: Moment, has_received: bool },
-}
-
 /// What to subscribe to, and how.
 pub(crate) struct WatchConfig {
     pub(crate) coordinator: Option<SocketAddr>,
     /// What is known of the events so far.
     pub(crate) event_cursor: EventCursor,
     pub(crate) connect_timeout: Span,
+    /// How long a draining server may still be sent something new: news must not take longer than that.
+    pub(crate) drain_grace: Option<Span>,
     /// Determines the front's own share of a retry delay.
     pub(crate) seed: u64,
 }
@@ -36,133 +39,219 @@
 pub(crate) struct CoordinatorWatch {
     coordinator: Option<SocketAddr>,
     event_cursor: EventCursor,
-    line_splitter: LineSplitter,
-    watch: WatchId,
-    state: WatchState,
+    /// The oldest first.
+    connections: Vec<WatchConnection>,
+    last_watch: WatchId,
+    /// No further connection is opened before.
+    connect_at: Moment,
     connect_timeout: Span,
+    /// The delay between two requests, before jitter.
+    retry_interval: Span,
     /// Fronts that lose their coordinator together reconnect spread: each after its own share of a delay.
     jitter: f64,
-    /// Connections in a row that brought an invalid line.
+    /// Answers in a row that could not be used.
     consecutive_errors: u32,
+    /// Whether a live connection was there when that was last logged.
+    was_live: bool,
+    actions: VecDeque<WatchAction>,
 }
 
 impl CoordinatorWatch {
     pub(crate) fn new(config: &WatchConfig, now: Moment) -> CoordinatorWatch {
+        let retry_interval = config.drain_grace.map_or(config.connect_timeout / 5, |grace| grace * 2 / 5);
         CoordinatorWatch {
             coordinator: config.coordinator,
             event_cursor: config.event_cursor,
-            line_splitter: LineSplitter::default(),
-            watch: WatchId(0),
-            state: WatchState::Disconnected { retry_at: now },
+            connections: Vec::new(),
+            last_watch: WatchId(0),
+            connect_at: now,
             connect_timeout: config.connect_timeout,
+            retry_interval: retry_interval.min(protocol::WATCH_HEARTBEAT / 2),
             jitter: 0.5 + (config.seed % JITTER_STEPS) as f64 / JITTER_STEPS as f64,
             consecutive_errors: 0,
+            was_live: false,
+            actions: VecDeque::new(),
         }
     }
 
-    /// The delay after a failure; it grows with each invalid answer in a row, for each costs a whole list.
+    /// The next action for the host.
+    pub(crate) fn poll_action(&mut self) -> Option<WatchAction> {
+        self.actions.pop_front()
+    }
+
+    /// The delay before the next request; it grows with each unusable answer in a row, for each costs a whole list.
     fn retry_delay(&self) -> Span {
-        let delay = self.connect_timeout / 5 * (1 << self.consecutive_errors.min(MAX_DOUBLINGS));
+        let delay = self.retry_interval * (1 << self.consecutive_errors.min(MAX_DOUBLINGS));
         delay.min(protocol::WATCH_HEARTBEAT).scaled(self.jitter)
     }
 
-    /// Follows the coordinator at another address; a connection to the former is closed.
-    pub(crate) fn redirect(&mut self, address: SocketAddr, now: Moment) -> Option<WatchAction> {
+    /// Follows the coordinator at another address; connections to the former are closed.
+    pub(crate) fn redirect(&mut self, address: SocketAddr, now: Moment) {
         let is_same = self.coordinator.replace(address) == Some(address);
-        if is_same && !matches!(self.state, WatchState::Disconnected { .. }) {
-            return None;
+        if is_same && !self.connections.is_empty() {
+            return;
+        }
+        while let Some(connection) = self.connections.first() {
+            self.close(connection.watch, "coordinator moved");
         }
-        self.disconnect(now)
+        self.consecutive_errors = 0;
+        self.connect_at = now;
     }
 
-    fn disconnect(&mut self, retry_at: Moment) -> Option<WatchAction> {
-        self.line_splitter = LineSplitter::default();
-        let was_open = !matches!(self.state, WatchState::Disconnected { .. });
-        self.state = WatchState::Disconnected { retry_at };
-        was_open.then_some(WatchAction::Close { watch: self.watch })
+    fn position(&self, watch: WatchId) -> Option<usize> {
+        self.connections.iter().position(|connection| connection.watch == watch)
     }
 
-    pub(crate) fn on_connected(&mut self, watch: WatchId, now: Moment) -> Option<WatchAction> {
-        if watch != self.watch || !matches!(self.state, WatchState::Connecting { .. }) {
-            return None;
+    fn close(&mut self, watch: WatchId, reason: &'static str) {
+        if let Some(position) = self.position(watch) {
+            self.connections.remove(position);
+            debug!(watch = watch.0, reason, "coordinator connection closed");
+            self.actions.push_back(WatchAction::Close { watch });
         }
-        self.state = WatchState::Connected { last_heard: now, has_received: false };
-        Some(WatchAction::Send { watch, line: self.event_cursor.request() })
     }
 
-    /// The connection was closed or never established: retried at once where it had brought lines, else after a delay.
+    pub(crate) fn on_connected(&mut self, watch: WatchId, now: Moment) {
+        let Some(position) = self.position(watch) else { return };
+        self.connections[position].on_connected(now);
+        let line = self.event_cursor.request();
+        debug!(watch = watch.0, request = line.trim_end(), "coordinator connected");
+        self.actions.push_back(WatchAction::Send { watch, line });
+    }
+
+    /// The connection was closed or never established: retried at once where it had brought lines.
     pub(crate) fn on_disconnected(&mut self, watch: WatchId, now: Moment) {
-        if watch != self.watch {
-            return;
+        let Some(position) = self.position(watch) else { return };
+        let connection = self.connections.remove(position);
+        debug!(watch = watch.0, "coordinator connection ended");
+        if connection.has_received() {
+            // One that is closed as soon as it is answered must not be reopened without a pause.
+            self.connect_at = now.max(connection.opened_at + self.retry_delay());
+        } else {
+            self.connect_at = self.connect_at.max(now + self.retry_delay());
         }
-        self.line_splitter = LineSplitter::default();
-        let has_received = matches!(self.state, WatchState::Connected { has_received: true, .. });
-        let retry_at = if has_received { now } else { now + self.retry_delay() };
-        self.state = WatchState::Disconnected { retry_at };
-    }
-
-    /// Reads what arrived; an invalid line ends the connection.
-    pub(crate) fn on_data(
-        &mut self,
-        watch: WatchId,
-        bytes: &[u8],
-        now: Moment,
-    ) -> (Vec<EndpointChange>, Option<WatchAction>) {
+        self.log_liveness(now, "connection ended");
+    }
+
+    /// Reads what arrived; an invalid line, or an event after one that is missing, ends the connection.
+    pub(crate) fn on_data(&mut self, watch: WatchId, bytes: &[u8], now: Moment) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
-        if watch != self.watch || !matches!(self.state, WatchState::Connected { .. }) {
-            return (changes, None);
-        }
-        let (lines, framing) = self.line_splitter.push(bytes);
-        if !lines.is_empty() {
-            // A line that trickles in and never ends counts as silence.
-            self.state = WatchState::Connected { last_heard: now, has_received: true };
-        }
-        let mut is_valid = framing.is_ok();
+        let Some(position) = self.position(watch) else { return changes };
+        let (lines, framing) = self.connections[position].push(bytes);
+        let mut failure = framing.is_err().then_some("line too long");
         for line in lines {
             match self.event_cursor.handle_line(&line) {
                 Ok(EventOutcome::Changed(change)) => {
+                    self.on_usable_line(watch, now);
                     self.consecutive_errors = 0;
                     changes.push(change);
                 }
-                Ok(EventOutcome::Unchanged) => {}
-                Ok(EventOutcome::Gap) | Err(_) => {
-                    is_valid = false;
-                    break;
+                Ok(EventOutcome::UpToDate) => {
+                    self.on_usable_line(watch, now);
+                    self.consecutive_errors = 0;
                 }
+                Ok(EventOutcome::Unchanged) => self.on_usable_line(watch, now),
+                Ok(EventOutcome::Behind) => self.on_behind(watch, now),
+                Ok(EventOutcome::Gap) => failure = Some("event missing"),
+                Err(_) => failure = Some("invalid line"),
             }
+            if failure.is_some() {
+                break;
+            }
+        }
+        if let Some(reason) = failure {
+            self.close(watch, reason);
+            self.delay_after_error(now);
+            self.log_liveness(now, reason);
         }
-        if is_valid {
-            return (changes, None);
+        changes
+    }
+
+    /// A connection has brought a line that can be used: older ones are not needed any more.
+    fn on_usable_line(&mut self, watch: WatchId, now: Moment) {
+        if let Some(position) = self.position(watch) {
+            self.connections[position].on_line(now);
+            while self.connections.first().is_some_and(|oldest| oldest.watch != watch) {
+                let oldest = self.connections[0].watch;
+                self.close(oldest, "superseded");
+            }
         }
-        let delay = self.retry_delay();
+        self.log_liveness(now, "silent");
+    }
+
+    /// The coordinator has events that the connection has not brought. They may be on their way there; they are
+    /// requested on another connection as well.
+    fn on_behind(&mut self, watch: WatchId, now: Moment) {
+        let Some(position) = self.position(watch) else { return };
+        if self.connections[position].on_behind() {
+            self.delay_after_error(now);
+        }
+        self.log_liveness(now, "events missing");
+    }
+
+    fn delay_after_error(&mut self, now: Moment) {
+        self.connect_at = self.connect_at.max(now + self.retry_delay());
         self.consecutive_errors = self.consecutive_errors.saturating_add(1);
-        let action = self.disconnect(now + delay);
-        (changes, action)
     }
 
-    /// The next action that is due.
-    pub(crate) fn process(&mut self, now: Moment) -> Option<WatchAction> {
-        if self.poll_timeout().is_none_or(|due| due > now) {
-            return None;
+    /// Closes what is overdue, and opens a further connection where none is live.
+    pub(crate) fn process(&mut self, now: Moment) {
+        let connect_timeout = self.connect_timeout;
+        let is_overdue = |connection: &&WatchConnection| connection.expires_at(connect_timeout) <= now;
+        while let Some(overdue) = self.connections.iter().find(is_overdue) {
+            self.close(overdue.watch, "no answer");
         }
-        match self.state {
-            WatchState::Disconnected { .. } => {
-                let address = self.coordinator?;
-                self.watch = WatchId(self.watch.0 + 1);
-                self.state = WatchState::Connecting { since: now };
-                Some(WatchAction::Connect { watch: self.watch, address })
-            }
-            WatchState::Connecting { .. } | WatchState::Connected { .. } => self.disconnect(now),
+        self.log_liveness(now, "silent");
+        if self.is_live(now) || self.connect_at > now {
+            return;
+        }
+        let Some(address) = self.coordinator else { return };
+        if self.connections.len() >= MAX_WATCH_CONNECTIONS {
+            let replaced = self.most_redundant(now);
+            self.close(replaced, "requested again");
         }
+        self.connect_at = now + self.retry_delay();
+        self.last_watch = WatchId(self.last_watch.0 + 1);
+        self.connections.push(WatchConnection::new(self.last_watch, now));
+        self.actions.push_back(WatchAction::Connect { watch: self.last_watch, address });
     }
 
-    pub(crate) fn poll_timeout(&self) -> Option<Moment> {
-        match self.state {
-            WatchState::Disconnected { retry_at } => self.coordinator.map(|_| retry_at),
-            WatchState::Connecting { since } => Some(since + self.connect_timeout),
-            WatchState::Connected { last_heard, .. } => {
-                Some(last_heard + protocol::WATCH_HEARTBEAT.scaled(1.6))
-            }
+    /// The connection that is the least missed: the ages of the others are spread, so that one is old enough for an answer
+    /// however slow the coordinator is, and one is young.
+    fn most_redundant(&self, now: Moment) -> WatchId {
+        let relative_gap = |neighbours: &[WatchConnection]| {
+            let [older, .., younger] = neighbours else { return f64::INFINITY };
+            let gap = younger.opened_at.since(older.opened_at).micros() as f64;
+            gap / now.since(older.opened_at).micros().max(1) as f64
+        };
+        let by_gap =
+            |a: &&[WatchConnection], b: &&[WatchConnection]| relative_gap(a).total_cmp(&relative_gap(b));
+        let closest = self.connections.windows(3).min_by(by_gap);
+        closest.map_or(WatchId(0), |neighbours| neighbours[1].watch)
+    }
+
+    fn is_live(&self, now: Moment) -> bool {
+        self.connections.iter().any(|connection| connection.live_until().is_some_and(|until| now < until))
+    }
+
+    fn log_liveness(&mut self, now: Moment, reason: &'static str) {
+        let is_live = self.is_live(now);
+        if is_live == self.was_live {
+            return;
         }
+        self.was_live = is_live;
+        let index = self.event_cursor.last_index();
+        match self.coordinator {
+            Some(coordinator) if is_live => info!(%coordinator, index, "following the coordinator"),
+            Some(coordinator) => info!(%coordinator, index, reason, "coordinator lost"),
+            None => {}
+        }
+    }
+
+    pub(crate) fn poll_timeout(&self) -> Option<Moment> {
+        self.coordinator?;
+        let live_until = self.connections.iter().filter_map(WatchConnection::live_until).max();
+        let connect_at = live_until.map_or(self.connect_at, |until| until.max(self.connect_at));
+        let expiries = self.connections.iter().map(|connection| connection.expires_at(self.connect_timeout));
+        expiries.chain([connect_at]).min()
     }
 }
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -26,13 +26,13 @@
 use ochrelead_platform::caller_messages::{self, cause};
 use ochrelead_platform::configuration::Configuration;
 use ochrelead_platform::events::EndpointChange;
-use tracing::{Level, debug};
+use tracing::{Level, debug, info};
 
 use crate::bounds::{Bounds, protocol};
 use crate::call_table::CallTable;
 use crate::caller_table::CallerTable;
 use crate::coordinator_watch::{CoordinatorWatch, WatchConfig};
-use crate::io::{CallerId, Input, Output, WatchAction};
+use crate::io::{CallerId, Input, Output};
 use crate::server_table::ServerTable;
 use call_setup::ServiceCatalog;
 use observations::FleetObservations;
@@ -105,6 +105,7 @@
             coordinator: configuration.coordinator,
             event_cursor: configuration.event_cursor,
             connect_timeout,
+            drain_grace: settings.drain_grace(),
             seed: configuration.controller_config.seed,
         };
         let mut engine = Engine {
@@ -157,31 +158,26 @@
             Input::ServerDisconnected { connection, refused } => {
                 self.on_server_disconnected(connection, refused);
             }
-            Input::WatchConnected(watch) => {
-                let action = self.watch.on_connected(watch, self.now);
-                self.push_watch_action(action);
-            }
+            Input::WatchConnected(watch) => self.watch.on_connected(watch, self.now),
             Input::WatchData(watch, bytes) => {
-                let (changes, action) = self.watch.on_data(watch, bytes, self.now);
-                self.push_watch_action(action);
-                for change in &changes {
+                for change in &self.watch.on_data(watch, bytes, self.now) {
                     self.apply_endpoints(change);
                 }
             }
             Input::WatchDisconnected(watch) => self.watch.on_disconnected(watch, self.now),
-            Input::CoordinatorMoved(address) => {
-                let action = self.watch.redirect(address, self.now);
-                self.push_watch_action(action);
-            }
+            Input::CoordinatorMoved(address) => self.watch.redirect(address, self.now),
             Input::Shutdown => {
                 self.shutdown_since = self.shutdown_since.or(Some(self.now));
                 self.send_pending_releases();
             }
         }
+        self.collect_watch_actions();
     }
 
-    fn push_watch_action(&mut self, action: Option<WatchAction>) {
-        self.outputs.extend(action.map(Output::Watch));
+    fn collect_watch_actions(&mut self) {
+        while let Some(action) = self.watch.poll_action() {
+            self.outputs.push_back(Output::Watch(action));
+        }
     }
 
     /// Does everything that is due, and carries the controller's decisions out.
@@ -190,9 +186,8 @@
         while let Some(session) = self.calls.next_expired(self.now) {
             self.end_invite(session, InviteOutcome::TimedOut);
         }
-        while let Some(action) = self.watch.process(self.now) {
-            self.outputs.push_back(Output::Watch(action));
-        }
+        self.watch.process(self.now);
+        self.collect_watch_actions();
         if self.maintenance_at <= self.now {
             self.maintenance_at = self.now + self.connect_timeout / 8;
             self.maintain_servers();
@@ -274,6 +269,10 @@
     }
 
     fn apply_endpoints(&mut self, change: &EndpointChange) {
+        for endpoint in &change.endpoints {
+            let state = endpoint.state;
+            info!(server = endpoint.id, address = %endpoint.address, ?state, "endpoint listed");
+        }
         let calls = &self.calls;
         let is_unused = |server: ServerIx| !calls.has_established_at(server);
         let changes = self.servers.apply(change, self.now, is_unused);
--- a/crates/ochrelead-node/tests/coordinator.rs
+++ b/crates/ochrelead-node/tests/coordinator.rs
@@ -3,7 +3,7 @@
 mod helper;
 
 use helper::{TestNode, endpoint, event};
-use ochrelead_node::io::{Input, Output, WatchAction};
+use ochrelead_node::io::{Input, Output, WatchAction, WatchId};
 use serde_json::json;
 use test_case::test_case;
 
@@ -50,13 +50,171 @@
     let mut node = TestNode::with_servers(1);
     let (watch, _) = node.watch.clone().unwrap();
     node.input_and_process(Input::WatchConnected(watch));
+    node.coordinator_sends("{\"index\":1}\n");
     for _ in 0..20 {
+        let current = node.watch.clone();
+        node.watch = Some((watch, String::new()));
         node.coordinator_sends("x");
+        node.watch = current;
         node.advance(100);
     }
+    let (again, _) = node.watch.clone().unwrap();
+    assert_ne!(again, watch, "it is asked on another connection");
+    node.input_and_process(Input::WatchConnected(again));
+    node.coordinator_sends("{\"index\":1}\n");
     assert!(node.outputs.contains(&Output::Watch(WatchAction::Close { watch })), "the connection is closed");
 }
 
+/// The coordinator's connections that the node has opened since the outputs were last cleared.
+fn opened_watches(node: &TestNode) -> Vec<WatchId> {
+    let opened = |output: &Output| match output {
+        Output::Watch(WatchAction::Connect { watch, .. }) => Some(*watch),
+        _ => None,
+    };
+    node.outputs.iter().filter_map(opened).collect()
+}
+
+fn sends_on(node: &mut TestNode, watch: WatchId, text: &str) {
+    node.input_and_process(Input::WatchData(watch, text.as_bytes()));
+}
+
+fn asks_draining_server(node: &mut TestNode) -> usize {
+    node.connect_caller(1);
+    node.set_up(1, 7, 0);
+    node.sent_to_servers("INVITE").len()
+}
+
+/// A node whose coordinator answers nothing; each request is written.
+fn node_without_answers(ms: u64) -> TestNode {
+    let mut node = TestNode::with_servers(1);
+    let (first, _) = node.watch.clone().unwrap();
+    node.input_and_process(Input::WatchConnected(first));
+    let until = node.now_ms + ms;
+    while node.now_ms < until {
+        node.outputs.clear();
+        node.advance(5);
+        for watch in opened_watches(&node) {
+            node.input_and_process(Input::WatchConnected(watch));
+        }
+    }
+    node
+}
+
+#[test]
+fn coordinator_that_answers_nothing_is_asked_again_within_the_grace() {
+    let mut node = node_without_answers(3_000);
+    node.outputs.clear();
+    // What was asked while it was silent is lost: only a request from now on is answered.
+    node.advance(200);
+    let asked_now = opened_watches(&node);
+    assert!(!asked_now.is_empty(), "nothing was asked in 200 ms");
+    let watch = *asked_now.last().unwrap();
+    node.input_and_process(Input::WatchConnected(watch));
+    sends_on(&mut node, watch, &format!("{}\n", event(2, false, &json!([endpoint(0, 10, "draining", 0)]))));
+    assert_eq!(asks_draining_server(&mut node), 0);
+}
+
+#[test]
+fn slow_coordinator_is_heard_on_the_first_connection_that_it_answers() {
+    let mut node = TestNode::with_servers(1);
+    let (first, _) = node.watch.clone().unwrap();
+    node.input_and_process(Input::WatchConnected(first));
+    node.advance(4_000);
+    assert!(!node.outputs.contains(&Output::Watch(WatchAction::Close { watch: first })), "it is kept");
+    sends_on(&mut node, first, &format!("{}\n", event(2, false, &json!([endpoint(0, 10, "draining", 0)]))));
+    assert_eq!(asks_draining_server(&mut node), 0);
+}
+
+#[test]
+fn unanswered_connections_to_the_coordinator_are_bounded() {
+    let mut node = TestNode::with_servers(1);
+    node.advance(20_000);
+    let mut open = 0_i64;
+    let mut most = 0;
+    for output in &node.outputs {
+        match output {
+            Output::Watch(WatchAction::Connect { .. }) => open += 1,
+            Output::Watch(WatchAction::Close { .. }) => open -= 1,
+            _ => {}
+        }
+        most = most.max(open);
+    }
+    // The first was opened before the outputs are recorded.
+    assert!((1..=4).contains(&most), "{most} besides the first");
+}
+
+#[test_case(50; "50 ms")]
+#[test_case(300; "300 ms")]
+#[test_case(1_500; "1.5 s")]
+fn coordinator_that_loses_requests_and_returns_slow_is_heard(answer_ms: u64) {
+    let mut node = node_without_answers(3_000);
+    let returned_ms = node.now_ms;
+    let mut asked = Vec::new();
+    let mut closed = Vec::new();
+    loop {
+        node.outputs.clear();
+        node.advance(5);
+        for output in node.outputs.clone() {
+            match output {
+                Output::Watch(WatchAction::Connect { watch, .. }) => {
+                    asked.push((watch, node.now_ms));
+                    node.input_and_process(Input::WatchConnected(watch));
+                }
+                Output::Watch(WatchAction::Close { watch }) => closed.push(watch),
+                _ => {}
+            }
+        }
+        let is_answered =
+            |(watch, at): &&(WatchId, u64)| at + answer_ms <= node.now_ms && !closed.contains(watch);
+        if asked.iter().any(|asked| is_answered(&asked)) {
+            break;
+        }
+        assert!(node.now_ms < returned_ms + 3 * answer_ms + 300, "no request lives for {answer_ms} ms");
+    }
+}
+
+#[test]
+fn event_that_comes_after_its_number_is_taken_on_the_same_connection() {
+    let mut node = TestNode::with_servers(1);
+    let (watch, _) = node.watch.clone().unwrap();
+    node.input_and_process(Input::WatchConnected(watch));
+    sends_on(&mut node, watch, "{\"index\":1}\n{\"index\":2}\n");
+    node.advance(40);
+    sends_on(&mut node, watch, &format!("{}\n", event(2, false, &json!([endpoint(0, 10, "draining", 0)]))));
+    assert_eq!(asks_draining_server(&mut node), 0);
+}
+
+#[test]
+fn invalid_lines_long_ago_delay_no_request() {
+    let mut node = TestNode::with_servers(1);
+    for _ in 0..6 {
+        let (watch, _) = node.watch.clone().unwrap();
+        node.input_and_process(Input::WatchConnected(watch));
+        sends_on(&mut node, watch, "{\"index\":1}\n");
+        node.outputs.clear();
+        sends_on(&mut node, watch, "noise\n");
+        node.advance(160);
+        assert!(!opened_watches(&node).is_empty(), "not asked again within 160 ms");
+    }
+}
+
+#[test]
+fn coordinator_that_greets_and_closes_is_not_asked_without_a_pause() {
+    let mut node = TestNode::with_servers(1);
+    let mut asked = 0;
+    while node.now_ms < 1_000 {
+        for watch in opened_watches(&node) {
+            asked += 1;
+            node.outputs.clear();
+            node.input_and_process(Input::WatchConnected(watch));
+            sends_on(&mut node, watch, "{\"index\":1}\n");
+            node.input_and_process(Input::WatchDisconnected(watch));
+        }
+        node.advance(1);
+    }
+    assert!((5..=25).contains(&asked), "asked {asked} times in a second");
+}
+
 #[test]
 fn invalid_list_is_requested_ever_more_rarely() {
     let mut node = TestNode::with_servers(1);
--- a/crates/ochrelead-platform/src/events.rs
+++ b/crates/ochrelead-platform/src/events.rs
@@ -1,5 +1,6 @@
 //! The coordinator's numbered events: the list of signalling servers, and from where to resume it.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -39,9 +40,13 @@
 pub enum EventOutcome {
     /// The list of servers changes.
     Changed(EndpointChange),
-    /// Nothing changes: only the last number, or an event that is known already.
+    /// Nothing changes: an event or a number that is known already.
     Unchanged,
-    /// Events are missing: they have to be requested again from the last one known.
+    /// The number of the last event known, alone: there are no later ones.
+    UpToDate,
+    /// A later number alone: there are events that have not come. They may still come.
+    Behind,
+    /// A later event than the next: those between have to be requested again from the last one known.
     Gap,
 }
 
@@ -101,6 +106,11 @@
         (cursor, changes)
     }
 
+    /// The number of the last event that is known.
+    pub fn last_index(&self) -> u64 {
+        self.last_index
+    }
+
     /// The request for the events after the cursor, as a line to the coordinator.
     pub fn request(&self) -> String {
         format!("follow {}\n", self.last_index)
@@ -113,12 +123,13 @@
     /// Where the line is neither a number nor an event; the cursor stays.
     pub fn handle_line(&mut self, line: &[u8]) -> Result<EventOutcome, serde_json::Error> {
         let event: Event = serde_json::from_slice(line)?;
-        if event.index <= self.last_index {
-            return Ok(EventOutcome::Unchanged);
-        }
-        // A number alone that is beyond the last event known: that event did not come.
-        if event.index > self.last_index + 1 || event.endpoints.is_none() {
-            return Ok(EventOutcome::Gap);
+        let is_number = event.endpoints.is_none();
+        match event.index.cmp(&self.last_index) {
+            Ordering::Equal if is_number => return Ok(EventOutcome::UpToDate),
+            Ordering::Less | Ordering::Equal => return Ok(EventOutcome::Unchanged),
+            Ordering::Greater if is_number => return Ok(EventOutcome::Behind),
+            Ordering::Greater if event.index > self.last_index + 1 => return Ok(EventOutcome::Gap),
+            Ordering::Greater => {}
         }
         let index = event.index;
         let change = event.into_change()?;
--- a/crates/ochrelead-platform/src/settings.rs
+++ b/crates/ochrelead-platform/src/settings.rs
@@ -65,6 +65,7 @@
     cold_ms: f64,
     overload_factor: f64,
     tip_after_ms: f64,
+    stop_sending_within_ms: f64,
 }
 
 #[derive(Deserialize, Default)]
@@ -122,6 +123,11 @@
         optional_span(self.limits.conn_idle_ms)
     }
 
+    /// How long a server that drains or is gone may still be sent something new; none where the settings do not say.
+    pub fn drain_grace(&self) -> Option<Span> {
+        optional_span(self.rules.stop_sending_within_ms)
+    }
+
     /// The number of this front among its peers, where fronts may send each other messages.
     pub fn peer_number(&self) -> Option<u32> {
         self.index.filter(|_| self.limits.peers)
