Answer every call of a leaving node before it may be killed

Seen by callers: set-ups that came on open connections more than 0.7 s after SIGTERM had no answer when the node was killed at the earliest moment that the protocol allows (the grace and the longest wait, counted as 3 s).

Cause: a leaving node took set-ups for as long as it lived, with their callers' whole time, and lived for as long as any of them was unanswered. Nothing in it knew when it may be killed.

Change: the shutdown (engine/shutdown.rs) knows by when all has to be answered: 0.1 s before the earliest kill. Calls that come meanwhile get no later deadline; what is unanswered then is cancelled at its server and answered as failed, or as refused where nothing was sent; later set-ups are refused.

--- a/crates/ochrelead-node/src/bounds.rs
+++ b/crates/ochrelead-node/src/bounds.rs
@@ -80,6 +80,11 @@
     pub(crate) const CALLER_IDLE_TIMEOUT: Span = Span::from_secs(4);
     /// Set-ups may keep arriving for this long after SIGTERM.
     pub(crate) const SHUTDOWN_GRACE: Span = Span::from_millis(700);
+    /// After SIGTERM a node may be killed once the grace and the longest wait of callers are over, counted as so much at
+    /// the most.
+    pub(crate) const SHUTDOWN_LONGEST_WAIT: Span = Span::from_secs(3);
+    /// So long before it may be killed, a node has answered everything.
+    pub(crate) const SHUTDOWN_ANSWER_MARGIN: Span = Span::from_millis(100);
     /// A set-up that crosses the close of its connection within this time is sent once more by its caller.
     pub(crate) const CLOSE_RACE_WINDOW: Span = Span::from_millis(50);
     /// The coordinator repeats its last index this often.
--- a/crates/ochrelead-node/src/call_table.rs
+++ b/crates/ochrelead-node/src/call_table.rs
@@ -96,6 +96,12 @@
         self.unanswered
     }
 
+    /// The calls whose callers wait for an answer.
+    pub(crate) fn unanswered_sessions(&self) -> impl Iterator<Item = SessionIx> + '_ {
+        let is_unanswered = |call: &Call| !matches!(call.phase, Phase::Established { .. });
+        self.calls.iter().filter(move |(_, call)| is_unanswered(call)).map(|(index, _)| SessionIx::new(index))
+    }
+
     /// The total length of the session descriptions.
     pub(crate) fn description_bytes(&self) -> usize {
         self.description_bytes
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -14,6 +14,7 @@
 mod server_connections;
 mod server_messages;
 mod server_side;
+mod shutdown;
 
 use std::collections::VecDeque;
 
@@ -37,6 +38,7 @@
 use call_setup::ServiceCatalog;
 use observations::FleetObservations;
 use releases::PendingReleases;
+use shutdown::Shutdown;
 
 /// The log target for established calls that did not end in the usual way; operators select it by `--log`.
 const CALL_END_LOG: &str = "ochrelead_node::ends";
@@ -87,7 +89,7 @@
     retiring: Vec<CallerId>,
     pending_releases: PendingReleases,
     fleet: FleetObservations,
-    shutdown_since: Option<Moment>,
+    shutdown: Option<Shutdown>,
     /// The tables are maintained no later than this.
     maintenance_at: Moment,
     log_at: Moment,
@@ -126,7 +128,7 @@
             retiring: Vec::new(),
             pending_releases: PendingReleases::default(),
             fleet: FleetObservations::new(settings.zones().to_vec()),
-            shutdown_since: None,
+            shutdown: None,
             maintenance_at: now,
             log_at: now,
             outputs: VecDeque::new(),
@@ -166,10 +168,7 @@
             }
             Input::WatchDisconnected(watch) => self.watch.on_disconnected(watch, self.now),
             Input::CoordinatorMoved(address) => self.watch.redirect(address, self.now),
-            Input::Shutdown => {
-                self.shutdown_since = self.shutdown_since.or(Some(self.now));
-                self.send_pending_releases();
-            }
+            Input::Shutdown => self.begin_shutdown(),
         }
         self.collect_watch_actions();
     }
@@ -186,6 +185,7 @@
         while let Some(session) = self.calls.next_expired(self.now) {
             self.end_invite(session, InviteOutcome::TimedOut);
         }
+        self.end_overdue_shutdown();
         self.watch.process(self.now);
         self.collect_watch_actions();
         if self.maintenance_at <= self.now {
@@ -201,6 +201,7 @@
             self.policy.poll_timeout(),
             self.calls.poll_timeout(),
             self.watch.poll_timeout(),
+            self.shutdown_timeout(),
             Some(self.maintenance_at),
         ];
         self.timeout = timeouts.into_iter().flatten().min();
@@ -230,24 +231,6 @@
         self.timeout
     }
 
-    /// Whether a node that leaves service owes nothing any more and no set-up can still arrive. A release without any
-    /// caller to send it to delays this up to the deadline of an invalid caller.
-    pub fn is_closed(&self) -> bool {
-        let Some(elapsed) = self.time_since_shutdown() else { return false };
-        let owes_release = !self.pending_releases.is_empty() && elapsed < protocol::INVALID_CALLER_DEADLINE;
-        let owes_answer = self.calls.unanswered() > 0;
-        elapsed >= protocol::SHUTDOWN_GRACE && !owes_answer && !owes_release
-    }
-
-    /// Whether a node that leaves service still reads on while lines arrive that are owed nothing: set-ups may follow.
-    pub fn may_receive_set_ups(&self) -> bool {
-        self.time_since_shutdown().is_none_or(|elapsed| elapsed < protocol::SHUTDOWN_GRACE * 2)
-    }
-
-    fn time_since_shutdown(&self) -> Option<Span> {
-        self.shutdown_since.map(|since| self.now.since(since))
-    }
-
     /// The most callers' connections that may be open, those being closed included.
     pub fn max_callers(&self) -> usize {
         self.bounds.callers + self.bounds.closing_callers
--- a/crates/ochrelead-node/src/engine/call_setup.rs
+++ b/crates/ochrelead-node/src/engine/call_setup.rs
@@ -54,6 +54,12 @@
         &self.services[class].name
     }
 
+    /// The longest that any caller waits; zero where a class has no limit.
+    pub(super) fn longest_wait(&self) -> Span {
+        let waits = || self.services.iter().map(|service| service.max_wait);
+        if waits().any(|wait| wait == Span::ZERO) { Span::ZERO } else { waits().max().unwrap_or(Span::ZERO) }
+    }
+
     fn tenant(&self, name: Option<&str>) -> Result<Option<TenantIx>, MessageError> {
         match name {
             Some(name) => {
@@ -70,12 +76,12 @@
     /// Passes a valid set-up to the controller; refuses it where the tables are full.
     pub(super) fn on_set_up(&mut self, id: CallerId, set_up: SetUpRequest) -> Result<(), MessageError> {
         let SetUpParties { class, tenant } = self.check_set_up(&set_up)?;
-        if self.is_full_for(&set_up) {
+        if self.is_full_for(&set_up) || self.refuses_set_ups() {
             let line = caller_messages::encode_down(set_up.call, cause::REFUSED, None);
             self.outputs.push_back(Output::SendToCaller(id, line));
             return Ok(());
         }
-        let deadline = self.now + set_up.time_left;
+        let deadline = self.answer_deadline(self.now + set_up.time_left);
         let request = CallRequest {
             service: ServiceIx::new(class),
             tenant,
--- a/crates/ochrelead-node/src/engine/caller_side.rs
+++ b/crates/ochrelead-node/src/engine/caller_side.rs
@@ -139,7 +139,7 @@
             CallerMessage::Established { call, server } => self.on_established_elsewhere(id, call, &server),
             CallerMessage::Release { call } => self.on_release_request(id, call),
             CallerMessage::Heartbeat { id: heartbeat } => {
-                let is_in_service = self.shutdown_since.is_none();
+                let is_in_service = self.shutdown.is_none();
                 self.outputs.push_back(Output::SendToCaller(
                     id,
                     caller_messages::encode_heartbeat_reply(&heartbeat, is_in_service),
@@ -198,13 +198,18 @@
 
     /// Removes a call whose caller no longer waits for the answer.
     fn cancel_call(&mut self, session: SessionIx) {
+        self.release_from_controller(session);
+        self.calls.remove(session);
+    }
+
+    /// Takes an unanswered call away from the controller, and cancels its INVITE.
+    pub(super) fn release_from_controller(&mut self, session: SessionIx) {
         let Some(phase) = self.calls.phase(session) else { return };
         self.policy.on_caller_gone(session);
         if let Phase::Inviting(invite) = phase {
             self.cancel_invite(session);
             self.policy.on_invite_ended(session, invite.server, InviteOutcome::Cancelled, true);
         }
-        self.calls.remove(session);
     }
 
     /// A call was established for a caller: its connection is a regular one.
--- a/crates/ochrelead-node/src/engine/releases.rs
+++ b/crates/ochrelead-node/src/engine/releases.rs
@@ -67,7 +67,7 @@
     /// Sends pending releases on a verified caller's connection; between two rounds no more than one reader can take.
     pub(super) fn send_pending_releases(&mut self) {
         while self.pending_releases.sent_this_round < self.bounds.releases_per_round
-            && let Some(caller) = self.callers.release_recipient(self.shutdown_since.is_some())
+            && let Some(caller) = self.callers.release_recipient(self.shutdown.is_some())
             && let Some(release) = self.pending_releases.queue.pop_front()
         {
             self.pending_releases.sent_this_round += 1;
--- a/crates/ochrelead-node/tests/shutdown.rs
+++ b/crates/ochrelead-node/tests/shutdown.rs
@@ -5,6 +5,7 @@
 use helper::{Response, TestNode, call_id};
 use ochrelead_node::io::{CallerId, Input};
 use serde_json::json;
+use test_case::test_case;
 
 #[test]
 fn leaving_node_accepts_and_answers_set_ups_to_the_end() {
@@ -60,3 +61,40 @@
     assert_eq!(node.answers(), [(2, "down".to_owned(), Some(16))]);
     assert!(node.engine.is_closed());
 }
+
+/// The earliest kill is 3.7 s after SIGTERM where callers wait for 3 s.
+#[test_case(300; "before the grace is over")]
+#[test_case(2_500; "after it")]
+fn leaving_node_answers_everything_before_it_may_be_killed(set_up_at_ms: u64) {
+    let mut node = TestNode::with_servers(2);
+    node.connect_caller(1);
+    // A call stands on the connection, so that it stays open.
+    node.establish(1, 99, 1);
+    node.input_and_process(Input::Shutdown);
+    node.advance(set_up_at_ms);
+    // The server hangs; the caller would wait for longer than the node may live.
+    let mut line = TestNode::set_up_line(7, 0);
+    line["f"]["left"] = json!("3000");
+    node.send_line(1, &line);
+    assert_eq!(node.sent_to_servers("INVITE").len(), 1);
+    while node.now_ms < 3_690 {
+        node.advance(10);
+    }
+    let answers = node.answers();
+    assert_eq!(answers.len(), 1, "{answers:?}");
+    assert_eq!((answers[0].0, answers[0].1.as_str()), (1, "down"));
+    assert!(node.engine.is_closed());
+    assert!(node.sent_to_servers("CANCEL").len() == 1, "the server is told");
+}
+
+#[test]
+fn leaving_node_refuses_a_set_up_that_it_could_not_answer_before_it_is_killed() {
+    let mut node = TestNode::with_servers(1);
+    node.connect_caller(1);
+    node.establish(1, 99, 0);
+    node.input_and_process(Input::Shutdown);
+    node.advance(3_650);
+    node.set_up(1, 7, 0);
+    assert_eq!(node.sent_to_servers("INVITE").len(), 0);
+    assert_eq!(node.answers(), [(1, "down".to_owned(), Some(42))]);
+}
