Open a new connection where a release may have been lost with the former one

Cause: a release that a server writes behind an answer that can't be read, or that never ends, is lost with the connection. By the protocol the server repeats it on the next connection that is opened. The node aborted the connection rightly, but opened another only where fewer than two idle ones were left, and to a draining server only where none was.

Change: an open connection that ends while calls stand at its server is followed by a new one (awaits_repeated_releases). Class: what is lost with a connection has to be asked for again, which nobody did where others were still open.

Evidence: the call's id appears in the node's debug log at its set-up and then at the end of its server only. Engine test for a server in service and a draining one; both cases failed before.

--- a/crates/ochrelead-node/src/engine/server_connections.rs
+++ b/crates/ochrelead-node/src/engine/server_connections.rs
@@ -39,6 +39,7 @@
         let server_ix = connection.server;
         self.note_heard(server_ix);
         let server = self.servers.get_mut(server_ix);
+        server.awaits_repeated_releases = false;
         let waiting_invites = mem::take(&mut server.waiting_invites);
         let pending_releases = mem::take(&mut server.pending_releases);
         for call in pending_releases {
@@ -58,6 +59,9 @@
         for session in connection.sessions {
             self.end_invite(session, InviteOutcome::Reset);
         }
+        if connection.state == ConnectionState::Open && self.calls.has_established_at(server_ix) {
+            self.servers.get_mut(server_ix).awaits_repeated_releases = true;
+        }
         let has_others = self.servers.has_open_connection(server_ix);
         let retry_delay = self.connect_timeout / 8;
         let ended_early = match connection.state {
@@ -220,7 +224,8 @@
         let lacks_release_path = has_calls && !self.servers.has_open_connection(index);
         let mut wanted =
             if server.is_ready() { self.spare_connections() } else { usize::from(lacks_release_path) };
-        if is_silent && (server.is_ready() || has_calls) {
+        let needs_new = server.awaits_repeated_releases && has_calls;
+        if needs_new || (is_silent && (server.is_ready() || has_calls)) {
             wanted = wanted.max(idle + 1);
         }
         wanted = wanted.max(usize::from(has_waiting));
--- a/crates/ochrelead-node/src/server_table.rs
+++ b/crates/ochrelead-node/src/server_table.rs
@@ -44,6 +44,8 @@
     pub(crate) failed_connects: u32,
     /// No connection is attempted before.
     pub(crate) reconnect_at: Moment,
+    /// A connection has ended on which a release may have been lost; the server repeats it on the next one.
+    pub(crate) awaits_repeated_releases: bool,
 }
 
 impl Server {
@@ -62,6 +64,7 @@
             last_heard_by_peer: None,
             failed_connects: 0,
             reconnect_at: now,
+            awaits_repeated_releases: false,
         }
     }
 
--- a/crates/ochrelead-node/tests/connections.rs
+++ b/crates/ochrelead-node/tests/connections.rs
@@ -2,7 +2,7 @@
 
 mod helper;
 
-use helper::{EstablishedCalls, Response, TestNode, call_id, endpoint};
+use helper::{EstablishedCalls, Response, TestNode, call_id, endpoint, event};
 use ochrelead_node::io::{CallerId, Input, Output, ServerConnectionId};
 use serde_json::json;
 use test_case::{test_case, test_matrix};
@@ -192,3 +192,25 @@
         |output: &Output| matches!(output, Output::SendToServer(connection, _) if *connection == half_closed);
     assert!(node.outputs.iter().all(|output| !is_sent_there(output)));
 }
+
+/// A release that was written behind an answer that can't be read is lost; a server repeats it on its next connection.
+#[test_case("up"; "of a server in service")]
+#[test_case("draining"; "of a draining server")]
+fn connection_that_ends_beside_established_calls_is_followed_by_a_new_one(lifecycle: &str) {
+    let mut node = TestNode::with_servers(1);
+    node.connect_caller(1);
+    let used = node.establish(1, 7, 0);
+    let (watch, _) = node.watch.clone().unwrap();
+    node.input_and_process(Input::WatchConnected(watch));
+    node.coordinator_sends(&format!("{}\n", event(2, false, &json!([endpoint(0, 10, lifecycle, 0)]))));
+    // More than enough idle connections are open.
+    node.advance(1_000);
+    let before: Vec<ServerConnectionId> = node.connections.keys().copied().collect();
+    assert!(before.len() > 1);
+    node.server_sends(used, b"\x01noise\r\n\r\n");
+    node.advance(300);
+    let after: Vec<ServerConnectionId> = node.connections.keys().copied().collect();
+    let new = after.iter().find(|connection| !before.contains(connection)).expect("a new connection");
+    node.server_releases(*new, 7, 16);
+    assert_eq!(node.answers(), [(1, "down".to_owned(), Some(16))]);
+}
