Take a set-up whose first bytes have arrived before a connection or the node closes

Seen by callers: none reported. Read while looking for paths of the same class as the shutdown's: a caller that writes slowly was cut off in the middle of its set-up, by the end of a leaving node as well as by the close of an idle connection, and one that completes it more than 50 ms later is lost.

Cause: only whole lines counted as something that arrives. Change: the rest of a line is waited for, for 0.3 s after its last byte (PARTIAL_LINE_TIMEOUT); a connection that sent nothing valid in 2.4 s, or a leaving node that takes nothing more, does not wait. A second test holds that a line which stops arriving keeps nobody.

Closes of callers' and servers' connections are logged at debug with their reason. The soak's callers come again at once when they are refused.

--- a/crates/ochrelead-node/src/bounds.rs
+++ b/crates/ochrelead-node/src/bounds.rs
@@ -85,6 +85,8 @@
     pub(crate) const SHUTDOWN_LONGEST_WAIT: Span = Span::from_secs(3);
     /// So long before it may be killed, a node has answered everything.
     pub(crate) const SHUTDOWN_ANSWER_MARGIN: Span = Span::from_millis(100);
+    /// The rest of a line is expected for so long after its last byte.
+    pub(crate) const PARTIAL_LINE_TIMEOUT: Span = Span::from_millis(300);
     /// A set-up that crosses the close of its connection within this time is sent once more by its caller.
     pub(crate) const CLOSE_RACE_WINDOW: Span = Span::from_millis(50);
     /// The coordinator repeats its last index this often.
--- a/crates/ochrelead-node/src/caller_table.rs
+++ b/crates/ochrelead-node/src/caller_table.rs
@@ -69,6 +69,11 @@
         self.0.len()
     }
 
+    /// Whether the rest of a line is to be expected from any of them.
+    pub(crate) fn any_mid_line(&self, now: Moment) -> bool {
+        self.0.values().any(|caller| caller.is_mid_line(now))
+    }
+
     /// The connection for a release whose own connection has closed: that of the verified caller used last. With
     /// `allow_unverified`, where no later one can come, any connection is better than none.
     pub(crate) fn release_recipient(&self, allow_unverified: bool) -> Option<CallerId> {
@@ -103,6 +108,16 @@
 }
 
 impl Caller {
+    /// Whether a line has begun to arrive and its rest is to be expected.
+    pub(crate) fn is_mid_line(&self, now: Moment) -> bool {
+        self.line_splitter.has_partial_line() && now.since(self.last_used) < protocol::PARTIAL_LINE_TIMEOUT
+    }
+
+    /// Whether it is owed a refusal, an error or a close by now, having sent nothing valid.
+    pub(crate) fn is_overdue(&self, now: Moment) -> bool {
+        !self.is_verified && now.since(self.opened_at) >= protocol::INVALID_CALLER_DEADLINE.scaled(0.8)
+    }
+
     fn is_expired(&self, now: Moment) -> bool {
         // Callers leave a connection open while a call stands on it, and its release needs one that is open.
         if !self.pending_sessions.is_empty() || self.established_calls > 0 {
@@ -110,10 +125,10 @@
         }
         let idle_timeout = protocol::CALLER_IDLE_TIMEOUT;
         let idle = now.since(self.last_used);
-        let is_invalid =
-            !self.is_verified && now.since(self.opened_at) >= protocol::INVALID_CALLER_DEADLINE.scaled(0.8);
         // One that was just sent a release has yet to confirm it.
         let is_confirmed = self.unconfirmed_releases.is_empty();
-        is_invalid || (idle >= idle_timeout.scaled(1.25) && is_confirmed) || idle >= idle_timeout * 4
+        self.is_overdue(now)
+            || (idle >= idle_timeout.scaled(1.25) && is_confirmed)
+            || idle >= idle_timeout * 4
     }
 }
--- a/crates/ochrelead-node/src/engine/caller_side.rs
+++ b/crates/ochrelead-node/src/engine/caller_side.rs
@@ -7,6 +7,7 @@
 
 use super::{CALL_END_LOG, Engine};
 use crate::call_table::Phase;
+use crate::caller_table::Caller;
 use crate::io::{CallerId, Output};
 
 impl Engine {
@@ -48,8 +49,12 @@
         }
         if self.retiring.contains(&id) {
             self.retiring.retain(|caller| *caller != id);
-            if self.callers.get(id).is_some_and(|caller| caller.pending_sessions.is_empty()) {
-                self.close_caller(id);
+            let now = self.now;
+            let is_unused = |caller: &Caller| {
+                caller.pending_sessions.is_empty() && (!caller.is_mid_line(now) || caller.is_overdue(now))
+            };
+            if self.callers.get(id).is_some_and(is_unused) {
+                self.close_caller(id, "not in use");
             }
         }
     }
@@ -64,7 +69,7 @@
                     .push_back(Output::SendToCaller(id, caller_messages::encode_down(call.id, cause, None)));
             }
         }
-        self.close_caller(id);
+        self.close_caller(id, "shut down by the caller");
     }
 
     pub(super) fn on_caller_disconnected(&mut self, id: CallerId) {
@@ -90,7 +95,8 @@
     }
 
     /// The node closes a connection; set-ups pending on it are cancelled.
-    fn close_caller(&mut self, caller: CallerId) {
+    fn close_caller(&mut self, caller: CallerId, reason: &'static str) {
+        debug!(caller = caller.0, reason, "caller connection closed by the node");
         self.on_caller_disconnected(caller);
         self.outputs.push_back(Output::CloseCaller(caller));
     }
@@ -171,7 +177,7 @@
             self.outputs.push_back(Output::SendToCaller(id, line));
         }
         if !was_valid || is_own || call.is_none() {
-            self.close_caller(id);
+            self.close_caller(id, "invalid line");
         }
     }
 
--- a/crates/ochrelead-node/src/engine/server_connections.rs
+++ b/crates/ochrelead-node/src/engine/server_connections.rs
@@ -56,6 +56,9 @@
         if connection.state == ConnectionState::HalfClosed {
             return;
         }
+        let in_flight = connection.sessions.len();
+        let (server, state) = (&self.servers.get(server_ix).id, connection.state);
+        debug!(server, connection = id.0, ?state, in_flight, refused, "server connection ended");
         for session in connection.sessions {
             self.end_invite(session, InviteOutcome::Reset);
         }
--- a/crates/ochrelead-node/src/engine/shutdown.rs
+++ b/crates/ochrelead-node/src/engine/shutdown.rs
@@ -82,7 +82,9 @@
     pub fn is_closed(&self) -> bool {
         let Some(elapsed) = self.time_since_shutdown() else { return false };
         let owes_release = !self.pending_releases.is_empty() && elapsed < protocol::INVALID_CALLER_DEADLINE;
-        let owes_answer = self.calls.unanswered() > 0;
+        // A set-up whose first bytes have arrived is still taken, as long as it can be answered.
+        let is_mid_line = self.callers.any_mid_line(self.now) && !self.refuses_set_ups();
+        let owes_answer = self.calls.unanswered() > 0 || is_mid_line;
         elapsed >= protocol::SHUTDOWN_GRACE && !owes_answer && !owes_release
     }
 
--- a/crates/ochrelead-node/tests/connections.rs
+++ b/crates/ochrelead-node/tests/connections.rs
@@ -214,3 +214,23 @@
     node.server_releases(*new, 7, 16);
     assert_eq!(node.answers(), [(1, "down".to_owned(), Some(16))]);
 }
+
+#[test]
+fn idle_caller_connection_is_not_closed_in_the_middle_of_a_set_up() {
+    let mut node = TestNode::with_servers(1);
+    node.connect_caller(1);
+    let connection = node.establish(1, 7, 0);
+    node.server_releases(connection, 7, 16);
+    node.send_line(1, &json!({"t": "ack", "ref": call_id(7)}));
+    node.drains_input = false;
+    // Its idle time is over, and what has arrived meanwhile is read before it is closed.
+    node.advance(5_600);
+    let line = format!("{}\n", TestNode::set_up_line(8, 0));
+    let (first, rest) = line.split_at(line.len() / 2);
+    node.send_bytes(1, first.as_bytes());
+    node.input_and_process(Input::InputDrained(CallerId(1)));
+    assert!(!node.has_closed(1));
+    node.drains_input = true;
+    node.send_bytes(1, rest.as_bytes());
+    assert_eq!(node.sent_to_servers("INVITE").len(), 1);
+}
--- a/crates/ochrelead-node/tests/shutdown.rs
+++ b/crates/ochrelead-node/tests/shutdown.rs
@@ -98,3 +98,31 @@
     assert_eq!(node.sent_to_servers("INVITE").len(), 0);
     assert_eq!(node.answers(), [(1, "down".to_owned(), Some(42))]);
 }
+
+#[test]
+fn leaving_node_waits_for_the_rest_of_a_set_up() {
+    let mut node = TestNode::with_servers(1);
+    node.connect_caller(1);
+    node.input_and_process(Input::Shutdown);
+    node.advance(600);
+    let line = format!("{}\n", TestNode::set_up_line(7, 0));
+    let (first, rest) = line.split_at(line.len() / 2);
+    node.send_bytes(1, first.as_bytes());
+    node.advance(200);
+    assert!(!node.engine.is_closed(), "the rest is to come");
+    node.send_bytes(1, rest.as_bytes());
+    let (connection, _) = node.sent_to_servers("INVITE").pop().expect("an INVITE");
+    node.respond(connection, &Response::accepted(7, 1));
+    assert!(node.engine.is_closed());
+}
+
+#[test]
+fn leaving_node_does_not_wait_for_a_line_that_stops_arriving() {
+    let mut node = TestNode::with_servers(1);
+    node.connect_caller(1);
+    node.input_and_process(Input::Shutdown);
+    node.advance(600);
+    node.send_bytes(1, b"{\"t\":\"new\"");
+    node.advance(400);
+    assert!(node.engine.is_closed());
+}
--- a/crates/ochrelead-verify/src/soak/caller.rs
+++ b/crates/ochrelead-verify/src/soak/caller.rs
@@ -59,6 +59,8 @@
     node: usize,
     writer: Arc<Mutex<TcpStream>>,
     state: Arc<Mutex<State>>,
+    /// Counts the refusals that its callers answer with another set-up.
+    refusals: Arc<AtomicU64>,
     recorder: Arc<Recorder>,
 }
 
@@ -72,12 +74,17 @@
     /// # Errors
     ///
     /// Where the node can't be reached.
-    pub fn open(node: usize, address: SocketAddr, recorder: Arc<Recorder>) -> io::Result<CallerConnection> {
+    pub fn open(
+        node: usize,
+        address: SocketAddr,
+        refusals: Arc<AtomicU64>,
+        recorder: Arc<Recorder>,
+    ) -> io::Result<CallerConnection> {
         let stream = TcpStream::connect(address)?;
         stream.set_nodelay(true)?;
         let reader = BufReader::new(stream.try_clone()?);
         let writer = Arc::new(Mutex::new(stream));
-        let connection = CallerConnection { node, writer, state: Arc::default(), recorder };
+        let connection = CallerConnection { node, writer, state: Arc::default(), refusals, recorder };
         let reading = connection.clone();
         thread::spawn(move || reading.read(reader));
         Ok(connection)
@@ -196,7 +203,9 @@
                 let was_unanswered = state.unanswered.remove(&call).is_some();
                 state.established.retain(|other| *other != call);
                 drop(state);
-                if !was_unanswered {
+                if was_unanswered {
+                    self.refusals.fetch_add(1, Ordering::Relaxed);
+                } else {
                     let heard = json!({"t": "ack", "ref": id(call), "f": {}});
                     self.write_raw(format!("{heard}\n").as_bytes());
                 }
--- a/crates/ochrelead-verify/src/soak/traffic.rs
+++ b/crates/ochrelead-verify/src/soak/traffic.rs
@@ -1,7 +1,7 @@
 //! The callers of one node as a whole: connections, set-ups, early ends, and bad input.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -19,6 +19,8 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(5);
 /// The shortest that a caller waits, as a part of the deadline.
 const SHORTEST_WAIT: f64 = 0.3;
+/// Callers that come again at a time.
+const MAX_REPEATS: u64 = 5;
 /// Bad callers' connections.
 const BAD_CONNECTIONS: u64 = 12;
 
@@ -42,6 +44,8 @@
     impatience: f64,
     seed: u64,
     calls: Arc<CallNumbers>,
+    /// Set-ups that were refused and have not been repeated.
+    refusals: Arc<AtomicU64>,
     admission: Mutex<Admission>,
 }
 
@@ -57,6 +61,7 @@
             impatience: scenario.impatience,
             seed: scenario.seed.wrapping_mul(1_000_003) + node as u64,
             calls,
+            refusals: Arc::default(),
             admission: Mutex::new(Admission::Open),
         }
     }
@@ -103,7 +108,8 @@
 }
 
 fn open(traffic: &NodeTraffic, recorder: &Arc<Recorder>) -> Option<CallerConnection> {
-    CallerConnection::open(traffic.node, traffic.listen, recorder.clone()).ok()
+    let refusals = traffic.refusals.clone();
+    CallerConnection::open(traffic.node, traffic.listen, refusals, recorder.clone()).ok()
 }
 
 struct Driver {
@@ -127,7 +133,9 @@
             let pause = -self.rng.random_range(f64::MIN_POSITIVE..1.0).ln() / self.traffic.rate;
             thread::sleep(Duration::from_secs_f64(pause.min(1.0)));
             self.connect_missing();
-            self.send_one();
+            // Callers that were refused come again at once.
+            let repeats = self.traffic.refusals.swap(0, Ordering::Relaxed).min(MAX_REPEATS);
+            (0..=repeats).for_each(|_| self.send_one());
         }
         self.crowd.iter().chain(&self.connections).for_each(CallerConnection::close);
     }
--- a/crates/ochrelead-verify/src/soak/trial.rs
+++ b/crates/ochrelead-verify/src/soak/trial.rs
@@ -354,6 +354,10 @@
     /// SIGTERM, SIGKILL at the earliest moment where the node has not ended, and a new start.
     fn terminate(&self, node: usize) {
         let mut process = lock(&self.processes[node]);
+        // One that has just been started may not have taken its signals yet; an end before that is no crash.
+        if let Err(error) = NodeProcess::await_ready(self.traffic[node].listen) {
+            eprintln!("n{node} is not ready: {error}");
+        }
         self.recorder.record(Event::Terminated { node });
         // A process that has ended is told apart below.
         let _ = process.signal(Signal::TERM);
