--- a/crates/ochrelead-verify/src/lib.rs
+++ b/crates/ochrelead-verify/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`simulation`]: fleets of lease engines on a virtual clock, with faults from seeds.
 //! - [`fleet`]: whole fleets of nodes on a virtual clock; what coordination costs, and how soon a lease is held again.
 //! - [`cluster`]: several processes of the program, a relay between them, and a server that is acted upon.
+//! - [`soak`]: dense trials of several node processes between emulated parties, judged by the platform's rules.
 //! - [`zones`]: whole fleets with servers and callers, whose zones fail and return; it has mutations of its own.
 //! - [`mutation`]: what is wrong on purpose, around the lease engine and never in it.
 //! - [`resource`], [`violation`]: what holders act upon, and what does not hold.
--- a/crates/ochrelead-verify/src/main.rs
+++ b/crates/ochrelead-verify/src/main.rs
@@ -22,7 +22,8 @@
   ochrelead-verify explore --depth 13
   ochrelead-verify explore --voters 5 --candidates 3 --fronts 5 --depth 11
   ochrelead-verify seeds 0..10000
-  ochrelead-verify seeds 0..20 --fronts 2000 --calm"
+  ochrelead-verify seeds 0..20 --fronts 2000 --calm
+  ochrelead-verify soak 0..50"
 )]
 struct Arguments {
     #[command(subcommand)]
