Open no further connection after an orderly end of one to a server

Change: only a connection that can't be read on, that ends within a message, or under an INVITE is followed by a new one, and none that ended as soon as it was open. Engine test for the orderly end: failed before.

--- a/crates/ochrelead-node/src/engine/server_connections.rs
+++ b/crates/ochrelead-node/src/engine/server_connections.rs
@@ -59,18 +59,19 @@
         let in_flight = connection.sessions.len();
         let (server, state) = (&self.servers.get(server_ix).id, connection.state);
         debug!(server, connection = id.0, ?state, in_flight, refused, "server connection ended");
+        let is_cut_off = connection.partial_since.is_some() || !connection.sessions.is_empty();
         for session in connection.sessions {
             self.end_invite(session, InviteOutcome::Reset);
         }
-        if connection.state == ConnectionState::Open && self.calls.has_established_at(server_ix) {
-            self.servers.get_mut(server_ix).awaits_repeated_releases = true;
-        }
         let has_others = self.servers.has_open_connection(server_ix);
         let retry_delay = self.connect_timeout / 8;
         let ended_early = match connection.state {
             ConnectionState::Connecting => true,
             _ => self.now.since(connection.since) < retry_delay,
         };
+        if is_cut_off && !ended_early {
+            self.expect_repeated_releases(server_ix);
+        }
         if refused || ended_early {
             // A server that refuses one while others are open takes no more of them for now.
             let delay = if refused && has_others { self.connect_timeout * 2 } else { retry_delay };
@@ -96,9 +97,22 @@
     /// Closes a connection that can't be read on, or whose message never ends: the INVITEs in flight on it have failed.
     pub(super) fn abort_connection(&mut self, id: ServerConnectionId) {
         self.outputs.push_back(Output::CloseServerConnection(id));
+        let connection = self.servers.connection(id);
+        let open = connection.filter(|connection| connection.state == ConnectionState::Open);
+        if let Some(server) = open.map(|connection| connection.server) {
+            self.expect_repeated_releases(server);
+        }
         self.on_server_disconnected(id, false);
     }
 
+    /// A release may be lost with a connection that did not end between two messages: the server repeats it on the next
+    /// one. An orderly end loses nothing, and servers that end one because they hold too many want no other.
+    fn expect_repeated_releases(&mut self, server: ServerIx) {
+        if self.calls.has_established_at(server) {
+            self.servers.get_mut(server).awaits_repeated_releases = true;
+        }
+    }
+
     /// A server has ended without saying so.
     fn presume_dead(&mut self, server: ServerIx) {
         for id in self.servers.get(server).connections.clone() {
--- a/crates/ochrelead-node/tests/connections.rs
+++ b/crates/ochrelead-node/tests/connections.rs
@@ -234,3 +234,20 @@
     node.send_bytes(1, rest.as_bytes());
     assert_eq!(node.sent_to_servers("INVITE").len(), 1);
 }
+
+/// A server that holds too many connections ends some: no other is opened in their place beyond need.
+#[test]
+fn orderly_end_of_an_idle_server_connection_opens_no_further_one() {
+    let mut node = TestNode::with_servers(1);
+    node.connect_caller(1);
+    node.establish(1, 7, 0);
+    node.advance(1_000);
+    let before: Vec<ServerConnectionId> = node.connections.keys().copied().collect();
+    assert!(before.len() > 2, "one more than are kept ready");
+    let ended = before[0];
+    node.connections.remove(&ended);
+    node.input_and_process(Input::ServerDisconnected { connection: ended, refused: false });
+    node.advance(300);
+    let opened = node.connections.keys().filter(|connection| !before.contains(connection)).count();
+    assert_eq!(opened, 0);
+}
