--- a/crates/ochrelead-front/tests/soak.rs
+++ b/crates/ochrelead-front/tests/soak.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
+use ochrelead_verify::soak::coordinator::{NumberForm, WriteFaults};
 use ochrelead_verify::soak::history::DiscoveryFault;
 use ochrelead_verify::soak::parties::TrialConfig;
 use ochrelead_verify::soak::scenario::{Scenario, Scheduled, Step};
@@ -60,6 +61,31 @@
     assert!(broken.is_empty(), "{broken}");
 }
 
+/// Drains, one after another, while the coordinators write the last number in this form, a second after each request.
+fn drains_with_numbers(number_form: NumberForm) -> String {
+    let faults = WriteFaults { number_form, late_first_number: true, ..Default::default() };
+    let mut steps = vec![(0, Step::SetWriteFaults { node: None, faults })];
+    for (server, at_ms) in [(0, 6_000), (1, 10_500), (2, 15_000)] {
+        steps.push((at_ms, Step::Replace { server, drain_time: Duration::from_secs(3) }));
+    }
+    let scenario = scenario(Duration::from_secs(3), Duration::from_secs(17), &steps);
+    broken_rules(&format!("{number_form:?}"), &scenario)
+}
+
+#[test]
+fn unreadable_numbers_of_the_coordinator_delay_no_drain() {
+    let _machine = MACHINE.lock();
+    let broken = drains_with_numbers(NumberForm::Unreadable);
+    assert!(broken.is_empty(), "{broken}");
+}
+
+#[test]
+fn bare_numbers_of_the_coordinator_are_read() {
+    let _machine = MACHINE.lock();
+    let broken = drains_with_numbers(NumberForm::Bare);
+    assert!(broken.is_empty(), "{broken}");
+}
+
 #[test]
 fn set_ups_that_arrive_late_in_a_shutdown_are_answered_before_the_kill() {
     let _machine = MACHINE.lock();
--- a/crates/ochrelead-verify/src/soak/coordinator.rs
+++ b/crates/ochrelead-verify/src/soak/coordinator.rs
@@ -96,9 +96,35 @@
     json!({"index": index, "endpoints": endpoints})
 }
 
-/// Faults of what is written, apart from outages.
+/// How the line with the last number alone is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum NumberForm {
+    /// As an object.
+    #[default]
+    Object,
+    /// As the number itself.
+    Bare,
+    /// As noise.
+    Unreadable,
+}
+
+impl NumberForm {
+    fn line(self, number: usize) -> String {
+        match self {
+            NumberForm::Object => format!("{}\n", json!({"index": number})),
+            NumberForm::Bare => format!("{number}\n"),
+            NumberForm::Unreadable => format!("{{\"index\":{number},\"end\n"),
+        }
+    }
+}
+
+/// Faults of what is written, apart from outages. They last until others are set.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WriteFaults {
+    /// How the last number is written.
+    pub number_form: NumberForm,
+    /// The first number comes a heartbeat after the request, not at once.
+    pub late_first_number: bool,
     /// The next event breaks off in its middle, and the connection is closed.
     pub break_next_event: bool,
     /// The next line is no JSON.
@@ -223,6 +249,11 @@
         lock(&self.state).writes = writes;
     }
 
+    /// The faults of what is written.
+    pub fn write_faults(&self) -> WriteFaults {
+        lock(&self.state).writes
+    }
+
     /// Another coordinator takes over: no new connection, nothing more is told, open ones are closed after a while.
     pub fn retire(&self) {
         let mut state = lock(&self.state);
@@ -245,8 +276,9 @@
             self.recorder.record(Event::ListRequested { node: self.node });
         }
         let now = Instant::now();
+        let heartbeat_at = if lock(&self.state).writes.late_first_number { now + HEARTBEAT } else { now };
         let mut connection =
-            WatchConnection { stream, sent: known, heartbeat_at: now, announced: 0, events_at: now };
+            WatchConnection { stream, sent: known, heartbeat_at, announced: 0, events_at: now };
         loop {
             let due = self.due_lines(&mut connection, accepted_in);
             match due {
@@ -299,7 +331,7 @@
                 lines.push(event);
             }
         }
-        let number = format!("{}\n", json!({"index": list.events.len()}));
+        let number = state.writes.number_form.line(list.events.len());
         if state.writes.number_first && !lines.is_empty() && connection.announced < list.events.len() {
             connection.announced = list.events.len();
             connection.events_at = Instant::now() + NUMBER_LEAD;
--- a/crates/ochrelead-verify/src/soak/scenario.rs
+++ b/crates/ochrelead-verify/src/soak/scenario.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::coordinator::WriteFaults;
 use super::history::DiscoveryFault;
 use super::server::Behaviour;
 
@@ -26,14 +27,13 @@
         /// For how long.
         length: Duration,
     },
-    /// The next event to a node breaks off.
-    BreakNextEvent(usize),
-    /// The next line to a node can't be read.
-    SpoilNextLine(usize),
-    /// Events to a node come twice, and in pieces.
-    RepeatEventsInPieces(usize),
-    /// A node's coordinator writes the last number a little before its event.
-    NumberFirst(usize),
+    /// What a node's coordinator writes has these faults from now on.
+    SetWriteFaults {
+        /// Which node; all where it is `None`.
+        node: Option<usize>,
+        /// Which faults.
+        faults: WriteFaults,
+    },
     /// The coordinator of a node moves; the node is signalled.
     MoveCoordinator(usize),
     /// A server drains; another takes its place at once, and it is removed after a while.
@@ -210,11 +210,13 @@
     /// Spoilt events, answers and callers.
     fn draw_spoilt_input(&mut self, rng: &mut impl Rng) {
         let (node, server) = (draw_node(rng), draw_server(rng));
-        self.push(0, Step::RepeatEventsInPieces(node));
+        let in_pieces = WriteFaults { repeat_events: true, in_pieces: true, ..Default::default() };
+        self.push(0, Step::SetWriteFaults { node: Some(node), faults: in_pieces });
         self.push(0, Step::BadCallers((node + 1) % NODES));
         self.push(0, Step::Behave { server, behaviour: Behaviour::Spoiling, length: millis(2_000) });
         let spoils = rng.random_bool(0.5);
-        self.push(500, if spoils { Step::SpoilNextLine(node) } else { Step::BreakNextEvent(node) });
+        let faults = WriteFaults { spoil_next_line: spoils, break_next_event: !spoils, ..Default::default() };
+        self.push(500, Step::SetWriteFaults { node: Some(node), faults });
         self.push(800, Step::Replace { server: (server + 1) % SERVERS, drain_time: millis(2_000) });
         self.now_ms += 2_500;
     }
@@ -267,7 +269,8 @@
     /// Numbers come before their events; two drains in a row.
     fn draw_late_news(&mut self, rng: &mut impl Rng) {
         let (node, server) = (draw_node(rng), draw_server(rng));
-        self.push(0, Step::NumberFirst(node));
+        let faults = WriteFaults { number_first: true, ..Default::default() };
+        self.push(0, Step::SetWriteFaults { node: Some(node), faults });
         let drain_time = millis(rng.random_range(1_500..4_000));
         self.push(rng.random_range(100..800), Step::Replace { server, drain_time });
         self.push(rng.random_range(800..1_500), Step::Replace { server: (server + 1) % SERVERS, drain_time });
--- a/crates/ochrelead-verify/src/soak/trial.rs
+++ b/crates/ochrelead-verify/src/soak/trial.rs
@@ -6,11 +6,13 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
 
 use super::auditor::{Limits, SHUTDOWN_GRACE, Violation, audit};
 use super::caller::CallNumbers;
-use super::coordinator::{Coordinator, ListedServer, ServerList, WriteFaults};
+use super::coordinator::{Coordinator, ListedServer, ServerList};
 use super::history::{Event, History, Lifecycle, Recorder, Stall};
 use super::node_process::{NodeConfiguration, NodeFiles, NodeProcess, NodeSettings};
 use super::parties::{
@@ -131,6 +133,11 @@
     list.change(changed);
 }
 
+/// The seed of a node's chance: spread over all numbers, for nodes take their share of a delay from its low bits.
+fn node_seed(trial_seed: u64, number: u64) -> u64 {
+    Pcg64Mcg::seed_from_u64(trial_seed ^ number.rotate_left(u64::BITS / 2)).random()
+}
+
 fn unix_millis() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis())
 }
@@ -170,7 +177,7 @@
                 listen,
                 coordinator: coordinator.address,
                 known: lock(&list).known(node),
-                seed: scenario.seed * 31 + node as u64,
+                seed: node_seed(scenario.seed, node as u64),
             };
             let files = NodeFiles::in_folder(&config.folder, node);
             let process = start_node(config, &files, &configuration, &settings)?;
@@ -221,18 +228,12 @@
                     }
                 }
             }
-            Step::BreakNextEvent(node) => {
-                self.set_write_faults(node, WriteFaults { break_next_event: true, ..Default::default() });
-            }
-            Step::SpoilNextLine(node) => {
-                self.set_write_faults(node, WriteFaults { spoil_next_line: true, ..Default::default() });
-            }
-            Step::RepeatEventsInPieces(node) => {
-                let faults = WriteFaults { repeat_events: true, in_pieces: true, ..Default::default() };
-                self.set_write_faults(node, faults);
-            }
-            Step::NumberFirst(node) => {
-                self.set_write_faults(node, WriteFaults { number_first: true, ..Default::default() });
+            Step::SetWriteFaults { node, faults } => {
+                for (number, coordinator) in lock(&self.coordinators).iter().enumerate() {
+                    if node.is_none_or(|node| node == number) {
+                        coordinator.set_write_faults(faults);
+                    }
+                }
             }
             Step::MoveCoordinator(node) => self.move_coordinator(node)?,
             Step::Crash(server) => self.crash_server(server)?,
@@ -255,16 +256,13 @@
         Ok(None)
     }
 
-    fn set_write_faults(&self, node: usize, faults: WriteFaults) {
-        lock(&self.coordinators)[node].set_write_faults(faults);
-    }
-
     /// Moves a node's coordinator to a new address and signals the node.
     fn move_coordinator(&self, node: usize) -> Result<(), TrialError> {
         let at = address(self.config.subnet, COORDINATOR_NET, self.next_number(), COORDINATOR_PORT);
         let coordinator = Coordinator::start(node, at, self.list.clone(), self.recorder.clone())
             .map_err(failed(format!("next coordinator of n{node}")))?;
-        let former = std::mem::replace(&mut lock(&self.coordinators)[node], coordinator);
+        let former = std::mem::replace(&mut lock(&self.coordinators)[node], coordinator.clone());
+        coordinator.set_write_faults(former.write_faults());
         former.retire();
         self.write_configuration(node)?;
         self.recorder.record(Event::DiscoveryMoved { node });
@@ -279,7 +277,7 @@
             listen: self.traffic[node].listen,
             coordinator: lock(&self.coordinators)[node].address,
             known: lock(&self.list).known(node),
-            seed: self.seed * 31 + self.next_number(),
+            seed: node_seed(self.seed, self.next_number()),
         };
         let files = NodeFiles::in_folder(&self.config.folder, node);
         let text = configuration.to_text(&self.settings);
