Log what of the coordinator can't be read, each event, and how long it was not followed

At warn: the unreadable line's first 120 bytes and the error. At info: each event with its number, and with each return how long the coordinator was lost and how many requests that took; a move by SIGHUP is a loss with its reason.

--- a/crates/ochrelead-node/src/coordinator_watch.rs
+++ b/crates/ochrelead-node/src/coordinator_watch.rs
@@ -12,7 +12,7 @@
 
 use ochrelead_core::time::{Moment, Span};
 use ochrelead_platform::events::{EndpointChange, EventCursor, EventOutcome};
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 use crate::bounds::{MAX_WATCH_CONNECTIONS, protocol};
 use crate::io::{WatchAction, WatchId};
@@ -20,6 +20,8 @@
 
 /// The resolution of a front's own share of a retry delay.
 const JITTER_STEPS: u64 = 1 << 10;
+/// The most bytes of an unreadable line that are logged.
+const LOGGED_LINE_LENGTH: usize = 120;
 /// The retry delay doubles at most so often.
 const MAX_DOUBLINGS: u32 = 8;
 
@@ -51,8 +53,10 @@
     jitter: f64,
     /// Answers in a row that could not be used.
     consecutive_errors: u32,
-    /// Whether a live connection was there when that was last logged.
-    was_live: bool,
+    /// Since when no connection has been live, as last logged; `None` where one was.
+    lost_since: Option<Moment>,
+    /// The events were requested so often since then.
+    requests_since_lost: u32,
     actions: VecDeque<WatchAction>,
 }
 
@@ -69,7 +73,8 @@
             retry_interval: retry_interval.min(protocol::WATCH_HEARTBEAT / 2),
             jitter: 0.5 + (config.seed % JITTER_STEPS) as f64 / JITTER_STEPS as f64,
             consecutive_errors: 0,
-            was_live: false,
+            lost_since: Some(now),
+            requests_since_lost: 0,
             actions: VecDeque::new(),
         }
     }
@@ -96,6 +101,7 @@
         }
         self.consecutive_errors = 0;
         self.connect_at = now;
+        self.log_liveness(now, "coordinator moved");
     }
 
     fn position(&self, watch: WatchId) -> Option<usize> {
@@ -114,6 +120,7 @@
         let Some(position) = self.position(watch) else { return };
         self.connections[position].on_connected(now);
         let line = self.event_cursor.request();
+        self.requests_since_lost = self.requests_since_lost.saturating_add(1);
         debug!(watch = watch.0, request = line.trim_end(), "coordinator connected");
         self.actions.push_back(WatchAction::Send { watch, line });
     }
@@ -141,6 +148,13 @@
         for line in lines {
             match self.event_cursor.handle_line(&line) {
                 Ok(EventOutcome::Changed(change)) => {
+                    let index = self.event_cursor.last_index();
+                    info!(
+                        watch = watch.0,
+                        index,
+                        servers = change.endpoints.len(),
+                        "event of the coordinator"
+                    );
                     self.on_usable_line(watch, now);
                     self.consecutive_errors = 0;
                     changes.push(change);
@@ -152,7 +166,11 @@
                 Ok(EventOutcome::Unchanged) => self.on_usable_line(watch, now),
                 Ok(EventOutcome::Behind) => self.on_behind(watch, now),
                 Ok(EventOutcome::Gap) => failure = Some("event missing"),
-                Err(_) => failure = Some("invalid line"),
+                Err(error) => {
+                    let line = String::from_utf8_lossy(&line[..line.len().min(LOGGED_LINE_LENGTH)]);
+                    warn!(watch = watch.0, %error, ?line, "line of the coordinator not read");
+                    failure = Some("invalid line");
+                }
             }
             if failure.is_some() {
                 break;
@@ -234,16 +252,20 @@
     }
 
     fn log_liveness(&mut self, now: Moment, reason: &'static str) {
-        let is_live = self.is_live(now);
-        if is_live == self.was_live {
-            return;
-        }
-        self.was_live = is_live;
+        let Some(coordinator) = self.coordinator else { return };
         let index = self.event_cursor.last_index();
-        match self.coordinator {
-            Some(coordinator) if is_live => info!(%coordinator, index, "following the coordinator"),
-            Some(coordinator) => info!(%coordinator, index, reason, "coordinator lost"),
-            None => {}
+        match (self.is_live(now), self.lost_since) {
+            (true, Some(since)) => {
+                let (lost_for, requests) = (now.since(since), self.requests_since_lost);
+                info!(%coordinator, index, ?lost_for, requests, "following the coordinator");
+                self.lost_since = None;
+            }
+            (false, None) => {
+                info!(%coordinator, index, reason, "coordinator lost");
+                self.lost_since = Some(now);
+                self.requests_since_lost = 0;
+            }
+            _ => {}
         }
     }
 
