Read on where a line of the coordinator can't be read, and request events without a growing pause

Cause: an invalid line closed the connection, and the pause before the next request doubled with each, up to 1 s times the front's own factor of 0.5 to 1.5; only an event or a readable number reset it. Where each number line is unreadable, a node was connected for 1 s and away for up to 1.5 s.

Now the line is skipped and the connection read on; what the line may have brought is requested again on another connection at once, 50 to 150 ms after the last request at the earliest, however often. Later events so come on an open connection, and a lost one with the next request. Only events that are announced and do not come are still asked for ever more rarely, while their connections are read. More than 16 unreadable lines in a row close a connection, as an endless line does.

--- a/crates/ochrelead-node/src/coordinator_watch.rs
+++ b/crates/ochrelead-node/src/coordinator_watch.rs
@@ -1,9 +1,10 @@
-//! The subscription to the coordinator: connects, follows events from the last known index, and reconnects when the
-//! connection fails, falls silent or brings invalid lines. It only returns what is to be done.
+//! The subscription to the coordinator: connects, follows events from the last known index, and requests them again when
+//! the connection fails, falls silent or may have missed some. It only returns what is to be done.
 //!
 //! A coordinator that is silent or slow can't be told from one that is about to answer. So while no connection is live,
 //! the events are requested again and again on further connections, and earlier ones are kept: whichever is answered
-//! first brings them. A line on a connection closes all older ones.
+//! first brings them. The same holds for a connection on which a line can't be read: it is read on. A line that can be
+//! used closes all older connections.
 
 mod connection;
 
@@ -16,7 +17,7 @@
 
 use crate::bounds::{MAX_WATCH_CONNECTIONS, protocol};
 use crate::io::{WatchAction, WatchId};
-use connection::WatchConnection;
+use connection::{EventGap, WatchConnection};
 
 /// The resolution of a front's own share of a retry delay.
 const JITTER_STEPS: u64 = 1 << 10;
@@ -51,8 +52,9 @@
     retry_interval: Span,
     /// Fronts that lose their coordinator together reconnect spread: each after its own share of a delay.
     jitter: f64,
-    /// Answers in a row that could not be used.
-    consecutive_errors: u32,
+    last_requested_at: Moment,
+    /// Connections in a row on which events were announced that did not come.
+    consecutive_announcements: u32,
     /// Since when no connection has been live, as last logged; `None` where one was.
     lost_since: Option<Moment>,
     /// The events were requested so often since then.
@@ -72,7 +74,8 @@
             connect_timeout: config.connect_timeout,
             retry_interval: retry_interval.min(protocol::WATCH_HEARTBEAT / 2),
             jitter: 0.5 + (config.seed % JITTER_STEPS) as f64 / JITTER_STEPS as f64,
-            consecutive_errors: 0,
+            last_requested_at: now,
+            consecutive_announcements: 0,
             lost_since: Some(now),
             requests_since_lost: 0,
             actions: VecDeque::new(),
@@ -84,12 +87,23 @@
         self.actions.pop_front()
     }
 
-    /// The delay before the next request; it grows with each unusable answer in a row, for each costs a whole list.
+    /// The delay between two requests.
     fn retry_delay(&self) -> Span {
-        let delay = self.retry_interval * (1 << self.consecutive_errors.min(MAX_DOUBLINGS));
+        self.retry_interval.scaled(self.jitter)
+    }
+
+    /// The delay while announced events may still come on a connection that is read; it grows with each one in a row
+    /// on which they did not, for each costs a whole list.
+    fn announcement_delay(&self) -> Span {
+        let delay = self.retry_interval * (1 << self.consecutive_announcements.min(MAX_DOUBLINGS));
         delay.min(protocol::WATCH_HEARTBEAT).scaled(self.jitter)
     }
 
+    /// The events are requested again, not sooner than a delay after the last time.
+    fn request_again(&mut self, now: Moment) {
+        self.connect_at = now.max(self.last_requested_at + self.retry_delay());
+    }
+
     /// Follows the coordinator at another address; connections to the former are closed.
     pub(crate) fn redirect(&mut self, address: SocketAddr, now: Moment) {
         let is_same = self.coordinator.replace(address) == Some(address);
@@ -99,7 +113,7 @@
         while let Some(connection) = self.connections.first() {
             self.close(connection.watch, "coordinator moved");
         }
-        self.consecutive_errors = 0;
+        self.consecutive_announcements = 0;
         self.connect_at = now;
         self.log_liveness(now, "coordinator moved");
     }
@@ -125,26 +139,21 @@
         self.actions.push_back(WatchAction::Send { watch, line });
     }
 
-    /// The connection was closed or never established: retried at once where it had brought lines.
+    /// The connection was closed or never established.
     pub(crate) fn on_disconnected(&mut self, watch: WatchId, now: Moment) {
         let Some(position) = self.position(watch) else { return };
-        let connection = self.connections.remove(position);
+        self.connections.remove(position);
         debug!(watch = watch.0, "coordinator connection ended");
-        if connection.has_received() {
-            // One that is closed as soon as it is answered must not be reopened without a pause.
-            self.connect_at = now.max(connection.opened_at + self.retry_delay());
-        } else {
-            self.connect_at = self.connect_at.max(now + self.retry_delay());
-        }
+        self.request_again(now);
         self.log_liveness(now, "connection ended");
     }
 
-    /// Reads what arrived; an invalid line, or an event after one that is missing, ends the connection.
+    /// Reads what arrived. A line that can't be read is skipped: what it may have brought is requested again on another
+    /// connection.
     pub(crate) fn on_data(&mut self, watch: WatchId, bytes: &[u8], now: Moment) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
         let Some(position) = self.position(watch) else { return changes };
         let (lines, framing) = self.connections[position].push(bytes);
-        let mut failure = framing.is_err().then_some("line too long");
         for line in lines {
             match self.event_cursor.handle_line(&line) {
                 Ok(EventOutcome::Changed(change)) => {
@@ -155,60 +164,69 @@
                         servers = change.endpoints.len(),
                         "event of the coordinator"
                     );
-                    self.on_usable_line(watch, now);
-                    self.consecutive_errors = 0;
+                    self.on_complete(watch, now);
                     changes.push(change);
                 }
-                Ok(EventOutcome::UpToDate) => {
-                    self.on_usable_line(watch, now);
-                    self.consecutive_errors = 0;
-                }
-                Ok(EventOutcome::Unchanged) => self.on_usable_line(watch, now),
-                Ok(EventOutcome::Behind) => self.on_behind(watch, now),
-                Ok(EventOutcome::Gap) => failure = Some("event missing"),
+                Ok(EventOutcome::UpToDate) => self.on_complete(watch, now),
+                Ok(EventOutcome::Unchanged) => self.on_known(watch, now),
+                Ok(EventOutcome::Behind) => self.on_gap(watch, EventGap::Announced, now),
+                Ok(EventOutcome::Gap) => self.on_gap(watch, EventGap::Skipped, now),
                 Err(error) => {
+                    self.on_gap(watch, EventGap::Unreadable, now);
                     let line = String::from_utf8_lossy(&line[..line.len().min(LOGGED_LINE_LENGTH)]);
                     warn!(watch = watch.0, %error, ?line, "line of the coordinator not read");
-                    failure = Some("invalid line");
                 }
             }
-            if failure.is_some() {
-                break;
-            }
         }
-        if let Some(reason) = failure {
-            self.close(watch, reason);
-            self.delay_after_error(now);
-            self.log_liveness(now, reason);
+        let is_unusable =
+            self.position(watch).is_some_and(|position| self.connections[position].is_unusable());
+        if framing.is_err() || is_unusable {
+            self.close(watch, "unreadable");
+            self.request_again(now);
+            self.log_liveness(now, "unreadable");
         }
         changes
     }
 
-    /// A connection has brought a line that can be used: older ones are not needed any more.
-    fn on_usable_line(&mut self, watch: WatchId, now: Moment) {
+    /// A connection has brought all events: older ones are not needed any more.
+    fn on_complete(&mut self, watch: WatchId, now: Moment) {
+        self.consecutive_announcements = 0;
         if let Some(position) = self.position(watch) {
-            self.connections[position].on_line(now);
-            while self.connections.first().is_some_and(|oldest| oldest.watch != watch) {
-                let oldest = self.connections[0].watch;
-                self.close(oldest, "superseded");
-            }
+            self.connections[position].on_complete(now);
         }
+        self.close_older(watch);
         self.log_liveness(now, "silent");
     }
 
-    /// The coordinator has events that the connection has not brought. They may be on their way there; they are
-    /// requested on another connection as well.
-    fn on_behind(&mut self, watch: WatchId, now: Moment) {
-        let Some(position) = self.position(watch) else { return };
-        if self.connections[position].on_behind() {
-            self.delay_after_error(now);
+    /// A connection has brought what was known already.
+    fn on_known(&mut self, watch: WatchId, now: Moment) {
+        if let Some(position) = self.position(watch) {
+            self.connections[position].on_known(now);
+        }
+        self.close_older(watch);
+        self.log_liveness(now, "silent");
+    }
+
+    fn close_older(&mut self, watch: WatchId) {
+        while self.connections.first().is_some_and(|oldest| oldest.watch < watch) {
+            self.close(self.connections[0].watch, "superseded");
         }
-        self.log_liveness(now, "events missing");
     }
 
-    fn delay_after_error(&mut self, now: Moment) {
-        self.connect_at = self.connect_at.max(now + self.retry_delay());
-        self.consecutive_errors = self.consecutive_errors.saturating_add(1);
+    /// The coordinator may have events that the connection has not brought. They are requested on another connection as
+    /// well; those that were announced may be on their way, and have a delay to come.
+    fn on_gap(&mut self, watch: WatchId, gap: EventGap, now: Moment) {
+        let Some(position) = self.position(watch) else { return };
+        if self.connections[position].on_gap(gap) {
+            match gap {
+                EventGap::Announced => {
+                    self.connect_at = self.connect_at.max(now + self.announcement_delay());
+                    self.consecutive_announcements = self.consecutive_announcements.saturating_add(1);
+                }
+                EventGap::Skipped | EventGap::Unreadable => self.request_again(now),
+            }
+        }
+        self.log_liveness(now, gap.reason());
     }
 
     /// Closes what is overdue, and opens a further connection where none is live.
@@ -228,6 +246,7 @@
             self.close(replaced, "requested again");
         }
         self.connect_at = now + self.retry_delay();
+        self.last_requested_at = now;
         self.last_watch = WatchId(self.last_watch.0 + 1);
         self.connections.push(WatchConnection::new(self.last_watch, now));
         self.actions.push_back(WatchAction::Connect { watch: self.last_watch, address });
--- a/crates/ochrelead-node/src/coordinator_watch/connection.rs
+++ b/crates/ochrelead-node/src/coordinator_watch/connection.rs
@@ -8,6 +8,9 @@
 use crate::bounds::protocol;
 use crate::io::WatchId;
 
+/// A connection with more unreadable lines in a row is closed.
+const MAX_UNREADABLE_LINES: usize = 16;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Connecting,
@@ -15,22 +18,46 @@
     Requested {
         since: Moment,
     },
-    /// It has brought lines.
+    /// It has brought lines, and every event of which is known.
     Following {
         last_heard: Moment,
     },
-    /// The coordinator has events that it has not brought.
-    Behind {
-        last_heard: Moment,
+    /// The coordinator has, or may have, events that it has not brought. Later ones are still read.
+    Incomplete {
+        gap: EventGap,
+        last_complete: Moment,
     },
 }
 
+/// Why events may be missing on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EventGap {
+    /// A later number came without its events; they may be on their way.
+    Announced,
+    /// A later event came than the next.
+    Skipped,
+    /// A line could not be read: it may have been an event.
+    Unreadable,
+}
+
+impl EventGap {
+    pub(super) fn reason(self) -> &'static str {
+        match self {
+            EventGap::Announced => "events announced that have not come",
+            EventGap::Skipped => "event missing",
+            EventGap::Unreadable => "unreadable line",
+        }
+    }
+}
+
 /// One connection to the coordinator.
 pub(super) struct WatchConnection {
     pub(super) watch: WatchId,
     pub(super) opened_at: Moment,
     state: State,
     line_splitter: LineSplitter,
+    /// Unreadable lines since the last one that could be read.
+    unreadable_lines: usize,
 }
 
 impl WatchConnection {
@@ -40,6 +67,7 @@
             opened_at: now,
             state: State::Connecting,
             line_splitter: LineSplitter::default(),
+            unreadable_lines: 0,
         }
     }
 
@@ -52,31 +80,45 @@
         self.line_splitter.push(bytes)
     }
 
-    /// It has brought a whole line: one that trickles in and never ends counts as silence.
-    pub(super) fn on_line(&mut self, now: Moment) {
+    /// It has brought what shows that no event is missing on it. A line that trickles in and never ends counts as
+    /// silence.
+    pub(super) fn on_complete(&mut self, now: Moment) {
+        self.unreadable_lines = 0;
         self.state = State::Following { last_heard: now };
     }
 
-    /// It has announced events that it has not brought; whether that is news.
-    pub(super) fn on_behind(&mut self) -> bool {
-        let last_heard = match self.state {
-            State::Behind { .. } => return false,
-            State::Following { last_heard } => last_heard,
-            State::Connecting | State::Requested { .. } => self.opened_at,
+    /// It has brought what was known already; that does not fill a gap.
+    pub(super) fn on_known(&mut self, now: Moment) {
+        self.unreadable_lines = 0;
+        if !matches!(self.state, State::Incomplete { .. }) {
+            self.state = State::Following { last_heard: now };
+        }
+    }
+
+    /// Events may be missing on it; whether that is news.
+    pub(super) fn on_gap(&mut self, gap: EventGap) -> bool {
+        self.unreadable_lines = if gap == EventGap::Unreadable { self.unreadable_lines + 1 } else { 0 };
+        let (last_complete, is_news) = match self.state {
+            // Events that are lost on it do not come on it once they are announced.
+            State::Incomplete { .. } if gap == EventGap::Announced => return false,
+            State::Incomplete { gap: former, last_complete } => (last_complete, former != gap),
+            State::Following { last_heard } => (last_heard, true),
+            State::Connecting | State::Requested { .. } => (self.opened_at, true),
         };
-        self.state = State::Behind { last_heard };
-        true
+        self.state = State::Incomplete { gap, last_complete };
+        is_news
     }
 
-    pub(super) fn has_received(&self) -> bool {
-        matches!(self.state, State::Following { .. })
+    /// Whether it brings nothing but noise.
+    pub(super) fn is_unusable(&self) -> bool {
+        self.unreadable_lines > MAX_UNREADABLE_LINES
     }
 
     /// Until when the events on it are taken for complete; `None` where they are not.
     pub(super) fn live_until(&self) -> Option<Moment> {
         match self.state {
             State::Following { last_heard } => Some(last_heard + protocol::WATCH_SILENCE_THRESHOLD),
-            State::Connecting | State::Requested { .. } | State::Behind { .. } => None,
+            State::Connecting | State::Requested { .. } | State::Incomplete { .. } => None,
         }
     }
 
@@ -85,9 +127,8 @@
         match self.state {
             State::Connecting => self.opened_at + connect_timeout,
             State::Requested { since } => since + protocol::WATCH_ANSWER_TIMEOUT,
-            State::Following { last_heard } | State::Behind { last_heard } => {
-                last_heard + protocol::WATCH_ANSWER_TIMEOUT
-            }
+            State::Following { last_heard } => last_heard + protocol::WATCH_ANSWER_TIMEOUT,
+            State::Incomplete { last_complete, .. } => last_complete + protocol::WATCH_ANSWER_TIMEOUT,
         }
     }
 }
--- a/crates/ochrelead-node/src/io.rs
+++ b/crates/ochrelead-node/src/io.rs
@@ -11,7 +11,7 @@
 pub struct ServerConnectionId(pub u64);
 
 /// A connection to the coordinator. The engine counts connections; an id is never used again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WatchId(pub u64);
 
 /// An event that the host reports to the engine.
--- a/crates/ochrelead-node/tests/coordinator.rs
+++ b/crates/ochrelead-node/tests/coordinator.rs
@@ -198,6 +198,61 @@
     }
 }
 
+#[test_case("noise\n"; "an unreadable line")]
+#[test_case("{\"index\":9,\"endpoints\":{\"instances\":[]}}\n"; "an event after one that is missing")]
+fn connection_that_may_have_missed_events_is_read_on_while_they_are_requested_again(line: &str) {
+    let mut node = TestNode::with_servers(1);
+    let (watch, _) = node.watch.clone().unwrap();
+    node.input_and_process(Input::WatchConnected(watch));
+    sends_on(&mut node, watch, "{\"index\":1}\n");
+    node.advance(1_000);
+    node.outputs.clear();
+    sends_on(&mut node, watch, line);
+    node.advance(150);
+    assert!(!opened_watches(&node).is_empty(), "not requested again within 150 ms");
+    sends_on(&mut node, watch, &format!("{}\n", event(2, false, &json!([endpoint(0, 10, "draining", 0)]))));
+    assert_eq!(asks_draining_server(&mut node), 0);
+}
+
+#[test]
+fn coordinator_with_unreadable_numbers_is_always_connected_and_asked_in_measure() {
+    let mut node = TestNode::with_seed("3ff");
+    let mut open: Vec<(WatchId, u64)> = Vec::new();
+    let mut asked = 0;
+    let (first, _) = node.watch.clone().unwrap();
+    node.input_and_process(Input::WatchConnected(first));
+    open.push((first, 0));
+    while node.now_ms < 20_000 {
+        for output in node.outputs.split_off(0) {
+            match output {
+                Output::Watch(WatchAction::Connect { watch, .. }) => {
+                    asked += 1;
+                    node.input_and_process(Input::WatchConnected(watch));
+                    open.push((watch, node.now_ms));
+                }
+                Output::Watch(WatchAction::Close { watch }) => open.retain(|(other, _)| *other != watch),
+                _ => {}
+            }
+        }
+        let due = |(_, opened): &&(WatchId, u64)| (node.now_ms - opened) % 1_000 == 990;
+        for (watch, _) in open.iter().filter(due).copied().collect::<Vec<_>>() {
+            sends_on(&mut node, watch, "{\"index\":1,\"\n");
+        }
+        assert!(!open.is_empty(), "no connection at {} ms", node.now_ms);
+        node.advance(10);
+    }
+    assert!((20..=400).contains(&asked), "asked {asked} times in 20 s");
+}
+
+#[test]
+fn connection_that_brings_nothing_but_noise_is_closed() {
+    let mut node = TestNode::with_servers(1);
+    let (watch, _) = node.watch.clone().unwrap();
+    node.input_and_process(Input::WatchConnected(watch));
+    sends_on(&mut node, watch, &"noise\n".repeat(100));
+    assert!(node.outputs.contains(&Output::Watch(WatchAction::Close { watch })));
+}
+
 #[test]
 fn coordinator_that_greets_and_closes_is_not_asked_without_a_pause() {
     let mut node = TestNode::with_servers(1);
