Take a number by itself as the coordinator's last number

The protocol page says that each second a line comes that holds only the last number. The node read it as an object with an index alone; a bare number was an invalid line. A line is read as a number first, then as an event.

--- a/crates/ochrelead-platform/src/events.rs
+++ b/crates/ochrelead-platform/src/events.rs
@@ -116,13 +116,17 @@
         format!("follow {}\n", self.last_index)
     }
 
-    /// Parses a whole line of the coordinator and advances over its event.
+    /// Parses a whole line of the coordinator, which holds an event or a number alone, by itself or as an event's index,
+    /// and advances over its event.
     ///
     /// # Errors
     ///
     /// Where the line is neither a number nor an event; the cursor stays.
     pub fn handle_line(&mut self, line: &[u8]) -> Result<EventOutcome, serde_json::Error> {
-        let event: Event = serde_json::from_slice(line)?;
+        let event = match serde_json::from_slice(line) {
+            Ok(index) => Event { index, endpoints: None },
+            Err(_) => serde_json::from_slice(line)?,
+        };
         let is_number = event.endpoints.is_none();
         match event.index.cmp(&self.last_index) {
             Ordering::Equal if is_number => return Ok(EventOutcome::UpToDate),
