--- a/crates/ochrelead-platform/src/events.rs
+++ b/crates/ochrelead-platform/src/events.rs
@@ -46,7 +46,7 @@
     UpToDate,
     /// A later number alone: there are events that have not come. They may still come.
     Behind,
-    /// A later event than the next: those between have to be requested again from the last one known.
+    /// A later event than the next, without the whole list: those between have to be requested again.
     Gap,
 }
 
@@ -128,11 +128,14 @@
             Err(_) => serde_json::from_slice(line)?,
         };
         let is_number = event.endpoints.is_none();
+        let is_full = event.endpoints.as_ref().is_some_and(|listed| listed.reset);
         match event.index.cmp(&self.last_index) {
             Ordering::Equal if is_number => return Ok(EventOutcome::UpToDate),
             Ordering::Less | Ordering::Equal => return Ok(EventOutcome::Unchanged),
             Ordering::Greater if is_number => return Ok(EventOutcome::Behind),
-            Ordering::Greater if event.index > self.last_index + 1 => return Ok(EventOutcome::Gap),
+            Ordering::Greater if event.index > self.last_index + 1 && !is_full => {
+                return Ok(EventOutcome::Gap);
+            }
             Ordering::Greater => {}
         }
         let index = event.index;
--- a/crates/ochrelead-platform/tests/events.rs
+++ b/crates/ochrelead-platform/tests/events.rs
@@ -43,3 +43,13 @@
     let next = if heard == "change" { "follow 6\n" } else { "follow 5\n" };
     assert_eq!(followed.request(), next, "only what was taken is known");
 }
+
+#[test]
+fn whole_list_is_taken_though_events_before_it_are_missing() {
+    let (mut followed, _) = EventCursor::from_known_events(&json!({"index": 5, "updates": []}));
+    let mut whole = event(9, "s-1", "up");
+    whole["endpoints"]["reset"] = json!(true);
+    let outcome = followed.handle_line(whole.to_string().as_bytes()).unwrap();
+    assert!(matches!(outcome, EventOutcome::Changed(change) if change.is_full));
+    assert_eq!(followed.request(), "follow 9\n");
+}
