Request events again where a line of the coordinator has no end within the grace

A coordinator that stopped in the middle of an event and left the connection open was asked again only once it had been silent for 1.6 s since its last whole line. A line that has begun and not ended for two fifths of the grace now counts as a gap: the events are requested on another connection, and this one is read on. event_that_stops_short_is_requested_again_within_the_grace failed before.

--- a/crates/ochrelead-node/src/coordinator_watch.rs
+++ b/crates/ochrelead-node/src/coordinator_watch.rs
@@ -153,7 +153,7 @@
     pub(crate) fn on_data(&mut self, watch: WatchId, bytes: &[u8], now: Moment) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
         let Some(position) = self.position(watch) else { return changes };
-        let (lines, framing) = self.connections[position].push(bytes);
+        let (lines, framing) = self.connections[position].push(bytes, now);
         for line in lines {
             match self.event_cursor.handle_line(&line) {
                 Ok(EventOutcome::Changed(change)) => {
@@ -266,8 +266,13 @@
         closest.map_or(WatchId(0), |neighbours| neighbours[1].watch)
     }
 
+    /// Until when a connection is taken for complete, as far as is known now.
+    fn live_until(&self) -> Option<Moment> {
+        self.connections.iter().filter_map(|connection| connection.live_until(self.retry_interval)).max()
+    }
+
     fn is_live(&self, now: Moment) -> bool {
-        self.connections.iter().any(|connection| connection.live_until().is_some_and(|until| now < until))
+        self.live_until().is_some_and(|until| now < until)
     }
 
     fn log_liveness(&mut self, now: Moment, reason: &'static str) {
@@ -290,8 +295,7 @@
 
     pub(crate) fn poll_timeout(&self) -> Option<Moment> {
         self.coordinator?;
-        let live_until = self.connections.iter().filter_map(WatchConnection::live_until).max();
-        let connect_at = live_until.map_or(self.connect_at, |until| until.max(self.connect_at));
+        let connect_at = self.live_until().map_or(self.connect_at, |until| until.max(self.connect_at));
         let expiries = self.connections.iter().map(|connection| connection.expires_at(self.connect_timeout));
         expiries.chain([connect_at]).min()
     }
--- a/crates/ochrelead-node/src/coordinator_watch/connection.rs
+++ b/crates/ochrelead-node/src/coordinator_watch/connection.rs
@@ -56,6 +56,8 @@
     pub(super) opened_at: Moment,
     state: State,
     line_splitter: LineSplitter,
+    /// Since when the line that arrives last has been without its end.
+    partial_since: Option<Moment>,
     /// Unreadable lines since the last one that could be read.
     unreadable_lines: usize,
 }
@@ -67,6 +69,7 @@
             opened_at: now,
             state: State::Connecting,
             line_splitter: LineSplitter::default(),
+            partial_since: None,
             unreadable_lines: 0,
         }
     }
@@ -76,8 +79,12 @@
     }
 
     /// The lines that these bytes complete.
-    pub(super) fn push(&mut self, bytes: &[u8]) -> (VecDeque<Vec<u8>>, Result<(), LineTooLong>) {
-        self.line_splitter.push(bytes)
+    pub(super) fn push(&mut self, bytes: &[u8], now: Moment) -> (VecDeque<Vec<u8>>, Result<(), LineTooLong>) {
+        let (lines, framing) = self.line_splitter.push(bytes);
+        let is_same_line = lines.is_empty();
+        let began = self.partial_since.filter(|_| is_same_line).unwrap_or(now);
+        self.partial_since = self.line_splitter.has_partial_line().then_some(began);
+        (lines, framing)
     }
 
     /// It has brought what shows that no event is missing on it. A line that trickles in and never ends counts as
@@ -114,10 +121,14 @@
         self.unreadable_lines > MAX_UNREADABLE_LINES
     }
 
-    /// Until when the events on it are taken for complete; `None` where they are not.
-    pub(super) fn live_until(&self) -> Option<Moment> {
+    /// Until when the events on it are taken for complete, if a line takes no longer than `line_timeout`; `None` where
+    /// they are not.
+    pub(super) fn live_until(&self, line_timeout: Span) -> Option<Moment> {
         match self.state {
-            State::Following { last_heard } => Some(last_heard + protocol::WATCH_SILENCE_THRESHOLD),
+            State::Following { last_heard } => {
+                let silent_at = last_heard + protocol::WATCH_SILENCE_THRESHOLD;
+                Some(self.partial_since.map_or(silent_at, |since| silent_at.min(since + line_timeout)))
+            }
             State::Connecting | State::Requested { .. } | State::Incomplete { .. } => None,
         }
     }
--- a/crates/ochrelead-node/tests/coordinator.rs
+++ b/crates/ochrelead-node/tests/coordinator.rs
@@ -244,6 +244,23 @@
     assert!((20..=400).contains(&asked), "asked {asked} times in 20 s");
 }
 
+#[test]
+fn event_that_stops_short_is_requested_again_within_the_grace() {
+    let mut node = TestNode::with_servers(1);
+    let (watch, _) = node.watch.clone().unwrap();
+    node.input_and_process(Input::WatchConnected(watch));
+    sends_on(&mut node, watch, "{\"index\":1}\n");
+    let line = event(2, false, &json!([endpoint(0, 10, "draining", 0)])).to_string();
+    let (begin, rest) = line.split_at(40);
+    sends_on(&mut node, watch, begin);
+    node.outputs.clear();
+    node.advance(250);
+    assert!(!opened_watches(&node).is_empty(), "not requested again within the grace");
+    assert!(!node.outputs.contains(&Output::Watch(WatchAction::Close { watch })), "its rest may still come");
+    sends_on(&mut node, watch, &format!("{rest}\n"));
+    assert_eq!(asks_draining_server(&mut node), 0);
+}
+
 #[test]
 fn connection_that_brings_nothing_but_noise_is_closed() {
     let mut node = TestNode::with_servers(1);
