Read no message of a server as the rest of one that was cut off

Callers would hear of a call's end seconds late: where a server's answer stops short and the connection stays open, the next message, a release, was read as the end of the answer's head, the whole as one answer under an unknown id, and both were ignored.

A head with two Call-IDs or CSeqs, a method that SIP does not have, or a first line in place of a reason is now invalid: the connection is ended and its server asked for the release on another, as after any answer that can't be read.

--- a/crates/ochrelead-sip/src/message.rs
+++ b/crates/ochrelead-sip/src/message.rs
@@ -5,6 +5,23 @@
 use crate::framing::FramingError;
 
 const SIP_VERSION: &str = "SIP/2.0";
+/// The methods that are registered for SIP. Another word is the rest of a message that was cut off.
+const METHODS: [&str; 14] = [
+    "ACK",
+    "BYE",
+    "CANCEL",
+    "INFO",
+    "INVITE",
+    "MESSAGE",
+    "NOTIFY",
+    "OPTIONS",
+    "PRACK",
+    "PUBLISH",
+    "REFER",
+    "REGISTER",
+    "SUBSCRIBE",
+    "UPDATE",
+];
 
 /// The first line.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,7 +77,17 @@
         let mut lines = head.split("\r\n");
         let start = StartLine::parse(lines.next().unwrap_or_default())?;
         let headers = lines.map(Header::parse).collect::<Result<_, _>>()?;
-        Ok(Message { start, headers, body: Vec::new() })
+        let message = Message { start, headers, body: Vec::new() };
+        // Two heads in one: the first was cut off.
+        let is_repeated = |name: &&str| message.count(name) > 1;
+        if [header::CALL_ID, header::CSEQ].iter().any(is_repeated) {
+            return Err(FramingError::InvalidHead);
+        }
+        Ok(message)
+    }
+
+    fn count(&self, name: &str) -> usize {
+        self.headers.iter().filter(|header| header.name.eq_ignore_ascii_case(name)).count()
     }
 
     /// The value of a header; the case of its name does not matter.
@@ -119,11 +146,16 @@
         let first = words.next().unwrap_or_default();
         let second = words.next().ok_or(FramingError::InvalidHead)?;
         if first == SIP_VERSION {
-            return StartLine::parse_response(second);
+            // Another first line in place of a reason: the response was cut off.
+            let is_cut_off = words.any(|word| word == SIP_VERSION);
+            return if is_cut_off {
+                Err(FramingError::InvalidHead)
+            } else {
+                StartLine::parse_response(second)
+            };
         }
-        let is_method = !first.is_empty() && first.bytes().all(|byte| byte.is_ascii_uppercase());
         let ends_with_version = words.next() == Some(SIP_VERSION) && words.next().is_none();
-        if !is_method || second.is_empty() || !ends_with_version {
+        if !METHODS.contains(&first) || second.is_empty() || !ends_with_version {
             return Err(FramingError::InvalidHead);
         }
         Ok(StartLine::Request { method: first.to_owned(), uri: second.to_owned() })
--- a/crates/ochrelead-sip/tests/framing.rs
+++ b/crates/ochrelead-sip/tests/framing.rs
@@ -76,6 +76,17 @@
     assert_eq!(messages == [Err(FramingError::InvalidHead)], is_invalid, "{messages:?}");
 }
 
+/// A release behind an answer that stopped short would be lost unseen.
+#[test]
+fn answer_that_stops_short_swallows_no_message_behind_it() {
+    let release =
+        "BYE sip:x@net SIP/2.0\r\nCall-ID: 5e1f03aa5c7e2d42\r\nCSeq: 9 BYE\r\nContent-Length: 0\r\n\r\n";
+    for cut in 1..RESPONSE.len() {
+        let messages = parse_stream(format!("{}{release}", &RESPONSE[..cut]).as_bytes(), 10_000);
+        assert!(matches!(messages.as_slice(), [] | [Err(_)]), "cut after {cut} bytes: {messages:?}");
+    }
+}
+
 #[test]
 fn encoded_message_is_parsed_again() {
     let headers =
