--- a/crates/ochrelead-front/tests/soak.rs
+++ b/crates/ochrelead-front/tests/soak.rs
@@ -45,7 +45,7 @@
         crowd: 0,
         impatience: 0.0,
         steps: steps.iter().map(scheduled).collect(),
-        ..Scenario::draw(0)
+        ..Scenario::draw(0, Some(4))
     }
 }
 
@@ -123,7 +123,7 @@
     let _machine = MACHINE.lock();
     let run = |first: u64| {
         let seeds = (first..SEEDS).step_by(usize::from(PARALLEL));
-        let broken = seeds.map(|seed| (seed, broken_rules("seeded", &Scenario::draw(seed))));
+        let broken = seeds.map(|seed| (seed, broken_rules("seeded", &Scenario::draw(seed, None))));
         broken.filter(|(_, broken)| !broken.is_empty()).collect::<Vec<_>>()
     };
     let broken: Vec<(u64, String)> = thread::scope(|scope| {
--- a/crates/ochrelead-verify/src/commands/soak.rs
+++ b/crates/ochrelead-verify/src/commands/soak.rs
@@ -18,6 +18,8 @@
     pub(crate) parallel: u8,
     pub(crate) folder: PathBuf,
     pub(crate) log_level: String,
+    /// Nodes of each trial; drawn where it is `None`.
+    pub(crate) nodes: Option<usize>,
     pub(crate) verbose: bool,
 }
 
@@ -44,7 +46,7 @@
                     }
                     let report = run_one(seed, slot, options);
                     if let Ok(mut tally) = tally.lock() {
-                        print(seed, &report, options.verbose);
+                        print(seed, &report, options);
                         tally.add(seed, report);
                     }
                 }
@@ -84,19 +86,25 @@
         log_level: options.log_level.clone(),
         ..TrialConfig::new(&options.program, &options.folder, seed, slot)
     };
-    trial::run(&Scenario::draw(seed), &config)
+    trial::run(&Scenario::draw(seed, options.nodes), &config)
 }
 
-fn print(seed: u64, report: &Result<TrialReport, TrialError>, verbose: bool) {
+fn print(seed: u64, report: &Result<TrialReport, TrialError>, options: &SoakOptions) {
     let Ok(report) = report else { return };
     let (set_ups, stalled) = (report.set_ups, report.stalled);
     let violations = report.violations.len();
-    println!("seed {seed}: {set_ups} set-ups, machine late by {stalled:?} in all, {violations} broken");
+    let (nodes, began) = (report.nodes, report.began.as_secs_f64());
+    println!(
+        "seed {seed}: {nodes} nodes, {set_ups} set-ups, machine late by {stalled:?} in all, {violations} broken"
+    );
+    if violations > 0 {
+        println!("  second 0 was {began:.3} s of Unix time");
+    }
     for violation in &report.violations {
         print!("  {violation}");
     }
-    if verbose {
-        let scenario = Scenario::draw(seed);
+    if options.verbose {
+        let scenario = Scenario::draw(seed, options.nodes);
         println!("  deadline {:?}, {:.0} set-ups a second and node", scenario.deadline, scenario.rate);
         scenario.steps.iter().for_each(|step| println!("  step {step:?}"));
         report.history.entries.iter().for_each(|entry| println!("  {entry}"));
--- a/crates/ochrelead-verify/src/main.rs
+++ b/crates/ochrelead-verify/src/main.rs
@@ -88,6 +88,9 @@
         /// What the nodes log
         #[arg(long, default_value = "info")]
         log: String,
+        /// Nodes of each trial; drawn from its seed where none is given
+        #[arg(long, value_parser = clap::value_parser!(u8).range(2..=128))]
+        nodes: Option<u8>,
         /// Print everything that was seen, too
         #[arg(long)]
         verbose: bool,
@@ -169,9 +172,16 @@
         }
         Command::Costs { fronts, servers, secs, times } => commands::costs::run(fronts, servers, secs, times),
         Command::Play { front, fronts, seed, faults } => commands::cluster::run(&front, fronts, seed, faults),
-        Command::Soak { seeds, front, parallel, folder, log, verbose } => commands::soak::run(
+        Command::Soak { seeds, front, parallel, folder, log, nodes, verbose } => commands::soak::run(
             seeds,
-            &SoakOptions { program: front, parallel, folder, log_level: log, verbose },
+            &SoakOptions {
+                program: front,
+                parallel,
+                folder,
+                log_level: log,
+                nodes: nodes.map(usize::from),
+                verbose,
+            },
         ),
         Command::Districts { seeds, fronts, servers, harmless, course } => {
             let draw = if harmless { Scenario::harmless } else { Scenario::failing };
--- a/crates/ochrelead-verify/src/soak/auditor.rs
+++ b/crates/ochrelead-verify/src/soak/auditor.rs
@@ -118,7 +118,7 @@
                 }
                 None => None,
             },
-            [(at, ..), ..] if *at > limit + history.stalled_between(sent, *at) => {
+            [(at, ..), ..] if *at > limit + stalled(history, node, sent, *at) => {
                 Some((*at, format!("n{node} answered {:?} late", *at - sent - wait)))
             }
             [(at, _, false), ..] => Some((*at, format!("n{node} passed on a spoilt answer"))),
@@ -135,6 +135,11 @@
     violations
 }
 
+/// For how long the machine, or the node by a fault of the trial, stood still between two moments.
+fn stalled(history: &History, node: usize, from: Duration, until: Duration) -> Duration {
+    history.stalled_between(from, until) + history.node_stalled_between(node, from, until)
+}
+
 /// Whether a node owes no answer to a set-up of `sent` that is unanswered at `at`: it was killed, and not at the end of
 /// a shutdown during which the set-up arrived late.
 fn is_excused(history: &History, number: usize, sent: Duration, at: Duration) -> bool {
--- a/crates/ochrelead-verify/src/soak/coordinator.rs
+++ b/crates/ochrelead-verify/src/soak/coordinator.rs
@@ -6,9 +6,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use serde_json::{Value, json};
+use serde_json::json;
 
-use super::history::{DiscoveryFault, Event, Lifecycle, Recorder};
+use super::history::{DiscoveryFault, Event, Recorder};
+use super::server_list::ServerList;
 
 /// The last number is written this often.
 const HEARTBEAT: Duration = Duration::from_secs(1);
@@ -19,83 +20,6 @@
 /// A former coordinator closes its connections after this time.
 const MOVED_CLOSE_DELAY: Duration = Duration::from_millis(1_500);
 
-/// A server as the list has it.
-#[derive(Clone, Debug)]
-pub struct ListedServer {
-    /// Its id.
-    pub id: String,
-    /// Its address for the first node; the others reach it at the ports that follow.
-    pub address: SocketAddr,
-    /// Its number.
-    pub number: usize,
-    /// Its state.
-    pub state: Lifecycle,
-    /// Unix milliseconds of a late start; 0 for none.
-    pub started_at_ms: u128,
-}
-
-impl ListedServer {
-    fn to_json(&self, node: usize) -> Value {
-        let address = SocketAddr::new(self.address.ip(), self.address.port() + node as u16);
-        json!({"instanceId": self.id, "hostPort": address, "cell": self.number, "zone": "east",
-            "lifecycle": self.state.as_str(), "weight": 1, "startedAtMs": self.started_at_ms as u64})
-    }
-}
-
-/// A change of the list.
-struct ListEvent {
-    is_full: bool,
-    changed: Vec<ListedServer>,
-}
-
-/// The list of servers as numbered events, shared by all coordinators.
-#[derive(Default)]
-pub struct ServerList {
-    servers: Vec<ListedServer>,
-    /// The number of the first is 1.
-    events: Vec<ListEvent>,
-}
-
-impl ServerList {
-    /// A list whose first event names the servers.
-    pub fn new(servers: Vec<ListedServer>) -> ServerList {
-        let events = vec![ListEvent { is_full: true, changed: servers.clone() }];
-        ServerList { servers, events }
-    }
-
-    /// Applies changes as one event.
-    pub fn change(&mut self, changed: &[ListedServer]) {
-        for server in changed {
-            self.servers.retain(|listed| listed.id != server.id);
-            if server.state != Lifecycle::Removed {
-                self.servers.push(server.clone());
-            }
-        }
-        self.events.push(ListEvent { is_full: false, changed: changed.to_vec() });
-    }
-
-    /// `known` for a node's configuration: the whole list under the last number.
-    pub fn known(&self, node: usize) -> Value {
-        let index = self.events.len();
-        json!({"index": index, "updates": [event_json(index, true, &self.servers, node)]})
-    }
-
-    /// The lines of the events after a number.
-    fn lines_after(&self, number: usize, node: usize) -> Vec<String> {
-        let events = self.events.iter().enumerate().skip(number);
-        let line = |(index, event): (usize, &ListEvent)| {
-            format!("{}\n", event_json(index + 1, event.is_full, &event.changed, node))
-        };
-        events.map(line).collect()
-    }
-}
-
-fn event_json(index: usize, is_full: bool, servers: &[ListedServer], node: usize) -> Value {
-    let instances: Vec<Value> = servers.iter().map(|server| server.to_json(node)).collect();
-    let endpoints = json!({"generation": index, "reset": is_full, "instances": instances});
-    json!({"index": index, "endpoints": endpoints})
-}
-
 /// How the line with the last number alone is written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum NumberForm {
@@ -127,6 +51,8 @@
     pub late_first_number: bool,
     /// The next event breaks off in its middle, and the connection is closed.
     pub break_next_event: bool,
+    /// The next event stops in its middle; the connection stays open and brings nothing more.
+    pub stop_next_event: bool,
     /// The next line is no JSON.
     pub spoil_next_line: bool,
     /// Each event is written twice.
@@ -206,8 +132,11 @@
         }
     }
 
-    /// Begins a fault.
-    pub fn fail(&self, fault: DiscoveryFault) {
+    /// Begins a fault; false where another one lasts.
+    pub fn fail(&self, fault: DiscoveryFault) -> bool {
+        if lock(&self.state).fault.is_some() {
+            return false;
+        }
         self.recorder.record(Event::DiscoveryFailed { node: self.node, fault });
         let mut state = lock(&self.state);
         state.fault = Some(fault);
@@ -217,6 +146,7 @@
         if fault == DiscoveryFault::Down {
             state.listener = None;
         }
+        true
     }
 
     /// Ends a fault.
@@ -227,6 +157,9 @@
     pub fn recover(&self) -> io::Result<()> {
         let was_down = {
             let mut state = lock(&self.state);
+            if state.moved_at.is_some() {
+                return Ok(());
+            }
             // What was asked while it was silent is lost for good.
             state.epoch += u64::from(state.fault == Some(DiscoveryFault::Silent));
             state.fault.take() == Some(DiscoveryFault::Down)
@@ -254,11 +187,15 @@
         lock(&self.state).writes
     }
 
-    /// Another coordinator takes over: no new connection, nothing more is told, open ones are closed after a while.
+    /// Another coordinator takes over: no new connection, nothing more is told, open ones are closed after a while. Its
+    /// outage is over for its node.
     pub fn retire(&self) {
         let mut state = lock(&self.state);
         state.moved_at = Some(Instant::now());
         state.listener = None;
+        if state.fault.take().is_some() {
+            self.recorder.record(Event::DiscoveryReturned { node: self.node });
+        }
     }
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
@@ -277,8 +214,14 @@
         }
         let now = Instant::now();
         let heartbeat_at = if lock(&self.state).writes.late_first_number { now + HEARTBEAT } else { now };
-        let mut connection =
-            WatchConnection { stream, sent: known, heartbeat_at, announced: 0, events_at: now };
+        let mut connection = WatchConnection {
+            stream,
+            sent: known,
+            heartbeat_at,
+            announced: 0,
+            events_at: now,
+            has_stopped: false,
+        };
         loop {
             let due = self.due_lines(&mut connection, accepted_in);
             match due {
@@ -310,7 +253,7 @@
             return Due::End;
         }
         let is_quiet = matches!(state.fault, Some(DiscoveryFault::Silent | DiscoveryFault::Suspended));
-        if state.epoch != accepted_in || is_quiet {
+        if state.epoch != accepted_in || is_quiet || connection.has_stopped {
             return Due::Nothing;
         }
         if let Some(DiscoveryFault::Slow(delay)) = state.fault {
@@ -326,21 +269,27 @@
                 connection.break_off(&event);
                 return Due::End;
             }
+            if state.writes.stop_next_event {
+                state.writes.stop_next_event = false;
+                connection.break_off(&event);
+                connection.has_stopped = true;
+                return Due::Nothing;
+            }
             lines.push(event.clone());
             if state.writes.repeat_events {
                 lines.push(event);
             }
         }
-        let number = state.writes.number_form.line(list.events.len());
-        if state.writes.number_first && !lines.is_empty() && connection.announced < list.events.len() {
-            connection.announced = list.events.len();
+        let number = state.writes.number_form.line(list.last_number());
+        if state.writes.number_first && !lines.is_empty() && connection.announced < list.last_number() {
+            connection.announced = list.last_number();
             connection.events_at = Instant::now() + NUMBER_LEAD;
             return Due::Lines(vec![number]);
         }
         if connection.events_at > Instant::now() {
             return Due::Nothing;
         }
-        connection.sent = list.events.len();
+        connection.sent = list.last_number();
         if connection.heartbeat_at <= Instant::now() {
             connection.heartbeat_at = Instant::now() + HEARTBEAT;
             lines.push(number);
@@ -378,6 +327,8 @@
     /// The number of the last event that was announced ahead, and when its events follow.
     announced: usize,
     events_at: Instant,
+    /// Nothing more is written.
+    has_stopped: bool,
 }
 
 impl WatchConnection {
--- a/crates/ochrelead-verify/src/soak/history.rs
+++ b/crates/ochrelead-verify/src/soak/history.rs
@@ -268,6 +268,17 @@
         self.stalls.iter().map(overlap).sum()
     }
 
+    /// For how long a node was made to stand still between two moments.
+    pub fn node_stalled_between(&self, number: usize, from: Duration, until: Duration) -> Duration {
+        let overlap = |entry: &Entry| match entry.event {
+            Event::Stalled { node, length } if node == number => {
+                (entry.at + length).min(until).saturating_sub(entry.at.max(from))
+            }
+            _ => Duration::ZERO,
+        };
+        self.entries.iter().map(overlap).sum()
+    }
+
     /// The entries that concern a call.
     pub fn of_call(&self, number: CallNumber) -> impl Iterator<Item = &Entry> {
         self.entries.iter().filter(move |entry| match entry.event {
--- a/crates/ochrelead-verify/src/soak/parties.rs
+++ b/crates/ochrelead-verify/src/soak/parties.rs
@@ -8,10 +8,10 @@
 
 use thiserror::Error;
 
-use super::coordinator::ListedServer;
 use super::history::{Lifecycle, Recorder};
 use super::node_process::{NodeConfiguration, NodeFiles, NodeProcess, NodeSettings};
 use super::server::{Server, ServerConfig};
+use super::server_list::ListedServer;
 
 /// How long the calls of a trial last.
 const HOLD_TIME: Duration = Duration::from_millis(700);
@@ -22,6 +22,8 @@
 pub(super) const SERVER_NET: u8 = 1;
 pub(super) const COORDINATOR_NET: u8 = 2;
 const NETS: u8 = 3;
+/// Addresses of a net.
+const HOSTS: u64 = 250;
 /// The second parts of addresses are from here on, one for each trial that runs at a time.
 const FIRST_SUBNET: u8 = 230;
 /// The trials that may run at a time.
@@ -62,7 +64,7 @@
 }
 
 pub(super) fn address(subnet: [u8; 2], net: u8, host: u64, port: u16) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::new(127, subnet[0], subnet[1] + net, host as u8 + 1), port))
+    SocketAddr::from((Ipv4Addr::new(127, subnet[0], subnet[1] + net, (host % HOSTS) as u8 + 1), port))
 }
 
 pub(super) fn start_node(
--- a/crates/ochrelead-verify/src/soak/server.rs
+++ b/crates/ochrelead-verify/src/soak/server.rs
@@ -11,6 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::history::{CallNumber, Event, InviteEnd, Recorder};
+use super::reply::{Reply, spoil};
 use super::scheduler::Scheduler;
 use super::sip_text::{Request, description, read_request, response};
 
@@ -18,8 +19,6 @@
 const SLOWDOWN: u32 = 60;
 /// How late a server takes connections that takes them late.
 const ACCEPT_DELAY: Duration = Duration::from_millis(400);
-/// Between two pieces of an answer.
-const PIECE_DELAY: Duration = Duration::from_millis(1);
 /// How often the acceptor looks whether it is to accept, or to end.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -41,20 +40,9 @@
     Slow,
     /// It takes connections late.
     AcceptingLate,
-}
-
-/// An answer to an INVITE, and what follows it.
-struct Reply {
-    /// Written one after the other.
-    pieces: Vec<String>,
-    /// Whether the connection is closed at once.
-    closes: bool,
-}
-
-impl Reply {
-    fn whole(answer: String) -> Reply {
-        Reply { pieces: vec![answer], closes: false }
-    }
+    /// It has forgotten the connections that were idle when this began, and takes new ones: what is sent on the former is
+    /// neither read nor answered.
+    Forgetful,
 }
 
 /// A call that a server has set up.
@@ -78,6 +66,8 @@
     /// Open connections, by number.
     connections: HashMap<u64, Connection>,
     last_connection: u64,
+    /// Connections that stay open and are not read any more.
+    forgotten: HashMap<u64, Connection>,
     /// INVITEs without an end, by call and sequence number, with their connections.
     open_invites: HashMap<(CallNumber, u32), u64>,
     established: HashMap<CallNumber, Established>,
@@ -86,6 +76,17 @@
     rng: Pcg64Mcg,
 }
 
+impl State {
+    fn forget_idle(&mut self) {
+        let in_use: Vec<u64> = self.open_invites.values().copied().collect();
+        let (kept, idle) = std::mem::take(&mut self.connections)
+            .into_iter()
+            .partition::<HashMap<_, _>, _>(|(number, _)| in_use.contains(number));
+        self.connections = kept;
+        self.forgotten.extend(idle);
+    }
+}
+
 /// What a server is started with.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerConfig {
@@ -127,6 +128,7 @@
             is_stopped: false,
             connections: HashMap::new(),
             last_connection: 0,
+            forgotten: HashMap::new(),
             open_invites: HashMap::new(),
             established: HashMap::new(),
             unconfirmed_releases: Vec::new(),
@@ -144,15 +146,14 @@
         Ok(server)
     }
 
-    /// Starts a stopped server under the same id and addresses.
+    /// Starts a stopped server at the same addresses.
     ///
     /// # Errors
     ///
     /// Where its addresses can't be bound.
-    pub fn start_again(&self, nodes: usize) -> io::Result<Server> {
-        let seed = self.lock().rng.random();
+    pub fn start_again(&self, id: String, nodes: usize, seed: u64) -> io::Result<Server> {
         let config = ServerConfig { nodes, seed, hold_time: self.hold_time };
-        Server::start(self.id.clone(), self.address, config, self.recorder.clone())
+        Server::start(id, self.address, config, self.recorder.clone())
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -161,7 +162,11 @@
 
     /// Changes how it behaves from now on.
     pub fn behave(&self, behaviour: Behaviour) {
-        self.lock().behaviour = behaviour;
+        let mut state = self.lock();
+        state.behaviour = behaviour;
+        if behaviour == Behaviour::Forgetful {
+            state.forget_idle();
+        }
     }
 
     /// The process dies: its connections are closed, new ones refused, and its calls are over.
@@ -170,7 +175,8 @@
         let mut state = self.lock();
         state.is_stopped = true;
         state.established.clear();
-        for (_, connection) in state.connections.drain() {
+        let forgotten = std::mem::take(&mut state.forgotten);
+        for (_, connection) in state.connections.drain().chain(forgotten) {
             // One that has ended already needs no end.
             let _ = connection.stream.shutdown(Shutdown::Both);
         }
@@ -253,6 +259,9 @@
         let mut reader = BufReader::new(stream);
         loop {
             let Some(request) = read_request(&mut reader)? else { return Ok(()) };
+            if self.lock().forgotten.contains_key(&number) {
+                continue;
+            }
             match request.method.as_str() {
                 "INVITE" => self.on_invite(number, &request)?,
                 "CANCEL" => self.on_cancel(&request),
@@ -291,7 +300,7 @@
             Behaviour::Hanging | Behaviour::Vanished => {}
             Behaviour::Resetting => return Err(io::ErrorKind::ConnectionReset.into()),
             Behaviour::Slow => self.answer_after(delay * SLOWDOWN, number, request, Reply::whole(accepted())),
-            Behaviour::Healthy | Behaviour::AcceptingLate => {
+            Behaviour::Healthy | Behaviour::AcceptingLate | Behaviour::Forgetful => {
                 self.answer_after(delay, number, request, Reply::whole(accepted()));
             }
             Behaviour::Spoiling => {
@@ -311,9 +320,9 @@
             if !server.end_invite(number, (call, sequence), call_id) {
                 return;
             }
-            for piece in reply.pieces {
-                server.write(number, &piece);
-                thread::sleep(PIECE_DELAY);
+            for piece in &reply.pieces {
+                server.write(number, piece);
+                thread::sleep(reply.piece_delay);
             }
             if reply.closes {
                 server.close(number);
@@ -378,21 +387,3 @@
         }
     }
 }
-
-/// A spoilt answer by a chance in a hundred; `None` where the server says nothing.
-fn spoil(accepted: &str, chance: u32, request: &Request) -> Option<Reply> {
-    let third = accepted.len() / 3;
-    let pieces = || vec![accepted[..third].to_owned(), accepted[third..].to_owned()];
-    let reply = match chance {
-        0..8 => Reply::whole("\u{1}\u{2}noise\r\n\r\n".to_owned()),
-        8..12 => Reply::whole(accepted.replace("Content-Length: ", "Content-Length: 9")),
-        12..16 => Reply::whole(accepted.repeat(2)),
-        16..30 => Reply { pieces: pieces(), closes: false },
-        30..36 => Reply { pieces: pieces(), closes: true },
-        36..40 => Reply { pieces: vec![accepted[..third].to_owned()], closes: true },
-        40..50 => Reply::whole(response(503, &request.call_id, request.sequence, "INVITE", "")),
-        50..58 => return None,
-        _ => Reply::whole(accepted.to_owned()),
-    };
-    Some(reply)
-}
--- a/crates/ochrelead-verify/src/soak/traffic.rs
+++ b/crates/ochrelead-verify/src/soak/traffic.rs
@@ -21,8 +21,24 @@
 const SHORTEST_WAIT: f64 = 0.3;
 /// Callers that come again at a time.
 const MAX_REPEATS: u64 = 5;
-/// Bad callers' connections.
-const BAD_CONNECTIONS: u64 = 12;
+/// A line that is longer than any message.
+const LONG_LINE: usize = 200_000;
+/// Connections of bad callers on which set-ups are withdrawn at once, and how many on each.
+const WITHDRAWING_CONNECTIONS: usize = 3;
+const WITHDRAWN_SET_UPS: usize = 60;
+/// Lines of bad callers: half a set-up, no id, classes, tenants and figures that do not exist, an id twice.
+const UNUSABLE_INPUT: [&str; 9] = [
+    r#"{"t":"new","ref":"00000000000000ff","f":{"class":"voi"#,
+    "{\"t\":\"new\",\"ref\":\"zz\",\"f\":{\"class\":\"nothing\"}}\n",
+    "{\"t\":\"new\",\"f\":{\"class\":\"voice\",\"left\":\"900\"},\"d\":\"x\"}\n",
+    "{\"t\":\"new\",\"ref\":\"ffffffffffff0001\",\"f\":{\"class\":\"none\",\"left\":\"900\"},\"d\":\"x\"}\n",
+    "{\"t\":\"new\",\"ref\":\"ffffffffffff0002\",\"f\":{\"class\":\"voice\",\"left\":\"900\",\"tenant\":\"no\"},\"d\":\"x\"}\n",
+    "{\"t\":\"new\",\"ref\":\"ffffffffffff0003\",\"f\":{\"class\":\"voice\",\"left\":\"-5\"},\"d\":\"x\"}\n",
+    "{\"t\":\"new\",\"ref\":\"ffffffffffff0004\",\"f\":{\"class\":\"voice\",\"left\":\"1e99\"},\"d\":\"x\"}\n",
+    "{\"t\":\"down\",\"ref\":\"ffffffffffff0005\",\"f\":{},\"c\":99999999999}\n",
+    "{\"t\":\"new\",\"ref\":\"ffffffffffff0006\",\"f\":{\"class\":\"voice\",\"left\":\"9\"},\"d\":\"x\"}\n\
+     {\"t\":\"new\",\"ref\":\"ffffffffffff0006\",\"f\":{\"class\":\"voice\",\"left\":\"9\"},\"d\":\"y\"}\n",
+];
 
 /// Whether callers open new connections to a node.
 #[derive(Clone, Copy, Debug)]
@@ -169,25 +185,23 @@
     }
 }
 
-/// Sends a node what it can't read, half lines that end with the connection, and set-ups withdrawn at once.
+/// Sends a node what it can't read or use, half lines that end with the connection, and set-ups withdrawn at once.
 pub fn send_bad_input(traffic: &NodeTraffic, recorder: &Arc<Recorder>) {
     let mut rng = Pcg64Mcg::seed_from_u64(traffic.seed ^ u64::MAX);
-    for kind in 0..BAD_CONNECTIONS {
-        let Some(connection) = open(traffic, recorder) else { continue };
-        match kind % 4 {
-            0 => connection.write_raw(&[0xff; 3_000]),
-            1 => connection.write_raw(b"{\"t\":\"new\",\"ref\":\"00000000000000ff\",\"f\":{\"class\":\"voi"),
-            2 => connection.write_raw(b"{\"t\":\"new\",\"ref\":\"zz\",\"f\":{\"class\":\"nothing\"}}\n"),
-            _ => {
-                for _ in 0..30 {
-                    connection.set_up(&traffic.set_up(&mut rng));
-                }
-            }
+    let unusable = UNUSABLE_INPUT.map(str::as_bytes);
+    for bytes in unusable.into_iter().chain([[0xff; 3_000].as_slice(), [b'x'; LONG_LINE].as_slice()]) {
+        if let Some(connection) = open(traffic, recorder) {
+            connection.write_raw(bytes);
+            thread::sleep(RECONNECT_DELAY);
+            connection.close();
         }
-        if kind % 2 == 1 {
+    }
+    for _ in 0..WITHDRAWING_CONNECTIONS {
+        if let Some(connection) = open(traffic, recorder) {
+            for _ in 0..WITHDRAWN_SET_UPS {
+                connection.set_up(&traffic.set_up(&mut rng));
+            }
             connection.close();
-        } else {
-            thread::sleep(RECONNECT_DELAY);
         }
     }
 }
--- a/crates/ochrelead-verify/src/soak/trial.rs
+++ b/crates/ochrelead-verify/src/soak/trial.rs
@@ -1,5 +1,7 @@
 //! Runs a scenario: starts the parties, lets the faults happen, and returns the history.
 
+mod server_changes;
+
 use std::fs;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,7 +14,7 @@
 
 use super::auditor::{Limits, SHUTDOWN_GRACE, Violation, audit};
 use super::caller::CallNumbers;
-use super::coordinator::{Coordinator, ListedServer, ServerList};
+use super::coordinator::Coordinator;
 use super::history::{Event, History, Lifecycle, Recorder, Stall};
 use super::node_process::{NodeConfiguration, NodeFiles, NodeProcess, NodeSettings};
 use super::parties::{
@@ -22,6 +24,7 @@
 use super::scenario::{SERVERS, Scenario, Step};
 use super::scheduler::Scheduler;
 use super::server::{Behaviour, Server};
+use super::server_list::ServerList;
 use super::traffic::{self, NodeTraffic};
 
 /// The grace of the platform's settings.
@@ -35,10 +38,6 @@
 /// A thread that wakes later than this ran on a machine that is too busy to tell who was late.
 const STALL_THRESHOLD: Duration = Duration::from_millis(10);
 
-/// The list follows the death of a server after this time.
-const CRASH_NOTICE_TIME: Duration = Duration::from_millis(900);
-/// A server that restarts is back after this time.
-const RESTART_TIME: Duration = Duration::from_millis(1_000);
 /// Listeners are closed within this time.
 const CLOSE_TIME: Duration = Duration::from_millis(50);
 
@@ -49,6 +48,10 @@
     pub history: History,
     /// The broken rules.
     pub violations: Vec<Violation>,
+    /// The number of nodes.
+    pub nodes: usize,
+    /// Second 0 of the history, in Unix time.
+    pub began: Duration,
     /// The set-ups that callers sent.
     pub set_ups: usize,
     /// For how long the machine stood still, in all.
@@ -62,6 +65,7 @@
 /// Where a party can't be started.
 pub fn run(scenario: &Scenario, config: &TrialConfig) -> Result<TrialReport, TrialError> {
     let trial = Arc::new(Trial::start(scenario, config)?);
+    let began = unix_time().saturating_sub(trial.recorder.now());
     let stop = Arc::new(AtomicBool::new(false));
     let mut threads = vec![probe_stalls(trial.recorder.clone(), stop.clone())];
     for traffic in &trial.traffic {
@@ -85,7 +89,8 @@
     let is_set_up = |event: &Event| matches!(event, Event::SetUpSent { .. });
     let set_ups = history.entries.iter().filter(|entry| is_set_up(&entry.event)).count();
     let stalled = history.stalled_between(Duration::ZERO, Duration::MAX);
-    Ok(TrialReport { history, violations, set_ups, stalled })
+    let nodes = scenario.nodes;
+    Ok(TrialReport { history, violations, nodes, began, set_ups, stalled })
 }
 
 /// Records when the machine is too busy to run this thread in time, or to let it have the record.
@@ -124,22 +129,17 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Changes the list; a node may act on it at once, so the record comes first.
-fn change_list(list: &Mutex<ServerList>, recorder: &Recorder, changed: &[ListedServer]) {
-    let mut list = lock(list);
-    for server in changed {
-        recorder.record(Event::Listed { server: server.id.clone(), state: server.state });
-    }
-    list.change(changed);
-}
-
 /// The seed of a node's chance: spread over all numbers, for nodes take their share of a delay from its low bits.
 fn node_seed(trial_seed: u64, number: u64) -> u64 {
     Pcg64Mcg::seed_from_u64(trial_seed ^ number.rotate_left(u64::BITS / 2)).random()
 }
 
+fn unix_time() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 fn unix_millis() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis())
+    unix_time().as_millis()
 }
 
 impl Trial {
@@ -219,7 +219,9 @@
                 let concerned = lock(&self.coordinators).clone();
                 for (number, coordinator) in concerned.into_iter().enumerate() {
                     if node.is_none_or(|node| node == number) {
-                        coordinator.fail(fault);
+                        if !coordinator.fail(fault) {
+                            continue;
+                        }
                         self.scheduler.after(length, move || {
                             if let Err(error) = coordinator.recover() {
                                 eprintln!("coordinator {} does not return: {error}", coordinator.address);
@@ -237,8 +239,10 @@
             }
             Step::MoveCoordinator(node) => self.move_coordinator(node)?,
             Step::Crash(server) => self.crash_server(server)?,
-            Step::Restart(server) => self.restart_server(server),
-            Step::Stall { node, length } => self.stall(node, length),
+            Step::Restart { server, renamed } => self.restart_server(server, renamed),
+            Step::Stall { node, length } => {
+                return Ok(Some(thread::spawn(move || self.stall(node, length))));
+            }
             Step::Replace { server, drain_time } => self.replace_server(server, drain_time)?,
             Step::Behave { server, behaviour, length } => {
                 let server = lock(&self.servers)[server].clone();
@@ -266,8 +270,10 @@
         former.retire();
         self.write_configuration(node)?;
         self.recorder.record(Event::DiscoveryMoved { node });
-        // A node that has just ended needs no signal: the next one reads the new file.
-        let _ = lock(&self.processes[node]).signal(Signal::HUP);
+        // A node that leaves needs no signal: the next one reads the new file.
+        if let Ok(process) = self.processes[node].try_lock() {
+            let _ = process.signal(Signal::HUP);
+        }
         Ok(())
     }
 
@@ -285,68 +291,14 @@
         Ok(files)
     }
 
-    /// A server drains and another takes its number, in one event; the former is removed later.
-    fn replace_server(&self, number: usize, drain_time: Duration) -> Result<(), TrialError> {
-        let next = start_server(&self.config, self.settings.nodes, self.next_number(), &self.recorder)?;
-        let former = std::mem::replace(&mut lock(&self.servers)[number], next.clone());
-        lock(&self.former_servers).push(former.clone());
-        let up = listed_server(&next, number, Lifecycle::Up, unix_millis());
-        self.list_changes(&[up, listed_server(&former, number, Lifecycle::Draining, 0)]);
-        let (list, recorder) = (self.list.clone(), self.recorder.clone());
-        self.scheduler.after(drain_time, move || {
-            change_list(&list, &recorder, &[listed_server(&former, number, Lifecycle::Removed, 0)]);
-            former.stop();
-        });
-        Ok(())
-    }
-
-    /// A server's process dies; the list says so later, and names its successor.
-    fn crash_server(&self, number: usize) -> Result<(), TrialError> {
-        let next = start_server(&self.config, self.settings.nodes, self.next_number(), &self.recorder)?;
-        let former = std::mem::replace(&mut lock(&self.servers)[number], next.clone());
-        former.stop();
-        let (list, recorder) = (self.list.clone(), self.recorder.clone());
-        self.scheduler.after(CRASH_NOTICE_TIME, move || {
-            let removed = listed_server(&former, number, Lifecycle::Removed, 0);
-            let up = listed_server(&next, number, Lifecycle::Up, unix_millis());
-            change_list(&list, &recorder, &[removed, up]);
-        });
-        Ok(())
-    }
-
-    /// A server is removed and comes back under its id and address.
-    fn restart_server(self: Arc<Self>, number: usize) {
-        let former = lock(&self.servers)[number].clone();
-        self.list_changes(&[listed_server(&former, number, Lifecycle::Removed, 0)]);
-        former.stop();
-        self.scheduler.clone().after(RESTART_TIME, move || {
-            let next = former.start_again(self.settings.nodes);
-            match next {
-                Ok(next) => {
-                    self.list_changes(&[listed_server(&next, number, Lifecycle::Up, unix_millis())]);
-                    lock(&self.servers)[number] = next;
-                }
-                Err(error) => eprintln!("{} does not come back: {error}", former.id),
-            }
-        });
-    }
-
-    /// A node stands still for a while.
-    fn stall(self: Arc<Self>, node: usize, length: Duration) {
+    /// A node stands still for a while; whoever ends it waits until it goes on.
+    fn stall(&self, node: usize, length: Duration) {
         let Ok(process) = self.processes[node].try_lock() else { return };
         self.recorder.record(Event::Stalled { node, length });
         // One that has just ended needs no signal.
         let _ = process.signal(Signal::STOP);
-        drop(process);
-        self.scheduler.clone().after(length, move || {
-            if let Ok(process) = self.processes[node].try_lock() {
-                let _ = process.signal(Signal::CONT);
-            }
-        });
-    }
-
-    fn list_changes(&self, changed: &[ListedServer]) {
-        change_list(&self.list, &self.recorder, changed);
+        thread::sleep(length);
+        let _ = process.signal(Signal::CONT);
     }
 
     /// SIGTERM, SIGKILL at the earliest moment where the node has not ended, and a new start.
