--- a/crates/ochrelead-front/tests/node.rs
+++ b/crates/ochrelead-front/tests/node.rs
@@ -228,6 +228,19 @@
     assert!(is_established(&node.call(2)), "it serves on");
 }
 
+#[test]
+fn a_configuration_that_is_valid_late_is_taken_without_another_signal() {
+    let node = NodeProcess::start("is valid late");
+    assert_eq!(node.watch_requests.recv_timeout(MAX_WAIT).unwrap(), "follow 1\n");
+    fs::write(&node.config_path, "{\"listen\":").unwrap();
+    node.signal(Signal::HUP);
+    thread::sleep(Duration::from_millis(1_200));
+    let (coordinator, coordinator_address) = listener();
+    let watch_requests = coordinate(coordinator);
+    fs::write(&node.config_path, configuration(node.listen, node.server, coordinator_address)).unwrap();
+    assert_eq!(watch_requests.recv_timeout(MAX_WAIT).unwrap(), "follow 1\n");
+}
+
 #[test]
 fn a_start_without_a_readable_configuration_says_what_and_where_in_a_line() {
     let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join("broken.json");
--- a/crates/ochrelead-node/src/coordinator_watch.rs
+++ b/crates/ochrelead-node/src/coordinator_watch.rs
@@ -118,6 +118,15 @@
         self.log_liveness(now, "coordinator moved");
     }
 
+    /// Goes on after the events that are known from elsewhere; whether any of them is news.
+    pub(crate) fn catch_up(&mut self, known: EventCursor) -> bool {
+        let is_news = known.last_index() > self.event_cursor.last_index();
+        if is_news {
+            self.event_cursor = known;
+        }
+        is_news
+    }
+
     fn position(&self, watch: WatchId) -> Option<usize> {
         self.connections.iter().position(|connection| connection.watch == watch)
     }
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -167,6 +167,11 @@
                 }
             }
             Input::WatchDisconnected(watch) => self.watch.on_disconnected(watch, self.now),
+            Input::ListReloaded { event_cursor, list } => {
+                if self.watch.catch_up(event_cursor) {
+                    self.apply_endpoints(list);
+                }
+            }
             Input::CoordinatorMoved(address) => self.watch.redirect(address, self.now),
             Input::Shutdown => self.begin_shutdown(),
         }
--- a/crates/ochrelead-node/src/io.rs
+++ b/crates/ochrelead-node/src/io.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use ochrelead_platform::events::{EndpointChange, EventCursor};
+
 /// A caller's connection. The host counts connections; an id is never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallerId(pub u64);
@@ -44,6 +46,13 @@
     WatchData(WatchId, &'a [u8]),
     /// The connection to the coordinator is closed, or could not be established.
     WatchDisconnected(WatchId),
+    /// The configuration was replaced; it holds the list of servers as of an event.
+    ListReloaded {
+        /// The last event in it.
+        event_cursor: EventCursor,
+        /// The whole list.
+        list: &'a EndpointChange,
+    },
     /// The coordinator has a new address.
     CoordinatorMoved(SocketAddr),
     /// Leave service: owed answers are still given.
--- a/crates/ochrelead-node/tests/coordinator.rs
+++ b/crates/ochrelead-node/tests/coordinator.rs
@@ -3,7 +3,8 @@
 mod helper;
 
 use helper::{TestNode, endpoint, event};
-use ochrelead_node::io::{Input, Output, WatchAction, WatchId};
+use ochrelead_node::io::{Input, Output, ServerConnectionId, WatchAction, WatchId};
+use ochrelead_platform::events::{EndpointChange, EventCursor};
 use serde_json::json;
 use test_case::test_case;
 
@@ -337,3 +338,18 @@
     node.set_up(1, 7, 0);
     assert_eq!(node.sent_to_servers("INVITE").len(), 0, "its events are followed");
 }
+
+#[test_case(2, 0; "a later list")]
+#[test_case(1, 1; "one that is not later")]
+fn list_of_a_new_configuration_is_taken_though_the_coordinator_is_silent(index: u64, invites: usize) {
+    let mut node = TestNode::with_servers(2);
+    let listed = json!([endpoint(0, 10, "draining", 0), endpoint(1, 11, "up", 0)]);
+    let known = json!({"index": index, "updates": [event(index, true, &listed)]});
+    let (event_cursor, changes) = EventCursor::from_known_events(&known);
+    let list = EndpointChange::merge(&changes).unwrap();
+    node.input_and_process(Input::ListReloaded { event_cursor, list: &list });
+    node.connect_caller(1);
+    node.set_up(1, 7, 0);
+    let at_server_0 = |sent: &&(ServerConnectionId, String)| node.connections[&sent.0] == "127.0.0.10";
+    assert_eq!(node.sent_to_servers("INVITE").iter().filter(at_server_0).count(), invites);
+}
--- a/crates/ochrelead-platform/src/events.rs
+++ b/crates/ochrelead-platform/src/events.rs
@@ -35,6 +35,21 @@
     pub endpoints: Vec<Endpoint>,
 }
 
+impl EndpointChange {
+    /// The whole list that changes in a row lead to; `None` where none of them is the whole list.
+    pub fn merge(changes: &[EndpointChange]) -> Option<EndpointChange> {
+        let last_full = changes.iter().rposition(|change| change.is_full)?;
+        let mut endpoints: Vec<Endpoint> = Vec::new();
+        for changed in changes[last_full..].iter().flat_map(|change| &change.endpoints) {
+            endpoints.retain(|endpoint| endpoint.id != changed.id);
+            if changed.state != EndpointState::Gone {
+                endpoints.push(changed.clone());
+            }
+        }
+        Some(EndpointChange { is_full: true, endpoints })
+    }
+}
+
 /// The effect of one line of the coordinator.
 #[derive(Clone, Debug, PartialEq)]
 pub enum EventOutcome {
--- a/crates/ochrelead-platform/tests/events.rs
+++ b/crates/ochrelead-platform/tests/events.rs
@@ -6,7 +6,7 @@
 use event::event;
 use ochrelead_core::time::Moment;
 use ochrelead_core::types::EndpointState;
-use ochrelead_platform::events::{EventCursor, EventOutcome};
+use ochrelead_platform::events::{EndpointChange, EventCursor, EventOutcome};
 use serde_json::{Value, json};
 use test_case::test_case;
 
@@ -53,3 +53,18 @@
     assert!(matches!(outcome, EventOutcome::Changed(change) if change.is_full));
     assert_eq!(followed.request(), "follow 9\n");
 }
+
+#[test]
+fn changes_in_a_row_make_the_list_that_they_lead_to() {
+    let updates = [
+        event(1, "s-1", "up"),
+        event(2, "s-2", "up"),
+        event(3, "s-1", "removed"),
+        event(4, "s-2", "draining"),
+    ];
+    let (_, changes) = EventCursor::from_known_events(&json!({"index": 4, "updates": updates}));
+    let list = EndpointChange::merge(&changes).unwrap();
+    let listed: Vec<_> = list.endpoints.iter().map(|listed| (listed.id.as_str(), listed.state)).collect();
+    assert_eq!((list.is_full, listed), (true, vec![("s-2", EndpointState::Draining)]));
+    assert_eq!(EndpointChange::merge(&changes[1..]), None, "without the whole list");
+}
