Judge the soak's drains by the new configuration too, and signal nodes that stand still

The signal to a node that stood still was left out; it is now sent once the node goes on, unless it was started again and has read the file.

--- a/crates/ochrelead-verify/src/soak/told.rs
+++ b/crates/ochrelead-verify/src/soak/told.rs
@@ -64,6 +64,13 @@
     /// When a node that has run since `started` counts as told of what the list has since `listed`; `None` for never.
     pub fn told_at(&self, started: Duration, listed: Duration) -> Option<Duration> {
         let from = started.max(listed);
+        // The configuration that comes with the signal has the list, reachable or not.
+        let next_move = self.moves.iter().find(|moved| **moved >= from).map(|moved| *moved + MOVE_ALLOWANCE);
+        [self.told_by_coordinator(started, from), next_move].into_iter().flatten().min()
+    }
+
+    /// When what the coordinator has from a moment on counts as told by it.
+    fn told_by_coordinator(&self, started: Duration, from: Duration) -> Option<Duration> {
         let covering = self.outages.iter().find(|outage| outage.from <= from && from < outage.until);
         let reachable = match covering {
             Some(Outage { fault: DiscoveryFault::Slow(delay), .. }) => from + *delay * 2,
--- a/crates/ochrelead-verify/src/soak/trial.rs
+++ b/crates/ochrelead-verify/src/soak/trial.rs
@@ -119,6 +119,8 @@
     former_servers: Mutex<Vec<Server>>,
     coordinators: Mutex<Vec<Coordinator>>,
     processes: Vec<Mutex<NodeProcess>>,
+    /// How often each node was started again.
+    starts: Vec<AtomicU64>,
     traffic: Vec<Arc<NodeTraffic>>,
     scheduler: Scheduler,
     /// Counts addresses and seeds that were given out.
@@ -194,6 +196,7 @@
             servers: Mutex::new(servers),
             former_servers: Mutex::default(),
             coordinators: Mutex::new(coordinators),
+            starts: processes.iter().map(|_| AtomicU64::new(0)).collect(),
             processes,
             traffic,
             scheduler: Scheduler::start(),
@@ -261,19 +264,24 @@
     }
 
     /// Moves a node's coordinator to a new address and signals the node.
-    fn move_coordinator(&self, node: usize) -> Result<(), TrialError> {
+    fn move_coordinator(self: &Arc<Self>, node: usize) -> Result<(), TrialError> {
         let at = address(self.config.subnet, COORDINATOR_NET, self.next_number(), COORDINATOR_PORT);
         let coordinator = Coordinator::start(node, at, self.list.clone(), self.recorder.clone())
             .map_err(failed(format!("next coordinator of n{node}")))?;
         let former = std::mem::replace(&mut lock(&self.coordinators)[node], coordinator.clone());
         coordinator.set_write_faults(former.write_faults());
         former.retire();
-        self.write_configuration(node)?;
         self.recorder.record(Event::DiscoveryMoved { node });
-        // A node that leaves needs no signal: the next one reads the new file.
-        if let Ok(process) = self.processes[node].try_lock() {
-            let _ = process.signal(Signal::HUP);
-        }
+        self.write_configuration(node)?;
+        let starts = self.starts[node].load(Ordering::Relaxed);
+        let trial = self.clone();
+        thread::spawn(move || {
+            let process = lock(&trial.processes[node]);
+            // One that was started meanwhile has read the new file.
+            if trial.starts[node].load(Ordering::Relaxed) == starts {
+                let _ = process.signal(Signal::HUP);
+            }
+        });
         Ok(())
     }
 
@@ -340,6 +348,7 @@
             NodeProcess::start(&self.config.program, &files, &self.config.log_level)
                 .map_err(failed(format!("n{node}")))
         });
+        self.starts[node].fetch_add(1, Ordering::Relaxed);
         match started {
             Ok(next) => *process = next,
             Err(error) => eprintln!("{error}"),
