--- a/crates/ochrelead-node/src/engine/server_side.rs
+++ b/crates/ochrelead-node/src/engine/server_side.rs
@@ -76,6 +76,8 @@
             &headers,
             call.description.as_bytes(),
         );
+        let server_id = &self.servers.get(server).id;
+        debug!(call = %call.id.as_str(), server = server_id, connection = id.0, sequence, "INVITE sent");
         self.outputs.push_back(Output::SendToServer(id, bytes));
         self.calls.set_phase(session, Phase::Inviting(Invite { connection: Some(id), ..invite }));
         if let Some(connection) = self.servers.connection_mut(id) {
