Play short waits, idle limits, resets and bad callers' dues in the soak

New in the soak: callers that leave 1 to 60 ms, servers that close idle connections after 1.2 or 2.5 s as the settings say, connections that are reset (SO_LINGER 0) under INVITEs beside those that are closed, and bad callers that are owed a refusal or a close within 3 s, each judged. The server's state and the bad callers have modules of their own.

--- a/crates/ochrelead-verify/src/soak.rs
+++ b/crates/ochrelead-verify/src/soak.rs
@@ -5,6 +5,7 @@
 //! rules were broken, each with the events that show it.
 
 pub mod auditor;
+pub mod bad_callers;
 pub mod caller;
 pub mod coordinator;
 pub mod history;
@@ -16,6 +17,7 @@
 pub mod scheduler;
 pub mod server;
 pub mod server_list;
+mod server_state;
 pub mod sip_text;
 pub mod told;
 pub mod traffic;
--- a/crates/ochrelead-verify/src/soak/history.rs
+++ b/crates/ochrelead-verify/src/soak/history.rs
@@ -151,6 +151,11 @@
         /// The call.
         call: CallNumber,
     },
+    /// A node neither answered nor closed a connection on which a caller had sent what it can't use, in time.
+    BadInputIgnored {
+        /// The node's number.
+        node: usize,
+    },
     /// An INVITE arrived whole.
     InviteArrived {
         /// The server's id.
@@ -159,6 +164,8 @@
         call: CallNumber,
         /// The sequence number.
         sequence: u32,
+        /// The earliest that its first byte can have been sent, where the server read it late.
+        buffered_since: Option<Duration>,
     },
     /// A server released a call that stands, on a connection that was open.
     Released {
--- a/crates/ochrelead-verify/src/soak/incidents.rs
+++ b/crates/ochrelead-verify/src/soak/incidents.rs
@@ -164,8 +164,13 @@
     fn draw_lost_server(&mut self, rng: &mut impl Rng) {
         let server = draw_server(rng);
         self.push(0, Step::CloseIdle((server + 1) % SERVERS));
-        let behaviours =
-            [Behaviour::Resetting, Behaviour::Vanished, Behaviour::AcceptingLate, Behaviour::Forgetful];
+        let behaviours = [
+            Behaviour::Closing,
+            Behaviour::Resetting,
+            Behaviour::Vanished,
+            Behaviour::AcceptingLate,
+            Behaviour::Forgetful,
+        ];
         let behaviour = behaviours[rng.random_range(0..behaviours.len())];
         self.push(0, Step::Behave { server, behaviour, length: millis(1_500) });
         self.push(1_000, Step::Replace { server, drain_time: millis(1_500) });
--- a/crates/ochrelead-verify/src/soak/trial/server_changes.rs
+++ b/crates/ochrelead-verify/src/soak/trial/server_changes.rs
@@ -25,7 +25,7 @@
 impl Trial {
     /// A server drains and another takes its number, in one event; the former is removed later.
     pub(super) fn replace_server(&self, number: usize, drain_time: Duration) -> Result<(), TrialError> {
-        let next = start_server(&self.config, self.settings.nodes, self.next_number(), &self.recorder)?;
+        let next = start_server(&self.config, &self.settings, self.next_number(), &self.recorder)?;
         let former = std::mem::replace(&mut lock(&self.servers)[number], next.clone());
         lock(&self.former_servers).push(former.clone());
         let up = listed_server(&next, number, Lifecycle::Up, unix_millis());
@@ -40,7 +40,7 @@
 
     /// A server's process dies; the list says so later, and names its successor.
     pub(super) fn crash_server(&self, number: usize) -> Result<(), TrialError> {
-        let next = start_server(&self.config, self.settings.nodes, self.next_number(), &self.recorder)?;
+        let next = start_server(&self.config, &self.settings, self.next_number(), &self.recorder)?;
         let former = std::mem::replace(&mut lock(&self.servers)[number], next.clone());
         former.stop();
         let (list, recorder) = (self.list.clone(), self.recorder.clone());
