--- a/review/harness/standins.rs
+++ b/review/harness/standins.rs
@@ -323,6 +323,7 @@
 
     /// Ends the process: its connections are reset, its calls are cut, and its address refuses connections.
     pub fn die(&self) {
+        *lock(&self.listening) = None;
         let mut state = lock(&self.state);
         state.running = false;
         let cut: Vec<&String> = state.standing.keys().collect();
@@ -337,8 +338,12 @@
 
     /// Starts a new process at the same address, which knows no call.
     pub fn start_again(self: &Arc<Self>) {
-        let listener = TcpListener::bind(self.address)
-            .unwrap_or_else(|error| could_not_run(&format!("listen again: {error}")));
+        let mut listener = None;
+        wait_until(ms(500), || {
+            listener = TcpListener::bind(self.address).ok();
+            listener.is_some()
+        });
+        let listener = listener.unwrap_or_else(|| could_not_run("the server's address is not free again"));
         self.clone().run(listener);
     }
 
