Review case 3: a restarted front sends a release on no caller's connection

Cause: releases without a connection go to callers on which a call was set up, or to the next set-up; after a restart in a quiet time there is neither. Change: review/3 with its claim and test; the stand-in of a server is simpler and its address is free after its end.

--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,5 +1,5 @@
-//! Case 3: after a quiet time two connections to a healthy signalling server come up late. The front node takes the
-//! server for dead and tells its callers that their calls are over; they still stand at the server.
+//! Case 3: after a planned restart of a front node, in a quiet time, the release of a call is sent on none of the
+//! connections that callers open, as long as none of them sets up a new call.
 
 #[path = "../harness/standins.rs"]
 mod standins;
@@ -7,16 +7,25 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use standins::*;
 
-const CALLS: u64 = 3;
+/// The bounds of the rule, each with the 50 ms by which limits are longer on sockets.
+const BOUND_ONCE_POSSIBLE: Duration = Duration::from_millis(1_050);
+const BOUND: Duration = Duration::from_millis(8_050);
+const CALLS: u64 = 5;
+/// After this time callers close a connection without a call on it.
+const CALLER_IDLE: Duration = Duration::from_secs(4);
 
 fn call_id(number: u64) -> String {
     format!("{:016x}", 0xf_0000 + number)
 }
 
+fn key(number: u64) -> String {
+    format!("f3a9c21e0b4d655{number}")
+}
+
 fn run() -> i32 {
     let rec = Record::create(Path::new("record.txt"));
     let folder = Folder::create("3");
@@ -26,11 +35,12 @@
         (0..2).map(|number| instance(&servers[number].id, servers[number].address, number as u64, "up", 0)).collect();
     let coordinator = Coordinator::start(&list, &rec);
     let book = Arc::new(Book::default());
-    let mut node = Node::start(&folder, free_address(), &coordinator, "8c1f30d27a5be964", &rec);
-    let caller = node.wait_ready(&book, &rec);
+    let listen = free_address();
+    let mut node = Node::start(&folder, listen, &coordinator, "8c1f30d27a5be964", &rec);
+    let mut caller = node.wait_ready(&book, &rec);
     for number in 0..CALLS {
-        caller.set_up(&call_id(number), &format!("f3a9c21e0b4d655{number}"), 0, 3_000);
-        thread::sleep(ms(400));
+        caller.set_up(&call_id(number), &key(number), 0, 3_000);
+        thread::sleep(ms(300));
     }
     let stands = |number: u64| {
         let call = book.call(&call_id(number));
@@ -41,49 +51,72 @@
         rec.say("the calls do not stand at the first server");
         return COULD_NOT_RUN;
     }
-    // Quiet at the first server, but for the calls that stand there; a call now and then at the second one.
-    let mut next = 0x1000_u64;
-    let mut quiet = |until: Instant| {
-        while Instant::now() < until {
-            next += 1;
-            let id = format!("{next:016x}");
-            caller.set_up(&id, &id, 1, 3_000);
-            let left = until.saturating_duration_since(Instant::now());
-            thread::sleep(left.min(ms(700)));
-        }
-    };
-    quiet(Instant::now() + ms(8_000));
-    // The node tests a server from which it has heard nothing for 2 s by a new connection. From shortly before that,
-    // connections to it come up a second late.
-    quiet(servers[0].last_written() + ms(1_900));
+
     if has_trouble() {
-        servers[0].delay_connections(ms(1_000));
+        // A planned restart: nothing is sent to the node after SIGTERM, and it ends by itself.
+        node.signal(SIGTERM);
+        if !wait_until(Duration::from_secs(10), || node.exit().is_some()) {
+            append_log(&folder, &rec);
+            rec.say("the node does not end after SIGTERM");
+            return COULD_NOT_RUN;
+        }
+        rec.log("node has ended");
+        node = Node::start(&folder, listen, &coordinator, "0d41c27a5be9648c", &rec);
+        caller = node.wait_ready(&book, &rec);
+        for number in 0..CALLS {
+            caller.name_standing(&call_id(number), &key(number), 0, &servers[0].id);
+        }
+        // No call was set up on this connection; the caller closes it after its usual time.
+        thread::sleep(CALLER_IDLE);
+        caller.close();
+    } else {
+        // The calls stand on the connection on which they were set up, and it stays open.
+        thread::sleep(CALLER_IDLE);
     }
-    quiet(Instant::now() + ms(6_000));
+    thread::sleep(ms(500));
 
-    let mut code = HELD;
-    for number in 0..CALLS {
-        let id = call_id(number);
-        let stands = servers[0].has_standing(&id);
-        match book.call(&id).down {
-            Some((_, cause)) if stands => {
-                rec.say(format!("BROKEN: the caller of {id} got a release (cause {cause}); the call stands at the server"));
-                code = BROKEN;
-            }
-            down => rec.log(format!("call {id}: stands at the server: {stands}, released: {}", down.is_some())),
-        }
+    // A quiet time: the server ends the first call, and callers end the others one by one. No new call comes.
+    let ended_at = Instant::now();
+    servers[0].release(&call_id(0), 16);
+    let mut released_at = None;
+    let mut connection_open_for = Duration::ZERO;
+    for number in 1..CALLS {
+        thread::sleep(ms(500));
+        let Some(other) = Caller::connect(listen, &book, &rec) else {
+            append_log(&folder, &rec);
+            rec.say("the node accepts no connection");
+            return BROKEN;
+        };
+        let opened_at = Instant::now();
+        other.hang_up(&call_id(number));
+        wait_until(CALLER_IDLE, || !other.is_open());
+        connection_open_for = connection_open_for.max(opened_at.elapsed());
+        other.close();
+        released_at = book.call(&call_id(0)).down.map(|(at, _)| at);
     }
-    // The calls end.
-    (0..CALLS).for_each(|number| servers[0].release(&call_id(number), 16));
-    thread::sleep(ms(1_500));
-    let released = (0..CALLS).filter(|number| book.call(&call_id(*number)).downs > 0).count();
-    rec.say(format!("released after the end of the calls: {released} of {CALLS}"));
+    let waited = ended_at.elapsed();
     append_log(&folder, &rec);
     if let Some(exit) = node.exit() {
         rec.say(format!("the node has ended: {exit}"));
         return BROKEN;
     }
-    code
+    if connection_open_for < BOUND_ONCE_POSSIBLE || waited < BOUND {
+        rec.say(format!("too short to judge: {connection_open_for:?}, {waited:?}"));
+        return COULD_NOT_RUN;
+    }
+    match released_at.map(|at| at.saturating_duration_since(ended_at)) {
+        Some(after) if after <= BOUND => {
+            rec.say(format!("held: the caller got the release {after:?} after the end of the call"));
+            HELD
+        }
+        late => {
+            rec.say(format!(
+                "BROKEN: no release within {BOUND:?} of the end of the call (seen for {waited:?}; released after: {late:?}), \
+                 though callers' connections were open for up to {connection_open_for:?} each"
+            ));
+            BROKEN
+        }
+    }
 }
 
 fn main() {
--- a/review/harness/standins.rs
+++ b/review/harness/standins.rs
@@ -35,7 +35,6 @@
 unsafe extern "C" {
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
-    fn listen(fd: i32, backlog: i32) -> i32;
 }
 
 /// Makes the close of the socket a reset.
@@ -157,21 +156,8 @@
 }
 
 fn accept_until(listener: &TcpListener, stopped: impl Fn() -> bool, mut each: impl FnMut(TcpStream)) {
-    accept_unless(listener, stopped, || false, &mut each);
-}
-
-fn accept_unless(
-    listener: &TcpListener,
-    stopped: impl Fn() -> bool,
-    paused: impl Fn() -> bool,
-    each: &mut dyn FnMut(TcpStream),
-) {
     let _ = listener.set_nonblocking(true);
     while !stopped() {
-        if paused() {
-            thread::sleep(ms(2));
-            continue;
-        }
         match listener.accept() {
             Ok((stream, _)) => each(stream),
             Err(_) => thread::sleep(ms(2)),
@@ -252,9 +238,6 @@
     rec: Rec,
     answer_after: Duration,
     hold: Duration,
-    accept_paused: AtomicBool,
-    listening: Mutex<Option<Arc<TcpListener>>>,
-    last_written: Mutex<Instant>,
 }
 
 impl Server {
@@ -267,9 +250,6 @@
             rec: rec.clone(),
             answer_after,
             hold,
-            accept_paused: AtomicBool::new(false),
-            listening: Mutex::new(None),
-            last_written: Mutex::new(Instant::now()),
         });
         server.clone().run(listener);
         server
@@ -283,12 +263,9 @@
             state.process
         };
         self.rec.log(format!("{} process {process} listens", self.id));
-        let listener = Arc::new(listener);
-        *lock(&self.listening) = Some(listener.clone());
         thread::spawn(move || {
             let is_over = || !self.is_process(process);
-            let is_paused = || self.accept_paused.load(Ordering::SeqCst);
-            accept_unless(&listener, is_over, is_paused, &mut |stream| {
+            accept_until(&listener, is_over, |stream| {
                 let link = Link::new(stream);
                 let server = self.clone();
                 thread::spawn(move || server.serve(process, &link));
@@ -296,26 +273,6 @@
         });
     }
 
-    /// Lets no new connection come up for this time: the accept queue is kept full, so that the system drops the first
-    /// packet of each connection; the peer's system sends it again a second later, and then the connection comes up.
-    /// Open connections are not affected.
-    pub fn delay_connections(&self, span: Duration) {
-        let Some(listener) = lock(&self.listening).clone() else { return };
-        self.accept_paused.store(true, Ordering::SeqCst);
-        unsafe { listen(listener.as_raw_fd(), 0) };
-        let filler = TcpStream::connect_timeout(&self.address, ms(200));
-        self.rec.log(format!("{} new connections come up late from now on ({})", self.id, filler.is_ok()));
-        thread::sleep(span);
-        unsafe { listen(listener.as_raw_fd(), 128) };
-        self.accept_paused.store(false, Ordering::SeqCst);
-        self.rec.log(format!("{} new connections come up at once again", self.id));
-    }
-
-    /// When the server last wrote a message or accepted a connection.
-    pub fn last_written(&self) -> Instant {
-        *lock(&self.last_written)
-    }
-
     fn is_process(&self, process: u64) -> bool {
         let state = lock(&self.state);
         state.running && state.process == process
@@ -323,7 +280,6 @@
 
     /// Ends the process: its connections are reset, its calls are cut, and its address refuses connections.
     pub fn die(&self) {
-        *lock(&self.listening) = None;
         let mut state = lock(&self.state);
         state.running = false;
         let cut: Vec<&String> = state.standing.keys().collect();
@@ -365,7 +321,6 @@
             state.links.insert(link.number, link.clone());
             state.unheard.clone()
         };
-        *lock(&self.last_written) = Instant::now();
         self.rec.log(format!("{} connection {} opened", self.id, link.number));
         for (call, cause) in again {
             self.send_bye(link, &call, cause);
@@ -433,7 +388,6 @@
         }
         let body = format!("{call}\r\n{DESCRIPTION}");
         link.send(&sip("SIP/2.0 200 OK", call, cseq, "", &body));
-        *lock(&self.last_written) = Instant::now();
         self.rec.log(format!("{} connection {} answered call {call}", self.id, link.number));
         true
     }
@@ -441,7 +395,6 @@
     fn send_bye(&self, link: &Arc<Link>, call: &str, cause: u32) {
         let reason = format!("Reason: Q.850;cause={cause}\r\n");
         let sent = link.send(&sip("BYE sip:peer@net SIP/2.0", call, "2 BYE", &reason, ""));
-        *lock(&self.last_written) = Instant::now();
         self.rec.log(format!("{} connection {} releases call {call}, written: {sent}", self.id, link.number));
     }
 
@@ -766,6 +719,11 @@
         self.send_line(&Caller::set_up_line(id, key, &extras, left))
     }
 
+    /// Ends a call.
+    pub fn hang_up(&self, id: &str) -> bool {
+        self.send_line(&format!("{{\"t\":\"down\",\"ref\":\"{id}\",\"f\":{{}},\"c\":16}}"))
+    }
+
     /// Names a call that stands at a server already.
     pub fn name_standing(&self, id: &str, key: &str, destination: u64, server: &str) -> bool {
         let extras = format!("dest:{destination};width:1;via:-1;at:{server}");
