--- a/review/harness/standins.rs
+++ b/review/harness/standins.rs
@@ -165,13 +165,19 @@
     }
 }
 
-pub fn listener() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| could_not_run(&format!("listen: {error}")))
+/// The loopback addresses of front nodes, of servers, and of all others. Connections are opened from the last one, so
+/// that none can take the port of a node or server that is away for a moment.
+const NODES: &str = "127.0.0.2:0";
+const SERVERS: &str = "127.0.0.3:0";
+const OTHERS: &str = "127.0.0.1:0";
+
+fn listener(address: &str) -> TcpListener {
+    TcpListener::bind(address).unwrap_or_else(|error| could_not_run(&format!("listen: {error}")))
 }
 
-/// A free address of the loopback interface.
+/// A free address for a front node.
 pub fn free_address() -> SocketAddr {
-    listener().local_addr().unwrap()
+    listener(NODES).local_addr().unwrap()
 }
 
 // ---- SIP ----
@@ -242,7 +248,7 @@
 
 impl Server {
     pub fn start(id: &str, answer_after: Duration, hold: Duration, rec: &Rec) -> Arc<Server> {
-        let listener = listener();
+        let listener = listener(SERVERS);
         let server = Arc::new(Server {
             id: id.to_owned(),
             address: listener.local_addr().unwrap(),
@@ -426,7 +432,7 @@
 
 impl Relay {
     pub fn start(to: SocketAddr, rec: &Rec) -> Arc<Relay> {
-        let listener = listener();
+        let listener = listener(OTHERS);
         let relay = Arc::new(Relay {
             address: listener.local_addr().unwrap(),
             cut_release_of: Mutex::new(None),
@@ -513,7 +519,7 @@
 
 impl Coordinator {
     pub fn start(first: &[String], rec: &Rec) -> Arc<Coordinator> {
-        let listener = listener();
+        let listener = listener(OTHERS);
         let coordinator = Arc::new(Coordinator {
             address: listener.local_addr().unwrap(),
             events: Mutex::new(Vec::new()),
