--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -23,11 +23,11 @@
     let rec = Record::create(Path::new("record.txt"));
     let folder = Folder::create("2");
     let servers: Vec<Arc<Server>> =
-        (0..2).map(|number| Server::start(&format!("s-{number:08x}"), ms(40), ms(3_000), &rec)).collect();
+        (0..4).map(|number| Server::start(&format!("s-{number:08x}"), ms(40), ms(3_000), &rec)).collect();
     let entry = |number: usize, started: u64| {
         instance(&servers[number].id, servers[number].address, number as u64, "up", started)
     };
-    let coordinator = Coordinator::start(&[entry(0, 0), entry(1, 0)], &rec);
+    let coordinator = Coordinator::start(&[entry(0, 0), entry(1, 0), entry(2, 0), entry(3, 0)], &rec);
     let listen = free_address();
     let book = Arc::new(Book::default());
     let mut node = Node::start(&folder, listen, &coordinator, "8c1f30d27a5be964", &rec);
@@ -80,7 +80,7 @@
         while Instant::now() < end {
             next += 1;
             let id = format!("{next:016x}");
-            caller.set_up(&id, &id, next % 2, 3_000);
+            caller.set_up(&id, &id, next % 4, 3_000);
             thread::sleep(ms(350));
         }
     };
