--- a/review/harness/standins.rs
+++ b/review/harness/standins.rs
@@ -88,8 +88,14 @@
     }
 }
 
+/// The node that runs, which ends with the case also where the case can't go on.
+static RUNNING_NODE: Mutex<Option<i32>> = Mutex::new(None);
+
 pub fn could_not_run(text: &str) -> ! {
     println!("could not run: {text}");
+    if let Some(node) = lock(&RUNNING_NODE).take() {
+        unsafe { kill(node, SIGKILL) };
+    }
     std::process::exit(COULD_NOT_RUN)
 }
 
@@ -827,6 +833,7 @@
             .spawn()
             .unwrap_or_else(|error| could_not_run(&format!("start of the node: {error}")));
         rec.log(format!("node started, process {}", process.id()));
+        *lock(&RUNNING_NODE) = Some(process.id() as i32);
         Node { process, listen, rec: rec.clone() }
     }
 
@@ -835,9 +842,17 @@
         unsafe { kill(self.process.id() as i32, signal) };
     }
 
+    fn forget(&self) {
+        let mut running = lock(&RUNNING_NODE);
+        if *running == Some(self.process.id() as i32) {
+            *running = None;
+        }
+    }
+
     /// The exit code, if the node has ended.
     pub fn exit(&mut self) -> Option<String> {
         let status = self.process.try_wait().ok()??;
+        self.forget();
         Some(status.to_string())
     }
 
@@ -858,6 +873,7 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
+        self.forget();
         let _ = self.process.kill();
         let _ = self.process.wait();
     }
