Tell the engine how a connection to a server ended, and log it

The engine could not tell a reset from an orderly close: both came as a disconnect that was not refused.

--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -158,9 +158,7 @@
             Input::InputDrained(caller) => self.on_input_drained(caller),
             Input::ServerConnected(connection) => self.on_server_connected(connection),
             Input::ServerData(connection, bytes) => self.on_server_data(connection, bytes),
-            Input::ServerDisconnected { connection, refused } => {
-                self.on_server_disconnected(connection, refused);
-            }
+            Input::ServerDisconnected { connection, end } => self.on_server_disconnected(connection, end),
             Input::WatchConnected(watch) => self.watch.on_connected(watch, self.now),
             Input::WatchData(watch, bytes) => {
                 for change in &self.watch.on_data(watch, bytes, self.now) {
--- a/crates/ochrelead-node/src/engine/server_connections.rs
+++ b/crates/ochrelead-node/src/engine/server_connections.rs
@@ -12,8 +12,8 @@
 use super::{CALL_END_LOG, Engine};
 use crate::bounds::protocol;
 use crate::call_table::Phase;
-use crate::io::{Output, ServerConnectionId};
-use crate::server_table::{ConnectionState, ServerTransition};
+use crate::io::{ConnectionEnd, Output, ServerConnectionId};
+use crate::server_table::{ConnectionState, ServerConnection, ServerTransition};
 
 /// Idle connections kept open to each server in service, so that an INVITE need not wait for a new connection when up
 /// to that many break.
@@ -51,15 +51,13 @@
         }
     }
 
-    pub(super) fn on_server_disconnected(&mut self, id: ServerConnectionId, refused: bool) {
+    pub(super) fn on_server_disconnected(&mut self, id: ServerConnectionId, end: ConnectionEnd) {
         let Some(connection) = self.servers.remove_connection(id) else { return };
         let server_ix = connection.server;
+        self.log_connection_end(id, &connection, end);
         if connection.state == ConnectionState::HalfClosed {
             return;
         }
-        let in_flight = connection.sessions.len();
-        let (server, state) = (&self.servers.get(server_ix).id, connection.state);
-        debug!(server, connection = id.0, ?state, in_flight, refused, "connection to server ended");
         let is_cut_off = connection.partial_since.is_some() || !connection.sessions.is_empty();
         for session in connection.sessions {
             self.end_invite(session, InviteOutcome::Reset);
@@ -73,6 +71,7 @@
         if is_cut_off && !ended_early {
             self.expect_repeated_releases(server_ix);
         }
+        let refused = end == ConnectionEnd::Refused;
         if refused || ended_early {
             // A server that refuses a connection while others are open accepts no more of them for the time being.
             let delay = if refused && has_others { self.connect_timeout * 2 } else { retry_delay };
@@ -85,6 +84,13 @@
         self.maintenance_at = self.now;
     }
 
+    fn log_connection_end(&self, id: ServerConnectionId, connection: &ServerConnection, end: ConnectionEnd) {
+        let server = &self.servers.get(connection.server).id;
+        let (state, in_flight) = (connection.state, connection.sessions.len());
+        let established = self.calls.established_at(connection.server).count();
+        debug!(server, connection = id.0, ?state, ?end, in_flight, established, "connection to server ended");
+    }
+
     /// Shuts an idle connection down for writing, and reads it until the server closes it too: a release may be in
     /// flight on it, which the server would not send again.
     fn half_close(&mut self, id: ServerConnectionId) {
@@ -103,7 +109,7 @@
         if let Some(server) = open.map(|connection| connection.server) {
             self.expect_repeated_releases(server);
         }
-        self.on_server_disconnected(id, false);
+        self.on_server_disconnected(id, ConnectionEnd::Reset);
     }
 
     /// Marks a server with established calls as needing a new connection, after one was aborted or ended within a
--- a/crates/ochrelead-node/src/host/connections.rs
+++ b/crates/ochrelead-node/src/host/connections.rs
@@ -16,7 +16,7 @@
 use super::connection::{CloseMode, CloseState, Connection, ReadOutcome, Remote, write_now};
 use super::engine_handle::EngineHandle;
 use crate::bounds::protocol;
-use crate::io::{CallerId, Input, WatchId};
+use crate::io::{CallerId, ConnectionEnd, Input, WatchId};
 
 /// The maximum number of consecutive reads of one connection while its input is drained, so that one caller can't
 /// starve the others.
@@ -162,7 +162,7 @@
                 ReadOutcome::WouldBlock
             }
             Err(_) => {
-                self.on_closed(engine, remote, false);
+                self.on_closed(engine, remote, ConnectionEnd::Reset);
                 ReadOutcome::End
             }
         }
@@ -184,7 +184,7 @@
             }
             engine.handle_input(Input::CallerHalfClosed(caller));
         } else {
-            self.on_closed(engine, remote, false);
+            self.on_closed(engine, remote, ConnectionEnd::Closed);
         }
         ReadOutcome::End
     }
@@ -273,7 +273,7 @@
         let has_writer = !connection.write_queue.is_empty();
         let written = if has_writer { Ok(0) } else { write_now(stream, bytes) };
         let Ok(written) = written else {
-            self.on_closed(engine, remote, false);
+            self.on_closed(engine, remote, ConnectionEnd::Reset);
             return false;
         };
         let unwritten = &bytes[written..];
@@ -281,7 +281,7 @@
         if is_blocked || connection.write_queue.len() + unwritten.len() > engine.engine.max_unwritten_bytes()
         {
             debug!(?remote, "connection closed: peer reads too slowly");
-            self.on_closed(engine, remote, false);
+            self.on_closed(engine, remote, ConnectionEnd::Reset);
             return false;
         }
         connection.write_queue.extend_from_slice(unwritten);
@@ -327,13 +327,13 @@
         }
     }
 
-    /// Removes a connection that has failed or that the peer has closed, and reports it to the engine. `refused` tells
-    /// whether the peer refused the connection attempt.
-    pub(super) fn on_closed(&mut self, engine: &mut EngineHandle, remote: Remote, refused: bool) {
+    /// Removes a connection that has failed or that the peer has closed, and reports it to the engine. A connection
+    /// that the node gives up counts as reset: its unread input is lost.
+    pub(super) fn on_closed(&mut self, engine: &mut EngineHandle, remote: Remote, end: ConnectionEnd) {
         if self.remove(remote) {
             engine.handle_input(match remote {
                 Remote::Caller(caller) => Input::CallerDisconnected(caller),
-                Remote::Server(connection) => Input::ServerDisconnected { connection, refused },
+                Remote::Server(connection) => Input::ServerDisconnected { connection, end },
                 Remote::Coordinator(watch) => Input::WatchDisconnected(watch),
             });
         }
--- a/crates/ochrelead-node/src/host/sockets.rs
+++ b/crates/ochrelead-node/src/host/sockets.rs
@@ -14,7 +14,7 @@
 use super::connections::ConnectionTable;
 use super::{Host, State};
 use crate::bounds::protocol;
-use crate::io::Input;
+use crate::io::{ConnectionEnd, Input};
 
 /// The delay before the next attempt after `accept` failed, for example for want of descriptors: other connections end
 /// soon.
@@ -88,7 +88,8 @@
             Err(error) => {
                 debug!(?remote, %address, %error, "connection attempt failed");
                 let refused = error.kind() == ErrorKind::ConnectionRefused;
-                self.on_disconnected(remote, refused);
+                let end = if refused { ConnectionEnd::Refused } else { ConnectionEnd::Reset };
+                self.on_disconnected(remote, end);
                 return;
             }
         };
@@ -113,10 +114,10 @@
         true
     }
 
-    fn on_disconnected(&self, remote: Remote, refused: bool) {
+    fn on_disconnected(&self, remote: Remote, end: ConnectionEnd) {
         let mut state = self.state.borrow_mut();
         let State { engine, connections, .. } = &mut *state;
-        connections.on_closed(engine, remote, refused);
+        connections.on_closed(engine, remote, end);
     }
 
     // ---- Read ----
@@ -167,7 +168,7 @@
             match write_once(connections, remote, &stream, is_writable) {
                 WriteProgress::Blocked => {}
                 WriteProgress::Gone => return,
-                WriteProgress::Failed => return connections.on_closed(engine, remote, false),
+                WriteProgress::Failed => return connections.on_closed(engine, remote, ConnectionEnd::Reset),
                 WriteProgress::Complete => {
                     connections.on_written(engine, remote);
                     engine.wake();
--- a/crates/ochrelead-node/src/io.rs
+++ b/crates/ochrelead-node/src/io.rs
@@ -16,6 +16,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WatchId(pub u64);
 
+/// How a connection to a signalling server ended, or why it could not be established.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The server closed it in order: all that it sent has been received.
+    Closed,
+    /// The connection was reset, or the attempt failed. What either side sent last may be lost.
+    Reset,
+    /// The attempt was refused: no process listens at the address.
+    Refused,
+}
+
 /// An event that the host reports to the engine.
 #[derive(Clone, Copy, Debug)]
 pub enum Input<'a> {
@@ -37,8 +48,8 @@
     ServerDisconnected {
         /// The connection.
         connection: ServerConnectionId,
-        /// Whether the connection attempt was refused because no process listens at the address.
-        refused: bool,
+        /// How it ended.
+        end: ConnectionEnd,
     },
     /// The connection to the coordinator is established.
     WatchConnected(WatchId),
--- a/crates/ochrelead-node/tests/call_ends.rs
+++ b/crates/ochrelead-node/tests/call_ends.rs
@@ -4,7 +4,7 @@
 mod helper;
 
 use helper::{EstablishedCalls, Response, TestNode, call_id, endpoint, event};
-use ochrelead_node::io::ServerConnectionId;
+use ochrelead_node::io::{ConnectionEnd, ServerConnectionId};
 use serde_json::{Value, json};
 use test_case::test_matrix;
 
@@ -52,7 +52,7 @@
         }
         CallEnd::ReleasedOnHalfClosedConnection => node.server_releases(*half_closed, 7, 16),
         CallEnd::ReleaseRepeatedOnNextConnection => {
-            node.disconnect_server(connection, false);
+            node.disconnect_server(connection, ConnectionEnd::Closed);
             node.advance(200);
             let next = *node.connections_to_server_1().iter().max().unwrap();
             node.server_releases(next, 7, 16);
@@ -83,15 +83,15 @@
 
 fn kill_server(node: &mut TestNode, connections: &[ServerConnectionId]) {
     node.connects_succeed = false;
-    connections.iter().for_each(|connection| node.disconnect_server(*connection, false));
+    connections.iter().for_each(|connection| node.disconnect_server(*connection, ConnectionEnd::Closed));
     node.advance(100);
     let attempts = node.connections_to_server_1();
-    node.disconnect_server(*attempts.first().unwrap(), true);
+    node.disconnect_server(*attempts.first().unwrap(), ConnectionEnd::Refused);
 }
 
 fn remove_server(node: &mut TestNode, connections: &[ServerConnectionId]) {
     node.coordinator_updates(2, &json!([endpoint(1, 11, "draining", 0)]));
-    connections.iter().for_each(|connection| node.disconnect_server(*connection, false));
+    connections.iter().for_each(|connection| node.disconnect_server(*connection, ConnectionEnd::Closed));
     node.coordinator_sends(&format!("{}\n", event(3, false, &json!([endpoint(1, 11, "removed", 0)]))));
 }
 
--- a/crates/ochrelead-node/tests/call_setup.rs
+++ b/crates/ochrelead-node/tests/call_setup.rs
@@ -3,7 +3,7 @@
 mod helper;
 
 use helper::{DESCRIPTION, RELEASE_GUARD_MS, Response, TestNode, call_id, endpoint};
-use ochrelead_node::io::{CallerId, Input, Output};
+use ochrelead_node::io::{CallerId, ConnectionEnd, Input, Output};
 use serde_json::json;
 use test_case::test_case;
 
@@ -145,7 +145,7 @@
 fn waiting_invite_is_not_sent_after_its_caller_disconnects() {
     let mut node = TestNode::with_servers(1);
     for connection in node.connections.keys().copied().collect::<Vec<_>>() {
-        node.disconnect_server(connection, false);
+        node.disconnect_server(connection, ConnectionEnd::Closed);
     }
     node.connects_succeed = false;
     node.advance(200);
--- a/crates/ochrelead-node/tests/connections.rs
+++ b/crates/ochrelead-node/tests/connections.rs
@@ -3,7 +3,7 @@
 mod helper;
 
 use helper::{EstablishedCalls, Response, TestNode, call_id, endpoint, event};
-use ochrelead_node::io::{CallerId, Input, Output, ServerConnectionId};
+use ochrelead_node::io::{CallerId, ConnectionEnd, Input, Output, ServerConnectionId};
 use serde_json::json;
 use test_case::{test_case, test_matrix};
 
@@ -188,7 +188,7 @@
     );
     let connections = node.engine.load().server_connections;
     if server_closes {
-        node.disconnect_server(half_closed, false);
+        node.disconnect_server(half_closed, ConnectionEnd::Closed);
         assert_eq!(node.engine.load().server_connections, connections - 1);
     } else {
         node.advance(600);
@@ -256,8 +256,7 @@
     let before: Vec<ServerConnectionId> = node.connections.keys().copied().collect();
     assert!(before.len() > 2, "more connections than the node keeps idle");
     let closed = before[0];
-    node.connections.remove(&closed);
-    node.input_and_process(Input::ServerDisconnected { connection: closed, refused: false });
+    node.disconnect_server(closed, ConnectionEnd::Closed);
     node.advance(300);
     let opened = node.connections.keys().filter(|connection| !before.contains(connection)).count();
     assert_eq!(opened, 0);
--- a/crates/ochrelead-node/tests/event_orders.rs
+++ b/crates/ochrelead-node/tests/event_orders.rs
@@ -4,7 +4,7 @@
 mod helper;
 
 use helper::{Response, TestNode, call_id, endpoint};
-use ochrelead_node::io::{CallerId, Input, Output, ServerConnectionId};
+use ochrelead_node::io::{CallerId, ConnectionEnd, Input, Output, ServerConnectionId};
 use serde_json::json;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -101,7 +101,7 @@
             Event::ServerCloses => {
                 if let Some(SentInvite { connection, .. }) = self.open_invite() {
                     self.in_flight = self.in_flight.filter(|invite| invite.connection != connection);
-                    self.node.disconnect_server(connection, false);
+                    self.node.disconnect_server(connection, ConnectionEnd::Closed);
                 }
             }
             Event::ServerDrains => {
--- a/crates/ochrelead-node/tests/helper/mod.rs
+++ b/crates/ochrelead-node/tests/helper/mod.rs
@@ -7,7 +7,7 @@
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
 use ochrelead_node::engine::Engine;
-use ochrelead_node::io::{CallerId, Input, Output, ServerConnectionId, WatchAction, WatchId};
+use ochrelead_node::io::{CallerId, ConnectionEnd, Input, Output, ServerConnectionId, WatchAction, WatchId};
 use ochrelead_platform::configuration::{self, Configuration};
 use serde_json::{Value, json};
 
@@ -186,7 +186,7 @@
             Output::CloseServerConnection(connection) => _ = self.connections.remove(connection),
             Output::HalfCloseServerConnection(connection) if self.servers_close_too => {
                 self.connections.remove(connection);
-                self.input(Input::ServerDisconnected { connection: *connection, refused: false });
+                self.input(Input::ServerDisconnected { connection: *connection, end: ConnectionEnd::Closed });
             }
             Output::DrainInput(caller) if self.drains_input => self.input(Input::InputDrained(*caller)),
             Output::Watch(WatchAction::Connect { watch, address }) => {
@@ -280,9 +280,9 @@
         }
     }
 
-    pub(crate) fn disconnect_server(&mut self, connection: ServerConnectionId, refused: bool) {
+    pub(crate) fn disconnect_server(&mut self, connection: ServerConnectionId, end: ConnectionEnd) {
         self.connections.remove(&connection);
-        self.input_and_process(Input::ServerDisconnected { connection, refused });
+        self.input_and_process(Input::ServerDisconnected { connection, end });
     }
 
     // ---- The coordinator ----
