Request a connection again after one was reset, for the releases lost with it

Cause: on_server_disconnected requested a new connection only after one that ended within a message or with an INVITE in flight, and a reset came as the same input as an orderly close. The server repeats a release on the next connection that is opened, but with three spare connections left none was. The log shows end=Reset in_flight=0 established=5 and no connection afterwards.

Change: the end of a connection by a reset, or given up by the node, starts a release recovery while calls are established at that server: one new connection. Half-closed connections count too. Only a connection requested after the loss ends it. One that ends at once, with the releases repeated on it, is followed by another after a delay that doubles up to 2 s; then an idle connection beyond the spare ones is given up first. After the reset of an idle connection, each front waits its own part of the connect time-out, so that they do not connect all at once. An orderly close gets no replacement, as before.

--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -9,6 +9,7 @@
 mod call_setup;
 mod caller_side;
 mod observations;
+mod release_recovery;
 mod releases;
 mod requests;
 mod server_connections;
@@ -73,6 +74,8 @@
     bounds: Bounds,
     catalog: ServiceCatalog,
     connect_timeout: Span,
+    /// Varies the delays of this node from those of the others.
+    seed: u64,
     /// The idle time after which the node closes a connection to a server; `None` for no limit. It is shorter than the
     /// idle limit of the servers by the connect time-out, or by a quarter of the limit if that is less.
     max_idle: Option<Span>,
@@ -117,6 +120,7 @@
             bounds,
             catalog: ServiceCatalog::new(settings, &configuration.controller_config),
             connect_timeout,
+            seed: configuration.controller_config.seed,
             max_idle: settings.connection_idle_timeout().map(|limit| limit - connect_timeout.min(limit / 4)),
             calls: CallTable::default(),
             callers: CallerTable::default(),
--- a/crates/ochrelead-node/src/engine/server_connections.rs
+++ b/crates/ochrelead-node/src/engine/server_connections.rs
@@ -27,8 +27,8 @@
     missing: usize,
     /// Whether an INVITE or a release waits for an open connection.
     is_urgent: bool,
-    /// Whether the server has been silent for so long that a new connection is needed to probe it.
-    is_silent: bool,
+    /// Whether a new connection is needed even if others are idle: to probe a silent server, or for a release recovery.
+    needs_new: bool,
 }
 
 impl Engine {
@@ -39,8 +39,8 @@
         connection.last_used = self.now;
         let server_ix = connection.server;
         self.mark_server_alive(server_ix);
+        self.end_release_recovery(id);
         let server = self.servers.get_mut(server_ix);
-        server.awaits_repeated_releases = false;
         let waiting_invites = mem::take(&mut server.waiting_invites);
         let pending_releases = mem::take(&mut server.pending_releases);
         for call in pending_releases {
@@ -55,22 +55,16 @@
         let Some(connection) = self.servers.remove_connection(id) else { return };
         let server_ix = connection.server;
         self.log_connection_end(id, &connection, end);
+        self.recover_releases_after(id, &connection, end);
         if connection.state == ConnectionState::HalfClosed {
             return;
         }
-        let is_cut_off = connection.partial_since.is_some() || !connection.sessions.is_empty();
+        let ended_early = self.has_ended_early(&connection);
         for session in connection.sessions {
             self.end_invite(session, InviteOutcome::Reset);
         }
         let has_others = self.servers.has_open_connection(server_ix);
-        let retry_delay = self.connect_timeout / 8;
-        let ended_early = match connection.state {
-            ConnectionState::Connecting => true,
-            _ => self.now.since(connection.since) < retry_delay,
-        };
-        if is_cut_off && !ended_early {
-            self.expect_repeated_releases(server_ix);
-        }
+        let retry_delay = self.retry_delay();
         let refused = end == ConnectionEnd::Refused;
         if refused || ended_early {
             // A server that refuses a connection while others are open accepts no more of them for the time being.
@@ -104,22 +98,18 @@
     /// Closes a connection that sent an invalid message or has stalled. The INVITEs in flight on it fail.
     pub(super) fn abort_connection(&mut self, id: ServerConnectionId) {
         self.outputs.push_back(Output::CloseServerConnection(id));
-        let connection = self.servers.connection(id);
-        let open = connection.filter(|connection| connection.state == ConnectionState::Open);
-        if let Some(server) = open.map(|connection| connection.server) {
-            self.expect_repeated_releases(server);
-        }
         self.on_server_disconnected(id, ConnectionEnd::Reset);
     }
 
-    /// Marks a server with established calls as needing a new connection, after one was aborted or ended within a
-    /// message or with an INVITE in flight. A release may have been lost with it, and the server repeats that release
-    /// on its next connection. An orderly close loses nothing, and a server that closes connections because it has too
-    /// many must not get a replacement.
-    fn expect_repeated_releases(&mut self, server: ServerIx) {
-        if self.calls.has_established_at(server) {
-            self.servers.get_mut(server).awaits_repeated_releases = true;
-        }
+    /// The delay before another attempt after a connection that failed or ended at once.
+    pub(super) fn retry_delay(&self) -> Span {
+        self.connect_timeout / 8
+    }
+
+    /// Whether a connection was not established or ended at once.
+    pub(super) fn has_ended_early(&self, connection: &ServerConnection) -> bool {
+        connection.state == ConnectionState::Connecting
+            || self.now.since(connection.since) < self.retry_delay()
     }
 
     /// Ends all calls, INVITEs and connections of a server that has failed without notice.
@@ -193,6 +183,7 @@
 
     fn maintain_server(&mut self, server: ServerIx) {
         self.fail_overdue_invites(server);
+        self.drop_unneeded_recovery(server);
         if self.servers.get(server).is_gone() {
             return self.maintain_gone_server(server);
         }
@@ -200,12 +191,14 @@
         let demand = self.connection_demand(server, idle.len());
         let active = self.servers.active_count(server);
         let is_at_limit = active >= self.connection_limit();
-        if demand.is_silent && demand.missing > 0 && is_at_limit {
-            // The server is at its connection limit: an idle connection is closed to make room for a probe.
+        if demand.needs_new && demand.missing > 0 && (is_at_limit || self.may_be_full(server, idle.len())) {
+            // An idle connection is closed to make room for the new one.
             if let Some(oldest) = idle.first() {
                 self.half_close(*oldest);
             }
-            return;
+            if is_at_limit {
+                return;
+            }
         }
         self.open_missing_connections(server, &demand);
         self.close_unneeded_connections(&idle);
@@ -250,15 +243,17 @@
         let lacks_release_path = has_calls && !self.servers.has_open_connection(index);
         let mut wanted =
             if server.is_ready() { self.spare_connections() } else { usize::from(lacks_release_path) };
-        let needs_new = server.awaits_repeated_releases && has_calls;
-        if needs_new || (is_silent && (server.is_ready() || has_calls)) {
+        let needs_probe = is_silent && (server.is_ready() || has_calls);
+        if needs_probe {
             wanted = wanted.max(idle + 1);
         }
         wanted = wanted.max(usize::from(has_waiting));
+        let missing = wanted.saturating_sub(idle + self.servers.connecting_count(index));
+        let needs_recovery = self.is_recovery_due(index);
         ConnectionDemand {
-            missing: wanted.saturating_sub(idle + self.servers.connecting_count(index)),
+            missing: missing.max(usize::from(needs_recovery)),
             is_urgent: has_waiting || lacks_release_path,
-            is_silent,
+            needs_new: needs_recovery || needs_probe,
         }
     }
 
--- a/crates/ochrelead-node/src/server_table.rs
+++ b/crates/ochrelead-node/src/server_table.rs
@@ -21,6 +21,17 @@
 
 pub(crate) use connections::{ConnectionState, ServerConnection};
 
+/// Releases of a server may have been lost with a connection. The server repeats them on the next connection that is
+/// opened.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReleaseRecovery {
+    /// The last connection requested before the loss, to any server. The server may have accepted it, or an earlier one,
+    /// before it sent the release that was lost.
+    pub(crate) last_before: ServerConnectionId,
+    /// When to request a new connection.
+    pub(crate) due_at: Moment,
+}
+
 /// One signalling server.
 #[derive(Debug)]
 pub(crate) struct Server {
@@ -45,8 +56,10 @@
     pub(crate) failed_connects: u32,
     /// The earliest time of the next connection attempt.
     pub(crate) reconnect_at: Moment,
-    /// Whether a release may have been lost with a connection that ended. The server repeats it on the next connection.
-    pub(crate) awaits_repeated_releases: bool,
+    /// Set while releases that were lost with a connection have to be requested again.
+    pub(crate) release_recovery: Option<ReleaseRecovery>,
+    /// The connections in a row that were opened for a release recovery and ended at once.
+    pub(crate) failed_recoveries: u32,
 }
 
 impl Server {
@@ -65,7 +78,8 @@
             last_heard_by_peer: None,
             failed_connects: 0,
             reconnect_at: now,
-            awaits_repeated_releases: false,
+            release_recovery: None,
+            failed_recoveries: 0,
         }
     }
 
--- a/crates/ochrelead-node/src/server_table/connections.rs
+++ b/crates/ochrelead-node/src/server_table/connections.rs
@@ -27,6 +27,8 @@
     pub(crate) state: ConnectionState,
     /// When the connection entered its state.
     pub(crate) since: Moment,
+    /// Whether the connection has ended a release recovery: the server repeats lost releases on it.
+    pub(crate) recovers_releases: bool,
     pub(crate) framer: Framer,
     /// When the first bytes of a message that is still incomplete arrived.
     pub(crate) partial_since: Option<Moment>,
@@ -61,6 +63,7 @@
             server,
             state: ConnectionState::Connecting,
             since: now,
+            recovers_releases: false,
             framer: Framer::default(),
             partial_since: None,
             sessions: Vec::new(),
@@ -118,6 +121,17 @@
         self.connections_to(server).filter(|(_, connection)| is_connecting(connection)).count()
     }
 
+    /// The last connection that was requested, to any server.
+    pub(crate) fn last_requested(&self) -> ServerConnectionId {
+        ServerConnectionId(self.last_connection)
+    }
+
+    /// Whether a connection attempt to a server that was requested after another connection is in progress.
+    pub(crate) fn is_connecting_after(&self, server: ServerIx, other: ServerConnectionId) -> bool {
+        self.connections_to(server)
+            .any(|(id, connection)| connection.state == ConnectionState::Connecting && id > other)
+    }
+
     /// The number of connections that count towards a server's share: all except half-closed ones.
     pub(crate) fn active_count(&self, server: ServerIx) -> usize {
         let is_active = |connection: &ServerConnection| connection.state != ConnectionState::HalfClosed;
