Send a BYE again that was lost with its connection to the server

Servers saw: a call that its caller had ended kept its line, if the connection with the BYE ended before the BYE was read.

Cause: nothing recorded which BYEs a server had not answered, so they were forgotten with the connection. A draining server without other calls also got no connection for a BYE that waited for one.

Change: each connection keeps its unanswered BYEs (bounded). Those sent less than SILENCE_THRESHOLD before the connection ended are sent again on another one. The presumed death of a server drops them. send_bye and what belongs to it are engine/byes.rs.

--- /dev/null
+++ b/crates/ochrelead-node/src/engine/byes.rs
@@ -0,0 +1,66 @@
+//! The releases of calls that the node sends to signalling servers (BYE). A BYE that is lost with its connection is sent
+//! again.
+
+use std::collections::VecDeque;
+
+use ochrelead_core::index::ServerIx;
+use ochrelead_core::time::Moment;
+use ochrelead_platform::caller_messages::CallId;
+
+use super::{Engine, requests};
+use crate::bounds::protocol;
+use crate::io::{Output, ServerConnectionId};
+use crate::server_table::Bye;
+
+/// A BYE that its server has not answered.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UnconfirmedBye {
+    bye: Bye,
+    sent_at: Moment,
+}
+
+impl Engine {
+    /// Releases a call at its server. The BYE is sent on the connection of the set-up if it is open, otherwise on any
+    /// other, or as soon as one is open.
+    pub(super) fn send_bye(&mut self, server: ServerIx, connection: Option<ServerConnectionId>, bye: Bye) {
+        let set_up_connection = connection.filter(|id| self.servers.is_open(*id));
+        match set_up_connection.or_else(|| self.servers.select_connection(server)) {
+            Some(id) => self.send_bye_on(id, bye),
+            None => {
+                let capacity = self.bounds.pending_releases;
+                let server = self.servers.get_mut(server);
+                if !server.is_gone() && server.pending_byes.len() < capacity {
+                    server.pending_byes.push(bye);
+                }
+            }
+        }
+    }
+
+    fn send_bye_on(&mut self, id: ServerConnectionId, bye: Bye) {
+        self.outputs.push_back(Output::SendToServer(id, requests::bye(bye.call, bye.cause)));
+        let (now, capacity) = (self.now, self.bounds.unconfirmed_releases);
+        if let Some(connection) = self.servers.connection_mut(id) {
+            // If a server does not answer BYEs, the oldest ones are treated as answered.
+            if connection.unconfirmed_byes.len() >= capacity {
+                connection.unconfirmed_byes.pop_front();
+            }
+            connection.unconfirmed_byes.push_back(UnconfirmedBye { bye, sent_at: now });
+        }
+    }
+
+    /// Handles the final response to a BYE.
+    pub(super) fn on_bye_answered(&mut self, id: ServerConnectionId, call: CallId) {
+        if let Some(connection) = self.servers.connection_mut(id) {
+            connection.unconfirmed_byes.retain(|unconfirmed| unconfirmed.bye.call != call);
+        }
+    }
+
+    /// Sends the BYEs again that were sent shortly before their connection ended: the server may not have read them.
+    pub(super) fn resend_byes(&mut self, server: ServerIx, unconfirmed: VecDeque<UnconfirmedBye>) {
+        for UnconfirmedBye { bye, sent_at } in unconfirmed {
+            if self.now.since(sent_at) < protocol::SILENCE_THRESHOLD {
+                self.send_bye(server, None, bye);
+            }
+        }
+    }
+}
--- a/crates/ochrelead-node/src/engine/caller_side.rs
+++ b/crates/ochrelead-node/src/engine/caller_side.rs
@@ -9,6 +9,7 @@
 use crate::call_table::Phase;
 use crate::caller_table::Caller;
 use crate::io::{CallerId, Output};
+use crate::server_table::Bye;
 
 impl Engine {
     // ---- Connections ----
@@ -193,7 +194,7 @@
         let Some(call) = self.calls.get(session) else { return };
         match call.phase {
             Phase::Established { server, connection, .. } => {
-                self.send_bye(server, connection, call_id, cause::NORMAL);
+                self.send_bye(server, connection, Bye { call: call_id, cause: cause::NORMAL });
                 self.policy.on_invite_ended(session, server, InviteOutcome::Released, true);
                 self.remove_established(session);
             }
--- a/crates/ochrelead-node/src/engine/server_connections.rs
+++ b/crates/ochrelead-node/src/engine/server_connections.rs
@@ -42,9 +42,9 @@
         self.end_release_recovery(id);
         let server = self.servers.get_mut(server_ix);
         let waiting_invites = mem::take(&mut server.waiting_invites);
-        let pending_releases = mem::take(&mut server.pending_releases);
-        for call in pending_releases {
-            self.send_bye(server_ix, None, call, cause::NORMAL);
+        let pending_byes = mem::take(&mut server.pending_byes);
+        for bye in pending_byes {
+            self.send_bye(server_ix, None, bye);
         }
         for session in waiting_invites {
             self.check_and_send_invite(session);
@@ -52,10 +52,11 @@
     }
 
     pub(super) fn on_server_disconnected(&mut self, id: ServerConnectionId, end: ConnectionEnd) {
-        let Some(connection) = self.servers.remove_connection(id) else { return };
+        let Some(mut connection) = self.servers.remove_connection(id) else { return };
         let server_ix = connection.server;
         self.log_connection_end(id, &connection, end);
         self.recover_releases_after(id, &connection, end);
+        self.resend_byes(server_ix, mem::take(&mut connection.unconfirmed_byes));
         if connection.state == ConnectionState::HalfClosed {
             return;
         }
@@ -126,6 +127,7 @@
         for session in mem::take(&mut self.servers.get_mut(server).waiting_invites) {
             self.end_invite(session, InviteOutcome::ConnectFailed);
         }
+        self.servers.get_mut(server).pending_byes.clear();
         self.end_calls(server, self.now);
     }
 
@@ -240,7 +242,8 @@
         let is_silent = server.is_silent(self.now);
         let has_calls = self.calls.has_established_at(index);
         let has_waiting = !server.waiting_invites.is_empty();
-        let lacks_release_path = has_calls && !self.servers.has_open_connection(index);
+        let has_releases = has_calls || !server.pending_byes.is_empty();
+        let lacks_release_path = has_releases && !self.servers.has_open_connection(index);
         let mut wanted =
             if server.is_ready() { self.spare_connections() } else { usize::from(lacks_release_path) };
         let needs_probe = is_silent && (server.is_ready() || has_calls);
--- a/crates/ochrelead-node/src/engine/server_messages.rs
+++ b/crates/ochrelead-node/src/engine/server_messages.rs
@@ -11,6 +11,7 @@
 use crate::call_table::{Invite, Phase};
 use crate::io::{Output, ServerConnectionId};
 use crate::observation::{Observation, SupersededToken};
+use crate::server_table::Bye;
 use crate::{fencing, occupancy, outcomes};
 
 /// The origin of a response to an INVITE, and the INVITE that it answers.
@@ -77,22 +78,41 @@
                 Ok(())
             }
             StartLine::Response { code } => {
-                let Some((sequence, "INVITE")) = message.sequence() else { return Ok(()) };
-                let Some(call) = call else { return Ok(()) };
-                let response = InviteResponse { connection: id, server, call, sequence };
-                match code {
-                    100..200 => Ok(()),
-                    200..300 => self.on_invite_accepted(response, message),
-                    _ => {
-                        self.outputs.push_back(Output::SendToServer(id, requests::ack(call, sequence)));
-                        self.on_invite_refused(response, outcomes::of_refusal(*code, message));
-                        Ok(())
+                let (Some(call), Some((sequence, method))) = (call, message.sequence()) else {
+                    return Ok(());
+                };
+                if (100..200).contains(code) {
+                    return Ok(());
+                }
+                match method {
+                    "INVITE" => {
+                        let response = InviteResponse { connection: id, server, call, sequence };
+                        return self.on_invite_answered(response, *code, message);
                     }
+                    "BYE" => self.on_bye_answered(id, call),
+                    _ => {}
                 }
+                Ok(())
             }
         }
     }
 
+    /// Handles the final response to an INVITE.
+    fn on_invite_answered(
+        &mut self,
+        response: InviteResponse,
+        code: u16,
+        message: &Message,
+    ) -> Result<(), InvalidMessage> {
+        if (200..300).contains(&code) {
+            return self.on_invite_accepted(response, message);
+        }
+        let ack = requests::ack(response.call, response.sequence);
+        self.outputs.push_back(Output::SendToServer(response.connection, ack));
+        self.on_invite_refused(response, outcomes::of_refusal(code, message));
+        Ok(())
+    }
+
     /// Distinguishes responses to health checks from other messages. The refusal of a health check carries the highest
     /// fencing token that the server has seen.
     fn handle_health_check_response(&mut self, server: ServerIx, message: &Message) {
@@ -146,7 +166,7 @@
         let Some(session) = self.answered_session(response) else {
             if self.is_orphaned(server, call) {
                 self.outputs.push_back(Output::SendToServer(id, requests::ack(call, sequence)));
-                self.send_bye(server, Some(id), call, cause::NORMAL);
+                self.send_bye(server, Some(id), Bye { call, cause: cause::NORMAL });
             }
             return Ok(());
         };
--- a/crates/ochrelead-node/src/engine/server_side.rs
+++ b/crates/ochrelead-node/src/engine/server_side.rs
@@ -1,17 +1,16 @@
-//! The INVITEs, cancellations, releases and health checks that the node sends to signalling servers.
+//! The INVITEs, cancellations and health checks that the node sends to signalling servers.
 
 use ochrelead_core::index::{ServerIx, SessionIx};
 use ochrelead_core::time::Span;
 use ochrelead_core::types::InviteOutcome;
 use ochrelead_lease::FencingToken;
-use ochrelead_platform::caller_messages::CallId;
 use tracing::debug;
 
 use super::observations::invite_id;
 use super::{Engine, UncheckedInvite, requests};
 use crate::call_table::{Invite, Phase};
 use crate::fencing;
-use crate::io::{Output, ServerConnectionId};
+use crate::io::Output;
 use crate::observation::Observation;
 
 /// The call id of requests that belong to no call.
@@ -142,28 +141,6 @@
         }
     }
 
-    /// Releases a call at its server. The BYE is sent on the connection of the set-up if it is open, otherwise on any
-    /// other, or as soon as one is open.
-    pub(super) fn send_bye(
-        &mut self,
-        server: ServerIx,
-        connection: Option<ServerConnectionId>,
-        call: CallId,
-        cause: u32,
-    ) {
-        let set_up_connection = connection.filter(|id| self.servers.is_open(*id));
-        match set_up_connection.or_else(|| self.servers.select_connection(server)) {
-            Some(id) => self.outputs.push_back(Output::SendToServer(id, requests::bye(call, cause))),
-            None => {
-                let capacity = self.bounds.pending_releases;
-                let server = self.servers.get_mut(server);
-                if !server.is_gone() && server.pending_releases.len() < capacity {
-                    server.pending_releases.push(call);
-                }
-            }
-        }
-    }
-
     /// Sends a health check under a fencing token on behalf of all fronts. If no connection is open, it is not
     /// sent; the next maintenance opens a connection.
     pub fn send_health_check(&mut self, server: &str, token: FencingToken) {
--- a/crates/ochrelead-node/src/server_table.rs
+++ b/crates/ochrelead-node/src/server_table.rs
@@ -21,6 +21,14 @@
 
 pub(crate) use connections::{ConnectionState, ServerConnection};
 
+/// The release of a call that the node sends to its server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bye {
+    pub(crate) call: CallId,
+    /// The Q.850 cause.
+    pub(crate) cause: u32,
+}
+
 /// Releases of a server may have been lost with a connection. The server repeats them on the next connection that is
 /// opened.
 #[derive(Clone, Copy, Debug)]
@@ -44,8 +52,8 @@
     pub(crate) connections: Vec<ServerConnectionId>,
     /// Sessions whose INVITEs are queued until a connection is available.
     pub(crate) waiting_invites: Vec<SessionIx>,
-    /// Calls whose releases are queued until a connection is available.
-    pub(crate) pending_releases: Vec<CallId>,
+    /// Releases of calls that are queued until a connection is available.
+    pub(crate) pending_byes: Vec<Bye>,
     /// When the server last sent a message or a connection to it was last established.
     pub(crate) last_heard: Moment,
     /// When the server last sent a message other than the response to a health check.
@@ -72,7 +80,7 @@
             zone: endpoint.zone.clone(),
             connections: Vec::new(),
             waiting_invites: Vec::new(),
-            pending_releases: Vec::new(),
+            pending_byes: Vec::new(),
             last_heard: now,
             last_unprompted: now,
             last_heard_by_peer: None,
--- a/crates/ochrelead-node/src/server_table/connections.rs
+++ b/crates/ochrelead-node/src/server_table/connections.rs
@@ -1,6 +1,7 @@
 //! The connections of the server table: their states, and which one is used or closed next.
 
 use std::cmp::Reverse;
+use std::collections::VecDeque;
 
 use ochrelead_core::index::{ServerIx, SessionIx};
 use ochrelead_core::time::{Moment, Span};
@@ -8,6 +9,7 @@
 
 use super::ServerTable;
 use crate::bounds::protocol;
+use crate::engine::byes::UnconfirmedBye;
 use crate::io::ServerConnectionId;
 
 /// The state of a connection to a server.
@@ -34,6 +36,8 @@
     pub(crate) partial_since: Option<Moment>,
     /// The sessions whose INVITEs are in flight on this connection.
     pub(crate) sessions: Vec<SessionIx>,
+    /// BYEs sent on this connection, oldest first.
+    pub(crate) unconfirmed_byes: VecDeque<UnconfirmedBye>,
     pub(crate) last_used: Moment,
 }
 
@@ -67,6 +71,7 @@
             framer: Framer::default(),
             partial_since: None,
             sessions: Vec::new(),
+            unconfirmed_byes: VecDeque::new(),
             last_used: now,
         };
         self.connections.insert(id, connection);
--- a/crates/ochrelead-node/tests/releases.rs
+++ b/crates/ochrelead-node/tests/releases.rs
@@ -2,8 +2,8 @@
 
 mod helper;
 
-use helper::{EstablishedCalls, Response, TestNode, call_id};
-use ochrelead_node::io::{CallerId, Input};
+use helper::{EstablishedCalls, Response, TestNode, call_id, endpoint};
+use ochrelead_node::io::{CallerId, ConnectionEnd, Input, ServerConnectionId};
 use serde_json::json;
 use test_case::test_case;
 
@@ -125,3 +125,52 @@
     node.advance(500);
     assert_eq!(node.answers().len(), 2, "the release and the answer: {:?}", node.answers());
 }
+
+/// A node whose caller 1 has ended its call 7. Returns the connection on which the BYE was sent.
+fn node_after_hang_up() -> (TestNode, ServerConnectionId) {
+    let mut node = TestNode::with_servers(1);
+    node.connect_caller(1);
+    node.establish(1, 7, 0);
+    node.send_line(1, &json!({"t": "down", "ref": call_id(7), "f": {}, "c": 16}));
+    let (connection, _) = node.sent_to_servers("BYE").pop().expect("a BYE");
+    node.outputs.clear();
+    (node, connection)
+}
+
+/// A caller ended its call, and the BYE was lost with its connection: the server kept the line of the call.
+#[test_case(ConnectionEnd::Reset, 100, 1; "shortly after it was sent")]
+#[test_case(ConnectionEnd::Closed, 100, 1; "shortly after it was sent, by an orderly close")]
+#[test_case(ConnectionEnd::Reset, 3_000, 0; "long after it was sent")]
+fn bye_lost_with_its_connection_is_sent_again(end: ConnectionEnd, after_ms: u64, expected: usize) {
+    let (mut node, connection) = node_after_hang_up();
+    node.advance(after_ms);
+    node.disconnect_server(connection, end);
+    node.advance(1_000);
+    let byes = node.sent_to_servers("BYE");
+    assert_eq!(byes.len(), expected);
+    assert!(byes.iter().all(|(other, text)| *other != connection && text.contains(&call_id(7))));
+}
+
+#[test_case("200 OK")]
+#[test_case("481 Call/Transaction Does Not Exist")]
+fn answered_bye_is_not_sent_again(status: &str) {
+    let (mut node, connection) = node_after_hang_up();
+    let head = format!("SIP/2.0 {status}\r\nCall-ID: {}\r\nCSeq: 9 BYE\r\n", call_id(7));
+    node.server_sends(connection, format!("{head}Content-Length: 0\r\n\r\n").as_bytes());
+    node.disconnect_server(connection, ConnectionEnd::Reset);
+    node.advance(1_000);
+    assert_eq!(node.sent_to_servers("BYE").len(), 0);
+}
+
+/// The last connection to a draining server ended with the BYE of its last call: the node opened no other one for it.
+#[test]
+fn lost_bye_to_a_draining_server_gets_a_connection() {
+    let (mut node, connection) = node_after_hang_up();
+    node.coordinator_updates(2, &json!([endpoint(0, 10, "draining", 0)]));
+    let others: Vec<ServerConnectionId> =
+        node.connections.keys().copied().filter(|id| *id != connection).collect();
+    others.iter().for_each(|other| node.disconnect_server(*other, ConnectionEnd::Closed));
+    node.disconnect_server(connection, ConnectionEnd::Reset);
+    node.advance(1_000);
+    assert_eq!(node.sent_to_servers("BYE").len(), 1);
+}
