Count a reported call from before its report, so that its server's restart ends it

Cause: a reported call (at) was stored as established at the time of its report. The restart of a server ends the calls established until its start, which was earlier. The log shows the report at 3.055 s, the start told later as 2.70 s, and no end.

Change: a reported call counts from 30 s before its report, the longest time until a front is ready. A restart told later ends it, with a BYE, since the server's present process might have it. If the restart had been told before the report, the call may be older or younger: it is released 7 s after the start unless its server releases it first. The answer to an INVITE counts from the sending of the INVITE, not from the reading. A server that drains and returns with the same start no longer counts as restarted.

--- a/crates/ochrelead-core/src/time.rs
+++ b/crates/ochrelead-core/src/time.rs
@@ -74,6 +74,14 @@
     }
 }
 
+impl Sub<Span> for Moment {
+    type Output = Moment;
+
+    fn sub(self, span: Span) -> Moment {
+        Moment(self.0.saturating_sub(span.0))
+    }
+}
+
 impl Add for Span {
     type Output = Span;
 
--- a/crates/ochrelead-node/src/bounds.rs
+++ b/crates/ochrelead-node/src/bounds.rs
@@ -100,6 +100,9 @@
     pub(crate) const WATCH_ANSWER_TIMEOUT: Span = Span::from_secs(6);
     /// The caller of an established call must be notified within this time after the server has failed silently.
     pub(crate) const SILENT_FAILURE_DEADLINE: Span = Span::from_secs(8);
+    /// Callers report their established calls to a node at most this long after the last node that held them has ended: a
+    /// front is ready within this time after its start.
+    pub(crate) const LONGEST_REPORT_DELAY: Span = Span::from_secs(30);
     /// A server that is silent for this time is probed; a quarter of `SILENT_FAILURE_DEADLINE`.
     pub(crate) const SILENCE_THRESHOLD: Span = Span::from_secs(2);
     /// The time-out of a connection attempt if the settings contain none.
--- a/crates/ochrelead-node/src/call_table.rs
+++ b/crates/ochrelead-node/src/call_table.rs
@@ -18,6 +18,8 @@
     pub(crate) connection: Option<ServerConnectionId>,
     /// When the controller decided to send it.
     pub(crate) requested_at: Moment,
+    /// When it was sent; while it waits for a connection, when the controller decided to send it.
+    pub(crate) sent_at: Moment,
     /// When it times out.
     pub(crate) expires_at: Moment,
 }
@@ -34,6 +36,7 @@
         server: ServerIx,
         /// The connection of the set-up; `None` if another front or a former incarnation set the call up.
         connection: Option<ServerConnectionId>,
+        /// The earliest time at which the server may have established the call.
         since: Moment,
     },
 }
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -12,6 +12,7 @@
 mod observations;
 mod release_recovery;
 mod releases;
+mod reported_calls;
 mod requests;
 mod server_connections;
 mod server_messages;
@@ -40,6 +41,7 @@
 use call_setup::ServiceCatalog;
 use observations::FleetObservations;
 use releases::PendingReleases;
+use reported_calls::DoubtfulCall;
 use shutdown::Shutdown;
 
 /// The log target for established calls that end other than by a normal release; operators enable it with `--log`.
@@ -87,8 +89,11 @@
     watch: CoordinatorWatch,
     /// Calls with a cancelled INVITE. If a server accepts the INVITE after all, the call is released there.
     cancelled: RecentIds,
-    /// Calls unknown to this node that a server released: a former incarnation of the node may have set them up.
-    released: RecentIds,
+    /// Calls that have ended, including those unknown to this node that a server released: a former incarnation of the
+    /// node may have set them up, and a caller may still report them.
+    ended_calls: RecentIds,
+    /// Reported calls that may have ended with a process of their server.
+    doubtful_calls: Vec<DoubtfulCall>,
     unchecked_invites: Vec<UncheckedInvite>,
     /// Callers' connections to close once their received input has been read, unless it contains a set-up.
     callers_to_close: Vec<CallerId>,
@@ -129,7 +134,8 @@
             called_numbers: CalledNumberTable::new(bounds.called_numbers),
             watch: CoordinatorWatch::new(&watch, now),
             cancelled: RecentIds::new(bounds.called_numbers),
-            released: RecentIds::new(bounds.called_numbers),
+            ended_calls: RecentIds::new(bounds.called_numbers),
+            doubtful_calls: Vec::new(),
             unchecked_invites: Vec::new(),
             callers_to_close: Vec::new(),
             pending_releases: PendingReleases::default(),
@@ -200,6 +206,7 @@
         if self.maintenance_at <= self.now {
             self.maintenance_at = self.now + self.connect_timeout / 8;
             self.maintain_servers();
+            self.release_doubtful_calls();
             self.maintain_callers();
             self.log_tables();
         }
--- a/crates/ochrelead-node/src/engine/call_setup.rs
+++ b/crates/ochrelead-node/src/engine/call_setup.rs
@@ -5,11 +5,10 @@
 use ochrelead_core::time::Span;
 use ochrelead_core::types::CallRequest;
 use ochrelead_platform::MAX_MESSAGE_LENGTH;
-use ochrelead_platform::caller_messages::{self, CallId, MessageError, SetUpRequest, cause};
+use ochrelead_platform::caller_messages::{self, MessageError, SetUpRequest, cause};
 use ochrelead_platform::settings::Settings;
-use tracing::debug;
 
-use super::{CALL_END_LOG, Engine};
+use super::Engine;
 use crate::call_table::{Call, Phase};
 use crate::io::{CallerId, Output};
 
@@ -140,35 +139,4 @@
         let description_bytes = self.calls.description_bytes() + set_up.description.len();
         self.calls.len() >= self.bounds.calls || description_bytes > self.bounds.description_bytes
     }
-
-    /// Takes over a call that another node or a former incarnation of this node has established, so that the call's
-    /// release can be sent to the caller.
-    pub(super) fn on_established_elsewhere(&mut self, id: CallerId, call: CallId, server: &str) {
-        debug!(target: CALL_END_LOG, ?call, server, caller = id.0, "caller reports an established call");
-        if self.calls.find(call).is_some() {
-            return;
-        }
-        let server = self.servers.find(server).filter(|server| !self.servers.get(*server).is_gone());
-        // A server that released the call before the caller reported it does not send the release again.
-        let server = server.filter(|_| !self.released.contains(call.as_str()));
-        let Some(server) = server.filter(|_| self.calls.len() < self.bounds.calls) else {
-            self.outputs
-                .push_back(Output::SendToCaller(id, caller_messages::encode_down(call, cause::FAILED, None)));
-            return;
-        };
-        let session = self.calls.insert(Call {
-            id: call,
-            caller: id,
-            class: 0,
-            called_number: String::new(),
-            description: String::new(),
-            deadline: self.now,
-            invite_count: 0,
-            phase: Phase::Established { server, connection: None, since: self.now },
-        });
-        if let Some(caller) = self.callers.get_mut(id) {
-            caller.established_calls += 1;
-        }
-        self.policy.on_call_established(session);
-    }
 }
--- /dev/null
+++ b/crates/ochrelead-node/src/engine/reported_calls.rs
@@ -0,0 +1,119 @@
+//! Calls that callers report as established (`at`): another node or a former incarnation of this one set them up. The node
+//! takes them over, so that it can send their releases to the callers.
+//!
+//! The report does not tell when the call was established. If its server restarted while no node held the call, the call
+//! has ended, and the server sends no release for it.
+
+use std::mem;
+
+use ochrelead_core::index::{ServerIx, SessionIx};
+use ochrelead_core::time::{Moment, Span};
+use ochrelead_core::types::InviteOutcome;
+use ochrelead_platform::caller_messages::{self, CallId, cause};
+use tracing::debug;
+
+use super::{CALL_END_LOG, Engine};
+use crate::bounds::protocol;
+use crate::call_table::{Call, Phase};
+use crate::io::{CallerId, Output};
+use crate::server_table::Bye;
+
+/// The part of `SILENT_FAILURE_DEADLINE` that is left for sending the release.
+const RELEASE_MARGIN: Span = Span::from_secs(1);
+
+/// A reported call that its server may have established before or after it restarted.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DoubtfulCall {
+    call: CallId,
+    /// When the call is released unless its server has released it.
+    release_at: Moment,
+}
+
+impl Engine {
+    /// Takes over a call that a caller reports as established at a server. Answers with a release if the call has ended, or
+    /// if it can't be taken over.
+    pub(super) fn on_established_elsewhere(&mut self, id: CallerId, call: CallId, server: &str) {
+        debug!(target: CALL_END_LOG, ?call, server, caller = id.0, "caller reports an established call");
+        if self.calls.find(call).is_some() {
+            return;
+        }
+        let server = self.servers.find(server).filter(|server| !self.servers.get(*server).is_gone());
+        // A server that released the call before the caller reported it does not send the release again.
+        let server = server.filter(|_| !self.ended_calls.contains(call.as_str()));
+        let Some(server) = server.filter(|_| self.calls.len() < self.bounds.calls) else {
+            self.outputs
+                .push_back(Output::SendToCaller(id, caller_messages::encode_down(call, cause::FAILED, None)));
+            return;
+        };
+        let since = self.now - protocol::LONGEST_REPORT_DELAY;
+        let session = self.calls.insert(Call {
+            id: call,
+            caller: id,
+            class: 0,
+            called_number: String::new(),
+            description: String::new(),
+            deadline: self.now,
+            invite_count: 0,
+            phase: Phase::Established { server, connection: None, since },
+        });
+        if let Some(caller) = self.callers.get_mut(id) {
+            caller.established_calls += 1;
+        }
+        self.policy.on_call_established(session);
+        self.doubt_after_restart(server, call);
+    }
+
+    /// Doubts a reported call if the list had told of a restart of its server shortly before the report. Whether the call was
+    /// established before or after the restart is not known. It is released as late as a release without a message from
+    /// the server may come.
+    fn doubt_after_restart(&mut self, server: ServerIx, call: CallId) {
+        let Some(restarted) = self.servers.get(server).restarted else { return };
+        let release_at = restarted + (protocol::SILENT_FAILURE_DEADLINE - RELEASE_MARGIN);
+        if release_at > self.now {
+            debug!(target: CALL_END_LOG, ?call, "its server restarted shortly before the report");
+            self.doubtful_calls.push(DoubtfulCall { call, release_at });
+        }
+    }
+
+    /// Releases the doubtful calls that are due, towards their callers and towards their servers.
+    pub(super) fn release_doubtful_calls(&mut self) {
+        let now = self.now;
+        let (due, remaining): (Vec<_>, Vec<_>) =
+            mem::take(&mut self.doubtful_calls).into_iter().partition(|doubtful| doubtful.release_at <= now);
+        self.doubtful_calls = remaining;
+        for doubtful in due {
+            if let Some(session) = self.calls.find(doubtful.call) {
+                self.release_reported_call(session);
+            }
+        }
+    }
+
+    /// Ends the calls that were established before their server restarted.
+    pub(super) fn on_server_restarted(&mut self, server: ServerIx, started: Moment) {
+        let reported = self.established_until(server, started).into_iter().filter(|session| {
+            matches!(self.calls.phase(*session), Some(Phase::Established { connection: None, .. }))
+        });
+        for session in reported.collect::<Vec<_>>() {
+            self.release_reported_call(session);
+        }
+        self.end_calls(server, started);
+    }
+
+    /// Releases a reported call that has probably ended with a process of its server. The server is told too: the call may
+    /// be established at its present process.
+    fn release_reported_call(&mut self, session: SessionIx) {
+        let Some(Phase::Established { server, connection: None, .. }) = self.calls.phase(session) else {
+            return;
+        };
+        let Some(call) = self.calls.get(session).map(|call| call.id) else { return };
+        debug!(
+            target: CALL_END_LOG,
+            ?call,
+            server = self.servers.get(server).id,
+            "reported call ended with a process of its server"
+        );
+        self.send_bye(server, None, Bye { call, cause: cause::FAILED });
+        self.policy.on_invite_ended(session, server, InviteOutcome::Reset, true);
+        self.release(session, cause::FAILED);
+    }
+}
--- a/crates/ochrelead-node/src/engine/server_connections.rs
+++ b/crates/ochrelead-node/src/engine/server_connections.rs
@@ -132,20 +132,22 @@
     }
 
     /// Ends the calls of a server that were established no later than `established_until`.
-    fn end_calls(&mut self, server: ServerIx, established_until: Moment) {
-        let sessions: Vec<SessionIx> = self.calls.established_at(server).collect();
-        for session in sessions {
-            let phase = self.calls.phase(session);
-            if matches!(phase, Some(Phase::Established { since, .. }) if since <= established_until) {
-                let call = self.calls.get(session).map(|call| call.id);
-                let server_id = &self.servers.get(server).id;
-                debug!(target: CALL_END_LOG, ?call, server = server_id, "call ended with its server");
-                self.policy.on_invite_ended(session, server, InviteOutcome::Reset, true);
-                self.release(session, cause::FAILED);
-            }
+    pub(super) fn end_calls(&mut self, server: ServerIx, established_until: Moment) {
+        for session in self.established_until(server, established_until) {
+            let call = self.calls.get(session).map(|call| call.id);
+            let server_id = &self.servers.get(server).id;
+            debug!(target: CALL_END_LOG, ?call, server = server_id, "call ended with its server");
+            self.policy.on_invite_ended(session, server, InviteOutcome::Reset, true);
+            self.release(session, cause::FAILED);
         }
     }
 
+    /// The calls of a server that were established no later than `until`.
+    pub(super) fn established_until(&self, server: ServerIx, until: Moment) -> Vec<SessionIx> {
+        let is_established_until = |session: &SessionIx| matches!(self.calls.phase(*session), Some(Phase::Established { since, .. }) if since <= until);
+        self.calls.established_at(server).filter(is_established_until).collect()
+    }
+
     pub(super) fn apply_transition(&mut self, transition: &ServerTransition) {
         match *transition {
             ServerTransition::Closed(server) => {
@@ -153,7 +155,7 @@
                     self.end_invite(session, InviteOutcome::Unsent);
                 }
             }
-            ServerTransition::Restarted(server, started) => self.end_calls(server, started),
+            ServerTransition::Restarted(server, started) => self.on_server_restarted(server, started),
             ServerTransition::Displaced(server) => self.presume_dead(server),
         }
     }
--- a/crates/ochrelead-node/src/engine/server_messages.rs
+++ b/crates/ochrelead-node/src/engine/server_messages.rs
@@ -8,7 +8,7 @@
 
 use super::observations::invite_id;
 use super::{CALL_END_LOG, Engine, requests};
-use crate::call_table::{Invite, Phase};
+use crate::call_table::{Call, Invite, Phase};
 use crate::io::{Output, ServerConnectionId};
 use crate::observation::{Observation, SupersededToken};
 use crate::server_table::Bye;
@@ -175,12 +175,16 @@
         }
         self.outputs.push_back(Output::SendToServer(id, requests::ack(call, sequence)));
         self.observe(Observation::InviteAnswered { invite: invite_id(session) });
-        let Some(caller) = self.calls.get(session).map(|call| call.caller) else { return Ok(()) };
+        let Some(Call { caller, phase: Phase::Inviting(invite), .. }) = self.calls.get(session) else {
+            return Ok(());
+        };
+        let (caller, sent_at) = (*caller, invite.sent_at);
         if let Some(connection) = self.servers.connection_mut(id) {
             connection.sessions.retain(|other| *other != session);
             connection.last_used = self.now;
         }
-        let phase = Phase::Established { server, connection: Some(id), since: self.now };
+        // The answer may be read late, after the server has restarted.
+        let phase = Phase::Established { server, connection: Some(id), since: sent_at };
         self.calls.set_phase(session, phase);
         debug!(?call, server = self.servers.get(server).id, "call established");
         self.policy.on_call_established(session);
@@ -229,7 +233,7 @@
                 "release from a server at which the call is not established"
             );
         }
-        let Some(session) = session else { return self.released.insert(call.as_str()) };
+        let Some(session) = session else { return self.ended_calls.insert(call.as_str()) };
         match phase {
             Some(Phase::Established { .. }) if is_established_there => {
                 let outcome = outcomes::of_release(message.cause());
--- a/crates/ochrelead-node/src/engine/server_side.rs
+++ b/crates/ochrelead-node/src/engine/server_side.rs
@@ -27,7 +27,8 @@
         let Some(call) = self.calls.get(session) else { return };
         let expires_at =
             answer_timeout.map_or(call.deadline, |timeout| call.deadline.min(self.now + timeout));
-        let invite = Invite { server, connection: None, requested_at: self.now, expires_at };
+        let invite =
+            Invite { server, connection: None, requested_at: self.now, sent_at: self.now, expires_at };
         self.calls.set_phase(session, Phase::Inviting(invite));
         self.observe_invite(server, session);
         self.check_and_send_invite(session);
@@ -78,7 +79,10 @@
         let server_id = &self.servers.get(server).id;
         debug!(call = %call.id.as_str(), server = server_id, connection = id.0, sequence, "INVITE sent");
         self.outputs.push_back(Output::SendToServer(id, bytes));
-        self.calls.set_phase(session, Phase::Inviting(Invite { connection: Some(id), ..invite }));
+        self.calls.set_phase(
+            session,
+            Phase::Inviting(Invite { connection: Some(id), sent_at: self.now, ..invite }),
+        );
         if let Some(connection) = self.servers.connection_mut(id) {
             connection.sessions.push(session);
             connection.last_used = self.now;
--- a/crates/ochrelead-node/src/server_table.rs
+++ b/crates/ochrelead-node/src/server_table.rs
@@ -47,6 +47,10 @@
     pub(crate) address: SocketAddr,
     pub(crate) number: i64,
     pub(crate) state: EndpointState,
+    /// When its process started, as far as the list has told.
+    pub(crate) started: Option<Moment>,
+    /// When its process started, if the list knew an earlier process.
+    pub(crate) restarted: Option<Moment>,
     /// The zone that the endpoint list names for it.
     pub(crate) zone: Option<String>,
     pub(crate) connections: Vec<ServerConnectionId>,
@@ -77,6 +81,8 @@
             address: endpoint.address,
             number: endpoint.number,
             state: EndpointState::Draining,
+            started: None,
+            restarted: None,
             zone: endpoint.zone.clone(),
             connections: Vec::new(),
             waiting_invites: Vec::new(),
@@ -186,7 +192,7 @@
             if is_new {
                 self.displace_others(server, endpoint.address, &mut changes);
             }
-            self.update(server, endpoint, &mut changes);
+            self.update(server, endpoint, is_new, &mut changes);
         }
         changes
     }
@@ -221,16 +227,19 @@
     }
 
     /// Updates a server from its entry in the endpoint list.
-    fn update(&mut self, index: ServerIx, endpoint: &Endpoint, changes: &mut EndpointChanges) {
+    fn update(&mut self, index: ServerIx, endpoint: &Endpoint, is_new: bool, changes: &mut EndpointChanges) {
         let server = self.get_mut(index);
-        let previous = server.state;
         server.address = endpoint.address;
         server.number = endpoint.number;
         server.state = endpoint.state;
         server.zone.clone_from(&endpoint.zone);
         if let EndpointState::Ready { started: Some(started) } = endpoint.state
-            && !matches!(previous, EndpointState::Ready { started: Some(known) } if known >= started)
+            && server.started.is_none_or(|known| known < started)
         {
+            server.started = Some(started);
+            if !is_new {
+                server.restarted = Some(started);
+            }
             changes.transitions.push(ServerTransition::Restarted(index, started));
         }
         if endpoint.state == EndpointState::Gone {
