Send waiting releases to callers that end or name established calls

Cause: only an established set-up made a caller verified, and waiting releases were offered only at the arrival of a first set-up. After a restart, callers that name (at) or end their calls never became recipients. The trace shows the release at 6.969 s and four connections afterwards, open for 2.4 s each, with nothing sent on them.

Change: what a caller has shown is a level, and each rise and each queued release leads to another attempt. Ending or naming a call that was set up here, or a server's release of a call that the caller has named, verifies. Ending a call that another connection has named counts once the server has answered the BYE with 2xx. Made-up ids, heartbeats and acks show nothing. A call named again after its connection closed moves to the new connection; a call whose release waits is answered with it; an ack counts only from a caller that was offered the release. Offers share the limit of releases per maintenance round.

--- a/crates/ochrelead-node/src/call_table.rs
+++ b/crates/ochrelead-node/src/call_table.rs
@@ -84,6 +84,10 @@
         self.calls.get(session.index())
     }
 
+    pub(crate) fn get_mut(&mut self, session: SessionIx) -> Option<&mut Call> {
+        self.calls.get_mut(session.index())
+    }
+
     pub(crate) fn phase(&self, session: SessionIx) -> Option<Phase> {
         self.get(session).map(|call| call.phase)
     }
--- a/crates/ochrelead-node/src/caller_table.rs
+++ b/crates/ochrelead-node/src/caller_table.rs
@@ -18,6 +18,19 @@
     pub(crate) cause: u32,
 }
 
+/// What a caller has shown of the protocol. Ids that only the caller vouches for do not count.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum CallerTrust {
+    /// Nothing yet.
+    #[default]
+    None,
+    /// It has sent a valid set-up, or has ended a call that another connection had reported and that its server knew. It is
+    /// offered releases that have no better recipient.
+    Plausible,
+    /// A call was established for it, or it has named or ended one that was established here. It is sent releases.
+    Verified,
+}
+
 /// The connection of a caller.
 #[derive(Debug)]
 pub(crate) struct Caller {
@@ -25,8 +38,10 @@
     pub(crate) opened_at: Moment,
     /// When bytes last arrived on the connection or the answer to a set-up was last sent on it.
     pub(crate) last_used: Moment,
-    /// Whether a call has been established on the connection, which shows that the caller follows the protocol.
-    pub(crate) is_verified: bool,
+    /// What the caller has shown of the protocol on this connection.
+    pub(crate) trust: CallerTrust,
+    /// The number of the last pending release that the caller was offered.
+    pub(crate) last_offered: u64,
     /// Set-ups on the connection that have not been answered yet.
     pub(crate) pending_sessions: Vec<SessionIx>,
     /// The number of established calls that belong to the connection.
@@ -45,7 +60,8 @@
             line_splitter: LineSplitter::default(),
             opened_at: now,
             last_used: now,
-            is_verified: false,
+            trust: CallerTrust::None,
+            last_offered: 0,
             pending_sessions: Vec::new(),
             established_calls: 0,
             unconfirmed_releases: VecDeque::new(),
@@ -80,11 +96,17 @@
     pub(crate) fn release_recipient(&self, allow_unverified: bool) -> Option<CallerId> {
         self.0
             .iter()
-            .filter(|(_, caller)| allow_unverified || caller.is_verified)
-            .max_by_key(|(_, caller)| (caller.is_verified, caller.last_used))
+            .filter(|(_, caller)| allow_unverified || caller.is_verified())
+            .max_by_key(|(_, caller)| (caller.is_verified(), caller.last_used))
             .map(|(id, _)| *id)
     }
 
+    /// The connections of plausible callers.
+    pub(crate) fn plausible(&self) -> Vec<CallerId> {
+        let is_plausible = |caller: &Caller| caller.trust == CallerTrust::Plausible;
+        self.0.iter().filter(|(_, caller)| is_plausible(caller)).map(|(id, _)| *id).collect()
+    }
+
     /// Up to `count` connections to close in favour of new ones. Only connections without a pending set-up are
     /// candidates: unverified ones first, then those without an established call, then the least recently used.
     pub(crate) fn eviction_candidates(&self, count: usize, excluded: &[CallerId]) -> Vec<CallerId> {
@@ -95,7 +117,7 @@
             .0
             .iter()
             .filter(|(id, caller)| caller.pending_sessions.is_empty() && !excluded.contains(id))
-            .map(|(id, caller)| (caller.is_verified, caller.established_calls > 0, caller.last_used, *id))
+            .map(|(id, caller)| (caller.is_verified(), caller.established_calls > 0, caller.last_used, *id))
             .collect();
         idle.sort();
         idle.into_iter().take(count).map(|(.., id)| id).collect()
@@ -109,6 +131,10 @@
 }
 
 impl Caller {
+    pub(crate) fn is_verified(&self) -> bool {
+        self.trust == CallerTrust::Verified
+    }
+
     /// Whether part of a line has been received and the rest may still arrive.
     pub(crate) fn awaits_rest_of_line(&self, now: Moment) -> bool {
         self.line_splitter.has_partial_line() && now.since(self.last_used) < protocol::PARTIAL_LINE_TIMEOUT
@@ -117,7 +143,7 @@
     /// Whether the connection is still unverified after 80 % of `INVALID_CALLER_DEADLINE`; the rest of that time is
     /// left for closing it.
     pub(crate) fn is_verification_overdue(&self, now: Moment) -> bool {
-        !self.is_verified && now.since(self.opened_at) >= protocol::INVALID_CALLER_DEADLINE.scaled(0.8)
+        !self.is_verified() && now.since(self.opened_at) >= protocol::INVALID_CALLER_DEADLINE.scaled(0.8)
     }
 
     fn is_expired(&self, now: Moment) -> bool {
--- a/crates/ochrelead-node/src/engine/byes.rs
+++ b/crates/ochrelead-node/src/engine/byes.rs
@@ -9,6 +9,7 @@
 
 use super::{Engine, requests};
 use crate::bounds::protocol;
+use crate::caller_table::CallerTrust;
 use crate::io::{Output, ServerConnectionId};
 use crate::server_table::Bye;
 
@@ -48,10 +49,18 @@
         }
     }
 
-    /// Handles the final response to a BYE.
-    pub(super) fn on_bye_answered(&mut self, id: ServerConnectionId, call: CallId) {
-        if let Some(connection) = self.servers.connection_mut(id) {
-            connection.unconfirmed_byes.retain(|unconfirmed| unconfirmed.bye.call != call);
+    /// Handles the final response to a BYE. If the server knew the call, so did the caller that ended it.
+    pub(super) fn on_bye_answered(&mut self, id: ServerConnectionId, call: CallId, code: u16) {
+        let Some(connection) = self.servers.connection_mut(id) else { return };
+        let answered =
+            connection.unconfirmed_byes.iter().position(|unconfirmed| unconfirmed.bye.call == call);
+        let Some(answered) = answered.and_then(|index| connection.unconfirmed_byes.remove(index)) else {
+            return;
+        };
+        if (200..300).contains(&code)
+            && let Some(caller) = answered.bye.requested_by
+        {
+            self.raise_trust(caller, CallerTrust::Plausible);
         }
     }
 
--- a/crates/ochrelead-node/src/engine/call_setup.rs
+++ b/crates/ochrelead-node/src/engine/call_setup.rs
@@ -10,6 +10,7 @@
 
 use super::Engine;
 use crate::call_table::{Call, Phase};
+use crate::caller_table::CallerTrust;
 use crate::io::{CallerId, Output};
 
 /// Bytes reserved for the start line and the headers of an INVITE, in addition to its session description.
@@ -100,13 +101,10 @@
             invite_count: 0,
             phase: Phase::Waiting,
         });
-        let is_possible_recipient = self.callers.get_mut(id).is_some_and(|caller| {
+        if let Some(caller) = self.callers.get_mut(id) {
             caller.pending_sessions.push(session);
-            !caller.is_verified && caller.pending_sessions.len() == 1
-        });
-        if is_possible_recipient && self.callers.release_recipient(false).is_none() {
-            self.offer_pending_releases(id);
         }
+        self.raise_trust(id, CallerTrust::Plausible);
         self.policy.on_call_request(session, request);
         Ok(())
     }
--- a/crates/ochrelead-node/src/engine/caller_side.rs
+++ b/crates/ochrelead-node/src/engine/caller_side.rs
@@ -7,7 +7,7 @@
 
 use super::{CALL_END_LOG, Engine};
 use crate::call_table::Phase;
-use crate::caller_table::Caller;
+use crate::caller_table::{Caller, CallerTrust};
 use crate::io::{CallerId, Output};
 use crate::server_table::Bye;
 
@@ -158,8 +158,8 @@
             CallerMessage::Acknowledged { call } => {
                 if let Some(caller) = self.callers.get_mut(id) {
                     caller.unconfirmed_releases.retain(|release| release.call != call);
+                    self.pending_releases.confirm(call, caller.last_offered);
                 }
-                self.pending_releases.confirm(call);
             }
             CallerMessage::Ignored => {}
         }
@@ -177,7 +177,7 @@
             None => caller_messages::encode_invalid(),
         };
         let Some(caller) = self.callers.get(id) else { return };
-        let has_sent_valid_line = caller.is_verified || !caller.pending_sessions.is_empty();
+        let has_sent_valid_line = caller.is_verified() || !caller.pending_sessions.is_empty();
         if !is_own_call {
             self.outputs.push_back(Output::SendToCaller(id, line));
         }
@@ -194,9 +194,14 @@
         let Some(call) = self.calls.get(session) else { return };
         match call.phase {
             Phase::Established { server, connection, .. } => {
-                self.send_bye(server, connection, Bye { call: call_id, cause: cause::NORMAL });
+                let (is_reported, is_own) = (connection.is_none(), call.caller == id);
+                let requested_by = (is_reported && !is_own).then_some(id);
+                self.send_bye(server, connection, Bye { call: call_id, cause: cause::NORMAL, requested_by });
                 self.policy.on_invite_ended(session, server, InviteOutcome::Released, true);
                 self.remove_established(session);
+                if !is_reported {
+                    self.raise_trust(id, CallerTrust::Verified);
+                }
             }
             Phase::Waiting | Phase::Inviting(_) if call.caller == id => {
                 if let Some(caller) = self.callers.get_mut(id) {
@@ -224,13 +229,22 @@
         }
     }
 
-    /// Marks a caller as verified once a call has been established for it.
-    pub(super) fn verify_caller(&mut self, id: CallerId, session: SessionIx) {
+    /// Records that a call was established for a caller.
+    pub(super) fn on_caller_established(&mut self, id: CallerId, session: SessionIx) {
         let Some(caller) = self.callers.get_mut(id) else { return };
         caller.pending_sessions.retain(|pending| *pending != session);
         caller.established_calls += 1;
         caller.last_used = self.now;
-        caller.is_verified = true;
-        self.send_pending_releases();
+        self.raise_trust(id, CallerTrust::Verified);
+    }
+
+    /// Raises the trust in a caller to at least this level. Releases may have been waiting for that.
+    pub(super) fn raise_trust(&mut self, id: CallerId, trust: CallerTrust) {
+        if let Some(caller) = self.callers.get_mut(id)
+            && caller.trust < trust
+        {
+            caller.trust = trust;
+            self.send_pending_releases();
+        }
     }
 }
--- a/crates/ochrelead-node/src/engine/releases.rs
+++ b/crates/ochrelead-node/src/engine/releases.rs
@@ -12,10 +12,19 @@
 use crate::caller_table::Release;
 use crate::io::{CallerId, Output};
 
+/// A release that waits for a caller's connection.
+#[derive(Clone, Copy, Debug)]
+struct PendingRelease {
+    release: Release,
+    /// Numbers the pending releases in the order in which they were queued, from 1.
+    number: u64,
+}
+
 /// Releases that wait for a caller's connection, because the connection of their call has closed.
 #[derive(Default)]
 pub(super) struct PendingReleases {
-    queue: VecDeque<Release>,
+    queue: VecDeque<PendingRelease>,
+    last_number: u64,
     /// Releases sent from the queue since the last maintenance round.
     sent_this_round: usize,
 }
@@ -25,9 +34,21 @@
         self.queue.is_empty()
     }
 
-    /// Removes a release that a caller has confirmed.
-    pub(super) fn confirm(&mut self, call: CallId) {
-        self.queue.retain(|release| release.call != call);
+    fn push(&mut self, release: Release) {
+        self.last_number += 1;
+        self.queue.push_back(PendingRelease { release, number: self.last_number });
+    }
+
+    /// Removes a release that a caller has confirmed, if the caller was offered it: it was offered all up to
+    /// `last_offered`.
+    pub(super) fn confirm(&mut self, call: CallId, last_offered: u64) {
+        self.queue.retain(|pending| pending.release.call != call || pending.number > last_offered);
+    }
+
+    /// Removes and returns the release of a call.
+    pub(super) fn take(&mut self, call: CallId) -> Option<Release> {
+        let index = self.queue.iter().position(|pending| pending.release.call == call)?;
+        self.queue.remove(index).map(|pending| pending.release)
     }
 
     pub(super) fn start_round(&mut self) {
@@ -59,41 +80,48 @@
 
     /// Queues a release after the connection of its call has closed; drops it if the queue is full.
     pub(super) fn queue_release(&mut self, release: Release) {
+        debug!(target: CALL_END_LOG, call = ?release.call, cause = release.cause, "release waits for a caller");
         if self.pending_releases.queue.len() < self.bounds.pending_releases {
-            self.pending_releases.queue.push_back(release);
+            self.pending_releases.push(release);
         }
         self.send_pending_releases();
     }
 
     /// Sends pending releases on the connection of a verified caller. Between two maintenance rounds, at most
-    /// `releases_per_round` are sent, so that they do not overflow the queue of one slow reader.
+    /// `releases_per_round` are sent, so that they do not overflow the queue of one slow reader. While no verified caller
+    /// is connected, offers them to the plausible ones.
     pub(super) fn send_pending_releases(&mut self) {
+        let Some(caller) = self.callers.release_recipient(self.shutdown.is_some()) else {
+            return self.offer_pending_releases();
+        };
         while self.pending_releases.sent_this_round < self.bounds.releases_per_round
-            && let Some(caller) = self.callers.release_recipient(self.shutdown.is_some())
-            && let Some(release) = self.pending_releases.queue.pop_front()
+            && let Some(PendingRelease { release, .. }) = self.pending_releases.queue.pop_front()
         {
             self.pending_releases.sent_this_round += 1;
-            debug!(
-                target: CALL_END_LOG,
-                call = ?release.call,
-                cause = release.cause,
-                caller = caller.0,
-                "release sent on another caller's connection"
-            );
+            log_other_recipient("release sent on another caller's connection", caller, release);
             self.send_release(caller, release);
         }
     }
 
-    /// Sends pending releases to an unverified caller while no verified one is connected. They stay pending until a
-    /// caller is verified or has confirmed them.
-    pub(super) fn offer_pending_releases(&mut self, caller: CallerId) {
-        for release in self.pending_releases.queue.iter().take(self.bounds.releases_per_round) {
-            let line = caller_messages::encode_down(release.call, release.cause, None);
-            self.outputs.push_back(Output::SendToCaller(caller, line));
+    /// Offers each pending release once to each plausible caller, within the same limit. Offered releases stay pending until
+    /// a caller is verified or has confirmed them.
+    fn offer_pending_releases(&mut self) {
+        let pending = &mut self.pending_releases;
+        for id in self.callers.plausible() {
+            let Some(caller) = self.callers.get_mut(id) else { continue };
+            let first = pending.queue.partition_point(|pending| pending.number <= caller.last_offered);
+            let allowed = self.bounds.releases_per_round.saturating_sub(pending.sent_this_round);
+            for PendingRelease { release, number } in pending.queue.iter().skip(first).take(allowed) {
+                caller.last_offered = *number;
+                pending.sent_this_round += 1;
+                log_other_recipient("release offered to a caller", id, *release);
+                let line = caller_messages::encode_down(release.call, release.cause, None);
+                self.outputs.push_back(Output::SendToCaller(id, line));
+            }
         }
     }
 
-    fn send_release(&mut self, id: CallerId, release: Release) {
+    pub(super) fn send_release(&mut self, id: CallerId, release: Release) {
         let line = caller_messages::encode_down(release.call, release.cause, None);
         self.outputs.push_back(Output::SendToCaller(id, line));
         let capacity = self.bounds.unconfirmed_releases;
@@ -106,3 +134,7 @@
         }
     }
 }
+
+fn log_other_recipient(event: &'static str, caller: CallerId, release: Release) {
+    debug!(target: CALL_END_LOG, call = ?release.call, cause = release.cause, caller = caller.0, "{event}");
+}
--- a/crates/ochrelead-node/src/engine/reported_calls.rs
+++ b/crates/ochrelead-node/src/engine/reported_calls.rs
@@ -15,6 +15,7 @@
 use super::{CALL_END_LOG, Engine};
 use crate::bounds::protocol;
 use crate::call_table::{Call, Phase};
+use crate::caller_table::CallerTrust;
 use crate::io::{CallerId, Output};
 use crate::server_table::Bye;
 
@@ -34,8 +35,11 @@
     /// if it can't be taken over.
     pub(super) fn on_established_elsewhere(&mut self, id: CallerId, call: CallId, server: &str) {
         debug!(target: CALL_END_LOG, ?call, server, caller = id.0, "caller reports an established call");
-        if self.calls.find(call).is_some() {
-            return;
+        if let Some(session) = self.calls.find(call) {
+            return self.on_known_call_reported(id, session);
+        }
+        if let Some(release) = self.pending_releases.take(call) {
+            return self.send_release(id, release);
         }
         let server = self.servers.find(server).filter(|server| !self.servers.get(*server).is_gone());
         // A server that released the call before the caller reported it does not send the release again.
@@ -63,6 +67,29 @@
         self.doubt_after_restart(server, call);
     }
 
+    /// Handles the report of a call that the node holds. Its release is sent to the reporting caller if the connection on
+    /// which it was set up or reported before has closed.
+    fn on_known_call_reported(&mut self, id: CallerId, session: SessionIx) {
+        let Some(call) = self.calls.get_mut(session) else { return };
+        let Phase::Established { connection, .. } = call.phase else { return };
+        if self.callers.get(call.caller).is_none() {
+            call.caller = id;
+            if let Some(caller) = self.callers.get_mut(id) {
+                caller.established_calls += 1;
+            }
+        }
+        if connection.is_some() {
+            self.raise_trust(id, CallerTrust::Verified);
+        }
+    }
+
+    /// Verifies the caller that has reported a call: its server has shown that it knows the call.
+    pub(super) fn verify_reporter(&mut self, session: SessionIx) {
+        if let Some(caller) = self.calls.get(session).map(|call| call.caller) {
+            self.raise_trust(caller, CallerTrust::Verified);
+        }
+    }
+
     /// Doubts a reported call if the list had told of a restart of its server shortly before the report. Whether the call was
     /// established before or after the restart is not known. It is released as late as a release without a message from
     /// the server may come.
@@ -112,7 +139,7 @@
             server = self.servers.get(server).id,
             "reported call ended with a process of its server"
         );
-        self.send_bye(server, None, Bye { call, cause: cause::FAILED });
+        self.send_bye(server, None, Bye { call, cause: cause::FAILED, requested_by: None });
         self.policy.on_invite_ended(session, server, InviteOutcome::Reset, true);
         self.release(session, cause::FAILED);
     }
--- a/crates/ochrelead-node/src/engine/server_messages.rs
+++ b/crates/ochrelead-node/src/engine/server_messages.rs
@@ -89,7 +89,7 @@
                         let response = InviteResponse { connection: id, server, call, sequence };
                         return self.on_invite_answered(response, *code, message);
                     }
-                    "BYE" => self.on_bye_answered(id, call),
+                    "BYE" => self.on_bye_answered(id, call, *code),
                     _ => {}
                 }
                 Ok(())
@@ -166,7 +166,7 @@
         let Some(session) = self.answered_session(response) else {
             if self.is_orphaned(server, call) {
                 self.outputs.push_back(Output::SendToServer(id, requests::ack(call, sequence)));
-                self.send_bye(server, Some(id), Bye { call, cause: cause::NORMAL });
+                self.send_bye(server, Some(id), Bye { call, cause: cause::NORMAL, requested_by: None });
             }
             return Ok(());
         };
@@ -190,7 +190,7 @@
         self.policy.on_call_established(session);
         self.outputs
             .push_back(Output::SendToCaller(caller, caller_messages::encode_established(call, description)));
-        self.verify_caller(caller, session);
+        self.on_caller_established(caller, session);
         Ok(())
     }
 
@@ -235,7 +235,11 @@
         }
         let Some(session) = session else { return self.ended_calls.insert(call.as_str()) };
         match phase {
-            Some(Phase::Established { .. }) if is_established_there => {
+            Some(Phase::Established { connection, .. }) if is_established_there => {
+                if connection.is_none() {
+                    // The server knows the call that the caller has reported.
+                    self.verify_reporter(session);
+                }
                 let outcome = outcomes::of_release(message.cause());
                 self.policy.on_invite_ended(session, server, outcome, true);
                 self.release(session, message.cause().unwrap_or(cause::FAILED));
--- a/crates/ochrelead-node/src/server_table.rs
+++ b/crates/ochrelead-node/src/server_table.rs
@@ -17,7 +17,7 @@
 
 use crate::bounds::protocol;
 use crate::health_check::effective_last_heard;
-use crate::io::ServerConnectionId;
+use crate::io::{CallerId, ServerConnectionId};
 
 pub(crate) use connections::{ConnectionState, ServerConnection};
 
@@ -27,6 +27,8 @@
     pub(crate) call: CallId,
     /// The Q.850 cause.
     pub(crate) cause: u32,
+    /// The caller that ended a call which another connection had reported.
+    pub(crate) requested_by: Option<CallerId>,
 }
 
 /// Releases of a server may have been lost with a connection. The server repeats them on the next connection that is
--- a/crates/ochrelead-node/tests/reported_calls.rs
+++ b/crates/ochrelead-node/tests/reported_calls.rs
@@ -39,10 +39,11 @@
     node.coordinator_updates(index, &json!([endpoint(0, 10, "up", started_ms)]));
 }
 
-/// The causes of the releases that caller 1 was sent.
+/// The causes of the releases of call 7 that caller 1 was sent.
 fn released_with(node: &TestNode) -> Vec<u64> {
-    let answers = node.answers().into_iter().filter(|(caller, ..)| *caller == 1);
-    answers.map(|(_, _, cause)| cause.expect("a release")).collect()
+    let lines = node.sent_to_callers().into_iter();
+    let releases = lines.filter(|(caller, line)| *caller == 1 && line["ref"] == call_id(7));
+    releases.map(|(_, line)| line["c"].as_u64().expect("a cause")).collect()
 }
 
 /// Review case 2: a server and a node restarted together. The call counted from its report, which came after the server's
