Confirm a release to its server only once it could be sent to a caller

Callers would see: a call that ended while no caller of it was connected, shortly before its front was restarted, is never released: the server had the 200 and does not repeat the release, and the successor takes the call over when it is named (at).

Cause: a BYE was answered at once, also if its release had to wait for a caller's connection, which the process may not live to see. Change: no 200 while the release waits.

tests/releases.rs: release_without_a_recipient_is_not_confirmed_to_its_server failed before the fix and passes now.

--- a/crates/ochrelead-node/src/engine/releases.rs
+++ b/crates/ochrelead-node/src/engine/releases.rs
@@ -39,6 +39,10 @@
         self.queue.push_back(PendingRelease { release, number: self.last_number });
     }
 
+    pub(super) fn contains(&self, call: CallId) -> bool {
+        self.queue.iter().rev().any(|pending| pending.release.call == call)
+    }
+
     /// Removes a release that a caller has confirmed, if the caller was offered it: it was offered all up to
     /// `last_offered`.
     pub(super) fn confirm(&mut self, call: CallId, last_offered: u64) {
--- a/crates/ochrelead-node/src/engine/server_messages.rs
+++ b/crates/ochrelead-node/src/engine/server_messages.rs
@@ -137,6 +137,11 @@
             ("BYE", Some(call)) => self.on_bye(server, call, message),
             _ => {}
         }
+        if call.is_some_and(|call| self.pending_releases.contains(call)) {
+            // The server repeats a release that is not confirmed: should this process end before the release has reached the
+            // caller, its successor learns of it.
+            return;
+        }
         if self.servers.is_open(id) {
             self.outputs.push_back(Output::SendToServer(id, requests::ok(message, method)));
         } else {
--- a/crates/ochrelead-node/tests/releases.rs
+++ b/crates/ochrelead-node/tests/releases.rs
@@ -174,3 +174,19 @@
     node.advance(1_000);
     assert_eq!(node.sent_to_servers("BYE").len(), 1);
 }
+
+/// A node confirmed a release that it could send to nobody, and ended. The server did not repeat it to its successor, to
+/// which the caller reported the call.
+#[test]
+fn release_without_a_recipient_is_not_confirmed_to_its_server() {
+    let mut node = TestNode::with_servers(1);
+    node.connect_caller(1);
+    let connection = node.establish(1, 7, 0);
+    node.disconnect_caller(1);
+    node.server_releases(connection, 7, 16);
+    assert_eq!(node.sent_to_servers("SIP/2.0 200").len(), 0);
+    node.connect_caller(2);
+    node.establish(2, 8, 0);
+    node.server_releases(connection, 7, 16);
+    assert_eq!(node.sent_to_servers("SIP/2.0 200").len(), 1, "the caller has been sent the release");
+}
