Keep a caller's connection open for the confirmation of a release after a long call

Callers saw: after a call of more than 16 s on a quiet connection, the connection closed in the moment of the release, and the release was sent to other callers again, since it could not be confirmed.

Cause: the time for the confirmation (four idle times) ran from the caller's last message, which was long ago, not from the release. Change: it runs from the later of the two. Connections without unconfirmed releases are closed as before.

tests/releases.rs: connection_stays_open_for_the_confirmation_after_a_long_call failed before the fix and passes now.

--- a/crates/ochrelead-node/src/caller_table.rs
+++ b/crates/ochrelead-node/src/caller_table.rs
@@ -46,6 +46,8 @@
     pub(crate) pending_sessions: Vec<SessionIx>,
     /// The number of established calls that belong to the connection.
     pub(crate) established_calls: usize,
+    /// When a release was last sent on the connection.
+    pub(crate) release_sent_at: Moment,
     /// Releases that were sent on the connection and are not confirmed yet.
     pub(crate) unconfirmed_releases: VecDeque<Release>,
 }
@@ -64,6 +66,7 @@
             last_offered: 0,
             pending_sessions: Vec::new(),
             established_calls: 0,
+            release_sent_at: now,
             unconfirmed_releases: VecDeque::new(),
         };
         self.0.insert(id, caller);
@@ -153,10 +156,11 @@
         }
         let idle_timeout = protocol::CALLER_IDLE_TIMEOUT;
         let idle = now.since(self.last_used);
+        let unconfirmed = now.since(self.last_used.max(self.release_sent_at));
         // A caller gets more time to confirm the releases that it was sent.
         let all_releases_confirmed = self.unconfirmed_releases.is_empty();
         self.is_verification_overdue(now)
             || (idle >= idle_timeout.scaled(1.25) && all_releases_confirmed)
-            || idle >= idle_timeout * 4
+            || unconfirmed >= idle_timeout * 4
     }
 }
--- a/crates/ochrelead-node/src/engine/releases.rs
+++ b/crates/ochrelead-node/src/engine/releases.rs
@@ -128,8 +128,9 @@
     pub(super) fn send_release(&mut self, id: CallerId, release: Release) {
         let line = caller_messages::encode_down(release.call, release.cause, None);
         self.outputs.push_back(Output::SendToCaller(id, line));
-        let capacity = self.bounds.unconfirmed_releases;
+        let (now, capacity) = (self.now, self.bounds.unconfirmed_releases);
         if let Some(caller) = self.callers.get_mut(id) {
+            caller.release_sent_at = now;
             // If a caller does not confirm releases, the oldest ones are treated as confirmed.
             if caller.unconfirmed_releases.len() >= capacity {
                 caller.unconfirmed_releases.pop_front();
--- a/crates/ochrelead-node/tests/releases.rs
+++ b/crates/ochrelead-node/tests/releases.rs
@@ -190,3 +190,23 @@
     node.server_releases(connection, 7, 16);
     assert_eq!(node.sent_to_servers("SIP/2.0 200").len(), 1, "the caller has been sent the release");
 }
+
+/// After a call of more than 16 s the caller's connection was closed in the moment of its release, before the caller could
+/// confirm it, and the release was sent again to others.
+#[test]
+fn connection_stays_open_for_the_confirmation_after_a_long_call() {
+    let mut node = TestNode::with_servers(1);
+    node.connect_caller(1);
+    node.establish(1, 7, 0);
+    for _ in 0..40 {
+        node.advance(500);
+        node.all_servers_notify();
+    }
+    let connection = *node.connections.keys().next().unwrap();
+    node.server_releases(connection, 7, 16);
+    node.advance(1_000);
+    assert!(!node.has_closed(1));
+    node.send_line(1, &json!({"t": "ack", "ref": call_id(7), "f": {}}));
+    node.advance(6_000);
+    assert!(node.has_closed(1), "confirmed and idle");
+}
