Wait in a shutdown for a connection on which a pending BYE can be sent

Servers would see: a call that its caller ended while the front had no connection to the server keeps its line, if the front is restarted then.

Cause: the shutdown waited for releases towards callers alone. Change: it waits for pending BYEs as well, with the same limit of INVALID_CALLER_DEADLINE after its begin. tests/shutdown.rs: the new test failed before the fix and passes now.

--- a/crates/ochrelead-node/src/engine/shutdown.rs
+++ b/crates/ochrelead-node/src/engine/shutdown.rs
@@ -78,10 +78,12 @@
     }
 
     /// Whether the shutdown is complete: no answer or release is owed and no further set-up can arrive. A release that
-    /// cannot be sent to any caller delays this at most until `INVALID_CALLER_DEADLINE` after the shutdown began.
+    /// cannot be sent to any caller, or to its server, delays this at most until `INVALID_CALLER_DEADLINE` after the
+    /// shutdown began.
     pub fn is_closed(&self) -> bool {
         let Some(elapsed) = self.time_since_shutdown() else { return false };
-        let owes_release = !self.pending_releases.is_empty() && elapsed < protocol::INVALID_CALLER_DEADLINE;
+        let has_pending_release = !self.pending_releases.is_empty() || self.servers.any_pending_bye();
+        let owes_release = has_pending_release && elapsed < protocol::INVALID_CALLER_DEADLINE;
         // A set-up that has arrived in part is accepted if it can be answered before the deadline.
         let awaits_rest_of_line = self.callers.any_awaits_rest_of_line(self.now) && !self.refuses_set_ups();
         let owes_answer = self.calls.unanswered() > 0 || awaits_rest_of_line;
--- a/crates/ochrelead-node/src/server_table.rs
+++ b/crates/ochrelead-node/src/server_table.rs
@@ -172,6 +172,11 @@
         (0..self.servers.len()).map(ServerIx::new)
     }
 
+    /// Whether a BYE waits for a connection to any server.
+    pub(crate) fn any_pending_bye(&self) -> bool {
+        self.servers.iter().any(|server| !server.is_gone() && !server.pending_byes.is_empty())
+    }
+
     /// Whether the table has a server with this number, removed servers included.
     pub(crate) fn knows_number(&self, number: i64) -> bool {
         self.servers.iter().any(|server| server.number == number)
--- a/crates/ochrelead-node/tests/shutdown.rs
+++ b/crates/ochrelead-node/tests/shutdown.rs
@@ -3,7 +3,7 @@
 mod helper;
 
 use helper::{Response, TestNode, call_id};
-use ochrelead_node::io::{CallerId, Input};
+use ochrelead_node::io::{CallerId, ConnectionEnd, Input};
 use serde_json::json;
 use test_case::test_case;
 
@@ -130,3 +130,24 @@
     node.advance(400);
     assert!(node.engine.is_closed());
 }
+
+/// A caller ended its call while the node had no connection to the server: the node ended with the BYE unsent, and the server
+/// kept the line.
+#[test]
+fn shutdown_waits_for_a_connection_if_a_bye_is_pending() {
+    let mut node = TestNode::with_servers(1);
+    node.connect_caller(1);
+    node.establish(1, 7, 0);
+    node.connects_succeed = false;
+    for connection in node.connections.keys().copied().collect::<Vec<_>>() {
+        node.disconnect_server(connection, ConnectionEnd::Closed);
+    }
+    node.send_line(1, &json!({"t": "down", "ref": call_id(7), "f": {}, "c": 16}));
+    node.input_and_process(Input::Shutdown);
+    node.advance(800);
+    assert!(!node.engine.is_closed(), "a BYE is pending");
+    node.connects_succeed = true;
+    node.advance(1_000);
+    assert_eq!(node.sent_to_servers("BYE").len(), 1);
+    assert!(node.engine.is_closed());
+}
