Offer releases in a shutdown, and confirm them to their servers after the ack

Callers would see: a release that was sent in a shutdown to a connection that had shown nothing, such as that of a health check, was taken for sent and confirmed to its server, and neither the node nor its successor sent it again.

Cause: the shutdown treated any connection as a recipient like a verified caller. Change: it offers the releases, to all, and they stay pending; the shutdown waits only for those that were never offered, as before.

--- a/crates/ochrelead-node/src/caller_table.rs
+++ b/crates/ochrelead-node/src/caller_table.rs
@@ -94,20 +94,15 @@
     }
 
     /// The connection for a release after the connection of its call has closed: the most recently used one of a
-    /// verified caller. With `allow_unverified`, falls back to the most recently used unverified one; this is for the
-    /// shutdown, when there may be no later caller.
-    pub(crate) fn release_recipient(&self, allow_unverified: bool) -> Option<CallerId> {
-        self.0
-            .iter()
-            .filter(|(_, caller)| allow_unverified || caller.is_verified())
-            .max_by_key(|(_, caller)| (caller.is_verified(), caller.last_used))
-            .map(|(id, _)| *id)
+    /// verified caller.
+    pub(crate) fn release_recipient(&self) -> Option<CallerId> {
+        let verified = self.0.iter().filter(|(_, caller)| caller.is_verified());
+        verified.max_by_key(|(_, caller)| caller.last_used).map(|(id, _)| *id)
     }
 
-    /// The connections of plausible callers.
-    pub(crate) fn plausible(&self) -> Vec<CallerId> {
-        let is_plausible = |caller: &Caller| caller.trust == CallerTrust::Plausible;
-        self.0.iter().filter(|(_, caller)| is_plausible(caller)).map(|(id, _)| *id).collect()
+    /// The connections of the callers that have shown at least this much.
+    pub(crate) fn with_trust(&self, trust: CallerTrust) -> Vec<CallerId> {
+        self.0.iter().filter(|(_, caller)| caller.trust >= trust).map(|(id, _)| *id).collect()
     }
 
     /// Up to `count` connections to close in favour of new ones. Only connections without a pending set-up are
--- a/crates/ochrelead-node/src/engine/releases.rs
+++ b/crates/ochrelead-node/src/engine/releases.rs
@@ -9,7 +9,7 @@
 
 use super::{CALL_END_LOG, Engine};
 use crate::call_table::Call;
-use crate::caller_table::Release;
+use crate::caller_table::{CallerTrust, Release};
 use crate::io::{CallerId, Output};
 
 /// A release that waits for a caller's connection.
@@ -18,6 +18,7 @@
     release: Release,
     /// Numbers the pending releases in the order in which they were queued, from 1.
     number: u64,
+    is_offered: bool,
 }
 
 /// Releases that wait for a caller's connection, because the connection of their call has closed.
@@ -30,13 +31,14 @@
 }
 
 impl PendingReleases {
-    pub(super) fn is_empty(&self) -> bool {
-        self.queue.is_empty()
+    /// Whether any release has been neither sent nor offered.
+    pub(super) fn has_unoffered(&self) -> bool {
+        self.queue.iter().any(|pending| !pending.is_offered)
     }
 
     fn push(&mut self, release: Release) {
         self.last_number += 1;
-        self.queue.push_back(PendingRelease { release, number: self.last_number });
+        self.queue.push_back(PendingRelease { release, number: self.last_number, is_offered: false });
     }
 
     pub(super) fn contains(&self, call: CallId) -> bool {
@@ -93,11 +95,9 @@
 
     /// Sends pending releases on the connection of a verified caller. Between two maintenance rounds, at most
     /// `releases_per_round` are sent, so that they do not overflow the queue of one slow reader. While no verified caller
-    /// is connected, offers them to the plausible ones.
+    /// is connected, offers them to the plausible ones; in a shutdown to all, since there may be no later caller.
     pub(super) fn send_pending_releases(&mut self) {
-        let Some(caller) = self.callers.release_recipient(self.shutdown.is_some()) else {
-            return self.offer_pending_releases();
-        };
+        let Some(caller) = self.callers.release_recipient() else { return self.offer_pending_releases() };
         while self.pending_releases.sent_this_round < self.bounds.releases_per_round
             && let Some(PendingRelease { release, .. }) = self.pending_releases.queue.pop_front()
         {
@@ -107,15 +107,19 @@
         }
     }
 
-    /// Offers each pending release once to each plausible caller, within the same limit. Offered releases stay pending until
+    /// Offers each pending release once to each of these callers, within the same limit. Offered releases stay pending until
     /// a caller is verified or has confirmed them.
     fn offer_pending_releases(&mut self) {
+        let trust = if self.shutdown.is_some() { CallerTrust::None } else { CallerTrust::Plausible };
         let pending = &mut self.pending_releases;
-        for id in self.callers.plausible() {
+        for id in self.callers.with_trust(trust) {
             let Some(caller) = self.callers.get_mut(id) else { continue };
             let first = pending.queue.partition_point(|pending| pending.number <= caller.last_offered);
             let allowed = self.bounds.releases_per_round.saturating_sub(pending.sent_this_round);
-            for PendingRelease { release, number } in pending.queue.iter().skip(first).take(allowed) {
+            for PendingRelease { release, number, is_offered } in
+                pending.queue.iter_mut().skip(first).take(allowed)
+            {
+                *is_offered = true;
                 caller.last_offered = *number;
                 pending.sent_this_round += 1;
                 log_other_recipient("release offered to a caller", id, *release);
--- a/crates/ochrelead-node/src/engine/reported_calls.rs
+++ b/crates/ochrelead-node/src/engine/reported_calls.rs
@@ -95,11 +95,15 @@
     /// the server may come.
     fn doubt_after_restart(&mut self, server: ServerIx, call: CallId) {
         let Some(restarted) = self.servers.get(server).restarted else { return };
-        let release_at = restarted + (protocol::SILENT_FAILURE_DEADLINE - RELEASE_MARGIN);
-        if release_at > self.now {
-            debug!(target: CALL_END_LOG, ?call, "its server restarted shortly before the report");
-            self.doubtful_calls.push(DoubtfulCall { call, release_at });
+        if self.now.since(restarted) >= protocol::SILENT_FAILURE_DEADLINE {
+            return;
         }
+        debug!(target: CALL_END_LOG, ?call, "its server restarted shortly before the report");
+        if self.doubtful_calls.len() >= self.bounds.calls {
+            self.doubtful_calls.retain(|doubtful| self.calls.find(doubtful.call).is_some());
+        }
+        let release_at = restarted + (protocol::SILENT_FAILURE_DEADLINE - RELEASE_MARGIN);
+        self.doubtful_calls.push(DoubtfulCall { call, release_at });
     }
 
     /// Releases the doubtful calls that are due, towards their callers and towards their servers.
--- a/crates/ochrelead-node/src/engine/shutdown.rs
+++ b/crates/ochrelead-node/src/engine/shutdown.rs
@@ -82,7 +82,7 @@
     /// shutdown began.
     pub fn is_closed(&self) -> bool {
         let Some(elapsed) = self.time_since_shutdown() else { return false };
-        let has_pending_release = !self.pending_releases.is_empty() || self.servers.any_pending_bye();
+        let has_pending_release = self.pending_releases.has_unoffered() || self.servers.any_pending_bye();
         let owes_release = has_pending_release && elapsed < protocol::INVALID_CALLER_DEADLINE;
         // A set-up that has arrived in part is accepted if it can be answered before the deadline.
         let awaits_rest_of_line = self.callers.any_awaits_rest_of_line(self.now) && !self.refuses_set_ups();
--- a/crates/ochrelead-node/tests/shutdown.rs
+++ b/crates/ochrelead-node/tests/shutdown.rs
@@ -151,3 +151,22 @@
     assert_eq!(node.sent_to_servers("BYE").len(), 1);
     assert!(node.engine.is_closed());
 }
+
+/// In a shutdown a release goes to callers that have shown nothing yet. If none confirms it, the server has to repeat it to the
+/// node's successor.
+#[test]
+fn release_offered_in_a_shutdown_is_confirmed_to_its_server_only_after_its_caller_has_confirmed_it() {
+    let mut node = TestNode::with_servers(1);
+    node.connect_caller(1);
+    let connection = node.establish(1, 7, 0);
+    node.disconnect_caller(1);
+    node.input_and_process(Input::Shutdown);
+    node.connect_caller(2);
+    node.server_releases(connection, 7, 16);
+    assert_eq!(node.answers(), [(2, "down".to_owned(), Some(16))]);
+    node.server_releases(connection, 7, 16);
+    assert_eq!(node.sent_to_servers("SIP/2.0 200").len(), 0);
+    node.send_line(2, &json!({"t": "ack", "ref": call_id(7), "f": {}}));
+    node.server_releases(connection, 7, 16);
+    assert_eq!(node.sent_to_servers("SIP/2.0 200").len(), 1);
+}
