--- a/crates/ochrelead-node/src/engine/call_setup.rs
+++ b/crates/ochrelead-node/src/engine/call_setup.rs
@@ -77,6 +77,7 @@
     /// deadline has passed.
     pub(super) fn on_set_up(&mut self, id: CallerId, set_up: SetUpRequest) -> Result<(), MessageError> {
         let ResolvedSetUp { class, tenant } = self.check_set_up(&set_up)?;
+        self.raise_trust(id, CallerTrust::Plausible);
         if self.exceeds_capacity(&set_up) || self.refuses_set_ups() {
             let line = caller_messages::encode_down(set_up.call, cause::REFUSED, None);
             self.outputs.push_back(Output::SendToCaller(id, line));
@@ -104,7 +105,6 @@
         if let Some(caller) = self.callers.get_mut(id) {
             caller.pending_sessions.push(session);
         }
-        self.raise_trust(id, CallerTrust::Plausible);
         self.policy.on_call_request(session, request);
         Ok(())
     }
--- a/crates/ochrelead-node/src/engine/server_connections.rs
+++ b/crates/ochrelead-node/src/engine/server_connections.rs
@@ -205,7 +205,7 @@
             }
         }
         self.open_missing_connections(server, &demand);
-        self.close_unneeded_connections(&idle);
+        self.close_unneeded_connections(server);
     }
 
     /// Presumes a removed server dead once it is silent or has no open connection. The node opens no new connection to
@@ -292,7 +292,8 @@
 
     /// Closes surplus idle connections, and those that their server is about to close: an INVITE that races with the
     /// server's close would be lost.
-    fn close_unneeded_connections(&mut self, idle: &[ServerConnectionId]) {
+    fn close_unneeded_connections(&mut self, server: ServerIx) {
+        let idle = self.servers.idle_connections(server);
         let idle_time = |id: &ServerConnectionId| {
             self.servers.connection(*id).map_or(Span::ZERO, |connection| self.now.since(connection.last_used))
         };
--- a/crates/ochrelead-node/tests/event_orders.rs
+++ b/crates/ochrelead-node/tests/event_orders.rs
@@ -19,11 +19,12 @@
     CallerCancels,
     CallerCloses,
     ServerCloses,
+    ServerResets,
     ServerDrains,
     TimePasses,
 }
 
-const EVENTS: [Event; 9] = [
+const EVENTS: [Event; 10] = [
     Event::Accepted,
     Event::Full,
     Event::Reset,
@@ -31,6 +32,7 @@
     Event::CallerCancels,
     Event::CallerCloses,
     Event::ServerCloses,
+    Event::ServerResets,
     Event::ServerDrains,
     Event::TimePasses,
 ];
@@ -98,12 +100,8 @@
                 self.caller_gone = true;
                 self.node.input_and_process(Input::CallerDisconnected(CallerId(1)));
             }
-            Event::ServerCloses => {
-                if let Some(SentInvite { connection, .. }) = self.open_invite() {
-                    self.in_flight = self.in_flight.filter(|invite| invite.connection != connection);
-                    self.node.disconnect_server(connection, ConnectionEnd::Closed);
-                }
-            }
+            Event::ServerCloses => self.end_connection(ConnectionEnd::Closed),
+            Event::ServerResets => self.end_connection(ConnectionEnd::Reset),
             Event::ServerDrains => {
                 let (watch, _) = self.node.watch.clone().unwrap();
                 self.node.input_and_process(Input::WatchDisconnected(watch));
@@ -114,6 +112,13 @@
         self.check_outputs();
     }
 
+    fn end_connection(&mut self, end: ConnectionEnd) {
+        if let Some(SentInvite { connection, .. }) = self.open_invite() {
+            self.in_flight = self.in_flight.filter(|invite| invite.connection != connection);
+            self.node.disconnect_server(connection, end);
+        }
+    }
+
     fn respond(&mut self, response: impl Fn(u64, u32) -> Response<'static>) {
         if let Some(SentInvite { connection, sequence }) = self.open_invite() {
             self.in_flight = None;
--- a/crates/ochrelead-node/tests/helper/mod.rs
+++ b/crates/ochrelead-node/tests/helper/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the helper")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ochrelead_core::controller::Controller;
 use ochrelead_core::time::Moment;
@@ -114,6 +114,8 @@
     pub(crate) drains_input: bool,
     /// Whether servers immediately close connections that the node has half-closed.
     pub(crate) servers_close_too: bool,
+    /// The connections that the node has half-closed.
+    half_closed: BTreeSet<ServerConnectionId>,
     /// The connection to the coordinator and its address.
     pub(crate) watch: Option<(WatchId, String)>,
 }
@@ -145,6 +147,7 @@
             connects_succeed: true,
             drains_input: true,
             servers_close_too: false,
+            half_closed: BTreeSet::new(),
             watch: None,
         };
         node.process();
@@ -176,6 +179,9 @@
 
     /// Lets the simulated peers react to an output.
     fn simulate_peers(&mut self, output: &Output) {
+        if let Output::HalfCloseServerConnection(connection) = output {
+            assert!(self.half_closed.insert(*connection), "{connection:?} is half-closed twice");
+        }
         match output {
             Output::ConnectServer(connection, address) => {
                 self.connections.insert(*connection, address.ip().to_string());
