--- a/crates/ochrelead-node/src/engine/byes.rs
+++ b/crates/ochrelead-node/src/engine/byes.rs
@@ -64,10 +64,12 @@
         }
     }
 
-    /// Sends the BYEs again that were sent shortly before their connection ended: the server may not have read them.
+    /// Sends the BYEs again that were sent shortly before their connection ended: the server may not have read them. Not
+    /// without end, since it may be the BYEs that the server does not read fast enough.
     pub(super) fn resend_byes(&mut self, server: ServerIx, unconfirmed: VecDeque<UnconfirmedBye>) {
         for UnconfirmedBye { bye, sent_at } in unconfirmed {
-            if self.now.since(sent_at) < protocol::SILENCE_THRESHOLD {
+            let may_be_lost = self.now.since(sent_at) < protocol::SILENCE_THRESHOLD;
+            if may_be_lost && self.now.since(bye.requested_at) < protocol::SILENT_FAILURE_DEADLINE {
                 self.send_bye(server, None, bye);
             }
         }
--- a/crates/ochrelead-node/src/engine/caller_side.rs
+++ b/crates/ochrelead-node/src/engine/caller_side.rs
@@ -196,7 +196,11 @@
             Phase::Established { server, connection, .. } => {
                 let (is_reported, is_own) = (connection.is_none(), call.caller == id);
                 let requested_by = (is_reported && !is_own).then_some(id);
-                self.send_bye(server, connection, Bye { call: call_id, cause: cause::NORMAL, requested_by });
+                self.send_bye(
+                    server,
+                    connection,
+                    Bye { call: call_id, cause: cause::NORMAL, requested_at: self.now, requested_by },
+                );
                 self.policy.on_invite_ended(session, server, InviteOutcome::Released, true);
                 self.remove_established(session);
                 if !is_reported {
--- a/crates/ochrelead-node/src/engine/reported_calls.rs
+++ b/crates/ochrelead-node/src/engine/reported_calls.rs
@@ -143,7 +143,11 @@
             server = self.servers.get(server).id,
             "reported call ended with a process of its server"
         );
-        self.send_bye(server, None, Bye { call, cause: cause::FAILED, requested_by: None });
+        self.send_bye(
+            server,
+            None,
+            Bye { call, cause: cause::FAILED, requested_at: self.now, requested_by: None },
+        );
         self.policy.on_invite_ended(session, server, InviteOutcome::Reset, true);
         self.release(session, cause::FAILED);
     }
--- a/crates/ochrelead-node/src/engine/server_messages.rs
+++ b/crates/ochrelead-node/src/engine/server_messages.rs
@@ -171,7 +171,11 @@
         let Some(session) = self.answered_session(response) else {
             if self.is_orphaned(server, call) {
                 self.outputs.push_back(Output::SendToServer(id, requests::ack(call, sequence)));
-                self.send_bye(server, Some(id), Bye { call, cause: cause::NORMAL, requested_by: None });
+                self.send_bye(
+                    server,
+                    Some(id),
+                    Bye { call, cause: cause::NORMAL, requested_at: self.now, requested_by: None },
+                );
             }
             return Ok(());
         };
--- a/crates/ochrelead-node/src/server_table.rs
+++ b/crates/ochrelead-node/src/server_table.rs
@@ -27,6 +27,7 @@
     pub(crate) call: CallId,
     /// The Q.850 cause.
     pub(crate) cause: u32,
+    pub(crate) requested_at: Moment,
     /// The caller that ended a call which another connection had reported.
     pub(crate) requested_by: Option<CallerId>,
 }
--- a/crates/ochrelead-node/tests/releases.rs
+++ b/crates/ochrelead-node/tests/releases.rs
@@ -151,6 +151,21 @@
     assert!(byes.iter().all(|(other, text)| *other != connection && text.contains(&call_id(7))));
 }
 
+/// The BYEs themselves may be what the server does not read fast enough.
+#[test]
+fn bye_lost_again_and_again_is_given_up() {
+    let (mut node, mut connection) = node_after_hang_up();
+    let lost_for_ms = |node: &mut TestNode, connection: &mut ServerConnectionId| {
+        node.advance(1_000);
+        node.outputs.clear();
+        node.disconnect_server(*connection, ConnectionEnd::Reset);
+        node.advance(500);
+        node.sent_to_servers("BYE").pop().map(|(next, _)| *connection = next)
+    };
+    let repetitions = (0..20).take_while(|_| lost_for_ms(&mut node, &mut connection).is_some()).count();
+    assert!((2..8).contains(&repetitions), "{repetitions}");
+}
+
 #[test_case("200 OK")]
 #[test_case("481 Call/Transaction Does Not Exist")]
 fn answered_bye_is_not_sent_again(status: &str) {
