--- a/crates/ochrelead-node/src/engine/releases.rs
+++ b/crates/ochrelead-node/src/engine/releases.rs
@@ -41,10 +41,12 @@
         self.queue.push_back(PendingRelease { release, number: self.last_number, is_offered: false });
     }
 
+    /// The number of releases that wait.
     pub(super) fn len(&self) -> usize {
         self.queue.len()
     }
 
+    /// Whether the release of a call waits.
     pub(super) fn contains(&self, call: CallId) -> bool {
         self.queue.iter().rev().any(|pending| pending.release.call == call)
     }
@@ -102,6 +104,9 @@
     /// `releases_per_round` are sent, so that they do not overflow the queue of one slow reader. While no verified caller
     /// is connected, offers them to the plausible ones; in a shutdown to all, since there may be no later caller.
     pub(super) fn send_pending_releases(&mut self) {
+        if self.pending_releases.queue.is_empty() {
+            return;
+        }
         let Some(caller) = self.callers.release_recipient() else { return self.offer_pending_releases() };
         while self.pending_releases.sent_this_round < self.bounds.releases_per_round
             && let Some(PendingRelease { release, .. }) = self.pending_releases.queue.pop_front()
@@ -134,6 +139,8 @@
         }
     }
 
+    /// Sends a release on a caller's connection. It is sent again elsewhere if the connection closes before the caller has
+    /// confirmed it.
     pub(super) fn send_release(&mut self, id: CallerId, release: Release) {
         let line = caller_messages::encode_down(release.call, release.cause, None);
         self.outputs.push_back(Output::SendToCaller(id, line));
