--- a/review/harness-2/common.rs
+++ b/review/harness-2/common.rs
@@ -339,7 +339,8 @@
     pub calls: HashMap<String, CallAtServer>,
     /// Set-ups without an answer: call, and the connection that they came on.
     pub open_set_ups: HashMap<String, usize>,
-    pub set_ups: usize,
+    /// When each set-up came.
+    pub set_ups: Vec<f64>,
     pub answers: bool,
     /// Connections that the server has forgotten without a sign.
     forgotten: HashSet<usize>,
@@ -459,7 +460,7 @@
         match message.method() {
             "INVITE" => {
                 record(&format!("{} got INVITE {call} on connection {number}", self.id));
-                state.set_ups += 1;
+                state.set_ups.push(now());
                 if !state.answers {
                     state.open_set_ups.insert(call.clone(), number);
                     return;
@@ -597,6 +598,11 @@
         address
     }
 
+    /// When the set-ups came that came after `time`.
+    pub fn set_ups_after(&self, time: f64) -> Vec<f64> {
+        self.state.lock().unwrap().set_ups.iter().copied().filter(|at| *at > time).collect()
+    }
+
     /// How many connections have come up so far.
     pub fn accepted(&self) -> usize {
         self.state.lock().unwrap().last_connection
