Doubt calls reported to a new process whose first list tells of a restart

Cause: a restart counted only if this process had seen the server listed before. The first list names the present start alone. Evidence: the calls at the other server, and those after a restart told by a second event, were released. Change: a server listed for the first time counts as restarted if it started before the table's own start plus 8 s, so that the reported calls are released 7 s after the start unless the server does so first. Also for a server that the first list lacks.

--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -134,7 +134,7 @@
             max_idle: settings.connection_idle_timeout().map(|limit| limit - connect_timeout.min(limit / 4)),
             calls: CallTable::default(),
             callers: CallerTable::default(),
-            servers: ServerTable::new(bounds.servers),
+            servers: ServerTable::new(bounds.servers, now),
             called_numbers: CalledNumberTable::new(bounds.called_numbers),
             watch: CoordinatorWatch::new(&watch, now),
             cancelled: RecentIds::new(bounds.called_numbers),
--- a/crates/ochrelead-node/src/engine/reported_calls.rs
+++ b/crates/ochrelead-node/src/engine/reported_calls.rs
@@ -121,9 +121,9 @@
         }
     }
 
-    /// Doubts a reported call if the list had told of a restart of its server shortly before the report. Whether the call was
-    /// established before or after the restart is not known. It is released as late as a release without a message from
-    /// the server may come.
+    /// Doubts a reported call if its server may have restarted shortly before the report. Whether the call was established
+    /// before or after the restart is not known. It is released as late as a release without a message from the server may
+    /// come.
     fn doubt_after_restart(&mut self, server: ServerIx, call: CallId) {
         let Some(restarted) = self.servers.get(server).restarted else { return };
         if self.now.since(restarted) >= protocol::SILENT_FAILURE_DEADLINE {
--- a/crates/ochrelead-node/src/server_table.rs
+++ b/crates/ochrelead-node/src/server_table.rs
@@ -61,7 +61,7 @@
     pub(crate) state: EndpointState,
     /// When its process started, as far as the list has told.
     pub(crate) started: Option<Moment>,
-    /// When its process started, if the list knew an earlier process.
+    /// When its process started, if an earlier process of the server may have ended shortly before.
     pub(crate) restarted: Option<Moment>,
     /// The zone that the endpoint list names for it.
     pub(crate) zone: Option<String>,
@@ -154,17 +154,20 @@
     /// Removed servers in the order of their removal, oldest first.
     gone: VecDeque<ServerIx>,
     capacity: usize,
+    /// Since when the table follows the endpoint list.
+    created_at: Moment,
     last_connection: u64,
 }
 
 impl ServerTable {
-    pub(crate) fn new(capacity: usize) -> ServerTable {
+    pub(crate) fn new(capacity: usize, now: Moment) -> ServerTable {
         ServerTable {
             servers: Vec::new(),
             by_id: HashMap::new(),
             connections: BTreeMap::new(),
             gone: VecDeque::new(),
             capacity,
+            created_at: now,
             last_connection: 0,
         }
     }
@@ -248,6 +251,7 @@
 
     /// Updates a server from its entry in the endpoint list.
     fn update(&mut self, index: ServerIx, endpoint: &Endpoint, is_new: bool, changes: &mut EndpointChanges) {
+        let created_at = self.created_at;
         let server = self.get_mut(index);
         server.address = endpoint.address;
         server.number = endpoint.number;
@@ -257,7 +261,7 @@
             && server.started.is_none_or(|known| known < started)
         {
             server.started = Some(started);
-            if !is_new {
+            if !is_new || may_have_predecessor(started, created_at) {
                 server.restarted = Some(started);
             }
             changes.transitions.push(ServerTransition::Restarted(index, started));
@@ -322,3 +326,9 @@
         free.clone().find(has_number).or_else(|| free.next()).copied()
     }
 }
+
+/// Whether an earlier process of a server that this table lists for the first time may have ended shortly before `started`:
+/// the list that told of it may be older than the table.
+fn may_have_predecessor(started: Moment, created_at: Moment) -> bool {
+    started < created_at + protocol::SILENT_FAILURE_DEADLINE
+}
--- a/crates/ochrelead-node/tests/helper/mod.rs
+++ b/crates/ochrelead-node/tests/helper/mod.rs
@@ -80,12 +80,21 @@
     extra_limits: Value,
     /// The mean holding times of the two services in ms.
     hold_times_ms: [u64; 2],
+    /// How many ms before the node the first server started; `None` if the list does not tell.
+    first_started_before_ms: Option<u64>,
     seed: &'static str,
 }
 
 impl Default for NodeOptions {
     fn default() -> Self {
-        NodeOptions { servers: 1, sockets: 64, extra_limits: json!({}), hold_times_ms: [0, 0], seed: "07" }
+        NodeOptions {
+            servers: 1,
+            sockets: 64,
+            extra_limits: json!({}),
+            hold_times_ms: [0, 0],
+            first_started_before_ms: None,
+            seed: "07",
+        }
     }
 }
 
@@ -94,8 +103,11 @@
         let mut limits =
             json!({"maxAttempts": 4, "maxRetryAfterMs": 2000, "retryAfter": true, "connectTimeoutMs": 500});
         limits.as_object_mut().unwrap().extend(self.extra_limits.as_object().unwrap().clone());
-        let endpoints: Vec<Value> =
+        let mut endpoints: Vec<Value> =
             (0..self.servers).map(|number| endpoint(number, 10 + number, "up", 0)).collect();
+        if let Some(before_ms) = self.first_started_before_ms {
+            endpoints[0]["startedAtMs"] = json!(START_MS - before_ms);
+        }
         let class = |name: &str| json!({"name": name, "deadlineMs": 3000, "targetMs": 500, "worth": 1, "lateShare": 0.25});
         let text = json!({"name": "n0", "listen": "127.0.0.1:5080", "seed": self.seed,
             "coordinator": "127.0.0.9:8500", "limits": {"memory_mb": 32, "sockets": self.sockets},
@@ -143,6 +155,11 @@
         TestNode::new(&NodeOptions { hold_times_ms, ..NodeOptions::default() })
     }
 
+    /// A node whose first list tells that its only server started this many ms before the node.
+    pub(crate) fn with_server_started_before(before_ms: u64) -> TestNode {
+        TestNode::new(&NodeOptions { first_started_before_ms: Some(before_ms), ..NodeOptions::default() })
+    }
+
     /// A node with this limit on file descriptors and with extra entries in the settings' `limits`.
     pub(crate) fn with_limits(servers: u64, sockets: u64, extra_limits: Value) -> TestNode {
         TestNode::new(&NodeOptions { servers, sockets, extra_limits, ..NodeOptions::default() })
--- a/crates/ochrelead-node/tests/reported_calls.rs
+++ b/crates/ochrelead-node/tests/reported_calls.rs
@@ -134,3 +134,63 @@
     report_call(&mut node, 3);
     assert_eq!(node.answers(), [(1, "down".to_owned(), Some(16)), (3, "down".to_owned(), Some(41))]);
 }
+
+/// Lets caller 1 report call 7 at this server while caller 2 has a call of its own, and returns the releases of call 7
+/// that were sent by `until_ms`, with the number of BYEs.
+fn releases_of_report_at(node: &mut TestNode, server: &str, until_ms: u64) -> (Vec<u64>, usize) {
+    node.connect_caller(2);
+    node.establish(2, 8, 0);
+    node.connect_caller(1);
+    node.send_line(1, &json!({"t": "new", "ref": call_id(7), "f": {"extras": format!("at:{server}")}}));
+    advance_audibly(node, until_ms.saturating_sub(node.now_ms));
+    (released_with(node), node.sent_to_servers("BYE").len())
+}
+
+/// Review case 6: the first list of a new node tells of its servers' restart, which was taken for the start of a new
+/// server. A call that the earlier process held was never released.
+#[test_case(2_500, &[41]; "while the node was down")]
+#[test_case(7_500, &[41]; "just within the deadline")]
+#[test_case(20_000, &[]; "long before the node started")]
+fn call_reported_to_a_new_node_whose_server_restarted(before_ms: u64, expected: &[u64]) {
+    let mut node = TestNode::with_server_started_before(before_ms);
+    let until_ms = if expected.is_empty() { 20_000 } else { RELEASE_DEADLINE_MS - before_ms };
+    assert_eq!(releases_of_report_at(&mut node, "s-0", until_ms), (expected.to_vec(), expected.len()));
+}
+
+/// As above, but the first list lacks the server, since its earlier process had ended and the present one had not started.
+#[test]
+fn call_reported_to_a_new_node_whose_server_returns_after_the_first_list_is_released() {
+    let mut node = TestNode::with_servers(1);
+    advance_audibly(&mut node, 3_000);
+    node.coordinator_updates(2, &json!([endpoint(5, 15, "up", 2_900)]));
+    let releases = releases_of_report_at(&mut node, "s-5", 2_900 + RELEASE_DEADLINE_MS);
+    assert_eq!(releases, (vec![41], 1));
+}
+
+/// A call of the present process is released by its server before the node gives it up.
+#[test]
+fn call_reported_to_a_new_node_is_released_by_its_restarted_server() {
+    let mut node = TestNode::with_server_started_before(2_500);
+    assert_eq!(releases_of_report_at(&mut node, "s-0", 2_000), (Vec::new(), 0));
+    let connection = *node.connections.keys().next().unwrap();
+    node.server_releases(connection, 7, 16);
+    advance_audibly(&mut node, RELEASE_DEADLINE_MS);
+    assert_eq!(released_with(&node), [16]);
+}
+
+/// Made-up ids at a restarted server displace no call that a server released, and cost that server one BYE each at most.
+#[test]
+fn made_up_reports_at_a_restarted_server_stay_within_their_bound() {
+    let mut node = TestNode::with_server_started_before(2_500);
+    node.connect_caller(2);
+    node.establish(2, 8, 0);
+    node.connect_caller(1);
+    for call in 1_000..4_000 {
+        node.send_line(1, &json!({"t": "new", "ref": call_id(call), "f": {"extras": "at:s-0"}}));
+    }
+    let held = node.engine.load().calls - 1;
+    assert!(held < 3_000, "one connection keeps {held} reported calls");
+    advance_audibly(&mut node, RELEASE_DEADLINE_MS);
+    assert_eq!(node.engine.load().calls, 1, "the call of caller 2 stands");
+    assert_eq!(node.sent_to_servers("BYE").len(), held);
+}
