Check the length of each message sent; release a call whose answer is too long

Cause: a line end takes two bytes in SIP and four in JSON; the length of the line was not checked. Related paths: an INVITE's own length is checked instead of 1,024 bytes reserved for its head, which rejected set-ups that fit; a heartbeat and a server's request whose reply would be too long are not answered by that reply.

--- a/crates/ochrelead-node/src/engine/call_setup.rs
+++ b/crates/ochrelead-node/src/engine/call_setup.rs
@@ -4,17 +4,14 @@
 use ochrelead_core::index::{ServiceIx, TenantIx};
 use ochrelead_core::time::Span;
 use ochrelead_core::types::CallRequest;
-use ochrelead_platform::MAX_MESSAGE_LENGTH;
 use ochrelead_platform::caller_messages::{self, MessageError, SetUpRequest, cause};
 use ochrelead_platform::settings::Settings;
 
-use super::Engine;
+use super::{Engine, requests};
 use crate::call_table::{Call, Phase};
 use crate::caller_table::CallerTrust;
 use crate::io::{CallerId, Output};
 
-/// Bytes reserved for the start line and the headers of an INVITE, in addition to its session description.
-const MAX_HEAD_BYTES: usize = MAX_MESSAGE_LENGTH / 16;
 /// The destination number of a set-up that any server may take.
 const ANY_DESTINATION: i64 = -1;
 
@@ -127,7 +124,15 @@
         if set_up.destination.is_some_and(|number| number >= 0 && !is_known(number)) {
             return Err(MessageError::UnknownDestination);
         }
-        if set_up.description.len() + MAX_HEAD_BYTES > MAX_MESSAGE_LENGTH {
+        let invite = requests::Invite {
+            call: set_up.call,
+            called_number: &set_up.called_number,
+            sequence: 1,
+            service: self.catalog.service_name(class),
+            timer_ms: 1,
+            description: &set_up.description,
+        };
+        if !invite.always_fits() {
             return Err(MessageError::DescriptionTooLong);
         }
         Ok(ResolvedSetUp { class, tenant })
--- a/crates/ochrelead-node/src/engine/caller_side.rs
+++ b/crates/ochrelead-node/src/engine/caller_side.rs
@@ -2,6 +2,7 @@
 
 use ochrelead_core::index::SessionIx;
 use ochrelead_core::types::InviteOutcome;
+use ochrelead_platform::MAX_MESSAGE_LENGTH;
 use ochrelead_platform::caller_messages::{self, CallId, CallerMessage, InvalidMessage, cause};
 use tracing::{debug, trace};
 
@@ -149,11 +150,11 @@
             CallerMessage::Established { call, server } => self.on_established_elsewhere(id, call, &server),
             CallerMessage::Release { call } => self.on_release_request(id, call),
             CallerMessage::Heartbeat { id: heartbeat } => {
-                let is_in_service = self.shutdown.is_none();
-                self.outputs.push_back(Output::SendToCaller(
-                    id,
-                    caller_messages::encode_heartbeat_reply(&heartbeat, is_in_service),
-                ));
+                let reply = caller_messages::encode_heartbeat_reply(&heartbeat, self.shutdown.is_none());
+                if reply.len() > MAX_MESSAGE_LENGTH {
+                    return self.reject_line(id, None);
+                }
+                self.outputs.push_back(Output::SendToCaller(id, reply));
             }
             CallerMessage::Acknowledged { call } => {
                 if let Some(caller) = self.callers.get_mut(id) {
--- a/crates/ochrelead-node/src/engine/requests.rs
+++ b/crates/ochrelead-node/src/engine/requests.rs
@@ -1,5 +1,6 @@
 //! Encoding of the SIP messages that the node sends to servers.
 
+use ochrelead_platform::MAX_MESSAGE_LENGTH;
 use ochrelead_platform::caller_messages::CallId;
 use ochrelead_sip::message::{Message, encode, header};
 
@@ -15,6 +16,36 @@
     encode(start_line, &[&common, headers].concat(), body)
 }
 
+/// The parts of an INVITE.
+#[derive(Clone, Copy)]
+pub(super) struct Invite<'a> {
+    pub(super) call: CallId,
+    pub(super) called_number: &'a str,
+    pub(super) sequence: u32,
+    /// The name of the service class.
+    pub(super) service: &'a str,
+    /// How long the node waits for the answer, in milliseconds.
+    pub(super) timer_ms: u64,
+    /// The session description.
+    pub(super) description: &'a str,
+}
+
+impl Invite<'_> {
+    pub(super) fn encode(&self) -> Vec<u8> {
+        let start_line = format!("INVITE sip:{}@net SIP/2.0", self.called_number);
+        let sequence = format!("{} INVITE", self.sequence);
+        let timer_ms = self.timer_ms.to_string();
+        let headers = [("X-Cos", self.service), ("X-Timer-Ms", &timer_ms)];
+        message(&start_line, self.call.as_str(), &sequence, &headers, self.description.as_bytes())
+    }
+
+    /// Whether the message is not too long for any sequence number and any timer.
+    pub(super) fn always_fits(&self) -> bool {
+        let longest = Invite { sequence: u32::MAX, timer_ms: u64::MAX, ..*self };
+        longest.encode().len() <= MAX_MESSAGE_LENGTH
+    }
+}
+
 /// Encodes a request without a body.
 pub(super) fn request(method: &str, called_number: &str, call: CallId, sequence: u32) -> Vec<u8> {
     let start_line = format!("{method} sip:{called_number}@net SIP/2.0");
@@ -33,9 +64,11 @@
     message("BYE sip:call@net SIP/2.0", call.as_str(), "9 BYE", &headers, &[])
 }
 
-/// Encodes the 200 response to a request from a server.
-pub(super) fn ok(request: &Message, method: &str) -> Vec<u8> {
+/// Encodes the 200 response to a request from a server. Returns `None` if the response would be too long, since it repeats a
+/// call id that is too long.
+pub(super) fn ok(request: &Message, method: &str) -> Option<Vec<u8>> {
     let call = request.header(header::CALL_ID).unwrap_or_default();
     let sequence = request.sequence().map_or(1, |(number, _)| number);
-    message("SIP/2.0 200 OK", call, &format!("{sequence} {method}"), &[], &[])
+    let response = message("SIP/2.0 200 OK", call, &format!("{sequence} {method}"), &[], &[]);
+    (response.len() <= MAX_MESSAGE_LENGTH).then_some(response)
 }
--- a/crates/ochrelead-node/src/engine/server_messages.rs
+++ b/crates/ochrelead-node/src/engine/server_messages.rs
@@ -2,6 +2,7 @@
 
 use ochrelead_core::index::{ServerIx, SessionIx};
 use ochrelead_core::types::InviteOutcome;
+use ochrelead_platform::MAX_MESSAGE_LENGTH;
 use ochrelead_platform::caller_messages::{self, CallId, cause};
 use ochrelead_sip::message::{Message, StartLine, header};
 use tracing::debug;
@@ -142,10 +143,12 @@
             // caller, its successor learns of it.
             return;
         }
-        if self.servers.is_open(id) {
-            self.outputs.push_back(Output::SendToServer(id, requests::ok(message, method)));
-        } else {
+        if !self.servers.is_open(id) {
             debug!(target: CALL_END_LOG, ?call, method, "request on half-closed connection not answered");
+        } else if let Some(response) = requests::ok(message, method) {
+            self.outputs.push_back(Output::SendToServer(id, response));
+        } else {
+            debug!(connection = id.0, method, "request with too long a call id not answered");
         }
     }
 
@@ -197,12 +200,28 @@
         self.calls.set_phase(session, phase);
         debug!(?call, server = self.servers.get(server).id, "call established");
         self.policy.on_call_established(session);
-        self.outputs
-            .push_back(Output::SendToCaller(caller, caller_messages::encode_established(call, description)));
         self.on_caller_established(caller, session);
+        let line = caller_messages::encode_established(call, description);
+        if line.len() > MAX_MESSAGE_LENGTH {
+            self.fail_undeliverable(session, server, id);
+        } else {
+            self.outputs.push_back(Output::SendToCaller(caller, line));
+        }
         Ok(())
     }
 
+    /// Fails a call whose answer does not fit into a message to the caller: a session description takes more bytes in JSON
+    /// than in SIP. The call is released at its server, and not set up again, since it was established once.
+    fn fail_undeliverable(&mut self, session: SessionIx, server: ServerIx, connection: ServerConnectionId) {
+        let Some(call) = self.remove_established(session) else { return };
+        debug!(call = ?call.id, server = self.servers.get(server).id, "answer too long for the caller");
+        let bye = Bye { call: call.id, cause: cause::FAILED, requested_at: self.now, requested_by: None };
+        self.send_bye(server, Some(connection), bye);
+        self.policy.on_invite_ended(session, server, InviteOutcome::Released, true);
+        let line = caller_messages::encode_down(call.id, cause::FAILED, None);
+        self.outputs.push_back(Output::SendToCaller(call.caller, line));
+    }
+
     /// Whether a server has established a call that no caller waits for: an INVITE of the call was cancelled, and the
     /// call has ended or is not at that server. False for a repeated response and for an unknown call id.
     fn is_orphaned(&self, server: ServerIx, call: CallId) -> bool {
--- a/crates/ochrelead-node/src/engine/server_side.rs
+++ b/crates/ochrelead-node/src/engine/server_side.rs
@@ -65,17 +65,16 @@
         let Some(id) = self.servers.select_connection(server) else {
             return self.await_connection(server, session);
         };
-        let start_line = format!("INVITE sip:{}@net SIP/2.0", call.called_number);
-        let sequence = format!("{} INVITE", call.invite_count);
-        let timer_ms = (invite.expires_at.since(self.now).micros() / 1_000).max(1).to_string();
-        let headers = [("X-Cos", self.catalog.service_name(call.class)), ("X-Timer-Ms", &timer_ms)];
-        let bytes = requests::message(
-            &start_line,
-            call.id.as_str(),
-            &sequence,
-            &headers,
-            call.description.as_bytes(),
-        );
+        let request = requests::Invite {
+            call: call.id,
+            called_number: &call.called_number,
+            sequence: call.invite_count,
+            service: self.catalog.service_name(call.class),
+            timer_ms: (invite.expires_at.since(self.now).micros() / 1_000).max(1),
+            description: &call.description,
+        };
+        let bytes = request.encode();
+        let sequence = request.sequence;
         let server_id = &self.servers.get(server).id;
         debug!(call = %call.id.as_str(), server = server_id, connection = id.0, sequence, "INVITE sent");
         self.outputs.push_back(Output::SendToServer(id, bytes));
