--- a/crates/ochrelead-node/src/engine/server_messages.rs
+++ b/crates/ochrelead-node/src/engine/server_messages.rs
@@ -200,13 +200,15 @@
         self.calls.set_phase(session, phase);
         debug!(?call, server = self.servers.get(server).id, "call established");
         self.policy.on_call_established(session);
-        self.on_caller_established(caller, session);
         let line = caller_messages::encode_established(call, description);
-        if line.len() > MAX_MESSAGE_LENGTH {
-            self.fail_undeliverable(session, server, id);
-        } else {
+        let is_deliverable = line.len() <= MAX_MESSAGE_LENGTH;
+        if is_deliverable {
             self.outputs.push_back(Output::SendToCaller(caller, line));
         }
+        self.on_caller_established(caller, session);
+        if !is_deliverable {
+            self.fail_undeliverable(session, server, id);
+        }
         Ok(())
     }
 
