Bound what one connection's input costs the others in memory and time

Causes: (1) callers' input was drained for all of them before any answer was written; (2) each answer took a system call; (3) the input of a caller that never stops writing is never empty, so its INVITEs were held back for ever and counted as in flight. Change: answers are written after each read; consecutive lines to a caller are written together; a caller that has not closed (POLLRDHUP) is drained by 16 reads. The three meet in perform_outputs, hence one commit.

--- a/crates/ochrelead-front/tests/scripted/mod.rs
+++ b/crates/ochrelead-front/tests/scripted/mod.rs
@@ -174,6 +174,16 @@
         (length > 0).then(|| serde_json::from_str(&line).unwrap())
     }
 
+    /// Reads the next line that is no acknowledgement.
+    pub(crate) fn next_answer(&mut self) -> Value {
+        std::iter::from_fn(|| self.next_line()).find(|line| line["t"] != "ack").expect("an answer")
+    }
+
+    /// A second handle of the connection, to write from another thread.
+    pub(crate) fn try_clone(&self) -> TcpStream {
+        self.0.get_ref().try_clone().unwrap()
+    }
+
     /// Reads to the end of the connection. Returns the type and the call ID of each line, without acknowledgements.
     pub(crate) fn read_to_end(&mut self) -> Vec<(String, String)> {
         let mut lines = Vec::new();
--- a/crates/ochrelead-node/src/host.rs
+++ b/crates/ochrelead-node/src/host.rs
@@ -19,6 +19,7 @@
 //!
 //! The only other thread writes files ([`crate::persistence`]); it ends when its sender, owned by `State`, is dropped.
 
+mod caller_lines;
 mod connection;
 mod connections;
 mod engine_handle;
@@ -45,6 +46,7 @@
 
 use crate::engine::Engine;
 use crate::io::{Output, WatchAction};
+use caller_lines::CallerLines;
 use connection::{CloseMode, Remote};
 use connections::ConnectionTable;
 use engine_handle::EngineHandle;
@@ -164,8 +166,7 @@
     fn run_once(&self, listener: &Async<TcpListener>) -> ControlFlow<(), Option<Moment>> {
         let clock = self.clock();
         let mut state = self.state.borrow_mut();
-        let State { engine, connections, .. } = &mut *state;
-        connections.resume_pending_drains(engine);
+        state.connections.resume_postponed_drains();
         self.process(&mut state, clock.now());
         if state.is_closed() && self.has_no_pending_input(&mut state, listener) {
             return ControlFlow::Break(());
@@ -230,9 +231,37 @@
         }
     }
 
+    /// Performs the outputs of the engine, and drains the input that it requests to be drained. Consecutive lines to one caller are written together, so that a caller that
+    /// requests many answers costs the others no system call for each.
     fn perform_outputs(&self, state: &mut State) {
-        while let Some(output) = state.engine.engine.poll_output() {
-            self.perform(state, output);
+        let mut lines = CallerLines::default();
+        loop {
+            match state.engine.engine.poll_output() {
+                Some(Output::SendToCaller(caller, bytes)) => {
+                    if !lines.accepts(caller, bytes.len()) {
+                        self.write_lines(state, &mut lines);
+                    }
+                    lines.push(caller, &bytes);
+                }
+                Some(output) => {
+                    self.write_lines(state, &mut lines);
+                    self.perform(state, output);
+                }
+                // A failed write closes the connection, which may lead to further outputs.
+                None if !lines.is_empty() => self.write_lines(state, &mut lines),
+                None => {
+                    let State { engine, connections, .. } = &mut *state;
+                    if !connections.continue_drain(engine) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    fn write_lines(&self, state: &mut State, lines: &mut CallerLines) {
+        if let Some((caller, bytes)) = lines.take() {
+            self.write(state, Remote::Caller(caller), &bytes);
         }
     }
 
@@ -241,7 +270,7 @@
         match output {
             Output::SendToCaller(caller, bytes) => self.write(state, Remote::Caller(caller), &bytes),
             Output::SendToServer(server, bytes) => self.write(state, Remote::Server(server), &bytes),
-            Output::DrainInput(caller) => connections.drain_input(engine, caller),
+            Output::DrainInput(caller) => connections.drain_input(caller),
             Output::CloseCaller(caller) => {
                 connections.close(engine, Remote::Caller(caller), CloseMode::Close);
             }
--- a/crates/ochrelead-node/src/host/connection.rs
+++ b/crates/ochrelead-node/src/host/connection.rs
@@ -6,6 +6,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::Async;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 use crate::io::{CallerId, ServerConnectionId, WatchId};
 
@@ -128,3 +129,11 @@
     }
     Ok(written)
 }
+
+/// Whether the peer has closed the connection or its sending side, even if some of its input has not been read yet.
+pub(super) fn is_closed_by_peer(stream: &Async<TcpStream>) -> bool {
+    let mut polled = [PollFd::new(stream.get_ref(), PollFlags::RDHUP)];
+    // If the poll fails, the next read reports the state of the connection.
+    let _ = poll(&mut polled, Some(&Timespec::default()));
+    polled[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+}
--- a/crates/ochrelead-node/src/host/connections.rs
+++ b/crates/ochrelead-node/src/host/connections.rs
@@ -1,9 +1,10 @@
 //! The table of a node's TCP connections: reading, writing and closing. As part of the state that tasks share, it is
 //! never borrowed across an `await`.
 
+mod drains;
+
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read};
-use std::mem;
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 
@@ -17,10 +18,7 @@
 use super::engine_handle::EngineHandle;
 use crate::bounds::protocol;
 use crate::io::{CallerId, ConnectionEnd, Input, WatchId};
-
-/// The maximum number of consecutive reads of one connection while its input is drained, so that one caller can't
-/// starve the others.
-const MAX_READS_PER_ITERATION: usize = 16;
+use drains::Drains;
 
 /// A lingering connection and when it is closed, whatever still arrives on it.
 struct LingeringClose {
@@ -36,8 +34,7 @@
     caller_count: usize,
     /// Established connections to the coordinator.
     watches: Vec<WatchId>,
-    /// Callers whose input had more data than one iteration reads; the next iteration continues with them.
-    pending_drains: Vec<CallerId>,
+    drains: Drains,
     /// Lingering connections, earliest `closes_at` first.
     lingering: Vec<LingeringClose>,
     read_buffer: Vec<u8>,
@@ -50,7 +47,7 @@
             last_caller: 0,
             caller_count: 0,
             watches: Vec::new(),
-            pending_drains: Vec::new(),
+            drains: Drains::default(),
             lingering: Vec::new(),
             read_buffer: vec![0; MAX_MESSAGE_LENGTH],
         }
@@ -201,48 +198,6 @@
         ReadOutcome::Bytes
     }
 
-    /// Reads all input that has arrived from the coordinator and from one caller, then reports `InputDrained`. The engine
-    /// requests this before an action that a change of the endpoint list, the caller's disconnect or its next message
-    /// would alter. If `MAX_READS_PER_ITERATION` reads do not exhaust the caller's input, the next iteration continues.
-    pub(super) fn drain_input(&mut self, engine: &mut EngineHandle, caller: CallerId) {
-        self.read_watches(engine);
-        let remote = Remote::Caller(caller);
-        if let Some(stream) = self.stream(remote)
-            && self.has_more_after_reading(engine, remote, &stream)
-        {
-            self.pending_drains.push(caller);
-            engine.wake();
-            return;
-        }
-        engine.handle_input(Input::InputDrained(caller));
-    }
-
-    /// Reads what the coordinator has sent, so that a node that was paused learns of a drain before it sends INVITEs.
-    fn read_watches(&mut self, engine: &mut EngineHandle) {
-        for watch in self.watches.clone() {
-            let remote = Remote::Coordinator(watch);
-            if let Some(stream) = self.stream(remote) {
-                self.has_more_after_reading(engine, remote, &stream);
-            }
-        }
-    }
-
-    fn has_more_after_reading(
-        &mut self,
-        engine: &mut EngineHandle,
-        remote: Remote,
-        stream: &Async<TcpStream>,
-    ) -> bool {
-        (0..MAX_READS_PER_ITERATION).all(|_| self.read_once(engine, remote, stream) == ReadOutcome::Bytes)
-    }
-
-    /// Continues the drains that the previous iteration did not complete.
-    pub(super) fn resume_pending_drains(&mut self, engine: &mut EngineHandle) {
-        for caller in mem::take(&mut self.pending_drains) {
-            self.drain_input(engine, caller);
-        }
-    }
-
     /// Reads each caller's and server's connection once. Returns whether any data arrived.
     pub(super) fn read_all(&mut self, engine: &mut EngineHandle) -> bool {
         let streams: Vec<(Remote, Rc<Async<TcpStream>>)> = self
--- a/crates/ochrelead-node/src/host/sockets.rs
+++ b/crates/ochrelead-node/src/host/sockets.rs
@@ -137,10 +137,14 @@
         }
     }
 
+    /// Reads once and writes the answers, so that those to all connections never wait in memory at the same time. Returns
+    /// false if nothing more is to be read.
     fn read_some(&self, remote: Remote, stream: &Async<TcpStream>) -> bool {
         let mut state = self.state.borrow_mut();
         let State { engine, connections, .. } = &mut *state;
-        connections.read(engine, remote, stream)
+        let may_continue = connections.read(engine, remote, stream);
+        self.perform_outputs(&mut state);
+        may_continue
     }
 
     // ---- Write ----
