--- a/crates/ochrelead-front/tests/floods.rs
+++ b/crates/ochrelead-front/tests/floods.rs
@@ -29,6 +29,9 @@
 const INVALID_CALLER_DEADLINE: Duration = Duration::from_secs(3);
 /// The memory limit in the node's configuration.
 const MEMORY_LIMIT_KIB: u64 = 32 * 1024;
+/// The set-ups that are answered before the next ones are sent, and the rounds of them: more than the node has places.
+const SET_UPS_PER_ROUND: u64 = 20;
+const MAX_ROUNDS: u64 = 1_000;
 
 /// What one connection writes without end.
 #[derive(Clone, Copy, Debug)]
@@ -201,3 +204,30 @@
     assert!(node.peak_memory_kib() < MEMORY_LIMIT_KIB, "{} KiB", node.peak_memory_kib());
     assert!(node.is_healthy(&mut node.connect()));
 }
+
+/// Sets up calls until one round of them is refused. Returns how many are established.
+fn set_up_until_refused(caller: &mut Caller) -> u64 {
+    let mut established = 0;
+    for round in 0..MAX_ROUNDS {
+        let first = round * SET_UPS_PER_ROUND;
+        caller.write(&(first..first + SET_UPS_PER_ROUND).map(flood_set_up).collect::<String>());
+        let answers: Vec<_> = (0..SET_UPS_PER_ROUND).map(|_| caller.next_answer()).collect();
+        established += answers.iter().filter(|answer| answer["t"] == "up").count() as u64;
+        if answers.iter().all(|answer| answer["t"] == "down") {
+            break;
+        }
+    }
+    established
+}
+
+/// Issue 66 b: one connection could take the place of every call, and all other set-ups were refused from then on.
+#[test]
+fn usual_calls_are_established_after_one_caller_has_set_up_as_many_as_it_may() {
+    let node = TestNode::start("flood-places");
+    let mut caller = node.connect();
+    let flood = thread::spawn(move || (set_up_until_refused(&mut caller), caller));
+    accept_invites(&node, || flood.is_finished());
+    let (established, _caller) = flood.join().unwrap();
+    assert!(established > 10_000, "one connection may hold most of the calls, and holds {established}");
+    assert_usual_calls_are_established(&node);
+}
--- a/crates/ochrelead-node/src/call_table.rs
+++ b/crates/ochrelead-node/src/call_table.rs
@@ -58,6 +58,15 @@
     pub(crate) phase: Phase,
 }
 
+/// The places that the calls of one caller's connection take.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct CallerUsage {
+    /// Calls, including established ones.
+    pub(crate) calls: usize,
+    /// The total length of the session descriptions in bytes.
+    pub(crate) description_bytes: usize,
+}
+
 /// All calls.
 #[derive(Default)]
 pub(crate) struct CallTable {
@@ -65,6 +74,8 @@
     sessions: HashMap<CallId, SessionIx>,
     invite_deadlines: BTreeSet<(Moment, SessionIx)>,
     established: BTreeSet<(ServerIx, SessionIx)>,
+    /// The places of each caller's connection; they outlast the connection.
+    by_caller: HashMap<CallerId, CallerUsage>,
     description_bytes: usize,
     unanswered: usize,
 }
@@ -73,6 +84,7 @@
     pub(crate) fn insert(&mut self, call: Call) -> SessionIx {
         let (id, phase) = (call.id, call.phase);
         self.description_bytes += call.description.len();
+        self.add_usage(call.caller, call.description.len());
         let session = SessionIx::new(self.calls.insert(call));
         self.sessions.insert(id, session);
         self.unanswered += 1;
@@ -84,10 +96,6 @@
         self.calls.get(session.index())
     }
 
-    pub(crate) fn get_mut(&mut self, session: SessionIx) -> Option<&mut Call> {
-        self.calls.get_mut(session.index())
-    }
-
     pub(crate) fn phase(&self, session: SessionIx) -> Option<Phase> {
         self.get(session).map(|call| call.phase)
     }
@@ -116,6 +124,35 @@
         self.description_bytes
     }
 
+    /// The places that the calls of a caller's connection take.
+    pub(crate) fn usage(&self, caller: CallerId) -> CallerUsage {
+        self.by_caller.get(&caller).copied().unwrap_or_default()
+    }
+
+    fn add_usage(&mut self, caller: CallerId, description_bytes: usize) {
+        let usage = self.by_caller.entry(caller).or_default();
+        usage.calls += 1;
+        usage.description_bytes += description_bytes;
+    }
+
+    fn remove_usage(&mut self, caller: CallerId, description_bytes: usize) {
+        let Some(usage) = self.by_caller.get_mut(&caller) else { return };
+        usage.calls -= 1;
+        usage.description_bytes -= description_bytes;
+        if usage.calls == 0 {
+            self.by_caller.remove(&caller);
+        }
+    }
+
+    /// Assigns a call to another connection.
+    pub(crate) fn set_caller(&mut self, session: SessionIx, caller: CallerId) {
+        let Some(call) = self.calls.get_mut(session.index()) else { return };
+        let description_bytes = call.description.len();
+        let former = std::mem::replace(&mut call.caller, caller);
+        self.remove_usage(former, description_bytes);
+        self.add_usage(caller, description_bytes);
+    }
+
     /// Sets the phase of a call and updates the indexes. Frees the call's texts once it is established.
     pub(crate) fn set_phase(&mut self, session: SessionIx, phase: Phase) {
         let Some(call) = self.calls.get_mut(session.index()) else { return };
@@ -124,6 +161,9 @@
             Phase::Inviting(_) => call.invite_count += u32::from(!matches!(former, Phase::Inviting(_))),
             Phase::Established { .. } => {
                 self.description_bytes -= call.description.len();
+                if let Some(usage) = self.by_caller.get_mut(&call.caller) {
+                    usage.description_bytes -= call.description.len();
+                }
                 call.called_number = String::new();
                 call.description = String::new();
             }
@@ -158,6 +198,7 @@
         let call = self.calls.try_remove(session.index())?;
         self.sessions.remove(&call.id);
         self.description_bytes -= call.description.len();
+        self.remove_usage(call.caller, call.description.len());
         self.unindex_phase(session, call.phase);
         if !matches!(call.phase, Phase::Established { .. }) {
             self.unanswered -= 1;
--- a/crates/ochrelead-node/src/engine/call_setup.rs
+++ b/crates/ochrelead-node/src/engine/call_setup.rs
@@ -12,6 +12,8 @@
 use crate::caller_table::CallerTrust;
 use crate::io::{CallerId, Output};
 
+/// The places that one caller's connection may hold, in multiples of the free ones.
+const MAX_SHARE_OF_FREE: usize = 4;
 /// The destination number of a set-up that any server may take.
 const ANY_DESTINATION: i64 = -1;
 
@@ -75,7 +77,7 @@
     pub(super) fn on_set_up(&mut self, id: CallerId, set_up: SetUpRequest) -> Result<(), MessageError> {
         let ResolvedSetUp { class, tenant } = self.check_set_up(&set_up)?;
         self.raise_trust(id, CallerTrust::Plausible);
-        if self.exceeds_capacity(&set_up) || self.refuses_set_ups() {
+        if self.exceeds_capacity(id, &set_up) || self.refuses_set_ups() {
             let line = caller_messages::encode_down(set_up.call, cause::REFUSED, None);
             self.outputs.push_back(Output::SendToCaller(id, line));
             return Ok(());
@@ -138,8 +140,15 @@
         Ok(ResolvedSetUp { class, tenant })
     }
 
-    fn exceeds_capacity(&self, set_up: &SetUpRequest) -> bool {
-        let description_bytes = self.calls.description_bytes() + set_up.description.len();
-        self.calls.len() >= self.bounds.calls || description_bytes > self.bounds.description_bytes
+    /// Whether a set-up finds no place. A connection may hold up to `MAX_SHARE_OF_FREE` times as many places as it leaves
+    /// free, so that no single one takes those of all others.
+    fn exceeds_capacity(&self, caller: CallerId, set_up: &SetUpRequest) -> bool {
+        let usage = self.calls.usage(caller);
+        let free_calls = self.bounds.calls.saturating_sub(self.calls.len());
+        let free_bytes = self.bounds.description_bytes.saturating_sub(self.calls.description_bytes());
+        let length = set_up.description.len();
+        usage.calls / MAX_SHARE_OF_FREE >= free_calls
+            || length > free_bytes
+            || usage.description_bytes / MAX_SHARE_OF_FREE > free_bytes - length
     }
 }
--- a/crates/ochrelead-node/src/engine/reported_calls.rs
+++ b/crates/ochrelead-node/src/engine/reported_calls.rs
@@ -101,10 +101,10 @@
     /// Handles the report of a call that the node holds. Its release is sent to the reporting caller if the connection on
     /// which it was set up or reported before has closed.
     fn on_known_call_reported(&mut self, id: CallerId, session: SessionIx) {
-        let Some(call) = self.calls.get_mut(session) else { return };
+        let Some(call) = self.calls.get(session) else { return };
         let Phase::Established { connection, .. } = call.phase else { return };
         if self.callers.get(call.caller).is_none() {
-            call.caller = id;
+            self.calls.set_caller(session, id);
             if let Some(caller) = self.callers.get_mut(id) {
                 caller.established_calls += 1;
             }
