--- a/crates/ochrelead-front/src/engine.rs
+++ b/crates/ochrelead-front/src/engine.rs
@@ -79,7 +79,7 @@
     called_numbers: CalledNumberTable,
     pending_commands: HashMap<TransactionId, PendingCommand>,
     /// Attempts whose hang-up was received while no session of them was held. No call is set up for these attempts.
-    ended_attempts: RecentIds,
+    ended_attempts: RecentIds<String>,
     releases: PendingReleases,
     drain_state: DrainState,
     /// The longest time between two calls of [`Engine::process`]; a call that is later by more than this is a stall.
--- a/crates/ochrelead-front/src/engine/caller_side.rs
+++ b/crates/ochrelead-front/src/engine/caller_side.rs
@@ -141,7 +141,7 @@
         }
         // The attempt itself may still be received: the hang-up has overtaken it, or the gateway repeats it because the
         // response of this front's former process was lost.
-        self.ended_attempts.insert(attempt);
+        self.ended_attempts.insert(attempt.to_owned());
         let far_end = command.parameters.get(parameter::FAR_END).and_then(|far_end| {
             let (connection, endpoint) = far_end.split_once(' ')?;
             Some((connection, endpoint.parse::<Endpoint>().ok()?))
--- a/crates/ochrelead-node/src/engine.rs
+++ b/crates/ochrelead-node/src/engine.rs
@@ -27,7 +27,7 @@
 use ochrelead_host::call_policy::CallPolicy;
 use ochrelead_host::called_numbers::CalledNumberTable;
 use ochrelead_host::recent_ids::RecentIds;
-use ochrelead_platform::caller_messages::{self, cause};
+use ochrelead_platform::caller_messages::{self, CallId, cause};
 use ochrelead_platform::configuration::Configuration;
 use ochrelead_platform::events::EndpointChange;
 use tracing::{Level, debug, info};
@@ -89,10 +89,12 @@
     called_numbers: CalledNumberTable,
     watch: CoordinatorWatch,
     /// Calls with a cancelled INVITE. If a server accepts the INVITE after all, the call is released there.
-    cancelled: RecentIds,
+    cancelled: RecentIds<CallId>,
     /// Calls that have ended, including those unknown to this node that a server released: a former incarnation of the
     /// node may have set them up, and a caller may still report them.
-    ended_calls: RecentIds,
+    ended_calls: RecentIds<CallId>,
+    /// Calls with an INVITE that was sent. An id that is used again is rejected: its call may have been established before.
+    invited_calls: RecentIds<CallId>,
     reported_calls: ReportedCallTable,
     /// The longest time for which a reported call is kept; `None` if the settings name no holding times.
     max_reported_age: Option<Span>,
@@ -137,8 +139,9 @@
             servers: ServerTable::new(bounds.servers, now),
             called_numbers: CalledNumberTable::new(bounds.called_numbers),
             watch: CoordinatorWatch::new(&watch, now),
-            cancelled: RecentIds::new(bounds.called_numbers),
-            ended_calls: RecentIds::new(bounds.called_numbers),
+            cancelled: RecentIds::new(bounds.calls),
+            ended_calls: RecentIds::new(bounds.calls),
+            invited_calls: RecentIds::new(bounds.calls),
             reported_calls: ReportedCallTable::new(bounds.reported_calls),
             max_reported_age: max_reported_age(&configuration.controller_config),
             doubtful_calls: Vec::new(),
--- a/crates/ochrelead-node/src/engine/call_setup.rs
+++ b/crates/ochrelead-node/src/engine/call_setup.rs
@@ -109,7 +109,7 @@
     }
 
     fn check_set_up(&self, set_up: &SetUpRequest) -> Result<ResolvedSetUp, MessageError> {
-        if self.calls.find(set_up.call).is_some() {
+        if self.calls.find(set_up.call).is_some() || self.invited_calls.contains(&set_up.call) {
             return Err(MessageError::DuplicateCall);
         }
         let services = &self.catalog.services;
--- a/crates/ochrelead-node/src/engine/releases.rs
+++ b/crates/ochrelead-node/src/engine/releases.rs
@@ -72,7 +72,7 @@
     /// Removes an established call.
     pub(super) fn remove_established(&mut self, session: SessionIx) -> Option<Call> {
         let call = self.calls.remove(session)?;
-        self.ended_calls.insert(call.id.as_str());
+        self.ended_calls.insert(call.id);
         self.reported_calls.remove(call.id);
         if let Some(caller) = self.callers.get_mut(call.caller) {
             caller.established_calls = caller.established_calls.saturating_sub(1);
--- a/crates/ochrelead-node/src/engine/reported_calls.rs
+++ b/crates/ochrelead-node/src/engine/reported_calls.rs
@@ -44,7 +44,7 @@
         }
         let server = self.servers.find(server).filter(|server| !self.servers.get(*server).is_gone());
         // A server that released the call before the caller reported it does not send the release again.
-        let server = server.filter(|_| !self.ended_calls.contains(call.as_str()));
+        let server = server.filter(|_| !self.ended_calls.contains(&call));
         let Some(server) = server.filter(|_| self.make_room_for_report(id)) else {
             self.outputs
                 .push_back(Output::SendToCaller(id, caller_messages::encode_down(call, cause::FAILED, None)));
--- a/crates/ochrelead-node/src/engine/server_messages.rs
+++ b/crates/ochrelead-node/src/engine/server_messages.rs
@@ -227,7 +227,7 @@
     /// Whether a server has established a call that no caller waits for: an INVITE of the call was cancelled, and the
     /// call has ended or is not at that server. False for a repeated response and for an unknown call id.
     fn is_orphaned(&self, server: ServerIx, call: CallId) -> bool {
-        if !self.cancelled.contains(call.as_str()) {
+        if !self.cancelled.contains(&call) {
             return false;
         }
         match self.calls.find(call).and_then(|session| self.calls.phase(session)) {
@@ -263,7 +263,7 @@
                 "release from a server at which the call is not established"
             );
         }
-        let Some(session) = session else { return self.ended_calls.insert(call.as_str()) };
+        let Some(session) = session else { return self.ended_calls.insert(call) };
         match phase {
             Some(Phase::Established { connection, .. }) if is_established_there => {
                 if connection.is_none() {
--- a/crates/ochrelead-node/src/engine/server_side.rs
+++ b/crates/ochrelead-node/src/engine/server_side.rs
@@ -75,6 +75,7 @@
         };
         let bytes = request.encode();
         let sequence = request.sequence;
+        self.invited_calls.insert(call.id);
         let server_id = &self.servers.get(server).id;
         debug!(call = %call.id.as_str(), server = server_id, connection = id.0, sequence, "INVITE sent");
         self.outputs.push_back(Output::SendToServer(id, bytes));
@@ -122,7 +123,7 @@
         let Phase::Inviting(invite) = call.phase else { return };
         if let Some(connection) = invite.connection {
             let bytes = requests::request("CANCEL", &call.called_number, call.id, call.invite_count);
-            self.cancelled.insert(call.id.as_str());
+            self.cancelled.insert(call.id);
             self.outputs.push_back(Output::SendToServer(connection, bytes));
         }
         self.detach_invite(session, invite);
--- a/crates/ochrelead-node/tests/invalid_input.rs
+++ b/crates/ochrelead-node/tests/invalid_input.rs
@@ -135,3 +135,73 @@
     assert!(node.engine.load().callers <= 32);
     assert!(!node.has_closed(1) && node.has_closed(2));
 }
+
+/// Issue 66 c: the id of a call ran twice when it came again, on a new connection, after its caller had left.
+#[test_case(false; "whose INVITE is cancelled")]
+#[test_case(true; "that is established")]
+fn id_of_a_call_whose_caller_left_is_not_sent_again(is_accepted: bool) {
+    let mut node = TestNode::with_servers(2);
+    node.connect_caller(1);
+    node.set_up(1, 7, 0);
+    let (connection, _) = node.sent_to_servers("INVITE").pop().unwrap();
+    node.disconnect_caller(1);
+    if is_accepted {
+        node.respond(connection, &Response::accepted(7, 1));
+    }
+    node.outputs.clear();
+    node.connect_caller(2);
+    node.set_up(2, 7, 0);
+    node.advance(RELEASE_GUARD_MS);
+    assert_eq!(node.sent_to_servers("INVITE").len(), 0);
+    assert_eq!(
+        node.answers(),
+        [(2, "down".to_owned(), Some(100))],
+        "a second set-up of the id is answered once"
+    );
+}
+
+/// A set-up that no server got is sent once more under its id, for example after it crossed a close.
+#[test]
+fn id_of_a_call_that_was_never_sent_may_come_again() {
+    let mut node = TestNode::with_servers(1);
+    node.drains_input = false;
+    node.connect_caller(1);
+    node.set_up(1, 7, 0);
+    node.disconnect_caller(1);
+    node.drains_input = true;
+    node.connect_caller(2);
+    node.set_up(2, 7, 0);
+    assert_eq!(node.sent_to_servers("INVITE").len(), 1);
+}
+
+/// Issue 66 c: the answer to a cancelled INVITE found nothing once as many calls as there are called numbers (2,048) had been
+/// cancelled after it, and its call stood at the server for good.
+#[test]
+fn late_answer_releases_its_call_after_thousands_of_cancelled_calls() {
+    const CANCELLED_CALLS: u64 = 2_500;
+    let mut node = TestNode::with_servers(1);
+    node.connect_caller(1);
+    let cancel = |call: u64| json!({"t": "down", "ref": call_id(call), "f": {}, "c": 16});
+    let mut invites = Vec::new();
+    for call in 1..=CANCELLED_CALLS {
+        node.set_up(1, call, 0);
+        invites.extend(node.sent_to_servers("INVITE"));
+        node.send_line(1, &cancel(call));
+        // The server answers other calls, so that the controller goes on sending it INVITEs.
+        let connection = node.establish(1, CANCELLED_CALLS + call, 0);
+        node.server_releases(connection, CANCELLED_CALLS + call, 16);
+        node.advance(10);
+        node.outputs.clear();
+    }
+    assert!(invites.len() > 2_048, "{} INVITEs", invites.len());
+    let (connection, invite) = &invites[0];
+    assert!(invite.contains(&call_id(1)));
+    let connection = if node.connections.contains_key(connection) {
+        *connection
+    } else {
+        *node.connections.keys().next().unwrap()
+    };
+    node.outputs.clear();
+    node.respond(connection, &Response::accepted(1, 1));
+    assert_eq!(node.sent_to_servers("BYE").len(), 1);
+}
--- a/crates/ochrelead-platform/src/caller_messages.rs
+++ b/crates/ochrelead-platform/src/caller_messages.rs
@@ -129,8 +129,8 @@
     /// A set-up has no session description.
     #[error("set-up without a session description in `d`")]
     MissingDescription,
-    /// The front already holds a call with this id.
-    #[error("a call with this id already exists")]
+    /// The front holds a call with this id, or has sent an INVITE for one.
+    #[error("a call with this id exists or was set up before")]
     DuplicateCall,
     /// The settings have no service of this name.
     #[error("the settings have no class of this name")]
