Let the server that started later hold an address that two are listed at

Cause: a server listed for the first time displaced whichever held its address, in the order of the list; a displaced one was up again once a later event named it. Change: the later start decides; a displaced server stays so unless it has started again.

--- a/crates/ochrelead-node/src/server_table.rs
+++ b/crates/ochrelead-node/src/server_table.rs
@@ -212,6 +212,10 @@
         for endpoint in &change.endpoints {
             let is_new = !self.by_id.contains_key(&endpoint.id);
             let Some(server) = self.find_or_insert(endpoint, now, &is_unused) else { continue };
+            if self.is_superseded(server, endpoint, is_new) {
+                self.set_displaced(server, endpoint.number, &mut changes);
+                continue;
+            }
             if is_new {
                 self.displace_others(server, endpoint.address, &mut changes);
             }
@@ -220,6 +224,25 @@
         changes
     }
 
+    /// Whether another server that started later holds the address at which this one is listed. The list names a server that
+    /// has ended for some seconds, next to or after the one that has taken its address. A server that was displaced before
+    /// stays so unless it has started again since.
+    fn is_superseded(&self, index: ServerIx, endpoint: &Endpoint, is_new: bool) -> bool {
+        let started = started(endpoint.state).max(self.get(index).started);
+        let may_be_superseded = is_new || self.get(index).is_gone();
+        let holds_address = |other: &ServerIx| {
+            let other_server = self.get(*other);
+            *other != index && !other_server.is_gone() && other_server.address == endpoint.address
+        };
+        let starts_later = |other: ServerIx| {
+            let holder = self.get(other).started;
+            if is_new { holder > started } else { holder >= started }
+        };
+        endpoint.state != EndpointState::Gone
+            && may_be_superseded
+            && self.indices().filter(holds_address).any(starts_later)
+    }
+
     /// Marks the servers that are missing from a complete list as gone.
     fn remove_unlisted(&mut self, endpoints: &[Endpoint], changes: &mut EndpointChanges) {
         let is_listed = |server: &Server| endpoints.iter().any(|endpoint| endpoint.id == server.id);
@@ -241,14 +264,19 @@
             // This overrides the state in the list: a message to the previous server would reach the new one.
             if !self.get(server).is_gone() {
                 let number = self.get(server).number;
-                let state = EndpointState::Gone;
-                changes.updates.push(EndpointUpdate { server, number, state, weight: 1.0 });
-                self.set_gone(server);
+                self.set_displaced(server, number, changes);
             }
             changes.transitions.push(ServerTransition::Displaced(server));
         }
     }
 
+    /// Marks a server as gone that may be listed otherwise.
+    fn set_displaced(&mut self, server: ServerIx, number: i64, changes: &mut EndpointChanges) {
+        let state = EndpointState::Gone;
+        changes.updates.push(EndpointUpdate { server, number, state, weight: 1.0 });
+        self.set_gone(server);
+    }
+
     /// Updates a server from its entry in the endpoint list.
     fn update(&mut self, index: ServerIx, endpoint: &Endpoint, is_new: bool, changes: &mut EndpointChanges) {
         let created_at = self.created_at;
@@ -332,3 +360,11 @@
 fn may_have_predecessor(started: Moment, created_at: Moment) -> bool {
     started < created_at + protocol::SILENT_FAILURE_DEADLINE
 }
+
+/// When a server in service started, as far as its state tells.
+fn started(state: EndpointState) -> Option<Moment> {
+    match state {
+        EndpointState::Ready { started } => started,
+        _ => None,
+    }
+}
--- a/crates/ochrelead-node/tests/connections.rs
+++ b/crates/ochrelead-node/tests/connections.rs
@@ -142,6 +142,33 @@
     assert_eq!(connections, 2, "only those to the new server");
 }
 
+/// Issue 66 d, review case 7: a server that had ended, and was listed with or after the one that had taken its address, displaced
+/// it. The present one counted as gone and the former one as up, at one address: set-ups reached a draining server, and
+/// calls were released that stood.
+#[test_case(&[21, 11], &[]; "the present one is listed first")]
+#[test_case(&[21], &[11]; "the former one is listed later")]
+#[test_case(&[11, 21], &[]; "the former one is listed first")]
+#[test_case(&[11, 21], &[11]; "the former one is listed again")]
+fn server_that_has_ended_does_not_displace_its_successor_if(listed: &[u64], then_listed: &[u64]) {
+    let entry = |number: u64, lifecycle| endpoint(number, 30, lifecycle, if number == 21 { 100 } else { 0 });
+    let entries =
+        |numbers: &[u64]| json!(numbers.iter().map(|number| entry(*number, "up")).collect::<Vec<_>>());
+    let mut node = TestNode::with_servers(1);
+    node.coordinator_updates(2, &entries(listed));
+    node.coordinator_updates(3, &entries(then_listed));
+    node.advance(1_000);
+    node.connect_caller(1);
+    let connection = node.establish(1, 7, 1);
+    assert_eq!(node.connections[&connection], "127.0.0.30");
+    node.coordinator_updates(4, &json!([entry(21, "draining")]));
+    node.set_up(1, 8, 1);
+    let (connection, _) = node.sent_to_servers("INVITE").pop().unwrap();
+    assert_eq!(node.connections[&connection], "127.0.0.10", "nothing new goes to the draining server");
+    node.coordinator_updates(5, &json!([entry(11, "removed")]));
+    node.advance(500);
+    assert_eq!(node.answers(), [], "the call at the present server stands");
+}
+
 #[test]
 fn calls_of_a_silent_server_that_accepts_connections_are_kept() {
     let mut node = TestNode::with_servers(1);
