Close the connections that are being opened to a displaced server

Cause: such a connection came up at the server that had taken the address; releases sent on it were taken for the former server's, answered and lost. Change: all connections to a displaced server are closed. Result: connections_being_opened_to_a_displaced_server_are_closed failed before; all tests of ochrelead-node pass.

--- a/crates/ochrelead-node/src/engine/server_connections.rs
+++ b/crates/ochrelead-node/src/engine/server_connections.rs
@@ -159,7 +159,13 @@
                 }
             }
             ServerTransition::Restarted(server, started) => self.on_server_restarted(server, started),
-            ServerTransition::Displaced(server) => self.presume_dead(server),
+            ServerTransition::Displaced(server) => {
+                // A connection that is being opened would reach the server that has taken the address.
+                for id in self.servers.get(server).connections.clone() {
+                    self.abort_connection(id);
+                }
+                self.presume_dead(server);
+            }
         }
     }
 
--- a/crates/ochrelead-node/tests/connections.rs
+++ b/crates/ochrelead-node/tests/connections.rs
@@ -169,6 +169,25 @@
     assert_eq!(node.answers(), [], "the call at the present server stands");
 }
 
+/// Issue 66 d: connections that were being opened to a server reached the one that took its address, whose releases on them
+/// were taken for those of the former one and lost.
+#[test]
+fn connections_being_opened_to_a_displaced_server_are_closed() {
+    let mut node = TestNode::with_servers(1);
+    node.connects_succeed = false;
+    for connection in node.connections.keys().copied().collect::<Vec<_>>() {
+        node.disconnect_server(connection, ConnectionEnd::Closed);
+    }
+    node.advance(100);
+    let opening: Vec<_> = node.connections.keys().copied().collect();
+    assert!(!opening.is_empty());
+    node.outputs.clear();
+    node.coordinator_updates(2, &json!([endpoint(21, 10, "up", 100)]));
+    for connection in opening {
+        assert!(node.outputs.contains(&Output::CloseServerConnection(connection)), "{connection:?}");
+    }
+}
+
 #[test]
 fn calls_of_a_silent_server_that_accepts_connections_are_kept() {
     let mut node = TestNode::with_servers(1);
