--- a/crates/ochrelead-front/tests/floods.rs
+++ b/crates/ochrelead-front/tests/floods.rs
@@ -4,8 +4,8 @@
 
 use std::io::{Write, copy, sink};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -33,6 +33,13 @@
 const SET_UPS_PER_ROUND: u64 = 20;
 const MAX_ROUNDS: u64 = 1_000;
 
+/// Held by each test: a flood uses more than one core, and two of them at once would be a flood of the machine.
+static MACHINE: Mutex<()> = Mutex::new(());
+
+fn machine() -> MutexGuard<'static, ()> {
+    MACHINE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// What one connection writes without end.
 #[derive(Clone, Copy, Debug)]
 enum Flood {
@@ -166,6 +173,7 @@
 #[test_case(Flood::InvalidSetUps; "of invalid set ups")]
 #[test_case(Flood::EndedReports; "of ended reports")]
 fn usual_calls_are_established_beside_a_flood(flood: Flood) {
+    let _machine = machine();
     let node = TestNode::start(&format!("flood-{flood:?}"));
     let floods = Floods::start(flood, 1, &node);
     assert_usual_calls_are_established(&node);
@@ -175,6 +183,7 @@
 /// Issue 66 b: the INVITE of a caller that never stops writing was held back for ever, and counted as in flight.
 #[test]
 fn set_up_of_a_caller_that_never_stops_writing_reaches_the_server() {
+    let _machine = machine();
     let node = TestNode::start("flood-held-invite");
     let floods = Floods::start(Flood::SetUpAndHeartbeats, 1, &node);
     node.server.wait_for("INVITE");
@@ -185,6 +194,7 @@
 /// they have sent no set-up for so long that the node, which is paused, is about to close them.
 #[test]
 fn memory_stays_within_its_limit_if_many_callers_write_before_they_are_closed() {
+    let _machine = machine();
     let node = TestNode::start("flood-memory");
     let mut callers: Vec<Caller> = (0..CONNECTIONS).map(|_| node.connect()).collect();
     callers.iter_mut().for_each(|caller| assert!(node.is_healthy(caller)));
@@ -221,6 +231,7 @@
 /// Issue 66 b: one connection could take the place of every call, and all other set-ups were refused from then on.
 #[test]
 fn usual_calls_are_established_after_one_caller_has_set_up_as_many_as_it_may() {
+    let _machine = machine();
     let node = TestNode::start("flood-places");
     let mut caller = node.connect();
     let flood = thread::spawn(move || (set_up_until_refused(&mut caller), caller));
